Stand-ins of the platform and the upstreams, HTTP plumbing, configuration chain

Cause: nothing ran yet. Change: core ids, errors, clock and ring; configuration documents and hash-linked log; Beast server and client with the stage of a failure kept; both stand-ins with faults.

--- /dev/null
+++ b/apps/upstream.cpp
@@ -0,0 +1,92 @@
+// arbutus-upstream: stand-ins for model engines and plain services, many in one process.
+//
+// --list FILE names a JSON document {"upstreams":[{"id","kind":"model"|"service","address","models":[…],"slots",
+// "step_us","checks_fencing"}]}.
+
+#include "arbutus/core/clock.h"
+#include "arbutus/core/json.h"
+#include "arbutus/observe/logline.h"
+#include "arbutus/standin/upstream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+namespace {
+
+namespace core = arbutus::core;
+namespace standin = arbutus::standin;
+
+boost::json::object readDocument(const std::string &file)
+{
+    std::ifstream in(file);
+    std::stringstream text;
+    text << in.rdbuf();
+    auto parsed = core::parseJsonObject(text.str());
+    if (!parsed) {
+        throw std::runtime_error(file + ": " + parsed.error().message);
+    }
+    return parsed.value();
+}
+
+standin::UpstreamOptions readOptions(const boost::json::object &line, const arbutus::http::Endpoint &weightStore)
+{
+    standin::UpstreamOptions options;
+    options.id = core::jsonText(line, "id");
+    options.listen = arbutus::http::parseEndpoint(core::jsonText(line, "address"));
+    options.model = core::jsonText(line, "kind") == "model";
+    for (const auto &model : core::jsonArray(line, "models")) {
+        options.models.emplace(model.as_string());
+    }
+    options.checksFencing = core::jsonBool(line, "checks_fencing", true);
+    options.weightStore = weightStore;
+    options.engine.slots = static_cast<std::size_t>(core::jsonInteger(line, "slots", 16));
+    options.engine.stepBase = core::Duration(core::jsonInteger(line, "step_us", options.engine.stepBase.count()));
+    options.engine.cacheBlocks = static_cast<std::size_t>(core::jsonInteger(line, "cache_blocks", 4096));
+    return options;
+}
+
+int run(int argc, char **argv)
+{
+    cxxopts::Options options("arbutus-upstream", "Stand-ins for model engines and plain services");
+    options.add_options()                                                              //
+        ("list", "JSON file of upstreams", cxxopts::value<std::string>())               //
+        ("weights", "address of the weight store", cxxopts::value<std::string>()->default_value("")) //
+        ("help", "show this text");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0 || arguments.count("list") == 0) {
+        std::cout << options.help();
+        return arguments.count("help") != 0 ? 0 : 2;
+    }
+    const auto weightStore = arbutus::http::parseEndpoint(arguments["weights"].as<std::string>());
+    const core::SystemClock clock;
+    boost::asio::io_context context(1);
+    std::vector<std::unique_ptr<standin::Upstream>> upstreams;
+    const boost::json::object document = readDocument(arguments["list"].as<std::string>());
+    for (const auto &line : core::jsonArray(document, "upstreams")) {
+        upstreams.push_back(std::make_unique<standin::Upstream>(context.get_executor(), clock, readOptions(line.as_object(), weightStore)));
+    }
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
+    arbutus::observe::LogLine("upstreams_started").add("count", upstreams.size()).write();
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    arbutus::observe::initLogging(argv[0]);
+    try {
+        return run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "arbutus-upstream: " << error.what() << "; see --help\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/arbutus/config/log.cpp
@@ -0,0 +1,254 @@
+// Entries as JSON, and the rules of adoption.
+
+#include "arbutus/config/log.h"
+
+#include "arbutus/core/hash.h"
+#include "arbutus/core/json.h"
+
+#include <array>
+#include <cstdio>
+
+namespace arbutus::config {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t RecentEntries = 512; // entries kept to feed peers that lag
+
+json::array toJson(const std::vector<DocumentKey> &keys)
+{
+    json::array out;
+    for (const DocumentKey &key : keys) {
+        out.push_back(json::object{{"kind", key.kind}, {"id", key.id}});
+    }
+    return out;
+}
+
+core::Error malformed(const std::string &what)
+{
+    return core::makeError(core::ErrorKind::ConfigInvalid, "log entry: " + what);
+}
+
+core::Result<void> readPuts(const json::object &object, LogEntry &entry)
+{
+    const json::value *puts = object.if_contains("puts");
+    if (puts == nullptr || !puts->is_array()) {
+        return malformed("puts is missing");
+    }
+    for (const json::value &put : puts->as_array()) {
+        if (!put.is_object()) {
+            return malformed("a document is no object");
+        }
+        BOOST_OUTCOME_TRYV(keyOf(put.as_object()));
+        entry.puts.push_back(put.as_object());
+    }
+    return core::success();
+}
+
+core::Result<void> readRemovals(const json::object &object, LogEntry &entry)
+{
+    const json::value *removals = object.if_contains("removals");
+    if (removals == nullptr || !removals->is_array()) {
+        return malformed("removals is missing");
+    }
+    for (const json::value &removal : removals->as_array()) {
+        if (!removal.is_object()) {
+            return malformed("a removal is no object");
+        }
+        entry.removals.push_back(DocumentKey{core::jsonText(removal.as_object(), "kind"), core::jsonText(removal.as_object(), "id")});
+    }
+    return core::success();
+}
+
+void applyTo(DocumentSet &documents, const LogEntry &entry)
+{
+    for (const json::object &put : entry.puts) {
+        documents[keyOf(put).value()] = put;
+    }
+    for (const DocumentKey &key : entry.removals) {
+        documents.erase(key);
+    }
+}
+
+} // namespace
+
+std::string LogEntry::serialize() const
+{
+    json::array documents;
+    for (const json::object &put : puts) {
+        documents.emplace_back(put);
+    }
+    const json::object object{{"revision", static_cast<std::int64_t>(revision.value)},
+                              {"edit_id", editId},
+                              {"previous_hash", previousHash},
+                              {"author", author},
+                              {"at_ms", atMs},
+                              {"puts", std::move(documents)},
+                              {"removals", toJson(removals)}};
+    return json::serialize(object);
+}
+
+std::string LogEntry::hash() const
+{
+    return core::sha256Hex(serialize());
+}
+
+core::Result<LogEntry> parseEntry(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const json::object object, core::parseJsonObject(text));
+    LogEntry entry;
+    entry.revision = core::Revision(static_cast<std::uint64_t>(core::jsonInteger(object, "revision")));
+    entry.editId = core::jsonText(object, "edit_id");
+    entry.previousHash = core::jsonText(object, "previous_hash");
+    entry.author = core::jsonText(object, "author");
+    entry.atMs = core::jsonInteger(object, "at_ms");
+    if (entry.revision.value == 0 || entry.editId.empty()) {
+        return malformed("revision or edit_id is missing");
+    }
+    BOOST_OUTCOME_TRYV(readPuts(object, entry));
+    BOOST_OUTCOME_TRYV(readRemovals(object, entry));
+    return entry;
+}
+
+std::string logKey(core::Revision revision)
+{
+    std::array<char, 40> buffer{};
+    std::snprintf(buffer.data(), buffer.size(), "config/log/%012llu", static_cast<unsigned long long>(revision.value));
+    return buffer.data();
+}
+
+Adoption ConfigState::offer(const LogEntry &entry)
+{
+    if (entry.revision <= m_head.revision) {
+        return Adoption::Duplicate;
+    }
+    if (entry.revision.value != m_head.revision.value + 1) {
+        return Adoption::Gap;
+    }
+    if (entry.previousHash != m_head.hash) {
+        return Adoption::Foreign;
+    }
+    for (const json::object &put : entry.puts) {
+        if (!keyOf(put)) {
+            return Adoption::Invalid;
+        }
+    }
+    applyTo(m_documents, entry);
+    m_head = Head{entry.revision, entry.hash()};
+    for (const json::object &put : entry.puts) {
+        const DocumentKey key = keyOf(put).value();
+        m_writtenAt[key] = entry.revision;
+        resolveTouched(key);
+    }
+    for (const DocumentKey &key : entry.removals) {
+        m_writtenAt[key] = entry.revision;
+        resolveTouched(key);
+    }
+    m_recent.push_back(entry);
+    if (m_recent.size() > RecentEntries) {
+        m_recent.erase(m_recent.begin());
+    }
+    return Adoption::Adopted;
+}
+
+std::string ConfigState::snapshot() const
+{
+    json::array documents;
+    for (const auto &[key, document] : m_documents) {
+        json::object row{{"document", document}, {"written_at", static_cast<std::int64_t>(writtenAt(key).value)}};
+        documents.emplace_back(std::move(row));
+    }
+    const json::object object{{"revision", static_cast<std::int64_t>(m_head.revision.value)},
+                              {"hash", m_head.hash},
+                              {"documents", std::move(documents)}};
+    return json::serialize(object);
+}
+
+bool ConfigState::adoptSnapshot(std::string_view text)
+{
+    const auto parsed = core::parseJsonObject(text);
+    if (!parsed) {
+        return false;
+    }
+    const json::object &object = parsed.value();
+    const core::Revision revision(static_cast<std::uint64_t>(core::jsonInteger(object, "revision")));
+    const json::value *rows = object.if_contains("documents");
+    if (revision <= m_head.revision || rows == nullptr || !rows->is_array()) {
+        return false;
+    }
+    DocumentSet documents;
+    std::map<DocumentKey, core::Revision> writtenAt;
+    for (const json::value &row : rows->as_array()) {
+        const json::value *document = row.is_object() ? row.as_object().if_contains("document") : nullptr;
+        if (document == nullptr || !document->is_object() || !keyOf(document->as_object())) {
+            return false;
+        }
+        const DocumentKey key = keyOf(document->as_object()).value();
+        documents[key] = document->as_object();
+        writtenAt[key] = core::Revision(static_cast<std::uint64_t>(core::jsonInteger(row.as_object(), "written_at")));
+    }
+    m_documents = std::move(documents);
+    m_writtenAt = std::move(writtenAt);
+    m_head = Head{revision, core::jsonText(object, "hash")};
+    m_recent.clear();
+    resolveAll();
+    return true;
+}
+
+std::optional<std::vector<LogEntry>> ConfigState::entriesAfter(core::Revision from) const
+{
+    if (from >= m_head.revision) {
+        return std::vector<LogEntry>{};
+    }
+    if (m_recent.empty() || m_recent.front().revision.value > from.value + 1) {
+        return std::nullopt;
+    }
+    std::vector<LogEntry> out;
+    for (const LogEntry &entry : m_recent) {
+        if (entry.revision > from) {
+            out.push_back(entry);
+        }
+    }
+    return out;
+}
+
+core::Revision ConfigState::writtenAt(const DocumentKey &key) const
+{
+    const auto found = m_writtenAt.find(key);
+    return found == m_writtenAt.end() ? core::Revision() : found->second;
+}
+
+const Policy *ConfigState::policyOf(const core::WorkspaceId &workspace) const
+{
+    const auto found = m_policies.find(workspace);
+    return found == m_policies.end() ? nullptr : &found->second;
+}
+
+void ConfigState::resolveTouched(const DocumentKey &key)
+{
+    if (key.kind == "template") {
+        resolveAll();
+        return;
+    }
+    if (key.kind != "workspace") {
+        return;
+    }
+    const core::WorkspaceId workspace(key.id);
+    m_policies.erase(workspace);
+    if (auto policy = resolve(m_documents, workspace)) {
+        m_policies[workspace] = std::move(policy.value());
+    }
+}
+
+void ConfigState::resolveAll()
+{
+    m_policies.clear();
+    for (const core::WorkspaceId &workspace : workspacesOf(m_documents)) {
+        if (auto policy = resolve(m_documents, workspace)) {
+            m_policies[workspace] = std::move(policy.value());
+        }
+    }
+}
+
+} // namespace arbutus::config
--- /dev/null
+++ b/src/arbutus/core/clock.h
@@ -0,0 +1,72 @@
+// Time, passed in as an interface.
+//
+// Decision logic never reads a clock of its own: it takes a Clock, so that tests drive time by hand and the same
+// events give the same actions. Durations are std::chrono types throughout.
+
+#pragma once
+
+#include <chrono>
+
+namespace arbutus::core {
+
+using Duration = std::chrono::microseconds;                              // resolution of all decisions
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>; // never goes back
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+/// Source of time. steadyNow() orders events and measures; wallNow() is for expiry that crosses instances and for logs.
+class Clock
+{
+public:
+    Clock() = default;
+    Clock(const Clock &) = delete;
+    Clock &operator=(const Clock &) = delete;
+    virtual ~Clock() = default;
+
+    [[nodiscard]] virtual TimePoint steadyNow() const = 0;
+    [[nodiscard]] virtual WallTime wallNow() const = 0;
+};
+
+/// The machine's clocks.
+class SystemClock final : public Clock
+{
+public:
+    [[nodiscard]] TimePoint steadyNow() const override
+    {
+        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    }
+    [[nodiscard]] WallTime wallNow() const override
+    {
+        return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    }
+};
+
+/// A clock that moves only when told to; for tests, fuzzers and benchmarks.
+class ManualClock final : public Clock
+{
+public:
+    [[nodiscard]] TimePoint steadyNow() const override
+    {
+        return m_steady;
+    }
+    [[nodiscard]] WallTime wallNow() const override
+    {
+        return m_wall;
+    }
+    void advance(Duration step)
+    {
+        m_steady += step;
+        m_wall += std::chrono::duration_cast<std::chrono::milliseconds>(step);
+    }
+
+private:
+    TimePoint m_steady{std::chrono::seconds(1000)};
+    WallTime m_wall{std::chrono::seconds(1'700'000'000)};
+};
+
+/// Milliseconds of a duration, for logs and headers.
+[[nodiscard]] inline std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace arbutus::core
--- /dev/null
+++ b/src/arbutus/core/hash.h
@@ -0,0 +1,28 @@
+// Hashing and message authentication.
+//
+// xxHash where speed and spread matter, SHA-256 and HMAC-SHA-256 (OpenSSL) where somebody could want to forge.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace arbutus::core {
+
+/// 64-bit xxHash3 of a text. Not for secrets.
+[[nodiscard]] std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+/// Rendezvous weight of `member` for `key`: the member with the highest weight is chosen.
+[[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, std::string_view member);
+
+/// SHA-256 as 64 lower-case hexadecimal digits.
+[[nodiscard]] std::string sha256Hex(std::string_view text);
+
+/// HMAC-SHA-256 as 64 lower-case hexadecimal digits.
+[[nodiscard]] std::string hmacSha256Hex(std::string_view key, std::string_view text);
+
+/// Comparison whose time does not depend on where two texts differ.
+[[nodiscard]] bool equalConstantTime(std::string_view left, std::string_view right);
+
+} // namespace arbutus::core
--- /dev/null
+++ b/src/arbutus/core/json.cpp
@@ -0,0 +1,78 @@
+// Lenient field access, strict parsing.
+
+#include "arbutus/core/json.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace arbutus::core {
+
+namespace json = boost::json;
+
+std::string jsonText(const json::object &object, std::string_view name, std::string_view fallback)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string(fallback);
+}
+
+std::int64_t jsonInteger(const json::object &object, std::string_view name, std::int64_t fallback)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (value->is_int64()) {
+        return value->as_int64();
+    }
+    if (value->is_double() && std::abs(value->as_double()) < 9e15) {
+        return static_cast<std::int64_t>(value->as_double());
+    }
+    if (value->is_string()) {
+        const std::string_view text = value->as_string();
+        std::int64_t number = 0;
+        const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+        return read.ec == std::errc() && read.ptr == text.data() + text.size() ? number : fallback;
+    }
+    return fallback;
+}
+
+double jsonNumber(const json::object &object, std::string_view name, double fallback)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_number() ? value->to_number<double>() : fallback;
+}
+
+bool jsonBool(const json::object &object, std::string_view name, bool fallback)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+}
+
+const json::object &jsonObject(const json::object &object, std::string_view name)
+{
+    static const json::object Empty;
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_object() ? value->as_object() : Empty;
+}
+
+const json::array &jsonArray(const json::object &object, std::string_view name)
+{
+    static const json::array Empty;
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_array() ? value->as_array() : Empty;
+}
+
+Result<json::object> parseJsonObject(std::string_view text)
+{
+    boost::system::error_code code;
+    json::value value = json::parse(text, code);
+    if (code) {
+        return makeError(ErrorKind::BadRequest, "not JSON: " + code.message());
+    }
+    if (!value.is_object()) {
+        return makeError(ErrorKind::BadRequest, "a JSON object is needed at the top level");
+    }
+    return std::move(value.as_object());
+}
+
+} // namespace arbutus::core
--- /dev/null
+++ b/src/arbutus/core/prefix.cpp
@@ -0,0 +1,24 @@
+// Chained block hashes.
+
+#include "arbutus/core/prefix.h"
+
+#include "arbutus/core/hash.h"
+
+#include <algorithm>
+
+namespace arbutus::core {
+
+std::vector<std::uint64_t> prefixBlocks(std::string_view prompt)
+{
+    const std::size_t count = std::min(prompt.size() / BlockBytes, MostBlocks);
+    std::vector<std::uint64_t> blocks;
+    blocks.reserve(count);
+    std::uint64_t previous = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        previous = hash64(prompt.substr(i * BlockBytes, BlockBytes), previous);
+        blocks.push_back(previous);
+    }
+    return blocks;
+}
+
+} // namespace arbutus::core
--- /dev/null
+++ b/src/arbutus/http/server.cpp
@@ -0,0 +1,390 @@
+// Sessions over plain and TLS streams.
+//
+// Sections:
+//   Conversion   Beast messages to and from ours
+//   Session      one connection
+//   Listener     accepting connections
+
+#include "arbutus/http/server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include <atomic>
+#include <optional>
+
+namespace arbutus::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace wire = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+struct Server::State {
+    State(asio::any_io_executor executor, ServerLimits serverLimits, Handler serverHandler, std::shared_ptr<TlsStore> store)
+        : acceptor(executor)
+        , limits(serverLimits)
+        , handler(std::move(serverHandler))
+        , tls(std::move(store))
+    {
+    }
+
+    Tcp::acceptor acceptor;
+    ServerLimits limits;
+    Handler handler;
+    std::shared_ptr<TlsStore> tls;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> exchanges{0};
+    std::atomic<bool> closing{false};
+};
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// Conversion
+//-----------------------------------------------------------------------------
+
+template<class Fields>
+Headers headersOf(const Fields &fields)
+{
+    Headers out;
+    for (const auto &field : fields) {
+        std::string &value = out[std::string(field.name_string())];
+        value += (value.empty() ? "" : ", ") + std::string(field.value());
+    }
+    return out;
+}
+
+template<class Message>
+void copyHeaders(const Headers &headers, Message &message)
+{
+    for (const auto &[name, value] : headers) {
+        message.set(name, value);
+    }
+}
+
+Response errorResponse(const core::Error &error)
+{
+    return jsonResponse(core::httpStatus(error.kind), core::toJson(error));
+}
+
+//-----------------------------------------------------------------------------
+// Session
+//-----------------------------------------------------------------------------
+
+/// One request on a connection of stream type `Stream`.
+template<class Stream>
+class StreamExchange final : public Exchange
+{
+public:
+    using HeaderParser = wire::request_parser<wire::empty_body>;
+
+    StreamExchange(Stream &stream, beast::flat_buffer &buffer, HeaderParser &parser, const ServerLimits &limits)
+        : m_stream(stream)
+        , m_buffer(buffer)
+        , m_parser(parser)
+        , m_limits(limits)
+    {
+        const auto &message = m_parser.get();
+        m_request.method = std::string(message.method_string());
+        m_request.target = std::string(message.target());
+        m_request.headers = headersOf(message);
+        m_keepAlive = message.keep_alive();
+        m_version = message.version();
+        m_bodyRead = m_parser.is_done();
+    }
+
+    [[nodiscard]] const Request &request() const override
+    {
+        return m_request;
+    }
+
+    asio::awaitable<core::Result<void>> readBody() override
+    {
+        if (m_bodyRead) {
+            co_return core::success();
+        }
+        m_bodyRead = true;
+        co_await continueIfExpected();
+        wire::request_parser<wire::string_body> parser(std::move(m_parser));
+        parser.body_limit(m_limits.bodyBytes);
+        beast::get_lowest_layer(m_stream).expires_after(m_limits.bodyTimeout);
+        ErrorCode code;
+        co_await wire::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+        if (code) {
+            m_keepAlive = false;
+            co_return bodyError(code);
+        }
+        m_request.body = std::move(parser.get().body());
+        co_return core::success();
+    }
+
+    asio::awaitable<bool> respond(const Response &response) override
+    {
+        wire::response<wire::string_body> message(static_cast<wire::status>(response.status), m_version);
+        copyHeaders(response.headers, message);
+        message.body() = response.body;
+        message.keep_alive(keepAlive());
+        message.prepare_payload();
+        m_started = true;
+        m_ended = true;
+        beast::get_lowest_layer(m_stream).expires_after(m_limits.writeTimeout);
+        ErrorCode code;
+        co_await wire::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, code));
+        co_return succeeded(code);
+    }
+
+    asio::awaitable<bool> begin(const Response &response) override
+    {
+        wire::response<wire::empty_body> message(static_cast<wire::status>(response.status), m_version);
+        copyHeaders(response.headers, message);
+        message.chunked(true);
+        message.keep_alive(keepAlive());
+        m_started = true;
+        beast::get_lowest_layer(m_stream).expires_after(m_limits.writeTimeout);
+        wire::response_serializer<wire::empty_body> serializer(message);
+        ErrorCode code;
+        co_await wire::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, code));
+        co_return succeeded(code);
+    }
+
+    asio::awaitable<bool> write(std::string_view piece) override
+    {
+        if (m_failed || piece.empty()) {
+            co_return !m_failed;
+        }
+        beast::get_lowest_layer(m_stream).expires_after(m_limits.writeTimeout);
+        ErrorCode code;
+        const auto chunk = wire::make_chunk(asio::buffer(piece.data(), piece.size()));
+        co_await asio::async_write(m_stream, chunk, asio::redirect_error(asio::use_awaitable, code));
+        co_return succeeded(code);
+    }
+
+    asio::awaitable<bool> end() override
+    {
+        if (m_failed) {
+            co_return false;
+        }
+        m_ended = true;
+        ErrorCode code;
+        const auto last = wire::make_chunk_last();
+        co_await asio::async_write(m_stream, last, asio::redirect_error(asio::use_awaitable, code));
+        co_return succeeded(code);
+    }
+
+    [[nodiscard]] bool started() const override
+    {
+        return m_started;
+    }
+
+    void abort() override
+    {
+        m_failed = true;
+        beast::get_lowest_layer(m_stream).close();
+    }
+
+    /// Whether another request may follow on this connection.
+    [[nodiscard]] bool reusable() const
+    {
+        return m_keepAlive && m_ended && !m_failed && m_bodyRead;
+    }
+
+private:
+    bool succeeded(const ErrorCode &code)
+    {
+        m_failed = m_failed || static_cast<bool>(code);
+        return !m_failed;
+    }
+
+    [[nodiscard]] bool keepAlive() const
+    {
+        return m_keepAlive && m_bodyRead;
+    }
+
+    [[nodiscard]] core::Error bodyError(const ErrorCode &code) const
+    {
+        if (code == wire::error::body_limit) {
+            return core::makeError(core::ErrorKind::BodyTooLarge, "the body is over " + std::to_string(m_limits.bodyBytes) + " bytes");
+        }
+        if (code == beast::error::timeout) {
+            return core::makeError(core::ErrorKind::BadRequest,
+                                   "the body did not arrive within " + std::to_string(m_limits.bodyTimeout.count()) + " ms");
+        }
+        return core::makeError(core::ErrorKind::BadRequest, "the body stopped before its end: " + code.message());
+    }
+
+    asio::awaitable<void> continueIfExpected()
+    {
+        if (!beast::iequals(headerOf(m_request.headers, "Expect"), "100-continue")) {
+            co_return;
+        }
+        wire::response<wire::empty_body> message(wire::status::continue_, m_version);
+        ErrorCode code;
+        co_await wire::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, code));
+    }
+
+    Stream &m_stream;
+    beast::flat_buffer &m_buffer;
+    HeaderParser &m_parser;
+    const ServerLimits &m_limits;
+    Request m_request;
+    unsigned m_version = 11;
+    bool m_keepAlive = true;
+    bool m_bodyRead = false;
+    bool m_started = false;
+    bool m_ended = false;
+    bool m_failed = false;
+};
+
+/// Sends the answer to a request whose headers could not be read.
+template<class Stream>
+asio::awaitable<void> refuseHeaders(Stream &stream, const ErrorCode &code)
+{
+    if (code == wire::error::end_of_stream || code == beast::error::timeout || code == asio::error::connection_reset
+        || code == asio::error::eof || code == asio::error::operation_aborted) {
+        co_return;
+    }
+    const Response response = errorResponse(core::makeError(core::ErrorKind::BadRequest, "malformed request: " + code.message()));
+    wire::response<wire::string_body> message(static_cast<wire::status>(response.status), 11);
+    copyHeaders(response.headers, message);
+    message.body() = response.body;
+    message.keep_alive(false);
+    message.prepare_payload();
+    ErrorCode ignored;
+    co_await wire::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/// Counts a request being handled for as long as it lives.
+class Counted
+{
+public:
+    explicit Counted(std::atomic<std::size_t> &counter)
+        : m_counter(counter)
+    {
+        ++m_counter;
+    }
+    Counted(const Counted &) = delete;
+    Counted &operator=(const Counted &) = delete;
+    ~Counted()
+    {
+        --m_counter;
+    }
+
+private:
+    std::atomic<std::size_t> &m_counter;
+};
+
+/// Requests of one connection, one after another.
+template<class Stream>
+asio::awaitable<void> serveStream(Stream &stream, std::shared_ptr<Server::State> state)
+{
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+        typename StreamExchange<Stream>::HeaderParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(state->limits.headerBytes));
+        parser.body_limit(boost::none);
+        beast::get_lowest_layer(stream).expires_after(state->limits.headerTimeout);
+        ErrorCode code;
+        co_await wire::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+        if (code) {
+            co_await refuseHeaders(stream, code);
+            co_return;
+        }
+        const Counted counted(state->exchanges);
+        StreamExchange<Stream> exchange(stream, buffer, parser, state->limits);
+        beast::get_lowest_layer(stream).expires_never();
+        co_await state->handler(exchange);
+        open = exchange.reusable() && !state->closing;
+    }
+}
+
+asio::awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<Server::State> state)
+{
+    const Counted counted(state->connections);
+    ErrorCode code;
+    socket.set_option(Tcp::no_delay(true), code);
+    try {
+        if (state->tls == nullptr) {
+            beast::tcp_stream stream(std::move(socket));
+            co_await serveStream(stream, state);
+            stream.socket().shutdown(Tcp::socket::shutdown_send, code);
+            co_return;
+        }
+        const auto context = state->tls->context();
+        beast::ssl_stream<beast::tcp_stream> stream(beast::tcp_stream(std::move(socket)), *context);
+        beast::get_lowest_layer(stream).expires_after(state->limits.headerTimeout);
+        co_await stream.async_handshake(asio::ssl::stream_base::server, asio::redirect_error(asio::use_awaitable, code));
+        if (!code) {
+            co_await serveStream(stream, state);
+            co_await stream.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
+        }
+    } catch (const std::exception &) {
+        // The handler failed; the connection is closed without a whole answer, which the caller can see.
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Listener
+//-----------------------------------------------------------------------------
+
+asio::awaitable<void> acceptLoop(std::shared_ptr<Server::State> state)
+{
+    const auto executor = state->acceptor.get_executor();
+    while (state->acceptor.is_open()) {
+        ErrorCode code;
+        Tcp::socket socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
+            co_return;
+        }
+        if (code || state->connections >= state->limits.connections) {
+            continue;
+        }
+        asio::co_spawn(executor, serveConnection(std::move(socket), state), asio::detached);
+    }
+}
+
+} // namespace
+
+Server::Server(asio::any_io_executor executor, const Endpoint &endpoint, ServerLimits limits, Handler handler, std::shared_ptr<TlsStore> tls)
+    : m_state(std::make_shared<State>(executor, limits, std::move(handler), std::move(tls)))
+{
+    const Tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+    m_state->acceptor.open(address.protocol());
+    m_state->acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_state->acceptor.bind(address);
+    m_state->acceptor.listen();
+    asio::co_spawn(executor, acceptLoop(m_state), asio::detached);
+}
+
+Server::~Server()
+{
+    stopAccepting();
+}
+
+void Server::stopAccepting()
+{
+    m_state->closing = true;
+    ErrorCode code;
+    m_state->acceptor.close(code);
+}
+
+std::size_t Server::openExchanges() const
+{
+    return m_state->exchanges;
+}
+
+std::uint16_t Server::port() const
+{
+    ErrorCode code;
+    return m_state->acceptor.local_endpoint(code).port();
+}
+
+} // namespace arbutus::http
