--- /dev/null
+++ b/src/arbutus/membership/domainview.h
@@ -0,0 +1,146 @@
+// SWIM-style membership inside one failure domain: who is alive, suspect, leaving or dead.
+//
+// Every probe period one member is pinged; if it does not answer in time, a few others are asked to ping it; if that
+// brings nothing, it is suspected, and after a while held to be dead unless it refutes. Changes travel on the pings.
+// Events in, messages out: no socket, no thread, no clock of its own.
+//
+// Sections:
+//   Messages     what goes over the wire
+//   Settings     periods and bounds
+//   DomainView   the state machine
+//
+// Q: What if the platform's list says otherwise?
+// A: A list line only adds members that were never heard of, as contacts to ping. It never revives or removes one.
+
+#pragma once
+
+#include "arbutus/core/clock.h"
+#include "arbutus/membership/member.h"
+
+#include <pcg_random.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace arbutus::membership {
+
+//-----------------------------------------------------------------------------
+// Messages
+//-----------------------------------------------------------------------------
+
+struct Ping {
+    std::uint64_t number = 0;
+};
+/// Asks the receiver to ping `target` and to pass its answer on.
+struct PingRequest {
+    std::uint64_t number = 0;
+    core::InstanceId target;
+};
+struct Ack {
+    std::uint64_t number = 0;
+};
+
+/// One message with the news that travel on it.
+struct Message {
+    core::InstanceRef sender;
+    std::variant<Ping, PingRequest, Ack> body;
+    std::vector<Member> news;
+};
+
+/// A message and where it goes.
+struct Outgoing {
+    std::string address;
+    Message message;
+};
+
+//-----------------------------------------------------------------------------
+// Settings
+//-----------------------------------------------------------------------------
+
+struct ViewSettings {
+    core::Duration probePeriod = std::chrono::milliseconds(500);
+    core::Duration ackTimeout = std::chrono::milliseconds(150);     // direct answer, then others are asked
+    core::Duration suspicion = std::chrono::milliseconds(1500);     // until a suspect is held to be dead
+    core::Duration deadKept = std::chrono::minutes(10);             // a dead member is remembered
+    std::size_t indirectProbes = 2;
+    std::size_t newsPerMessage = 6;
+    std::size_t newsRepeats = 4;                                    // times log2 of the members
+};
+
+//-----------------------------------------------------------------------------
+// DomainView
+//-----------------------------------------------------------------------------
+
+/// One instance's view of its failure domain.
+class DomainView
+{
+public:
+    DomainView(Member self, ViewSettings settings, std::uint64_t seed);
+
+    /// Members known from the settings or the platform's list; unknown ones become contacts.
+    void addContact(const Member &contact);
+    /// Time has passed; call at least every ackTimeout.
+    std::vector<Outgoing> tick(core::TimePoint now);
+    /// A message came in from `address`.
+    std::vector<Outgoing> receive(const Message &message, const std::string &address, core::TimePoint now);
+    /// This instance begins to leave; the news goes to every member at once.
+    std::vector<Outgoing> leave(core::TimePoint now);
+
+    [[nodiscard]] const Member &self() const
+    {
+        return m_self;
+    }
+    [[nodiscard]] const std::map<core::InstanceId, Member> &members() const
+    {
+        return m_members; // without this instance
+    }
+    /// Members that can take new work, this one included unless it leaves.
+    [[nodiscard]] std::vector<Member> usable() const;
+    /// Grows with each change of the view.
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+private:
+    struct Probe {
+        core::InstanceId target;
+        std::uint64_t number = 0;
+        core::TimePoint sentAt{};
+        bool indirect = false;
+    };
+    struct Relay {
+        std::string address;      // who asked
+        std::uint64_t number = 0; // number to answer with
+        core::TimePoint at{};
+    };
+    void learn(const Member &heard, core::TimePoint now);
+    void noteChange(const core::InstanceId &id);
+    void suspect(const core::InstanceId &id, core::TimePoint now);
+    void expireSuspects(core::TimePoint now);
+    void startProbe(core::TimePoint now, std::vector<Outgoing> &out);
+    void checkProbe(core::TimePoint now, std::vector<Outgoing> &out);
+    void answerProbe(std::uint64_t number, const core::InstanceId &from, std::vector<Outgoing> &out);
+    [[nodiscard]] Message makeMessage(std::variant<Ping, PingRequest, Ack> body);
+    [[nodiscard]] std::optional<core::InstanceId> nextTarget();
+    [[nodiscard]] std::vector<Member> takeNews();
+
+    Member m_self;
+    ViewSettings m_settings;
+    pcg32 m_random;
+    std::map<core::InstanceId, Member> m_members;
+    std::map<core::InstanceId, core::TimePoint> m_changedAt; // for suspicion and forgetting
+    std::map<core::InstanceId, std::size_t> m_newsLeft;      // times a change is still told
+    core::InstanceId m_lastTold;                             // cursor of the news that fill a message
+    std::vector<core::InstanceId> m_round;                   // shuffled targets of this round
+    std::optional<Probe> m_probe;
+    std::map<std::uint64_t, Relay> m_relays;                 // by our own ping number
+    std::uint64_t m_nextNumber = 1;
+    core::TimePoint m_nextProbe{};
+    std::uint64_t m_version = 1;
+};
+
+} // namespace arbutus::membership
--- /dev/null
+++ b/src/arbutus/node/clustercontrollers.cpp
@@ -0,0 +1,525 @@
+// Controllers of shared state.
+//
+// Sections as in the header.
+
+#include "arbutus/node/clustercontrollers.h"
+
+#include "arbutus/core/hash.h"
+#include "arbutus/membership/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutus::node {
+
+namespace {
+
+constexpr core::Duration PullTimeout = std::chrono::milliseconds(1500); // then another pull may start
+constexpr std::uint32_t UnreachableAfter = 3;                           // failed reads in a row
+constexpr std::size_t ReadersPerUpstream = 2;
+constexpr std::size_t ContactsKept = 3;                                 // entries remembered of another domain
+constexpr std::size_t EntriesInDigest = 2;                              // entries told of each domain
+constexpr double TellStep = 0.15;                                       // of the slots; a smaller change is not told at once
+constexpr std::size_t ReportBytes = 40;                                 // one report in a datagram
+constexpr std::size_t RowBytes = 24;                                    // one digest row in a datagram
+constexpr std::size_t DomainBytes = 160;                                // one digest domain with its entries
+constexpr double ReportBytesPerSecond = 1'500;                          // received by one instance
+constexpr std::size_t ReportsPerDatagram = 20;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// MembershipController
+//-----------------------------------------------------------------------------
+
+MembershipController::MembershipController(NodeState &state)
+    : m_state(state)
+{
+}
+
+void MembershipController::tick()
+{
+    send(m_state.view.tick(m_state.now()));
+    if (m_state.view.version() != m_loggedVersion) {
+        m_loggedVersion = m_state.view.version();
+        std::string usable;
+        for (const membership::Member &member : m_state.view.usable()) {
+            usable += (usable.empty() ? "" : ",") + member.id.text;
+        }
+        m_state.logEvent("membership_changed", {{"version", std::to_string(m_loggedVersion)}, {"usable", usable}});
+    }
+    writeDirectory();
+}
+
+void MembershipController::receive(const std::string &address, const membership::Message &message)
+{
+    send(m_state.view.receive(message, address, m_state.now()));
+}
+
+void MembershipController::leave()
+{
+    send(m_state.view.leave(m_state.now()));
+}
+
+void MembershipController::send(std::vector<membership::Outgoing> messages)
+{
+    for (membership::Outgoing &outgoing : messages) {
+        m_state.emit(SendDatagram{outgoing.address, m_state.makeDatagram(std::move(outgoing.message))});
+    }
+}
+
+void MembershipController::writeDirectory()
+{
+    const core::TimePoint now = m_state.now();
+    if (now < m_nextDirectory) {
+        return;
+    }
+    m_nextDirectory = now + m_state.settings.directoryPeriod;
+    const std::vector<membership::Member> usable = m_state.view.usable();
+    if (!membership::holdsDuty("directory", usable, m_state.self().id, 1)) {
+        return;
+    }
+    WriteDirectory write;
+    for (const membership::Member &member : usable) {
+        write.entries.push_back(EntryLine{member.id, member.region, member.domain, member.url});
+    }
+    m_state.emit(std::move(write));
+}
+
+//-----------------------------------------------------------------------------
+// ConfigController
+//-----------------------------------------------------------------------------
+
+ConfigController::ConfigController(NodeState &state)
+    : m_state(state)
+{
+}
+
+void ConfigController::tick()
+{
+    const std::vector<membership::Member> usable = m_state.view.usable();
+    const bool watch = membership::holdsDuty("config-watch", usable, m_state.self().id, m_state.settings.configWatchers);
+    if (watch != m_watching) {
+        m_watching = watch;
+        m_state.emit(WatchConfig{watch});
+        m_state.logEvent("config_watch", {{"on", watch ? "true" : "false"}});
+    }
+}
+
+void ConfigController::take(const ConfigEntriesRead &read)
+{
+    m_pullUntil = {};
+    const core::Revision before = m_state.config.head().revision;
+    for (const config::LogEntry &entry : read.entries) {
+        const config::Adoption adoption = m_state.config.offer(entry);
+        if (adoption == config::Adoption::Foreign || adoption == config::Adoption::Invalid) {
+            m_state.logEvent("config_entry_refused",
+                             {{"revision", std::to_string(entry.revision.value)}, {"why", adoption == config::Adoption::Foreign ? "other_chain" : "invalid"}});
+            break;
+        }
+    }
+    adopted(before);
+}
+
+void ConfigController::take(const ConfigSnapshotRead &read)
+{
+    m_pullUntil = {};
+    const core::Revision before = m_state.config.head().revision;
+    m_state.config.adoptSnapshot(read.snapshot);
+    adopted(before);
+}
+
+void ConfigController::adopted(core::Revision before)
+{
+    const core::Revision revision = m_state.config.head().revision;
+    if (revision == before) {
+        return;
+    }
+    m_state.logEvent("config_adopted", {{"revision", std::to_string(revision.value)}, {"before", std::to_string(before.value)}});
+    m_state.tellDomain(HeadNews{});
+    const std::uint64_t every = m_state.settings.snapshotEvery;
+    const bool due = revision.value / every > m_snapshotAt.value / every;
+    const bool first = membership::holdsDuty("config-watch", m_state.view.usable(), m_state.self().id, 1);
+    if (due && first) {
+        m_snapshotAt = revision;
+        m_state.emit(WriteSnapshot{revision, m_state.config.snapshot()});
+    }
+}
+
+void ConfigController::take(const ConfigAsked &asked)
+{
+    ConfigGiven given{asked.key, m_state.config.head().revision, {}, {}};
+    if (auto entries = m_state.config.entriesAfter(asked.after)) {
+        given.entries = std::move(*entries);
+    } else {
+        given.snapshot = m_state.config.snapshot();
+    }
+    m_state.emit(std::move(given));
+}
+
+void ConfigController::heard(const core::InstanceRef &sender, core::Revision revision)
+{
+    if (revision <= m_state.config.head().revision || m_state.now() < m_pullUntil) {
+        return;
+    }
+    const membership::Member *member = m_state.findMember(sender.id);
+    if (member == nullptr) {
+        return;
+    }
+    m_pullUntil = m_state.now() + PullTimeout;
+    m_state.emit(PullConfig{member->peerAddress, m_state.config.head().revision});
+}
+
+//-----------------------------------------------------------------------------
+// UpstreamController
+//-----------------------------------------------------------------------------
+
+UpstreamController::UpstreamController(NodeState &state)
+    : m_state(state)
+{
+}
+
+void UpstreamController::tick()
+{
+    const core::TimePoint now = m_state.now();
+    if (now >= m_nextList) {
+        const std::size_t members = m_state.view.usable().size();
+        const double stretch = std::max(1.0, static_cast<double>(members) / 2.0); // two reads a period in each domain
+        m_nextList = now + std::chrono::duration_cast<core::Duration>(m_state.settings.listPeriod * stretch);
+        m_state.emit(ReadList{});
+    }
+    readDue();
+    tellChanged();
+}
+
+void UpstreamController::take(const ListRead &read)
+{
+    m_state.table.takeList(read.upstreams);
+    m_state.domainsOfRegion = read.domainsOfRegion;
+    std::size_t here = 0;
+    for (const membership::Member &member : read.instances) {
+        if (member.domain == m_state.self().domain) {
+            ++here;
+            m_state.view.addContact(member);
+            continue;
+        }
+        auto &known = m_state.contacts[member.domain];
+        const bool present = std::any_of(known.begin(), known.end(), [&](const membership::Member &other) { return other.id == member.id; });
+        if (!present && known.size() < ContactsKept) {
+            known.push_back(member);
+        }
+    }
+    m_state.listedInDomain = here;
+}
+
+void UpstreamController::readDue()
+{
+    const core::TimePoint now = m_state.now();
+    std::vector<membership::Member> usable;
+    for (const auto &[id, upstream] : m_state.table.upstreams()) {
+        if (upstream.line.kind != routing::UpstreamKind::Model) {
+            continue;
+        }
+        Reading &reading = m_readings[id];
+        if (now < reading.next) {
+            continue;
+        }
+        reading.next = now + m_state.settings.loadPeriod;
+        if (usable.empty()) {
+            usable = m_state.view.usable();
+        }
+        if (usable.empty() || membership::holdsDuty(id.text, usable, m_state.self().id, ReadersPerUpstream)) {
+            m_state.emit(ReadLoad{id, upstream.line.address, reading.lastEvent});
+        }
+    }
+}
+
+void UpstreamController::take(const LoadRead &read)
+{
+    const routing::Upstream *upstream = m_state.table.find(read.upstream);
+    if (upstream == nullptr) {
+        return;
+    }
+    Reading &reading = m_readings[read.upstream];
+    routing::LoadReport report = upstream->report;
+    if (read.report) {
+        reading.failures = 0;
+        report = *read.report;
+        report.reachable = true;
+    } else if (++reading.failures < UnreachableAfter) {
+        return;
+    } else {
+        report.reachable = false;
+    }
+    report.id = read.upstream;
+    report.atMs = static_cast<std::uint64_t>(m_state.clock.wallNow().time_since_epoch().count());
+    m_state.table.takeReport(report, m_state.now());
+    takeEvents(read.upstream, reading, read.events);
+    const bool primary = membership::holdsDuty(read.upstream.text, m_state.view.usable(), m_state.self().id, 1);
+    if (worthTelling(reading, report, primary)) {
+        m_toTell[read.upstream] = report;
+        reading.told = report;
+        reading.toldAt = m_state.now();
+    }
+}
+
+bool UpstreamController::worthTelling(const Reading &reading, const routing::LoadReport &report, bool primary) const
+{
+    if (!reading.told || reading.told->leaving != report.leaving || reading.told->reachable != report.reachable || reading.told->models != report.models) {
+        return true; // either reader tells at once
+    }
+    if (!primary) {
+        return false;
+    }
+    const auto bytes = static_cast<double>(m_state.table.upstreams().size() * ReportBytes);
+    const auto stretched = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(bytes / ReportBytesPerSecond));
+    const core::Duration age = m_state.now() - reading.toldAt;
+    const auto before = static_cast<double>(reading.told->running + reading.told->waiting);
+    const auto after = static_cast<double>(report.running + report.waiting);
+    const bool step = std::abs(after - before) > TellStep * report.slots;
+    return age >= std::max(m_state.settings.loadTellPeriod, stretched) || (step && age >= stretched);
+}
+
+void UpstreamController::takeEvents(const core::UpstreamId &id, Reading &reading, const std::vector<CacheNews> &events)
+{
+    std::vector<std::uint64_t> stored;
+    for (const CacheNews &event : events) {
+        if (reading.lastEvent != 0 && event.number > reading.lastEvent + 1) {
+            m_state.table.notePrefixGap(id);
+        }
+        reading.lastEvent = std::max(reading.lastEvent, event.number);
+        if (event.stored) {
+            stored.push_back(event.block);
+        } else {
+            m_state.table.dropPrefix(id, event.block);
+        }
+    }
+    m_state.table.notePrefix(id, stored);
+}
+
+void UpstreamController::tellChanged()
+{
+    LoadNews news;
+    for (auto &[id, report] : m_toTell) {
+        news.reports.push_back(std::move(report));
+        if (news.reports.size() == ReportsPerDatagram) {
+            m_state.tellDomain(std::move(news));
+            news = LoadNews{};
+        }
+    }
+    m_toTell.clear();
+    if (!news.reports.empty()) {
+        m_state.tellDomain(std::move(news));
+    }
+}
+
+void UpstreamController::take(const LoadNews &news)
+{
+    for (const routing::LoadReport &report : news.reports) {
+        m_state.table.takeReport(report, m_state.now());
+    }
+}
+
+//-----------------------------------------------------------------------------
+// DigestController
+//-----------------------------------------------------------------------------
+
+DigestController::DigestController(NodeState &state)
+    : m_state(state)
+    , m_number(static_cast<std::uint64_t>(state.clock.wallNow().time_since_epoch().count())) // grows over restarts
+{
+}
+
+std::vector<DigestRow> DigestController::ownRows() const
+{
+    std::vector<DigestRow> rows;
+    const core::TimePoint now = m_state.now();
+    const auto addRow = [&](const std::string &name, bool service, const std::vector<routing::Upstream *> &upstreams) {
+        DigestRow row{name, service, m_state.self().domain, core::Duration::max(), 0, 0, 0};
+        for (const routing::Upstream *upstream : upstreams) {
+            if (upstream->leaving() || !upstream->report.reachable || now < upstream->ejectedUntil) {
+                continue;
+            }
+            const routing::Scored scored = routing::predict(*upstream, routing::Question{}, m_state.settings.routing, now);
+            row.wait = std::min(row.wait, scored.wait);
+            row.slots += upstream->report.slots;
+            row.freeSlots += upstream->report.slots - std::min(upstream->report.slots, upstream->occupancy());
+            row.price += upstream->line.price * upstream->report.slots;
+        }
+        if (row.slots > 0) {
+            row.price /= row.slots;
+            rows.push_back(std::move(row));
+        }
+    };
+    for (const core::ModelId &model : m_state.table.models()) {
+        addRow(model.text, false, m_state.table.withModel(model));
+    }
+    for (const core::ServiceId &service : m_state.table.services()) {
+        addRow(service.text, true, m_state.table.withService(service));
+    }
+    return rows;
+}
+
+core::Duration DigestController::period() const
+{
+    std::set<core::RegionId> regions;
+    std::size_t inRegion = 0;
+    for (const auto &[domain, members] : m_state.contacts) {
+        if (members.empty()) {
+            continue;
+        }
+        inRegion += members.front().region == m_state.self().region ? 1 : 0;
+        if (members.front().region != m_state.self().region) {
+            regions.insert(members.front().region);
+        }
+    }
+    const std::size_t rows = std::max<std::size_t>(1, m_state.table.models().size() + m_state.table.services().size());
+    const double digestBytes = static_cast<double>(rows * RowBytes + DomainBytes * std::max<std::size_t>(1, std::min<std::size_t>(rows, inRegion + 1)));
+    const double seconds = digestBytes * static_cast<double>(regions.size() + inRegion) / m_state.settings.digestBytesPerSecond;
+    return std::max(m_state.settings.digestPeriod, std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds)));
+}
+
+bool DigestController::isSenderTo(const core::DomainId &target, const core::RegionId &region) const
+{
+    const std::string key = "digest:" + target.text;
+    if (region != m_state.self().region) { // one domain of this region speaks to that domain
+        const std::uint64_t own = core::rendezvousWeight(key, m_state.self().domain.text);
+        for (const auto &[domain, neighbour] : m_neighbours) {
+            const bool fresh = m_state.now() - m_neighbourAt.at(domain) < m_state.settings.table.digestStale;
+            if (fresh && core::rendezvousWeight(key, domain.text) > own) {
+                return false;
+            }
+        }
+    }
+    return membership::holdsDuty(key, m_state.view.usable(), m_state.self().id, 1);
+}
+
+Digest DigestController::makeDigest(bool wholeRegion)
+{
+    Digest digest;
+    digest.domain = m_state.self().domain;
+    digest.region = m_state.self().region;
+    digest.number = ++m_number;
+    digest.rows = ownRows();
+    const auto found = m_state.domainsOfRegion.find(digest.region);
+    digest.domainCount = found == m_state.domainsOfRegion.end() ? 1 : found->second;
+    DigestDomain own{digest.domain, membership::rankMembers("digest-entries", m_state.view.usable())};
+    own.entries.resize(std::min(own.entries.size(), EntriesInDigest));
+    digest.domains.push_back(std::move(own));
+    digest.demand = m_state.limits.demandOf(wholeRegion, m_state.now());
+    if (wholeRegion) {
+        addRegionRows(digest);
+    }
+    return digest;
+}
+
+void DigestController::addRegionRows(Digest &digest) const
+{
+    for (const auto &[domain, neighbour] : m_neighbours) {
+        bool used = false;
+        for (const DigestRow &row : neighbour.rows) {
+            const auto known = std::find_if(digest.rows.begin(), digest.rows.end(), [&](const DigestRow &other) {
+                return other.name == row.name && other.service == row.service;
+            });
+            if (known == digest.rows.end()) {
+                digest.rows.push_back(row);
+                used = true;
+            } else if (row.wait < known->wait || (row.wait == known->wait && row.freeSlots > known->freeSlots)) {
+                *known = row;
+                used = true;
+            }
+        }
+        if (used) {
+            digest.domains.insert(digest.domains.end(), neighbour.domains.begin(), neighbour.domains.end());
+        }
+    }
+}
+
+void DigestController::tick()
+{
+    tellDemand();
+    if (m_state.draining) {
+        return;
+    }
+    const core::TimePoint now = m_state.now();
+    for (const auto &[domain, members] : m_state.contacts) {
+        if (members.empty() || now < m_next[domain]) {
+            continue;
+        }
+        m_next[domain] = now + period();
+        const core::RegionId &region = members.front().region;
+        if (!isSenderTo(domain, region)) {
+            continue;
+        }
+        const membership::Member &target = members[m_state.random(static_cast<std::uint32_t>(members.size()))];
+        m_state.emit(SendDatagram{target.gossipAddress, m_state.makeDatagram(makeDigest(region != m_state.self().region))});
+    }
+}
+
+void DigestController::take(const Digest &digest)
+{
+    if (digest.domain == m_state.self().domain || digest.number <= m_lastNumber[digest.domain]) {
+        return;
+    }
+    m_lastNumber[digest.domain] = digest.number;
+    const core::TimePoint now = m_state.now();
+    std::map<core::DomainId, std::vector<routing::RemoteEntry>> entries;
+    for (const DigestDomain &domain : digest.domains) {
+        std::vector<membership::Member> &contacts = m_state.contacts[domain.domain];
+        std::vector<membership::Member> fresh = domain.entries;
+        for (const membership::Member &known : contacts) { // older contacts stay behind the fresh ones
+            const bool told = std::any_of(fresh.begin(), fresh.end(), [&](const membership::Member &member) { return member.id == known.id; });
+            if (!told && fresh.size() < ContactsKept) {
+                fresh.push_back(known);
+            }
+        }
+        contacts = std::move(fresh);
+        for (const membership::Member &member : domain.entries) {
+            entries[domain.domain].push_back(routing::RemoteEntry{core::InstanceRef{member.id, member.incarnation}, member.peerAddress, member.url});
+        }
+    }
+    for (const DigestRow &row : digest.rows) {
+        routing::RemotePool pool{row.domain, digest.region, row.wait, row.freeSlots, row.slots, row.price, now, now, 0, entries[row.domain]};
+        if (row.service) {
+            m_state.table.takeRemoteService(core::ServiceId(row.name), std::move(pool), now);
+        } else {
+            m_state.table.takeRemote(core::ModelId(row.name), std::move(pool), now);
+        }
+    }
+    const bool sameRegion = digest.region == m_state.self().region;
+    const std::string source = sameRegion ? "domain:" + digest.domain.text : "region:" + digest.region.text;
+    for (const limits::Demand &demand : digest.demand) {
+        m_state.limits.noteDemand(source, demand, now);
+    }
+    if (sameRegion) {
+        m_neighbours[digest.domain] = digest;
+        m_neighbourAt[digest.domain] = now;
+    }
+    if (!digest.relayed) {
+        Digest relay = digest;
+        relay.relayed = true;
+        m_state.tellDomain(std::move(relay));
+    }
+}
+
+void DigestController::take(const core::InstanceRef &sender, const DemandNews &news)
+{
+    for (const limits::Demand &demand : news.demand) {
+        m_state.limits.noteDemand("instance:" + sender.id.text, demand, m_state.now());
+    }
+}
+
+void DigestController::tellDemand()
+{
+    const core::TimePoint now = m_state.now();
+    if (now < m_nextDemand) {
+        return;
+    }
+    m_nextDemand = now + m_state.settings.demandPeriod;
+    std::vector<limits::Demand> demand = m_state.limits.ownDemand(now);
+    if (!demand.empty()) {
+        m_state.tellDomain(DemandNews{std::move(demand)});
+    }
+}
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/arbutus/node/filters.cpp
@@ -0,0 +1,126 @@
+// The filters.
+
+#include "arbutus/node/filters.h"
+
+#include "arbutus/core/hash.h"
+
+#include <algorithm>
+
+namespace arbutus::node {
+
+namespace {
+
+constexpr std::size_t MostHops = 1; // instances passed before this one
+
+} // namespace
+
+std::optional<core::Error> DrainFilter::apply(HeadContext & /*context*/, NodeState &state)
+{
+    if (!state.draining) {
+        return std::nullopt;
+    }
+    core::Error error = core::makeError(core::ErrorKind::Draining, "instance " + state.self().id.text + " is shutting down");
+    error.retryAfter = std::chrono::milliseconds(10); // at another entry
+    return error;
+}
+
+std::optional<core::Error> LoopFilter::apply(HeadContext &context, NodeState &state)
+{
+    const auto &via = context.head.via;
+    if (std::find(via.begin(), via.end(), state.self().id.text) != via.end()) {
+        return core::makeError(core::ErrorKind::LoopDetected, "the request has passed instance " + state.self().id.text + " before");
+    }
+    if (via.size() > MostHops) {
+        return core::makeError(core::ErrorKind::LoopDetected, "the request has passed " + std::to_string(via.size()) + " instances");
+    }
+    return std::nullopt;
+}
+
+std::optional<core::Error> IdentityFilter::apply(HeadContext &context, NodeState &state)
+{
+    context.policy = state.config.policyOf(context.head.workspace);
+    if (context.policy == nullptr) {
+        return core::makeError(core::ErrorKind::UnknownWorkspace, "no workspace \"" + context.head.workspace.text + "\" in configuration revision "
+                                                                      + std::to_string(state.config.head().revision.value));
+    }
+    if (context.head.forwarded) {
+        return std::nullopt;
+    }
+    const auto &accepted = context.policy->keyHashes;
+    const bool known = std::any_of(accepted.begin(), accepted.end(), [&](const std::string &hash) {
+        return core::equalConstantTime(hash, context.head.bearerHash);
+    });
+    if (!known) {
+        return core::makeError(core::ErrorKind::Unauthorized, "the key is not one of workspace " + context.head.workspace.text);
+    }
+    return std::nullopt;
+}
+
+std::optional<core::Error> ResidencyFilter::apply(HeadContext &context, NodeState &state)
+{
+    if (context.policy->residency.contains(state.self().region)) {
+        return std::nullopt;
+    }
+    return core::makeError(core::ErrorKind::ResidencyRefused,
+                           "region " + state.self().region.text + " may not see data of workspace " + context.policy->workspace.text);
+}
+
+std::optional<core::Error> ClassFilter::apply(HeadContext &context, NodeState & /*state*/)
+{
+    const core::ClassId &wanted = context.head.requestClass.empty() ? context.policy->defaultClass : context.head.requestClass;
+    const auto found = context.policy->classes.find(wanted);
+    if (found == context.policy->classes.end()) {
+        std::string names;
+        for (const auto &[id, requestClass] : context.policy->classes) {
+            names += (names.empty() ? "" : ", ") + id.text;
+        }
+        return core::makeError(core::ErrorKind::UnknownClass, "no class \"" + wanted.text + "\"; the template has " + names);
+    }
+    context.requestClass = &found->second;
+    context.deadline = context.head.deadline ? std::min(*context.head.deadline, found->second.deadline) : found->second.deadline;
+    context.repeatable = found->second.repeatable || context.head.safeMethod;
+    if (context.deadline.count() <= 0) {
+        return core::makeError(core::ErrorKind::DeadlineExceeded, "no time is left");
+    }
+    return std::nullopt;
+}
+
+std::optional<core::Error> TicketFilter::apply(HeadContext &context, NodeState & /*state*/)
+{
+    const RequestHead &head = context.head;
+    if (context.repeatable || !head.attempt.empty() || !head.ticket.empty() || !head.idempotencyHash.empty()) {
+        return std::nullopt;
+    }
+    return core::makeError(core::ErrorKind::TicketRequired, "class " + context.requestClass->id.text + " may not be repeated, and there is no ticket");
+}
+
+std::optional<core::Error> LimitFilter::apply(HeadContext &context, NodeState &state)
+{
+    if (context.head.forwarded) {
+        return std::nullopt; // counted where it arrived
+    }
+    const auto admitted = state.limits.admit(*context.policy, state.sharingOf(*context.policy), state.now());
+    if (!admitted) {
+        return admitted.error();
+    }
+    context.counted = true;
+    return std::nullopt;
+}
+
+std::vector<Filter> makeFilterChain()
+{
+    return {DrainFilter{}, LoopFilter{}, IdentityFilter{}, ResidencyFilter{}, ClassFilter{}, TicketFilter{}, LimitFilter{}};
+}
+
+std::optional<core::Error> applyFilters(std::vector<Filter> &chain, HeadContext &context, NodeState &state)
+{
+    for (Filter &filter : chain) {
+        auto error = std::visit([&](auto &chosen) { return chosen.apply(context, state); }, filter);
+        if (error) {
+            return error;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/arbutus/node/lifecycle.cpp
@@ -0,0 +1,96 @@
+// The machine, in Boost.MSM.
+
+#include "arbutus/node/lifecycle.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace arbutus::node {
+
+namespace {
+
+namespace front = boost::msm::front;
+
+struct DrainEvent {
+};
+struct IdleEvent {
+};
+struct HandedOverEvent {
+};
+
+// Boost.MSM names the members that it looks for.
+// NOLINTBEGIN(readability-identifier-naming)
+struct Definition : front::state_machine_def<Definition> {
+    struct Serving : front::state<> {
+    };
+    struct Draining : front::state<> {
+    };
+    struct HandingOver : front::state<> {
+    };
+    struct Stopped : front::state<> {
+    };
+    using initial_state = Serving;
+
+    struct transition_table : boost::mpl::vector<front::Row<Serving, DrainEvent, Draining>,           //
+                                                 front::Row<Draining, IdleEvent, HandingOver>,        //
+                                                 front::Row<HandingOver, HandedOverEvent, Stopped>> { //
+    };
+
+    template<class Machine, class Event>
+    void no_transition(const Event &, Machine &, int)
+    {
+    }
+};
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace
+
+struct Lifecycle::Machine {
+    boost::msm::back::state_machine<Definition> machine;
+
+    template<class Event>
+    bool process(const Event &event)
+    {
+        return machine.process_event(event) == boost::msm::back::HANDLED_TRUE;
+    }
+};
+
+std::string_view toString(Phase phase)
+{
+    static constexpr std::array<std::string_view, 4> Names{"serving", "draining", "handing_over", "stopped"};
+    return Names.at(static_cast<std::size_t>(phase));
+}
+
+Lifecycle::Lifecycle()
+    : m_machine(std::make_unique<Machine>())
+{
+    m_machine->machine.start();
+}
+
+Lifecycle::~Lifecycle() = default;
+
+bool Lifecycle::drain()
+{
+    return m_machine->process(DrainEvent{});
+}
+
+bool Lifecycle::idle()
+{
+    return m_machine->process(IdleEvent{});
+}
+
+bool Lifecycle::handedOver()
+{
+    return m_machine->process(HandedOverEvent{});
+}
+
+Phase Lifecycle::phase() const
+{
+    // States are numbered in the order in which the transition table first names them.
+    return static_cast<Phase>(*m_machine->machine.current_state());
+}
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -0,0 +1,739 @@
+// The way of a request.
+//
+// Sections:
+//   Heads and bodies
+//   Tickets
+//   Routing and holding
+//   Attempts
+//   Endings
+
+#include "arbutus/node/requestcontroller.h"
+
+#include "arbutus/core/hash.h"
+#include "arbutus/membership/rendezvous.h"
+
+#include <algorithm>
+
+namespace arbutus::node {
+
+namespace {
+
+constexpr std::size_t MostTickets = 64;                                 // in one answer
+constexpr core::Duration BackoffBase = std::chrono::milliseconds(20);   // doubled by each attempt, jittered
+constexpr core::Duration TokenTime = std::chrono::milliseconds(15);     // planned for one token of a held request
+constexpr core::Duration HoldMargin = std::chrono::milliseconds(500);   // planned besides
+constexpr double NormalWaitShare = 0.5;                                 // of the time left that a wait for a slot may take
+constexpr double BackgroundWaitShare = 0.25;
+constexpr std::size_t ReleasesAtOnce = 64;
+constexpr std::chrono::milliseconds RetryLater{1'000};                  // advice where nothing better is known
+
+std::string roomName(const RequestHead &head, const RequestBody &body)
+{
+    return head.service.empty() ? "model:" + body.model.text : "service:" + head.service.text;
+}
+
+std::chrono::milliseconds toMs(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+RequestController::RequestController(NodeState &state)
+    : m_state(state)
+    , m_filters(makeFilterChain())
+    , m_router(routing::makeRouter(state.settings.router, state.settings.routing, state.settings.seed).value())
+    , m_retries(state.settings.retryShare)
+    , m_prefix(state.self().id.text + "-" + std::to_string(state.self().incarnation.value))
+{
+}
+
+//-----------------------------------------------------------------------------
+// Heads and bodies
+//-----------------------------------------------------------------------------
+
+void RequestController::take(const HeadArrived &arrived)
+{
+    HeadContext context{arrived.head};
+    HeadJudged judged{arrived.key, applyFilters(m_filters, context, m_state), {}, m_state.config.head().revision};
+    if (judged.error) {
+        const config::Policy *policy = context.policy != nullptr ? context.policy : m_state.config.policyOf(arrived.head.workspace);
+        const bool elsewhere = judged.error->kind == core::ErrorKind::Draining || judged.error->kind == core::ErrorKind::ResidencyRefused;
+        if (policy != nullptr && elsewhere) {
+            judged.otherEntries = m_state.otherEntries(*policy);
+        }
+        m_state.emit(std::move(judged));
+        return;
+    }
+    Request request;
+    request.head = arrived.head;
+    request.workspace = context.policy->workspace;
+    request.requestClass = *context.requestClass;
+    request.weights = context.policy->weights;
+    request.residency = context.policy->residency;
+    request.arrivedAt = m_state.now();
+    request.deadline = request.arrivedAt + context.deadline;
+    request.repeatable = context.repeatable;
+    request.counted = context.counted;
+    request.decision = drawDecision();
+    m_requests[arrived.key] = std::move(request);
+    m_state.emit(std::move(judged));
+}
+
+void RequestController::take(const BodyArrived &arrived)
+{
+    const auto found = m_requests.find(arrived.key);
+    if (found == m_requests.end()) {
+        return;
+    }
+    Request &request = found->second;
+    request.body = arrived.body;
+    const config::Policy *policy = m_state.config.policyOf(request.workspace); // the newest, which may be stricter now
+    if (policy == nullptr || !policy->residency.contains(m_state.self().region)) {
+        refuse(arrived.key, request, core::makeError(core::ErrorKind::ResidencyRefused, "the configuration changed while the body was read"));
+        return;
+    }
+    request.residency = policy->residency;
+    if (request.head.service.empty() && !policy->models.contains(request.body.model)) {
+        refuse(arrived.key, request, core::makeError(core::ErrorKind::UnknownModel, "model \"" + request.body.model.text + "\" is not allowed here"));
+        return;
+    }
+    if (!request.head.service.empty() && !policy->services.contains(request.head.service)) {
+        refuse(arrived.key, request, core::makeError(core::ErrorKind::UnknownService, "service \"" + request.head.service.text + "\" is not allowed here"));
+        return;
+    }
+    m_retries.noteFirstAttempt();
+    if (request.repeatable || !request.head.attempt.empty()) {
+        route(arrived.key, request, true);
+        return;
+    }
+    startWithTicket(arrived.key, request);
+}
+
+void RequestController::take(const EntriesWanted &wanted)
+{
+    EntriesGiven given{wanted.key, {}, {}, {}, m_state.settings.ticketLife};
+    const RequestHead head = [&] {
+        RequestHead made;
+        made.workspace = wanted.workspace;
+        made.bearerHash = wanted.bearerHash;
+        return made;
+    }();
+    HeadContext context{head};
+    given.error = IdentityFilter::apply(context, m_state);
+    if (given.error) {
+        m_state.emit(std::move(given));
+        return;
+    }
+    given.entries = m_state.entriesFor(*context.policy);
+    const bool here = context.policy->residency.contains(m_state.self().region);
+    for (std::size_t i = 0; here && !m_state.draining && i < std::min(wanted.tickets, MostTickets); ++i) {
+        given.tickets.push_back(m_state.issueTicket(wanted.workspace));
+    }
+    m_state.emit(std::move(given));
+}
+
+//-----------------------------------------------------------------------------
+// Tickets
+//-----------------------------------------------------------------------------
+
+void RequestController::startWithTicket(RequestKey key, Request &request)
+{
+    if (request.head.ticket.empty()) {
+        request.ticketText = m_state.issueTicket(request.workspace);
+        if (request.ticketText.empty()) {
+            refuse(key, request, core::makeError(core::ErrorKind::Draining, "this instance is shutting down"));
+            return;
+        }
+        m_state.emit(ClaimKey{key, "claim/" + request.head.idempotencyHash, request.ticketText});
+        return;
+    }
+    request.ticketText = request.head.ticket;
+    const auto ticket = m_state.tickets.read(request.ticketText);
+    if (!ticket) {
+        refuse(key, request, ticket.error());
+        return;
+    }
+    if (ticket.value().workspace != request.workspace) {
+        refuse(key, request, core::makeError(core::ErrorKind::TicketInvalid, "the ticket belongs to another workspace"));
+        return;
+    }
+    const core::InstanceRef self{m_state.self().id, m_state.self().incarnation};
+    if (ticket.value().owner == self) {
+        startOwned(key, request, ticket.value());
+        return;
+    }
+    const membership::Member *owner = m_state.findMember(ticket.value().owner.id);
+    const bool sameLife = owner != nullptr && owner->incarnation == ticket.value().owner.incarnation;
+    const bool mayPass = request.head.via.empty(); // one hop at most
+    if (sameLife && mayPass && owner->condition != membership::Condition::Dead && request.residency.contains(owner->region)) {
+        m_state.emit(ForwardToOwner{key, ticket.value().owner, owner->peerAddress, toMs(request.deadline - m_state.now())});
+        return;
+    }
+    askSeal(key, request, ticket.value());
+}
+
+void RequestController::take(const KeyClaimed &claimed)
+{
+    const auto found = m_requests.find(claimed.key);
+    if (found == m_requests.end()) {
+        return;
+    }
+    Request &request = found->second;
+    if (!claimed.ticket) {
+        refuse(claimed.key, request, core::makeError(core::ErrorKind::PlatformDown, "the Idempotency-Key could not be claimed"));
+        return;
+    }
+    request.head.ticket = *claimed.ticket;
+    startWithTicket(claimed.key, request);
+}
+
+void RequestController::startOwned(RequestKey key, Request &request, const delivery::Ticket &ticket)
+{
+    switch (m_state.owner.start(ticket, request.body.digest, m_state.clock.wallNow())) {
+    case delivery::Start::AskWitness:
+        request.ticket = ticket;
+        askWitness(key, request, Asking::Intent);
+        return;
+    case delivery::Start::Dispatch:
+        request.ticket = ticket;
+        route(key, request, true);
+        return;
+    case delivery::Start::InFlight:
+        m_ticketWaiters[delivery::ledgerKey(ticket)].push_back(key);
+        return;
+    case delivery::Start::Conflict:
+        refuse(key, request, core::makeError(core::ErrorKind::TicketConflict, "the ticket was used with another body"));
+        return;
+    case delivery::Start::Done:
+    case delivery::Start::Closed:
+        answerFromRecord(key, request, m_state.owner.lookup(ticket));
+        return;
+    case delivery::Start::Expired:
+        refuse(key, request, core::makeError(core::ErrorKind::TicketInvalid, "the ticket has expired"), true);
+        return;
+    case delivery::Start::Full:
+        refuse(key, request, core::makeError(core::ErrorKind::Overloaded, "this instance holds as many tickets as it can"));
+        return;
+    case delivery::Start::Forgotten:
+    case delivery::Start::NotOwner:
+        break;
+    }
+    refuse(key, request, core::makeUnknown(core::ErrorKind::OutcomeUnknown, "the ticket's record is gone"));
+}
+
+void RequestController::askWitness(RequestKey key, Request &request, Asking asking)
+{
+    const membership::Member *witness = m_state.findMember(request.ticket->witness.id);
+    if (witness == nullptr || witness->incarnation != request.ticket->witness.incarnation || witness->condition == membership::Condition::Dead) {
+        intentAnswered(key, request, Asking::IntentAgain, std::nullopt);
+        return;
+    }
+    const CallKey call = m_state.drawCall();
+    m_calls[call] = PendingCall{key, asking};
+    m_state.emit(CallLedger{call, witness->peerAddress, LedgerIntent{request.ticketText, request.body.digest}});
+}
+
+void RequestController::intentAnswered(RequestKey key, Request &request, Asking asking, const std::optional<delivery::LedgerAnswer> &answer)
+{
+    if (!answer && asking == Asking::Intent) {
+        askWitness(key, request, Asking::IntentAgain); // idempotent
+        return;
+    }
+    const auto verdict = answer ? std::optional(answer->verdict) : std::nullopt;
+    if (m_state.owner.witnessAnswered(*request.ticket, verdict)) {
+        route(key, request, true);
+        return;
+    }
+    const std::string why = answer ? "the ticket was closed before it ran" : "the ticket's witness cannot be reached";
+    releaseWaiters(request);
+    refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, why), true);
+}
+
+void RequestController::askSeal(RequestKey key, Request &request, const delivery::Ticket &ticket)
+{
+    const core::InstanceRef self{m_state.self().id, m_state.self().incarnation};
+    if (ticket.witness == self) {
+        sealAnswered(key, request, m_state.witness.seal(ticket, m_state.clock.wallNow()));
+        return;
+    }
+    const membership::Member *witness = m_state.findMember(ticket.witness.id);
+    if (witness == nullptr || witness->incarnation != ticket.witness.incarnation || witness->condition == membership::Condition::Dead) {
+        sealAnswered(key, request, std::nullopt);
+        return;
+    }
+    const CallKey call = m_state.drawCall();
+    m_calls[call] = PendingCall{key, Asking::Seal};
+    m_state.emit(CallLedger{call, witness->peerAddress, LedgerSeal{request.ticketText}});
+}
+
+void RequestController::sealAnswered(RequestKey key, Request &request, const std::optional<delivery::LedgerAnswer> &answer)
+{
+    const bool told = answer && (answer->verdict == delivery::Verdict::Done || answer->verdict == delivery::Verdict::Sealed);
+    if (told) {
+        answerFromRecord(key, request, *answer);
+        return;
+    }
+    // The witness cannot tell: somebody may have inherited the record.
+    std::vector<membership::Member> members;
+    for (const membership::Member &member : m_state.view.usable()) {
+        if (member.id != m_state.self().id) {
+            members.push_back(member);
+        }
+    }
+    request.lookups = membership::rankMembers(request.ticketText, std::move(members));
+    askInherited(key, request);
+}
+
+void RequestController::askInherited(RequestKey key, Request &request)
+{
+    const auto ticket = m_state.tickets.read(request.ticketText);
+    const delivery::LedgerAnswer own = ticket ? m_state.inherited.lookup(ticket.value(), m_state.clock.wallNow()) : delivery::LedgerAnswer{};
+    if (own.verdict == delivery::Verdict::Done || own.verdict == delivery::Verdict::Sealed) {
+        answerFromRecord(key, request, own);
+        return;
+    }
+    if (request.lookups.empty()) {
+        refuse(key, request, core::makeUnknown(core::ErrorKind::OutcomeUnknown, "the ticket's owner cannot be reached and no record tells the outcome"));
+        return;
+    }
+    const CallKey call = m_state.drawCall();
+    m_calls[call] = PendingCall{key, Asking::Inherited};
+    m_state.emit(CallLedger{call, request.lookups.back().peerAddress, LedgerLookup{request.ticketText}});
+    request.lookups.pop_back();
+}
+
+bool RequestController::take(const LedgerAnswered &answered)
+{
+    const auto call = m_calls.find(answered.key);
+    if (call == m_calls.end()) {
+        return false;
+    }
+    const PendingCall pending = call->second;
+    m_calls.erase(call);
+    const auto found = m_requests.find(pending.request);
+    if (found == m_requests.end()) {
+        return true;
+    }
+    Request &request = found->second;
+    switch (pending.asking) {
+    case Asking::Intent:
+    case Asking::IntentAgain:
+        intentAnswered(pending.request, request, pending.asking, answered.answer);
+        break;
+    case Asking::Seal:
+        sealAnswered(pending.request, request, answered.answer);
+        break;
+    case Asking::Inherited: {
+        const bool told = answered.answer
+            && (answered.answer->verdict == delivery::Verdict::Done || answered.answer->verdict == delivery::Verdict::Sealed);
+        if (told) {
+            answerFromRecord(pending.request, request, *answered.answer);
+        } else {
+            askInherited(pending.request, request);
+        }
+        break;
+    }
+    }
+    return true;
+}
+
+void RequestController::take(const OwnerAnswered &answered)
+{
+    const auto found = m_requests.find(answered.key);
+    if (found == m_requests.end()) {
+        return;
+    }
+    if (answered.relayed) {
+        finish(answered.key);
+        return;
+    }
+    const auto ticket = m_state.tickets.read(found->second.ticketText);
+    askSeal(answered.key, found->second, ticket.value());
+}
+
+void RequestController::answerFromRecord(RequestKey key, Request &request, const delivery::LedgerAnswer &answer)
+{
+    if (answer.verdict == delivery::Verdict::Sealed) {
+        refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, "the ticket was closed before it ran"), true);
+        return;
+    }
+    if (!answer.digest.empty() && answer.digest != request.body.digest) {
+        refuse(key, request, core::makeError(core::ErrorKind::TicketConflict, "the ticket was used with another body"));
+        return;
+    }
+    const delivery::RecordedOutcome outcome = answer.outcome.value_or(delivery::RecordedOutcome{});
+    switch (outcome.ending) {
+    case delivery::Ending::NotRun:
+        refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, "it did not run under this ticket"), true);
+        return;
+    case delivery::Ending::Unknown:
+        refuse(key, request, core::makeUnknown(core::ErrorKind::OutcomeUnknown, "it may have run; no answer came"));
+        return;
+    case delivery::Ending::Answered:
+        break;
+    }
+    if (!outcome.answerKept) {
+        refuse(key, request, core::makeUnknown(core::ErrorKind::OutcomeUnknown, "it ran, but its answer is no longer kept"));
+        return;
+    }
+    m_state.emit(Replay{key, outcome});
+    finish(key);
+}
+
+//-----------------------------------------------------------------------------
+// Routing and holding
+//-----------------------------------------------------------------------------
+
+void RequestController::route(RequestKey key, Request &request, bool mayHold)
+{
+    routing::Question question;
+    question.model = request.body.model;
+    question.service = request.head.service;
+    question.weights = request.weights;
+    question.residency = request.residency;
+    question.blocks = request.body.blocks;
+    question.promptTokens = request.body.promptTokens;
+    question.localOnly = !request.head.via.empty() || request.head.forwarded;
+    question.excluded = request.triedUpstreams;
+    question.excludedDomains = request.triedDomains;
+    const auto choice = routing::choose(m_router, question, m_state.table, m_state.now());
+    if (!choice) {
+        core::Error error = request.mayHaveRun
+            ? core::makeUnknown(core::ErrorKind::UpstreamFailed, "every upstream that was tried broke off")
+            : core::makeError(core::ErrorKind::NoUpstream, "no upstream for " + roomName(request.head, request.body) + " can be used from here");
+        error.retryAfter = RetryLater;
+        refuse(key, request, std::move(error));
+        return;
+    }
+    if (auto error = tooLate(request, choice->chosen)) {
+        refuse(key, request, std::move(*error));
+        return;
+    }
+    if (mayHold && tryHold(key, request, *choice)) {
+        return;
+    }
+    core::Duration delay{0};
+    if (request.attempts > 0) {
+        const auto jitter = 50 + m_state.random(101); // percent
+        delay = BackoffBase * (std::int64_t{1} << std::min<std::size_t>(request.attempts - 1, 5)) * jitter / 100;
+    }
+    dispatch(key, request, *choice, delay);
+}
+
+std::optional<core::Error> RequestController::tooLate(const Request &request, const routing::Scored &scored) const
+{
+    const core::Duration left = request.deadline - m_state.now();
+    const bool urgent = request.requestClass.urgency == config::Urgency::Urgent;
+    const bool background = request.requestClass.urgency == config::Urgency::Background;
+    const double share = urgent || request.requestClass.mayWait ? 1.0 : (background ? BackgroundWaitShare : NormalWaitShare);
+    const auto most = std::chrono::duration_cast<core::Duration>(left * share);
+    if (left > core::Duration(0) && scored.firstToken <= left && scored.wait <= most) {
+        return std::nullopt;
+    }
+    core::Error error = core::makeError(left > core::Duration(0) ? core::ErrorKind::Overloaded : core::ErrorKind::DeadlineExceeded,
+                                        "the predicted wait is " + std::to_string(toMs(scored.firstToken).count()) + " ms, "
+                                            + std::to_string(toMs(left).count()) + " ms are left");
+    if (request.mayHaveRun) {
+        error.outcome = core::Outcome::Unknown;
+    }
+    error.retryAfter = std::max(RetryLater, toMs(scored.wait));
+    return error;
+}
+
+core::TimePoint RequestController::latestStart(const Request &request, const routing::Scored &scored) const
+{
+    const core::Duration work = scored.firstToken + TokenTime * static_cast<std::int64_t>(request.body.maxTokens);
+    return request.deadline - work * 3 / 2 - HoldMargin;
+}
+
+bool RequestController::hasSlack(const routing::Choice &choice)
+{
+    if (choice.chosen.upstream.empty()) {
+        return false; // what may wait is not sent to another domain for want of slack
+    }
+    const routing::Upstream *upstream = m_state.table.find(choice.chosen.upstream);
+    const std::uint32_t slots = std::max<std::uint32_t>(1, upstream->report.slots);
+    return static_cast<double>(upstream->occupancy() + 1) <= m_state.settings.slackOccupancy * slots;
+}
+
+bool RequestController::tryHold(RequestKey key, Request &request, const routing::Choice &choice)
+{
+    if (!request.requestClass.mayWait || hasSlack(choice) || m_state.draining) {
+        return false;
+    }
+    const core::TimePoint latest = latestStart(request, choice.chosen);
+    if (latest <= m_state.now()) {
+        return false;
+    }
+    request.room = roomName(request.head, request.body);
+    auto room = m_rooms.try_emplace(request.room, m_state.settings.waitingRoom).first;
+    logDecision(request, &choice, "hold", "no slack");
+    const auto refused = room->second.add(limits::Waiting{request.requestClass.urgency, latest, key.value});
+    if (refused) {
+        const RequestKey loser(*refused);
+        Request &other = m_requests.at(loser);
+        other.room.clear();
+        core::Error error = core::makeError(core::ErrorKind::Overloaded, "the waiting room is full");
+        error.retryAfter = RetryLater;
+        refuse(loser, other, std::move(error));
+    }
+    return true;
+}
+
+void RequestController::releaseIntoSlack()
+{
+    for (auto &[name, room] : m_rooms) {
+        for (const limits::WaitingKey due : room.takeDue(m_state.now())) {
+            const RequestKey key(due);
+            Request &request = m_requests.at(key);
+            request.room.clear();
+            route(key, request, false);
+        }
+        for (std::size_t i = 0; i < ReleasesAtOnce && room.front(); ++i) {
+            const RequestKey key(*room.front());
+            Request &request = m_requests.at(key);
+            room.remove(key.value);
+            request.room.clear();
+            route(key, request, true); // holds it again when there is no slack
+            const auto held = m_requests.find(key);
+            if (held != m_requests.end() && !held->second.room.empty()) {
+                break;
+            }
+        }
+    }
+}
+
+void RequestController::releaseHeld()
+{
+    for (auto &[name, room] : m_rooms) {
+        for (const limits::WaitingKey held : room.takeAll()) {
+            const RequestKey key(held);
+            Request &request = m_requests.at(key);
+            request.room.clear();
+            core::Error error = core::makeError(core::ErrorKind::Draining, "this instance is shutting down");
+            error.retryAfter = std::chrono::milliseconds(10);
+            refuse(key, request, std::move(error));
+        }
+    }
+}
+
+std::size_t RequestController::held() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, room] : m_rooms) {
+        count += room.size();
+    }
+    return count;
+}
+
+void RequestController::tick()
+{
+    releaseIntoSlack();
+}
+
+//-----------------------------------------------------------------------------
+// Attempts
+//-----------------------------------------------------------------------------
+
+std::variant<LocalTarget, PeerTarget> RequestController::targetOf(const Request &request, const routing::Scored &scored)
+{
+    if (!scored.upstream.empty()) {
+        return LocalTarget{scored.upstream, m_state.table.find(scored.upstream)->line.address};
+    }
+    routing::RemotePool *pool = m_state.table.findRemote(request.body.model, request.head.service, scored.domain);
+    ++pool->sentSince;
+    // The prompt's prefix picks the entry, so that its upstream choice meets the same warm cache.
+    const std::uint64_t pick = request.body.blocks.empty() ? m_state.random() : request.body.blocks.front();
+    const routing::RemoteEntry &entry = pool->entries[pick % pool->entries.size()];
+    return PeerTarget{entry.instance, entry.peerAddress, scored.domain};
+}
+
+void RequestController::dispatch(RequestKey key, Request &request, const routing::Choice &choice, core::Duration delay)
+{
+    ++request.attempts;
+    request.running = choice.chosen;
+    if (!choice.chosen.upstream.empty()) {
+        m_state.table.attemptStarted(choice.chosen.upstream);
+        m_state.table.notePrefix(choice.chosen.upstream, request.body.blocks);
+    }
+    Dispatch dispatch;
+    dispatch.key = key;
+    dispatch.attempt =
+        request.head.attempt.empty() ? core::AttemptId(request.decision.text + "-" + std::to_string(request.attempts)) : request.head.attempt;
+    dispatch.decision = request.decision;
+    dispatch.target = targetOf(request, choice.chosen);
+    dispatch.region = choice.chosen.region;
+    dispatch.priority = static_cast<int>(request.requestClass.urgency);
+    dispatch.repeatable = request.repeatable;
+    dispatch.timeLeft = toMs(request.deadline - m_state.now());
+    dispatch.delay = toMs(delay);
+    dispatch.resumeOffset = request.tokensRelayed;
+    dispatch.revision = m_state.config.head().revision;
+    logDecision(request, &choice, "dispatch", request.attempts > 1 ? "retry" : "first");
+    m_state.emit(std::move(dispatch));
+}
+
+void RequestController::take(const FirstTokenSeen &seen)
+{
+    const auto found = m_requests.find(seen.key);
+    if (found != m_requests.end() && found->second.running && !found->second.running->upstream.empty()) {
+        m_state.table.noteFirstToken(found->second.running->upstream, seen.elapsed, found->second.running->firstToken);
+    }
+}
+
+void RequestController::noteAttemptEnd(const Request &request, const AttemptEnded &ended)
+{
+    if (!request.running || request.running->upstream.empty()) {
+        return;
+    }
+    const bool healthy = ended.end == AttemptEnd::Answered || ended.end == AttemptEnd::CallerGone;
+    m_state.table.attemptEnded(request.running->upstream, healthy, m_state.now());
+}
+
+bool RequestController::mayRetry(const Request &request, const AttemptEnded &ended)
+{
+    const bool truthful = ended.end == AttemptEnd::NotRun || request.repeatable;
+    const bool clean = !ended.relayedAnything || (request.repeatable && request.body.stream && ended.tokensRelayed > 0);
+    const bool ownsAttempts = request.head.attempt.empty(); // else the origin decides
+    return truthful && clean && ownsAttempts && !m_state.draining && request.attempts < m_state.settings.mostAttempts
+        && m_state.now() < request.deadline && m_retries.tryRetry();
+}
+
+void RequestController::take(const AttemptEnded &ended)
+{
+    const auto found = m_requests.find(ended.key);
+    if (found == m_requests.end()) {
+        return;
+    }
+    Request &request = found->second;
+    noteAttemptEnd(request, ended);
+    request.mayHaveRun = request.mayHaveRun || ended.end == AttemptEnd::Broken;
+    request.tokensRelayed = ended.tokensRelayed;
+    if (ended.end == AttemptEnd::Answered) {
+        finishLedger(request, ended.outcome.value_or(delivery::RecordedOutcome{delivery::Ending::Answered, 200, {}, {}, false}));
+        finish(ended.key);
+        releaseIntoSlack();
+        return;
+    }
+    if (ended.end == AttemptEnd::CallerGone) {
+        finishLedger(request, delivery::RecordedOutcome{request.running ? delivery::Ending::Unknown : delivery::Ending::NotRun, 0, {}, {}, true});
+        finish(ended.key);
+        return;
+    }
+    if (request.running) {
+        if (request.running->upstream.empty()) {
+            request.triedDomains.insert(request.running->domain);
+        } else {
+            request.triedUpstreams.insert(request.running->upstream);
+        }
+    }
+    if (mayRetry(request, ended)) {
+        request.running.reset();
+        route(ended.key, request, false);
+        return;
+    }
+    core::Error error = core::makeError(core::ErrorKind::UpstreamFailed, ended.message);
+    if (m_state.now() >= request.deadline) {
+        error = core::makeError(core::ErrorKind::DeadlineExceeded, "the deadline passed: " + ended.message);
+    } else if (request.mayHaveRun && !request.repeatable) {
+        error = core::makeError(core::ErrorKind::OutcomeUnknown, ended.message);
+    }
+    error.outcome = request.mayHaveRun ? core::Outcome::Unknown : core::Outcome::NotRun;
+    refuse(ended.key, request, std::move(error));
+}
+
+//-----------------------------------------------------------------------------
+// Endings
+//-----------------------------------------------------------------------------
+
+void RequestController::finishLedger(const Request &request, delivery::RecordedOutcome outcome)
+{
+    if (!request.ticket) {
+        return;
+    }
+    m_state.owner.finish(*request.ticket, outcome);
+    const membership::Member *witness = m_state.findMember(request.ticket->witness.id);
+    if (witness != nullptr && witness->incarnation == request.ticket->witness.incarnation) {
+        m_state.emit(CallLedger{m_state.drawCall(), witness->peerAddress, LedgerOutcome{request.ticketText, std::move(outcome)}});
+    }
+    releaseWaiters(request);
+}
+
+void RequestController::releaseWaiters(const Request &request)
+{
+    const auto waiters = m_ticketWaiters.find(delivery::ledgerKey(*request.ticket));
+    if (waiters == m_ticketWaiters.end()) {
+        return;
+    }
+    const std::vector<RequestKey> keys = std::move(waiters->second);
+    m_ticketWaiters.erase(waiters);
+    const delivery::Ticket ticket = *request.ticket;
+    for (const RequestKey &key : keys) {
+        const auto found = m_requests.find(key);
+        if (found != m_requests.end()) {
+            answerFromRecord(key, found->second, m_state.owner.lookup(ticket));
+        }
+    }
+}
+
+void RequestController::refuse(RequestKey key, Request &request, core::Error error, bool freshTicket)
+{
+    if (request.ticket) {
+        const bool ran = error.outcome == core::Outcome::Unknown;
+        finishLedger(request, delivery::RecordedOutcome{ran ? delivery::Ending::Unknown : delivery::Ending::NotRun, 0, {}, {}, true});
+    }
+    Refuse refusal{key, std::move(error), {}, {}, request.decision};
+    const bool mayHaveOne = freshTicket || (request.ticket && refusal.error.outcome == core::Outcome::NotRun);
+    if (mayHaveOne) {
+        refusal.freshTicket = m_state.issueTicket(request.workspace);
+    }
+    if (m_state.draining) {
+        if (const config::Policy *policy = m_state.config.policyOf(request.workspace)) {
+            refusal.otherEntries = m_state.otherEntries(*policy);
+        }
+    }
+    logDecision(request, nullptr, "refuse", std::string(core::toString(refusal.error.kind)) + ": " + refusal.error.message);
+    m_state.emit(std::move(refusal));
+    finish(key);
+}
+
+void RequestController::finish(RequestKey key)
+{
+    const auto found = m_requests.find(key);
+    if (found == m_requests.end()) {
+        return;
+    }
+    if (found->second.counted) {
+        m_state.limits.release(found->second.workspace);
+    }
+    if (!found->second.room.empty()) {
+        m_rooms.at(found->second.room).remove(key.value);
+    }
+    m_requests.erase(found);
+}
+
+void RequestController::logDecision(const Request &request, const routing::Choice *choice, std::string result, std::string detail)
+{
+    DecisionLogged logged;
+    logged.decision = request.decision;
+    logged.request = request.head.id;
+    logged.workspace = request.workspace;
+    logged.requestClass = request.requestClass.id;
+    logged.model = request.body.model;
+    logged.service = request.head.service;
+    if (choice != nullptr) {
+        logged.choice = *choice;
+    }
+    logged.result = std::move(result);
+    logged.detail = std::move(detail);
+    logged.revision = m_state.config.head().revision;
+    m_state.emit(std::move(logged));
+}
+
+core::DecisionId RequestController::drawDecision()
+{
+    return core::DecisionId(m_prefix + "-" + std::to_string(m_nextDecision++));
+}
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/arbutus/node/state.h
@@ -0,0 +1,80 @@
+// State that a node's controllers share. Plain data: one thread, the controllers in turn.
+
+#pragma once
+
+#include "arbutus/config/log.h"
+#include "arbutus/core/clock.h"
+#include "arbutus/delivery/inherited.h"
+#include "arbutus/delivery/ledger.h"
+#include "arbutus/limits/workspacelimits.h"
+#include "arbutus/membership/domainview.h"
+#include "arbutus/node/events.h"
+#include "arbutus/node/settings.h"
+#include "arbutus/routing/upstreamtable.h"
+
+#include <pcg_random.hpp>
+
+#include <map>
+#include <vector>
+
+namespace arbutus::node {
+
+/// What the node knows.
+struct NodeState {
+    NodeState(const core::Clock &clockUsed, NodeSettings nodeSettings);
+
+    const core::Clock &clock;
+    NodeSettings settings;
+    pcg32 random;
+    config::ConfigState config;
+    membership::DomainView view;
+    routing::UpstreamTable table;
+    limits::WorkspaceLimits limits;
+    delivery::TicketCodec tickets;
+    delivery::OwnerLedger owner;
+    delivery::WitnessLedger witness;
+    delivery::InheritedLedger inherited;
+    std::map<core::DomainId, std::vector<membership::Member>> contacts; // of other failure domains
+    std::map<core::RegionId, std::uint32_t> domainsOfRegion;            // last known; kept while the list cannot be read
+    std::size_t listedInDomain = 0;                                     // instances that the platform lists here
+    bool draining = false;
+    Actions out;
+    std::uint64_t nextCall = 1;
+
+    [[nodiscard]] core::TimePoint now() const
+    {
+        return clock.steadyNow();
+    }
+    [[nodiscard]] const membership::Member &self() const
+    {
+        return view.self();
+    }
+    void emit(Action action)
+    {
+        out.push_back(std::move(action));
+    }
+    void logEvent(std::string event, std::vector<std::pair<std::string, std::string>> fields)
+    {
+        emit(EventLogged{std::move(event), std::move(fields)});
+    }
+    [[nodiscard]] CallKey drawCall()
+    {
+        return CallKey(nextCall++);
+    }
+    /// Sends to every member of the own domain that is not dead.
+    void tellDomain(std::variant<membership::Message, Digest, LoadNews, DemandNews, HeadNews> body);
+    /// A datagram with this node's identity and revision.
+    [[nodiscard]] Datagram makeDatagram(std::variant<membership::Message, Digest, LoadNews, DemandNews, HeadNews> body) const;
+    /// A member of any domain by id; null when unknown.
+    [[nodiscard]] const membership::Member *findMember(const core::InstanceId &id) const;
+    /// Entries for a workspace's callers, best first.
+    [[nodiscard]] std::vector<EntryLine> entriesFor(const config::Policy &policy) const;
+    /// URLs of entriesFor() without this instance.
+    [[nodiscard]] std::vector<std::string> otherEntries(const config::Policy &policy) const;
+    /// Among how many a workspace's limits are shared.
+    [[nodiscard]] limits::Sharing sharingOf(const config::Policy &policy) const;
+    /// A fresh ticket of this owner, as text; empty while draining.
+    [[nodiscard]] std::string issueTicket(const core::WorkspaceId &workspace);
+};
+
+} // namespace arbutus::node
--- /dev/null
+++ b/src/arbutus/routing/upstreamtable.cpp
@@ -0,0 +1,263 @@
+// Changes of the table.
+
+#include "arbutus/routing/upstreamtable.h"
+
+#include <algorithm>
+
+namespace arbutus::routing {
+
+namespace {
+
+constexpr double SlownessWeight = 0.1;   // of the newest observation in the moving average
+constexpr double SlownessMost = 100.0;
+constexpr double GapTrust = 0.5;         // a gap halves the trust in a prefix map
+constexpr double TrustRegained = 0.02;   // by each batch of events without a gap
+
+} // namespace
+
+std::uint32_t Upstream::occupancy() const
+{
+    const std::uint32_t reported = report.running + report.waiting;
+    const std::uint32_t others = reported - std::min(reported, inFlightAtReport); // requests of other instances
+    return others + inFlight;
+}
+
+UpstreamTable::UpstreamTable(TableSettings settings)
+    : m_settings(settings)
+{
+}
+
+void UpstreamTable::takeList(const std::vector<UpstreamLine> &lines)
+{
+    std::set<core::UpstreamId> listed;
+    for (const UpstreamLine &line : lines) {
+        listed.insert(line.id);
+        Upstream &upstream = m_upstreams[line.id];
+        const bool fresh = upstream.line.id.empty();
+        const bool moved = !fresh && upstream.line.address != line.address; // a replacement under the same name
+        if (moved) {
+            upstream = Upstream{};
+        }
+        const bool wasLeaving = upstream.line.leaving;
+        upstream.line = line;
+        upstream.line.leaving = line.leaving || (wasLeaving && !moved);
+        if (upstream.line.leaving && !line.leaving && upstream.reportedAt != core::TimePoint() && !upstream.report.leaving) {
+            upstream.line.leaving = false; // the list and its own reports agree that it stays
+        }
+        if (fresh || moved) {
+            upstream.report.id = line.id;
+            upstream.report.slots = line.slots;
+            upstream.report.models = line.models;
+        }
+    }
+    std::erase_if(m_upstreams, [&](const auto &entry) { return !listed.contains(entry.first) && entry.second.inFlight == 0; });
+    for (auto &[id, upstream] : m_upstreams) {
+        upstream.line.leaving = upstream.line.leaving || !listed.contains(id);
+    }
+    index();
+}
+
+bool UpstreamTable::takeReport(const LoadReport &report, core::TimePoint now)
+{
+    Upstream *upstream = find(report.id);
+    if (upstream == nullptr) {
+        return false;
+    }
+    if (report.leaving) {
+        upstream->leavingUntil = now + m_settings.leavingKept;
+    }
+    const bool modelsChanged = upstream->report.models != report.models;
+    upstream->report = report;
+    upstream->report.leaving = now < upstream->leavingUntil; // a late report does not bring it back
+    upstream->reportedAt = now;
+    upstream->inFlightAtReport = upstream->inFlight;
+    if (modelsChanged) {
+        index();
+    }
+    return true;
+}
+
+void UpstreamTable::takeInto(std::vector<RemotePool> &pools, RemotePool pool, core::TimePoint now, core::Duration stale)
+{
+    pool.heardAt = now;
+    pool.backSince = now;
+    const auto found = std::find_if(pools.begin(), pools.end(), [&](const RemotePool &known) { return known.domain == pool.domain; });
+    if (found == pools.end()) {
+        pools.push_back(std::move(pool));
+        return;
+    }
+    if (now - found->heardAt < stale) {
+        pool.backSince = found->backSince;
+    }
+    *found = std::move(pool);
+}
+
+void UpstreamTable::takeRemote(const core::ModelId &model, RemotePool pool, core::TimePoint now)
+{
+    takeInto(m_remoteModels[model], std::move(pool), now, m_settings.digestStale);
+}
+
+void UpstreamTable::takeRemoteService(const core::ServiceId &service, RemotePool pool, core::TimePoint now)
+{
+    takeInto(m_remoteServices[service], std::move(pool), now, m_settings.digestStale);
+}
+
+void UpstreamTable::notePrefix(const core::UpstreamId &id, const std::vector<std::uint64_t> &blocks)
+{
+    Upstream *upstream = find(id);
+    if (upstream == nullptr) {
+        return;
+    }
+    for (const std::uint64_t block : blocks) {
+        if (upstream->prefixes.emplace(block, 1).second) {
+            upstream->prefixOrder.push_back(block);
+        }
+    }
+    while (upstream->prefixOrder.size() > m_settings.prefixBlocks) {
+        upstream->prefixes.erase(upstream->prefixOrder.front());
+        upstream->prefixOrder.pop_front();
+    }
+    upstream->prefixTrust = std::min(1.0, upstream->prefixTrust + TrustRegained);
+}
+
+void UpstreamTable::dropPrefix(const core::UpstreamId &id, std::uint64_t block)
+{
+    if (Upstream *upstream = find(id)) {
+        upstream->prefixes.erase(block);
+    }
+}
+
+void UpstreamTable::notePrefixGap(const core::UpstreamId &id)
+{
+    if (Upstream *upstream = find(id)) {
+        upstream->prefixTrust *= GapTrust;
+    }
+}
+
+void UpstreamTable::attemptStarted(const core::UpstreamId &id)
+{
+    if (Upstream *upstream = find(id)) {
+        ++upstream->inFlight;
+    }
+}
+
+void UpstreamTable::attemptEnded(const core::UpstreamId &id, bool healthy, core::TimePoint now)
+{
+    Upstream *upstream = find(id);
+    if (upstream == nullptr) {
+        return;
+    }
+    upstream->inFlight -= std::min<std::uint32_t>(1, upstream->inFlight);
+    upstream->inFlightAtReport = std::min(upstream->inFlightAtReport, upstream->inFlight);
+    if (healthy) {
+        upstream->failuresInARow = 0;
+        return;
+    }
+    ++upstream->failuresInARow;
+    if (upstream->failuresInARow >= m_settings.ejectAfter && mayEject(*upstream, now)) {
+        const auto doublings = std::min<std::uint32_t>(upstream->failuresInARow - m_settings.ejectAfter, 5);
+        const core::Duration length = std::min(m_settings.ejectMost, m_settings.ejectFor * (std::int64_t{1} << doublings));
+        upstream->ejectedUntil = now + length;
+        upstream->probationUntil = now + length * 2;
+    }
+}
+
+bool UpstreamTable::mayEject(const Upstream &upstream, core::TimePoint now) const
+{
+    std::size_t alike = 0;
+    std::size_t ejected = 0;
+    for (const auto &[id, other] : m_upstreams) {
+        const bool same = upstream.line.kind == UpstreamKind::Service ? other.line.service == upstream.line.service
+                                                                      : other.line.kind == UpstreamKind::Model;
+        alike += same ? 1 : 0;
+        ejected += same && other.ejectedUntil > now ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) <= m_settings.ejectShare * static_cast<double>(alike);
+}
+
+void UpstreamTable::noteFirstToken(const core::UpstreamId &id, core::Duration observed, core::Duration predicted)
+{
+    Upstream *upstream = find(id);
+    if (upstream == nullptr || predicted.count() <= 0) {
+        return;
+    }
+    const double ratio = std::clamp(static_cast<double>(observed.count()) / static_cast<double>(predicted.count()), 0.1, SlownessMost);
+    const double base = upstream->slowness;
+    upstream->slowness = std::clamp(base * (1 - SlownessWeight) + base * ratio * SlownessWeight, 1.0, SlownessMost);
+}
+
+Upstream *UpstreamTable::find(const core::UpstreamId &id)
+{
+    const auto found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+const std::vector<Upstream *> &UpstreamTable::withModel(const core::ModelId &model) const
+{
+    static const std::vector<Upstream *> None;
+    const auto found = m_byModel.find(model);
+    return found == m_byModel.end() ? None : found->second;
+}
+
+const std::vector<Upstream *> &UpstreamTable::withService(const core::ServiceId &service) const
+{
+    static const std::vector<Upstream *> None;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? None : found->second;
+}
+
+const std::vector<RemotePool> &UpstreamTable::remoteModel(const core::ModelId &model) const
+{
+    static const std::vector<RemotePool> None;
+    const auto found = m_remoteModels.find(model);
+    return found == m_remoteModels.end() ? None : found->second;
+}
+
+const std::vector<RemotePool> &UpstreamTable::remoteService(const core::ServiceId &service) const
+{
+    static const std::vector<RemotePool> None;
+    const auto found = m_remoteServices.find(service);
+    return found == m_remoteServices.end() ? None : found->second;
+}
+
+RemotePool *UpstreamTable::findRemote(const core::ModelId &model, const core::ServiceId &service, const core::DomainId &domain)
+{
+    auto &pools = service.empty() ? m_remoteModels[model] : m_remoteServices[service];
+    const auto found = std::find_if(pools.begin(), pools.end(), [&](const RemotePool &pool) { return pool.domain == domain; });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+std::set<core::ModelId> UpstreamTable::models() const
+{
+    std::set<core::ModelId> out;
+    for (const auto &[model, upstreams] : m_byModel) {
+        out.insert(model);
+    }
+    return out;
+}
+
+std::set<core::ServiceId> UpstreamTable::services() const
+{
+    std::set<core::ServiceId> out;
+    for (const auto &[service, upstreams] : m_byService) {
+        out.insert(service);
+    }
+    return out;
+}
+
+void UpstreamTable::index()
+{
+    m_byModel.clear();
+    m_byService.clear();
+    for (auto &[id, upstream] : m_upstreams) {
+        if (upstream.line.kind == UpstreamKind::Service) {
+            m_byService[upstream.line.service].push_back(&upstream);
+            continue;
+        }
+        for (const core::ModelId &model : upstream.report.models) {
+            m_byModel[model].push_back(&upstream);
+        }
+    }
+}
+
+} // namespace arbutus::routing
