--- a/apps/platform.cpp
+++ b/apps/platform.cpp
@@ -1,8 +1,8 @@
 // arbutus-platform: stand-in for the platform's services, for the demo, tests and experiments.
 
+#include "arbutus/standin/platform.h"
 #include "arbutus/core/clock.h"
 #include "arbutus/observe/logline.h"
-#include "arbutus/standin/platform.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -16,9 +16,9 @@
 {
     cxxopts::Options options("arbutus-platform", "Stand-in for the platform: key-value service, directory, instance list, weight store");
     options.add_options()                                                                                     //
-        ("listen", "address and port", cxxopts::value<std::string>()->default_value("127.0.0.1:7000"))         //
-        ("weight-rate", "weight store, bytes a second", cxxopts::value<double>()->default_value("200000000"))  //
-        ("weight-size", "bytes of one model", cxxopts::value<double>()->default_value("20000000"))             //
+        ("listen", "address and port", cxxopts::value<std::string>()->default_value("127.0.0.1:7000"))        //
+        ("weight-rate", "weight store, bytes a second", cxxopts::value<double>()->default_value("200000000")) //
+        ("weight-size", "bytes of one model", cxxopts::value<double>()->default_value("20000000"))            //
         ("help", "show this text");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") != 0) {
--- a/apps/upstream.cpp
+++ b/apps/upstream.cpp
@@ -3,10 +3,10 @@
 // --list FILE names a JSON document {"upstreams":[{"id","kind":"model"|"service","address","models":[…],"slots",
 // "step_us","checks_fencing"}]}.
 
+#include "arbutus/standin/upstream.h"
 #include "arbutus/core/clock.h"
 #include "arbutus/core/json.h"
 #include "arbutus/observe/logline.h"
-#include "arbutus/standin/upstream.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -54,8 +54,8 @@
 int run(int argc, char **argv)
 {
     cxxopts::Options options("arbutus-upstream", "Stand-ins for model engines and plain services");
-    options.add_options()                                                              //
-        ("list", "JSON file of upstreams", cxxopts::value<std::string>())               //
+    options.add_options()                                                                            //
+        ("list", "JSON file of upstreams", cxxopts::value<std::string>())                            //
         ("weights", "address of the weight store", cxxopts::value<std::string>()->default_value("")) //
         ("help", "show this text");
     const auto arguments = options.parse(argc, argv);
--- a/src/arbutus/config/document.h
+++ b/src/arbutus/config/document.h
@@ -40,7 +40,8 @@
 };
 
 /// One request class of a template.
-struct RequestClass {
+struct RequestClass
+{
     core::ClassId id;
     Urgency urgency = Urgency::Normal;
     std::chrono::milliseconds deadline{30'000}; // 1 ms .. 24 h, from arrival to the whole answer
@@ -49,20 +50,23 @@
 };
 
 /// What the router weighs for a workspace; the two need not add up to one.
-struct Weights {
+struct Weights
+{
     double cost = 0.5;    // 0 .. 1
     double latency = 0.5; // 0 .. 1
 };
 
 /// Limits over all instances together.
-struct Limits {
+struct Limits
+{
     double requestsPerSecond = 100.0; // > 0
     double burst = 200.0;             // >= 1 request
     std::uint32_t concurrency = 256;  // >= 1 request in flight
 };
 
 /// Everything a workspace may do.
-struct Policy {
+struct Policy
+{
     core::WorkspaceId workspace;
     std::vector<std::string> keyHashes; // SHA-256 of accepted keys, hexadecimal
     std::set<core::ModelId> models;
@@ -80,7 +84,8 @@
 //-----------------------------------------------------------------------------
 
 /// Name of a document: kind ("template", "workspace" or "upstream") and id.
-struct DocumentKey {
+struct DocumentKey
+{
     std::string kind;
     std::string id;
 
--- a/src/arbutus/config/log.cpp
+++ b/src/arbutus/config/log.cpp
@@ -159,9 +159,7 @@
         json::object row{{"document", document}, {"written_at", static_cast<std::int64_t>(writtenAt(key).value)}};
         documents.emplace_back(std::move(row));
     }
-    const json::object object{{"revision", static_cast<std::int64_t>(m_head.revision.value)},
-                              {"hash", m_head.hash},
-                              {"documents", std::move(documents)}};
+    const json::object object{{"revision", static_cast<std::int64_t>(m_head.revision.value)}, {"hash", m_head.hash}, {"documents", std::move(documents)}};
     return json::serialize(object);
 }
 
--- a/src/arbutus/config/log.h
+++ b/src/arbutus/config/log.h
@@ -20,17 +20,18 @@
 namespace arbutus::config {
 
 /// One accepted edit.
-struct LogEntry {
-    core::Revision revision;                  // 1, 2, 3, …
-    std::string editId;                       // drawn by the editor, to find its own edit again
-    std::string previousHash;                 // hash of entry revision-1; empty for entry 1
-    std::string author;                       // who edited
-    std::int64_t atMs = 0;                    // wall time of the edit, Unix milliseconds
-    std::vector<boost::json::object> puts;    // documents to write
-    std::vector<DocumentKey> removals;        // documents to remove
+struct LogEntry
+{
+    core::Revision revision;               // 1, 2, 3, …
+    std::string editId;                    // drawn by the editor, to find its own edit again
+    std::string previousHash;              // hash of entry revision-1; empty for entry 1
+    std::string author;                    // who edited
+    std::int64_t atMs = 0;                 // wall time of the edit, Unix milliseconds
+    std::vector<boost::json::object> puts; // documents to write
+    std::vector<DocumentKey> removals;     // documents to remove
 
     [[nodiscard]] std::string serialize() const;
-    [[nodiscard]] std::string hash() const;   // SHA-256 of serialize()
+    [[nodiscard]] std::string hash() const; // SHA-256 of serialize()
 };
 
 /// Reads what LogEntry::serialize() wrote.
@@ -40,7 +41,8 @@
 [[nodiscard]] std::string logKey(core::Revision revision);
 
 /// Position in the chain.
-struct Head {
+struct Head
+{
     core::Revision revision;
     std::string hash; // of the entry at `revision`; empty at 0
 
--- a/src/arbutus/core/base64.cpp
+++ b/src/arbutus/core/base64.cpp
@@ -9,9 +9,8 @@
 std::string base64Encode(std::string_view bytes)
 {
     std::string out(((bytes.size() + 2) / 3) * 4 + 1, '\0'); // the codec writes a closing zero
-    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
-                                     reinterpret_cast<const unsigned char *>(bytes.data()),
-                                     static_cast<int>(bytes.size()));
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
     out.resize(static_cast<std::size_t>(size));
     return out;
 }
@@ -22,9 +21,8 @@
         return std::nullopt;
     }
     std::string out(text.size() / 4 * 3 + 1, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
-                                     reinterpret_cast<const unsigned char *>(text.data()),
-                                     static_cast<int>(text.size()));
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
     if (size < 0) {
         return std::nullopt;
     }
--- a/src/arbutus/core/clock.h
+++ b/src/arbutus/core/clock.h
@@ -9,7 +9,7 @@
 
 namespace arbutus::core {
 
-using Duration = std::chrono::microseconds;                              // resolution of all decisions
+using Duration = std::chrono::microseconds;                                     // resolution of all decisions
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>; // never goes back
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
--- a/src/arbutus/core/error.cpp
+++ b/src/arbutus/core/error.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-struct KindRow {
+struct KindRow
+{
     ErrorKind kind;
     std::string_view name;
     unsigned status; // HTTP
@@ -84,10 +85,7 @@
 
 std::string toJson(const Error &error)
 {
-    boost::json::object body{{"kind", toString(error.kind)},
-                             {"message", error.message},
-                             {"remedy", error.remedy},
-                             {"outcome", toString(error.outcome)}};
+    boost::json::object body{{"kind", toString(error.kind)}, {"message", error.message}, {"remedy", error.remedy}, {"outcome", toString(error.outcome)}};
     return boost::json::serialize(boost::json::object{{"error", std::move(body)}});
 }
 
--- a/src/arbutus/core/error.h
+++ b/src/arbutus/core/error.h
@@ -27,43 +27,44 @@
 
 /// Every kind of error that a caller, operator or peer can be shown.
 enum class ErrorKind {
-    BadRequest,        // malformed or unacceptable request
-    BodyTooLarge,      // body over the limit of the listener
-    Unauthorized,      // missing or wrong key
-    UnknownWorkspace,  // no such workspace in the configuration
-    UnknownModel,      // model not allowed or not known
-    UnknownService,    // plain service not allowed or not known
-    UnknownClass,      // the workspace's template has no such request class
-    ResidencyRefused,  // this region may not see the workspace's data
-    LoopDetected,      // the request has passed this instance before
-    RateLimited,       // over the workspace's rate or concurrency
-    Overloaded,        // no room here now
-    DeadlineExceeded,  // cannot be done, or was not done, in time
-    NoUpstream,        // nothing that could serve it is reachable
-    UpstreamFailed,    // the upstream gave no complete answer
-    TicketInvalid,     // not authentic, expired, or of another workspace
-    TicketConflict,    // the ticket was used with another body
-    TicketRequired,    // the request may not be repeated and has no ticket
-    TicketSealed,      // closed before it ran
-    OutcomeUnknown,    // it may have run; no record can tell
-    Draining,          // this instance is shutting down
-    ConfigInvalid,     // configuration document with faults
-    ConfigConflict,    // a racing edit won
-    PlatformDown,      // the platform's service gave no usable answer
-    PeerFailed,        // another instance gave no usable answer
-    VersionMismatch,   // another instance speaks another protocol version
-    NotFound,          // no such path or record
-    SettingsInvalid,   // settings file with faults
-    Internal,          // a fault of ours
+    BadRequest,       // malformed or unacceptable request
+    BodyTooLarge,     // body over the limit of the listener
+    Unauthorized,     // missing or wrong key
+    UnknownWorkspace, // no such workspace in the configuration
+    UnknownModel,     // model not allowed or not known
+    UnknownService,   // plain service not allowed or not known
+    UnknownClass,     // the workspace's template has no such request class
+    ResidencyRefused, // this region may not see the workspace's data
+    LoopDetected,     // the request has passed this instance before
+    RateLimited,      // over the workspace's rate or concurrency
+    Overloaded,       // no room here now
+    DeadlineExceeded, // cannot be done, or was not done, in time
+    NoUpstream,       // nothing that could serve it is reachable
+    UpstreamFailed,   // the upstream gave no complete answer
+    TicketInvalid,    // not authentic, expired, or of another workspace
+    TicketConflict,   // the ticket was used with another body
+    TicketRequired,   // the request may not be repeated and has no ticket
+    TicketSealed,     // closed before it ran
+    OutcomeUnknown,   // it may have run; no record can tell
+    Draining,         // this instance is shutting down
+    ConfigInvalid,    // configuration document with faults
+    ConfigConflict,   // a racing edit won
+    PlatformDown,     // the platform's service gave no usable answer
+    PeerFailed,       // another instance gave no usable answer
+    VersionMismatch,  // another instance speaks another protocol version
+    NotFound,         // no such path or record
+    SettingsInvalid,  // settings file with faults
+    Internal,         // a fault of ours
 };
 
 /// An error with its remedy and the truth about the request.
-struct Error {
+struct Error
+{
     ErrorKind kind = ErrorKind::Internal;
-    std::string message;                         // what happened
-    std::string remedy;                          // what to do about it
-    Outcome outcome = Outcome::NotRun;           // what became of the request
-    std::chrono::milliseconds retryAfter{0};     // 0 = no advice
+    std::string message;                     // what happened
+    std::string remedy;                      // what to do about it
+    Outcome outcome = Outcome::NotRun;       // what became of the request
+    std::chrono::milliseconds retryAfter{0}; // 0 = no advice
 };
 
 /// A value or an Error.
--- a/src/arbutus/core/hash.cpp
+++ b/src/arbutus/core/hash.cpp
@@ -49,13 +49,7 @@
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
-    HMAC(EVP_sha256(),
-         key.data(),
-         static_cast<int>(key.size()),
-         reinterpret_cast<const unsigned char *>(text.data()),
-         text.size(),
-         digest.data(),
-         &size);
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
     return toHex(digest.data(), size);
 }
 
--- a/src/arbutus/core/ids.h
+++ b/src/arbutus/core/ids.h
@@ -25,7 +25,8 @@
 
 /// A text identifier whose Tag keeps it apart from identifiers of other kinds.
 template<class Tag>
-struct StrongId {
+struct StrongId
+{
     std::string text; // empty = not set
 
     StrongId() = default;
@@ -64,7 +65,8 @@
 
 /// A counter whose Tag keeps it apart from counters of other kinds.
 template<class Tag>
-struct StrongNumber {
+struct StrongNumber
+{
     std::uint64_t value = 0;
 
     StrongNumber() = default;
@@ -90,7 +92,8 @@
 //-----------------------------------------------------------------------------
 
 /// One life of one instance. A restarted instance has the same id and another incarnation.
-struct InstanceRef {
+struct InstanceRef
+{
     InstanceId id;
     Incarnation incarnation;
 
@@ -100,7 +103,8 @@
 } // namespace arbutus::core
 
 template<class Tag>
-struct std::hash<arbutus::core::StrongId<Tag>> {
+struct std::hash<arbutus::core::StrongId<Tag>>
+{
     std::size_t operator()(const arbutus::core::StrongId<Tag> &id) const noexcept
     {
         return std::hash<std::string>{}(id.text);
@@ -108,7 +112,8 @@
 };
 
 template<class Tag>
-struct std::hash<arbutus::core::StrongNumber<Tag>> {
+struct std::hash<arbutus::core::StrongNumber<Tag>>
+{
     std::size_t operator()(const arbutus::core::StrongNumber<Tag> &number) const noexcept
     {
         return std::hash<std::uint64_t>{}(number.value);
--- a/src/arbutus/core/json.cpp
+++ b/src/arbutus/core/json.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 namespace arbutus::core {
 
@@ -24,6 +25,9 @@
     if (value->is_int64()) {
         return value->as_int64();
     }
+    if (value->is_uint64() && value->as_uint64() <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) {
+        return static_cast<std::int64_t>(value->as_uint64());
+    }
     if (value->is_double() && std::abs(value->as_double()) < 9e15) {
         return static_cast<std::int64_t>(value->as_double());
     }
--- a/src/arbutus/delivery/inherited.h
+++ b/src/arbutus/delivery/inherited.h
@@ -16,20 +16,23 @@
 namespace arbutus::delivery {
 
 /// One record on its way to a successor.
-struct HandoverRecord {
+struct HandoverRecord
+{
     std::string key; // ledgerKey()
     core::WallTime expiry{};
     LedgerAnswer answer;
 };
 
 /// An owner that has closed for good.
-struct ClosedOwner {
+struct ClosedOwner
+{
     core::InstanceRef owner;
     core::WallTime until{}; // expiry of its last ticket
 };
 
 /// All that one instance hands on.
-struct Handover {
+struct Handover
+{
     std::vector<HandoverRecord> records;
     std::vector<ClosedOwner> closedOwners;
 };
--- a/src/arbutus/delivery/ledger.h
+++ b/src/arbutus/delivery/ledger.h
@@ -45,22 +45,24 @@
 };
 
 /// The recorded outcome of a ticket.
-struct RecordedOutcome {
+struct RecordedOutcome
+{
     Ending ending = Ending::Unknown;
-    unsigned status = 0;         // HTTP, for Answered
+    unsigned status = 0; // HTTP, for Answered
     std::string contentType;
-    std::string answer;          // bounded by LedgerLimits::answerBytes
-    bool answerKept = true;      // false: it ran, but its answer was too large to keep
+    std::string answer;     // bounded by LedgerLimits::answerBytes
+    bool answerKept = true; // false: it ran, but its answer was too large to keep
 
     bool operator==(const RecordedOutcome &) const = default;
 };
 
 /// Bounds of a ledger's memory.
-struct LedgerLimits {
-    std::size_t answerBytes = 64 * 1024;            // of one answer
-    std::size_t totalBytes = 48 * 1024 * 1024;      // of all answers together; the oldest are dropped first
-    std::size_t records = 200'000;                  // tickets remembered
-    std::chrono::milliseconds retention{600'000};   // kept past the expiry
+struct LedgerLimits
+{
+    std::size_t answerBytes = 64 * 1024;          // of one answer
+    std::size_t totalBytes = 48 * 1024 * 1024;    // of all answers together; the oldest are dropped first
+    std::size_t records = 200'000;                // tickets remembered
+    std::chrono::milliseconds retention{600'000}; // kept past the expiry
 };
 
 /// What a ledger says of a ticket.
@@ -74,7 +76,8 @@
 };
 
 /// A verdict with the outcome where there is one.
-struct LedgerAnswer {
+struct LedgerAnswer
+{
     Verdict verdict = Verdict::NoRecord;
     std::string digest; // of the body that the intent was for
     std::optional<RecordedOutcome> outcome;
@@ -141,7 +144,8 @@
         Done,
         Closed,
     };
-    struct Record {
+    struct Record
+    {
         Ticket ticket;
         State state = State::Asking;
         std::string digest;
@@ -176,7 +180,8 @@
     LedgerAnswer seal(const Ticket &ticket, core::WallTime now);
 
     /// All that is known, by ledgerKey() and with the expiry, for a successor.
-    struct Witnessed {
+    struct Witnessed
+    {
         std::string key;
         core::WallTime expiry{};
         LedgerAnswer answer;
@@ -198,7 +203,8 @@
         Done,
         Sealed,
     };
-    struct Record {
+    struct Record
+    {
         State state = State::Intent;
         std::string digest;
         core::WallTime expiry{};
--- a/src/arbutus/delivery/ticket.cpp
+++ b/src/arbutus/delivery/ticket.cpp
@@ -83,7 +83,7 @@
     }
     const auto key = std::find_if(m_keys.begin(), m_keys.end(), [&](const TicketKey &candidate) { return candidate.id == fields[1]; });
     if (key == m_keys.end()) {
-        return invalid("was signed with a key that is no longer accepted");
+        return core::makeUnknown(core::ErrorKind::TicketInvalid, "the ticket was signed with a key that is no longer accepted");
     }
     const std::string_view covered = text.substr(0, text.size() - fields.back().size() - 1);
     if (!core::equalConstantTime(core::hmacSha256Hex(key->secret, covered), fields.back())) {
--- a/src/arbutus/delivery/ticket.h
+++ b/src/arbutus/delivery/ticket.h
@@ -22,18 +22,20 @@
 namespace arbutus::delivery {
 
 /// A ticket, parsed and authenticated.
-struct Ticket {
+struct Ticket
+{
     core::InstanceRef owner;
     core::InstanceRef witness; // empty id = the owner was alone; its crash leaves the outcome unknown
     core::WorkspaceId workspace;
     core::Serial serial;
-    core::WallTime expiry;     // the owner refuses it from then on
+    core::WallTime expiry; // the owner refuses it from then on
 
     auto operator<=>(const Ticket &) const = default;
 };
 
 /// A key for tickets. The first of a list signs; all of it verify, so that keys can be rotated.
-struct TicketKey {
+struct TicketKey
+{
     std::string id;
     std::string secret; // at least 16 bytes
 };
--- /dev/null
+++ b/src/arbutus/gateway/decisionloop.cpp
@@ -0,0 +1,91 @@
+// Ring, ticks and actions.
+
+#include "arbutus/gateway/decisionloop.h"
+
+#include <ctime>
+
+namespace arbutus::gateway {
+
+namespace {
+
+std::int64_t threadProcessorNs()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::int64_t{time.tv_sec} * 1'000'000'000 + time.tv_nsec;
+}
+
+} // namespace
+
+DecisionLoop::DecisionLoop(const core::Clock &clock, node::NodeSettings settings, std::size_t ringCapacity, ActionSink sink)
+    : m_clock(clock)
+    , m_node(clock, std::move(settings))
+    , m_ring(ringCapacity)
+    , m_sink(std::move(sink))
+{
+}
+
+DecisionLoop::~DecisionLoop()
+{
+    stop();
+}
+
+void DecisionLoop::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void DecisionLoop::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool DecisionLoop::post(node::Event event)
+{
+    return m_ring.tryPush(Item(std::move(event)));
+}
+
+bool DecisionLoop::inspect(Inspection inspection)
+{
+    return m_ring.tryPush(Item(std::move(inspection)));
+}
+
+std::size_t DecisionLoop::queued() const
+{
+    return m_ring.size();
+}
+
+void DecisionLoop::run()
+{
+    core::TimePoint nextTick = m_clock.steadyNow();
+    while (!m_stopping) {
+        const core::TimePoint now = m_clock.steadyNow();
+        if (now >= nextTick) {
+            nextTick = now + node::TickPeriod;
+            handle(node::Ticked{});
+            m_processorNs = threadProcessorNs();
+        }
+        auto item = m_ring.pop(std::max(core::Duration(0), nextTick - m_clock.steadyNow()));
+        if (!item) {
+            continue;
+        }
+        if (const auto *event = std::get_if<node::Event>(&*item)) {
+            handle(*event);
+        } else {
+            std::get<Inspection> (*item)(m_node);
+        }
+    }
+}
+
+void DecisionLoop::handle(const node::Event &event)
+{
+    for (node::Action &action : m_node.handle(event)) {
+        m_sink(std::move(action));
+    }
+}
+
+} // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/gateway/eventstream.cpp
@@ -0,0 +1,56 @@
+// Splitting into events, and what is looked for in each.
+
+#include "arbutus/gateway/eventstream.h"
+
+namespace arbutus::gateway {
+
+namespace {
+
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view DoneEvent = "data: [DONE]";
+constexpr std::string_view TokenMark = "\"finish_reason\":null";
+
+} // namespace
+
+EventStream::EventStream(core::AttemptId attempt, std::string shownId)
+    : m_idField("\"id\":\"" + attempt.text + "\"")
+    , m_shownField("\"id\":\"" + shownId + "\"")
+{
+}
+
+std::string EventStream::take(std::string_view piece)
+{
+    std::string out;
+    m_pending += piece;
+    std::size_t start = 0;
+    while (!m_crossed && !m_whole) {
+        const std::size_t end = m_pending.find(EventEnd, start);
+        if (end == std::string::npos) {
+            break;
+        }
+        takeEvent(std::string_view(m_pending).substr(start, end + EventEnd.size() - start), out);
+        start = end + EventEnd.size();
+    }
+    m_pending.erase(0, start);
+    return out;
+}
+
+void EventStream::takeEvent(std::string_view event, std::string &out)
+{
+    if (event.starts_with(DoneEvent)) {
+        m_whole = true;
+        out += event;
+        return;
+    }
+    const std::size_t id = event.find(m_idField);
+    if (id == std::string_view::npos) {
+        m_crossed = true;
+        return;
+    }
+    m_tokens += event.find(TokenMark) != std::string_view::npos ? 1 : 0;
+    out += event.substr(0, id);
+    out += m_shownField;
+    out += event.substr(id + m_idField.size());
+}
+
+} // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/gateway/gossipduty.h
@@ -0,0 +1,40 @@
+// The duty of datagrams between instances, over UDP.
+
+#pragma once
+
+#include "arbutus/gateway/duty.h"
+#include "arbutus/http/message.h"
+#include "arbutus/node/events.h"
+#include "arbutus/observe/metrics.h"
+#include "arbutus/peer/codec.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+
+namespace arbutus::gateway {
+
+/// Sends and receives datagrams.
+class GossipDuty
+{
+public:
+    GossipDuty(const http::Endpoint &listen, const std::string &clusterKey, observe::Metrics &metrics, std::function<void(node::DatagramArrived)> arrived);
+
+    void start();
+    void stop();
+    void send(node::SendDatagram datagram);
+
+private:
+    boost::asio::awaitable<void> receiveLoop();
+    void sendNow(const node::SendDatagram &datagram);
+
+    observe::Metrics &m_metrics;
+    std::function<void(node::DatagramArrived)> m_arrived;
+    peer::DatagramCodec m_codec;
+    DutyThread m_thread;
+    boost::asio::ip::udp::socket m_socket;
+    DutyRing<node::SendDatagram> m_ring;
+};
+
+} // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/gateway/platformduty.h
@@ -0,0 +1,68 @@
+// The duty of speaking with the platform's services: configuration log, claims, instance list, client directory.
+
+#pragma once
+
+#include "arbutus/gateway/duty.h"
+#include "arbutus/node/events.h"
+#include "arbutus/observe/metrics.h"
+#include "arbutus/platform/kvclient.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <functional>
+
+namespace arbutus::gateway {
+
+/// What this duty is asked to do.
+using PlatformOrder = std::variant<node::WatchConfig, node::WriteSnapshot, node::ClaimKey, node::ReadList, node::WriteDirectory>;
+
+/// The duty.
+class PlatformDuty
+{
+public:
+    PlatformDuty(std::vector<http::Endpoint> endpoints,
+                 const core::DomainId &domain,
+                 const core::RegionId &region,
+                 observe::Metrics &metrics,
+                 std::function<void(node::Event)> post);
+
+    void start();
+    void stop();
+    /// False when the ring is full; a claim is then answered as "platform down" by the caller.
+    bool order(PlatformOrder order);
+
+private:
+    void take(PlatformOrder &&order);
+    void on(const node::WatchConfig &order);
+    void on(const node::WriteSnapshot &order);
+    void on(const node::ClaimKey &order);
+    void on(const node::ReadList &order);
+    void on(const node::WriteDirectory &order);
+
+    boost::asio::awaitable<void> followLog(std::uint64_t generation);
+    boost::asio::awaitable<bool> readLog();
+    boost::asio::awaitable<void> readSnapshot();
+    boost::asio::awaitable<void> writeSnapshot(node::WriteSnapshot order);
+    boost::asio::awaitable<void> claim(node::ClaimKey order);
+    boost::asio::awaitable<void> readList();
+    boost::asio::awaitable<void> writeDirectory(node::WriteDirectory order);
+    void adopt(const std::vector<platform::Stored> &pairs);
+    void noteCall(const char *kind, bool good);
+
+    core::DomainId m_domain;
+    core::RegionId m_region;
+    observe::Metrics &m_metrics;
+    std::function<void(node::Event)> m_post;
+    DutyThread m_thread;
+    platform::KvClient m_client;
+    DutyRing<PlatformOrder> m_ring;
+    std::uint64_t m_generation = 0; // of the watch; a newer one ends the older
+    bool m_watching = false;
+    core::Revision m_read; // last log entry read here
+    std::int64_t m_storeRevision = 0;
+    std::int64_t m_claimLease = 0; // lease that claims are written under
+    std::int64_t m_claimsUnderLease = 0;
+};
+
+} // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/gateway/reportsduty.cpp
@@ -0,0 +1,120 @@
+// Reading and understanding reports.
+
+#include "arbutus/gateway/reportsduty.h"
+
+#include "arbutus/core/json.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <boost/json.hpp>
+
+namespace arbutus::gateway {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t RingCapacity = 4'096;
+constexpr auto ReadTimeout = 500ms;
+
+routing::LoadReport toReport(const core::UpstreamId &id, const json::object &object)
+{
+    routing::LoadReport report;
+    report.id = id;
+    report.running = static_cast<std::uint32_t>(core::jsonInteger(object, "running"));
+    report.waiting = static_cast<std::uint32_t>(core::jsonInteger(object, "waiting"));
+    report.slots = static_cast<std::uint32_t>(core::jsonInteger(object, "slots", 16));
+    report.step = core::Duration(core::jsonInteger(object, "step_us", 6'000));
+    report.leaving = core::jsonBool(object, "leaving");
+    for (const json::value &model : core::jsonArray(object, "models")) {
+        if (model.is_string()) {
+            report.models.insert(core::ModelId(std::string(model.as_string())));
+        }
+    }
+    return report;
+}
+
+std::vector<node::CacheNews> toEvents(const json::object &object)
+{
+    std::vector<node::CacheNews> out;
+    for (const json::value &value : core::jsonArray(object, "events")) {
+        if (!value.is_object()) {
+            continue;
+        }
+        const json::object &event = value.as_object();
+        const json::value *block = event.if_contains("block");
+        const bool known = block != nullptr && (block->is_uint64() || block->is_int64());
+        if (known) {
+            const std::uint64_t hash = block->is_uint64() ? block->as_uint64() : static_cast<std::uint64_t>(block->as_int64());
+            out.push_back(node::CacheNews{static_cast<std::uint64_t>(core::jsonInteger(event, "number")), core::jsonBool(event, "stored", true), hash});
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+ReportsDuty::ReportsDuty(bool exact, std::function<void(node::Event)> post)
+    : m_exact(exact)
+    , m_post(std::move(post))
+    , m_ring(m_thread.executor(), RingCapacity, [this](node::ReadLoad &&order) {
+        if (m_busy.insert(order.upstream).second) { // a slow upstream is not asked again while it is being asked
+            asio::co_spawn(m_thread.executor(), readOne(std::move(order)), asio::detached);
+        }
+    })
+{
+}
+
+void ReportsDuty::start()
+{
+    m_thread.start();
+}
+
+void ReportsDuty::stop()
+{
+    m_thread.stop();
+}
+
+void ReportsDuty::read(node::ReadLoad order)
+{
+    m_ring.push(std::move(order));
+}
+
+asio::awaitable<void> ReportsDuty::readOne(node::ReadLoad order)
+{
+    node::LoadRead result;
+    result.upstream = order.upstream;
+    http::Request request;
+    request.target = m_exact ? "/state" : "/load";
+    http::Call call(m_thread.executor(), http::parseEndpoint(order.address), &m_pool);
+    auto head = co_await call.start(request, ReadTimeout);
+    if (head && head.value().status == 200) {
+        const auto body = co_await call.readAll(ReadTimeout);
+        const auto parsed = body ? core::parseJsonObject(body.value()) : core::Result<json::object>(core::makeError(core::ErrorKind::UpstreamFailed, ""));
+        if (parsed) {
+            result.report = toReport(order.upstream, parsed.value());
+            result.events = co_await readEvents(order);
+        }
+    }
+    m_busy.erase(order.upstream);
+    m_post(std::move(result));
+}
+
+asio::awaitable<std::vector<node::CacheNews>> ReportsDuty::readEvents(const node::ReadLoad &order)
+{
+    http::Request request;
+    request.target = "/events?since=" + std::to_string(order.eventsSince);
+    http::Call call(m_thread.executor(), http::parseEndpoint(order.address), &m_pool);
+    auto head = co_await call.start(request, ReadTimeout);
+    if (!head || head.value().status != 200) {
+        co_return std::vector<node::CacheNews>();
+    }
+    const auto body = co_await call.readAll(ReadTimeout);
+    const auto parsed = body ? core::parseJsonObject(body.value()) : core::Result<json::object>(core::makeError(core::ErrorKind::UpstreamFailed, ""));
+    co_return parsed ? toEvents(parsed.value()) : std::vector<node::CacheNews>();
+}
+
+} // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/gateway/settings.cpp
@@ -0,0 +1,321 @@
+// TOML to Settings, all faults collected.
+
+#include "arbutus/gateway/settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace arbutus::gateway {
+
+namespace {
+
+constexpr std::int64_t ShortestSecret = 16; // bytes
+
+/// Reads keys of the file and notes every fault.
+class Reader
+{
+public:
+    Reader(const toml::table &root, std::string name)
+        : m_root(root)
+        , m_name(std::move(name))
+    {
+    }
+
+    std::string text(const std::string &path, const std::string &fallback, bool required)
+    {
+        const auto node = find(path);
+        if (!node) {
+            if (required) {
+                fault(path, m_root.source(), "nothing", "a text");
+            }
+            return fallback;
+        }
+        const auto value = node.value<std::string>();
+        if (!value || value->empty()) {
+            fault(path, node.node()->source(), describe(node), "a text");
+            return fallback;
+        }
+        return *value;
+    }
+
+    double number(const std::string &path, double fallback, double low, double high)
+    {
+        const auto node = find(path);
+        if (!node) {
+            return fallback;
+        }
+        const auto value = node.value<double>();
+        if (!value || !node.is_number() || *value < low || *value > high) {
+            std::ostringstream allowed;
+            allowed << "a number from " << low << " to " << high;
+            fault(path, node.node()->source(), describe(node), allowed.str());
+            return fallback;
+        }
+        return *value;
+    }
+
+    http::Endpoint endpoint(const std::string &path, bool required)
+    {
+        const std::string value = text(path, "", required);
+        const http::Endpoint found = http::parseEndpoint(value);
+        if (!value.empty() && found.port == 0) {
+            fault(path, find(path).node()->source(), "\"" + value + "\"", "an IP number and a port, e.g. 127.0.0.1:8101");
+        }
+        return found;
+    }
+
+    std::string oneOf(const std::string &path, const std::string &fallback, const std::vector<std::string> &allowed)
+    {
+        const std::string value = text(path, fallback, false);
+        if (std::find(allowed.begin(), allowed.end(), value) == allowed.end()) {
+            std::string names;
+            for (const std::string &name : allowed) {
+                names += (names.empty() ? "" : ", ") + name;
+            }
+            fault(path, find(path).node()->source(), "\"" + value + "\"", "one of " + names);
+            return fallback;
+        }
+        return value;
+    }
+
+    std::string secret(const std::string &path)
+    {
+        const std::string value = text(path, "", true);
+        const auto node = find(path);
+        if (node && static_cast<std::int64_t>(value.size()) < ShortestSecret) {
+            fault(path, node.node()->source(), "a short secret", "at least 16 bytes");
+        }
+        return value;
+    }
+
+    const toml::array *array(const std::string &path)
+    {
+        const auto node = find(path);
+        if (node && !node.is_array()) {
+            fault(path, node.node()->source(), describe(node), "a list");
+            return nullptr;
+        }
+        return node.as_array();
+    }
+
+    void fault(const std::string &path, const toml::source_region &source, const std::string &found, const std::string &allowed)
+    {
+        m_faults.push_back(m_name + ":" + std::to_string(source.begin.line) + ": " + path + ": found " + found + ", allowed is " + allowed);
+    }
+
+    /// Notes keys that settingKeys() does not have.
+    void checkUnknown()
+    {
+        std::set<std::string> known;
+        for (const SettingKey &key : settingKeys()) {
+            known.insert(key.path);
+        }
+        checkTable(m_root, "", known);
+    }
+
+    [[nodiscard]] std::string faults() const
+    {
+        std::string out;
+        for (const std::string &fault : m_faults) {
+            out += (out.empty() ? "" : "\n") + fault;
+        }
+        return out;
+    }
+
+private:
+    toml::node_view<const toml::node> find(const std::string &path)
+    {
+        return m_root.at_path(path);
+    }
+
+    static std::string describe(const toml::node_view<const toml::node> &node)
+    {
+        std::ostringstream out;
+        out << node;
+        return out.str();
+    }
+
+    void checkTable(const toml::table &table, const std::string &prefix, const std::set<std::string> &known)
+    {
+        for (const auto &[key, value] : table) {
+            const std::string path = prefix + std::string(key.str());
+            if (known.contains(path)) {
+                continue;
+            }
+            if (const toml::table *inner = value.as_table()) {
+                checkTable(*inner, path + ".", known);
+                continue;
+            }
+            fault(path, value.source(), "an unknown key", "a key of docs/CONFIGURATION.md");
+        }
+    }
+
+    const toml::table &m_root;
+    std::string m_name;
+    std::vector<std::string> m_faults;
+};
+
+std::string fieldOf(const toml::table &table, std::string_view key)
+{
+    return table[key].value_or(std::string());
+}
+
+void readSeeds(Reader &reader, node::NodeSettings &node)
+{
+    const toml::array *seeds = reader.array("peers.seeds");
+    if (seeds == nullptr) {
+        return;
+    }
+    for (const toml::node &item : *seeds) {
+        const toml::table *table = item.as_table();
+        membership::Member member;
+        if (table != nullptr) {
+            member.id = core::InstanceId(fieldOf(*table, "name"));
+            member.region = core::RegionId(fieldOf(*table, "region"));
+            member.domain = core::DomainId(fieldOf(*table, "failure_domain"));
+            member.gossipAddress = fieldOf(*table, "gossip");
+            member.peerAddress = fieldOf(*table, "peers");
+            member.url = fieldOf(*table, "url");
+        }
+        const bool whole = http::parseEndpoint(member.gossipAddress).port != 0 && http::parseEndpoint(member.peerAddress).port != 0;
+        if (!whole || member.id.empty() || member.domain.empty()) {
+            reader.fault("peers.seeds", item.source(), "an incomplete seed", "name, region, failure_domain, gossip, peers and url");
+            continue;
+        }
+        if (member.id != node.self.id) {
+            node.seeds.push_back(std::move(member));
+        }
+    }
+}
+
+void readTicketKeys(Reader &reader, node::NodeSettings &node)
+{
+    const toml::array *keys = reader.array("keys.tickets");
+    if (keys == nullptr || keys->empty()) {
+        reader.fault("keys.tickets", toml::source_region{}, "nothing", "a list of {id, secret}, newest first");
+        return;
+    }
+    for (const toml::node &item : *keys) {
+        const toml::table *table = item.as_table();
+        const std::string id = table == nullptr ? "" : fieldOf(*table, "id");
+        const std::string secret = table == nullptr ? "" : fieldOf(*table, "secret");
+        if (id.empty() || id.find('~') != std::string::npos || static_cast<std::int64_t>(secret.size()) < ShortestSecret) {
+            reader.fault("keys.tickets", item.source(), "an unusable key", "an id without '~' and a secret of at least 16 bytes");
+            continue;
+        }
+        node.ticketKeys.push_back(delivery::TicketKey{id, secret});
+    }
+}
+
+void readPlatform(Reader &reader, Settings &settings)
+{
+    const toml::array *addresses = reader.array("platform.addresses");
+    if (addresses != nullptr) {
+        for (const toml::node &item : *addresses) {
+            const http::Endpoint endpoint = http::parseEndpoint(item.value_or(std::string()));
+            if (endpoint.port == 0) {
+                reader.fault("platform.addresses", item.source(), "an unusable address", "an IP number and a port");
+                continue;
+            }
+            settings.platform.push_back(endpoint);
+        }
+    }
+    if (settings.platform.empty()) {
+        reader.fault("platform.addresses", toml::source_region{}, "nothing", "a list of addresses");
+    }
+}
+
+void readNode(Reader &reader, Settings &settings)
+{
+    node::NodeSettings &node = settings.node;
+    node.self.id = core::InstanceId(reader.text("instance.name", "", true));
+    node.self.region = core::RegionId(reader.text("instance.region", "", true));
+    node.self.domain = core::DomainId(reader.text("instance.failure_domain", "", true));
+    node.self.gossipAddress = http::toString(settings.gossip);
+    node.self.peerAddress = http::toString(settings.peers);
+    node.self.url = reader.text("listen.callers_url", "http://" + http::toString(settings.callers), false);
+    node.router = reader.oneOf("routing.router", "scored", {"scored", "round_robin", "least_in_flight", "naive_exact"});
+    node.routing.regionRoundTrip = std::chrono::microseconds(static_cast<std::int64_t>(reader.number("routing.region_round_trip_ms", 110, 0, 10'000) * 1000));
+    node.retryShare = reader.number("limits.retry_share", node.retryShare, 0, 1);
+    node.waitingRoom = static_cast<std::size_t>(reader.number("limits.waiting_room", static_cast<double>(node.waitingRoom), 1, 1e6));
+    node.ticketLife = std::chrono::milliseconds(static_cast<std::int64_t>(reader.number("limits.ticket_life_s", 600, 1, 86'400) * 1000));
+    readSeeds(reader, node);
+    readTicketKeys(reader, node);
+}
+
+} // namespace
+
+const std::vector<SettingKey> &settingKeys()
+{
+    static const std::vector<SettingKey> Keys{
+        {"instance.name", "text", "name of this instance, unique in the fleet", "required"},
+        {"instance.region", "text", "region that it runs in", "required"},
+        {"instance.failure_domain", "text", "failure domain that it runs in", "required"},
+        {"listen.callers", "text", "address of the callers' listener, IP number and port", "required"},
+        {"listen.callers_url", "text", "how callers reach it, told in entry lists", "http:// and listen.callers"},
+        {"listen.admin", "text", "address of the operators' listener", "required"},
+        {"listen.peers", "text", "address for other instances, gRPC over TCP", "required"},
+        {"listen.gossip", "text", "address for other instances, UDP", "required"},
+        {"peers.cluster_key", "text", "secret that all instances share, at least 16 bytes", "required"},
+        {"peers.seeds", "list", "instances to speak to first: name, region, failure_domain, gossip, peers, url", "none"},
+        {"platform.addresses", "list", "addresses of the platform's service, tried in turn", "required"},
+        {"keys.admin", "text", "key of the operators' listener, at least 16 bytes", "required"},
+        {"keys.tickets", "list", "keys of tickets {id, secret}, newest first; older ones still verify", "required"},
+        {"routing.router", "text", "scored, round_robin, least_in_flight or naive_exact", "scored"},
+        {"routing.region_round_trip_ms", "number", "milliseconds, 0 to 10000: round trip to another region", "110"},
+        {"limits.retry_share", "number", "retries as a share of first attempts, 0 to 1", "0.1"},
+        {"limits.waiting_room", "number", "requests held for slack, for each model, 1 to 1000000", "4096"},
+        {"limits.ticket_life_s", "number", "seconds, 1 to 86400: until a ticket expires", "600"},
+        {"tls.certificate", "text", "PEM file: certificate chain of both listeners", "none"},
+        {"tls.key", "text", "PEM file: private key of the certificate", "none"},
+    };
+    return Keys;
+}
+
+core::Result<Settings> parseSettings(std::string_view text, const std::string &name)
+{
+    toml::table root;
+    try {
+        root = toml::parse(text);
+    } catch (const toml::parse_error &error) {
+        return core::makeError(core::ErrorKind::SettingsInvalid,
+                               name + ":" + std::to_string(error.source().begin.line) + ": not TOML: " + std::string(error.description()));
+    }
+    Reader reader(root, name);
+    Settings settings;
+    settings.callers = reader.endpoint("listen.callers", true);
+    settings.admin = reader.endpoint("listen.admin", true);
+    settings.peers = reader.endpoint("listen.peers", true);
+    settings.gossip = reader.endpoint("listen.gossip", true);
+    settings.adminKey = reader.secret("keys.admin");
+    settings.clusterKey = reader.secret("peers.cluster_key");
+    settings.tls.certificate = reader.text("tls.certificate", "", false);
+    settings.tls.key = reader.text("tls.key", "", false);
+    if (settings.tls.certificate.empty() != settings.tls.key.empty()) {
+        reader.fault("tls", toml::source_region{}, "one of certificate and key", "both or none");
+    }
+    readPlatform(reader, settings);
+    readNode(reader, settings);
+    reader.checkUnknown();
+    if (const std::string faults = reader.faults(); !faults.empty()) {
+        return core::makeError(core::ErrorKind::SettingsInvalid, faults);
+    }
+    return settings;
+}
+
+core::Result<Settings> loadSettings(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        return core::makeError(core::ErrorKind::SettingsInvalid, file + ": cannot be read");
+    }
+    std::stringstream text;
+    text << in.rdbuf();
+    return parseSettings(text.str(), file);
+}
+
+} // namespace arbutus::gateway
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -23,8 +23,8 @@
 
 namespace {
 
-constexpr std::size_t PieceBytes = 16 * 1024;        // most of a body handed out at once
-constexpr std::size_t IdlePerEndpoint = 16;          // idle connections kept to one endpoint
+constexpr std::size_t PieceBytes = 16 * 1024;           // most of a body handed out at once
+constexpr std::size_t IdlePerEndpoint = 16;             // idle connections kept to one endpoint
 constexpr std::uint64_t AnswerLimit = 64 * 1024 * 1024; // bytes of one answer's body
 
 CallFailure failure(Stage stage, const ErrorCode &code)
@@ -34,7 +34,8 @@
 
 } // namespace
 
-struct Pool::Impl {
+struct Pool::Impl
+{
     std::map<Endpoint, std::vector<beast::tcp_stream>> idle;
 };
 
@@ -45,7 +46,8 @@
 
 Pool::~Pool() = default;
 
-struct Call::Impl {
+struct Call::Impl
+{
     Impl(asio::any_io_executor executor, Endpoint target, Pool *connections)
         : stream(std::in_place, executor)
         , endpoint(std::move(target))
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -30,7 +30,8 @@
 };
 
 /// Why a call has no whole answer.
-struct CallFailure {
+struct CallFailure
+{
     Stage stage = Stage::Connect;
     std::string message;
     bool timedOut = false;
--- a/src/arbutus/http/message.h
+++ b/src/arbutus/http/message.h
@@ -9,7 +9,8 @@
 namespace arbutus::http {
 
 /// Order of header names that ignores case, as HTTP does.
-struct HeaderLess {
+struct HeaderLess
+{
     using is_transparent = void;
     bool operator()(std::string_view left, std::string_view right) const;
 };
@@ -20,18 +21,20 @@
 [[nodiscard]] std::string headerOf(const Headers &headers, std::string_view name);
 
 /// One request, body included where it has been read.
-struct Request {
+struct Request
+{
     std::string method = "GET";
     std::string target = "/"; // path and query
     Headers headers;
     std::string body;
 
-    [[nodiscard]] std::string path() const;                              // target without the query
-    [[nodiscard]] std::string query(std::string_view name) const;        // value of a query field, percent-decoded
+    [[nodiscard]] std::string path() const;                       // target without the query
+    [[nodiscard]] std::string query(std::string_view name) const; // value of a query field, percent-decoded
 };
 
 /// One whole answer.
-struct Response {
+struct Response
+{
     unsigned status = 200;
     Headers headers;
     std::string body;
@@ -41,7 +44,8 @@
 [[nodiscard]] Response jsonResponse(unsigned status, std::string body);
 
 /// Address of a listener: IP number and port.
-struct Endpoint {
+struct Endpoint
+{
     std::string host; // IP number
     std::uint16_t port = 0;
 
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -27,7 +27,8 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-struct Server::State {
+struct Server::State
+{
     State(asio::any_io_executor executor, ServerLimits serverLimits, Handler serverHandler, std::shared_ptr<TlsStore> store)
         : acceptor(executor)
         , limits(serverLimits)
@@ -214,8 +215,7 @@
             return core::makeError(core::ErrorKind::BodyTooLarge, "the body is over " + std::to_string(m_limits.bodyBytes) + " bytes");
         }
         if (code == beast::error::timeout) {
-            return core::makeError(core::ErrorKind::BadRequest,
-                                   "the body did not arrive within " + std::to_string(m_limits.bodyTimeout.count()) + " ms");
+            return core::makeError(core::ErrorKind::BadRequest, "the body did not arrive within " + std::to_string(m_limits.bodyTimeout.count()) + " ms");
         }
         return core::makeError(core::ErrorKind::BadRequest, "the body stopped before its end: " + code.message());
     }
@@ -247,8 +247,8 @@
 template<class Stream>
 asio::awaitable<void> refuseHeaders(Stream &stream, const ErrorCode &code)
 {
-    if (code == wire::error::end_of_stream || code == beast::error::timeout || code == asio::error::connection_reset
-        || code == asio::error::eof || code == asio::error::operation_aborted) {
+    if (code == wire::error::end_of_stream || code == beast::error::timeout || code == asio::error::connection_reset || code == asio::error::eof
+        || code == asio::error::operation_aborted) {
         co_return;
     }
     const Response response = errorResponse(core::makeError(core::ErrorKind::BadRequest, "malformed request: " + code.message()));
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -24,7 +24,8 @@
 namespace arbutus::http {
 
 /// Bounds on what a caller may make the listener hold or wait for.
-struct ServerLimits {
+struct ServerLimits
+{
     std::size_t headerBytes = 16 * 1024;             // all request headers together
     std::size_t bodyBytes = 4 * 1024 * 1024;         // request body
     std::size_t connections = 8192;                  // open at once
--- a/src/arbutus/http/tls.h
+++ b/src/arbutus/http/tls.h
@@ -17,7 +17,8 @@
 namespace arbutus::http {
 
 /// Files of one identity, PEM.
-struct TlsFiles {
+struct TlsFiles
+{
     std::string certificate; // chain, own certificate first
     std::string key;         // private key
     std::string authority;   // peers must show a certificate signed by this one; empty = peers are not asked
--- a/src/arbutus/limits/tokenbucket.h
+++ b/src/arbutus/limits/tokenbucket.h
@@ -21,8 +21,8 @@
 private:
     void refill(core::TimePoint now);
 
-    double m_rate;   // tokens a second
-    double m_burst;  // most tokens kept
+    double m_rate;  // tokens a second
+    double m_burst; // most tokens kept
     double m_tokens;
     core::TimePoint m_filledAt;
 };
--- a/src/arbutus/limits/waitingroom.h
+++ b/src/arbutus/limits/waitingroom.h
@@ -18,7 +18,8 @@
 using WaitingKey = std::uint64_t;
 
 /// One held request.
-struct Waiting {
+struct Waiting
+{
     config::Urgency urgency = config::Urgency::Normal;
     core::TimePoint latestStart{}; // it must start by then
     WaitingKey key = 0;
--- a/src/arbutus/limits/workspacelimits.cpp
+++ b/src/arbutus/limits/workspacelimits.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-constexpr double DemandSeconds = 2.0;                      // time constant of the demand's moving average
+constexpr double DemandSeconds = 2.0;                          // time constant of the demand's moving average
 constexpr core::Duration ClaimStale = std::chrono::seconds(5); // a report older than this is no demand
 constexpr core::Duration StateKept = std::chrono::minutes(5);  // an idle workspace is forgotten
-constexpr double LeastDemand = 0.1;                        // requests a second; less is not told
-constexpr double FloorPart = 0.5;                          // part of the limit that is split evenly
+constexpr double LeastDemand = 0.1;                            // requests a second; less is not told
+constexpr double FloorPart = 0.5;                              // part of the limit that is split evenly
 
 double decayed(double demand, core::TimePoint last, core::TimePoint now)
 {
--- a/src/arbutus/limits/workspacelimits.h
+++ b/src/arbutus/limits/workspacelimits.h
@@ -26,13 +26,15 @@
 namespace arbutus::limits {
 
 /// Requests a second of one workspace, as an instance saw them.
-struct Demand {
+struct Demand
+{
     core::WorkspaceId workspace;
     double requestsPerSecond = 0;
 };
 
 /// Among how many a workspace's limit is shared.
-struct Sharing {
+struct Sharing
+{
     std::size_t instances = 1; // instances that serve the workspace, this one included
     std::size_t sources = 0;   // names under which the demand of the others is told
 };
@@ -57,11 +59,13 @@
     void forget(core::TimePoint now);
 
 private:
-    struct Heard {
+    struct Heard
+    {
         double requestsPerSecond = 0;
         core::TimePoint at{};
     };
-    struct State {
+    struct State
+    {
         TokenBucket bucket;
         std::uint32_t inFlight = 0;
         double demand = 0; // requests a second, moving average
--- a/src/arbutus/membership/domainview.h
+++ b/src/arbutus/membership/domainview.h
@@ -31,27 +31,32 @@
 // Messages
 //-----------------------------------------------------------------------------
 
-struct Ping {
+struct Ping
+{
     std::uint64_t number = 0;
 };
 /// Asks the receiver to ping `target` and to pass its answer on.
-struct PingRequest {
+struct PingRequest
+{
     std::uint64_t number = 0;
     core::InstanceId target;
 };
-struct Ack {
+struct Ack
+{
     std::uint64_t number = 0;
 };
 
 /// One message with the news that travel on it.
-struct Message {
+struct Message
+{
     core::InstanceRef sender;
     std::variant<Ping, PingRequest, Ack> body;
     std::vector<Member> news;
 };
 
 /// A message and where it goes.
-struct Outgoing {
+struct Outgoing
+{
     std::string address;
     Message message;
 };
@@ -60,14 +65,15 @@
 // Settings
 //-----------------------------------------------------------------------------
 
-struct ViewSettings {
+struct ViewSettings
+{
     core::Duration probePeriod = std::chrono::milliseconds(500);
-    core::Duration ackTimeout = std::chrono::milliseconds(150);     // direct answer, then others are asked
-    core::Duration suspicion = std::chrono::milliseconds(1500);     // until a suspect is held to be dead
-    core::Duration deadKept = std::chrono::minutes(10);             // a dead member is remembered
+    core::Duration ackTimeout = std::chrono::milliseconds(150); // direct answer, then others are asked
+    core::Duration suspicion = std::chrono::milliseconds(1500); // until a suspect is held to be dead
+    core::Duration deadKept = std::chrono::minutes(10);         // a dead member is remembered
     std::size_t indirectProbes = 2;
     std::size_t newsPerMessage = 6;
-    std::size_t newsRepeats = 4;                                    // times log2 of the members
+    std::size_t newsRepeats = 4; // times log2 of the members
 };
 
 //-----------------------------------------------------------------------------
@@ -106,13 +112,15 @@
     }
 
 private:
-    struct Probe {
+    struct Probe
+    {
         core::InstanceId target;
         std::uint64_t number = 0;
         core::TimePoint sentAt{};
         bool indirect = false;
     };
-    struct Relay {
+    struct Relay
+    {
         std::string address;      // who asked
         std::uint64_t number = 0; // number to answer with
         core::TimePoint at{};
@@ -137,7 +145,7 @@
     core::InstanceId m_lastTold;                             // cursor of the news that fill a message
     std::vector<core::InstanceId> m_round;                   // shuffled targets of this round
     std::optional<Probe> m_probe;
-    std::map<std::uint64_t, Relay> m_relays;                 // by our own ping number
+    std::map<std::uint64_t, Relay> m_relays; // by our own ping number
     std::uint64_t m_nextNumber = 1;
     core::TimePoint m_nextProbe{};
     std::uint64_t m_version = 1;
--- a/src/arbutus/membership/member.h
+++ b/src/arbutus/membership/member.h
@@ -23,7 +23,8 @@
 };
 
 /// What is known of one instance.
-struct Member {
+struct Member
+{
     core::InstanceId id;
     core::Incarnation incarnation; // 0 = known only from the platform's list
     bool leaving = false;          // sticky within an incarnation
--- a/src/arbutus/node/clustercontrollers.cpp
+++ b/src/arbutus/node/clustercontrollers.cpp
@@ -17,13 +17,13 @@
 constexpr core::Duration PullTimeout = std::chrono::milliseconds(1500); // then another pull may start
 constexpr std::uint32_t UnreachableAfter = 3;                           // failed reads in a row
 constexpr std::size_t ReadersPerUpstream = 2;
-constexpr std::size_t ContactsKept = 3;                                 // entries remembered of another domain
-constexpr std::size_t EntriesInDigest = 2;                              // entries told of each domain
-constexpr double TellStep = 0.15;                                       // of the slots; a smaller change is not told at once
-constexpr std::size_t ReportBytes = 40;                                 // one report in a datagram
-constexpr std::size_t RowBytes = 24;                                    // one digest row in a datagram
-constexpr std::size_t DomainBytes = 160;                                // one digest domain with its entries
-constexpr double ReportBytesPerSecond = 1'500;                          // received by one instance
+constexpr std::size_t ContactsKept = 3;        // entries remembered of another domain
+constexpr std::size_t EntriesInDigest = 2;     // entries told of each domain
+constexpr double TellStep = 0.15;              // of the slots; a smaller change is not told at once
+constexpr std::size_t ReportBytes = 40;        // one report in a datagram
+constexpr std::size_t RowBytes = 24;           // one digest row in a datagram
+constexpr std::size_t DomainBytes = 160;       // one digest domain with its entries
+constexpr double ReportBytesPerSecond = 1'500; // received by one instance
 constexpr std::size_t ReportsPerDatagram = 20;
 
 } // namespace
@@ -418,9 +418,8 @@
     for (const auto &[domain, neighbour] : m_neighbours) {
         bool used = false;
         for (const DigestRow &row : neighbour.rows) {
-            const auto known = std::find_if(digest.rows.begin(), digest.rows.end(), [&](const DigestRow &other) {
-                return other.name == row.name && other.service == row.service;
-            });
+            const auto known = std::find_if(
+                digest.rows.begin(), digest.rows.end(), [&](const DigestRow &other) { return other.name == row.name && other.service == row.service; });
             if (known == digest.rows.end()) {
                 digest.rows.push_back(row);
                 used = true;
--- a/src/arbutus/node/clustercontrollers.h
+++ b/src/arbutus/node/clustercontrollers.h
@@ -82,7 +82,8 @@
     void take(const LoadNews &news);
 
 private:
-    struct Reading {
+    struct Reading
+    {
         core::TimePoint next{};
         core::TimePoint toldAt{};
         std::uint32_t failures = 0;
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -36,24 +36,27 @@
 //-----------------------------------------------------------------------------
 
 /// What is judged before a body is read.
-struct RequestHead {
-    core::RequestId id;              // the caller's X-Request-Id, or drawn
+struct RequestHead
+{
+    core::RequestId id; // the caller's X-Request-Id, or drawn
     core::WorkspaceId workspace;
-    std::string bearerHash;          // SHA-256 of the key; empty = none
-    core::ClassId requestClass;      // empty = the template's default
+    std::string bearerHash;     // SHA-256 of the key; empty = none
+    core::ClassId requestClass; // empty = the template's default
     std::optional<std::chrono::milliseconds> deadline;
-    core::ServiceId service;         // empty = a model request
-    bool safeMethod = false;         // GET, HEAD or OPTIONS to a plain service: repeatable by definition
-    std::string ticket;              // X-Ticket
-    std::string idempotencyHash;     // hash of workspace and Idempotency-Key; empty = none
-    std::vector<std::string> via;    // instances that the request has passed
-    bool forwarded = false;          // came from another instance, which has checked the key
-    core::AttemptId attempt;         // set: the origin keeps the ticket and this is one of its attempts
-    core::UpstreamId upstream;       // the origin's wish; may be empty
+    core::ServiceId service;      // empty = a model request
+    bool safeMethod = false;      // GET, HEAD or OPTIONS to a plain service: repeatable by definition
+    std::string ticket;           // X-Ticket
+    std::string idempotencyHash;  // hash of workspace and Idempotency-Key; empty = none
+    std::vector<std::string> via; // instances that the request has passed
+    bool forwarded = false;       // came from another instance, which has checked the key
+    core::AttemptId attempt;      // set: the origin keeps the ticket and this is one of its attempts
+    core::UpstreamId upstream;    // the origin's wish; may be empty
+    std::size_t resumeOffset = 0; // tokens that the caller already has, told by the origin
 };
 
 /// What is known once the body has been read.
-struct RequestBody {
+struct RequestBody
+{
     core::ModelId model;
     bool stream = false;
     std::size_t promptTokens = 0;
@@ -62,15 +65,24 @@
     std::string digest;                // SHA-256 of method, path and body
 };
 
-struct HeadArrived {
+struct HeadArrived
+{
     RequestKey key;
     RequestHead head;
 };
-struct BodyArrived {
+struct BodyArrived
+{
     RequestKey key;
     RequestBody body;
 };
 
+/// The body could not be read or understood.
+struct BodyFailed
+{
+    RequestKey key;
+    core::Error error;
+};
+
 /// How an attempt ended.
 enum class AttemptEnd {
     Answered,   // whole answer, relayed
@@ -78,27 +90,31 @@
     Broken,     // it may have run and no whole answer came
     CallerGone, // the caller closed its connection
 };
-struct FirstTokenSeen {
+struct FirstTokenSeen
+{
     RequestKey key;
     core::Duration elapsed{};
 };
-struct AttemptEnded {
+struct AttemptEnded
+{
     RequestKey key;
     AttemptEnd end = AttemptEnd::Broken;
-    std::string message;                               // for the log and the error
-    std::optional<delivery::RecordedOutcome> outcome;  // of an answer, for the ledger
-    std::size_t tokensRelayed = 0;                     // whole tokens that the caller has got
-    bool relayedAnything = false;                      // the caller has got a part of the answer
-    bool peerRefused = false;                          // the other instance refused, its upstream is not to blame
+    std::string message;                              // for the log and the error
+    std::optional<delivery::RecordedOutcome> outcome; // of an answer, for the ledger
+    std::size_t tokensRelayed = 0;                    // whole tokens that the caller has got
+    bool relayedAnything = false;                     // the caller has got a part of the answer
+    bool peerRefused = false;                         // the other instance refused, its upstream is not to blame
 };
 /// The owner of a ticket answered a request that was taken to it, or could not be reached.
-struct OwnerAnswered {
+struct OwnerAnswered
+{
     RequestKey key;
     bool relayed = false;
     bool notOwner = false; // it is another life of that instance
 };
 
-struct EntriesWanted {
+struct EntriesWanted
+{
     RequestKey key;
     core::WorkspaceId workspace;
     std::string bearerHash;
@@ -106,26 +122,31 @@
 };
 
 /// Answer to HeadArrived.
-struct HeadJudged {
+struct HeadJudged
+{
     RequestKey key;
     std::optional<core::Error> error;
+    std::string freshTicket;               // with a refusal that closed the request's ticket
     std::vector<std::string> otherEntries; // URLs, with a refusal that another entry would not make
     core::Revision revision;
 };
 
 /// An upstream of the own failure domain.
-struct LocalTarget {
+struct LocalTarget
+{
     core::UpstreamId upstream;
     std::string address;
 };
 /// An instance in the upstream's failure domain.
-struct PeerTarget {
+struct PeerTarget
+{
     core::InstanceRef instance;
     std::string address;
     core::DomainId domain;
 };
 /// Orders one attempt.
-struct Dispatch {
+struct Dispatch
+{
     RequestKey key;
     core::AttemptId attempt;
     core::DecisionId decision;
@@ -138,7 +159,8 @@
     std::size_t resumeOffset = 0;       // tokens that the caller already has
     core::Revision revision;
 };
-struct Refuse {
+struct Refuse
+{
     RequestKey key;
     core::Error error;
     std::string freshTicket; // may be empty
@@ -146,25 +168,29 @@
     core::DecisionId decision;
 };
 /// Answers from the record of an earlier request with the same ticket.
-struct Replay {
+struct Replay
+{
     RequestKey key;
     delivery::RecordedOutcome outcome;
 };
 /// Takes the whole request to the owner of its ticket.
-struct ForwardToOwner {
+struct ForwardToOwner
+{
     RequestKey key;
     core::InstanceRef owner;
     std::string address;
     std::chrono::milliseconds timeLeft{0};
 };
 /// One entry for callers.
-struct EntryLine {
+struct EntryLine
+{
     core::InstanceId id;
     core::RegionId region;
     core::DomainId domain;
     std::string url;
 };
-struct EntriesGiven {
+struct EntriesGiven
+{
     RequestKey key;
     std::optional<core::Error> error;
     std::vector<EntryLine> entries; // best first
@@ -176,49 +202,59 @@
 // Ledger
 //-----------------------------------------------------------------------------
 
-struct LedgerIntent {
+struct LedgerIntent
+{
     std::string ticket;
     std::string digest;
 };
-struct LedgerOutcome {
+struct LedgerOutcome
+{
     std::string ticket;
     delivery::RecordedOutcome outcome;
 };
-struct LedgerSeal {
+struct LedgerSeal
+{
     std::string ticket;
 };
-struct LedgerLookup {
+struct LedgerLookup
+{
     std::string ticket;
 };
 using LedgerCall = std::variant<LedgerIntent, LedgerOutcome, LedgerSeal, LedgerLookup, delivery::Handover>;
 
 /// A ledger call came in from another instance; answered by LedgerReplied.
-struct LedgerCalled {
+struct LedgerCalled
+{
     CallKey key;
     LedgerCall call;
 };
-struct LedgerReplied {
+struct LedgerReplied
+{
     CallKey key;
     delivery::LedgerAnswer answer;
 };
 /// Calls another instance's ledger; answered by LedgerAnswered.
-struct CallLedger {
+struct CallLedger
+{
     CallKey key;
     std::string address;
     LedgerCall call;
 };
-struct LedgerAnswered {
+struct LedgerAnswered
+{
     CallKey key;
     std::optional<delivery::LedgerAnswer> answer; // nothing = no answer
 };
 
 /// Claims an Idempotency-Key: create-only write of a ticket in the platform's service.
-struct ClaimKey {
+struct ClaimKey
+{
     RequestKey key;
     std::string claim;  // key in the platform's service
     std::string ticket; // what to write
 };
-struct KeyClaimed {
+struct KeyClaimed
+{
     RequestKey key;
     std::optional<std::string> ticket; // the ticket in force: ours, or the one that was there; nothing = platform down
 };
@@ -228,8 +264,9 @@
 //-----------------------------------------------------------------------------
 
 /// One row of a digest.
-struct DigestRow {
-    std::string name;     // model, or plain service
+struct DigestRow
+{
+    std::string name; // model, or plain service
     bool service = false;
     core::DomainId domain;
     core::Duration wait{};
@@ -239,14 +276,16 @@
 
     bool operator==(const DigestRow &) const = default;
 };
-struct DigestDomain {
+struct DigestDomain
+{
     core::DomainId domain;
     std::vector<membership::Member> entries;
 
     bool operator==(const DigestDomain &) const = default;
 };
 /// What other failure domains need to know of the sender's region.
-struct Digest {
+struct Digest
+{
     core::DomainId domain; // the sender's
     core::RegionId region;
     std::uint64_t number = 0;
@@ -258,59 +297,72 @@
 
     bool operator==(const Digest &) const = default;
 };
-struct LoadNews {
+struct LoadNews
+{
     std::vector<routing::LoadReport> reports;
 
     bool operator==(const LoadNews &) const = default;
 };
-struct DemandNews {
+struct DemandNews
+{
     std::vector<limits::Demand> demand;
 };
-struct HeadNews {
+struct HeadNews
+{
 };
 /// One datagram between instances.
-struct Datagram {
+struct Datagram
+{
     core::InstanceRef sender;
     core::DomainId domain;
     core::RegionId region;
     core::Revision revision; // the sender's configuration
     std::variant<membership::Message, Digest, LoadNews, DemandNews, HeadNews> body;
 };
-struct DatagramArrived {
+struct DatagramArrived
+{
     std::string address; // of the sender
     Datagram datagram;
 };
-struct SendDatagram {
+struct SendDatagram
+{
     std::string address;
     Datagram datagram;
 };
 
-struct ConfigEntriesRead {
+struct ConfigEntriesRead
+{
     std::vector<config::LogEntry> entries;
 };
-struct ConfigSnapshotRead {
+struct ConfigSnapshotRead
+{
     std::string snapshot;
 };
 /// Fetches configuration after a revision from another instance; answered by one of the two above.
-struct PullConfig {
+struct PullConfig
+{
     std::string address;
     core::Revision after;
 };
 /// Starts or stops watching the log in the platform's service.
-struct WatchConfig {
+struct WatchConfig
+{
     bool on = false;
 };
 /// Writes a snapshot into the platform's service, create-only.
-struct WriteSnapshot {
+struct WriteSnapshot
+{
     core::Revision revision;
     std::string snapshot;
 };
 /// A peer asks for configuration; answered by ConfigGiven.
-struct ConfigAsked {
+struct ConfigAsked
+{
     CallKey key;
     core::Revision after;
 };
-struct ConfigGiven {
+struct ConfigGiven
+{
     CallKey key;
     core::Revision revision;
     std::vector<config::LogEntry> entries;
@@ -318,44 +370,54 @@
 };
 
 /// The platform's lagging list, as far as this instance asked for it.
-struct ListRead {
+struct ListRead
+{
     std::vector<routing::UpstreamLine> upstreams;
     std::vector<membership::Member> instances; // all regions' contacts
     std::map<core::RegionId, std::uint32_t> domainsOfRegion;
 };
-struct ReadList {
+struct ReadList
+{
 };
-struct ReadLoad {
+struct ReadLoad
+{
     core::UpstreamId upstream;
     std::string address;
     std::uint64_t eventsSince = 0; // cache events after this number
 };
 /// One cache event of an upstream.
-struct CacheNews {
+struct CacheNews
+{
     std::uint64_t number = 0;
     bool stored = true;
     std::uint64_t block = 0;
 };
-struct LoadRead {
+struct LoadRead
+{
     core::UpstreamId upstream;
     std::optional<routing::LoadReport> report; // nothing = not reachable
     std::vector<CacheNews> events;
 };
 /// Lists this domain's entries in the client directory.
-struct WriteDirectory {
+struct WriteDirectory
+{
     std::vector<EntryLine> entries;
 };
 
-struct Ticked {
+struct Ticked
+{
 };
-struct DrainAsked {
+struct DrainAsked
+{
 };
 /// All work is done and handed over; the process may end.
-struct Drained {
+struct Drained
+{
 };
 
 /// One routing decision, for the log and for "explain".
-struct DecisionLogged {
+struct DecisionLogged
+{
     core::DecisionId decision;
     core::RequestId request;
     core::WorkspaceId workspace;
@@ -368,7 +430,8 @@
     core::Revision revision;
 };
 /// Another event worth a log line: name and key=value pairs.
-struct EventLogged {
+struct EventLogged
+{
     std::string event;
     std::vector<std::pair<std::string, std::string>> fields;
 };
@@ -377,11 +440,44 @@
 // Event, Action
 //-----------------------------------------------------------------------------
 
-using Event = std::variant<HeadArrived, BodyArrived, FirstTokenSeen, AttemptEnded, OwnerAnswered, EntriesWanted, LedgerCalled, LedgerAnswered,
-                           KeyClaimed, DatagramArrived, ConfigEntriesRead, ConfigSnapshotRead, ConfigAsked, ListRead, LoadRead, Ticked, DrainAsked>;
-
-using Action = std::variant<HeadJudged, Dispatch, Refuse, Replay, ForwardToOwner, EntriesGiven, LedgerReplied, CallLedger, ClaimKey, SendDatagram,
-                            PullConfig, WatchConfig, WriteSnapshot, ConfigGiven, ReadList, ReadLoad, WriteDirectory, Drained, DecisionLogged,
+using Event = std::variant<HeadArrived,
+                           BodyArrived,
+                           BodyFailed,
+                           FirstTokenSeen,
+                           AttemptEnded,
+                           OwnerAnswered,
+                           EntriesWanted,
+                           LedgerCalled,
+                           LedgerAnswered,
+                           KeyClaimed,
+                           DatagramArrived,
+                           ConfigEntriesRead,
+                           ConfigSnapshotRead,
+                           ConfigAsked,
+                           ListRead,
+                           LoadRead,
+                           Ticked,
+                           DrainAsked>;
+
+using Action = std::variant<HeadJudged,
+                            Dispatch,
+                            Refuse,
+                            Replay,
+                            ForwardToOwner,
+                            EntriesGiven,
+                            LedgerReplied,
+                            CallLedger,
+                            ClaimKey,
+                            SendDatagram,
+                            PullConfig,
+                            WatchConfig,
+                            WriteSnapshot,
+                            ConfigGiven,
+                            ReadList,
+                            ReadLoad,
+                            WriteDirectory,
+                            Drained,
+                            DecisionLogged,
                             EventLogged>;
 
 using Actions = std::vector<Action>;
--- a/src/arbutus/node/filters.cpp
+++ b/src/arbutus/node/filters.cpp
@@ -40,16 +40,16 @@
 {
     context.policy = state.config.policyOf(context.head.workspace);
     if (context.policy == nullptr) {
-        return core::makeError(core::ErrorKind::UnknownWorkspace, "no workspace \"" + context.head.workspace.text + "\" in configuration revision "
-                                                                      + std::to_string(state.config.head().revision.value));
+        return core::makeError(core::ErrorKind::UnknownWorkspace,
+                               "no workspace \"" + context.head.workspace.text + "\" in configuration revision "
+                                   + std::to_string(state.config.head().revision.value));
     }
     if (context.head.forwarded) {
         return std::nullopt;
     }
     const auto &accepted = context.policy->keyHashes;
-    const bool known = std::any_of(accepted.begin(), accepted.end(), [&](const std::string &hash) {
-        return core::equalConstantTime(hash, context.head.bearerHash);
-    });
+    const bool known =
+        std::any_of(accepted.begin(), accepted.end(), [&](const std::string &hash) { return core::equalConstantTime(hash, context.head.bearerHash); });
     if (!known) {
         return core::makeError(core::ErrorKind::Unauthorized, "the key is not one of workspace " + context.head.workspace.text);
     }
--- a/src/arbutus/node/filters.h
+++ b/src/arbutus/node/filters.h
@@ -14,7 +14,8 @@
 namespace arbutus::node {
 
 /// What the filters find out.
-struct HeadContext {
+struct HeadContext
+{
     const RequestHead &head;
     const config::Policy *policy = nullptr;
     const config::RequestClass *requestClass = nullptr;
@@ -23,25 +24,32 @@
     bool counted = false; // the limits have taken it; to be released
 };
 
-struct DrainFilter {     // refuses new work while draining
+struct DrainFilter
+{ // refuses new work while draining
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct LoopFilter {      // refuses what has passed this instance, or too many
+struct LoopFilter
+{ // refuses what has passed this instance, or too many
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct IdentityFilter {  // workspace and key
+struct IdentityFilter
+{ // workspace and key
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct ResidencyFilter { // this region may see the workspace's data
+struct ResidencyFilter
+{ // this region may see the workspace's data
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct ClassFilter {     // class, deadline, repeatable
+struct ClassFilter
+{ // class, deadline, repeatable
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct TicketFilter {    // a request that may not be repeated has a ticket or a key
+struct TicketFilter
+{ // a request that may not be repeated has a ticket or a key
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
-struct LimitFilter {     // rate and concurrency
+struct LimitFilter
+{ // rate and concurrency
     static std::optional<core::Error> apply(HeadContext &context, NodeState &state);
 };
 
--- a/src/arbutus/node/ledgercontroller.cpp
+++ b/src/arbutus/node/ledgercontroller.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t PartRecords = 2'000;
 
 template<class... Visitors>
-struct Overloaded : Visitors... {
+struct Overloaded : Visitors...
+{
     using Visitors::operator()...;
 };
 
@@ -65,9 +66,7 @@
                 return delivery::LedgerAnswer{m_state.witness.outcome(ticket, outcome.outcome, wall), {}, {}};
             });
         },
-        [&](const LedgerSeal &seal) {
-            return withTicket(seal.ticket, [&](const delivery::Ticket &ticket) { return m_state.witness.seal(ticket, wall); });
-        },
+        [&](const LedgerSeal &seal) { return withTicket(seal.ticket, [&](const delivery::Ticket &ticket) { return m_state.witness.seal(ticket, wall); }); },
         [&](const LedgerLookup &lookup) {
             return withTicket(lookup.ticket, [&](const delivery::Ticket &ticket) {
                 const delivery::LedgerAnswer own = m_state.owner.lookup(ticket);
--- a/src/arbutus/node/lifecycle.cpp
+++ b/src/arbutus/node/lifecycle.cpp
@@ -14,29 +14,38 @@
 
 namespace front = boost::msm::front;
 
-struct DrainEvent {
+struct DrainEvent
+{
 };
-struct IdleEvent {
+struct IdleEvent
+{
 };
-struct HandedOverEvent {
+struct HandedOverEvent
+{
 };
 
 // Boost.MSM names the members that it looks for.
 // NOLINTBEGIN(readability-identifier-naming)
-struct Definition : front::state_machine_def<Definition> {
-    struct Serving : front::state<> {
+struct Definition : front::state_machine_def<Definition>
+{
+    struct Serving : front::state<>
+    {
     };
-    struct Draining : front::state<> {
+    struct Draining : front::state<>
+    {
     };
-    struct HandingOver : front::state<> {
+    struct HandingOver : front::state<>
+    {
     };
-    struct Stopped : front::state<> {
+    struct Stopped : front::state<>
+    {
     };
     using initial_state = Serving;
 
-    struct transition_table : boost::mpl::vector<front::Row<Serving, DrainEvent, Draining>,           //
-                                                 front::Row<Draining, IdleEvent, HandingOver>,        //
-                                                 front::Row<HandingOver, HandedOverEvent, Stopped>> { //
+    struct transition_table : boost::mpl::vector<front::Row<Serving, DrainEvent, Draining>,    //
+                                                 front::Row<Draining, IdleEvent, HandingOver>, //
+                                                 front::Row<HandingOver, HandedOverEvent, Stopped>>
+    { //
     };
 
     template<class Machine, class Event>
@@ -48,7 +57,8 @@
 
 } // namespace
 
-struct Lifecycle::Machine {
+struct Lifecycle::Machine
+{
     boost::msm::back::state_machine<Definition> machine;
 
     template<class Event>
--- a/src/arbutus/node/node.cpp
+++ b/src/arbutus/node/node.cpp
@@ -36,6 +36,11 @@
     m_requests.take(event);
 }
 
+void Node::on(const BodyFailed &event)
+{
+    m_requests.take(event);
+}
+
 void Node::on(const FirstTokenSeen &event)
 {
     m_requests.take(event);
--- a/src/arbutus/node/node.h
+++ b/src/arbutus/node/node.h
@@ -52,6 +52,7 @@
 private:
     void on(const HeadArrived &event);
     void on(const BodyArrived &event);
+    void on(const BodyFailed &event);
     void on(const FirstTokenSeen &event);
     void on(const AttemptEnded &event);
     void on(const OwnerAnswered &event);
--- a/src/arbutus/node/requestcontroller.cpp
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -18,14 +18,14 @@
 
 namespace {
 
-constexpr std::size_t MostTickets = 64;                                 // in one answer
-constexpr core::Duration BackoffBase = std::chrono::milliseconds(20);   // doubled by each attempt, jittered
-constexpr core::Duration TokenTime = std::chrono::milliseconds(15);     // planned for one token of a held request
-constexpr core::Duration HoldMargin = std::chrono::milliseconds(500);   // planned besides
-constexpr double NormalWaitShare = 0.5;                                 // of the time left that a wait for a slot may take
+constexpr std::size_t MostTickets = 64;                               // in one answer
+constexpr core::Duration BackoffBase = std::chrono::milliseconds(20); // doubled by each attempt, jittered
+constexpr core::Duration TokenTime = std::chrono::milliseconds(15);   // planned for one token of a held request
+constexpr core::Duration HoldMargin = std::chrono::milliseconds(500); // planned besides
+constexpr double NormalWaitShare = 0.5;                               // of the time left that a wait for a slot may take
 constexpr double BackgroundWaitShare = 0.25;
 constexpr std::size_t ReleasesAtOnce = 64;
-constexpr std::chrono::milliseconds RetryLater{1'000};                  // advice where nothing better is known
+constexpr std::chrono::milliseconds RetryLater{1'000}; // advice where nothing better is known
 
 std::string roomName(const RequestHead &head, const RequestBody &body)
 {
@@ -55,8 +55,15 @@
 void RequestController::take(const HeadArrived &arrived)
 {
     HeadContext context{arrived.head};
-    HeadJudged judged{arrived.key, applyFilters(m_filters, context, m_state), {}, m_state.config.head().revision};
+    HeadJudged judged;
+    judged.key = arrived.key;
+    judged.error = applyFilters(m_filters, context, m_state);
+    judged.revision = m_state.config.head().revision;
     if (judged.error) {
+        judged.error = settleRefusal(arrived.head, std::move(*judged.error));
+        if (!arrived.head.ticket.empty() && judged.error->outcome == core::Outcome::NotRun) {
+            judged.freshTicket = m_state.issueTicket(arrived.head.workspace);
+        }
         const config::Policy *policy = context.policy != nullptr ? context.policy : m_state.config.policyOf(arrived.head.workspace);
         const bool elsewhere = judged.error->kind == core::ErrorKind::Draining || judged.error->kind == core::ErrorKind::ResidencyRefused;
         if (policy != nullptr && elsewhere) {
@@ -75,6 +82,7 @@
     request.deadline = request.arrivedAt + context.deadline;
     request.repeatable = context.repeatable;
     request.counted = context.counted;
+    request.tokensRelayed = arrived.head.resumeOffset;
     request.decision = drawDecision();
     m_requests[arrived.key] = std::move(request);
     m_state.emit(std::move(judged));
@@ -133,10 +141,33 @@
     m_state.emit(std::move(given));
 }
 
+void RequestController::take(const BodyFailed &failed)
+{
+    const auto found = m_requests.find(failed.key);
+    if (found != m_requests.end()) {
+        refuse(failed.key, found->second, failed.error);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Tickets
 //-----------------------------------------------------------------------------
 
+core::Error RequestController::settleRefusal(const RequestHead &head, core::Error error)
+{
+    const bool mayHaveRunBefore = !head.ticket.empty() || !head.idempotencyHash.empty();
+    if (!mayHaveRunBefore || !head.attempt.empty() || error.outcome == core::Outcome::Unknown) {
+        return error;
+    }
+    const auto ticket = m_state.tickets.read(head.ticket);
+    if (!head.ticket.empty() && ticket && m_state.owner.close(ticket.value())) {
+        return error; // never started, and never will be
+    }
+    error.outcome = core::Outcome::Unknown;
+    error.remedy = "send it again with the same ticket or key; an earlier try may have run. " + error.remedy;
+    return error;
+}
+
 void RequestController::startWithTicket(RequestKey key, Request &request)
 {
     if (request.head.ticket.empty()) {
@@ -150,11 +181,13 @@
     }
     request.ticketText = request.head.ticket;
     const auto ticket = m_state.tickets.read(request.ticketText);
-    if (!ticket) {
+    if (!ticket) { // nothing can have run under a ticket that is not ours
+        request.ledgerConsulted = true;
         refuse(key, request, ticket.error());
         return;
     }
     if (ticket.value().workspace != request.workspace) {
+        request.ledgerConsulted = true;
         refuse(key, request, core::makeError(core::ErrorKind::TicketInvalid, "the ticket belongs to another workspace"));
         return;
     }
@@ -180,7 +213,7 @@
         return;
     }
     Request &request = found->second;
-    if (!claimed.ticket) {
+    if (!claimed.ticket) { // an earlier try under the same key may have run, so refuse() will not say "not run"
         refuse(claimed.key, request, core::makeError(core::ErrorKind::PlatformDown, "the Idempotency-Key could not be claimed"));
         return;
     }
@@ -190,6 +223,7 @@
 
 void RequestController::startOwned(RequestKey key, Request &request, const delivery::Ticket &ticket)
 {
+    request.ledgerConsulted = true;
     switch (m_state.owner.start(ticket, request.body.digest, m_state.clock.wallNow())) {
     case delivery::Start::AskWitness:
         request.ticket = ticket;
@@ -325,8 +359,7 @@
         sealAnswered(pending.request, request, answered.answer);
         break;
     case Asking::Inherited: {
-        const bool told = answered.answer
-            && (answered.answer->verdict == delivery::Verdict::Done || answered.answer->verdict == delivery::Verdict::Sealed);
+        const bool told = answered.answer && (answered.answer->verdict == delivery::Verdict::Done || answered.answer->verdict == delivery::Verdict::Sealed);
         if (told) {
             answerFromRecord(pending.request, request, *answered.answer);
         } else {
@@ -354,6 +387,7 @@
 
 void RequestController::answerFromRecord(RequestKey key, Request &request, const delivery::LedgerAnswer &answer)
 {
+    request.ledgerConsulted = true;
     if (answer.verdict == delivery::Verdict::Sealed) {
         refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, "the ticket was closed before it ran"), true);
         return;
@@ -559,8 +593,7 @@
     }
     Dispatch dispatch;
     dispatch.key = key;
-    dispatch.attempt =
-        request.head.attempt.empty() ? core::AttemptId(request.decision.text + "-" + std::to_string(request.attempts)) : request.head.attempt;
+    dispatch.attempt = request.head.attempt.empty() ? core::AttemptId(request.decision.text + "-" + std::to_string(request.attempts)) : request.head.attempt;
     dispatch.decision = request.decision;
     dispatch.target = targetOf(request, choice.chosen);
     dispatch.region = choice.chosen.region;
@@ -596,8 +629,8 @@
     const bool truthful = ended.end == AttemptEnd::NotRun || request.repeatable;
     const bool clean = !ended.relayedAnything || (request.repeatable && request.body.stream && ended.tokensRelayed > 0);
     const bool ownsAttempts = request.head.attempt.empty(); // else the origin decides
-    return truthful && clean && ownsAttempts && !m_state.draining && request.attempts < m_state.settings.mostAttempts
-        && m_state.now() < request.deadline && m_retries.tryRetry();
+    return truthful && clean && ownsAttempts && !m_state.draining && request.attempts < m_state.settings.mostAttempts && m_state.now() < request.deadline
+        && m_retries.tryRetry();
 }
 
 void RequestController::take(const AttemptEnded &ended)
@@ -679,6 +712,10 @@
 
 void RequestController::refuse(RequestKey key, Request &request, core::Error error, bool freshTicket)
 {
+    const bool ledgerConsulted = request.ticket || request.ledgerConsulted;
+    if (!request.repeatable && !ledgerConsulted) {
+        error = settleRefusal(request.head, std::move(error));
+    }
     if (request.ticket) {
         const bool ran = error.outcome == core::Outcome::Unknown;
         finishLedger(request, delivery::RecordedOutcome{ran ? delivery::Ending::Unknown : delivery::Ending::NotRun, 0, {}, {}, true});
--- a/src/arbutus/node/requestcontroller.h
+++ b/src/arbutus/node/requestcontroller.h
@@ -7,6 +7,9 @@
 // intent. What may be repeated is retried within a budget, before the first byte reached the caller or at an exact
 // offset of the stream.
 //
+// Q: Is every refusal of a request with a ticket "not run"?
+// A: No: an earlier try with the same ticket may have run. A refusal closes the ticket first where this instance owns it
+//    and it was never started; where the record cannot be consulted the outcome is "unknown".
 // Q: Where are deadlines enforced?
 // A: Here before a dispatch and when an attempt ends; in the shell while an attempt runs (Dispatch::timeLeft).
 
@@ -31,6 +34,7 @@
 
     void take(const HeadArrived &arrived);
     void take(const BodyArrived &arrived);
+    void take(const BodyFailed &failed);
     void take(const FirstTokenSeen &seen);
     void take(const AttemptEnded &ended);
     void take(const OwnerAnswered &answered);
@@ -56,7 +60,8 @@
         Seal,
         Inherited,
     };
-    struct Request {
+    struct Request
+    {
         RequestHead head;
         RequestBody body;
         core::WorkspaceId workspace;
@@ -67,23 +72,26 @@
         core::TimePoint deadline{};
         bool repeatable = true;
         bool counted = false;
-        std::optional<delivery::Ticket> ticket;      // this node owns it
-        std::string ticketText;                      // the one in force
-        std::vector<membership::Member> lookups;     // still to be asked for an inherited record, next one last
+        std::optional<delivery::Ticket> ticket;  // this node owns it
+        bool ledgerConsulted = false;            // a ledger has said what became of the ticket
+        std::string ticketText;                  // the one in force
+        std::vector<membership::Member> lookups; // still to be asked for an inherited record, next one last
         std::size_t attempts = 0;
-        bool mayHaveRun = false;                     // an attempt broke
+        bool mayHaveRun = false; // an attempt broke
         std::set<core::UpstreamId> triedUpstreams;
         std::set<core::DomainId> triedDomains;
-        std::optional<routing::Scored> running;      // target of the attempt under way
+        std::optional<routing::Scored> running; // target of the attempt under way
         std::size_t tokensRelayed = 0;
         core::DecisionId decision;
-        std::string room;                            // waiting room that holds it
+        std::string room; // waiting room that holds it
     };
-    struct PendingCall {
+    struct PendingCall
+    {
         RequestKey request;
         Asking asking = Asking::Intent;
     };
 
+    [[nodiscard]] core::Error settleRefusal(const RequestHead &head, core::Error error);
     void startWithTicket(RequestKey key, Request &request);
     void startOwned(RequestKey key, Request &request, const delivery::Ticket &ticket);
     void askWitness(RequestKey key, Request &request, Asking asking);
--- a/src/arbutus/node/settings.h
+++ b/src/arbutus/node/settings.h
@@ -13,10 +13,11 @@
 namespace arbutus::node {
 
 /// Everything that the decision logic is told at the start.
-struct NodeSettings {
-    membership::Member self;                      // id, incarnation, domain, region, addresses
-    std::vector<membership::Member> seeds;        // members of the own domain and contacts of others
-    std::vector<delivery::TicketKey> ticketKeys;  // first one signs
+struct NodeSettings
+{
+    membership::Member self;                     // id, incarnation, domain, region, addresses
+    std::vector<membership::Member> seeds;       // members of the own domain and contacts of others
+    std::vector<delivery::TicketKey> ticketKeys; // first one signs
     std::string router = "scored";
     std::uint64_t seed = 1;
 
@@ -26,22 +27,22 @@
     delivery::LedgerLimits ledger;
 
     std::chrono::milliseconds ticketLife{600'000};
-    std::chrono::milliseconds witnessTimeout{400};      // intent, both tries together
-    std::chrono::milliseconds handoverTimeout{3'000};   // at a planned stop
-    std::size_t waitingRoom = 4'096;                    // requests held
-    double slackOccupancy = 0.85;                       // held requests are released below this part of the slots
-    double retryShare = 0.1;                            // retries as a share of first attempts
-    std::size_t mostAttempts = 3;                       // of one request
-    core::Duration loadPeriod = std::chrono::milliseconds(200);    // reading one upstream's report
-    core::Duration loadTellPeriod = std::chrono::seconds(1);       // an unchanged report is told again
-    core::Duration listPeriod = std::chrono::seconds(1);           // for two instances; longer with more
-    core::Duration digestPeriod = std::chrono::milliseconds(500);  // for few domains; longer with more
+    std::chrono::milliseconds witnessTimeout{400};                // intent, both tries together
+    std::chrono::milliseconds handoverTimeout{3'000};             // at a planned stop
+    std::size_t waitingRoom = 4'096;                              // requests held
+    double slackOccupancy = 0.85;                                 // held requests are released below this part of the slots
+    double retryShare = 0.1;                                      // retries as a share of first attempts
+    std::size_t mostAttempts = 3;                                 // of one request
+    core::Duration loadPeriod = std::chrono::milliseconds(200);   // reading one upstream's report
+    core::Duration loadTellPeriod = std::chrono::seconds(1);      // an unchanged report is told again
+    core::Duration listPeriod = std::chrono::seconds(1);          // for two instances; longer with more
+    core::Duration digestPeriod = std::chrono::milliseconds(500); // for few domains; longer with more
     core::Duration demandPeriod = std::chrono::seconds(1);
     core::Duration directoryPeriod = std::chrono::seconds(5);
-    double digestBytesPerSecond = 1'500;                // received by one instance
-    std::size_t entriesPerDomain = 3;                   // that one workspace's callers are sent to
-    std::size_t configWatchers = 2;                     // in one domain
-    std::uint64_t snapshotEvery = 256;                  // revisions
+    double digestBytesPerSecond = 1'500; // received by one instance
+    std::size_t entriesPerDomain = 3;    // that one workspace's callers are sent to
+    std::size_t configWatchers = 2;      // in one domain
+    std::uint64_t snapshotEvery = 256;   // revisions
 };
 
 } // namespace arbutus::node
--- a/src/arbutus/node/state.h
+++ b/src/arbutus/node/state.h
@@ -20,7 +20,8 @@
 namespace arbutus::node {
 
 /// What the node knows.
-struct NodeState {
+struct NodeState
+{
     NodeState(const core::Clock &clockUsed, NodeSettings nodeSettings);
 
     const core::Clock &clock;
--- a/src/arbutus/observe/logline.h
+++ b/src/arbutus/observe/logline.h
@@ -28,8 +28,8 @@
         return *this;
     }
 
-    void write() const;   // severity INFO
-    void warn() const;    // severity WARNING
+    void write() const; // severity INFO
+    void warn() const;  // severity WARNING
     [[nodiscard]] const std::string &text() const
     {
         return m_text;
--- /dev/null
+++ b/src/arbutus/observe/metrics.h
@@ -0,0 +1,39 @@
+// Counters, gauges and latency histograms, shown as Prometheus text.
+//
+// Histograms are Boost.Histogram with a logarithmic axis. One Metrics object for each process; it may be used from any
+// thread.
+
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace arbutus::observe {
+
+/// Registry of a process.
+class Metrics
+{
+public:
+    Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+    ~Metrics();
+
+    /// Adds to a counter; `labels` as in `class="desk",outcome="answered"`, may be empty.
+    void count(const std::string &name, const std::string &labels = "", double amount = 1);
+    void gauge(const std::string &name, const std::string &labels, double value);
+    void observe(const std::string &name, const std::string &labels, std::chrono::microseconds duration);
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct Histograms;
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::map<std::string, double>> m_counters;
+    std::map<std::string, std::map<std::string, double>> m_gauges;
+    std::unique_ptr<Histograms> m_histograms;
+};
+
+} // namespace arbutus::observe
--- /dev/null
+++ b/src/arbutus/peer/channel.h
@@ -0,0 +1,10 @@
+// What server and client of the peers' protocol share.
+
+#pragma once
+
+namespace arbutus::peer {
+
+constexpr const char *KeyMetadata = "x-arbutus-key"; // SHA-256 of the cluster key
+constexpr int MostMessageBytes = 64 * 1024 * 1024;   // one message; snapshots are the largest
+
+} // namespace arbutus::peer
--- /dev/null
+++ b/src/arbutus/peer/codec.cpp
@@ -0,0 +1,431 @@
+// Conversions between our types and the wire's.
+//
+// Sections:
+//   Members and digests
+//   Datagrams
+//   Ledger messages
+
+#include "arbutus/peer/codec.h"
+
+#include "arbutus/core/hash.h"
+
+#include <peer.pb.h>
+
+namespace arbutus::peer {
+
+namespace {
+
+constexpr std::size_t MacBytes = 16; // hexadecimal digits of the HMAC that are sent
+constexpr double PriceScale = 1000;  // thousandths on the wire
+
+template<class... Visitors>
+struct Overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+
+//-----------------------------------------------------------------------------
+// Members and digests
+//-----------------------------------------------------------------------------
+
+constexpr std::uint32_t StateLeavingBit = 4; // beside the condition
+
+void toWire(const membership::Member &member, wire::Member &out)
+{
+    out.set_id(member.id.text);
+    out.set_incarnation(member.incarnation.value);
+    out.set_state(static_cast<std::uint32_t>(member.condition) | (member.leaving ? StateLeavingBit : 0));
+    out.set_refutation(member.refutation);
+    out.set_gossip_address(member.gossipAddress);
+    out.set_peer_address(member.peerAddress);
+    out.set_url(member.url);
+}
+
+membership::Member fromWire(const wire::Member &in, const core::DomainId &domain, const core::RegionId &region)
+{
+    membership::Member member;
+    member.id = core::InstanceId(in.id());
+    member.incarnation = core::Incarnation(in.incarnation());
+    member.leaving = (in.state() & StateLeavingBit) != 0;
+    member.condition = static_cast<membership::Condition>(std::min<std::uint32_t>(in.state() & 3U, 2));
+    member.refutation = in.refutation();
+    member.domain = domain;
+    member.region = region;
+    member.gossipAddress = in.gossip_address();
+    member.peerAddress = in.peer_address();
+    member.url = in.url();
+    return member;
+}
+
+template<class Repeated>
+void toWireDemand(const std::vector<limits::Demand> &demand, Repeated &out)
+{
+    for (const limits::Demand &item : demand) {
+        auto *share = out.Add();
+        share->set_workspace(item.workspace.text);
+        share->set_demand_milli(static_cast<std::uint32_t>(item.requestsPerSecond * 1000));
+    }
+}
+
+template<class Repeated>
+std::vector<limits::Demand> fromWireDemand(const Repeated &in)
+{
+    std::vector<limits::Demand> out;
+    for (const auto &share : in) {
+        out.push_back(limits::Demand{core::WorkspaceId(share.workspace()), share.demand_milli() / 1000.0});
+    }
+    return out;
+}
+
+void toWire(const node::Digest &digest, wire::Digest &out)
+{
+    out.set_domain(digest.domain.text);
+    out.set_region(digest.region.text);
+    out.set_number(digest.number);
+    out.set_relayed(digest.relayed);
+    out.set_domain_count(digest.domainCount);
+    std::map<core::DomainId, std::uint32_t> index;
+    for (const node::DigestDomain &domain : digest.domains) {
+        index.emplace(domain.domain, static_cast<std::uint32_t>(index.size()));
+        auto *row = out.add_domains();
+        row->set_domain(domain.domain.text);
+        for (const membership::Member &member : domain.entries) {
+            toWire(member, *row->add_entries());
+        }
+    }
+    for (const node::DigestRow &row : digest.rows) {
+        auto *model = out.add_models();
+        model->set_model(row.name);
+        model->set_service(row.service);
+        model->set_domain(index[row.domain]);
+        model->set_wait_ms(static_cast<std::uint32_t>(core::toMilliseconds(row.wait)));
+        model->set_free_slots(row.freeSlots);
+        model->set_slots(row.slots);
+        model->set_price_milli(static_cast<std::uint32_t>(row.price * PriceScale));
+    }
+    toWireDemand(digest.demand, *out.mutable_limits());
+}
+
+node::Digest fromWire(const wire::Digest &in)
+{
+    node::Digest digest;
+    digest.domain = core::DomainId(in.domain());
+    digest.region = core::RegionId(in.region());
+    digest.number = in.number();
+    digest.relayed = in.relayed();
+    digest.domainCount = in.domain_count();
+    for (const auto &row : in.domains()) {
+        node::DigestDomain domain{core::DomainId(row.domain()), {}};
+        for (const auto &member : row.entries()) {
+            domain.entries.push_back(fromWire(member, domain.domain, digest.region));
+        }
+        digest.domains.push_back(std::move(domain));
+    }
+    for (const auto &model : in.models()) {
+        if (model.domain() >= static_cast<std::uint32_t>(digest.domains.size())) {
+            continue;
+        }
+        digest.rows.push_back(node::DigestRow{model.model(),
+                                              model.service(),
+                                              digest.domains[model.domain()].domain,
+                                              std::chrono::milliseconds(model.wait_ms()),
+                                              model.free_slots(),
+                                              model.slots(),
+                                              model.price_milli() / PriceScale});
+    }
+    digest.demand = fromWireDemand(in.limits());
+    return digest;
+}
+
+void toWire(const routing::LoadReport &report, wire::UpstreamLoad &out)
+{
+    out.set_id(report.id.text);
+    out.set_running(report.running);
+    out.set_waiting(report.waiting);
+    out.set_slots(report.slots);
+    out.set_step_us(static_cast<std::uint32_t>(report.step.count()));
+    out.set_leaving(report.leaving);
+    out.set_reachable(report.reachable);
+    out.set_at_ms(report.atMs);
+    for (const core::ModelId &model : report.models) {
+        out.add_models(model.text);
+    }
+}
+
+routing::LoadReport fromWire(const wire::UpstreamLoad &in)
+{
+    routing::LoadReport report;
+    report.id = core::UpstreamId(in.id());
+    report.running = in.running();
+    report.waiting = in.waiting();
+    report.slots = in.slots();
+    report.step = core::Duration(in.step_us());
+    report.leaving = in.leaving();
+    report.reachable = in.reachable();
+    report.atMs = in.at_ms();
+    for (const auto &model : in.models()) {
+        report.models.insert(core::ModelId(model));
+    }
+    return report;
+}
+
+//-----------------------------------------------------------------------------
+// Datagrams
+//-----------------------------------------------------------------------------
+
+void bodyToWire(const membership::Message &message, wire::Datagram &out)
+{
+    const Overloaded visitor{
+        [&](const membership::Ping &ping) { out.mutable_ping()->set_number(ping.number); },
+        [&](const membership::PingRequest &request) {
+            out.mutable_ping_request()->set_number(request.number);
+            out.mutable_ping_request()->set_target(request.target.text);
+        },
+        [&](const membership::Ack &ack) { out.mutable_ack()->set_number(ack.number); },
+    };
+    std::visit(visitor, message.body);
+    for (const membership::Member &member : message.news) {
+        toWire(member, *out.add_members());
+    }
+}
+
+std::optional<membership::Message> messageFromWire(const wire::Datagram &in)
+{
+    membership::Message message;
+    message.sender = core::InstanceRef{core::InstanceId(in.sender().id()), core::Incarnation(in.sender().incarnation())};
+    for (const auto &member : in.members()) {
+        message.news.push_back(fromWire(member, core::DomainId(in.domain()), core::RegionId(in.region())));
+    }
+    switch (in.body_case()) {
+    case wire::Datagram::kPing:
+        message.body = membership::Ping{in.ping().number()};
+        return message;
+    case wire::Datagram::kPingRequest:
+        message.body = membership::PingRequest{in.ping_request().number(), core::InstanceId(in.ping_request().target())};
+        return message;
+    case wire::Datagram::kAck:
+        message.body = membership::Ack{in.ack().number()};
+        return message;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<node::Datagram> fromWire(const wire::Datagram &in)
+{
+    node::Datagram datagram;
+    datagram.sender = core::InstanceRef{core::InstanceId(in.sender().id()), core::Incarnation(in.sender().incarnation())};
+    datagram.domain = core::DomainId(in.domain());
+    datagram.region = core::RegionId(in.region());
+    datagram.revision = core::Revision(in.config_revision());
+    switch (in.body_case()) {
+    case wire::Datagram::kDigest:
+        datagram.body = fromWire(in.digest());
+        return datagram;
+    case wire::Datagram::kLoad: {
+        node::LoadNews news;
+        for (const auto &upstream : in.load().upstreams()) {
+            news.reports.push_back(fromWire(upstream));
+        }
+        datagram.body = std::move(news);
+        return datagram;
+    }
+    case wire::Datagram::kDemand:
+        datagram.body = node::DemandNews{fromWireDemand(in.demand().limits())};
+        return datagram;
+    case wire::Datagram::kHead:
+        datagram.body = node::HeadNews{};
+        return datagram;
+    default:
+        break;
+    }
+    auto message = messageFromWire(in);
+    if (!message) {
+        return std::nullopt;
+    }
+    datagram.body = std::move(*message);
+    return datagram;
+}
+
+} // namespace
+
+DatagramCodec::DatagramCodec(std::string clusterKey)
+    : m_key(std::move(clusterKey))
+{
+}
+
+std::string DatagramCodec::write(const node::Datagram &datagram) const
+{
+    wire::Datagram out;
+    out.set_version(ProtocolVersion);
+    out.mutable_sender()->set_id(datagram.sender.id.text);
+    out.mutable_sender()->set_incarnation(datagram.sender.incarnation.value);
+    out.set_domain(datagram.domain.text);
+    out.set_region(datagram.region.text);
+    out.set_config_revision(datagram.revision.value);
+    const Overloaded visitor{
+        [&](const membership::Message &message) { bodyToWire(message, out); },
+        [&](const node::Digest &digest) { toWire(digest, *out.mutable_digest()); },
+        [&](const node::LoadNews &news) {
+            for (const routing::LoadReport &report : news.reports) {
+                toWire(report, *out.mutable_load()->add_upstreams());
+            }
+        },
+        [&](const node::DemandNews &news) { toWireDemand(news.demand, *out.mutable_demand()->mutable_limits()); },
+        [&](const node::HeadNews &) { out.mutable_head(); },
+    };
+    std::visit(visitor, datagram.body);
+    const std::string body = out.SerializeAsString();
+    return core::hmacSha256Hex(m_key, body).substr(0, MacBytes) + body;
+}
+
+DecodedDatagram DatagramCodec::read(std::string_view bytes) const
+{
+    if (bytes.size() < MacBytes) {
+        return {std::nullopt, DatagramFault::Malformed};
+    }
+    const std::string_view body = bytes.substr(MacBytes);
+    if (!core::equalConstantTime(core::hmacSha256Hex(m_key, body).substr(0, MacBytes), bytes.substr(0, MacBytes))) {
+        return {std::nullopt, DatagramFault::NotAuthentic};
+    }
+    wire::Datagram in;
+    if (!in.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return {std::nullopt, DatagramFault::Malformed};
+    }
+    if (!acceptsVersion(in.version())) {
+        return {std::nullopt, DatagramFault::OtherVersion};
+    }
+    return {fromWire(in), DatagramFault::Malformed};
+}
+
+//-----------------------------------------------------------------------------
+// Ledger messages
+//-----------------------------------------------------------------------------
+
+namespace {
+
+void outcomeToWire(const delivery::RecordedOutcome &outcome, wire::LedgerReply &out)
+{
+    out.set_status(outcome.status);
+    out.set_answer(outcome.answer);
+    out.set_content_type(outcome.contentType);
+    out.set_not_run(outcome.ending == delivery::Ending::NotRun);
+    out.set_unknown(outcome.ending == delivery::Ending::Unknown || !outcome.answerKept);
+}
+
+delivery::RecordedOutcome outcomeFromWire(const wire::LedgerReply &in)
+{
+    delivery::RecordedOutcome outcome;
+    outcome.ending = in.not_run() ? delivery::Ending::NotRun : (in.unknown() ? delivery::Ending::Unknown : delivery::Ending::Answered);
+    outcome.status = in.status();
+    outcome.answer = in.answer();
+    outcome.contentType = in.content_type();
+    return outcome;
+}
+
+core::WallTime wallFromMs(std::int64_t value)
+{
+    return core::WallTime(std::chrono::milliseconds(value));
+}
+
+} // namespace
+
+void toWire(const delivery::LedgerAnswer &answer, wire::LedgerReply &out)
+{
+    out.set_version(ProtocolVersion);
+    out.set_verdict(static_cast<wire::LedgerReply::Verdict>(answer.verdict));
+    out.set_digest(answer.digest);
+    if (answer.outcome) {
+        outcomeToWire(*answer.outcome, out);
+    }
+}
+
+delivery::LedgerAnswer fromWire(const wire::LedgerReply &in)
+{
+    delivery::LedgerAnswer answer;
+    const bool known = in.verdict() >= 0 && in.verdict() <= static_cast<int>(delivery::Verdict::NoRecord);
+    answer.verdict = known ? static_cast<delivery::Verdict>(in.verdict()) : delivery::Verdict::NoRecord;
+    answer.digest = in.digest();
+    if (answer.verdict == delivery::Verdict::Done) {
+        answer.outcome = outcomeFromWire(in);
+    }
+    return answer;
+}
+
+void toWire(const node::LedgerCall &call, wire::LedgerRequest &out)
+{
+    out.set_version(ProtocolVersion);
+    const Overloaded visitor{
+        [&](const node::LedgerIntent &intent) {
+            out.set_kind(wire::LedgerRequest::INTENT);
+            out.set_ticket(intent.ticket);
+            out.set_digest(intent.digest);
+        },
+        [&](const node::LedgerOutcome &outcome) {
+            out.set_kind(wire::LedgerRequest::OUTCOME);
+            out.set_ticket(outcome.ticket);
+            out.set_status(outcome.outcome.status);
+            out.set_answer(outcome.outcome.answer);
+            out.set_content_type(outcome.outcome.contentType);
+            out.set_not_run(outcome.outcome.ending == delivery::Ending::NotRun);
+            out.set_unknown(outcome.outcome.ending == delivery::Ending::Unknown || !outcome.outcome.answerKept);
+        },
+        [&](const node::LedgerSeal &seal) {
+            out.set_kind(wire::LedgerRequest::SEAL);
+            out.set_ticket(seal.ticket);
+        },
+        [&](const node::LedgerLookup &lookup) {
+            out.set_kind(wire::LedgerRequest::LOOKUP);
+            out.set_ticket(lookup.ticket);
+        },
+        [&](const delivery::Handover &handover) {
+            out.set_kind(wire::LedgerRequest::HANDOVER);
+            for (const delivery::HandoverRecord &record : handover.records) {
+                auto *row = out.add_records();
+                row->set_key(record.key);
+                row->set_expiry_ms(record.expiry.time_since_epoch().count());
+                toWire(record.answer, *row->mutable_answer());
+            }
+            for (const delivery::ClosedOwner &closed : handover.closedOwners) {
+                auto *row = out.add_closed_owners();
+                row->mutable_owner()->set_id(closed.owner.id.text);
+                row->mutable_owner()->set_incarnation(closed.owner.incarnation.value);
+                row->set_until_ms(closed.until.time_since_epoch().count());
+            }
+        },
+    };
+    std::visit(visitor, call);
+}
+
+node::LedgerCall fromWire(const wire::LedgerRequest &in)
+{
+    switch (in.kind()) {
+    case wire::LedgerRequest::OUTCOME: {
+        delivery::RecordedOutcome outcome;
+        outcome.ending = in.not_run() ? delivery::Ending::NotRun : (in.unknown() ? delivery::Ending::Unknown : delivery::Ending::Answered);
+        outcome.status = in.status();
+        outcome.answer = in.answer();
+        outcome.contentType = in.content_type();
+        return node::LedgerOutcome{in.ticket(), std::move(outcome)};
+    }
+    case wire::LedgerRequest::SEAL:
+        return node::LedgerSeal{in.ticket()};
+    case wire::LedgerRequest::LOOKUP:
+        return node::LedgerLookup{in.ticket()};
+    case wire::LedgerRequest::HANDOVER: {
+        delivery::Handover handover;
+        for (const auto &row : in.records()) {
+            handover.records.push_back(delivery::HandoverRecord{row.key(), wallFromMs(row.expiry_ms()), fromWire(row.answer())});
+        }
+        for (const auto &row : in.closed_owners()) {
+            handover.closedOwners.push_back(delivery::ClosedOwner{
+                core::InstanceRef{core::InstanceId(row.owner().id()), core::Incarnation(row.owner().incarnation())}, wallFromMs(row.until_ms())});
+        }
+        return handover;
+    }
+    default:
+        return node::LedgerIntent{in.ticket(), in.digest()};
+    }
+}
+
+} // namespace arbutus::peer
--- a/src/arbutus/routing/router.cpp
+++ b/src/arbutus/routing/router.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-constexpr double ShareWeight = 0.01;        // of the newest request in the share sent away
-constexpr double RampStart = 0.1;           // share of a returned domain's slots that is used at first
-constexpr core::Duration StepsAhead{1};     // a request waits for at least the step under way
+constexpr double ShareWeight = 0.01;    // of the newest request in the share sent away
+constexpr double RampStart = 0.1;       // share of a returned domain's slots that is used at first
+constexpr core::Duration StepsAhead{1}; // a request waits for at least the step under way
 
 //-----------------------------------------------------------------------------
 // Prediction
@@ -28,8 +28,8 @@
 bool usable(const Upstream &upstream, const Question &question, core::TimePoint now)
 {
     const bool onProbation = now < upstream.probationUntil && upstream.inFlight > 0;
-    return !upstream.leaving() && upstream.report.reachable && now >= upstream.ejectedUntil && !onProbation
-        && !question.excluded.contains(upstream.line.id) && question.residency.contains(upstream.line.region);
+    return !upstream.leaving() && upstream.report.reachable && now >= upstream.ejectedUntil && !onProbation && !question.excluded.contains(upstream.line.id)
+        && question.residency.contains(upstream.line.region);
 }
 
 std::size_t expectedCached(const Upstream &upstream, const Question &question)
--- a/src/arbutus/routing/router.h
+++ b/src/arbutus/routing/router.h
@@ -32,28 +32,30 @@
 //-----------------------------------------------------------------------------
 
 /// What the router is asked.
-struct Question {
-    core::ModelId model;                       // one of model and service is set
+struct Question
+{
+    core::ModelId model; // one of model and service is set
     core::ServiceId service;
     config::Weights weights;
-    std::set<core::RegionId> residency;        // regions allowed
-    std::vector<std::uint64_t> blocks;         // prefix blocks of the prompt
+    std::set<core::RegionId> residency; // regions allowed
+    std::vector<std::uint64_t> blocks;  // prefix blocks of the prompt
     std::size_t promptTokens = 0;
-    bool localOnly = false;                    // arrived from another instance: no second hop
-    std::set<core::UpstreamId> excluded;       // tried before
-    std::set<core::DomainId> excludedDomains;  // tried before
+    bool localOnly = false;                   // arrived from another instance: no second hop
+    std::set<core::UpstreamId> excluded;      // tried before
+    std::set<core::DomainId> excludedDomains; // tried before
 };
 
 /// One candidate with its score; lower is better.
-struct Scored {
-    core::UpstreamId upstream;   // empty for another domain
+struct Scored
+{
+    core::UpstreamId upstream; // empty for another domain
     core::DomainId domain;
     core::RegionId region;
     core::Duration firstToken{}; // predicted
     core::Duration wait{};       // predicted wait for a slot
     double price = 0;
     double score = 0;
-    bool warm = false;           // part of the prompt is expected in its cache
+    bool warm = false; // part of the prompt is expected in its cache
 };
 
 /// Why the chosen one was chosen, in one word for the log.
@@ -69,7 +71,8 @@
 [[nodiscard]] std::string_view toString(Reason reason);
 
 /// A choice and the runner-up.
-struct Choice {
+struct Choice
+{
     Scored chosen;
     std::optional<Scored> runnerUp;
     Reason reason = Reason::BestScore;
@@ -79,10 +82,11 @@
 // Settings
 //-----------------------------------------------------------------------------
 
-struct RouterSettings {
-    std::size_t sampleRandom = 3;                                  // candidates drawn at random
-    std::size_t sampleRendezvous = 2;                              // candidates of the prefix
-    std::size_t scanAll = 6;                                       // up to so many candidates, all are looked at
+struct RouterSettings
+{
+    std::size_t sampleRandom = 3;     // candidates drawn at random
+    std::size_t sampleRendezvous = 2; // candidates of the prefix
+    std::size_t scanAll = 6;          // up to so many candidates, all are looked at
     core::Duration regionRoundTrip = std::chrono::milliseconds(110);
     core::Duration domainRoundTrip = std::chrono::milliseconds(1);
     double prefillTokensPerSecond = 12'000;
--- a/src/arbutus/routing/upstreamtable.cpp
+++ b/src/arbutus/routing/upstreamtable.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr double SlownessWeight = 0.1;   // of the newest observation in the moving average
+constexpr double SlownessWeight = 0.1; // of the newest observation in the moving average
 constexpr double SlownessMost = 100.0;
-constexpr double GapTrust = 0.5;         // a gap halves the trust in a prefix map
-constexpr double TrustRegained = 0.02;   // by each batch of events without a gap
+constexpr double GapTrust = 0.5;       // a gap halves the trust in a prefix map
+constexpr double TrustRegained = 0.02; // by each batch of events without a gap
 
 } // namespace
 
@@ -167,8 +167,7 @@
     std::size_t alike = 0;
     std::size_t ejected = 0;
     for (const auto &[id, other] : m_upstreams) {
-        const bool same = upstream.line.kind == UpstreamKind::Service ? other.line.service == upstream.line.service
-                                                                      : other.line.kind == UpstreamKind::Model;
+        const bool same = upstream.line.kind == UpstreamKind::Service ? other.line.service == upstream.line.service : other.line.kind == UpstreamKind::Model;
         alike += same ? 1 : 0;
         ejected += same && other.ejectedUntil > now ? 1 : 0;
     }
--- a/src/arbutus/routing/upstreamtable.h
+++ b/src/arbutus/routing/upstreamtable.h
@@ -34,51 +34,54 @@
 };
 
 /// A line of the platform's list that describes an upstream.
-struct UpstreamLine {
+struct UpstreamLine
+{
     core::UpstreamId id;
     UpstreamKind kind = UpstreamKind::Model;
     core::RegionId region;
     core::DomainId domain;
-    std::string address;              // "127.0.0.1:7101"
-    std::set<core::ModelId> models;   // loaded at the start, for Model
-    core::ServiceId service;          // for Service
-    std::uint32_t slots = 16;         // requests that it serves at once
-    double price = 1.0;               // price units for 1,000 tokens
+    std::string address;            // "127.0.0.1:7101"
+    std::set<core::ModelId> models; // loaded at the start, for Model
+    core::ServiceId service;        // for Service
+    std::uint32_t slots = 16;       // requests that it serves at once
+    double price = 1.0;             // price units for 1,000 tokens
     bool leaving = false;
 
     bool operator==(const UpstreamLine &) const = default;
 };
 
 /// A load report, as read from the upstream or heard from another instance.
-struct LoadReport {
+struct LoadReport
+{
     core::UpstreamId id;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 16;
-    core::Duration step{6'000};       // time of one token
+    core::Duration step{6'000}; // time of one token
     bool leaving = false;
     bool reachable = true;
-    std::uint64_t atMs = 0;           // wall time at which it was read, Unix ms
+    std::uint64_t atMs = 0; // wall time at which it was read, Unix ms
     std::set<core::ModelId> models;
 
     bool operator==(const LoadReport &) const = default;
 };
 
 /// One upstream with all that is known of it.
-struct Upstream {
+struct Upstream
+{
     UpstreamLine line;
     LoadReport report;
-    core::TimePoint leavingUntil{};            // a report said that it leaves
-    core::TimePoint reportedAt{};              // when the report was taken in
-    std::uint32_t inFlight = 0;                // from this instance
-    std::uint32_t inFlightAtReport = 0;        // from this instance, when the report was taken in
-    double slowness = 1.0;                     // observed over predicted time, moving average; 1 = as reported
+    core::TimePoint leavingUntil{};     // a report said that it leaves
+    core::TimePoint reportedAt{};       // when the report was taken in
+    std::uint32_t inFlight = 0;         // from this instance
+    std::uint32_t inFlightAtReport = 0; // from this instance, when the report was taken in
+    double slowness = 1.0;              // observed over predicted time, moving average; 1 = as reported
     std::uint32_t failuresInARow = 0;
-    core::TimePoint ejectedUntil{};            // outlier ejection
-    core::TimePoint probationUntil{};          // after an ejection: one request at a time
+    core::TimePoint ejectedUntil{};                            // outlier ejection
+    core::TimePoint probationUntil{};                          // after an ejection: one request at a time
     std::unordered_map<std::uint64_t, std::uint32_t> prefixes; // blocks believed to be cached -> recency
-    std::deque<std::uint64_t> prefixOrder;     // oldest first
-    double prefixTrust = 1.0;                  // lowered by gaps in the cache events, 0 .. 1
+    std::deque<std::uint64_t> prefixOrder;                     // oldest first
+    double prefixTrust = 1.0;                                  // lowered by gaps in the cache events, 0 .. 1
 
     /// Requests inside it now, corrected by our own since the report.
     [[nodiscard]] std::uint32_t occupancy() const;
@@ -93,7 +96,8 @@
 //-----------------------------------------------------------------------------
 
 /// An entry instance of another domain to which a request can be passed.
-struct RemoteEntry {
+struct RemoteEntry
+{
     core::InstanceRef instance;
     std::string peerAddress;
     std::string url;
@@ -102,16 +106,17 @@
 };
 
 /// A model (or a service) of another failure domain, as its digest tells.
-struct RemotePool {
+struct RemotePool
+{
     core::DomainId domain;
     core::RegionId region;
-    core::Duration wait{};            // predicted wait for a slot
+    core::Duration wait{}; // predicted wait for a slot
     std::uint32_t freeSlots = 0;
     std::uint32_t slots = 0;
     double price = 1.0;
     core::TimePoint heardAt{};
-    core::TimePoint backSince{};      // when it came back after silence; for the ramp
-    std::uint32_t sentSince = 0;      // ours since the digest
+    core::TimePoint backSince{}; // when it came back after silence; for the ramp
+    std::uint32_t sentSince = 0; // ours since the digest
     std::vector<RemoteEntry> entries;
 };
 
@@ -120,15 +125,16 @@
 //-----------------------------------------------------------------------------
 
 /// Bounds and periods of the table.
-struct TableSettings {
-    core::Duration reportStale = std::chrono::seconds(5);      // a report older than this says nothing
-    core::Duration digestStale = std::chrono::seconds(20);     // a digest older than this says nothing
-    core::Duration leavingKept = std::chrono::seconds(10);     // a report of leaving outlives contrary ones
-    std::uint32_t ejectAfter = 3;                              // failures in a row
-    core::Duration ejectFor = std::chrono::seconds(2);         // first ejection, doubled by each further failure
+struct TableSettings
+{
+    core::Duration reportStale = std::chrono::seconds(5);  // a report older than this says nothing
+    core::Duration digestStale = std::chrono::seconds(20); // a digest older than this says nothing
+    core::Duration leavingKept = std::chrono::seconds(10); // a report of leaving outlives contrary ones
+    std::uint32_t ejectAfter = 3;                          // failures in a row
+    core::Duration ejectFor = std::chrono::seconds(2);     // first ejection, doubled by each further failure
     core::Duration ejectMost = std::chrono::seconds(30);
-    double ejectShare = 0.5;                                   // at most this share of a model's upstreams
-    std::size_t prefixBlocks = 8'192;                          // remembered for each upstream
+    double ejectShare = 0.5;          // at most this share of a model's upstreams
+    std::size_t prefixBlocks = 8'192; // remembered for each upstream
 };
 
 /// Everything that routing looks at.
--- a/src/arbutus/standin/engine.cpp
+++ b/src/arbutus/standin/engine.cpp
@@ -57,7 +57,8 @@
         active.sequence = std::move(node.mapped());
         active.next = active.sequence.firstToken;
         const std::size_t cached = cachedBlocks(active.sequence.blocks) * core::BlockBytes / core::BytesPerToken;
-        active.prefillLeft = active.sequence.promptTokens - std::min(cached, active.sequence.promptTokens - std::min<std::size_t>(1, active.sequence.promptTokens));
+        active.prefillLeft =
+            active.sequence.promptTokens - std::min(cached, active.sequence.promptTokens - std::min<std::size_t>(1, active.sequence.promptTokens));
         m_running.emplace(id, std::move(active));
     }
 }
--- a/src/arbutus/standin/engine.h
+++ b/src/arbutus/standin/engine.h
@@ -18,38 +18,42 @@
 namespace arbutus::standin {
 
 /// Speed and size of an engine.
-struct EngineOptions {
-    std::size_t slots = 16;                    // sequences in one batch
-    core::Duration stepBase{6'000};            // a step with nothing in it
-    core::Duration stepPerSequence{250};       // added for each decoding sequence
-    double prefillTokensPerSecond = 12'000;    // prompt tokens
-    std::size_t prefillChunk = 512;            // prompt tokens in one step
-    std::size_t cacheBlocks = 4'096;           // prefix cache, blocks of core::BlockBytes
+struct EngineOptions
+{
+    std::size_t slots = 16;                 // sequences in one batch
+    core::Duration stepBase{6'000};         // a step with nothing in it
+    core::Duration stepPerSequence{250};    // added for each decoding sequence
+    double prefillTokensPerSecond = 12'000; // prompt tokens
+    std::size_t prefillChunk = 512;         // prompt tokens in one step
+    std::size_t cacheBlocks = 4'096;        // prefix cache, blocks of core::BlockBytes
 };
 
 using SequenceId = std::uint64_t;
 
 /// One request inside the engine.
-struct Sequence {
-    int priority = 1;                          // lower is served first
+struct Sequence
+{
+    int priority = 1; // lower is served first
     std::size_t promptTokens = 0;
-    std::vector<std::uint64_t> blocks;         // prefix blocks of the prompt
-    std::size_t firstToken = 0;                // resume offset
-    std::size_t maxTokens = 0;                 // tokens of the whole answer
+    std::vector<std::uint64_t> blocks; // prefix blocks of the prompt
+    std::size_t firstToken = 0;        // resume offset
+    std::size_t maxTokens = 0;         // tokens of the whole answer
 };
 
 /// A change of the prefix cache.
-struct CacheEvent {
-    std::uint64_t number = 0;                  // 1, 2, 3, …: a jump is a gap
-    bool stored = true;                        // false = evicted
+struct CacheEvent
+{
+    std::uint64_t number = 0; // 1, 2, 3, …: a jump is a gap
+    bool stored = true;       // false = evicted
     std::uint64_t block = 0;
     core::TimePoint at{};
 };
 
 /// What one step did.
-struct StepResult {
-    core::Duration length{};                                     // how long the step lasts; 0 = nothing to do
-    std::vector<std::pair<SequenceId, std::size_t>> emitted;     // sequence and token index
+struct StepResult
+{
+    core::Duration length{};                                 // how long the step lasts; 0 = nothing to do
+    std::vector<std::pair<SequenceId, std::size_t>> emitted; // sequence and token index
     std::vector<SequenceId> finished;
 };
 
@@ -84,7 +88,8 @@
     }
 
 private:
-    struct Active {
+    struct Active
+    {
         Sequence sequence;
         std::size_t prefillLeft = 0; // prompt tokens still to read
         std::size_t next = 0;        // next token index
@@ -101,7 +106,7 @@
     SequenceId m_nextId = 1;
     std::map<std::pair<int, SequenceId>, Sequence> m_waiting; // by priority, then arrival
     std::map<SequenceId, Active> m_running;
-    std::list<std::uint64_t> m_recency;                       // most recent first
+    std::list<std::uint64_t> m_recency; // most recent first
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_cache;
     std::deque<CacheEvent> m_events;
     std::uint64_t m_eventNumber = 0;
--- a/src/arbutus/standin/keyvaluestore.h
+++ b/src/arbutus/standin/keyvaluestore.h
@@ -17,7 +17,8 @@
 namespace arbutus::standin {
 
 /// One stored value.
-struct KeyValue {
+struct KeyValue
+{
     std::string key;
     std::string value;
     std::int64_t createRevision = 0; // revision of the write that made the key
@@ -27,7 +28,8 @@
 };
 
 /// A change that a watch reports.
-struct KeyEvent {
+struct KeyEvent
+{
     std::int64_t revision = 0;
     bool removed = false;
     KeyValue pair;
@@ -44,7 +46,7 @@
     std::size_t erase(const std::string &key, const std::string &rangeEnd);
 
     std::int64_t grantLease(core::Duration timeToLive);
-    [[nodiscard]] bool keepLease(std::int64_t lease);   // false = lapsed or unknown
+    [[nodiscard]] bool keepLease(std::int64_t lease); // false = lapsed or unknown
     void revokeLease(std::int64_t lease);
     void lapseAllLeases();
     void expire(); // lapses what is due; call often
@@ -56,7 +58,8 @@
     }
 
 private:
-    struct Lease {
+    struct Lease
+    {
         core::Duration timeToLive{};
         core::TimePoint due{};
     };
--- a/src/arbutus/standin/platform.h
+++ b/src/arbutus/standin/platform.h
@@ -25,17 +25,19 @@
 namespace arbutus::standin {
 
 /// Fault switches of the platform.
-struct PlatformFaults {
-    bool refuse = false;                    // every call is dropped before it takes effect
-    bool loseAnswer = false;                // writes take effect, their answers are lost
-    bool stale = false;                     // reads are served from the state when the switch was set
-    std::chrono::milliseconds delay{0};     // before each answer
-    std::chrono::milliseconds listLag{0};   // age of the instance list
-    std::set<std::string> cutDomains;       // callers of these domains are dropped
+struct PlatformFaults
+{
+    bool refuse = false;                  // every call is dropped before it takes effect
+    bool loseAnswer = false;              // writes take effect, their answers are lost
+    bool stale = false;                   // reads are served from the state when the switch was set
+    std::chrono::milliseconds delay{0};   // before each answer
+    std::chrono::milliseconds listLag{0}; // age of the instance list
+    std::set<std::string> cutDomains;     // callers of these domains are dropped
 };
 
 /// Settings of the stand-in.
-struct PlatformOptions {
+struct PlatformOptions
+{
     http::Endpoint listen;
     double weightBytesPerSecond = 200e6; // rate of the weight store
     double weightBytes = 20e6;           // size of one model
@@ -77,13 +79,14 @@
     PlatformFaults m_faults;
     std::map<std::string, std::uint64_t> m_calls;
     std::uint64_t m_waitingWatches = 0;
-    struct ListVersion {
+    struct ListVersion
+    {
         core::TimePoint at;
         std::map<std::string, boost::json::object> lines;
     };
     std::vector<ListVersion> m_lists; // oldest first
     std::map<std::string, boost::json::object> m_directory;
-    core::TimePoint m_weightsFree{};  // when the weight store's rate is free again
+    core::TimePoint m_weightsFree{}; // when the weight store's rate is free again
     std::unique_ptr<http::Server> m_server;
 };
 
--- a/src/arbutus/standin/upstream.cpp
+++ b/src/arbutus/standin/upstream.cpp
@@ -29,10 +29,10 @@
 
 namespace {
 
-constexpr auto ReportPeriod = 50ms;          // how often /load is taken
-constexpr auto WeightTimeout = 120s;         // one download
-constexpr auto StallLength = 3600s;          // a stalled stream
-constexpr std::size_t DefaultTokens = 64;    // when max_tokens is absent
+constexpr auto ReportPeriod = 50ms;       // how often /load is taken
+constexpr auto WeightTimeout = 120s;      // one download
+constexpr auto StallLength = 3600s;       // a stalled stream
+constexpr std::size_t DefaultTokens = 64; // when max_tokens is absent
 
 //-----------------------------------------------------------------------------
 // Answers
@@ -136,7 +136,8 @@
 
 } // namespace
 
-struct Upstream::Run {
+struct Upstream::Run
+{
     std::string requestId;
     std::string attemptId;
     std::string workspace;
@@ -144,7 +145,8 @@
     bool chat = false;
 };
 
-struct Upstream::Stream {
+struct Upstream::Stream
+{
     explicit Stream(asio::any_io_executor executor)
         : signal(executor)
     {
@@ -525,12 +527,8 @@
 void Upstream::journal(const Run &run, std::string_view phase)
 {
     const auto at = m_clock.wallNow().time_since_epoch().count();
-    const json::object line{{"request_id", run.requestId},
-                            {"attempt_id", run.attemptId},
-                            {"workspace", run.workspace},
-                            {"path", run.path},
-                            {"phase", phase},
-                            {"at_ms", at}};
+    const json::object line{
+        {"request_id", run.requestId}, {"attempt_id", run.attemptId}, {"workspace", run.workspace}, {"path", run.path}, {"phase", phase}, {"at_ms", at}};
     m_journal += json::serialize(line) + "\n";
 }
 
--- a/src/arbutus/standin/upstream.h
+++ b/src/arbutus/standin/upstream.h
@@ -29,7 +29,8 @@
 namespace arbutus::standin {
 
 /// Fault switches of one upstream; counts are tokens of one answer, 0 = off.
-struct UpstreamFaults {
+struct UpstreamFaults
+{
     bool refuse = false;            // calls are refused with X-Not-Run
     bool dropBefore = false;        // the connection closes before the call takes effect
     bool dropAfter = false;         // the call takes effect, its answer is lost
@@ -46,13 +47,14 @@
 };
 
 /// What an upstream is.
-struct UpstreamOptions {
+struct UpstreamOptions
+{
     std::string id;
     http::Endpoint listen;
-    bool model = true;                    // false = plain service
-    std::set<std::string> models;         // loaded at the start
+    bool model = true;            // false = plain service
+    std::set<std::string> models; // loaded at the start
     bool checksFencing = true;
-    http::Endpoint weightStore;           // where loads are fetched from; port 0 = loads are at once
+    http::Endpoint weightStore; // where loads are fetched from; port 0 = loads are at once
     EngineOptions engine;
 };
 
