--- a/apps/load.cpp
+++ b/apps/load.cpp
@@ -3,8 +3,10 @@
 //   arbutus-load topology --profile siamwong --dir run      writes settings, lists, configuration and topology.json
 //   arbutus-load topology --dir run --pid gw-x=123          notes the gateways' process ids in topology.json
 //   arbutus-load run --topology run/topology.json           callers' traffic; a table and a JSON report
+//   arbutus-load compare --topology run/topology.json       what the gateway adds to a direct call; JSON
 
 #include "arbutus/core/json.h"
+#include "arbutus/loadtool/compare.h"
 #include "arbutus/loadtool/run.h"
 #include "arbutus/loadtool/topology.h"
 
@@ -65,12 +67,22 @@
     return held && verdicts.requests > 0 ? 0 : 1;
 }
 
+int compare(const cxxopts::ParseResult &arguments)
+{
+    const loadtool::Topology topology = loadtool::readTopology(arguments["topology"].as<std::string>());
+    loadtool::CompareOptions options;
+    options.pairs = arguments["pairs"].as<std::size_t>();
+    options.streams = arguments["streams"].as<std::size_t>();
+    std::cout << boost::json::serialize(loadtool::compareWithDirect(topology, options)) << '\n';
+    return 0;
+}
+
 int run(int argc, char **argv)
 {
     cxxopts::Options options("arbutus-load", "Load and experiment tool");
-    options.positional_help("topology|run");
+    options.positional_help("topology|run|compare");
     options.add_options()                                                                                                //
-        ("command", "topology or run", cxxopts::value<std::string>())                                                    //
+        ("command", "topology, run or compare", cxxopts::value<std::string>())                                           //
         ("profile", "siamwong or papiro", cxxopts::value<std::string>()->default_value("siamwong"))                      //
         ("dir", "folder of the deployment's files", cxxopts::value<std::string>()->default_value("run"))                 //
         ("base-port", "first of 600 ports", cxxopts::value<std::uint16_t>()->default_value("17000"))                     //
@@ -82,6 +94,8 @@
         ("wait-share", "share that may wait", cxxopts::value<double>()->default_value("0.15"))                           //
         ("token-scale", "multiplies answers' lengths", cxxopts::value<double>()->default_value("1"))                     //
         ("seed", "of the traffic", cxxopts::value<std::uint64_t>()->default_value("1"))                                  //
+        ("pairs", "pairs of calls to compare", cxxopts::value<std::size_t>()->default_value("300"))                      //
+        ("streams", "streams at once, for the throughput", cxxopts::value<std::size_t>()->default_value("64"))           //
         ("json", "file for the report", cxxopts::value<std::string>())                                                   //
         ("label", "begins the last line", cxxopts::value<std::string>()->default_value("run"))                           //
         ("help", "show this text");
@@ -94,6 +108,9 @@
     if (command == "run") {
         return runTraffic(arguments);
     }
+    if (command == "compare") {
+        return compare(arguments);
+    }
     std::cout << options.help();
     return arguments.count("help") != 0 ? 0 : 2;
 }
--- a/src/arbutus/config/log.cpp
+++ b/src/arbutus/config/log.cpp
@@ -147,7 +147,7 @@
     }
     m_recent.push_back(entry);
     if (m_recent.size() > RecentEntries) {
-        m_recent.erase(m_recent.begin());
+        m_recent.pop_front();
     }
     return Adoption::Adopted;
 }
--- a/src/arbutus/config/log.h
+++ b/src/arbutus/config/log.h
@@ -12,6 +12,7 @@
 #include "arbutus/config/document.h"
 #include "arbutus/core/ids.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -98,7 +99,7 @@
     DocumentSet m_documents;
     std::map<DocumentKey, core::Revision> m_writtenAt;
     std::map<core::WorkspaceId, Policy> m_policies;
-    std::vector<LogEntry> m_recent; // the last RecentEntries adopted, oldest first
+    std::deque<LogEntry> m_recent; // the last RecentEntries adopted, oldest first
 };
 
 } // namespace arbutus::config
--- a/src/arbutus/node/clustercontrollers.cpp
+++ b/src/arbutus/node/clustercontrollers.cpp
@@ -17,6 +17,7 @@
 constexpr core::Duration PullTimeout = std::chrono::milliseconds(1500); // then another pull may start
 constexpr std::uint32_t UnreachableAfter = 3;                           // failed reads in a row
 constexpr std::size_t ReadersPerUpstream = 2;
+constexpr std::size_t HeadCopies = 2;          // instances of another domain told of a revision
 constexpr std::size_t ContactsKept = 3;        // entries remembered of another domain
 constexpr std::size_t EntriesInDigest = 2;     // entries told of each domain
 constexpr double TellStep = 0.15;              // of the slots; a smaller change is not told at once
@@ -136,7 +137,7 @@
         return;
     }
     m_state.logEvent("config_adopted", {{"revision", std::to_string(revision.value)}, {"before", std::to_string(before.value)}});
-    m_state.tellDomain(HeadNews{});
+    announce();
     const std::uint64_t every = m_state.settings.snapshotEvery;
     const bool due = revision.value / every > m_snapshotAt.value / every;
     const bool first = membership::holdsDuty("config-watch", m_state.view.usable(), m_state.self().id, 1);
@@ -146,6 +147,21 @@
     }
 }
 
+void ConfigController::announce()
+{
+    const HeadNews news{m_state.self().peerAddress};
+    m_state.tellDomain(news);
+    const std::vector<membership::Member> usable = m_state.view.usable();
+    for (const auto &[domain, members] : m_state.contacts) { // each member speaks to its part of the other domains
+        if (!membership::holdsDuty("head:" + domain.text, usable, m_state.self().id, 1)) {
+            continue;
+        }
+        for (std::size_t i = 0; i < std::min(members.size(), HeadCopies); ++i) {
+            m_state.emit(SendDatagram{members[i].gossipAddress, m_state.makeDatagram(news)});
+        }
+    }
+}
+
 void ConfigController::take(const ConfigAsked &asked)
 {
     ConfigGiven given{asked.key, m_state.config.head().revision, {}, {}};
@@ -157,17 +173,18 @@
     m_state.emit(std::move(given));
 }
 
-void ConfigController::heard(const core::InstanceRef &sender, core::Revision revision)
+void ConfigController::heard(const core::InstanceRef &sender, core::Revision revision, const std::string &peerAddress)
 {
     if (revision <= m_state.config.head().revision || m_state.now() < m_pullUntil) {
         return;
     }
     const membership::Member *member = m_state.findMember(sender.id);
-    if (member == nullptr) {
+    const std::string address = !peerAddress.empty() || member == nullptr ? peerAddress : member->peerAddress;
+    if (address.empty()) {
         return;
     }
     m_pullUntil = m_state.now() + PullTimeout;
-    m_state.emit(PullConfig{member->peerAddress, m_state.config.head().revision});
+    m_state.emit(PullConfig{address, m_state.config.head().revision});
 }
 
 //-----------------------------------------------------------------------------
--- a/src/arbutus/node/clustercontrollers.h
+++ b/src/arbutus/node/clustercontrollers.h
@@ -54,11 +54,12 @@
     void take(const ConfigEntriesRead &read);
     void take(const ConfigSnapshotRead &read);
     void take(const ConfigAsked &asked);
-    /// A datagram told a revision.
-    void heard(const core::InstanceRef &sender, core::Revision revision);
+    /// A datagram told a revision, and perhaps where its entries can be fetched.
+    void heard(const core::InstanceRef &sender, core::Revision revision, const std::string &peerAddress);
 
 private:
     void adopted(core::Revision before);
+    void announce();
 
     NodeState &m_state;
     bool m_watching = false;
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -307,8 +307,10 @@
 {
     std::vector<limits::Demand> demand;
 };
+/// Announces the sender's configuration revision.
 struct HeadNews
 {
+    std::string peerAddress; // where the entries can be fetched
 };
 /// One datagram between instances.
 struct Datagram
--- a/src/arbutus/node/node.cpp
+++ b/src/arbutus/node/node.cpp
@@ -94,7 +94,8 @@
     } else if (const auto *demand = std::get_if<DemandNews>(&datagram.body)) {
         m_digests.take(datagram.sender, *demand);
     }
-    m_config.heard(datagram.sender, datagram.revision);
+    const auto *head = std::get_if<HeadNews>(&datagram.body);
+    m_config.heard(datagram.sender, datagram.revision, head == nullptr ? std::string() : head->peerAddress);
 }
 
 void Node::on(const ConfigEntriesRead &event)
--- a/src/arbutus/peer/codec.cpp
+++ b/src/arbutus/peer/codec.cpp
@@ -235,7 +235,7 @@
         datagram.body = node::DemandNews{fromWireDemand(in.demand().limits())};
         return datagram;
     case wire::Datagram::kHead:
-        datagram.body = node::HeadNews{};
+        datagram.body = node::HeadNews{in.head().peer_address()};
         return datagram;
     default:
         break;
@@ -273,7 +273,7 @@
             }
         },
         [&](const node::DemandNews &news) { toWireDemand(news.demand, *out.mutable_demand()->mutable_limits()); },
-        [&](const node::HeadNews &) { out.mutable_head(); },
+        [&](const node::HeadNews &news) { out.mutable_head()->set_peer_address(news.peerAddress); },
     };
     std::visit(visitor, datagram.body);
     const std::string body = out.SerializeAsString();
--- a/tests/fleettest.cpp
+++ b/tests/fleettest.cpp
@@ -311,6 +311,63 @@
     }
 }
 
+TEST_CASE("a request is refused by its headers, before its body is read", "[fleet]")
+{
+    struct Row
+    {
+        const char *what;
+        std::function<void(node::RequestHead &)> change;
+        core::ErrorKind kind;
+    };
+    const Row row = GENERATE(Row{"region", [](node::RequestHead &head) { head.workspace = core::WorkspaceId("ws1"); }, core::ErrorKind::ResidencyRefused},
+                             Row{"workspace", [](node::RequestHead &head) { head.workspace = core::WorkspaceId("none"); }, core::ErrorKind::UnknownWorkspace},
+                             Row{"key", [](node::RequestHead &head) { head.bearerHash = "wrong"; }, core::ErrorKind::Unauthorized},
+                             Row{"class", [](node::RequestHead &head) { head.requestClass = core::ClassId("none"); }, core::ErrorKind::UnknownClass},
+                             Row{"ticket", [](node::RequestHead &head) { head.requestClass = core::ClassId("order"); }, core::ErrorKind::TicketRequired},
+                             Row{"deadline", [](node::RequestHead &head) { head.deadline = 0ms; }, core::ErrorKind::DeadlineExceeded},
+                             Row{"loop", [](node::RequestHead &head) { head.via = {"n0"}; }, core::ErrorKind::LoopDetected});
+    INFO(row.what);
+    core::ManualClock clock;
+    tests::FleetOptions options = threeNodes();
+    options.workspaces = 2;
+    options.regions = 2;
+    tests::Fleet fleet(options);
+    fleet.runFor(2s);
+    json::object document = fleet.node(0).state().config.documents().at(config::DocumentKey{"workspace", "ws1"});
+    document["parameters"].as_object()["regions"] = json::array{"r1"};
+    document["parameters"].as_object()["home"] = "r1";
+    fleet.edit(document);
+    fleet.runFor(2s);
+    node::Node alone(clock, fleet.node(0).state().settings);
+    (void)alone.handle(node::ConfigSnapshotRead{fleet.node(0).state().config.snapshot()});
+    node::RequestHead head = fleet.modelHead("q");
+    row.change(head);
+    const node::Actions actions = alone.handle(node::HeadArrived{node::RequestKey(1), head});
+    REQUIRE(actions.size() == 1);
+    const auto &judged = std::get<node::HeadJudged>(actions.front());
+    REQUIRE(judged.error);
+    REQUIRE(judged.error->kind == row.kind);
+    REQUIRE(judged.error->outcome == core::Outcome::NotRun);
+    REQUIRE(alone.inFlight() == 0);
+}
+
+TEST_CASE("an edit reaches every domain through one that is linked to the platform", "[fleet]")
+{
+    tests::FleetOptions options = threeNodes();
+    options.regions = 6;
+    options.domainsPerRegion = 4;
+    options.nodesPerDomain = 2;
+    options.drop = 0.02;
+    tests::Fleet fleet(options);
+    fleet.runFor(20s);
+    fleet.watchOnly(5);
+    json::object document = fleet.node(0).state().config.documents().at(config::DocumentKey{"workspace", "ws0"});
+    document["parameters"].as_object()["rate"] = 125;
+    const core::Revision revision = fleet.edit(document);
+    fleet.runFor(8s);
+    REQUIRE(fleet.nodesBehind(revision) == 0);
+}
+
 TEST_CASE("no request runs outside its residency or passes two instances, whatever the load", "[fleet][property]")
 {
     REQUIRE(tests::checkSchedules("residency", 150, [] {
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -145,15 +145,17 @@
     json::object parameters{{"regions", json::object{{"type", "list"}}},
                             {"home", json::object{{"type", "text"}}},
                             {"rate", json::object{{"type", "number"}, {"default", 100'000}}}};
-    edit(json::object{{"kind", "template"}, {"id", "t"}, {"parameters", std::move(parameters)}, {"policy", std::move(policy)}});
+    std::vector<json::object> documents;
+    documents.push_back(json::object{{"kind", "template"}, {"id", "t"}, {"parameters", std::move(parameters)}, {"policy", std::move(policy)}});
     for (std::size_t w = 0; w < m_options.workspaces; ++w) {
         json::object values{{"regions", regions}, {"home", "r0"}};
-        edit(json::object{{"kind", "workspace"},
-                          {"id", workspaceName(w)},
-                          {"template", "t"},
-                          {"parameters", std::move(values)},
-                          {"key_sha256", json::array{core::sha256Hex(Key)}}});
+        documents.push_back(json::object{{"kind", "workspace"},
+                                         {"id", workspaceName(w)},
+                                         {"template", "t"},
+                                         {"parameters", std::move(values)},
+                                         {"key_sha256", json::array{core::sha256Hex(Key)}}});
     }
+    editAll(std::move(documents));
 }
 
 //-----------------------------------------------------------------------------
@@ -521,6 +523,11 @@
     }
 }
 
+void Fleet::watchOnly(std::size_t domain)
+{
+    m_watchOnly = domain;
+}
+
 void Fleet::loseClaimAnswers(bool lose)
 {
     m_loseClaimAnswers = lose;
@@ -536,16 +543,22 @@
 }
 
 core::Revision Fleet::edit(const json::object &document)
+{
+    return editAll({document});
+}
+
+core::Revision Fleet::editAll(std::vector<json::object> documents)
 {
     config::Edit edit;
     edit.editId = "e" + std::to_string(m_log.size());
-    edit.puts.push_back(document);
+    edit.puts = std::move(documents);
     edit.base = m_logState.head().revision;
     const config::LogEntry entry = config::planEntry(m_logState, edit, 0).value();
     m_logState.offer(entry);
     m_log.push_back(entry);
     for (std::size_t i = 0; i < m_slots.size(); ++i) {
-        if (m_slots[i].watching && m_platformUp && !m_cutDomains.contains(m_slots[i].domain)) {
+        const bool linked = !m_cutDomains.contains(m_slots[i].domain) && (!m_watchOnly || *m_watchOnly == m_slots[i].domain);
+        if (m_slots[i].watching && m_platformUp && linked) {
             at(PlatformTime, i, lifeOf(i), [this, i, entry] { step(i, node::ConfigEntriesRead{{entry}}); });
         }
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -121,11 +121,13 @@
     void cut(std::size_t left, std::size_t right, bool isCut); // one way
     void cutDomain(std::size_t domain, bool isCut);
     void platformUp(bool up);
+    void watchOnly(std::size_t domain); // no other domain hears of edits from the platform
     void loseClaimAnswers(bool lose);
     void upstreamLeaving(const std::string &upstream, bool leaving);
 
     // Configuration
     core::Revision edit(const boost::json::object &document);
+    core::Revision editAll(std::vector<boost::json::object> documents);
     [[nodiscard]] std::size_t nodesBehind(core::Revision revision) const;
 
     // Looking
@@ -239,6 +241,7 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::size_t> m_cutDomains;
     bool m_platformUp = true;
+    std::optional<std::size_t> m_watchOnly;
     bool m_loseClaimAnswers = false;
     std::map<std::string, std::string> m_claims;
     std::vector<config::LogEntry> m_log;
