Placement duty: lease, fencing, damped planner

Cause: orders to upstreams had no mechanism; leases and fencing numbers were unused. Change: a member per failure domain holds a lease in the platform's service, takes the write's revision as fencing number, and sends one order at a time from a planner that is damped and never unloads a last copy; upstreams that ignore fencing get nothing until a former holder's orders are over, and unloads only with copies to spare.

--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -102,7 +102,7 @@
         , callersServer(
               callersThread.executor(), settings.callers, http::ServerLimits{}, [this](http::Exchange &exchange) { return callers.serve(exchange); }, tls)
         , gossip(settings.gossip, settings.clusterKey, metrics, [this](node::DatagramArrived arrived) { post(std::move(arrived)); })
-        , platform(settings.platform, settings.node.self.domain, settings.node.self.region, metrics, [this](node::Event event) { post(std::move(event)); })
+        , platform(clock, settings.platform, settings.node.self, metrics, [this](node::Event event) { post(std::move(event)); })
         , reports(settings.node.router == "naive_exact", [this](node::Event event) { post(std::move(event)); })
         , admin(settings.admin, settings.adminKey, tls, decisions, journal, metrics)
         , peerServer(http::toString(settings.peers), settings.clusterKey, makeHandlers())
@@ -227,6 +227,14 @@
     {
         reports.read(std::move(action));
     }
+    void on(node::HoldLease &&action)
+    {
+        platform.order(std::move(action));
+    }
+    void on(node::SendOrder &&action)
+    {
+        reports.send(std::move(action));
+    }
     void on(node::WriteDirectory &&action)
     {
         platform.order(std::move(action));
--- a/src/arbutus/gateway/platformduty.cpp
+++ b/src/arbutus/gateway/platformduty.cpp
@@ -4,6 +4,7 @@
 //   Orders
 //   Configuration
 //   Claims
+//   Leases of duties
 //   List and directory
 
 #include "arbutus/gateway/platformduty.h"
@@ -30,7 +31,11 @@
 constexpr std::int64_t EntriesPerRead = 256;
 constexpr std::chrono::seconds ClaimLife{3'600}; // window in which an Idempotency-Key is remembered
 constexpr std::int64_t ClaimsPerLease = 1'000;   // then a new lease is taken, so that old claims lapse
-constexpr std::size_t ChunkBytes = 700'000;      // of a snapshot; values are at most a megabyte
+constexpr std::chrono::seconds DutyLease{9};     // time to live of a duty's lease
+constexpr auto LeaseMargin = 1s;                 // given up before it lapses
+constexpr auto LeaseRenewal = 3'000ms;
+constexpr auto LeaseRetry = 2'000ms;        // pause before it is asked for again
+constexpr std::size_t ChunkBytes = 700'000; // of a snapshot; values are at most a megabyte
 constexpr std::string_view LogPrefix = "config/log/";
 constexpr std::string_view LogEnd = "config/log0"; // the first key after the prefix
 constexpr std::string_view SnapshotHead = "config/snapshot/head";
@@ -118,16 +123,18 @@
 // Orders
 //-----------------------------------------------------------------------------
 
-PlatformDuty::PlatformDuty(std::vector<http::Endpoint> endpoints,
-                           const core::DomainId &domain,
-                           const core::RegionId &region,
+PlatformDuty::PlatformDuty(const core::Clock &clock,
+                           std::vector<http::Endpoint> endpoints,
+                           const membership::Member &self,
                            observe::Metrics &metrics,
                            std::function<void(node::Event)> post)
-    : m_domain(domain)
-    , m_region(region)
+    : m_clock(clock)
+    , m_self(self.id, self.incarnation)
+    , m_domain(self.domain)
+    , m_region(self.region)
     , m_metrics(metrics)
     , m_post(std::move(post))
-    , m_client(m_thread.executor(), std::move(endpoints), domain.text)
+    , m_client(m_thread.executor(), std::move(endpoints), self.domain.text)
     , m_ring(m_thread.executor(), RingCapacity, [this](PlatformOrder &&order) { take(std::move(order)); })
 {
 }
@@ -181,6 +188,14 @@
     asio::co_spawn(m_thread.executor(), writeDirectory(order), asio::detached);
 }
 
+void PlatformDuty::on(const node::HoldLease &order)
+{
+    ++m_leaseGeneration;
+    if (order.on) {
+        asio::co_spawn(m_thread.executor(), holdLease(order.name, m_leaseGeneration), asio::detached);
+    }
+}
+
 void PlatformDuty::noteCall(const char *kind, bool good)
 {
     m_metrics.count("arbutus_platform_calls_total", std::string("kind=\"") + kind + "\",result=\"" + (good ? "ok" : "failed") + "\"");
@@ -310,6 +325,58 @@
     m_post(claimed);
 }
 
+//-----------------------------------------------------------------------------
+// Leases of duties
+//-----------------------------------------------------------------------------
+
+asio::awaitable<void> PlatformDuty::pause(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_thread.executor(), duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> PlatformDuty::holdLease(std::string name, std::uint64_t generation)
+{
+    while (m_leaseGeneration == generation) {
+        const core::TimePoint since = m_clock.steadyNow();
+        const auto lease = co_await m_client.grantLease(DutyLease);
+        noteCall("lease", static_cast<bool>(lease));
+        if (lease) {
+            std::string value = m_self.id.text + "/" + std::to_string(m_self.incarnation.value) + "/" + std::to_string(++m_nonce);
+            const auto created = co_await m_client.create("lease/" + name, std::move(value), lease.value());
+            noteCall("create", static_cast<bool>(created));
+            if (created && created.value().created) {
+                const core::FencingToken fencing(static_cast<std::uint64_t>(created.value().revision));
+                co_await keepHeldLease(lease.value(), fencing, since, generation);
+            }
+        }
+        co_await pause(LeaseRetry);
+    }
+}
+
+asio::awaitable<void> PlatformDuty::keepHeldLease(std::int64_t lease, core::FencingToken fencing, core::TimePoint since, std::uint64_t generation)
+{
+    while (m_leaseGeneration == generation) {
+        node::LeaseHeld held;
+        held.fencing = fencing;
+        held.until = since + DutyLease - LeaseMargin;
+        m_post(held);
+        co_await pause(LeaseRenewal);
+        const core::TimePoint asked = m_clock.steadyNow();
+        const auto kept = co_await m_client.keepLease(lease);
+        noteCall("keepalive", static_cast<bool>(kept));
+        if (kept && !kept.value()) {
+            co_return; // lapsed: another may hold it now
+        }
+        since = kept ? asked : since; // no answer: what was known before still holds, until it runs out
+        if (m_clock.steadyNow() >= since + DutyLease) {
+            co_return;
+        }
+    }
+    const auto revoked = co_await m_client.revokeLease(lease); // the duty went to another member
+    noteCall("lease", static_cast<bool>(revoked));
+}
+
 //-----------------------------------------------------------------------------
 // List and directory
 //-----------------------------------------------------------------------------
--- a/src/arbutus/gateway/platformduty.h
+++ b/src/arbutus/gateway/platformduty.h
@@ -15,15 +15,15 @@
 namespace arbutus::gateway {
 
 /// What this duty is asked to do.
-using PlatformOrder = std::variant<node::WatchConfig, node::WriteSnapshot, node::ClaimKey, node::ReadList, node::WriteDirectory>;
+using PlatformOrder = std::variant<node::WatchConfig, node::WriteSnapshot, node::ClaimKey, node::ReadList, node::WriteDirectory, node::HoldLease>;
 
 /// The duty.
 class PlatformDuty
 {
 public:
-    PlatformDuty(std::vector<http::Endpoint> endpoints,
-                 const core::DomainId &domain,
-                 const core::RegionId &region,
+    PlatformDuty(const core::Clock &clock,
+                 std::vector<http::Endpoint> endpoints,
+                 const membership::Member &self,
                  observe::Metrics &metrics,
                  std::function<void(node::Event)> post);
 
@@ -39,17 +39,23 @@
     void on(const node::ClaimKey &order);
     void on(const node::ReadList &order);
     void on(const node::WriteDirectory &order);
+    void on(const node::HoldLease &order);
 
     boost::asio::awaitable<void> followLog(std::uint64_t generation);
     boost::asio::awaitable<bool> readLog();
     boost::asio::awaitable<void> readSnapshot();
     boost::asio::awaitable<void> writeSnapshot(node::WriteSnapshot order);
     boost::asio::awaitable<void> claim(node::ClaimKey order);
+    boost::asio::awaitable<void> holdLease(std::string name, std::uint64_t generation);
+    boost::asio::awaitable<void> keepHeldLease(std::int64_t lease, core::FencingToken fencing, core::TimePoint since, std::uint64_t generation);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     boost::asio::awaitable<void> readList();
     boost::asio::awaitable<void> writeDirectory(node::WriteDirectory order);
     void adopt(const std::vector<platform::Stored> &pairs);
     void noteCall(const char *kind, bool good);
 
+    const core::Clock &m_clock;
+    core::InstanceRef m_self;
     core::DomainId m_domain;
     core::RegionId m_region;
     observe::Metrics &m_metrics;
@@ -58,6 +64,8 @@
     platform::KvClient m_client;
     DutyRing<PlatformOrder> m_ring;
     std::uint64_t m_generation = 0; // of the watch; a newer one ends the older
+    std::uint64_t m_leaseGeneration = 0;
+    std::uint64_t m_nonce = 0; // keeps two tries of one life apart
     bool m_watching = false;
     core::Revision m_read; // last log entry read here
     std::int64_t m_storeRevision = 0;
--- a/src/arbutus/gateway/reportsduty.cpp
+++ b/src/arbutus/gateway/reportsduty.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t RingCapacity = 4'096;
 constexpr auto ReadTimeout = 500ms;
+constexpr auto OrderTimeout = 30'000ms; // a load takes as long as the weight store needs
 
 routing::LoadReport toReport(const core::UpstreamId &id, const json::object &object)
 {
@@ -37,6 +38,12 @@
     return report;
 }
 
+std::string orderBody(const node::SendOrder &order)
+{
+    const bool load = order.order.kind == placement::OrderKind::Load;
+    return json::serialize(json::object{{"fencing", order.fencing.value}, {"order", load ? "load" : "unload"}, {"model", order.order.model.text}});
+}
+
 std::vector<node::CacheNews> toEvents(const json::object &object)
 {
     std::vector<node::CacheNews> out;
@@ -60,14 +67,38 @@
 ReportsDuty::ReportsDuty(bool exact, std::function<void(node::Event)> post)
     : m_exact(exact)
     , m_post(std::move(post))
-    , m_ring(m_thread.executor(), RingCapacity, [this](node::ReadLoad &&order) {
-        if (m_busy.insert(order.upstream).second) { // a slow upstream is not asked again while it is being asked
-            asio::co_spawn(m_thread.executor(), readOne(std::move(order)), asio::detached);
-        }
+    , m_ring(m_thread.executor(),
+             RingCapacity,
+             [this](node::ReadLoad &&order) {
+                 if (m_busy.insert(order.upstream).second) { // a slow upstream is not asked again while it is being asked
+                     asio::co_spawn(m_thread.executor(), readOne(std::move(order)), asio::detached);
+                 }
+             })
+    , m_orders(m_thread.executor(), RingCapacity, [this](node::SendOrder &&order) {
+        asio::co_spawn(m_thread.executor(), sendOne(std::move(order)), asio::detached);
     })
 {
 }
 
+void ReportsDuty::send(node::SendOrder order)
+{
+    m_orders.push(std::move(order));
+}
+
+asio::awaitable<void> ReportsDuty::sendOne(node::SendOrder order)
+{
+    http::Request request;
+    request.method = "POST";
+    request.target = "/orders";
+    request.body = orderBody(order);
+    const auto answer = co_await http::fetch(m_thread.executor(), http::parseEndpoint(order.address), request, OrderTimeout);
+    node::OrderEnded ended;
+    ended.order = order.order;
+    ended.done = answer && answer.value().status == 200;
+    ended.message = answer ? "status " + std::to_string(answer.value().status) : answer.error().message;
+    m_post(std::move(ended));
+}
+
 void ReportsDuty::start()
 {
     m_thread.start();
--- a/src/arbutus/gateway/reportsduty.h
+++ b/src/arbutus/gateway/reportsduty.h
@@ -1,4 +1,4 @@
-// The duty of reading upstreams' load reports and cache events.
+// The duty of reading upstreams' load reports and cache events, and of sending them placement orders.
 
 #pragma once
 
@@ -23,9 +23,11 @@
     void start();
     void stop();
     void read(node::ReadLoad order);
+    void send(node::SendOrder order);
 
 private:
     boost::asio::awaitable<void> readOne(node::ReadLoad order);
+    boost::asio::awaitable<void> sendOne(node::SendOrder order);
     boost::asio::awaitable<std::vector<node::CacheNews>> readEvents(const node::ReadLoad &order);
 
     bool m_exact;
@@ -33,6 +35,7 @@
     DutyThread m_thread;
     http::Pool m_pool;
     DutyRing<node::ReadLoad> m_ring;
+    DutyRing<node::SendOrder> m_orders;
     std::set<core::UpstreamId> m_busy; // being read now
 };
 
--- a/src/arbutus/node/clustercontrollers.cpp
+++ b/src/arbutus/node/clustercontrollers.cpp
@@ -523,6 +523,7 @@
     for (const limits::Demand &demand : news.demand) {
         m_state.limits.noteDemand("instance:" + sender.id.text, demand, m_state.now());
     }
+    m_state.modelDemand.noteOther(sender.id.text, news.models, m_state.now());
 }
 
 void DigestController::tellDemand()
@@ -532,9 +533,9 @@
         return;
     }
     m_nextDemand = now + m_state.settings.demandPeriod;
-    std::vector<limits::Demand> demand = m_state.limits.ownDemand(now);
-    if (!demand.empty()) {
-        m_state.tellDomain(DemandNews{std::move(demand)});
+    DemandNews news{m_state.limits.ownDemand(now), m_state.modelDemand.own(now)};
+    if (!news.demand.empty() || !news.models.empty()) {
+        m_state.tellDomain(std::move(news));
     }
 }
 
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -18,6 +18,7 @@
 #include "arbutus/delivery/ledger.h"
 #include "arbutus/limits/workspacelimits.h"
 #include "arbutus/membership/domainview.h"
+#include "arbutus/placement/planner.h"
 #include "arbutus/routing/router.h"
 
 #include <cstdint>
@@ -305,7 +306,8 @@
 };
 struct DemandNews
 {
-    std::vector<limits::Demand> demand;
+    std::vector<limits::Demand> demand;         // by workspace
+    std::vector<placement::ModelDemand> models; // by model
 };
 /// Announces the sender's configuration revision.
 struct HeadNews
@@ -406,6 +408,31 @@
     std::vector<EntryLine> entries;
 };
 
+/// Asks for a lease in the platform's service, and keeps it, until told otherwise.
+struct HoldLease
+{
+    std::string name;
+    bool on = false;
+};
+/// The lease is held, or was renewed.
+struct LeaseHeld
+{
+    core::FencingToken fencing;
+    core::TimePoint until{}; // by this instance's clock, reckoned from before the call was sent
+};
+struct SendOrder
+{
+    placement::Order order;
+    std::string address; // of the upstream
+    core::FencingToken fencing;
+};
+struct OrderEnded
+{
+    placement::Order order;
+    bool done = false;
+    std::string message;
+};
+
 struct Ticked
 {
 };
@@ -458,6 +485,8 @@
                            ConfigAsked,
                            ListRead,
                            LoadRead,
+                           LeaseHeld,
+                           OrderEnded,
                            Ticked,
                            DrainAsked>;
 
@@ -478,6 +507,8 @@
                             ReadList,
                             ReadLoad,
                             WriteDirectory,
+                            HoldLease,
+                            SendOrder,
                             Drained,
                             DecisionLogged,
                             EventLogged>;
--- a/src/arbutus/node/node.cpp
+++ b/src/arbutus/node/node.cpp
@@ -12,6 +12,7 @@
     , m_digests(m_state)
     , m_ledger(m_state)
     , m_requests(m_state)
+    , m_placement(m_state)
 {
 }
 
@@ -123,6 +124,16 @@
     m_upstreams.take(event);
 }
 
+void Node::on(const LeaseHeld &event)
+{
+    m_placement.take(event);
+}
+
+void Node::on(const OrderEnded &event)
+{
+    m_placement.take(event);
+}
+
 void Node::on(const Ticked & /*event*/)
 {
     m_membership.tick();
@@ -131,6 +142,7 @@
     m_digests.tick();
     m_ledger.tick();
     m_requests.tick();
+    m_placement.tick();
     advanceDrain();
 }
 
--- a/src/arbutus/node/node.h
+++ b/src/arbutus/node/node.h
@@ -14,6 +14,7 @@
 #include "arbutus/node/clustercontrollers.h"
 #include "arbutus/node/ledgercontroller.h"
 #include "arbutus/node/lifecycle.h"
+#include "arbutus/node/placementcontroller.h"
 #include "arbutus/node/requestcontroller.h"
 #include "arbutus/node/state.h"
 
@@ -34,6 +35,10 @@
     {
         return m_state;
     }
+    [[nodiscard]] const PlacementController &placement() const
+    {
+        return m_placement;
+    }
     [[nodiscard]] Phase phase() const
     {
         return m_lifecycle.phase();
@@ -66,6 +71,8 @@
     void on(const ConfigAsked &event);
     void on(const ListRead &event);
     void on(const LoadRead &event);
+    void on(const LeaseHeld &event);
+    void on(const OrderEnded &event);
     void on(const Ticked &event);
     void on(const DrainAsked &event);
     void advanceDrain();
@@ -77,6 +84,7 @@
     DigestController m_digests;
     LedgerController m_ledger;
     RequestController m_requests;
+    PlacementController m_placement;
     Lifecycle m_lifecycle;
 };
 
--- a/src/arbutus/node/requestcontroller.cpp
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -111,6 +111,9 @@
         return;
     }
     m_retries.noteFirstAttempt();
+    if (request.head.service.empty()) {
+        m_state.modelDemand.note(request.body.model, m_state.now());
+    }
     if (request.repeatable || !request.head.attempt.empty()) {
         route(arrived.key, request, true);
         return;
--- a/src/arbutus/node/settings.h
+++ b/src/arbutus/node/settings.h
@@ -4,6 +4,7 @@
 
 #include "arbutus/delivery/ledger.h"
 #include "arbutus/membership/domainview.h"
+#include "arbutus/placement/planner.h"
 #include "arbutus/routing/router.h"
 #include "arbutus/routing/upstreamtable.h"
 
@@ -25,6 +26,7 @@
     routing::TableSettings table;
     routing::RouterSettings routing;
     delivery::LedgerLimits ledger;
+    placement::PlannerSettings planner;
 
     std::chrono::milliseconds ticketLife{600'000};
     std::chrono::milliseconds witnessTimeout{400};                // intent, both tries together
--- a/src/arbutus/node/state.h
+++ b/src/arbutus/node/state.h
@@ -10,6 +10,7 @@
 #include "arbutus/membership/domainview.h"
 #include "arbutus/node/events.h"
 #include "arbutus/node/settings.h"
+#include "arbutus/placement/demandmeter.h"
 #include "arbutus/routing/upstreamtable.h"
 
 #include <pcg_random.hpp>
@@ -31,6 +32,7 @@
     membership::DomainView view;
     routing::UpstreamTable table;
     limits::WorkspaceLimits limits;
+    placement::DemandMeter modelDemand;
     delivery::TicketCodec tickets;
     delivery::OwnerLedger owner;
     delivery::WitnessLedger witness;
--- a/src/arbutus/peer/codec.cpp
+++ b/src/arbutus/peer/codec.cpp
@@ -231,9 +231,14 @@
         datagram.body = std::move(news);
         return datagram;
     }
-    case wire::Datagram::kDemand:
-        datagram.body = node::DemandNews{fromWireDemand(in.demand().limits())};
+    case wire::Datagram::kDemand: {
+        node::DemandNews news{fromWireDemand(in.demand().limits()), {}};
+        for (const auto &share : in.demand().models()) {
+            news.models.push_back(placement::ModelDemand{core::ModelId(share.workspace()), share.demand_milli() / 1000.0});
+        }
+        datagram.body = std::move(news);
         return datagram;
+    }
     case wire::Datagram::kHead:
         datagram.body = node::HeadNews{in.head().peer_address()};
         return datagram;
@@ -272,7 +277,14 @@
                 toWire(report, *out.mutable_load()->add_upstreams());
             }
         },
-        [&](const node::DemandNews &news) { toWireDemand(news.demand, *out.mutable_demand()->mutable_limits()); },
+        [&](const node::DemandNews &news) {
+            toWireDemand(news.demand, *out.mutable_demand()->mutable_limits());
+            for (const placement::ModelDemand &model : news.models) {
+                auto *share = out.mutable_demand()->add_models();
+                share->set_workspace(model.model.text);
+                share->set_demand_milli(static_cast<std::uint32_t>(model.requestsPerSecond * 1000));
+            }
+        },
         [&](const node::HeadNews &news) { out.mutable_head()->set_peer_address(news.peerAddress); },
     };
     std::visit(visitor, datagram.body);
--- /dev/null
+++ b/src/arbutus/placement/demandmeter.h
@@ -0,0 +1,37 @@
+// Requests a second by model: own, as a moving average, and as the domain's other instances tell.
+
+#pragma once
+
+#include "arbutus/placement/planner.h"
+
+#include <map>
+#include <string>
+
+namespace arbutus::placement {
+
+/// Meter of one instance.
+class DemandMeter
+{
+public:
+    void note(const core::ModelId &model, core::TimePoint now);
+    void noteOther(const std::string &instance, const std::vector<ModelDemand> &demand, core::TimePoint now);
+    [[nodiscard]] std::vector<ModelDemand> own(core::TimePoint now) const;
+    /// Own and what was heard freshly.
+    [[nodiscard]] std::vector<ModelDemand> all(core::TimePoint now) const;
+
+private:
+    struct Rate
+    {
+        double requestsPerSecond = 0;
+        core::TimePoint at{};
+    };
+    struct Heard
+    {
+        std::vector<ModelDemand> demand;
+        core::TimePoint at{};
+    };
+    std::map<core::ModelId, Rate> m_own;
+    std::map<std::string, Heard> m_others;
+};
+
+} // namespace arbutus::placement
--- a/src/arbutus/platform/kvclient.cpp
+++ b/src/arbutus/platform/kvclient.cpp
@@ -73,6 +73,7 @@
 {
     Creation creation;
     creation.created = core::jsonBool(answer, "succeeded");
+    creation.revision = core::jsonInteger(core::jsonObject(answer, "header"), "revision");
     const json::array &responses = core::jsonArray(answer, "responses");
     if (!creation.created && !responses.empty()) {
         const Range range = toRange(core::jsonObject(responses.front().as_object(), "response_range"));
@@ -184,6 +185,7 @@
             Creation creation;
             creation.existing = found.value().pairs.front().value;
             creation.created = creation.existing == value;
+            creation.revision = found.value().pairs.front().modRevision;
             co_return creation;
         }
     }
@@ -210,6 +212,16 @@
     co_return core::jsonInteger(core::jsonObject(answer.value(), "result"), "TTL") > 0;
 }
 
+asio::awaitable<core::Result<void>> KvClient::revokeLease(std::int64_t lease)
+{
+    json::object request{{"ID", std::to_string(lease)}};
+    auto answer = co_await post("/v3/lease/revoke", std::move(request));
+    if (!answer) {
+        co_return answer.error();
+    }
+    co_return core::success();
+}
+
 asio::awaitable<core::Result<void>> KvClient::erase(std::string key)
 {
     json::object request{{"key", encodedField(key)}};
--- a/src/arbutus/platform/kvclient.h
+++ b/src/arbutus/platform/kvclient.h
@@ -39,7 +39,8 @@
 struct Creation
 {
     bool created = false;
-    std::string existing; // the value that was there, when not created
+    std::string existing;      // the value that was there, when not created
+    std::int64_t revision = 0; // of the write, when created
 };
 
 /// The client; all calls run on one executor.
@@ -54,6 +55,7 @@
     boost::asio::awaitable<core::Result<Creation>> create(std::string key, std::string value, std::int64_t lease = 0);
     boost::asio::awaitable<core::Result<std::int64_t>> grantLease(std::chrono::seconds timeToLive);
     boost::asio::awaitable<core::Result<bool>> keepLease(std::int64_t lease);
+    boost::asio::awaitable<core::Result<void>> revokeLease(std::int64_t lease);
     boost::asio::awaitable<core::Result<void>> erase(std::string key);
 
     /// Watches [key, rangeEnd) from a revision until the connection fails or `stopped` says so.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -28,6 +28,8 @@
 constexpr const char *Key = "workspace-key";
 constexpr core::Duration UpstreamTime = std::chrono::milliseconds(20);
 constexpr core::Duration PlatformTime = std::chrono::milliseconds(3);
+constexpr core::Duration LeaseLength = std::chrono::seconds(9);
+constexpr core::Duration LeaseStep = std::chrono::seconds(3); // renewals
 
 std::string gossipAddress(std::size_t node)
 {
@@ -103,6 +105,7 @@
                     line.kind = routing::UpstreamKind::Service;
                     line.service = core::ServiceId("orders");
                 }
+                m_loaded[line.id.text] = line.models;
                 m_upstreams.push_back(std::move(line));
             }
         }
@@ -460,6 +463,7 @@
 {
     m_slots[index].node.reset();
     m_slots[index].watching = false;
+    m_slots[index].asking.clear();
     std::vector<std::uint64_t> gone;
     for (const auto &[key, served] : m_served) {
         if (served.node == index) {
@@ -786,7 +790,7 @@
             routing::LoadReport report;
             report.id = line.id;
             report.slots = line.slots;
-            report.models = line.models;
+            report.models = m_loaded[line.id.text];
             report.leaving = m_leaving.contains(line.id.text);
             read.report = report;
         }
@@ -799,6 +803,61 @@
     ++m_calls.directory;
 }
 
+void Fleet::lateOrder(std::size_t index, const placement::Order &order, core::FencingToken fencing)
+{
+    on(index, node::SendOrder{order, {}, fencing});
+}
+
+void Fleet::stepLease(std::size_t index, const std::string &name)
+{
+    const std::uint64_t life = lifeOf(index);
+    if (m_slots[index].asking != name || !m_platformUp || m_cutDomains.contains(m_slots[index].domain)) {
+        at(LeaseStep, index, life, [this, index, name] { stepLease(index, name); });
+        return;
+    }
+    LeaseRecord &lease = m_leases[name];
+    const bool mine = lease.node == index && lease.life == life && lease.until > now();
+    if (!mine && lease.until <= now()) {
+        lease = LeaseRecord{index, life, m_nextFencing++, {}};
+    }
+    if (lease.node == index && lease.life == life) {
+        lease.until = now() + LeaseLength;
+        const node::LeaseHeld held{core::FencingToken(lease.fencing), now() + LeaseLength - LeaseStep};
+        at(PlatformTime, index, life, [this, index, held] { step(index, held); });
+    }
+    at(LeaseStep, index, life, [this, index, name] { stepLease(index, name); });
+}
+
+void Fleet::on(std::size_t index, const node::HoldLease &action)
+{
+    const bool first = m_slots[index].asking.empty();
+    m_slots[index].asking = action.on ? action.name : "none";
+    LeaseRecord &lease = m_leases[action.name];
+    if (!action.on && lease.node == index && lease.life == lifeOf(index)) {
+        lease.until = now(); // revoked
+    }
+    if (first && action.on) {
+        stepLease(index, action.name);
+    }
+}
+
+void Fleet::on(std::size_t index, const node::SendOrder &action)
+{
+    const std::string upstream = action.order.upstream.text;
+    at(UpstreamTime, index, 0, [this, index, action, upstream] { // on its way, whatever becomes of the sender
+        const bool checks = config::checksFencing(m_logState.documents(), action.order.upstream);
+        const bool taken = !checks || action.fencing.value >= m_upstreamFencing[upstream];
+        m_upstreamFencing[upstream] = std::max(m_upstreamFencing[upstream], action.fencing.value);
+        if (taken && action.order.kind == placement::OrderKind::Load) {
+            m_loaded[upstream].insert(action.order.model);
+        } else if (taken) {
+            m_loaded[upstream].erase(action.order.model);
+        }
+        m_orders.push_back(OrderRecord{index, action.order, action.fencing.value, taken});
+        step(index, node::OrderEnded{action.order, taken, taken ? "" : "old fencing number"});
+    });
+}
+
 void Fleet::on(std::size_t index, const node::Drained & /*action*/)
 {
     at(core::Duration(0), index, lifeOf(index), [this, index] { kill(index); });
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -124,6 +124,8 @@
     void watchOnly(std::size_t domain); // no other domain hears of edits from the platform
     void loseClaimAnswers(bool lose);
     void upstreamLeaving(const std::string &upstream, bool leaving);
+    void lateOrder(std::size_t node, const placement::Order &order, core::FencingToken fencing); // sent long ago
+    void stepLease(std::size_t node, const std::string &name);                                   // asks for or renews a lease
 
     // Configuration
     core::Revision edit(const boost::json::object &document);
@@ -143,6 +145,22 @@
     {
         return *m_slots[index].node;
     }
+    /// Orders that upstreams took or refused, in their order.
+    struct OrderRecord
+    {
+        std::size_t node = 0;
+        placement::Order order;
+        std::uint64_t fencing = 0;
+        bool taken = false;
+    };
+    [[nodiscard]] const std::vector<OrderRecord> &orders() const
+    {
+        return m_orders;
+    }
+    [[nodiscard]] const std::set<core::ModelId> &loaded(const std::string &upstream)
+    {
+        return m_loaded[upstream];
+    }
     [[nodiscard]] const NodeTraffic &traffic(std::size_t node) const
     {
         return m_slots[node].traffic;
@@ -167,6 +185,7 @@
         core::TimePoint pausedUntil{};
         std::size_t domain = 0;
         bool watching = false;
+        std::string asking; // lease asked for; "none" after it was given up
         NodeTraffic traffic;
     };
     struct Message
@@ -226,6 +245,8 @@
     void on(std::size_t node, const node::ReadList &action);
     void on(std::size_t node, const node::ReadLoad &action);
     void on(std::size_t node, const node::WriteDirectory &action);
+    void on(std::size_t node, const node::HoldLease &action);
+    void on(std::size_t node, const node::SendOrder &action);
     void on(std::size_t node, const node::Drained &action);
     void on(std::size_t node, const node::DecisionLogged &action);
     void on(std::size_t node, const node::EventLogged &action);
@@ -259,6 +280,18 @@
     std::chrono::nanoseconds m_processor{0};
     std::uint64_t m_nextLife = 1;
     std::set<std::string> m_leaving;
+    struct LeaseRecord
+    {
+        std::size_t node = 0;
+        std::uint64_t life = 0;
+        std::uint64_t fencing = 0;
+        core::TimePoint until{};
+    };
+    std::map<std::string, LeaseRecord> m_leases;
+    std::uint64_t m_nextFencing = 100;
+    std::map<std::string, std::set<core::ModelId>> m_loaded; // by upstream
+    std::map<std::string, std::uint64_t> m_upstreamFencing;  // highest seen
+    std::vector<OrderRecord> m_orders;
 };
 
 } // namespace arbutus::tests
