--- a/bench/failures.sh
+++ b/bench/failures.sh
@@ -3,7 +3,7 @@
 #   bench/failures.sh [FAULTS…]     e.g. bench/failures.sh none kill kill+pause; without arguments all of them
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin="$PWD/build" profile="${PROFILE:-siamwong}" router=scored seconds="${SECONDS_EACH:-12}" rate="${RATE:-60}"
+bin="${BIN:-$PWD/build}" profile="${PROFILE:-siamwong}" router=scored seconds="${SECONDS_EACH:-12}" rate="${RATE:-60}"
 base_port=21000
 all=(none kill pause platform drain upstream lost_writes leave
   kill+pause kill+platform kill+drain pause+platform pause+drain platform+drain upstream+kill upstream+pause lost_writes+kill leave+kill)
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -139,7 +139,8 @@
     options.models = 31;
     options.modelUpstreams = 80;
     options.tick = 200ms;
-    measureFleet("full", options.regions * options.domainsPerRegion, std::move(options));
+    const std::size_t domains = options.regions * options.domainsPerRegion;
+    measureFleet("full", domains, std::move(options));
 }
 
 boost::json::object changed(const tests::Fleet &fleet, int rate)
--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -8,6 +8,7 @@
 #include "arbutus/gateway/attempt.h"
 
 #include "arbutus/gateway/eventstream.h"
+#include "arbutus/http/via.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -82,6 +83,7 @@
     out.headers["X-Request-Id"] = request.id.text;
     out.headers["X-Attempt-Id"] = dispatch.attempt.text;
     out.headers["X-Workspace"] = request.workspace.text;
+    out.headers["Via"] = http::viaOf(http::splitList(request.via));
     out.headers["X-Priority"] = std::to_string(dispatch.priority);
     if (dispatch.resumeOffset > 0) {
         out.headers["X-Resume-Offset"] = std::to_string(dispatch.resumeOffset);
--- a/src/arbutus/gateway/callers.cpp
+++ b/src/arbutus/gateway/callers.cpp
@@ -11,6 +11,7 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/core/json.h"
 #include "arbutus/core/prefix.h"
+#include "arbutus/http/via.h"
 #include "arbutus/observe/logline.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -35,7 +36,6 @@
     node::RequestHead head;
     AttemptRequest attempt;
     core::TimePoint startedAt{};
-    bool forwarded = false;
 };
 
 namespace {
@@ -89,36 +89,6 @@
     return value.starts_with(Scheme) ? core::sha256Hex(std::string_view(value).substr(Scheme.size())) : std::string();
 }
 
-std::vector<std::string> splitList(std::string_view text)
-{
-    std::vector<std::string> out;
-    while (!text.empty()) {
-        const std::size_t end = text.find(',');
-        std::string_view item = text.substr(0, end);
-        while (item.starts_with(' ')) {
-            item.remove_prefix(1);
-        }
-        if (!item.empty()) {
-            out.emplace_back(item);
-        }
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-    }
-    return out;
-}
-
-/// Instances that the request has passed, from Via lines that are ours ("1.1 arbutus-NAME").
-std::vector<std::string> instancesOf(std::string_view via)
-{
-    static constexpr std::string_view Ours = "1.1 arbutus-";
-    std::vector<std::string> out;
-    for (const std::string &item : splitList(via)) {
-        if (item.starts_with(Ours)) {
-            out.push_back(item.substr(Ours.size()));
-        }
-    }
-    return out;
-}
-
 core::Result<std::optional<std::chrono::milliseconds>> readDeadline(const http::Headers &headers)
 {
     const std::string text = http::headerOf(headers, "X-Deadline-Ms");
@@ -377,7 +347,7 @@
         co_return;
     }
     work.head.bearerHash = bearerHash(exchange.request().headers);
-    work.head.via = instancesOf(http::headerOf(exchange.request().headers, "Via"));
+    work.head.via = http::instancesOfVia(http::headerOf(exchange.request().headers, "Via"));
     co_await serveRequest(exchange, work);
 }
 
@@ -618,13 +588,11 @@
     auto serveForward = [this, session]() -> asio::awaitable<void> {
         PeerExchange exchange(m_attempt.executor, session);
         Work work;
-        work.forwarded = true;
         work.attempt.service = session->request.path().starts_with(ServicePrefix);
         work.attempt.shownId = http::headerOf(session->request.headers, "X-Shown-Id");
         work.head.forwarded = true;
-        work.head.via = splitList(session->via);
+        work.head.via = http::splitList(session->via);
         work.head.attempt = session->attempt;
-        work.head.upstream = session->upstream;
         session->request.headers["X-Deadline-Ms"] = std::to_string(std::max<std::int64_t>(1, session->timeLeft.count()));
         const std::string offset = http::headerOf(session->request.headers, "X-Resume-Offset");
         work.attempt.tokensBefore = 0;
--- a/src/arbutus/gateway/platformduty.cpp
+++ b/src/arbutus/gateway/platformduty.cpp
@@ -30,6 +30,7 @@
 constexpr auto WatchRetry = 500ms; // pause before a failed watch is tried again
 constexpr std::int64_t EntriesPerRead = 256;
 constexpr std::chrono::seconds ClaimLife{3'600}; // window in which an Idempotency-Key is remembered
+constexpr auto ClaimWait = 2ms;                  // for a lease that another claim is asking for
 constexpr std::int64_t ClaimsPerLease = 1'000;   // then a new lease is taken, so that old claims lapse
 constexpr std::chrono::seconds DutyLease{9};     // time to live of a duty's lease
 constexpr auto LeaseMargin = 1s;                 // given up before it lapses
@@ -304,8 +305,13 @@
 {
     node::KeyClaimed claimed;
     claimed.key = order.key;
+    while (m_grantingClaimLease) {
+        co_await pause(ClaimWait);
+    }
     if (m_claimLease == 0 || m_claimsUnderLease >= ClaimsPerLease) {
+        m_grantingClaimLease = true;
         const auto lease = co_await m_client.grantLease(ClaimLife * 2);
+        m_grantingClaimLease = false;
         noteCall("lease", static_cast<bool>(lease));
         if (!lease) {
             m_post(claimed);
@@ -315,7 +321,8 @@
         m_claimsUnderLease = 0;
     }
     ++m_claimsUnderLease;
-    const auto created = co_await m_client.create(order.claim, order.ticket, m_claimLease);
+    const auto created = order.replaces.empty() ? co_await m_client.create(order.claim, order.ticket, m_claimLease)
+                                                : co_await m_client.swap(order.claim, order.replaces, order.ticket, m_claimLease);
     noteCall("claim", static_cast<bool>(created));
     if (created) {
         claimed.ticket = created.value().created ? order.ticket : created.value().existing;
--- a/src/arbutus/gateway/platformduty.h
+++ b/src/arbutus/gateway/platformduty.h
@@ -71,6 +71,7 @@
     std::int64_t m_storeRevision = 0;
     std::int64_t m_claimLease = 0; // lease that claims are written under
     std::int64_t m_claimsUnderLease = 0;
+    bool m_grantingClaimLease = false;
 };
 
 } // namespace arbutus::gateway
--- /dev/null
+++ b/src/arbutus/http/via.cpp
@@ -0,0 +1,53 @@
+// Reading and writing Via.
+
+#include "arbutus/http/via.h"
+
+namespace arbutus::http {
+
+namespace {
+
+constexpr std::string_view Ours = "1.1 arbutus-"; // protocol and pseudonym, as RFC 9110 has it
+
+} // namespace
+
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> out;
+    while (!text.empty()) {
+        const std::size_t end = text.find(',');
+        std::string_view item = text.substr(0, end);
+        while (item.starts_with(' ')) {
+            item.remove_prefix(1);
+        }
+        while (item.ends_with(' ')) {
+            item.remove_suffix(1);
+        }
+        if (!item.empty()) {
+            out.emplace_back(item);
+        }
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return out;
+}
+
+std::string viaOf(const std::vector<std::string> &instances)
+{
+    std::string out;
+    for (const std::string &instance : instances) {
+        out += (out.empty() ? "" : ", ") + std::string(Ours) + instance;
+    }
+    return out;
+}
+
+std::vector<std::string> instancesOfVia(std::string_view header)
+{
+    std::vector<std::string> out;
+    for (const std::string &item : splitList(header)) {
+        if (item.starts_with(Ours)) {
+            out.push_back(item.substr(Ours.size()));
+        }
+    }
+    return out;
+}
+
+} // namespace arbutus::http
--- a/src/arbutus/limits/workspacelimits.cpp
+++ b/src/arbutus/limits/workspacelimits.cpp
@@ -30,7 +30,7 @@
         return found->second;
     }
     const double share = shareOf(policy, sharing, now);
-    const double burst = std::max(1.0, policy.limits.burst / static_cast<double>(sharing.instances));
+    const double burst = policy.limits.burst * share / policy.limits.requestsPerSecond;
     return m_states.emplace(policy.workspace, State{TokenBucket(share, burst, now), 0, 0, now, {}}).first->second;
 }
 
@@ -39,9 +39,10 @@
     State &state = stateOf(policy, sharing, now);
     state.demand = decayed(state.demand, state.lastArrival, now) + 1 / DemandSeconds;
     state.lastArrival = now;
-    const double burst = std::max(1.0, policy.limits.burst / static_cast<double>(sharing.instances));
-    state.bucket.setRate(shareOf(policy, sharing, now), burst, now);
-    const std::uint32_t concurrency = std::max<std::uint32_t>(1, policy.limits.concurrency / static_cast<std::uint32_t>(sharing.instances));
+    const double share = shareOf(policy, sharing, now);
+    const double part = share / policy.limits.requestsPerSecond; // burst and concurrency are shared as the rate is
+    state.bucket.setRate(share, policy.limits.burst * part, now);
+    const auto concurrency = static_cast<std::uint32_t>(std::max(1.0, policy.limits.concurrency * part));
     if (state.inFlight >= concurrency) {
         core::Error error = core::makeError(core::ErrorKind::RateLimited,
                                             "workspace " + policy.workspace.text + " has " + std::to_string(state.inFlight)
--- a/src/arbutus/loadtool/caller.cpp
+++ b/src/arbutus/loadtool/caller.cpp
@@ -104,14 +104,13 @@
             continue;
         }
         std::vector<std::string> entries;
-        std::string firstRegion;
-        std::size_t near = 0;
+        std::vector<std::string> others;
         for (const json::value &line : core::jsonArray(body.value(), "entries")) {
-            entries.push_back(core::jsonText(line.as_object(), "url"));
-            const std::string region = core::jsonText(line.as_object(), "region");
-            firstRegion = firstRegion.empty() ? region : firstRegion;
-            near += region == firstRegion ? 1 : 0;
+            const bool own = core::jsonText(line.as_object(), "region") == m_region; // a caller knows where it is
+            (own ? entries : others).push_back(core::jsonText(line.as_object(), "url"));
         }
+        const std::size_t near = entries.empty() ? others.size() : entries.size();
+        entries.insert(entries.end(), others.begin(), others.end());
         if (entries.empty()) {
             continue;
         }
--- a/src/arbutus/membership/domainview.cpp
+++ b/src/arbutus/membership/domainview.cpp
@@ -42,9 +42,13 @@
 std::vector<Outgoing> DomainView::receive(const Message &message, const std::string &address, core::TimePoint now)
 {
     std::vector<Outgoing> out;
+    const std::uint64_t refutation = m_self.refutation;
     for (const Member &heard : message.news) {
         learn(heard, now);
     }
+    if (m_self.refutation != refutation) { // contradicted a suspicion: all hear it at once, before it becomes a death
+        tellAll(out);
+    }
     if (const auto *ping = std::get_if<Ping>(&message.body)) {
         out.push_back(Outgoing{address, makeMessage(Ack{ping->number})});
     } else if (const auto *request = std::get_if<PingRequest>(&message.body)) {
@@ -65,14 +69,18 @@
     m_self.leaving = true;
     noteChange(m_self.id);
     std::vector<Outgoing> out;
+    tellAll(out);
+    m_nextProbe = now + m_settings.probePeriod;
+    return out;
+}
+
+void DomainView::tellAll(std::vector<Outgoing> &out)
+{
     for (const auto &[id, member] : m_members) {
         if (member.condition != Condition::Dead) {
-            Message message = makeMessage(Ping{m_nextNumber++});
-            out.push_back(Outgoing{member.gossipAddress, std::move(message)});
+            out.push_back(Outgoing{member.gossipAddress, makeMessage(Ping{m_nextNumber++})});
         }
     }
-    m_nextProbe = now + m_settings.probePeriod;
-    return out;
 }
 
 std::vector<Member> DomainView::usable() const
@@ -119,7 +127,7 @@
     m_newsLeft[id] = m_settings.newsRepeats * static_cast<std::size_t>(std::bit_width(m_members.size() + 1));
 }
 
-void DomainView::suspect(const core::InstanceId &id, core::TimePoint now)
+void DomainView::suspect(const core::InstanceId &id, core::TimePoint now, std::vector<Outgoing> &out)
 {
     const auto found = m_members.find(id);
     if (found == m_members.end() || found->second.incarnation.value == 0 || found->second.condition != Condition::Alive) {
@@ -128,6 +136,9 @@
     found->second.condition = Condition::Suspect;
     m_changedAt[id] = now;
     noteChange(id);
+    Message message = makeMessage(Ping{m_nextNumber++}); // the suspect hears of it first, so that it can refute
+    message.news.push_back(found->second);
+    out.push_back(Outgoing{found->second.gossipAddress, std::move(message)});
 }
 
 void DomainView::expireSuspects(core::TimePoint now)
@@ -157,7 +168,7 @@
         return;
     }
     if (m_probe) { // the one before has had its whole period
-        suspect(m_probe->target, now);
+        suspect(m_probe->target, now, out);
     }
     m_probe = Probe{*target, m_nextNumber++, now, false};
     Member &member = m_members[*target];
--- a/src/arbutus/membership/domainview.h
+++ b/src/arbutus/membership/domainview.h
@@ -127,7 +127,8 @@
     };
     void learn(const Member &heard, core::TimePoint now);
     void noteChange(const core::InstanceId &id);
-    void suspect(const core::InstanceId &id, core::TimePoint now);
+    void suspect(const core::InstanceId &id, core::TimePoint now, std::vector<Outgoing> &out);
+    void tellAll(std::vector<Outgoing> &out);
     void expireSuspects(core::TimePoint now);
     void startProbe(core::TimePoint now, std::vector<Outgoing> &out);
     void checkProbe(core::TimePoint now, std::vector<Outgoing> &out);
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -51,7 +51,6 @@
     std::vector<std::string> via; // instances that the request has passed
     bool forwarded = false;       // came from another instance, which has checked the key
     core::AttemptId attempt;      // set: the origin keeps the ticket and this is one of its attempts
-    core::UpstreamId upstream;    // the origin's wish; may be empty
     std::size_t resumeOffset = 0; // tokens that the caller already has, told by the origin
 };
 
@@ -251,8 +250,9 @@
 struct ClaimKey
 {
     RequestKey key;
-    std::string claim;  // key in the platform's service
-    std::string ticket; // what to write
+    std::string claim;    // key in the platform's service
+    std::string ticket;   // what to write
+    std::string replaces; // ticket that stands there and can never run any more; empty = the key must be free
 };
 struct KeyClaimed
 {
--- a/src/arbutus/peer/client.cpp
+++ b/src/arbutus/peer/client.cpp
@@ -302,7 +302,6 @@
     out.set_body(call.request.body);
     out.set_deadline_left_ms(call.timeLeft.count());
     out.set_config_revision(call.revision.value);
-    out.set_upstream(call.upstream.text);
     out.set_decision_id(call.decision.text);
     out.set_region(call.region.text);
     out.set_attempt_id(call.attempt.text);
--- a/src/arbutus/peer/client.h
+++ b/src/arbutus/peer/client.h
@@ -23,7 +23,6 @@
     core::RegionId region;
     std::string via; // instances passed, this one last
     core::AttemptId attempt;
-    core::UpstreamId upstream;
     core::DecisionId decision;
     core::Revision revision;
     std::chrono::milliseconds timeLeft{0};
--- a/src/arbutus/peer/server.cpp
+++ b/src/arbutus/peer/server.cpp
@@ -176,7 +176,6 @@
         reactor->origin = core::InstanceRef{core::InstanceId(in->origin().id()), core::Incarnation(in->origin().incarnation())};
         reactor->via = in->via();
         reactor->attempt = core::AttemptId(in->attempt_id());
-        reactor->upstream = core::UpstreamId(in->upstream());
         reactor->timeLeft = std::chrono::milliseconds(in->deadline_left_ms());
         m_handlers.forward(reactor);
         return reactor.get();
--- a/src/arbutus/peer/server.h
+++ b/src/arbutus/peer/server.h
@@ -25,9 +25,8 @@
 
     http::Request request; // headers as the origin passes them on
     core::InstanceRef origin;
-    std::string via;           // instances passed, comma-separated
-    core::AttemptId attempt;   // set: the origin keeps the ticket
-    core::UpstreamId upstream; // the origin's wish
+    std::string via;         // instances passed, comma-separated
+    core::AttemptId attempt; // set: the origin keeps the ticket
     std::chrono::milliseconds timeLeft{0};
 
     /// Status and headers, before any body.
--- a/src/arbutus/platform/kvclient.cpp
+++ b/src/arbutus/platform/kvclient.cpp
@@ -56,19 +56,31 @@
     return request;
 }
 
-json::object createRequest(const std::string &key, const std::string &value, std::int64_t lease)
+/// Transaction that writes `value` if `compare` holds, and reads the key if not.
+json::object writeIf(json::object compare, const std::string &key, const std::string &value, std::int64_t lease)
 {
     json::object put{{"key", encodedField(key)}, {"value", encodedField(value)}};
     if (lease != 0) {
         put["lease"] = std::to_string(lease);
     }
-    json::object compare{{"key", encodedField(key)}, {"target", "CREATE"}, {"create_revision", "0"}, {"result", "EQUAL"}};
     json::object read{{"key", encodedField(key)}};
     return json::object{{"compare", json::array{std::move(compare)}},
                         {"success", json::array{json::object{{"request_put", std::move(put)}}}},
                         {"failure", json::array{json::object{{"request_range", std::move(read)}}}}};
 }
 
+json::object createRequest(const std::string &key, const std::string &value, std::int64_t lease)
+{
+    json::object compare{{"key", encodedField(key)}, {"target", "CREATE"}, {"create_revision", "0"}, {"result", "EQUAL"}};
+    return writeIf(std::move(compare), key, value, lease);
+}
+
+json::object swapRequest(const std::string &key, const std::string &expected, const std::string &value, std::int64_t lease)
+{
+    json::object compare{{"key", encodedField(key)}, {"target", "VALUE"}, {"value", encodedField(expected)}, {"result", "EQUAL"}};
+    return writeIf(std::move(compare), key, value, lease);
+}
+
 Creation toCreation(const json::object &answer)
 {
     Creation creation;
@@ -167,6 +179,17 @@
 asio::awaitable<core::Result<Creation>> KvClient::create(std::string key, std::string value, std::int64_t lease)
 {
     json::object request = createRequest(key, value, lease);
+    co_return co_await writeOrRead(std::move(request), std::move(key), std::move(value));
+}
+
+asio::awaitable<core::Result<Creation>> KvClient::swap(std::string key, std::string expected, std::string value, std::int64_t lease)
+{
+    json::object request = swapRequest(key, expected, value, lease);
+    co_return co_await writeOrRead(std::move(request), std::move(key), std::move(value));
+}
+
+asio::awaitable<core::Result<Creation>> KvClient::writeOrRead(json::object request, std::string key, std::string value)
+{
     auto answer = co_await post("/v3/kv/txn", std::move(request));
     if (answer) {
         Creation creation = toCreation(answer.value());
--- a/src/arbutus/platform/kvclient.h
+++ b/src/arbutus/platform/kvclient.h
@@ -53,6 +53,8 @@
     boost::asio::awaitable<core::Result<void>> put(std::string key, std::string value);
     /// Create-only write; a lost answer is resolved by reading back. Platform errors stay where nothing can be known.
     boost::asio::awaitable<core::Result<Creation>> create(std::string key, std::string value, std::int64_t lease = 0);
+    /// Replaces a value that is still `expected`; what stands there afterwards is in the answer.
+    boost::asio::awaitable<core::Result<Creation>> swap(std::string key, std::string expected, std::string value, std::int64_t lease);
     boost::asio::awaitable<core::Result<std::int64_t>> grantLease(std::chrono::seconds timeToLive);
     boost::asio::awaitable<core::Result<bool>> keepLease(std::int64_t lease);
     boost::asio::awaitable<core::Result<void>> revokeLease(std::int64_t lease);
@@ -66,6 +68,7 @@
     boost::asio::awaitable<core::Result<boost::json::object>> call(std::string method, std::string target, std::string body);
 
 private:
+    boost::asio::awaitable<core::Result<Creation>> writeOrRead(boost::json::object request, std::string key, std::string value);
     boost::asio::awaitable<core::Result<boost::json::object>> post(std::string target, boost::json::object body);
 
     boost::asio::any_io_executor m_executor;
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
+#include "arbutus/http/via.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -202,6 +203,14 @@
     }
 }
 
+TEST_CASE("instances passed are read back from Via", "[http]")
+{
+    REQUIRE(http::viaOf({"a", "b"}) == "1.1 arbutus-a, 1.1 arbutus-b");
+    REQUIRE(http::instancesOfVia("1.0 squid, 1.1 arbutus-a ,1.1 arbutus-b").size() == 2);
+    REQUIRE(http::instancesOfVia(http::viaOf({"a", "b"})) == std::vector<std::string>{"a", "b"});
+    REQUIRE(http::instancesOfVia("").empty());
+}
+
 TEST_CASE("endpoints and queries are read", "[http]")
 {
     REQUIRE(http::parseEndpoint("http://127.0.0.1:80/x") == http::Endpoint{"127.0.0.1", 80});
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -85,9 +85,12 @@
 TEST_CASE("a crashed instance is noticed by all, also over a lossy network", "[membership]")
 {
     const double drop = GENERATE(0.0, 0.1);
+    const std::uint64_t seed = GENERATE(range(1, 21));
+    INFO("drop " << drop << " seed " << seed);
     tests::FleetOptions options;
     options.nodesPerDomain = 8;
     options.drop = drop;
+    options.seed = seed;
     tests::Fleet fleet(options);
     fleet.runFor(10s);
     fleet.kill(3);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -684,7 +684,10 @@
     ++m_calls.claims;
     const bool reachable = m_platformUp && !m_cutDomains.contains(m_slots[index].domain);
     if (reachable) {
-        m_claims.emplace(action.claim, action.ticket);
+        const auto standing = m_claims.emplace(action.claim, action.ticket).first;
+        if (!action.replaces.empty() && standing->second == action.replaces) {
+            standing->second = action.ticket;
+        }
     }
     std::optional<std::string> ticket;
     if (reachable && !m_loseClaimAnswers) {
