Revert the new claim for a closed key; share burst and concurrency from the first request

Two tests failed, both rightly: - limits: a bucket made before any demand was known started with half of its burst. The first request now counts as an even share. - fleet, 'no failures double an order or belie a word': tried was to replace the claim of an Idempotency-Key whose ticket was closed unused. Trace: two tries of one key at one entry; the first is told 'not run' when its witness restarts, the second arrives after the closing, claims anew and runs. So 'not run' was belied for the order. Narrowing the claim to arrivals and to the last try did not help (tries overtake each other). Conclusion: the promise goes before the convenience.

--- a/src/arbutus/gateway/platformduty.cpp
+++ b/src/arbutus/gateway/platformduty.cpp
@@ -321,8 +321,7 @@
         m_claimsUnderLease = 0;
     }
     ++m_claimsUnderLease;
-    const auto created = order.replaces.empty() ? co_await m_client.create(order.claim, order.ticket, m_claimLease)
-                                                : co_await m_client.swap(order.claim, order.replaces, order.ticket, m_claimLease);
+    const auto created = co_await m_client.create(order.claim, order.ticket, m_claimLease);
     noteCall("claim", static_cast<bool>(created));
     if (created) {
         claimed.ticket = created.value().created ? order.ticket : created.value().existing;
--- a/src/arbutus/limits/workspacelimits.cpp
+++ b/src/arbutus/limits/workspacelimits.cpp
@@ -107,9 +107,10 @@
 {
     const double limit = policy.limits.requestsPerSecond;
     const double floor = limit * FloorPart / static_cast<double>(sharing.instances);
+    const double even = limit * (1 - FloorPart) / static_cast<double>(sharing.instances);
     const auto found = m_states.find(policy.workspace);
     if (found == m_states.end()) {
-        return floor;
+        return floor + even;
     }
     const State &state = found->second;
     double all = 0;
@@ -121,11 +122,11 @@
         }
     }
     if (heard < sharing.sources) {
-        return floor + limit * (1 - FloorPart) / static_cast<double>(sharing.instances);
+        return floor + even;
     }
     const double own = decayed(state.demand, state.lastArrival, now);
     all += own;
-    const double claim = all > 0 ? limit * (1 - FloorPart) * own / all : 0;
+    const double claim = all > 0 ? limit * (1 - FloorPart) * own / all : even;
     return floor + claim;
 }
 
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -250,9 +250,8 @@
 struct ClaimKey
 {
     RequestKey key;
-    std::string claim;    // key in the platform's service
-    std::string ticket;   // what to write
-    std::string replaces; // ticket that stands there and can never run any more; empty = the key must be free
+    std::string claim;  // key in the platform's service
+    std::string ticket; // what to write
 };
 struct KeyClaimed
 {
--- a/src/arbutus/node/requestcontroller.cpp
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::size_t MostClaims = 3;                                 // of one request's Idempotency-Key
 constexpr std::size_t MostTickets = 64;                               // in one answer
 constexpr core::Duration BackoffBase = std::chrono::milliseconds(20); // doubled by each attempt, jittered
 constexpr core::Duration TokenTime = std::chrono::milliseconds(15);   // planned for one token of a held request
@@ -180,8 +179,7 @@
             refuse(key, request, core::makeError(core::ErrorKind::Draining, "this instance is shutting down"));
             return;
         }
-        request.claims = 1;
-        m_state.emit(ClaimKey{key, "claim/" + request.head.idempotencyHash, request.ticketText, {}});
+        m_state.emit(ClaimKey{key, "claim/" + request.head.idempotencyHash, request.ticketText});
         return;
     }
     request.ticketText = request.head.ticket;
@@ -226,18 +224,6 @@
     startWithTicket(claimed.key, request);
 }
 
-bool RequestController::claimAgain(RequestKey key, Request &request)
-{
-    if (request.claims == 0 || request.claims >= MostClaims || m_state.draining) {
-        return false; // the caller's own ticket, or tried often enough
-    }
-    ++request.claims;
-    request.ticket.reset();
-    const std::string closed = std::exchange(request.ticketText, m_state.issueTicket(request.workspace));
-    m_state.emit(ClaimKey{key, "claim/" + request.head.idempotencyHash, request.ticketText, closed});
-    return true;
-}
-
 void RequestController::startOwned(RequestKey key, Request &request, const delivery::Ticket &ticket)
 {
     request.ledgerConsulted = true;
@@ -298,9 +284,6 @@
     }
     const std::string why = answer ? "the ticket was closed before it ran" : "the ticket's witness cannot be reached";
     releaseWaiters(request);
-    if (claimAgain(key, request)) {
-        return;
-    }
     refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, why), true);
 }
 
@@ -408,10 +391,6 @@
 void RequestController::answerFromRecord(RequestKey key, Request &request, const delivery::LedgerAnswer &answer)
 {
     request.ledgerConsulted = true;
-    const bool neverRan = answer.verdict == delivery::Verdict::Sealed || (answer.outcome && answer.outcome->ending == delivery::Ending::NotRun);
-    if (neverRan && claimAgain(key, request)) {
-        return;
-    }
     if (answer.verdict == delivery::Verdict::Sealed) {
         refuse(key, request, core::makeError(core::ErrorKind::TicketSealed, "the ticket was closed before it ran"), true);
         return;
--- a/src/arbutus/node/requestcontroller.h
+++ b/src/arbutus/node/requestcontroller.h
@@ -74,7 +74,6 @@
         bool counted = false;
         std::optional<delivery::Ticket> ticket;  // this node owns it
         bool ledgerConsulted = false;            // a ledger has said what became of the ticket
-        std::size_t claims = 0;                  // times that its Idempotency-Key was claimed
         std::string ticketText;                  // the one in force
         std::vector<membership::Member> lookups; // still to be asked for an inherited record, next one last
         std::size_t attempts = 0;
@@ -94,7 +93,6 @@
 
     [[nodiscard]] core::Error settleRefusal(const RequestHead &head, core::Error error);
     void startWithTicket(RequestKey key, Request &request);
-    bool claimAgain(RequestKey key, Request &request);
     void startOwned(RequestKey key, Request &request, const delivery::Ticket &ticket);
     void askWitness(RequestKey key, Request &request, Asking asking);
     void intentAnswered(RequestKey key, Request &request, Asking asking, const std::optional<delivery::LedgerAnswer> &answer);
--- a/src/arbutus/platform/kvclient.cpp
+++ b/src/arbutus/platform/kvclient.cpp
@@ -75,12 +75,6 @@
     return writeIf(std::move(compare), key, value, lease);
 }
 
-json::object swapRequest(const std::string &key, const std::string &expected, const std::string &value, std::int64_t lease)
-{
-    json::object compare{{"key", encodedField(key)}, {"target", "VALUE"}, {"value", encodedField(expected)}, {"result", "EQUAL"}};
-    return writeIf(std::move(compare), key, value, lease);
-}
-
 Creation toCreation(const json::object &answer)
 {
     Creation creation;
@@ -182,12 +176,6 @@
     co_return co_await writeOrRead(std::move(request), std::move(key), std::move(value));
 }
 
-asio::awaitable<core::Result<Creation>> KvClient::swap(std::string key, std::string expected, std::string value, std::int64_t lease)
-{
-    json::object request = swapRequest(key, expected, value, lease);
-    co_return co_await writeOrRead(std::move(request), std::move(key), std::move(value));
-}
-
 asio::awaitable<core::Result<Creation>> KvClient::writeOrRead(json::object request, std::string key, std::string value)
 {
     auto answer = co_await post("/v3/kv/txn", std::move(request));
--- a/src/arbutus/platform/kvclient.h
+++ b/src/arbutus/platform/kvclient.h
@@ -53,8 +53,6 @@
     boost::asio::awaitable<core::Result<void>> put(std::string key, std::string value);
     /// Create-only write; a lost answer is resolved by reading back. Platform errors stay where nothing can be known.
     boost::asio::awaitable<core::Result<Creation>> create(std::string key, std::string value, std::int64_t lease = 0);
-    /// Replaces a value that is still `expected`; what stands there afterwards is in the answer.
-    boost::asio::awaitable<core::Result<Creation>> swap(std::string key, std::string expected, std::string value, std::int64_t lease);
     boost::asio::awaitable<core::Result<std::int64_t>> grantLease(std::chrono::seconds timeToLive);
     boost::asio::awaitable<core::Result<bool>> keepLease(std::int64_t lease);
     boost::asio::awaitable<core::Result<void>> revokeLease(std::int64_t lease);
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -285,6 +285,7 @@
         pcg32 random(seed);
         routing::UpstreamTable table(routing::TableSettings{});
         std::vector<routing::UpstreamLine> lines;
+        lines.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             lines.push_back(lineOf("u" + std::to_string(i), 1.0 + random(100) / 100.0));
         }
