Read upstreams' reports within a budget; one reading of prompts; a test of the announcements

The prompt of a request was put together in two places. With the announcement taken out no test failed: the test of 24 domains has one model, so its digests are quick enough. Change: the period stretches so that reading takes 2.5 KB/s, cache events come with every fourth read; core/prompt; a test that an adopting instance tells every other domain at once.

--- a/src/arbutus/gateway/callers.cpp
+++ b/src/arbutus/gateway/callers.cpp
@@ -11,6 +11,7 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/core/json.h"
 #include "arbutus/core/prefix.h"
+#include "arbutus/core/prompt.h"
 #include "arbutus/http/via.h"
 #include "arbutus/observe/logline.h"
 
@@ -103,18 +104,6 @@
     return std::optional(std::chrono::milliseconds(value));
 }
 
-/// Prompt of either interface as one text, as engines see it.
-std::string promptOf(const json::object &body)
-{
-    std::string prompt = core::jsonText(body, "prompt");
-    for (const json::value &message : core::jsonArray(body, "messages")) {
-        if (message.is_object()) {
-            prompt += core::jsonText(message.as_object(), "role") + ":" + core::jsonText(message.as_object(), "content") + "\n";
-        }
-    }
-    return prompt;
-}
-
 core::Result<node::RequestBody> understandModelBody(const http::Request &request)
 {
     BOOST_OUTCOME_TRY(const json::object body, core::parseJsonObject(request.body));
@@ -127,7 +116,7 @@
     if (tokens < 1) {
         return core::makeError(core::ErrorKind::BadRequest, "max_tokens: found " + std::to_string(tokens) + ", allowed is 1 or more");
     }
-    const std::string prompt = promptOf(body);
+    const std::string prompt = core::promptOf(body);
     out.stream = core::jsonBool(body, "stream");
     out.maxTokens = static_cast<std::size_t>(tokens);
     out.promptTokens = core::estimateTokens(prompt.size());
--- a/src/arbutus/gateway/reportsduty.cpp
+++ b/src/arbutus/gateway/reportsduty.cpp
@@ -127,7 +127,9 @@
         const auto parsed = body ? core::parseJsonObject(body.value()) : core::Result<json::object>(core::makeError(core::ErrorKind::UpstreamFailed, ""));
         if (parsed) {
             result.report = toReport(order.upstream, parsed.value());
-            result.events = co_await readEvents(order);
+            if (order.withEvents) {
+                result.events = co_await readEvents(order);
+            }
         }
     }
     m_busy.erase(order.upstream);
--- a/src/arbutus/node/clustercontrollers.cpp
+++ b/src/arbutus/node/clustercontrollers.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t ContactsKept = 3;        // entries remembered of another domain
 constexpr std::size_t EntriesInDigest = 2;     // entries told of each domain
 constexpr double TellStep = 0.15;              // of the slots; a smaller change is not told at once
+constexpr std::size_t ReadBytes = 400;         // one report read over HTTP, both ways
+constexpr std::uint64_t EventsEvery = 4;       // reads; cache events come with every fourth
 constexpr std::size_t ReportBytes = 40;        // one report in a datagram
 constexpr std::size_t RowBytes = 24;           // one digest row in a datagram
 constexpr std::size_t DomainBytes = 160;       // one digest domain with its entries
@@ -212,6 +214,8 @@
 void UpstreamController::take(const ListRead &read)
 {
     m_state.table.takeList(read.upstreams);
+    std::erase_if(m_readings, [this](const auto &entry) { return m_state.table.find(entry.first) == nullptr; });
+    m_toRead = static_cast<std::size_t>(std::count_if(m_readings.begin(), m_readings.end(), [](const auto &entry) { return entry.second.duty; }));
     m_state.domainsOfRegion = read.domainsOfRegion;
     std::size_t here = 0;
     for (const membership::Member &member : read.instances) {
@@ -241,16 +245,28 @@
         if (now < reading.next) {
             continue;
         }
-        reading.next = now + m_state.settings.loadPeriod;
+        reading.next = now + readPeriod();
         if (usable.empty()) {
             usable = m_state.view.usable();
         }
-        if (usable.empty() || membership::holdsDuty(id.text, usable, m_state.self().id, ReadersPerUpstream)) {
-            m_state.emit(ReadLoad{id, upstream.line.address, reading.lastEvent});
+        const bool duty = usable.empty() || membership::holdsDuty(id.text, usable, m_state.self().id, ReadersPerUpstream);
+        if (duty) {
+            m_state.emit(ReadLoad{id, upstream.line.address, reading.lastEvent, reading.reads % EventsEvery == 0});
+            ++reading.reads;
+        }
+        if (duty != reading.duty) {
+            reading.duty = duty;
+            m_toRead += duty ? 1 : -1;
         }
     }
 }
 
+core::Duration UpstreamController::readPeriod() const
+{
+    const double seconds = static_cast<double>(m_toRead * ReadBytes) / m_state.settings.loadBytesPerSecond;
+    return std::max(m_state.settings.loadPeriod, std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds)));
+}
+
 void UpstreamController::take(const LoadRead &read)
 {
     const routing::Upstream *upstream = m_state.table.find(read.upstream);
--- a/src/arbutus/node/clustercontrollers.h
+++ b/src/arbutus/node/clustercontrollers.h
@@ -89,15 +89,19 @@
         core::TimePoint toldAt{};
         std::uint32_t failures = 0;
         std::uint64_t lastEvent = 0;
+        std::uint64_t reads = 0;
+        bool duty = false; // this instance reads it
         std::optional<routing::LoadReport> told;
     };
     void readDue();
+    [[nodiscard]] core::Duration readPeriod() const;
     void tellChanged();
     [[nodiscard]] bool worthTelling(const Reading &reading, const routing::LoadReport &report, bool primary) const;
     void takeEvents(const core::UpstreamId &id, Reading &reading, const std::vector<CacheNews> &events);
 
     NodeState &m_state;
     core::TimePoint m_nextList{};
+    std::size_t m_toRead = 0; // upstreams that this instance reads
     std::map<core::UpstreamId, Reading> m_readings;
     std::map<core::UpstreamId, routing::LoadReport> m_toTell;
 };
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -387,6 +387,7 @@
     core::UpstreamId upstream;
     std::string address;
     std::uint64_t eventsSince = 0; // cache events after this number
+    bool withEvents = true;
 };
 /// One cache event of an upstream.
 struct CacheNews
--- a/src/arbutus/node/settings.h
+++ b/src/arbutus/node/settings.h
@@ -35,7 +35,8 @@
     double slackOccupancy = 0.85;                                 // held requests are released below this part of the slots
     double retryShare = 0.1;                                      // retries as a share of first attempts
     std::size_t mostAttempts = 3;                                 // of one request
-    core::Duration loadPeriod = std::chrono::milliseconds(200);   // reading one upstream's report
+    core::Duration loadPeriod = std::chrono::milliseconds(200);   // reading one upstream's report; longer with many
+    double loadBytesPerSecond = 2'500;                            // of reading reports by one instance
     core::Duration loadTellPeriod = std::chrono::seconds(1);      // an unchanged report is told again
     core::Duration listPeriod = std::chrono::seconds(1);          // for two instances; longer with more
     core::Duration digestPeriod = std::chrono::milliseconds(500); // for few domains; longer with more
--- a/src/arbutus/standin/upstream.cpp
+++ b/src/arbutus/standin/upstream.cpp
@@ -11,6 +11,7 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/core/json.h"
 #include "arbutus/core/prefix.h"
+#include "arbutus/core/prompt.h"
 #include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,18 +46,6 @@
     return {buffer.data(), end};
 }
 
-/// Prompt of either interface as one text.
-std::string promptOf(const json::object &body)
-{
-    std::string prompt = core::jsonText(body, "prompt");
-    for (const json::value &message : core::jsonArray(body, "messages")) {
-        if (message.is_object()) {
-            prompt += core::jsonText(message.as_object(), "role") + ":" + core::jsonText(message.as_object(), "content") + "\n";
-        }
-    }
-    return prompt;
-}
-
 /// Token `index` of the answer to a prompt: the same for every engine, so that streams can be resumed.
 std::string tokenText(std::uint64_t promptHash, std::size_t index)
 {
@@ -262,7 +251,7 @@
         exchange.abort();
         co_return;
     }
-    const std::string prompt = promptOf(body);
+    const std::string prompt = core::promptOf(body);
     auto stream = std::make_shared<Stream>(m_executor);
     stream->promptHash = core::hash64(prompt);
     stream->promptTokens = core::estimateTokens(prompt.size());
--- a/tests/fleettest.cpp
+++ b/tests/fleettest.cpp
@@ -369,6 +369,26 @@
     REQUIRE(alone.inFlight() == 0);
 }
 
+TEST_CASE("whoever adopts a revision tells every other domain at once", "[fleet]")
+{
+    tests::FleetOptions options = threeNodes();
+    options.regions = 3;
+    options.domainsPerRegion = 2;
+    options.nodesPerDomain = 1;
+    tests::Fleet fleet(options);
+    fleet.runFor(2s);
+    core::ManualClock clock;
+    node::Node alone(clock, fleet.node(0).state().settings);
+    std::set<std::string> told;
+    for (const node::Action &action : alone.handle(node::ConfigSnapshotRead{fleet.node(0).state().config.snapshot()})) {
+        const auto *sent = std::get_if<node::SendDatagram>(&action);
+        if (sent != nullptr && std::holds_alternative<node::HeadNews>(sent->datagram.body)) {
+            told.insert(sent->address);
+        }
+    }
+    REQUIRE(told == std::set<std::string>{"g1", "g2", "g3", "g4", "g5"});
+}
+
 TEST_CASE("an edit reaches every domain through one that is linked to the platform", "[fleet]")
 {
     tests::FleetOptions options = threeNodes();
