Measure a rolling restart of every gateway under load

Cause: the promise that a planned stop cuts off nothing was tested in one process only. Change: bench/failures.sh rolling.

--- a/bench/failures.sh
+++ b/bench/failures.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Real processes under failures, alone and in pairs: callers' records against upstreams' journals, one row each.
 #   bench/failures.sh [FAULTS…]     e.g. bench/failures.sh none kill kill+pause; without arguments all of them
+#   SECONDS_EACH=40 bench/failures.sh rolling     every gateway drained and replaced in turn
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin="${BIN:-$PWD/build}" profile="${PROFILE:-siamwong}" router=scored seconds="${SECONDS_EACH:-12}" rate="${RATE:-60}"
@@ -19,6 +20,15 @@
     drain) "$bin/arbutusctl" --admin "127.0.0.1:${admin[$2]}" --key local-admin-key-for-demo drain > /dev/null ;;
     upstream) for port in $upstream_ports; do faults "127.0.0.1:$port" '{"drop_after":true,"close_after":9}'; done ;;
     lost_writes) faults "$platform" '{"lose_answer":true}' ;;
+    rolling) # every gateway in turn: drained, ended by itself, started anew, ready
+      for i in "${!names[@]}"; do
+        "$bin/arbutusctl" --admin "127.0.0.1:${admin[$i]}" --key local-admin-key-for-demo drain > /dev/null
+        for _ in $(seq 100); do kill -0 "${pid_of[${names[$i]}]}" 2> /dev/null || break; sleep 0.1; done
+        kill -0 "${pid_of[${names[$i]}]}" 2> /dev/null && echo "${names[$i]} did not end by itself" >&2
+        start_gateway "${names[$i]}"
+        until_answers "http://127.0.0.1:${admin[$i]}/readyz"
+        sleep 0.5
+      done ;;
     leave) for port in $upstream_ports; do faults "127.0.0.1:$port" '{"leaving":true}'; done ;;
   esac
 }
