--- a/apps/ctl.cpp
+++ b/apps/ctl.cpp
@@ -164,6 +164,12 @@
     return tool.await(platform::readConfig(store));
 }
 
+/// Revision that an edit is made against: --base, or the newest.
+core::Revision baseOf(const cxxopts::ParseResult &arguments, const config::ConfigState &state)
+{
+    return arguments.count("base") != 0 ? core::Revision(arguments["base"].as<std::uint64_t>()) : state.head().revision;
+}
+
 int setConfig(Tool &tool, const cxxopts::ParseResult &arguments)
 {
     if (tool.words.size() < 3) {
@@ -179,7 +185,7 @@
     }
     config::Edit edit;
     edit.puts = std::move(documents.value());
-    edit.base = arguments.count("base") != 0 ? core::Revision(arguments["base"].as<std::uint64_t>()) : state.value().head().revision;
+    edit.base = baseOf(arguments, state.value());
     return writeDocuments(tool, std::move(edit));
 }
 
@@ -214,7 +220,7 @@
     }
     config::Edit edit;
     edit.puts.push_back(std::move(document));
-    edit.base = arguments.count("base") != 0 ? core::Revision(arguments["base"].as<std::uint64_t>()) : state.value().head().revision;
+    edit.base = baseOf(arguments, state.value());
     return writeDocuments(tool, std::move(edit));
 }
 
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -110,7 +110,6 @@
 {
     RequestKey key;
     bool relayed = false;
-    bool notOwner = false; // it is another life of that instance
 };
 
 struct EntriesWanted
--- a/src/arbutus/node/requestcontroller.cpp
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -78,8 +78,7 @@
     request.requestClass = *context.requestClass;
     request.weights = context.policy->weights;
     request.residency = context.policy->residency;
-    request.arrivedAt = m_state.now();
-    request.deadline = request.arrivedAt + context.deadline;
+    request.deadline = m_state.now() + context.deadline;
     request.repeatable = context.repeatable;
     request.counted = context.counted;
     request.tokensRelayed = arrived.head.resumeOffset;
--- a/src/arbutus/node/requestcontroller.h
+++ b/src/arbutus/node/requestcontroller.h
@@ -68,7 +68,6 @@
         config::RequestClass requestClass;
         config::Weights weights;
         std::set<core::RegionId> residency;
-        core::TimePoint arrivedAt{};
         core::TimePoint deadline{};
         bool repeatable = true;
         bool counted = false;
--- a/src/arbutus/platform/kvclient.cpp
+++ b/src/arbutus/platform/kvclient.cpp
@@ -56,9 +56,9 @@
     return request;
 }
 
-/// Transaction that writes `value` if `compare` holds, and reads the key if not.
-json::object writeIf(json::object compare, const std::string &key, const std::string &value, std::int64_t lease)
+json::object createRequest(const std::string &key, const std::string &value, std::int64_t lease)
 {
+    json::object compare{{"key", encodedField(key)}, {"target", "CREATE"}, {"create_revision", "0"}, {"result", "EQUAL"}};
     json::object put{{"key", encodedField(key)}, {"value", encodedField(value)}};
     if (lease != 0) {
         put["lease"] = std::to_string(lease);
@@ -69,12 +69,6 @@
                         {"failure", json::array{json::object{{"request_range", std::move(read)}}}}};
 }
 
-json::object createRequest(const std::string &key, const std::string &value, std::int64_t lease)
-{
-    json::object compare{{"key", encodedField(key)}, {"target", "CREATE"}, {"create_revision", "0"}, {"result", "EQUAL"}};
-    return writeIf(std::move(compare), key, value, lease);
-}
-
 Creation toCreation(const json::object &answer)
 {
     Creation creation;
@@ -173,11 +167,6 @@
 asio::awaitable<core::Result<Creation>> KvClient::create(std::string key, std::string value, std::int64_t lease)
 {
     json::object request = createRequest(key, value, lease);
-    co_return co_await writeOrRead(std::move(request), std::move(key), std::move(value));
-}
-
-asio::awaitable<core::Result<Creation>> KvClient::writeOrRead(json::object request, std::string key, std::string value)
-{
     auto answer = co_await post("/v3/kv/txn", std::move(request));
     if (answer) {
         Creation creation = toCreation(answer.value());
@@ -233,16 +222,6 @@
     co_return core::success();
 }
 
-asio::awaitable<core::Result<void>> KvClient::erase(std::string key)
-{
-    json::object request{{"key", encodedField(key)}};
-    auto answer = co_await post("/v3/kv/deleterange", std::move(request));
-    if (!answer) {
-        co_return answer.error();
-    }
-    co_return core::success();
-}
-
 asio::awaitable<core::Result<void>>
 KvClient::watch(std::string key, std::string rangeEnd, std::int64_t fromRevision, std::function<void(Stored)> onPut, std::function<bool()> stopped)
 {
--- a/src/arbutus/platform/kvclient.h
+++ b/src/arbutus/platform/kvclient.h
@@ -56,7 +56,6 @@
     boost::asio::awaitable<core::Result<std::int64_t>> grantLease(std::chrono::seconds timeToLive);
     boost::asio::awaitable<core::Result<bool>> keepLease(std::int64_t lease);
     boost::asio::awaitable<core::Result<void>> revokeLease(std::int64_t lease);
-    boost::asio::awaitable<core::Result<void>> erase(std::string key);
 
     /// Watches [key, rangeEnd) from a revision until the connection fails or `stopped` says so.
     boost::asio::awaitable<core::Result<void>>
@@ -66,7 +65,6 @@
     boost::asio::awaitable<core::Result<boost::json::object>> call(std::string method, std::string target, std::string body);
 
 private:
-    boost::asio::awaitable<core::Result<Creation>> writeOrRead(boost::json::object request, std::string key, std::string value);
     boost::asio::awaitable<core::Result<boost::json::object>> post(std::string target, boost::json::object body);
 
     boost::asio::any_io_executor m_executor;
--- a/src/arbutus/routing/router.cpp
+++ b/src/arbutus/routing/router.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-constexpr double ShareWeight = 0.01;    // of the newest request in the share sent away
-constexpr double RampStart = 0.1;       // share of a returned domain's slots that is used at first
-constexpr core::Duration StepsAhead{1}; // a request waits for at least the step under way
+constexpr double ShareWeight = 0.01;   // of the newest request in the share sent away
+constexpr double RampStart = 0.1;      // share of a returned domain's slots that is used at first
+constexpr std::int64_t StepsAhead = 2; // the step under way, and the one that emits the token
 
 //-----------------------------------------------------------------------------
 // Prediction
@@ -150,7 +150,7 @@
     const std::size_t cached = expectedCached(upstream, question);
     scored.warm = cached > 0;
     const core::Duration prefill = seconds(static_cast<double>(question.promptTokens - cached) / settings.prefillTokensPerSecond);
-    const core::Duration step = upstream.report.step * (1 + StepsAhead.count());
+    const core::Duration step = upstream.report.step * StepsAhead;
     const auto busy = static_cast<double>(occupancy) / slots; // a fuller batch prefills and steps more slowly
     const double crowding = 1 + 0.5 * std::min(1.0, busy);
     scored.firstToken = scored.wait + seconds(std::chrono::duration<double>(prefill + step).count() * crowding * upstream.slowness);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -441,7 +441,7 @@
         if (relayed) {
             endServed(action.key.value, true, told);
         }
-        step(index, node::OwnerAnswered{action.key, relayed, false});
+        step(index, node::OwnerAnswered{action.key, relayed});
     };
     forwarded.answered = [this, index, target, finish](bool /*whole*/, const Told &told) {
         overNetwork(target, index, [finish, told] { finish(true, told); });
