Retry of a failed request is refused at once where no other upstream may serve it

Change: the dispatcher answers no_upstream when nothing may ever serve the ask; the hop carries the runs so far; the text is built before the call.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -27,13 +27,14 @@
 constexpr const char *HopRegion = "X-Gateway-Region";   // its region
 constexpr const char *HopService = "X-Gateway-Service"; // that it has chosen
 constexpr const char *HopSends = "X-Gateway-Sends";     // sends to upstreams so far
+constexpr const char *HopRuns = "X-Gateway-Runs";       // of these, upstreams that may have run it
 constexpr const char *HopResume = "X-Gateway-Resume";   // last event that the caller has
 constexpr const char *HopOutcome = "X-Gateway-Outcome"; // in the answer: see the values below
 constexpr const char *HopRetry = "X-Gateway-Retry-Ms";  // in the answer: advice to come back
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotRun = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
-constexpr std::array HopHeaders = {HopOrigin, HopRegion, HopService, HopSends, HopResume, HopOutcome, HopRetry};
+constexpr std::array HopHeaders = {HopOrigin, HopRegion, HopService, HopSends, HopRuns, HopResume, HopOutcome, HopRetry};
 
 /// Statuses by which a gateway promises that a request has not run.
 bool promisesNotRun(unsigned status)
@@ -155,6 +156,7 @@
     job.origin = http::headerOf(job.request.headers, HopOrigin);
     job.service = core::ServiceId(http::headerOf(job.request.headers, HopService));
     job.sends = countOf(http::headerOf(job.request.headers, HopSends));
+    job.runs = countOf(http::headerOf(job.request.headers, HopRuns));
     const std::string resume = http::headerOf(job.request.headers, HopResume);
     for (const char *name : HopHeaders) {
         job.request.headers.erase(name);
@@ -414,6 +416,7 @@
     request.headers[HopRegion] = m_context.settings.region.text;
     request.headers[HopService] = job.service.text;
     request.headers[HopSends] = std::to_string(job.sends);
+    request.headers[HopRuns] = std::to_string(job.runs);
     if (job.events && !job.events->lastEvent().empty()) {
         request.headers[HopResume] = job.events->lastEvent();
     }
@@ -631,7 +634,11 @@
         co_return;
     }
     if (!mayHaveRun) {
-        co_await refuse(job, 503, core::ErrorKind::Overloaded, "not run: " + (job.lastWhy.empty() ? std::string("no place in time") : job.lastWhy), job.retryAfter);
+        std::string why = "not run: no place in time";
+        if (!job.lastWhy.empty()) { // not in the call: GCC 12 destroys conditional temporaries of a co_await twice
+            why = "not run: " + job.lastWhy;
+        }
+        co_await refuse(job, 503, core::ErrorKind::Overloaded, why, job.retryAfter);
         co_return;
     }
     if (timedOut) {
@@ -641,9 +648,9 @@
     co_await refuse(job, 502, core::ErrorKind::UpstreamFailed, "no whole answer; it may have run", {});
 }
 
-asio::awaitable<void> Forwarder::refuse(Job &job, unsigned status, core::ErrorKind kind, std::string message, core::Duration retryAfter)
+asio::awaitable<void> Forwarder::refuse(Job &job, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter)
 {
-    core::Error error = core::makeError(kind, std::move(message));
+    core::Error error = core::makeError(kind, message);
     error.outcome = status == 502 || status == 504 ? core::Outcome::Unknown : core::Outcome::NotRun;
     http::Response response = http::jsonResponse(status, core::toJson(error));
     if (status == 503) {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -78,7 +78,7 @@
     boost::asio::awaitable<Sent> takeWhole(Job &job, http::Call &call, http::Response &head, bool fromPeer, routing::WorkEnding &ending);
     boost::asio::awaitable<Sent> relay(Job &job, http::Call &call, http::Response &head, bool fromPeer, routing::WorkEnding &ending);
     boost::asio::awaitable<void> giveUp(Job &job, bool mayHaveRun, bool timedOut);
-    boost::asio::awaitable<void> refuse(Job &job, unsigned status, core::ErrorKind kind, std::string message, core::Duration retryAfter);
+    boost::asio::awaitable<void> refuse(Job &job, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
     boost::asio::awaitable<void> answer(Job &job, http::Response &response);
     [[nodiscard]] routing::Ask askOf(Job &job);
     [[nodiscard]] bool mayTryAgain(Job &job);
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -60,6 +60,15 @@
     return entry.said.service == service && m_view.roster.takesWork(entry) && region != m_view.regions.end() && region->second == m_view.region;
 }
 
+bool Dispatcher::mightServe(const Ask &ask) const
+{
+    if ((!ask.regions.empty() && !ask.regions.contains(m_view.region)) || ask.excludedRegions.contains(m_view.region)) {
+        return false;
+    }
+    const auto &entries = m_view.roster.entries();
+    return std::any_of(entries.begin(), entries.end(), [&](const auto &row) { return serves(row.second, ask.service) && !ask.excluded.contains(row.first); });
+}
+
 std::optional<Dispatcher::Candidate> Dispatcher::considered(const Ask &ask, const RosterEntry &entry, core::TimePoint now)
 {
     if (!serves(entry, ask.service) || ask.excluded.contains(entry.said.id)) {
@@ -291,6 +300,9 @@
         if (remote) {
             return leave(ask, *remote);
         }
+        if (!mightServe(ask)) {
+            return refuse(ask, RefusalReason::NoUpstream, core::Duration::zero(), now);
+        }
         return std::nullopt;
     }
     if (remote) {
@@ -398,11 +410,9 @@
     }
     const core::Duration predicted = queueWait(ask, now);
     if (arrives) { // judged when it arrives: what cannot be served in time is refused at once
-        const bool here = (ask.regions.empty() || ask.regions.contains(m_view.region)) && !ask.excludedRegions.contains(m_view.region);
-        const bool anybody = here && tokensPerMs(ask.service, now) > 0;
-        if (!anybody || now + predicted > ask.usefulUntil) {
+        if (now + predicted > ask.usefulUntil) {
             m_waiting.erase(ask.id);
-            return refuse(ask, anybody ? RefusalReason::Overloaded : RefusalReason::NoUpstream, predicted, now);
+            return refuse(ask, RefusalReason::Overloaded, predicted, now);
         }
     }
     return Waits{predicted};
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -210,6 +210,8 @@
     [[nodiscard]] std::optional<Candidate> bestLocal(const Ask &ask, core::TimePoint now, bool coldToo);
     /// Whether an upstream of this region may be sent work of the service.
     [[nodiscard]] bool serves(const RosterEntry &entry, const core::ServiceId &service) const;
+    /// Whether any upstream of this region may ever serve the ask, now or once it is sound again.
+    [[nodiscard]] bool mightServe(const Ask &ask) const;
     [[nodiscard]] std::optional<Candidate> considered(const Ask &ask, const RosterEntry &entry, core::TimePoint now);
     [[nodiscard]] std::optional<Elsewhere> bestRemote(const Ask &ask, core::TimePoint now);
     [[nodiscard]] core::Duration queueWait(const Ask &ask, core::TimePoint now);
