--- a/src/arbutus/edge/edge.cpp
+++ b/src/arbutus/edge/edge.cpp
@@ -25,8 +25,7 @@
 constexpr auto LogFlushPeriod = milliseconds(100);
 constexpr auto BeliefTick = milliseconds(200);
 constexpr auto StopCheck = milliseconds(50);
-constexpr auto StopLeast = milliseconds(1'500);  // callers hear of the stop from the directory within its lifetime
-constexpr auto StopQuiet = milliseconds(700);    // without a request
+constexpr auto StopAnnounced = milliseconds(300); // the other instances' directories do not name this one any more
 constexpr auto StopMargin = milliseconds(700);   // before the grace period ends
 constexpr auto SuspendedLeast = milliseconds(200); // a smaller gap between clocks is no suspension
 
@@ -269,11 +268,12 @@
         fleet.leave();
         storeDuty.leave();
         const core::TimePoint latest = begunAt + settings.grace - StopMargin;
+        co_await pause(StopAnnounced);
+        callers.stopAccepting(); // callers go on elsewhere at once, instead of coming late with what cannot end in time
         while (context.now() < latest) {
+            callers.closeIdle();
             co_await pause(StopCheck);
-            const bool idle = callers.openExchanges() == 0 && peers.openExchanges() == 0;
-            const bool quiet = context.now() - forwarder.lastRequestAt() >= StopQuiet;
-            if (idle && quiet && context.now() - begunAt >= StopLeast) {
+            if (callers.openExchanges() == 0 && peers.openExchanges() == 0) {
                 break;
             }
         }
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -171,7 +171,6 @@
 
 asio::awaitable<bool> Forwarder::accept(Job &job)
 {
-    m_lastRequestAt = job.arrivedAt;
     job.catalog = m_beliefs.catalog();
     auto head = m_context.dialect.readRequest(job.request);
     if (!head) {
@@ -437,11 +436,11 @@
     if (head) {
         outcome = http::headerOf(head.value().headers, HopOutcome);
         job.sends = std::max(job.sends, countOf(http::headerOf(head.value().headers, HopSends)));
+        job.runs = std::max(job.runs, countOf(http::headerOf(head.value().headers, HopRuns)));
         if (outcome == OutcomeNotRun) {
             job.triedRegions.insert(region);
             job.lastWhy = "refused by " + peer->id.text;
         } else if (outcome == OutcomeUnknown) {
-            ++job.runs;
             job.triedRegions.insert(region);
             job.lastWhy = "unknown at " + peer->id.text;
             sent = failed(job);
@@ -491,7 +490,7 @@
     }
     case AnswerKind::Unproven:
         call.cancel();
-        ++job.runs;
+        job.runs += fromPeer ? 0 : 1; // a peer tells its count
         job.tried.insert(job.lastUpstream);
         job.lastWhy = "the answer does not show that the upstream gave it";
         ending = routing::WorkEnding::Broken;
@@ -500,7 +499,7 @@
     case AnswerKind::Success:
         break;
     }
-    ++job.runs;
+    job.runs += fromPeer ? 0 : 1;
     if (job.stream() && said.kind == AnswerKind::Success) {
         co_return co_await relay(job, call, head, fromPeer, ending);
     }
@@ -547,6 +546,7 @@
         if (job.fromPeer) {
             begin.headers[HopOutcome] = std::string(OutcomeAnswered);
             begin.headers[HopSends] = std::to_string(job.sends);
+            begin.headers[HopRuns] = std::to_string(job.runs);
         } else {
             for (const char *name : HopHeaders) {
                 begin.headers.erase(name);
@@ -615,6 +615,7 @@
     if (job.fromPeer) {
         response.headers[HopOutcome] = std::string(OutcomeAnswered);
         response.headers[HopSends] = std::to_string(job.sends);
+        response.headers[HopRuns] = std::to_string(job.runs);
     }
     co_await job.exchange.respond(response);
 }
@@ -660,6 +661,7 @@
     if (job.fromPeer) {
         response.headers[HopOutcome] = std::string(error.outcome == core::Outcome::NotRun ? OutcomeNotRun : OutcomeUnknown);
         response.headers[HopSends] = std::to_string(job.sends);
+        response.headers[HopRuns] = std::to_string(job.runs);
     }
     co_await job.exchange.respond(response);
     logEnd(job, status, error.message);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -53,10 +53,6 @@
     boost::asio::awaitable<void> servePeer(http::Exchange &exchange);
     /// Whether a request on the peers' listener is one to forward.
     [[nodiscard]] static bool isHop(const http::Request &request);
-    [[nodiscard]] core::TimePoint lastRequestAt() const
-    {
-        return m_lastRequestAt;
-    }
     /// An upstream has gone: kept connections to its address are closed, since another may get it.
     void closeIdle(const std::string &address);
 
@@ -95,7 +91,6 @@
     http::Pool m_upstreams;
     http::Pool m_peers;
     pcg32 m_random;
-    core::TimePoint m_lastRequestAt{};
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -20,6 +20,7 @@
 #include <array>
 #include <atomic>
 #include <optional>
+#include <set>
 
 namespace arbutus::http {
 
@@ -47,6 +48,7 @@
     std::atomic<std::size_t> exchanges{0};
     std::atomic<bool> closing{false};   // no further request on a connection after the answer under way
     std::atomic<bool> announcing{false}; // answers say that their connection ends
+    std::set<Tcp::socket *> idle;        // connections that wait for a request; touched on the executor only
 };
 
 namespace {
@@ -387,14 +389,37 @@
     std::atomic<std::size_t> &m_counter;
 };
 
+/// Lists a connection as idle for as long as it lives.
+class IdleMark
+{
+public:
+    IdleMark(Server::State &state, Tcp::socket &socket)
+        : m_state(state)
+        , m_socket(&socket)
+    {
+        m_state.idle.insert(m_socket);
+    }
+    IdleMark(const IdleMark &) = delete;
+    IdleMark &operator=(const IdleMark &) = delete;
+    ~IdleMark()
+    {
+        m_state.idle.erase(m_socket);
+    }
+
+private:
+    Server::State &m_state;
+    Tcp::socket *m_socket;
+};
+
 /// Waits for the first byte of the next request; false when the connection is to be closed.
 template<class Stream>
-asio::awaitable<bool> awaitRequest(Stream &stream, beast::flat_buffer &buffer, std::chrono::milliseconds idle)
+asio::awaitable<bool> awaitRequest(Stream &stream, beast::flat_buffer &buffer, Server::State &state)
 {
     if (buffer.size() > 0) {
         co_return true;
     }
-    beast::get_lowest_layer(stream).expires_after(idle);
+    const IdleMark mark(state, beast::get_lowest_layer(stream).socket());
+    beast::get_lowest_layer(stream).expires_after(state.limits.idleTimeout);
     ErrorCode code;
     constexpr std::size_t FirstRead = 8192; // bytes
     const std::size_t got = co_await stream.async_read_some(buffer.prepare(FirstRead), asio::redirect_error(asio::use_awaitable, code));
@@ -409,7 +434,7 @@
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
-        if (!co_await awaitRequest(stream, buffer, state->limits.idleTimeout)) {
+        if (!co_await awaitRequest(stream, buffer, *state)) {
             co_return;
         }
         const ServerLimits limits = state->limits;
@@ -512,6 +537,16 @@
     m_state->announcing = true;
 }
 
+void Server::closeIdle()
+{
+    for (Tcp::socket *socket : m_state->idle) {
+        ErrorCode code;
+        if (socket->available(code) == 0) {
+            socket->close(code);
+        }
+    }
+}
+
 void Server::setLimits(const ServerLimits &limits)
 {
     m_state->limits = limits;
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -84,6 +84,9 @@
     void stopAccepting();
     /// Every further answer says `Connection: close`; idle connections stay open for requests that are on their way.
     void closeAfterAnswers();
+    /// Closes connections on which no request is under way and none has arrived. A request that crosses the close was not
+    /// read, and its caller can tell.
+    void closeIdle();
     /// Bounds for requests that begin from now on.
     void setLimits(const ServerLimits &limits);
     [[nodiscard]] std::size_t openExchanges() const; // requests being handled now
