--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -96,6 +96,7 @@
     std::string lastWhy; // of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
+    core::TimePoint firstEventAt{};
 
     [[nodiscard]] bool mayRepeat() const
     {
@@ -376,6 +377,7 @@
                         .add("ending", routing::toString(ending))
                         .add("why", job.lastWhy)
                         .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(m_context.now() - now)))
+                        .add("first_event_ms", job.firstEventAt > now ? core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - now)) : 0)
                         .add("predicted_ms", core::toMilliseconds(granted.predicted))
                         .add("sends", job.sends)
                         .add("runs", job.runs));
@@ -586,6 +588,7 @@
         if (!out.empty()) {
             if (std::exchange(first, false)) {
                 m_placement.started(job.workId());
+                job.firstEventAt = m_context.now();
                 m_context.metrics.observe("arbutus_first_event_seconds", "", std::chrono::duration_cast<core::Duration>(m_context.now() - job.arrivedAt));
             }
             if (!co_await job.exchange.write(out)) {
--- a/src/arbutus/edge/placement.cpp
+++ b/src/arbutus/edge/placement.cpp
@@ -297,6 +297,24 @@
     }
 }
 
+void Placement::logDispatch()
+{
+    const core::TimePoint now = m_context.now();
+    for (const auto &[id, model] : m_dispatcher.models()) {
+        if (model.runs().empty()) {
+            continue;
+        }
+        m_context.write(observe::LogLine("dispatch_state")
+                            .add("upstream", id)
+                            .add("runs", model.runs().size())
+                            .add("backlog_ms", core::toMilliseconds(model.backlog(now)))
+                            .add("tokens_per_ms", std::lround(model.prefillRate()))
+                            .add("failure_rate", model.failureRate())
+                            .add("accepts", model.accepts(now))
+                            .add("waiting", m_dispatcher.waiting()));
+    }
+}
+
 asio::awaitable<void> Placement::settleLoop()
 {
     while (true) {
@@ -313,6 +331,10 @@
     const auto order = m_fleet.dutyOrder(m_context.settings.region);
     const bool holds = !order.empty() && order.front().id == m_context.settings.id;
     const double reach = static_cast<double>(order.size()) / static_cast<double>(std::max<std::size_t>(m_fleet.knownInRegion(), 1));
+    if (holds != m_holds) {
+        m_holds = holds;
+        m_context.write(observe::LogLine("dispatch_duty").add("holds", holds).add("members", order.size()).add("known", m_fleet.knownInRegion()));
+    }
     m_dispatcher.setDuty(holds, reach, m_context.now());
 }
 
@@ -418,6 +440,10 @@
     while (true) {
         co_await pause(m_settings.statePeriod);
         sendState();
+        if (m_holds && m_context.now() - m_loggedAt >= m_settings.logPeriod) {
+            m_loggedAt = m_context.now();
+            logDispatch();
+        }
     }
 }
 
--- a/src/arbutus/edge/placement.h
+++ b/src/arbutus/edge/placement.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds settlePeriod{20};      // of the own dispatcher while anything waits there
     std::chrono::milliseconds reportPeriod{300};     // of all that is held
     std::chrono::milliseconds statePeriod{250};      // of the region's state to other instances
+    core::Duration logPeriod = std::chrono::seconds(1); // of the dispatcher's state
     std::size_t holdingsPerDatagram = 30;
     std::size_t dutyHoldersTold = 2;                 // of each region; the second takes over without a gap
 };
@@ -95,6 +96,7 @@
     void deliver(std::vector<routing::Settled> settled);
     void sendState();
     void updateDuty();
+    void logDispatch();
     [[nodiscard]] RegionState regionState();
 
     void receiveAsk(const routing::Ask &ask, const std::string &from);
@@ -112,6 +114,8 @@
     std::set<routing::WorkId> m_newlyStarted;
     std::vector<WorkEnded> m_newlyEnded;
     bool m_flushing = false;
+    bool m_holds = false; // the dispatch duty
+    core::TimePoint m_loggedAt{};
     std::map<core::InstanceId, core::TimePoint> m_passedOver;          // until
     std::map<core::InstanceId, std::string> m_addresses;               // of those that asked
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::Outlook, core::TimePoint>> m_outlooks; // of other regions
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -542,7 +542,7 @@
     for (Tcp::socket *socket : m_state->idle) {
         ErrorCode code;
         if (socket->available(code) == 0) {
-            socket->close(code);
+            socket->cancel(code); // not close(): a read that has completed and waits for its turn keeps its request
         }
     }
 }
