Dispatcher: the score counts the wait for each engine, and better asks reserve theirs

Cause: in the peak an ask took whichever engine was free, so a third of the prompt tokens read were shared parts read again, and slots filled with streams slowed by prefill. Change: score = wait for backlog, slot and better asks + reading with its cost to others; an engine whose stream would not end in time comes last; backlog of an engine 350 -> 180 ms.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -66,6 +66,7 @@
     out.set_priority(ask.priority);
     out.set_on_time_left_us(std::chrono::duration_cast<core::Duration>(ask.onTimeUntil - now).count());
     out.set_useful_left_us(std::chrono::duration_cast<core::Duration>(ask.usefulUntil - now).count());
+    out.set_ends_left_us(std::chrono::duration_cast<core::Duration>(ask.endsAt - now).count());
     for (const routing::PromptPart &part : ask.prompt) {
         auto *row = out.add_prompt();
         row->set_chain(part.chain);
@@ -95,6 +96,7 @@
     ask.priority = in.priority();
     ask.onTimeUntil = now + core::Duration(in.on_time_left_us());
     ask.usefulUntil = now + core::Duration(in.useful_left_us());
+    ask.endsAt = now + core::Duration(in.ends_left_us());
     for (const fleet::PromptPart &part : in.prompt()) {
         ask.prompt.push_back(routing::PromptPart{part.chain(), part.tokens()});
     }
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -231,6 +231,7 @@
     ask.priority = job.route->priority;
     ask.onTimeUntil = job.onTimeUntil;
     ask.usefulUntil = job.begun ? job.endAt : job.usefulUntil;
+    ask.endsAt = job.endAt;
     ask.prompt = job.head.prompt;
     ask.promptTokens = job.head.promptTokens;
     ask.outputTokens = job.head.outputTokens;
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -82,10 +82,14 @@
     candidate.entry = &entry;
     candidate.model = &model;
     candidate.uncachedTokens = model.uncached(ask.prompt, ask.promptTokens);
-    candidate.predicted = model.predict(candidate.uncachedTokens, now);
-    const core::Duration reading = model.prefillTime(candidate.uncachedTokens);
-    candidate.score = scaled(candidate.predicted + scaled(reading, m_settings.readAgainWeight - 1), 1 + 2 * model.failureRate());
-    candidate.admissible = model.hasRoom(ask.promptTokens + ask.outputTokens) && model.backlog(now) <= m_settings.backlogMost;
+    const auto reserved = m_reserved.find(entry.said.id);
+    const core::Duration ahead = reserved == m_reserved.end() ? core::Duration::zero() : reserved->second;
+    candidate.predicted = model.predict(candidate.uncachedTokens, now) + model.slotWait() + ahead;
+    const core::Duration reading = ask.promptTokens == 0 ? core::Duration::zero() : model.prefillTime(candidate.uncachedTokens);
+    const double costToOthers = m_settings.readAgainWeight - 1 + m_settings.slowedWeight * static_cast<double>(model.runs().size());
+    candidate.score = scaled(candidate.predicted + scaled(reading, costToOthers), 1 + 2 * model.failureRate());
+    candidate.ends = ask.promptTokens == 0 || now + candidate.predicted + model.decodeTime(ask.outputTokens, now) <= ask.endsAt;
+    candidate.admissible = ahead == core::Duration::zero() && model.hasRoom(ask.promptTokens + ask.outputTokens) && model.backlog(now) <= m_settings.backlogMost;
     return candidate;
 }
 
@@ -114,7 +118,7 @@
         if (!candidate) {
             continue;
         }
-        const bool better = !best || (candidate->admissible != best->admissible ? candidate->admissible : candidate->score < best->score);
+        const bool better = !best || (candidate->ends != best->ends ? candidate->ends : candidate->score < best->score);
         if (better) {
             best = candidate;
         }
@@ -307,7 +311,7 @@
     }
     if (remote) {
         const core::Duration left = between(now, ask.onTimeUntil);
-        const core::Duration predicted = local->admissible ? local->predicted : std::max(local->predicted, queueWait(ask, now) + local->predicted / 2);
+        const core::Duration predicted = local->predicted;
         const bool localOnTime = predicted <= left;
         const bool remoteOnTime = remote->predicted <= left;
         const bool unsound = local->model->failureRate() >= m_settings.failureAvoid && remoteOnTime;
@@ -340,8 +344,14 @@
 void Dispatcher::pump(core::TimePoint now)
 {
     if (m_waiting.empty()) {
+        m_reserved.clear();
         return;
     }
+    if (now - m_pumpedAt < m_settings.pumpPeriod) {
+        return;
+    }
+    m_pumpedAt = now;
+    m_reserved.clear();
     std::vector<const WaitingAsk *> order;
     order.reserve(m_waiting.size());
     for (const auto &[id, waiting] : m_waiting) {
@@ -367,6 +377,8 @@
         if (auto verdict = place(ask, now)) {
             m_settled.push_back({ask.id, ask.holder, std::move(*verdict)});
             done.push_back(ask.id);
+        } else {
+            reserve(ask, now);
         }
     }
     for (const WorkId &id : done) {
@@ -374,6 +386,15 @@
     }
 }
 
+void Dispatcher::reserve(const Ask &ask, core::TimePoint now)
+{
+    const auto best = bestLocal(ask, now, false);
+    if (best) {
+        const core::Duration reading = ask.promptTokens == 0 ? best->model->serviceTime() : best->model->prefillTime(best->uncachedTokens);
+        m_reserved[best->entry->said.id] += reading + best->model->slotWait();
+    }
+}
+
 std::optional<Verdict> Dispatcher::repeatGrant(const WorkId &id)
 {
     const auto found = m_placed.find(id);
@@ -400,6 +421,10 @@
             }
         }
         m_waiting[ask.id] = std::move(waiting);
+        if (auto verdict = place(ask, now)) { // m_reserved keeps it behind better ones that wait
+            m_waiting.erase(ask.id);
+            return *verdict;
+        }
     }
     pump(now);
     const auto settled = std::find_if(m_settled.begin(), m_settled.end(), [&](const Settled &row) { return row.id == ask.id; });
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -45,7 +45,8 @@
     core::ServiceId service;
     int priority = 0;               // 0 is first
     core::TimePoint onTimeUntil{};  // first event, or whole answer, by then is on time
-    core::TimePoint usefulUntil{};  // after that it is worth nothing
+    core::TimePoint usefulUntil{};  // a first event, or an answer, after that is worth nothing
+    core::TimePoint endsAt{};       // nobody waits for the last event after that
     std::vector<PromptPart> prompt;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;      // expected
@@ -123,12 +124,14 @@
 struct DispatcherSettings
 {
     EngineSettings engine;
-    core::Duration backlogMost = std::chrono::milliseconds(350);     // of one engine; what comes on top waits here
+    core::Duration backlogMost = std::chrono::milliseconds(180);     // of one engine; what comes on top waits here
     core::Duration regionRoundTrip = std::chrono::milliseconds(115); // there and back, with one hop more
     core::Duration remoteMargin = std::chrono::milliseconds(150);    // another region must be better by this
     core::Duration outlookAge = std::chrono::milliseconds(1'500);    // older ones say nothing
     core::Duration unseenMost = std::chrono::milliseconds(1'200);    // work and asks that nobody speaks of are forgotten
-    double readAgainWeight = 1.6;                                    // time that is read again counts so much: it delays others too
+    double readAgainWeight = 1.6;                                    // time spent on reading counts so much: it delays others too
+    double slowedWeight = 0.02;                                      // of the time by which reading delays each run beside it
+    core::Duration pumpPeriod = std::chrono::milliseconds(8);        // waiting asks are gone through at most so often
     double slotsUsed = 0.94;                                         // of an engine's slots
     double memoryUsed = 0.88;                                        // of an engine's memory, for running requests
     std::size_t placedAtOnce = 48;                                   // asks looked at when something changes
@@ -189,8 +192,9 @@
         EngineModel *model = nullptr;
         std::uint32_t uncachedTokens = 0;
         core::Duration predicted{};
-        core::Duration score{};
-        bool admissible = false; // its backlog, slots and memory allow one more now
+        core::Duration score{};   // predicted, with what it costs others
+        bool admissible = false;  // its backlog, slots and memory allow one more now, and nobody better waits for it
+        bool ends = true;         // its last event would come in time
     };
     struct Remote
     {
@@ -219,6 +223,8 @@
     [[nodiscard]] std::optional<Verdict> place(const Ask &ask, core::TimePoint now);
     /// Places waiting asks, best first, into m_settled.
     void pump(core::TimePoint now);
+    /// Notes that a better ask waits for the engine that is best for it.
+    void reserve(const Ask &ask, core::TimePoint now);
     [[nodiscard]] std::optional<Verdict> repeatGrant(const WorkId &id);
     [[nodiscard]] Verdict grant(const Ask &ask, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] Verdict leave(const Ask &ask, const Elsewhere &elsewhere);
@@ -234,6 +240,8 @@
     std::map<WorkId, WaitingAsk> m_waiting;
     std::map<WorkId, Granted> m_placed; // granted and not finished
     std::vector<Settled> m_settled;     // verdicts to hand out
+    std::map<core::UpstreamId, core::Duration> m_reserved; // work of better asks that wait for an engine
+    core::TimePoint m_pumpedAt{};
     std::map<core::RegionId, std::map<core::ServiceId, Remote>> m_remotes;
     std::map<core::UpstreamId, core::TimePoint> m_coldNext; // when a cold upstream may get one more
     bool m_holds = false;
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/routing/enginemodel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutus::routing {
 
@@ -50,6 +51,7 @@
     , m_engine(engine)
     , m_rate(settings.prefillTokensPerMs)
     , m_serviceTime(settings.serviceTime)
+    , m_runTime(settings.runTime)
 {
 }
 
@@ -89,6 +91,28 @@
     return backlog(now) + prefillTime(uncachedTokens) + m_settings.fixedDelay + m_settings.stepPerRun * beside;
 }
 
+double EngineModel::prefillShare(core::TimePoint now) const
+{
+    const double memory = toMillisecondsExact(m_settings.loadMemory);
+    const double age = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - m_recentAt));
+    return std::min(1.0, m_recentTokens * std::exp(-age / memory) / memory / m_rate);
+}
+
+core::Duration EngineModel::decodeTime(std::uint32_t tokens, core::TimePoint now) const
+{
+    const double step = toMillisecondsExact(m_settings.stepBase + m_settings.stepOfRun * static_cast<core::Duration::rep>(m_runs.size()))
+        + prefillShare(now) * toMillisecondsExact(m_settings.chunkTime);
+    return fromMilliseconds(step * tokens);
+}
+
+core::Duration EngineModel::slotWait() const
+{
+    if (m_runs.size() < m_slots) {
+        return core::Duration::zero();
+    }
+    return m_runTime / static_cast<core::Duration::rep>(m_slots);
+}
+
 bool EngineModel::hasRoom(std::uint32_t tokens) const
 {
     if (m_runs.size() >= m_slots) {
@@ -131,6 +155,9 @@
     m_memoryUsed += run.memoryTokens;
     if (m_engine) {
         m_backlogEnd = std::max(m_backlogEnd, now) + prefillTime(run.uncachedTokens);
+        const double age = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - m_recentAt));
+        m_recentTokens = m_recentTokens * std::exp(-age / toMillisecondsExact(m_settings.loadMemory)) + run.uncachedTokens;
+        m_recentAt = now;
         cacheParts(prompt);
     }
     m_runs[id] = std::move(run);
@@ -176,6 +203,8 @@
         m_memoryUsed -= std::min<std::uint64_t>(m_memoryUsed, run.memoryTokens);
         if (m_engine) {
             rebuildBacklog(now);
+            const auto held = std::chrono::duration_cast<core::Duration>(now - run.grantedAt);
+            m_runTime += fromMilliseconds(m_settings.learnWeight * toMillisecondsExact(held - m_runTime));
         } else if (ending == WorkEnding::Answered || ending == WorkEnding::ServerError) {
             const auto took = std::chrono::duration_cast<core::Duration>(now - run.grantedAt);
             m_serviceTime += fromMilliseconds(m_settings.learnWeight * toMillisecondsExact(took - m_serviceTime));
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -38,6 +38,11 @@
     double learnWeight = 0.15;            // of one observation
     core::Duration fixedDelay = std::chrono::milliseconds(10);    // network and one step, before a first event
     core::Duration stepPerRun = std::chrono::microseconds(300);   // a first event waits longer for each run beside it
+    core::Duration stepBase = std::chrono::microseconds(6'000);   // of one output token of every run, without prefill
+    core::Duration stepOfRun = std::chrono::microseconds(30);     // on top for each run
+    core::Duration chunkTime = std::chrono::milliseconds(50);     // a step lasts so much longer while prompts are read
+    core::Duration loadMemory = std::chrono::milliseconds(1'500); // over which the share of time spent on prefill is taken
+    core::Duration runTime = std::chrono::milliseconds(2'000);    // of one request in a slot, before anything was learned
     double cacheShare = 0.75;             // of an engine's memory that is taken to hold prompt parts
     core::Duration serviceTime = std::chrono::milliseconds(30);   // of a plain upstream, before anything was learned
     int failuresToEject = 3;              // in a row
@@ -87,6 +92,12 @@
     [[nodiscard]] core::Duration predict(std::uint32_t uncachedTokens, core::TimePoint now) const;
     /// Time that reading `tokens` takes.
     [[nodiscard]] core::Duration prefillTime(std::uint64_t tokens) const;
+    /// Share of the engine's time that recent prompts take, 0 to 1.
+    [[nodiscard]] double prefillShare(core::TimePoint now) const;
+    /// Time to the last of `tokens` output tokens, after the first.
+    [[nodiscard]] core::Duration decodeTime(std::uint32_t tokens, core::TimePoint now) const;
+    /// Time until a slot is likely to be free; zero if one is.
+    [[nodiscard]] core::Duration slotWait() const;
     /// Whether a slot and the memory for `tokens` more are free.
     [[nodiscard]] bool hasRoom(std::uint32_t tokens) const;
     [[nodiscard]] double prefillRate() const // tokens for each millisecond
@@ -137,6 +148,9 @@
     core::TimePoint m_backlogEnd{};
     double m_rate; // tokens for each millisecond
     core::Duration m_serviceTime;
+    core::Duration m_runTime;      // moving average of requests in a slot
+    double m_recentTokens = 0;     // prompt tokens granted, fading over loadMemory
+    core::TimePoint m_recentAt{};
     struct CachedPart
     {
         std::uint32_t tokens = 0;
