--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -97,6 +97,8 @@
     core::UpstreamId lastUpstream;
     std::string lastAddress;
     core::TimePoint firstEventAt{};
+    core::TimePoint lastEventAt{};
+    core::Duration longestPause{}; // between events of the stream
 
     [[nodiscard]] bool mayRepeat() const
     {
@@ -587,9 +589,14 @@
             co_return failed(job);
         }
         if (!out.empty()) {
+            const core::TimePoint now = m_context.now();
+            if (job.events->events() > 1 && job.lastEventAt != core::TimePoint{}) {
+                job.longestPause = std::max(job.longestPause, std::chrono::duration_cast<core::Duration>(now - job.lastEventAt));
+            }
+            job.lastEventAt = now;
             if (std::exchange(first, false)) {
                 m_placement.started(job.workId());
-                job.firstEventAt = m_context.now();
+                job.firstEventAt = now;
                 m_context.metrics.observe("arbutus_first_event_seconds", "", std::chrono::duration_cast<core::Duration>(m_context.now() - job.arrivedAt));
             }
             if (!co_await job.exchange.write(out)) {
@@ -690,6 +697,8 @@
                         .add("took_ms", core::toMilliseconds(took))
                         .add("placements", job.placements)
                         .add("sends", job.sends)
+                        .add("first_event_ms", job.firstEventAt == core::TimePoint{} ? 0 : core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - job.arrivedAt)))
+                        .add("longest_pause_ms", core::toMilliseconds(job.longestPause))
                         .add("events", job.events ? job.events->events() : 0));
 }
 
--- a/src/arbutus/edge/placement.cpp
+++ b/src/arbutus/edge/placement.cpp
@@ -52,7 +52,7 @@
     , m_fleet(fleet)
     , m_beliefs(beliefs)
     , m_settings(settings)
-    , m_dispatcher(routing::DispatcherSettings{}, viewOf(context, beliefs), context.now())
+    , m_dispatcher(context.settings.dispatch, viewOf(context, beliefs), context.now())
 {
 }
 
@@ -192,7 +192,7 @@
 
 void Placement::hand(const routing::Ask &ask, const routing::Granted &granted)
 {
-    const std::uint32_t memory = ask.promptTokens + ask.outputTokens;
+    const std::uint32_t memory = ask.ownTokens();
     m_held[ask.id] = Held{granted.upstream, false, memory};
     m_dispatcher.report(m_context.settings.id, {routing::Holding{ask.id, granted.upstream, false, memory}}, m_context.now());
 }
--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -88,6 +88,16 @@
     }
 }
 
+void readDispatch(Reader &reader, routing::DispatcherSettings &out)
+{
+    const auto backlog = std::chrono::duration_cast<std::chrono::milliseconds>(out.backlogMost);
+    out.backlogMost = reader.milliseconds("dispatch.backlog_most_ms", backlog);
+    out.readAgainWeight = reader.number("dispatch.reading_weight", out.readAgainWeight, 1, 100);
+    out.slowedWeight = reader.number("dispatch.slowed_weight", out.slowedWeight, 0, 100);
+    out.streamingWeight = reader.number("dispatch.streaming_weight", out.streamingWeight, 0, 100);
+    out.slotsUsed = reader.number("dispatch.slots_used", out.slotsUsed, 0.05, 1);
+}
+
 } // namespace
 
 bool describesEdge(const std::string &path)
@@ -129,6 +139,7 @@
         out.retrySlack = reader.number("promises.retry_slack", out.retrySlack, 0, 1e6);
         out.retryWindow = reader.seconds("promises.retry_window_s", out.retryWindow);
         out.directoryLifetime = std::chrono::seconds(static_cast<std::int64_t>(reader.number("directory.lifetime_s", 2, 1, 3600)));
+        readDispatch(reader, out.dispatch);
         if (!reader.faults().empty()) {
             return core::makeError(core::ErrorKind::SettingsInvalid, path + ": " + reader.faults());
         }
--- a/src/arbutus/edge/settings.h
+++ b/src/arbutus/edge/settings.h
@@ -8,6 +8,7 @@
 #include "arbutus/core/error.h"
 #include "arbutus/core/ids.h"
 #include "arbutus/http/message.h"
+#include "arbutus/routing/dispatcher.h"
 
 #include <map>
 #include <string>
@@ -44,6 +45,9 @@
     double retrySlack = 50;
     std::chrono::milliseconds retryWindow{10'000};
     std::chrono::seconds directoryLifetime{2};        // of an answer
+
+    //--- How work waits and is placed
+    routing::DispatcherSettings dispatch;
 };
 
 /// Whether the file describes an instance of this kind (it has a [route_gateway] table).
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -44,14 +44,15 @@
         return found->second;
     }
     const catalog::Service *service = m_view.catalog ? m_view.catalog->service(entry.said.service) : nullptr;
-    const bool engine = service != nullptr && service->engine.has_value();
     std::size_t slots = entry.said.slots;
     std::uint64_t memory = 0;
-    if (engine) {
+    std::uint64_t tokensPerEvent = 0;
+    if (service != nullptr && service->engine) {
+        tokensPerEvent = std::max<std::uint64_t>(service->engine->tokensPerEvent, 1);
         slots = static_cast<std::size_t>(m_settings.slotsUsed * static_cast<double>(slots));
         memory = static_cast<std::uint64_t>(m_settings.memoryUsed * static_cast<double>(service->engine->memoryTokens));
     }
-    return m_models.emplace(entry.said.id, EngineModel(m_settings.engine, memory, slots, engine)).first->second;
+    return m_models.emplace(entry.said.id, EngineModel(m_settings.engine, memory, slots, tokensPerEvent)).first->second;
 }
 
 bool Dispatcher::serves(const RosterEntry &entry, const core::ServiceId &service) const
@@ -85,11 +86,15 @@
     const auto reserved = m_reserved.find(entry.said.id);
     const core::Duration ahead = reserved == m_reserved.end() ? core::Duration::zero() : reserved->second;
     candidate.predicted = model.predict(candidate.uncachedTokens, now) + model.slotWait() + ahead;
-    const core::Duration reading = ask.promptTokens == 0 ? core::Duration::zero() : model.prefillTime(candidate.uncachedTokens);
-    const double costToOthers = m_settings.readAgainWeight - 1 + m_settings.slowedWeight * static_cast<double>(model.runs().size());
-    candidate.score = scaled(candidate.predicted + scaled(reading, costToOthers), 1 + 2 * model.failureRate());
-    candidate.ends = ask.promptTokens == 0 || now + candidate.predicted + model.decodeTime(ask.outputTokens, now) <= ask.endsAt;
-    candidate.admissible = ahead == core::Duration::zero() && model.hasRoom(ask.promptTokens + ask.outputTokens) && model.backlog(now) <= m_settings.backlogMost;
+    core::Duration cost = candidate.predicted;
+    if (ask.promptTokens > 0) {
+        const core::Duration streaming = model.decodeTime(ask.outputTokens, now);
+        const double costToOthers = m_settings.readAgainWeight - 1 + m_settings.slowedWeight * static_cast<double>(model.runs().size());
+        cost += scaled(model.prefillTime(candidate.uncachedTokens), costToOthers) + scaled(streaming, m_settings.streamingWeight);
+        candidate.ends = now + candidate.predicted + streaming <= ask.endsAt;
+    }
+    candidate.score = scaled(cost, 1 + 2 * model.failureRate());
+    candidate.admissible = ahead == core::Duration::zero() && model.hasRoom(ask.ownTokens()) && model.backlog(now) <= m_settings.backlogMost;
     return candidate;
 }
 
@@ -265,7 +270,7 @@
     Run run;
     run.holder = ask.holder;
     run.uncachedTokens = candidate.uncachedTokens;
-    run.memoryTokens = ask.promptTokens + ask.outputTokens;
+    run.memoryTokens = ask.ownTokens();
     candidate.model->granted(ask.id, std::move(run), ask.prompt, now);
     Granted granted{entry.said.id, entry.said.address, candidate.uncachedTokens, candidate.predicted, entry.cold(now)};
     if (granted.cold) {
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -55,6 +55,12 @@
     std::set<core::RegionId> regions;    // that may serve it; empty = all
     std::set<core::UpstreamId> excluded; // tried before
     std::set<core::RegionId> excludedRegions;
+
+    /// Memory that it takes beside parts that it shares with others.
+    [[nodiscard]] std::uint32_t ownTokens() const
+    {
+        return (prompt.empty() ? promptTokens : prompt.back().tokens) + outputTokens;
+    }
 };
 
 struct Granted
@@ -124,16 +130,17 @@
 struct DispatcherSettings
 {
     EngineSettings engine;
-    core::Duration backlogMost = std::chrono::milliseconds(180);     // of one engine; what comes on top waits here
+    core::Duration backlogMost = std::chrono::milliseconds(60);      // of one engine; what comes on top waits here
     core::Duration regionRoundTrip = std::chrono::milliseconds(115); // there and back, with one hop more
     core::Duration remoteMargin = std::chrono::milliseconds(150);    // another region must be better by this
     core::Duration outlookAge = std::chrono::milliseconds(1'500);    // older ones say nothing
     core::Duration unseenMost = std::chrono::milliseconds(1'200);    // work and asks that nobody speaks of are forgotten
     double readAgainWeight = 1.6;                                    // time spent on reading counts so much: it delays others too
-    double slowedWeight = 0.02;                                      // of the time by which reading delays each run beside it
+    double slowedWeight = 0.06;                                      // of the time by which reading delays each run beside it
+    double streamingWeight = 0.05;                                   // of the time that the stream will take: steps are slow where prompts are read
     core::Duration pumpPeriod = std::chrono::milliseconds(8);        // waiting asks are gone through at most so often
     double slotsUsed = 0.94;                                         // of an engine's slots
-    double memoryUsed = 0.88;                                        // of an engine's memory, for running requests
+    double memoryUsed = 0.95;                                        // of an engine's memory, for running requests and cached parts
     std::size_t placedAtOnce = 48;                                   // asks looked at when something changes
     double failureAvoid = 0.3;                                       // failure rate from which another choice is preferred
     core::Duration coldPause = std::chrono::milliseconds(1'000);     // a new holder sends nothing to cold upstreams for so long
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -44,11 +44,12 @@
     return "never_sent";
 }
 
-EngineModel::EngineModel(EngineSettings settings, std::uint64_t memoryTokens, std::size_t slots, bool engine)
+EngineModel::EngineModel(EngineSettings settings, std::uint64_t memoryTokens, std::size_t slots, std::uint64_t tokensPerEvent)
     : m_settings(settings)
     , m_memoryTokens(memoryTokens)
     , m_slots(std::max<std::size_t>(slots, 1))
-    , m_engine(engine)
+    , m_tokensPerEvent(tokensPerEvent)
+    , m_engine(tokensPerEvent > 0)
     , m_rate(settings.prefillTokensPerMs)
     , m_serviceTime(settings.serviceTime)
     , m_runTime(settings.runTime)
@@ -87,8 +88,7 @@
         const double queued = static_cast<double>(m_runs.size()) / static_cast<double>(m_slots);
         return fromMilliseconds(toMillisecondsExact(m_serviceTime) * (1 + std::max(0.0, queued - 0.5)));
     }
-    const auto beside = static_cast<core::Duration::rep>(m_runs.size());
-    return backlog(now) + prefillTime(uncachedTokens) + m_settings.fixedDelay + m_settings.stepPerRun * beside;
+    return backlog(now) + prefillTime(uncachedTokens) + m_settings.fixedDelay + decodeTime(static_cast<std::uint32_t>(m_tokensPerEvent), now);
 }
 
 double EngineModel::prefillShare(core::TimePoint now) const
@@ -118,7 +118,8 @@
     if (m_runs.size() >= m_slots) {
         return false;
     }
-    return !m_engine || m_memoryTokens == 0 || m_memoryUsed + tokens <= m_memoryTokens || m_runs.empty();
+    const auto most = static_cast<std::uint64_t>(m_settings.runShare * static_cast<double>(m_memoryTokens));
+    return !m_engine || m_memoryTokens == 0 || m_memoryUsed + tokens <= most || m_runs.empty();
 }
 
 //-----------------------------------------------------------------------------
@@ -137,8 +138,7 @@
         m_cache[part.chain] = CachedPart{part.tokens, std::prev(m_byUse.end())};
         m_cachedTokens += part.tokens;
     }
-    const auto most = static_cast<std::uint64_t>(m_settings.cacheShare * static_cast<double>(m_memoryTokens));
-    const std::uint64_t room = most > m_memoryUsed ? most - m_memoryUsed : 0;
+    const std::uint64_t room = m_memoryTokens > m_memoryUsed ? m_memoryTokens - m_memoryUsed : 0;
     while (m_cachedTokens > room && !m_byUse.empty()) {
         const auto oldest = m_cache.find(m_byUse.front());
         m_cachedTokens -= oldest->second.tokens;
@@ -154,6 +154,7 @@
     run.aheadTokens = static_cast<std::uint64_t>(toMillisecondsExact(backlog(now)) * m_rate) + run.uncachedTokens;
     m_memoryUsed += run.memoryTokens;
     if (m_engine) {
+        run.firstTokens = decodeTime(static_cast<std::uint32_t>(m_tokensPerEvent), now);
         m_backlogEnd = std::max(m_backlogEnd, now) + prefillTime(run.uncachedTokens);
         const double age = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - m_recentAt));
         m_recentTokens = m_recentTokens * std::exp(-age / toMillisecondsExact(m_settings.loadMemory)) + run.uncachedTokens;
@@ -186,7 +187,7 @@
         return;
     }
     constexpr std::uint64_t LeastTokens = 300; // shorter prompts say more of steps than of reading
-    const double took = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - run.grantedAt) - m_settings.fixedDelay);
+    const double took = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - run.grantedAt) - m_settings.fixedDelay - run.firstTokens);
     if (run.aheadTokens >= LeastTokens && took > 1) {
         const double observed = std::clamp(static_cast<double>(run.aheadTokens) / took, m_settings.prefillLeast, m_settings.prefillMost);
         m_rate += m_settings.learnWeight * (observed - m_rate);
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -37,13 +37,12 @@
     double prefillMost = 200;
     double learnWeight = 0.15;            // of one observation
     core::Duration fixedDelay = std::chrono::milliseconds(10);    // network and one step, before a first event
-    core::Duration stepPerRun = std::chrono::microseconds(300);   // a first event waits longer for each run beside it
     core::Duration stepBase = std::chrono::microseconds(6'000);   // of one output token of every run, without prefill
     core::Duration stepOfRun = std::chrono::microseconds(30);     // on top for each run
     core::Duration chunkTime = std::chrono::milliseconds(50);     // a step lasts so much longer while prompts are read
     core::Duration loadMemory = std::chrono::milliseconds(1'500); // over which the share of time spent on prefill is taken
     core::Duration runTime = std::chrono::milliseconds(2'000);    // of one request in a slot, before anything was learned
-    double cacheShare = 0.75;             // of an engine's memory that is taken to hold prompt parts
+    double runShare = 0.8;                // of an engine's memory that running requests may take beside shared parts
     core::Duration serviceTime = std::chrono::milliseconds(30);   // of a plain upstream, before anything was learned
     int failuresToEject = 3;              // in a row
     core::Duration ejectFirst = std::chrono::milliseconds(500);   // doubles with each ejection in a row
@@ -70,9 +69,10 @@
 {
     core::InstanceId holder;         // who sent it
     std::uint32_t uncachedTokens = 0;
-    std::uint32_t memoryTokens = 0;  // prompt and expected output
+    std::uint32_t memoryTokens = 0;  // own part of the prompt and expected output
     core::TimePoint grantedAt{};
     core::TimePoint seenAt{};        // last time that its holder spoke of it
+    core::Duration firstTokens{};    // expected time of the first event's tokens, after the prompt has been read
     std::uint64_t aheadTokens = 0;   // uncached tokens that had to be read before its first event, its own included
     bool started = false;            // its first event has come
 };
@@ -81,7 +81,8 @@
 class EngineModel
 {
 public:
-    EngineModel(EngineSettings settings, std::uint64_t memoryTokens, std::size_t slots, bool engine);
+    /// `tokensPerEvent`: of a stream; 0 for a plain upstream without prompts.
+    EngineModel(EngineSettings settings, std::uint64_t memoryTokens, std::size_t slots, std::uint64_t tokensPerEvent);
 
     //--- Prediction
     /// Tokens of a prompt that are not expected in the cache.
@@ -94,7 +95,7 @@
     [[nodiscard]] core::Duration prefillTime(std::uint64_t tokens) const;
     /// Share of the engine's time that recent prompts take, 0 to 1.
     [[nodiscard]] double prefillShare(core::TimePoint now) const;
-    /// Time to the last of `tokens` output tokens, after the first.
+    /// Time of `tokens` output tokens.
     [[nodiscard]] core::Duration decodeTime(std::uint32_t tokens, core::TimePoint now) const;
     /// Time until a slot is likely to be free; zero if one is.
     [[nodiscard]] core::Duration slotWait() const;
@@ -142,6 +143,7 @@
     EngineSettings m_settings;
     std::uint64_t m_memoryTokens;
     std::size_t m_slots;
+    std::uint64_t m_tokensPerEvent;
     bool m_engine; // false: a plain upstream without prompts
     std::map<WorkId, Run> m_runs;
     std::uint64_t m_memoryUsed = 0;
