--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -154,7 +154,7 @@
     case fleet::Verdict::WAITS:
         return routing::Waits{durationOf(in.predicted_us())};
     case fleet::Verdict::ELSEWHERE:
-        return routing::Elsewhere{core::RegionId(in.region()), durationOf(in.predicted_us())};
+        return routing::Elsewhere{core::RegionId(in.region()), durationOf(in.predicted_us()), core::Duration::zero()};
     default:
         break;
     }
@@ -208,6 +208,7 @@
         outlook->set_tokens_per_ms(row.outlook.tokensPerMs);
         outlook->set_free_slots(row.outlook.freeSlots);
         outlook->set_usable(row.outlook.usable);
+        outlook->set_prefill_share(row.outlook.prefillShare);
         outlook->set_service_time_us(microsecondsOf(row.outlook.serviceTime));
     }
     out.set_belief_revision(state.beliefRevision.value);
@@ -228,6 +229,7 @@
         outlook.tokensPerMs = row.tokens_per_ms();
         outlook.freeSlots = row.free_slots();
         outlook.usable = row.usable();
+        outlook.prefillShare = row.prefill_share();
         outlook.serviceTime = durationOf(row.service_time_us());
         state.outlooks.push_back(RegionOutlook{core::RegionId(row.region()), outlook, durationOf(row.age_us())});
     }
--- a/src/arbutus/edge/edge.cpp
+++ b/src/arbutus/edge/edge.cpp
@@ -298,7 +298,7 @@
 
 Edge::~Edge() = default;
 
-void Edge::run()
+void Edge::start()
 {
     Impl &impl = *m_impl;
     impl.context.write(observe::LogLine("started")
@@ -315,7 +315,12 @@
     asio::co_spawn(impl.context.executor, impl.flushLoop(), asio::detached);
     asio::co_spawn(impl.context.executor, impl.beliefLoop(), asio::detached);
     asio::co_spawn(impl.context.executor, impl.signalLoop(), asio::detached);
-    impl.loop.run();
+}
+
+void Edge::run()
+{
+    start();
+    m_impl->loop.run();
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/edge.h
+++ b/src/arbutus/edge/edge.h
@@ -29,7 +29,9 @@
     Edge &operator=(const Edge &) = delete;
     ~Edge();
 
-    /// Serves until a planned stop (SIGTERM or SIGINT) has ended.
+    /// Starts all duties; requests are served while the loop runs.
+    void start();
+    /// start(), then runs the loop until a planned stop (SIGTERM or SIGINT) has ended.
     void run();
 
 private:
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -120,7 +120,7 @@
     , m_beliefs(beliefs)
     , m_placement(placement)
     , m_settings(settings)
-    , m_budget(limits::RetryBudgetSettings{context.settings.retryRatio, context.settings.retrySlack, context.settings.retryWindow})
+    , m_budget(limits::SharedRetryBudgetSettings{context.settings.retryRatio, context.settings.retrySlack, context.settings.retryWindow})
     , m_random(seed)
 {
 }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -16,7 +16,7 @@
 #include "arbutus/edge/placement.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
-#include "arbutus/limits/retrybudget.h"
+#include "arbutus/limits/sharedretrybudget.h"
 
 #include <pcg_random.hpp>
 
@@ -87,7 +87,7 @@
     Beliefs &m_beliefs;
     Placement &m_placement;
     ForwarderSettings m_settings;
-    limits::RetryBudget m_budget;
+    limits::SharedRetryBudget m_budget;
     http::Pool m_upstreams;
     http::Pool m_peers;
     pcg32 m_random;
--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -92,6 +92,7 @@
 {
     const auto backlog = std::chrono::duration_cast<std::chrono::milliseconds>(out.backlogMost);
     out.backlogMost = reader.milliseconds("dispatch.backlog_most_ms", backlog);
+    out.restBetween = reader.milliseconds("dispatch.rest_between_ms", std::chrono::duration_cast<std::chrono::milliseconds>(out.restBetween));
     out.readAgainWeight = reader.number("dispatch.reading_weight", out.readAgainWeight, 1, 100);
     out.slowedWeight = reader.number("dispatch.slowed_weight", out.slowedWeight, 0, 100);
     out.streamingWeight = reader.number("dispatch.streaming_weight", out.streamingWeight, 0, 100);
--- a/src/arbutus/limits/retrybudget.cpp
+++ b/src/arbutus/limits/sharedretrybudget.cpp
@@ -1,17 +1,17 @@
 // Counting of sends in a sliding window.
 
-#include "arbutus/limits/retrybudget.h"
+#include "arbutus/limits/sharedretrybudget.h"
 
 #include <algorithm>
 
 namespace arbutus::limits {
 
-RetryBudget::RetryBudget(RetryBudgetSettings settings)
+SharedRetryBudget::SharedRetryBudget(SharedRetryBudgetSettings settings)
     : m_settings(settings)
 {
 }
 
-void RetryBudget::expire(Sends &sends, core::TimePoint now) const
+void SharedRetryBudget::expire(Sends &sends, core::TimePoint now) const
 {
     for (auto *times : {&sends.first, &sends.further}) {
         while (!times->empty() && now - times->front() >= m_settings.window) {
@@ -20,14 +20,14 @@
     }
 }
 
-void RetryBudget::noteFirst(const core::ServiceId &service, core::TimePoint now)
+void SharedRetryBudget::noteFirst(const core::ServiceId &service, core::TimePoint now)
 {
     Sends &sends = m_sends[service];
     expire(sends, now);
     sends.first.push_back(now);
 }
 
-double RetryBudget::left(const core::ServiceId &service, std::size_t nodes, core::TimePoint now)
+double SharedRetryBudget::left(const core::ServiceId &service, std::size_t nodes, core::TimePoint now)
 {
     Sends &sends = m_sends[service];
     expire(sends, now);
@@ -36,7 +36,7 @@
     return allowed - static_cast<double>(sends.further.size());
 }
 
-bool RetryBudget::trySpend(const core::ServiceId &service, std::size_t nodes, core::TimePoint now)
+bool SharedRetryBudget::trySpend(const core::ServiceId &service, std::size_t nodes, core::TimePoint now)
 {
     if (left(service, nodes, now) < 1) {
         return false;
--- a/src/arbutus/limits/retrybudget.h
+++ b/src/arbutus/limits/sharedretrybudget.h
@@ -18,7 +18,7 @@
 
 namespace arbutus::limits {
 
-struct RetryBudgetSettings
+struct SharedRetryBudgetSettings
 {
     double ratio = 0.2;                                 // further sends for each first send
     double slack = 50;                                  // further sends of the whole fleet in a window, without first sends
@@ -27,10 +27,10 @@
 };
 
 /// Sends of one node, by service.
-class RetryBudget
+class SharedRetryBudget
 {
 public:
-    explicit RetryBudget(RetryBudgetSettings settings);
+    explicit SharedRetryBudget(SharedRetryBudgetSettings settings);
 
     void noteFirst(const core::ServiceId &service, core::TimePoint now);
     /// Spends one further send if the budget allows it; `nodes` are all that share the slack.
@@ -46,7 +46,7 @@
     };
     void expire(Sends &sends, core::TimePoint now) const;
 
-    RetryBudgetSettings m_settings;
+    SharedRetryBudgetSettings m_settings;
     std::map<core::ServiceId, Sends> m_sends;
 };
 
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "arbutus/core/overloaded.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace arbutus::routing {
 
@@ -94,7 +95,9 @@
         candidate.ends = now + candidate.predicted + streaming <= ask.endsAt;
     }
     candidate.score = scaled(cost, 1 + 2 * model.failureRate());
-    candidate.admissible = ahead == core::Duration::zero() && model.hasRoom(ask.ownTokens()) && model.backlog(now) <= m_settings.backlogMost;
+    const bool rested = candidate.uncachedTokens < m_settings.longPrompt || model.restedFor(now) >= m_settings.restBetween - m_settings.backlogMost;
+    const bool free = rested && model.backlog(now) <= m_settings.backlogMost && model.hasRoom(ask.ownTokens());
+    candidate.admissible = free && ahead == core::Duration::zero();
     return candidate;
 }
 
@@ -192,16 +195,22 @@
             continue;
         }
         core::Duration predicted = m_settings.regionRoundTrip + remote.outlook.wait;
+        core::Duration streaming{};
         if (remote.outlook.tokensPerMs > 0) {
             const double each = remote.outlook.tokensPerMs / remote.outlook.usable;
             const double reading = ask.promptTokens / each + static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs;
             predicted += core::Duration(static_cast<core::Duration::rep>(reading * 1000));
+            const double added = static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs / static_cast<double>(core::toMilliseconds(m_settings.engine.loadMemory));
+            const double share = std::min(1.0, remote.outlook.prefillShare + added);
+            const auto step = m_settings.engine.stepBase + scaled(m_settings.engine.chunkTime, share);
+            streaming = scaled(step * static_cast<core::Duration::rep>(ask.outputTokens), m_settings.streamingWeight);
+            streaming += scaled(core::Duration(static_cast<core::Duration::rep>(ask.promptTokens / each * 1000)), m_settings.readAgainWeight - 1);
         } else {
             const double queued = remote.sent > remote.outlook.freeSlots ? remote.sent - remote.outlook.freeSlots : 0;
             predicted += scaled(remote.outlook.serviceTime, 1 + queued / std::max(1U, remote.outlook.usable));
         }
-        if (!best || predicted < best->predicted) {
-            best = Elsewhere{region, predicted};
+        if (!best || predicted + streaming < best->score) {
+            best = Elsewhere{region, predicted, predicted + streaming};
         }
     }
     return best;
@@ -219,6 +228,7 @@
 {
     std::map<core::ServiceId, Outlook> byService;
     std::map<core::ServiceId, core::Duration> leastBacklog;
+    std::map<core::ServiceId, std::vector<double>> shares;
     for (const auto &[id, entry] : m_view.roster.entries()) {
         if (!serves(entry, entry.said.service) || entry.cold(now)) {
             continue;
@@ -236,6 +246,7 @@
         if (service != nullptr && service->engine) {
             outlook.tokensPerMs += model.prefillRate();
         }
+        shares[entry.said.service].push_back(model.prefillShare(now));
         const auto known = leastBacklog.find(entry.said.service);
         const core::Duration backlog = model.backlog(now);
         leastBacklog[entry.said.service] = known == leastBacklog.end() ? backlog : std::min(known->second, backlog);
@@ -247,6 +258,10 @@
             queued += waiting.ask.service == id ? waiting.needTokens : 0;
         }
         outlook.wait = leastBacklog[id];
+        std::vector<double> &busy = shares[id];
+        std::sort(busy.begin(), busy.end());
+        busy.resize((busy.size() + 1) / 2);
+        outlook.prefillShare = std::accumulate(busy.begin(), busy.end(), 0.0) / static_cast<double>(busy.size());
         if (outlook.tokensPerMs > 0) {
             outlook.wait += core::Duration(static_cast<core::Duration::rep>(static_cast<double>(queued) * 1000 / outlook.tokensPerMs));
         }
@@ -319,8 +334,9 @@
         const core::Duration predicted = local->predicted;
         const bool localOnTime = predicted <= left;
         const bool remoteOnTime = remote->predicted <= left;
+        const bool betterStream = ask.promptTokens > 0 && remoteOnTime && remote->score + m_settings.remoteScoreMargin < local->score;
         const bool unsound = local->model->failureRate() >= m_settings.failureAvoid && remoteOnTime;
-        if ((!localOnTime && remoteOnTime) || (!localOnTime && remote->predicted + m_settings.remoteMargin < predicted) || unsound) {
+        if ((!localOnTime && remoteOnTime) || (!localOnTime && remote->predicted + m_settings.remoteMargin < predicted) || betterStream || unsound) {
             return leave(ask, *remote);
         }
     }
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -79,6 +79,7 @@
 {
     core::RegionId region;
     core::Duration predicted{};
+    core::Duration score{}; // predicted, with the cost of a slow stream; not sent to the asker
 };
 enum class RefusalReason {
     NoUpstream, // nothing in reach may serve it
@@ -121,6 +122,7 @@
     std::uint32_t freeSlots = 0;
     std::uint32_t usable = 0;         // upstreams
     core::Duration serviceTime{};     // of a plain service
+    double prefillShare = 0;          // of the engines' time, the least busy half
 };
 
 //-----------------------------------------------------------------------------
@@ -130,14 +132,17 @@
 struct DispatcherSettings
 {
     EngineSettings engine;
-    core::Duration backlogMost = std::chrono::milliseconds(60);      // of one engine; what comes on top waits here
+    core::Duration backlogMost = std::chrono::milliseconds(0);       // of one engine; what comes on top waits here
+    core::Duration restBetween = std::chrono::milliseconds(25);      // between long prompts, so that streams beside them get steps of their own
+    std::uint32_t longPrompt = 1'500;                                // uncached tokens from which a prompt counts as long
     core::Duration regionRoundTrip = std::chrono::milliseconds(115); // there and back, with one hop more
     core::Duration remoteMargin = std::chrono::milliseconds(150);    // another region must be better by this
+    core::Duration remoteScoreMargin = std::chrono::milliseconds(400); // or by this, slow streams counted, if it is on time
     core::Duration outlookAge = std::chrono::milliseconds(1'500);    // older ones say nothing
     core::Duration unseenMost = std::chrono::milliseconds(1'200);    // work and asks that nobody speaks of are forgotten
-    double readAgainWeight = 1.6;                                    // time spent on reading counts so much: it delays others too
-    double slowedWeight = 0.06;                                      // of the time by which reading delays each run beside it
-    double streamingWeight = 0.05;                                   // of the time that the stream will take: steps are slow where prompts are read
+    double readAgainWeight = 1.4;                                    // time spent on reading counts so much: it delays others too
+    double slowedWeight = 0.4;                                       // of the time by which reading delays each run beside it
+    double streamingWeight = 0.2;                                    // of the time that the stream will take: steps are slow where prompts are read
     core::Duration pumpPeriod = std::chrono::milliseconds(8);        // waiting asks are gone through at most so often
     double slotsUsed = 0.94;                                         // of an engine's slots
     double memoryUsed = 0.95;                                        // of an engine's memory, for running requests and cached parts
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -77,6 +77,11 @@
     return std::max(core::Duration::zero(), std::chrono::duration_cast<core::Duration>(m_backlogEnd - now));
 }
 
+core::Duration EngineModel::restedFor(core::TimePoint now) const
+{
+    return std::chrono::duration_cast<core::Duration>(now - m_backlogEnd);
+}
+
 core::Duration EngineModel::prefillTime(std::uint64_t tokens) const
 {
     return fromMilliseconds(static_cast<double>(tokens) / m_rate);
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -89,6 +89,8 @@
     [[nodiscard]] std::uint32_t uncached(const std::vector<PromptPart> &prompt, std::uint32_t promptTokens) const;
     /// Time until work that was granted before has had its first event.
     [[nodiscard]] core::Duration backlog(core::TimePoint now) const;
+    /// Time since prompts that were granted before have been read; negative while they are.
+    [[nodiscard]] core::Duration restedFor(core::TimePoint now) const;
     /// Time to the first event, or to the whole answer of a plain upstream, of a request granted now.
     [[nodiscard]] core::Duration predict(std::uint32_t uncachedTokens, core::TimePoint now) const;
     /// Time that reading `tokens` takes.
--- /dev/null
+++ b/tests/dispatchertest.cpp
@@ -0,0 +1,502 @@
+// The dispatcher: placement, queue order, spill, cold pacing, and the load patterns it answers against naive placement.
+
+#include "arbutus/core/overloaded.h"
+#include "arbutus/limits/sharedretrybudget.h"
+#include "arbutus/routing/dispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <pcg_random.hpp>
+
+#include <deque>
+
+using namespace arbutus;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::TimePoint Start(1000s);
+const core::ServiceId Model("model");
+const core::ServiceId Till("till");
+
+catalog::CatalogPointer makeCatalog(double coldPerSecond = 0)
+{
+    catalog::Service engines;
+    engines.id = Model;
+    engines.coldPerSecond = coldPerSecond;
+    engines.engine = catalog::EngineTraits{64, 230'000, 5};
+    catalog::Service plain;
+    plain.id = Till;
+    catalog::Route route;
+    route.id = catalog::RouteId("r");
+    route.host = "h";
+    route.pathPrefix = "/";
+    route.services = {catalog::Split{Model, 1}};
+    return std::make_shared<catalog::Catalog>(
+        catalog::CatalogVersion(1), std::vector{route}, std::vector{engines, plain}, catalog::CallerLimits{});
+}
+
+routing::Announcement said(const std::string &id, const core::ServiceId &service, const std::string &domain = "here-a", std::size_t slots = 64)
+{
+    routing::Announcement out;
+    out.id = core::UpstreamId(id);
+    out.service = service;
+    out.address = "10.0.0.1:80";
+    out.domain = core::DomainId(domain);
+    out.slots = slots;
+    out.started = routing::StartTime(1);
+    out.sequence = 1;
+    return out;
+}
+
+/// A dispatcher of region "here" with its beliefs.
+struct Fixture
+{
+    explicit Fixture(std::vector<routing::Announcement> all, double coldPerSecond = 0)
+        : catalog(makeCatalog(coldPerSecond))
+        , dispatcher(routing::DispatcherSettings{}, routing::DispatcherView{core::RegionId("here"), regions, roster, catalog}, Start)
+    {
+        roster.apply(routing::RosterRevision(1), all, false, Start);
+        dispatcher.setDuty(true, 1, Start);
+    }
+
+    routing::Ask ask(const std::string &id, const core::ServiceId &service, core::TimePoint now) const
+    {
+        routing::Ask out;
+        out.id = routing::WorkId(id);
+        out.holder = core::InstanceId("n");
+        out.service = service;
+        out.onTimeUntil = now + 1s;
+        out.usefulUntil = now + 4s;
+        out.endsAt = now + 15s;
+        return out;
+    }
+
+    routing::Ask prompt(const std::string &id, std::uint64_t shared, core::TimePoint now) const
+    {
+        routing::Ask out = ask(id, Model, now);
+        out.prompt = {routing::PromptPart{shared, 6'000}, routing::PromptPart{std::hash<std::string>{}(id), 1'000}};
+        out.promptTokens = 7'000;
+        out.outputTokens = 50;
+        return out;
+    }
+
+    std::map<core::DomainId, core::RegionId> regions{{core::DomainId("here-a"), core::RegionId("here")}, {core::DomainId("there-a"), core::RegionId("there")}};
+    routing::Roster roster;
+    catalog::CatalogPointer catalog;
+    routing::Dispatcher dispatcher;
+};
+
+std::string granted(const routing::Verdict &verdict)
+{
+    const auto *grant = std::get_if<routing::Granted>(&verdict);
+    return grant == nullptr ? "" : grant->upstream.text;
+}
+
+routing::Outlook outlookOf(const core::ServiceId &service, core::Duration wait, double tokensPerMs)
+{
+    routing::Outlook out;
+    out.service = service;
+    out.wait = wait;
+    out.tokensPerMs = tokensPerMs;
+    out.usable = 4;
+    out.freeSlots = 100;
+    out.serviceTime = 30ms;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("an ask gets the same answer however often it is repeated", "[dispatcher]")
+{
+    Fixture fixture({said("a", Model), said("b", Model)});
+    const routing::Ask ask = fixture.prompt("w", 1, Start);
+    const std::string first = granted(fixture.dispatcher.ask(ask, Start));
+    REQUIRE_FALSE(first.empty());
+    REQUIRE(granted(fixture.dispatcher.ask(ask, Start + 50ms)) == first);
+    REQUIRE(fixture.dispatcher.models().at(core::UpstreamId(first)).runs().size() == 1);
+}
+
+TEST_CASE("prompts that share a part go where it is cached", "[dispatcher]")
+{
+    Fixture fixture({said("a", Model), said("b", Model), said("c", Model)});
+    core::TimePoint now = Start;
+    std::map<std::uint64_t, std::string> home;
+    for (int i = 0; i < 60; ++i) {
+        const std::uint64_t shared = 1 + static_cast<std::uint64_t>(i % 3);
+        const routing::Ask ask = fixture.prompt("w" + std::to_string(i), shared, now);
+        const std::string upstream = granted(fixture.dispatcher.ask(ask, now));
+        REQUIRE_FALSE(upstream.empty());
+        home.try_emplace(shared, upstream);
+        CHECK(home[shared] == upstream);
+        now += 200ms;
+        fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), now);
+        fixture.dispatcher.finished(ask.id, core::UpstreamId(upstream), routing::WorkEnding::Answered, now);
+        now += 100ms;
+    }
+}
+
+TEST_CASE("which upstreams are never chosen", "[dispatcher]")
+{
+    struct Row
+    {
+        const char *name;
+        std::function<void(routing::Announcement &)> change;
+        std::function<void(Fixture &)> act;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"leaving", [](routing::Announcement &a) { a.leaving = true; }, {}},
+        {"of another service", [](routing::Announcement &a) { a.service = Till; }, {}},
+        {"of another region", [](routing::Announcement &a) { a.domain = core::DomainId("there-a"); }, {}},
+        {"of an unknown zone", [](routing::Announcement &a) { a.domain = core::DomainId("nowhere"); }, {}},
+        {"evacuated", [](routing::Announcement &) {}, [](Fixture &f) { f.roster.setEvacuated({core::DomainId("here-a")}, Start); }},
+        {"gone", [](routing::Announcement &) {}, [](Fixture &f) { f.roster.apply(routing::RosterRevision(2), {}, false, Start); }},
+    }));
+    CAPTURE(row.name);
+    routing::Announcement only = said("a", Model);
+    row.change(only);
+    Fixture fixture({only});
+    if (row.act) {
+        row.act(fixture);
+    }
+    const routing::Verdict verdict = fixture.dispatcher.ask(fixture.prompt("w", 1, Start), Start);
+    const auto *refused = std::get_if<routing::Refused>(&verdict);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->reason == routing::RefusalReason::NoUpstream);
+    CHECK(refused->retryAfter > 0ms);
+}
+
+TEST_CASE("a retry whose upstreams are all excluded is refused at once", "[dispatcher]")
+{
+    Fixture fixture({said("a", Till, "here-a", 6)});
+    routing::Ask ask = fixture.ask("w", Till, Start);
+    ask.excluded = {core::UpstreamId("a")};
+    REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.ask(ask, Start)));
+    REQUIRE(fixture.dispatcher.waiting() == 0);
+}
+
+TEST_CASE("a request with homes goes to one of them", "[dispatcher]")
+{
+    Fixture fixture({said("a", Model)});
+    routing::Ask ask = fixture.prompt("w", 1, Start);
+    ask.regions = {core::RegionId("there")};
+    REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.ask(ask, Start)));
+    fixture.dispatcher.noteOutlook(core::RegionId("there"), outlookOf(Model, 0ms, 120), Start);
+    const routing::Verdict verdict = fixture.dispatcher.ask(ask, Start);
+    REQUIRE(std::holds_alternative<routing::Elsewhere>(verdict));
+    ask.id = routing::WorkId("second hop");
+    ask.mayLeave = false;
+    REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.ask(ask, Start)));
+}
+
+TEST_CASE("urgent asks pass those that wait, and what is late comes last", "[dispatcher]")
+{
+    Fixture fixture({said("a", Till, "here-a", 1)});
+    REQUIRE_FALSE(granted(fixture.dispatcher.ask(fixture.ask("running", Till, Start), Start)).empty());
+    routing::Ask late = fixture.ask("late", Till, Start);
+    late.onTimeUntil = Start - 1ms;
+    routing::Ask plain = fixture.ask("plain", Till, Start);
+    plain.priority = 2;
+    routing::Ask urgent = fixture.ask("urgent", Till, Start);
+    for (const routing::Ask *ask : {&late, &plain, &urgent}) {
+        REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(*ask, Start)));
+    }
+    std::vector<std::string> order;
+    core::TimePoint now = Start;
+    std::string running = "running";
+    for (int i = 0; i < 3; ++i) {
+        now += 20ms;
+        fixture.dispatcher.finished(routing::WorkId(running), core::UpstreamId("a"), routing::WorkEnding::Answered, now);
+        const auto settled = fixture.dispatcher.settle(now);
+        REQUIRE(settled.size() == 1);
+        running = settled.front().id.text;
+        order.push_back(running);
+    }
+    REQUIRE(order == std::vector<std::string>{"urgent", "plain", "late"});
+}
+
+TEST_CASE("work waits until its time is over, and is refused then", "[dispatcher]")
+{
+    Fixture fixture({said("a", Till, "here-a", 1)});
+    REQUIRE_FALSE(granted(fixture.dispatcher.ask(fixture.ask("running", Till, Start), Start)).empty());
+    routing::Ask ask = fixture.ask("w", Till, Start);
+    ask.usefulUntil = Start + 300ms;
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(ask, Start)));
+    REQUIRE(fixture.dispatcher.settle(Start + 200ms).empty());
+    const auto settled = fixture.dispatcher.settle(Start + 320ms);
+    REQUIRE(settled.size() == 1);
+    REQUIRE(std::holds_alternative<routing::Refused>(settled.front().verdict));
+    REQUIRE(fixture.dispatcher.waiting() == 0);
+}
+
+TEST_CASE("a cold upstream gets requests at its pace, from the holder of the duty only", "[dispatcher]")
+{
+    constexpr double PerSecond = 1.7;
+    const double reach = GENERATE(1.0, 0.5);
+    routing::Announcement cold = said("a", Model);
+    cold.coldLeft = 60s;
+    Fixture fixture({cold}, PerSecond);
+    fixture.dispatcher.setDuty(true, reach, Start);
+    std::deque<core::TimePoint> sent;
+    std::size_t most = 0;
+    int number = 0;
+    for (core::TimePoint now = Start; now < Start + 20s; now += 10ms) {
+        const routing::Ask ask = fixture.prompt("w" + std::to_string(number++), 1, now);
+        if (!granted(fixture.dispatcher.ask(ask, now)).empty()) {
+            sent.push_back(now);
+            fixture.dispatcher.finished(ask.id, core::UpstreamId("a"), routing::WorkEnding::Answered, now);
+        } else {
+            fixture.dispatcher.withdraw(ask.id);
+        }
+        while (!sent.empty() && now - sent.front() >= 1s) {
+            sent.pop_front();
+        }
+        most = std::max(most, sent.size());
+    }
+    CHECK(most >= 1);
+    CHECK(most <= 2 * reach + 0.5); // so that two holders at once stay under 1.7 x 1.5 + 3
+    fixture.dispatcher.setDuty(false, reach, Start + 21s);
+    REQUIRE(granted(fixture.dispatcher.ask(fixture.prompt("no duty", 1, Start + 30s), Start + 30s)).empty());
+}
+
+TEST_CASE("a new holder of the duty waits before it uses cold upstreams", "[dispatcher]")
+{
+    routing::Announcement cold = said("a", Model);
+    cold.coldLeft = 60s;
+    Fixture fixture({cold}, 1.7);
+    fixture.dispatcher.setDuty(false, 1, Start);
+    fixture.dispatcher.setDuty(true, 1, Start + 5s);
+    REQUIRE(granted(fixture.dispatcher.ask(fixture.prompt("early", 1, Start + 5500ms), Start + 5500ms)).empty());
+    fixture.dispatcher.withdraw(routing::WorkId("early"));
+    REQUIRE_FALSE(granted(fixture.dispatcher.ask(fixture.prompt("then", 1, Start + 6100ms), Start + 6100ms)).empty());
+}
+
+TEST_CASE("an upstream that fails is left out for a while, and tried by one request at a time", "[dispatcher]")
+{
+    const auto ending = GENERATE(routing::WorkEnding::Broken, routing::WorkEnding::Silent, routing::WorkEnding::TurnedAway, routing::WorkEnding::ServerError);
+    CAPTURE(routing::toString(ending));
+    Fixture fixture({said("a", Till, "here-a", 6), said("b", Till, "here-a", 6)});
+    core::TimePoint now = Start;
+    int failures = 0;
+    for (int i = 0; i < 40; ++i) {
+        const routing::Ask ask = fixture.ask("w" + std::to_string(i), Till, now);
+        const std::string upstream = granted(fixture.dispatcher.ask(ask, now));
+        REQUIRE_FALSE(upstream.empty());
+        now += 10ms;
+        const bool bad = upstream == "a";
+        failures += bad ? 1 : 0;
+        fixture.dispatcher.finished(ask.id, core::UpstreamId(upstream), bad ? ending : routing::WorkEnding::Answered, now);
+    }
+    CHECK(failures <= 6); // three in a row, then half a second of pause
+}
+
+TEST_CASE("work that nobody speaks of any more is forgotten", "[dispatcher]")
+{
+    Fixture fixture({said("a", Till, "here-a", 1)});
+    REQUIRE_FALSE(granted(fixture.dispatcher.ask(fixture.ask("lost", Till, Start), Start)).empty());
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(fixture.ask("w", Till, Start), Start)));
+    core::TimePoint now = Start + 1'100ms;
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(fixture.ask("w", Till, Start), now)));
+    const auto settled = fixture.dispatcher.settle(now + 200ms);
+    REQUIRE(settled.size() == 1);
+    REQUIRE(granted(settled.front().verdict) == "a");
+}
+
+TEST_CASE("a new holder learns from reports what runs where", "[dispatcher]")
+{
+    Fixture fixture({said("a", Till, "here-a", 1)});
+    fixture.dispatcher.report(core::InstanceId("n"), {routing::Holding{routing::WorkId("old"), core::UpstreamId("a"), true, 0}}, Start);
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(fixture.ask("w", Till, Start), Start)));
+    fixture.dispatcher.finished(routing::WorkId("old"), core::UpstreamId("a"), routing::WorkEnding::Answered, Start + 20ms);
+    REQUIRE(fixture.dispatcher.settle(Start + 20ms).size() == 1);
+}
+
+TEST_CASE("another region is chosen only where it clearly serves better", "[dispatcher]")
+{
+    struct Row
+    {
+        int running;          // long prompts granted here before
+        core::Duration there; // the other region's wait
+        bool leaves;
+    };
+    const auto row = GENERATE(values<Row>({{0, 0ms, false}, {40, 0ms, true}, {40, 5s, false}}));
+    Fixture fixture({said("a", Model)});
+    for (int i = 0; i < row.running; ++i) {
+        (void)fixture.dispatcher.ask(fixture.prompt("r" + std::to_string(i), 100 + static_cast<std::uint64_t>(i), Start), Start);
+    }
+    fixture.dispatcher.noteOutlook(core::RegionId("there"), outlookOf(Model, row.there, 120), Start);
+    const routing::Verdict verdict = fixture.dispatcher.ask(fixture.prompt("w", 1, Start + 10ms), Start + 10ms);
+    REQUIRE(std::holds_alternative<routing::Elsewhere>(verdict) == row.leaves);
+}
+
+TEST_CASE("an outlook that is old says nothing", "[dispatcher]")
+{
+    Fixture fixture({});
+    fixture.dispatcher.noteOutlook(core::RegionId("there"), outlookOf(Model, 0ms, 120), Start);
+    REQUIRE(std::holds_alternative<routing::Elsewhere>(fixture.dispatcher.ask(fixture.prompt("w", 1, Start), Start)));
+    REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.ask(fixture.prompt("x", 1, Start + 2s), Start + 2s)));
+}
+
+//-----------------------------------------------------------------------------
+// Load patterns
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Engines that read prompts one after another at 40 tokens a millisecond and cache shared parts for good.
+class ToyEngines
+{
+public:
+    explicit ToyEngines(std::size_t count)
+        : m_free(count, Start)
+        , m_cached(count)
+    {
+    }
+
+    /// Time of the first event of a prompt sent now.
+    core::TimePoint read(std::size_t engine, const routing::Ask &ask, core::TimePoint now)
+    {
+        const bool cached = !m_cached[engine].insert(ask.prompt.front().chain).second;
+        const std::uint32_t tokens = ask.promptTokens - (cached ? ask.prompt.front().tokens : 0);
+        m_tokensRead += tokens;
+        m_free[engine] = std::max(m_free[engine], now) + std::chrono::microseconds(tokens * 25);
+        return m_free[engine];
+    }
+    [[nodiscard]] std::uint64_t tokensRead() const
+    {
+        return m_tokensRead;
+    }
+
+private:
+    std::vector<core::TimePoint> m_free;
+    std::vector<std::set<std::uint64_t>> m_cached;
+    std::uint64_t m_tokensRead = 0;
+};
+
+struct Outcome
+{
+    int onTime = 0;
+    std::uint64_t tokensRead = 0;
+};
+
+constexpr std::size_t Engines = 4;
+constexpr int Requests = 1'500;
+constexpr auto Between = 20ms; // 50 a second: 80% of the capacity if shared parts are read once, 220% if every time
+constexpr std::uint64_t Subjects = 60;
+
+Outcome playDispatcher()
+{
+    std::vector<routing::Announcement> all;
+    for (std::size_t i = 0; i < Engines; ++i) {
+        all.push_back(said(std::to_string(i), Model));
+    }
+    Fixture fixture(all);
+    ToyEngines engines(Engines);
+    pcg32 random(7);
+    Outcome outcome;
+    std::map<core::TimePoint, std::pair<routing::Ask, std::string>> running; // by first event
+    std::map<routing::WorkId, routing::Ask> waiting;
+    const auto send = [&](const routing::Ask &ask, const std::string &upstream, core::TimePoint now) {
+        core::TimePoint at = engines.read(std::stoul(upstream), ask, now);
+        outcome.onTime += at <= ask.onTimeUntil ? 1 : 0;
+        while (running.contains(at)) {
+            at += 1us;
+        }
+        running[at] = {ask, upstream};
+    };
+    const core::TimePoint end = Start + Requests * Between + 5s;
+    int number = 0;
+    for (core::TimePoint now = Start; now < end; now += 5ms) {
+        while (!running.empty() && running.begin()->first <= now) {
+            const auto [ask, upstream] = running.begin()->second;
+            fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), now);
+            fixture.dispatcher.finished(ask.id, core::UpstreamId(upstream), routing::WorkEnding::Answered, now);
+            running.erase(running.begin());
+        }
+        if ((now - Start) % Between == 0us && number < Requests) {
+            const routing::Ask ask = fixture.prompt("w" + std::to_string(number++), 1 + random(Subjects), now);
+            const routing::Verdict verdict = fixture.dispatcher.ask(ask, now);
+            if (const std::string upstream = granted(verdict); !upstream.empty()) {
+                send(ask, upstream, now);
+            } else if (std::holds_alternative<routing::Waits>(verdict)) {
+                waiting[ask.id] = ask;
+            }
+        }
+        for (const auto &[id, ask] : waiting) {
+            (void)fixture.dispatcher.ask(ask, now); // holders repeat their asks
+        }
+        for (const routing::Settled &row : fixture.dispatcher.settle(now)) {
+            if (const std::string upstream = granted(row.verdict); !upstream.empty() && waiting.contains(row.id)) {
+                send(waiting[row.id], upstream, now);
+            }
+            waiting.erase(row.id);
+        }
+    }
+    outcome.tokensRead = engines.tokensRead();
+    return outcome;
+}
+
+/// First come, first served: each request at once to the engine with the fewest of them under way.
+Outcome playLeastInFlight()
+{
+    Fixture fixture({});
+    ToyEngines engines(Engines);
+    pcg32 random(7);
+    Outcome outcome;
+    std::vector<std::multiset<core::TimePoint>> inFlight(Engines);
+    for (int number = 0; number < Requests; ++number) {
+        const core::TimePoint now = Start + number * Between;
+        std::size_t best = 0;
+        for (std::size_t i = 0; i < Engines; ++i) {
+            inFlight[i].erase(inFlight[i].begin(), inFlight[i].upper_bound(now));
+            best = inFlight[i].size() < inFlight[best].size() ? i : best;
+        }
+        const routing::Ask ask = fixture.prompt("w" + std::to_string(number), 1 + random(Subjects), now);
+        const core::TimePoint at = engines.read(best, ask, now);
+        inFlight[best].insert(at);
+        outcome.onTime += at <= ask.onTimeUntil ? 1 : 0;
+    }
+    outcome.tokensRead = engines.tokensRead();
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("pattern: a peak of long prompts that share their first parts", "[dispatcher][pattern]")
+{
+    const Outcome dispatched = playDispatcher();
+    const Outcome naive = playLeastInFlight();
+    INFO("dispatched on time " << dispatched.onTime << ", tokens " << dispatched.tokensRead << "; naive " << naive.onTime << ", " << naive.tokensRead);
+    CHECK(dispatched.onTime > naive.onTime);
+    CHECK(dispatched.tokensRead < naive.tokensRead);
+    CHECK(dispatched.onTime >= Requests * 95 / 100);
+}
+
+TEST_CASE("the retry budget of a fleet holds however its nodes share the traffic", "[limits]")
+{
+    const auto nodes = GENERATE(std::size_t(1), std::size_t(8), std::size_t(77));
+    const limits::SharedRetryBudgetSettings settings{0.2, 56, 10s};
+    std::vector<limits::SharedRetryBudget> budgets(nodes, limits::SharedRetryBudget(settings));
+    pcg32 random(3);
+    std::deque<core::TimePoint> first;
+    std::deque<core::TimePoint> further;
+    for (core::TimePoint now = Start; now < Start + 40s; now += 5ms) {
+        limits::SharedRetryBudget &budget = budgets[random(static_cast<std::uint32_t>(nodes))];
+        budget.noteFirst(Model, now);
+        first.push_back(now);
+        for (int tries = 0; tries < 3; ++tries) {
+            if (budgets[random(static_cast<std::uint32_t>(nodes))].trySpend(Model, nodes, now)) {
+                further.push_back(now);
+            }
+        }
+        for (auto *times : {&first, &further}) {
+            while (now - times->front() >= 10s) {
+                times->pop_front();
+            }
+            if (times->empty()) {
+                break;
+            }
+        }
+        REQUIRE(static_cast<double>(further.size()) <= 0.2 * static_cast<double>(first.size()) + 56);
+    }
+    CHECK(further.size() > 40);
+}
