--- a/src/arbutus/edge/beliefs.cpp
+++ b/src/arbutus/edge/beliefs.cpp
@@ -36,7 +36,7 @@
         if (said) {
             m_unreadable.erase(key);
             all.push_back(std::move(said.value()));
-        } else if (m_unreadable[key] != value) {
+        } else if (const auto told = m_unreadable.find(key); told == m_unreadable.end() || told->second != value) {
             m_unreadable[key] = value;
             change.faults.push_back(key + ": " + said.error().message);
         }
