Where a region has no instance, callers are sent to a home of the most routes first

Change: commonHomes(); the log tells an empty region and members that leave. Test: directory rows of beliefstest.

--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -62,9 +62,9 @@
     std::string pathPrefix; // begins and ends with a slash
     Repeat repeat = Repeat::Once;
     AnswerShape shape = AnswerShape::Whole;
-    bool resumable = false;                    // a broken stream may go on at another upstream
-    std::size_t upstreamsMost = 1;             // upstreams that one attempt may be sent to
-    std::chrono::milliseconds timeout{30'000}; // longest that a caller is kept waiting for the whole answer
+    bool resumable = false;                     // a broken stream may go on at another upstream
+    std::size_t upstreamsMost = 1;              // upstreams that one attempt may be sent to
+    std::chrono::milliseconds timeout{30'000};  // longest that a caller is kept waiting for the whole answer
     std::chrono::milliseconds objective{1'000}; // latency objective: whole answer, or first event of a stream
     std::chrono::milliseconds pauseMost{0};     // longest pause between events that is still on time; 0 = none stated
     int priority = 0;                           // 0 is first
@@ -88,8 +88,8 @@
 /// What is configured of a service's model engines.
 struct EngineTraits
 {
-    std::size_t slots = 1;           // requests that an engine batches
-    std::uint64_t memoryTokens = 0;  // of running requests and cached prompt parts together
+    std::size_t slots = 1;            // requests that an engine batches
+    std::uint64_t memoryTokens = 0;   // of running requests and cached prompt parts together
     std::uint64_t tokensPerEvent = 1; // of a stream
 };
 
@@ -98,10 +98,10 @@
 {
     core::ServiceId id;
     std::string healthPath;
-    std::size_t connectionsMost = 0;        // that one upstream accepts from all callers; 0 = not stated
-    std::chrono::milliseconds coldFor{0};   // after its start an upstream is slow for so long
-    double coldPerSecond = 0;               // requests that a cold upstream tolerates; 0 = no bound
-    std::optional<EngineTraits> engine;     // set where the upstreams are model engines
+    std::size_t connectionsMost = 0;      // that one upstream accepts from all callers; 0 = not stated
+    std::chrono::milliseconds coldFor{0}; // after its start an upstream is slow for so long
+    double coldPerSecond = 0;             // requests that a cold upstream tolerates; 0 = no bound
+    std::optional<EngineTraits> engine;   // set where the upstreams are model engines
 };
 
 //-----------------------------------------------------------------------------
--- a/src/arbutus/edge/beliefs.h
+++ b/src/arbutus/edge/beliefs.h
@@ -102,7 +102,7 @@
     routing::Roster m_roster;
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
-    std::map<std::string, std::string> m_upstreams; // by key, as the store holds them
+    std::map<std::string, std::string> m_upstreams;  // by key, as the store holds them
     std::map<std::string, std::string> m_unreadable; // keys with the value that was refused, logged once
     std::set<core::DomainId> m_evacuated;
     std::set<core::UpstreamId> m_leavingSeen;
--- a/src/arbutus/edge/dialect.h
+++ b/src/arbutus/edge/dialect.h
@@ -32,9 +32,9 @@
 /// What the headers of a caller's request say.
 struct RequestHead
 {
-    std::string attempt; // the caller's id of this attempt; each retry of its own has another
-    std::string host;    // lower case, without a port
-    std::string path;    // without the query
+    std::string attempt;                               // the caller's id of this attempt; each retry of its own has another
+    std::string host;                                  // lower case, without a port
+    std::string path;                                  // without the query
     std::optional<std::chrono::milliseconds> deadline; // that the caller waits, from the arrival of the request
     std::vector<routing::PromptPart> prompt;           // shared parts first, the request's own last
     std::uint32_t promptTokens = 0;
@@ -45,11 +45,11 @@
 /// What the gateway adds for an upstream.
 struct SendTerms
 {
-    core::UpstreamId upstream;              // any other upstream at that address must refuse
-    std::chrono::milliseconds deadline{0};  // that is left
-    int priority = 0;                       // of the route; 0 is first
-    std::string resumeAfter;                // the last event that the caller has; empty: from the start
-    bool engine = false;                    // the upstream is a model engine
+    core::UpstreamId upstream;             // any other upstream at that address must refuse
+    std::chrono::milliseconds deadline{0}; // that is left
+    int priority = 0;                      // of the route; 0 is first
+    std::string resumeAfter;               // the last event that the caller has; empty: from the start
+    bool engine = false;                   // the upstream is a model engine
 };
 
 //-----------------------------------------------------------------------------
@@ -68,7 +68,7 @@
 struct AnswerHead
 {
     AnswerKind kind = AnswerKind::Unproven;
-    bool leaving = false;   // the connection ends, which leaving upstreams say, and others now and then
+    bool leaving = false; // the connection ends, which leaving upstreams say, and others now and then
 };
 
 //-----------------------------------------------------------------------------
--- a/src/arbutus/edge/directory.cpp
+++ b/src/arbutus/edge/directory.cpp
@@ -7,13 +7,47 @@
 
 namespace arbutus::edge {
 
-std::vector<std::string>
-chooseEntries(std::vector<membership::Member> members, const DirectoryQuery &query, const DirectorySettings &settings, pcg32 &random)
+namespace {
+
+/// Keeps members of these regions only, if there are any.
+void preferRegions(std::vector<membership::Member> &members, const std::set<core::RegionId> &regions)
 {
-    const bool anyInRegion = std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query.region; });
-    if (anyInRegion) {
-        std::erase_if(members, [&](const membership::Member &member) { return member.region != query.region; });
+    const auto inside = [&](const membership::Member &member) { return regions.contains(member.region); };
+    if (std::any_of(members.begin(), members.end(), inside)) {
+        std::erase_if(members, [&](const membership::Member &member) { return !inside(member); });
+    }
+}
+
+} // namespace
+
+std::set<core::RegionId> commonHomes(const catalog::CatalogPointer &catalog)
+{
+    std::map<core::RegionId, std::size_t> counts;
+    std::size_t most = 0;
+    if (catalog) {
+        for (const catalog::Route &route : catalog->routes()) {
+            for (const core::RegionId &region : route.homes) {
+                most = std::max(most, ++counts[region]);
+            }
+        }
     }
+    std::set<core::RegionId> out;
+    for (const auto &[region, count] : counts) {
+        if (count == most) {
+            out.insert(region);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> chooseEntries(std::vector<membership::Member> members,
+                                       const DirectoryQuery &query,
+                                       const std::set<core::RegionId> &homes,
+                                       const DirectorySettings &settings,
+                                       pcg32 &random)
+{
+    const bool anyInRegion = std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query.region; });
+    preferRegions(members, anyInRegion ? std::set<core::RegionId>{query.region} : homes);
     // Efraimidis and Spirakis: the largest of u^(1/w) are a weighted sample without replacement.
     std::vector<std::pair<double, const membership::Member *>> drawn;
     for (const membership::Member &member : members) {
--- a/src/arbutus/edge/edge.cpp
+++ b/src/arbutus/edge/edge.cpp
@@ -25,8 +25,8 @@
 constexpr auto LogFlushPeriod = milliseconds(100);
 constexpr auto BeliefTick = milliseconds(200);
 constexpr auto StopCheck = milliseconds(50);
-constexpr auto StopAnnounced = milliseconds(300); // the other instances' directories do not name this one any more
-constexpr auto StopMargin = milliseconds(700);   // before the grace period ends
+constexpr auto StopAnnounced = milliseconds(300);  // the other instances' directories do not name this one any more
+constexpr auto StopMargin = milliseconds(700);     // before the grace period ends
 constexpr auto SuspendedLeast = milliseconds(200); // a smaller gap between clocks is no suspension
 
 /// Milliseconds since boot, suspended time included.
@@ -71,11 +71,16 @@
         , storeDuty(context, fleet, beliefs, seed)
         , forwarder(context, fleet, beliefs, placement, seed)
         , reload(std::move(theReload))
-        , callers(context.executor, settings.callers, {}, [this](http::Exchange &exchange) { return forwarder.serve(exchange); }, nullptr)
-        , peers(context.executor, settings.peers, {}, [this](http::Exchange &exchange) { return servePeers(exchange); }, nullptr)
-        , directory(context.executor, settings.directory, {}, [this](http::Exchange &exchange) { return serveDirectory(exchange); }, nullptr)
-        , readiness(context.executor, settings.readiness, {}, [this](http::Exchange &exchange) { return serveReadiness(exchange); }, nullptr)
-        , metricsServer(context.executor, settings.metrics, {}, [this](http::Exchange &exchange) { return serveMetrics(exchange); }, nullptr)
+        , callers(
+              context.executor, settings.callers, {}, [this](http::Exchange &exchange) { return forwarder.serve(exchange); }, nullptr)
+        , peers(
+              context.executor, settings.peers, {}, [this](http::Exchange &exchange) { return servePeers(exchange); }, nullptr)
+        , directory(
+              context.executor, settings.directory, {}, [this](http::Exchange &exchange) { return serveDirectory(exchange); }, nullptr)
+        , readiness(
+              context.executor, settings.readiness, {}, [this](http::Exchange &exchange) { return serveReadiness(exchange); }, nullptr)
+        , metricsServer(
+              context.executor, settings.metrics, {}, [this](http::Exchange &exchange) { return serveMetrics(exchange); }, nullptr)
         , signals(context.executor, SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -133,8 +138,13 @@
             if (!ready()) {
                 std::erase_if(members, [&](const membership::Member &member) { return member.id == settings.id; });
             }
+            const bool known = std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query->region; });
+            if (!known) {
+                context.write(observe::LogLine("directory_region_empty").add("region", query->region).add("live", members.size()).add("ready", ready()));
+            }
+            const std::set<core::RegionId> homes = commonHomes(beliefs.catalog());
             const DirectorySettings directorySettings;
-            const auto entries = chooseEntries(std::move(members), *query, directorySettings, random);
+            const auto entries = chooseEntries(std::move(members), *query, homes, directorySettings, random);
             response.status = 503; // knows no instance that takes requests
             if (!entries.empty()) {
                 response = context.dialect.directoryAnswer(entries, settings.directoryLifetime);
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -170,8 +170,8 @@
     }
     for (const auto &[id, member] : m_view.members()) {
         const auto logged = m_logged.find(id);
-        if (member.incarnation.value != 0 && (logged == m_logged.end() || logged->second != member.condition)) {
-            m_logged[id] = member.condition;
+        if (member.incarnation.value != 0 && (logged == m_logged.end() || logged->second != std::pair(member.condition, member.leaving))) {
+            m_logged[id] = {member.condition, member.leaving};
             m_context.write(observe::LogLine("member")
                                 .add("member", id)
                                 .add("incarnation", member.incarnation)
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -68,7 +68,7 @@
     Receiver m_receiver;
     std::vector<membership::Member> m_members; // of m_membersVersion
     std::uint64_t m_membersVersion = 0;
-    std::map<core::InstanceId, membership::Condition> m_logged;
+    std::map<core::InstanceId, std::pair<membership::Condition, bool>> m_logged; // condition and leaving
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -80,15 +80,15 @@
     std::string origin; // instance that the caller is connected to
     std::string hopSends;
     core::TimePoint arrivedAt;
-    core::TimePoint endAt{};       // the caller gets its answer by then
+    core::TimePoint endAt{}; // the caller gets its answer by then
     core::TimePoint onTimeUntil{};
     core::TimePoint usefulUntil{}; // a first event, or an answer, after that is worth nothing
     std::shared_ptr<CancelToken> token = std::make_shared<CancelToken>();
     std::set<core::UpstreamId> tried;
     std::set<core::RegionId> triedRegions;
     std::size_t placements = 0;
-    std::size_t sends = 0; // that reached an upstream
-    std::size_t runs = 0;  // that an upstream may have run
+    std::size_t sends = 0;                         // that reached an upstream
+    std::size_t runs = 0;                          // that an upstream may have run
     std::optional<http::Response> upstreamFailure; // its own answer, to be given if nothing better comes
     bool begun = false;                            // the head of a stream is with the caller
     std::optional<EventRelay> events;
@@ -374,16 +374,17 @@
     }
     job.token->wake = nullptr;
     m_placement.ended(work, ending);
-    m_context.write(observe::LogLine("sent")
-                        .add("request", work)
-                        .add("upstream", granted.upstream)
-                        .add("ending", routing::toString(ending))
-                        .add("why", job.lastWhy)
-                        .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(m_context.now() - now)))
-                        .add("first_event_ms", job.firstEventAt > now ? core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - now)) : 0)
-                        .add("predicted_ms", core::toMilliseconds(granted.predicted))
-                        .add("sends", job.sends)
-                        .add("runs", job.runs));
+    m_context.write(
+        observe::LogLine("sent")
+            .add("request", work)
+            .add("upstream", granted.upstream)
+            .add("ending", routing::toString(ending))
+            .add("why", job.lastWhy)
+            .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(m_context.now() - now)))
+            .add("first_event_ms", job.firstEventAt > now ? core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - now)) : 0)
+            .add("predicted_ms", core::toMilliseconds(granted.predicted))
+            .add("sends", job.sends)
+            .add("runs", job.runs));
     co_return sent;
 }
 
@@ -574,7 +575,9 @@
         }
         auto piece = co_await call.readSome(wait);
         if (!piece) {
-            ending = job.token->cancelled ? routing::WorkEnding::CallerLeft : piece.error().timedOut ? routing::WorkEnding::Silent : routing::WorkEnding::Broken;
+            ending = job.token->cancelled ? routing::WorkEnding::CallerLeft
+                : piece.error().timedOut  ? routing::WorkEnding::Silent
+                                          : routing::WorkEnding::Broken;
             job.lastWhy = "stream broken after event " + job.events->lastEvent() + ": " + piece.error().message;
             job.tried.insert(job.lastUpstream);
             co_return failed(job);
@@ -684,22 +687,24 @@
     const std::string route = job.route == nullptr ? "" : job.route->id.text;
     m_context.metrics.count("arbutus_requests_total", "status=\"" + std::to_string(status) + "\"");
     m_context.metrics.observe("arbutus_request_seconds", "", took);
-    m_context.write(observe::LogLine("request")
-                        .add("request", job.head.attempt)
-                        .add("origin", job.origin)
-                        .add("route", route)
-                        .add("service", job.service)
-                        .add("configuration", job.catalog ? job.catalog->version().value : 0)
-                        .add("status", status)
-                        .add("outcome", outcome)
-                        .add("why", job.lastWhy)
-                        .add("upstream", job.lastUpstream)
-                        .add("took_ms", core::toMilliseconds(took))
-                        .add("placements", job.placements)
-                        .add("sends", job.sends)
-                        .add("first_event_ms", job.firstEventAt == core::TimePoint{} ? 0 : core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - job.arrivedAt)))
-                        .add("longest_pause_ms", core::toMilliseconds(job.longestPause))
-                        .add("events", job.events ? job.events->events() : 0));
+    m_context.write(
+        observe::LogLine("request")
+            .add("request", job.head.attempt)
+            .add("origin", job.origin)
+            .add("route", route)
+            .add("service", job.service)
+            .add("configuration", job.catalog ? job.catalog->version().value : 0)
+            .add("status", status)
+            .add("outcome", outcome)
+            .add("why", job.lastWhy)
+            .add("upstream", job.lastUpstream)
+            .add("took_ms", core::toMilliseconds(took))
+            .add("placements", job.placements)
+            .add("sends", job.sends)
+            .add("first_event_ms",
+                 job.firstEventAt == core::TimePoint{} ? 0 : core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - job.arrivedAt)))
+            .add("longest_pause_ms", core::toMilliseconds(job.longestPause))
+            .add("events", job.events ? job.events->events() : 0));
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -24,21 +24,21 @@
 
 struct ForwarderSettings
 {
-    std::chrono::milliseconds upstreamConnect{300};  // same region: a round trip is about a millisecond
-    std::chrono::milliseconds peerConnect{600};      // other region
-    std::chrono::milliseconds onceIdle{700};         // idle time after which a kept connection is not used for what may run once
+    std::chrono::milliseconds upstreamConnect{300}; // same region: a round trip is about a millisecond
+    std::chrono::milliseconds peerConnect{600};     // other region
+    std::chrono::milliseconds onceIdle{700};        // idle time after which a kept connection is not used for what may run once
     std::chrono::milliseconds repeatableIdle{3'000};
     std::chrono::milliseconds peerIdle{3'000};
-    std::chrono::milliseconds silenceLeast{700};     // without a first byte, before a repeatable request is tried elsewhere
-    double silenceFactor = 3;                        // of the predicted time, if that is longer
-    std::chrono::milliseconds streamSilence{1'600};  // between events of a stream that may be resumed
-    std::chrono::milliseconds hopOverhead{130};      // kept back from the deadline for the way back from another region
-    std::chrono::milliseconds noCatalogRetry{500};   // Retry-After before any configuration is known
-    std::chrono::milliseconds deadlineMargin{30};    // the answer is sent this long before the caller gives up
-    std::size_t sendsMost = 6;                       // of one request, turned away ones included
-    double gapPatience = 8;                          // callers leave a stream after a gap of so many times the stated pause,
-    double objectivePatience = 4;                    // so many times the objective,
-    std::chrono::milliseconds patienceLeast{2'000};  // or this, whichever is longest
+    std::chrono::milliseconds silenceLeast{700};    // without a first byte, before a repeatable request is tried elsewhere
+    double silenceFactor = 3;                       // of the predicted time, if that is longer
+    std::chrono::milliseconds streamSilence{1'600}; // between events of a stream that may be resumed
+    std::chrono::milliseconds hopOverhead{130};     // kept back from the deadline for the way back from another region
+    std::chrono::milliseconds noCatalogRetry{500};  // Retry-After before any configuration is known
+    std::chrono::milliseconds deadlineMargin{30};   // the answer is sent this long before the caller gives up
+    std::size_t sendsMost = 6;                      // of one request, turned away ones included
+    double gapPatience = 8;                         // callers leave a stream after a gap of so many times the stated pause,
+    double objectivePatience = 4;                   // so many times the objective,
+    std::chrono::milliseconds patienceLeast{2'000}; // or this, whichever is longest
     std::chrono::milliseconds patienceMargin{150};
 };
 
--- a/src/arbutus/edge/placement.h
+++ b/src/arbutus/edge/placement.h
@@ -18,16 +18,16 @@
 
 struct PlacementSettings
 {
-    std::chrono::milliseconds answerTimeout{40};     // of the first answer to an ask
-    std::chrono::milliseconds repeatPeriod{100};     // of an ask that waits
-    int silentAsks = 2;                              // unanswered, until a holder is passed over
+    std::chrono::milliseconds answerTimeout{40}; // of the first answer to an ask
+    std::chrono::milliseconds repeatPeriod{100}; // of an ask that waits
+    int silentAsks = 2;                          // unanswered, until a holder is passed over
     std::chrono::milliseconds passOver{700};
-    std::chrono::milliseconds settlePeriod{20};      // of the own dispatcher while anything waits there
-    std::chrono::milliseconds reportPeriod{300};     // of all that is held
-    std::chrono::milliseconds statePeriod{250};      // of the region's state to other instances
+    std::chrono::milliseconds settlePeriod{20};         // of the own dispatcher while anything waits there
+    std::chrono::milliseconds reportPeriod{300};        // of all that is held
+    std::chrono::milliseconds statePeriod{250};         // of the region's state to other instances
     core::Duration logPeriod = std::chrono::seconds(1); // of the dispatcher's state
     std::size_t holdingsPerDatagram = 30;
-    std::size_t dutyHoldersTold = 2;                 // of each region; the second takes over without a gap
+    std::size_t dutyHoldersTold = 2; // of each region; the second takes over without a gap
 };
 
 /// A caller that left; whoever waits for a place for it stops.
@@ -116,8 +116,8 @@
     bool m_flushing = false;
     bool m_holds = false; // the dispatch duty
     core::TimePoint m_loggedAt{};
-    std::map<core::InstanceId, core::TimePoint> m_passedOver;          // until
-    std::map<core::InstanceId, std::string> m_addresses;               // of those that asked
+    std::map<core::InstanceId, core::TimePoint> m_passedOver;                                                      // until
+    std::map<core::InstanceId, std::string> m_addresses;                                                           // of those that asked
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::Outlook, core::TimePoint>> m_outlooks; // of other regions
 
 public:
--- a/src/arbutus/edge/settings.h
+++ b/src/arbutus/edge/settings.h
@@ -22,7 +22,7 @@
     core::InstanceId id;
     core::DomainId domain;
     core::RegionId region;
-    double capacity = 1;                            // share of a processor core
+    double capacity = 1;                              // share of a processor core
     std::map<core::DomainId, core::RegionId> regions; // of every failure domain
 
     //--- Listeners
@@ -30,21 +30,21 @@
     http::Endpoint directory;
     http::Endpoint readiness;
     http::Endpoint metrics;
-    http::Endpoint peers;  // TCP and, on the same port, UDP
+    http::Endpoint peers;              // TCP and, on the same port, UDP
     std::vector<http::Endpoint> seeds; // peers of other instances; may be stale
 
     //--- The metadata store
     http::Endpoint store;
 
     //--- Bounds that the deployment promises
-    std::chrono::milliseconds grace{8'000};           // from a planned stop to its end
+    std::chrono::milliseconds grace{8'000}; // from a planned stop to its end
     std::chrono::milliseconds configurationWithin{3'000};
     std::chrono::milliseconds leavingWithin{3'000};
     std::chrono::milliseconds evacuationWithin{5'000};
     double retryRatio = 0.2;
     double retrySlack = 50;
     std::chrono::milliseconds retryWindow{10'000};
-    std::chrono::seconds directoryLifetime{2};        // of an answer
+    std::chrono::seconds directoryLifetime{2}; // of an answer
 
     //--- How work waits and is placed
     routing::DispatcherSettings dispatch;
--- a/src/arbutus/edge/storeduty.h
+++ b/src/arbutus/edge/storeduty.h
@@ -18,21 +18,21 @@
 
 struct StoreDutySettings
 {
-    std::chrono::milliseconds watchWait{900};           // of one watch call without changes
-    std::chrono::milliseconds watchPause{300};          // between calls; announcements change a few times a second
-    std::chrono::milliseconds checkPeriod{50};          // whether to read, while another instance does
-    core::Duration secondReadsAfter = std::chrono::milliseconds(700); // evidence age at which the next in the ranking reads too
-    core::Duration regionReadsAfter = std::chrono::milliseconds(900); // and the duty holder of a region
+    std::chrono::milliseconds watchWait{900};                             // of one watch call without changes
+    std::chrono::milliseconds watchPause{300};                            // between calls; announcements change a few times a second
+    std::chrono::milliseconds checkPeriod{50};                            // whether to read, while another instance does
+    core::Duration secondReadsAfter = std::chrono::milliseconds(700);     // evidence age at which the next in the ranking reads too
+    core::Duration regionReadsAfter = std::chrono::milliseconds(900);     // and the duty holder of a region
     core::Duration everyoneReadsAfter = std::chrono::milliseconds(1'200); // and any instance, plus a drawn part
     core::Duration everyoneSpread = std::chrono::milliseconds(500);
-    std::chrono::milliseconds retryFirst{150};          // after a failed call; doubles
+    std::chrono::milliseconds retryFirst{150}; // after a failed call; doubles
     std::chrono::milliseconds retryMost{1'000};
     core::Duration awayAfter = std::chrono::milliseconds(1'000); // without an answer, the store counts as having been away
     core::Duration awayLasts = std::chrono::milliseconds(2'000); // after its return, lapsed entries are given time
-    std::chrono::milliseconds leaseTime{15'000};        // of this instance's registration
+    std::chrono::milliseconds leaseTime{15'000};                 // of this instance's registration
     std::chrono::milliseconds leaseRenewal{5'000};
-    std::chrono::milliseconds membersRead{15'000};      // other instances' registrations
-    std::chrono::milliseconds fetchTimeout{700};        // of beliefs from a peer
+    std::chrono::milliseconds membersRead{15'000}; // other instances' registrations
+    std::chrono::milliseconds fetchTimeout{700};   // of beliefs from a peer
 };
 
 class StoreDuty
@@ -68,10 +68,10 @@
     StoreDutySettings m_settings;
     pcg32 m_random;
     Changed m_changed;
-    bool m_rangeNeeded = true;       // nothing read yet, or the history is gone
-    bool m_lost = false;             // the last call failed
-    core::TimePoint m_answeredAt{};  // last answer of the store
-    core::TimePoint m_backAt{};      // end of the last time that it was away
+    bool m_rangeNeeded = true;      // nothing read yet, or the history is gone
+    bool m_lost = false;            // the last call failed
+    core::TimePoint m_answeredAt{}; // last answer of the store
+    core::TimePoint m_backAt{};     // end of the last time that it was away
     bool m_everAway = false;
     bool m_fetching = false;
     metadata::LeaseId m_lease;
--- a/src/arbutus/gateway/platformduty.h
+++ b/src/arbutus/gateway/platformduty.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "arbutus/gateway/duty.h"
+#include "arbutus/metadata/kvclient.h"
 #include "arbutus/node/events.h"
 #include "arbutus/observe/metrics.h"
-#include "arbutus/metadata/kvclient.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -28,10 +28,10 @@
 
 namespace {
 
-constexpr std::size_t PieceBytes = 16 * 1024;           // most of a body handed out at once
-constexpr std::size_t IdlePerEndpoint = 16;             // idle connections kept to one endpoint
-constexpr std::uint64_t AnswerLimit = 64 * 1024 * 1024; // bytes of one answer's body
-constexpr int ForeignAnswersMost = 3;                   // answers to other requests dropped before the call gives up
+constexpr std::size_t PieceBytes = 16 * 1024;             // most of a body handed out at once
+constexpr std::size_t IdlePerEndpoint = 16;               // idle connections kept to one endpoint
+constexpr std::uint64_t AnswerLimit = 64 * 1024 * 1024;   // bytes of one answer's body
+constexpr int ForeignAnswersMost = 3;                     // answers to other requests dropped before the call gives up
 constexpr auto KeepAliveMargin = std::chrono::seconds(1); // before the other side's announced idle timeout
 
 using IdleClock = std::chrono::steady_clock;
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -46,7 +46,7 @@
     std::shared_ptr<TlsStore> tls;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> exchanges{0};
-    std::atomic<bool> closing{false};   // no further request on a connection after the answer under way
+    std::atomic<bool> closing{false};    // no further request on a connection after the answer under way
     std::atomic<bool> announcing{false}; // answers say that their connection ends
     std::set<Tcp::socket *> idle;        // connections that wait for a request; touched on the executor only
 };
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -200,7 +200,8 @@
             const double each = remote.outlook.tokensPerMs / remote.outlook.usable;
             const double reading = ask.promptTokens / each + static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs;
             predicted += core::Duration(static_cast<core::Duration::rep>(reading * 1000));
-            const double added = static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs / static_cast<double>(core::toMilliseconds(m_settings.engine.loadMemory));
+            const double added =
+                static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs / static_cast<double>(core::toMilliseconds(m_settings.engine.loadMemory));
             const double share = std::min(1.0, remote.outlook.prefillShare + added);
             const auto step = m_settings.engine.stepBase + scaled(m_settings.engine.chunkTime, share);
             streaming = scaled(step * static_cast<core::Duration::rep>(ask.outputTokens), m_settings.streamingWeight);
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -43,13 +43,13 @@
     WorkId id;
     core::InstanceId holder; // the node that asks
     core::ServiceId service;
-    int priority = 0;               // 0 is first
-    core::TimePoint onTimeUntil{};  // first event, or whole answer, by then is on time
-    core::TimePoint usefulUntil{};  // a first event, or an answer, after that is worth nothing
-    core::TimePoint endsAt{};       // nobody waits for the last event after that
+    int priority = 0;              // 0 is first
+    core::TimePoint onTimeUntil{}; // first event, or whole answer, by then is on time
+    core::TimePoint usefulUntil{}; // a first event, or an answer, after that is worth nothing
+    core::TimePoint endsAt{};      // nobody waits for the last event after that
     std::vector<PromptPart> prompt;
     std::uint32_t promptTokens = 0;
-    std::uint32_t outputTokens = 0;      // expected
+    std::uint32_t outputTokens = 0; // expected
     bool repeatable = false;
     bool mayLeave = true;                // may be served in another region
     std::set<core::RegionId> regions;    // that may serve it; empty = all
@@ -117,12 +117,12 @@
 struct Outlook
 {
     core::ServiceId service;
-    core::Duration wait{};            // until a request's prompt would begin to be read
-    double tokensPerMs = 0;           // prefill of all usable engines together; 0 for plain services
+    core::Duration wait{};  // until a request's prompt would begin to be read
+    double tokensPerMs = 0; // prefill of all usable engines together; 0 for plain services
     std::uint32_t freeSlots = 0;
-    std::uint32_t usable = 0;         // upstreams
-    core::Duration serviceTime{};     // of a plain service
-    double prefillShare = 0;          // of the engines' time, the least busy half
+    std::uint32_t usable = 0;     // upstreams
+    core::Duration serviceTime{}; // of a plain service
+    double prefillShare = 0;      // of the engines' time, the least busy half
 };
 
 //-----------------------------------------------------------------------------
@@ -132,24 +132,24 @@
 struct DispatcherSettings
 {
     EngineSettings engine;
-    core::Duration backlogMost = std::chrono::milliseconds(0);       // of one engine; what comes on top waits here
-    core::Duration restBetween = std::chrono::milliseconds(25);      // between long prompts, so that streams beside them get steps of their own
-    std::uint32_t longPrompt = 1'500;                                // uncached tokens from which a prompt counts as long
-    core::Duration regionRoundTrip = std::chrono::milliseconds(115); // there and back, with one hop more
-    core::Duration remoteMargin = std::chrono::milliseconds(150);    // another region must be better by this
+    core::Duration backlogMost = std::chrono::milliseconds(0);         // of one engine; what comes on top waits here
+    core::Duration restBetween = std::chrono::milliseconds(25);        // between long prompts, so that streams beside them get steps of their own
+    std::uint32_t longPrompt = 1'500;                                  // uncached tokens from which a prompt counts as long
+    core::Duration regionRoundTrip = std::chrono::milliseconds(115);   // there and back, with one hop more
+    core::Duration remoteMargin = std::chrono::milliseconds(150);      // another region must be better by this
     core::Duration remoteScoreMargin = std::chrono::milliseconds(400); // or by this, slow streams counted, if it is on time
-    core::Duration outlookAge = std::chrono::milliseconds(1'500);    // older ones say nothing
-    core::Duration unseenMost = std::chrono::milliseconds(1'200);    // work and asks that nobody speaks of are forgotten
-    double readAgainWeight = 1.4;                                    // time spent on reading counts so much: it delays others too
-    double slowedWeight = 0.4;                                       // of the time by which reading delays each run beside it
-    double streamingWeight = 0.2;                                    // of the time that the stream will take: steps are slow where prompts are read
-    core::Duration pumpPeriod = std::chrono::milliseconds(8);        // waiting asks are gone through at most so often
-    double slotsUsed = 0.94;                                         // of an engine's slots
-    double memoryUsed = 0.95;                                        // of an engine's memory, for running requests and cached parts
-    std::size_t placedAtOnce = 48;                                   // asks looked at when something changes
-    double failureAvoid = 0.3;                                       // failure rate from which another choice is preferred
-    core::Duration coldPause = std::chrono::milliseconds(1'000);     // a new holder sends nothing to cold upstreams for so long
-    core::Duration retryLeast = std::chrono::milliseconds(200);      // shortest advice to come back
+    core::Duration outlookAge = std::chrono::milliseconds(1'500);      // older ones say nothing
+    core::Duration unseenMost = std::chrono::milliseconds(1'200);      // work and asks that nobody speaks of are forgotten
+    double readAgainWeight = 1.4;                                      // time spent on reading counts so much: it delays others too
+    double slowedWeight = 0.4;                                         // of the time by which reading delays each run beside it
+    double streamingWeight = 0.2;                                      // of the time that the stream will take: steps are slow where prompts are read
+    core::Duration pumpPeriod = std::chrono::milliseconds(8);          // waiting asks are gone through at most so often
+    double slotsUsed = 0.94;                                           // of an engine's slots
+    double memoryUsed = 0.95;                                          // of an engine's memory, for running requests and cached parts
+    std::size_t placedAtOnce = 48;                                     // asks looked at when something changes
+    double failureAvoid = 0.3;                                         // failure rate from which another choice is preferred
+    core::Duration coldPause = std::chrono::milliseconds(1'000);       // a new holder sends nothing to cold upstreams for so long
+    core::Duration retryLeast = std::chrono::milliseconds(200);        // shortest advice to come back
     core::Duration retryMost = std::chrono::milliseconds(3'000);
 };
 
@@ -204,9 +204,9 @@
         EngineModel *model = nullptr;
         std::uint32_t uncachedTokens = 0;
         core::Duration predicted{};
-        core::Duration score{};   // predicted, with what it costs others
-        bool admissible = false;  // its backlog, slots and memory allow one more now, and nobody better waits for it
-        bool ends = true;         // its last event would come in time
+        core::Duration score{};  // predicted, with what it costs others
+        bool admissible = false; // its backlog, slots and memory allow one more now, and nobody better waits for it
+        bool ends = true;        // its last event would come in time
     };
     struct Remote
     {
@@ -250,8 +250,8 @@
     std::map<core::UpstreamId, EngineModel> m_models;
     std::map<core::UpstreamId, StartTime> m_lives; // the life that each model is of
     std::map<WorkId, WaitingAsk> m_waiting;
-    std::map<WorkId, Granted> m_placed; // granted and not finished
-    std::vector<Settled> m_settled;     // verdicts to hand out
+    std::map<WorkId, Granted> m_placed;                    // granted and not finished
+    std::vector<Settled> m_settled;                        // verdicts to hand out
     std::map<core::UpstreamId, core::Duration> m_reserved; // work of better asks that wait for an engine
     core::TimePoint m_pumpedAt{};
     std::map<core::RegionId, std::map<core::ServiceId, Remote>> m_remotes;
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -32,23 +32,23 @@
 
 struct EngineSettings
 {
-    double prefillTokensPerMs = 36;       // of an engine of ordinary speed; today's deployments state 38.7 and 42.6
-    double slownessLeast = 0.7;           // bounds of what is learned of an engine's speed; below 1 is faster than ordinary
+    double prefillTokensPerMs = 36; // of an engine of ordinary speed; today's deployments state 38.7 and 42.6
+    double slownessLeast = 0.7;     // bounds of what is learned of an engine's speed; below 1 is faster than ordinary
     double slownessMost = 8;
-    double slownessWeight = 0.12;         // of one observation
-    double learnWeight = 0.15;            // of one observation of other times
+    double slownessWeight = 0.12;                                 // of one observation
+    double learnWeight = 0.15;                                    // of one observation of other times
     core::Duration fixedDelay = std::chrono::milliseconds(10);    // network and one step, before a first event
     core::Duration stepBase = std::chrono::microseconds(6'000);   // of one output token of every run, without prefill
     core::Duration stepOfRun = std::chrono::microseconds(30);     // on top for each run
     core::Duration chunkTime = std::chrono::milliseconds(50);     // a step lasts so much longer while prompts are read
     core::Duration loadMemory = std::chrono::milliseconds(1'500); // over which the share of time spent on prefill is taken
     core::Duration runTime = std::chrono::milliseconds(2'000);    // of one request in a slot, before anything was learned
-    double runShare = 0.8;                // of an engine's memory that running requests may take beside shared parts
+    double runShare = 0.8;                                        // of an engine's memory that running requests may take beside shared parts
     core::Duration serviceTime = std::chrono::milliseconds(30);   // of a plain upstream, before anything was learned
-    int failuresToEject = 3;              // in a row
+    int failuresToEject = 3;                                      // in a row
     core::Duration ejectFirst = std::chrono::milliseconds(500);   // doubles with each ejection in a row
     core::Duration ejectMost = std::chrono::milliseconds(4'000);
-    double failureWeight = 0.08;          // of one outcome in the failure rate
+    double failureWeight = 0.08; // of one outcome in the failure rate
 };
 
 /// How a piece of work ended.
@@ -68,13 +68,13 @@
 /// One piece of work at an upstream.
 struct Run
 {
-    core::InstanceId holder;         // who sent it
+    core::InstanceId holder; // who sent it
     std::uint32_t uncachedTokens = 0;
-    std::uint32_t memoryTokens = 0;  // own part of the prompt and expected output
+    std::uint32_t memoryTokens = 0; // own part of the prompt and expected output
     core::TimePoint grantedAt{};
-    core::TimePoint seenAt{};        // last time that its holder spoke of it
-    core::Duration predicted{};      // to its first event, when it was granted
-    bool started = false;            // its first event has come
+    core::TimePoint seenAt{};   // last time that its holder spoke of it
+    core::Duration predicted{}; // to its first event, when it was granted
+    bool started = false;       // its first event has come
 };
 
 /// The model of one upstream.
@@ -152,8 +152,8 @@
     core::TimePoint m_backlogEnd{};
     double m_slowness = 1; // first events take so many times as long as predicted for an engine of ordinary speed
     core::Duration m_serviceTime;
-    core::Duration m_runTime;      // moving average of requests in a slot
-    double m_recentTokens = 0;     // prompt tokens granted, fading over loadMemory
+    core::Duration m_runTime;  // moving average of requests in a slot
+    double m_recentTokens = 0; // prompt tokens granted, fading over loadMemory
     core::TimePoint m_recentAt{};
     struct CachedPart
     {
--- a/src/arbutus/routing/roster.h
+++ b/src/arbutus/routing/roster.h
@@ -25,8 +25,8 @@
 
 namespace arbutus::routing {
 
-using StartTime = core::StrongNumber<struct StartTimeTag>;       // Unix milliseconds; one life of an upstream
-using RosterRevision = core::StrongNumber<struct RosterRevTag>;  // of the store that a snapshot was read from
+using StartTime = core::StrongNumber<struct StartTimeTag>;      // Unix milliseconds; one life of an upstream
+using RosterRevision = core::StrongNumber<struct RosterRevTag>; // of the store that a snapshot was read from
 
 //-----------------------------------------------------------------------------
 // Announcement
@@ -39,12 +39,12 @@
     core::ServiceId service;
     std::string address; // "10.0.0.1:8080"; may be given to another upstream once this one has gone
     core::DomainId domain;
-    std::size_t slots = 1;        // requests worked on at once
-    bool leaving = false;         // takes no new work soon
-    core::Duration coldLeft{};    // how much longer it is cold, from when the announcement was written
+    std::size_t slots = 1;                // requests worked on at once
+    bool leaving = false;                 // takes no new work soon
+    core::Duration coldLeft{};            // how much longer it is cold, from when the announcement was written
     std::optional<core::Duration> goneIn; // it ends then, whatever it is working on
     StartTime started;
-    std::uint64_t sequence = 0;   // grows with each announcement of a life
+    std::uint64_t sequence = 0; // grows with each announcement of a life
 
     bool operator==(const Announcement &) const = default;
 };
--- a/tests/beliefstest.cpp
+++ b/tests/beliefstest.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/beliefs.h"
 #include "arbutus/edge/codec.h"
+#include "arbutus/edge/directory.h"
 #include "arbutus/edge/eventrelay.h"
 #include "arbutus/membership/domainview.h"
 #include "platform/dialect.h"
@@ -192,8 +193,12 @@
         const char *path;
         const char *id;
     };
-    const auto row = GENERATE(values<Row>(
-        {{"h.example", "/a/b/c", "ab"}, {"h.example", "/a/bc", "a"}, {"h.example", "/a/", "a"}, {"h.example", "/a", "root"}, {"h.example", "/x/a/", "root"}, {"other", "/a/", ""}}));
+    const auto row = GENERATE(values<Row>({{"h.example", "/a/b/c", "ab"},
+                                           {"h.example", "/a/bc", "a"},
+                                           {"h.example", "/a/", "a"},
+                                           {"h.example", "/a", "root"},
+                                           {"h.example", "/x/a/", "root"},
+                                           {"other", "/a/", ""}}));
     CAPTURE(row.host, row.path);
     const catalog::Route *found = catalog.match(row.host, row.path);
     CHECK((found == nullptr ? "" : found->id.text) == row.id);
@@ -295,7 +300,10 @@
     dead.condition = membership::Condition::Dead;
     (void)other.receive(membership::Message{core::InstanceRef{}, membership::Ping{2}, {dead}}, "x", Start);
     REQUIRE_FALSE(other.members().at(core::InstanceId("n")).usable());
-    const auto told = restarted.receive(membership::Message{core::InstanceRef{core::InstanceId("other"), core::Incarnation(5)}, membership::Ping{3}, {memberOf("other", 5), dead}}, "other", Start);
+    const auto told = restarted.receive(
+        membership::Message{core::InstanceRef{core::InstanceId("other"), core::Incarnation(5)}, membership::Ping{3}, {memberOf("other", 5), dead}},
+        "other",
+        Start);
     REQUIRE_FALSE(told.empty());
     for (const membership::Outgoing &message : told) {
         (void)other.receive(message.message, "n", Start);
@@ -369,7 +377,13 @@
 {
     const platform::PlatformDialect dialect;
     http::Request request;
-    request.headers = {{"X-Attempt-Id", "a1"}, {"Host", "H.example:80"}, {"X-Deadline-Ms", "5000"}, {"X-Model", "m"}, {"X-Token-Count", "1460,80"}, {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}, {"X-Length-Hint", "60"}};
+    request.headers = {{"X-Attempt-Id", "a1"},
+                       {"Host", "H.example:80"},
+                       {"X-Deadline-Ms", "5000"},
+                       {"X-Model", "m"},
+                       {"X-Token-Count", "1460,80"},
+                       {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                       {"X-Length-Hint", "60"}};
     request.target = "/a/b?c=d";
     const auto head = dialect.readRequest(request);
     REQUIRE(head);
@@ -393,7 +407,18 @@
 {
     const platform::PlatformDialect dialect;
     http::Request request;
-    request.headers = {{"X-Hold", "h"}, {"x-pin-ms", "9"}, {"X-Kv-Backup", "b"}, {"Kv-From", "f"}, {"Kv-Fetch", "f"}, {"X-Expect-Instance", "other"}, {"X-Request-Priority", "0"}, {"Connection", "keep-alive, X-Private"}, {"X-Private", "p"}, {"Transfer-Encoding", "chunked"}, {"X-Model", "m"}, {"X-Attempt-Id", "a1"}};
+    request.headers = {{"X-Hold", "h"},
+                       {"x-pin-ms", "9"},
+                       {"X-Kv-Backup", "b"},
+                       {"Kv-From", "f"},
+                       {"Kv-Fetch", "f"},
+                       {"X-Expect-Instance", "other"},
+                       {"X-Request-Priority", "0"},
+                       {"Connection", "keep-alive, X-Private"},
+                       {"X-Private", "p"},
+                       {"Transfer-Encoding", "chunked"},
+                       {"X-Model", "m"},
+                       {"X-Attempt-Id", "a1"}};
     edge::SendTerms terms;
     terms.upstream = core::UpstreamId("i-a");
     terms.deadline = 1234ms;
@@ -401,7 +426,13 @@
     terms.engine = true;
     terms.resumeAfter = "4";
     const http::Headers out = dialect.upstreamHeaders(request, terms);
-    CHECK(out == http::Headers{{"X-Model", "m"}, {"X-Attempt-Id", "a1"}, {"X-Expect-Instance", "i-a"}, {"X-Deadline-Ms", "1234"}, {"X-Request-Priority", "9"}, {"Last-Event-ID", "4"}});
+    CHECK(out
+          == http::Headers{{"X-Model", "m"},
+                           {"X-Attempt-Id", "a1"},
+                           {"X-Expect-Instance", "i-a"},
+                           {"X-Deadline-Ms", "1234"},
+                           {"X-Request-Priority", "9"},
+                           {"Last-Event-ID", "4"}});
 }
 
 TEST_CASE("what an upstream's answer shows", "[dialect]")
@@ -429,3 +460,60 @@
     answer.headers = row.headers;
     CHECK(dialect.readAnswer(answer, "a1").kind == row.kind);
 }
+
+//-----------------------------------------------------------------------------
+// Directory
+//-----------------------------------------------------------------------------
+
+namespace {
+
+membership::Member memberOf(const std::string &name, const std::string &region, double capacity = 0.25)
+{
+    membership::Member member;
+    member.id = core::InstanceId(name);
+    member.region = core::RegionId(region);
+    member.domain = core::DomainId(region + "-a");
+    member.url = name;
+    member.capacity = capacity;
+    return member;
+}
+
+} // namespace
+
+TEST_CASE("callers are sent to their own region, else to a home of the routes that have one", "[directory]")
+{
+    struct Row
+    {
+        std::vector<membership::Member> live;
+        std::set<std::string> named;
+    };
+    const auto row = GENERATE(values<Row>({
+        {{memberOf("a", "x"), memberOf("b", "y"), memberOf("c", "z")}, {"a"}},
+        {{memberOf("b", "y"), memberOf("c", "z")}, {"b"}}, // y is a home, z is not
+        {{memberOf("c", "z")}, {"c"}},
+        {{}, {}},
+    }));
+    pcg32 random(1);
+    const edge::DirectoryQuery query{core::RegionId("x"), core::DomainId("x-a")};
+    const auto entries = edge::chooseEntries(row.live, query, {core::RegionId("y")}, edge::DirectorySettings{}, random);
+    CHECK(std::set<std::string>(entries.begin(), entries.end()) == row.named);
+}
+
+TEST_CASE("callers are spread by the capacity of instances", "[directory]")
+{
+    std::vector<membership::Member> members;
+    for (int i = 0; i < 12; ++i) {
+        members.push_back(memberOf("n" + std::to_string(i), "x", i < 6 ? 0.5 : 0.125));
+    }
+    pcg32 random(1);
+    const edge::DirectoryQuery query{core::RegionId("x"), core::DomainId("x-a")};
+    std::map<std::string, double> share;
+    for (int i = 0; i < 4'000; ++i) {
+        const auto entries = edge::chooseEntries(members, query, {}, edge::DirectorySettings{}, random);
+        for (const std::string &entry : entries) {
+            share[entry] += 1.0 / static_cast<double>(entries.size());
+        }
+    }
+    CHECK(share["n0"] > 2 * share["n11"]);
+    CHECK(share["n11"] > 0); // each gets some
+}
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -1,8 +1,8 @@
 // The dispatcher: placement, queue order, spill, cold pacing, and the load patterns it answers against naive placement.
 
+#include "arbutus/routing/dispatcher.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/limits/sharedretrybudget.h"
-#include "arbutus/routing/dispatcher.h"
 
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
@@ -31,8 +31,7 @@
     route.host = "h";
     route.pathPrefix = "/";
     route.services = {catalog::Split{Model, 1}};
-    return std::make_shared<catalog::Catalog>(
-        catalog::CatalogVersion(1), std::vector{route}, std::vector{engines, plain}, catalog::CallerLimits{});
+    return std::make_shared<catalog::Catalog>(catalog::CatalogVersion(1), std::vector{route}, std::vector{engines, plain}, catalog::CallerLimits{});
 }
 
 routing::Announcement said(const std::string &id, const core::ServiceId &service, const std::string &domain = "here-a", std::size_t slots = 64)
--- a/tests/edgetest.cpp
+++ b/tests/edgetest.cpp
@@ -102,9 +102,9 @@
         asio::co_spawn(loop, acceptLoop(), asio::detached);
     }
 
-    std::vector<std::string> ran;       // attempts that it began to work on
-    std::vector<std::string> bodies;    // theirs
-    std::vector<std::string> expected;  // X-Expect-Instance of every arrival
+    std::vector<std::string> ran;      // attempts that it began to work on
+    std::vector<std::string> bodies;   // theirs
+    std::vector<std::string> expected; // X-Expect-Instance of every arrival
     int connections = 0;
     int brokenOff = 0; // connections that ended while it was at work
 
@@ -430,7 +430,8 @@
 
 TEST_CASE("a request that may run again is served by the other upstream", "[edge]")
 {
-    const auto behave = GENERATE(as<std::string>{}, "shed", "misdirected", "reset", "close", "garbage", "truncated", "unframed-reset", "unproven", "encoded", "error", "busy");
+    const auto behave =
+        GENERATE(as<std::string>{}, "shed", "misdirected", "reset", "close", "garbage", "truncated", "unframed-reset", "unproven", "encoded", "error", "busy");
     const auto first = GENERATE(as<std::string>{}, "a", "b"); // which of them misbehaves
     CAPTURE(behave, first);
     Fixture fixture;
@@ -505,7 +506,8 @@
         Tcp::socket socket(fixture.loop);
         const Tcp::endpoint target(asio::ip::make_address("127.0.0.1"), fixture.settings.callers.port);
         co_await socket.async_connect(target, asio::use_awaitable);
-        const std::string request = "POST /" + routeName + "/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: l\r\nX-Behave: a=hang,b=hang\r\nContent-Length: 0\r\n\r\n";
+        const std::string request =
+            "POST /" + routeName + "/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: l\r\nX-Behave: a=hang,b=hang\r\nContent-Length: 0\r\n\r\n";
         co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
         asio::steady_timer timer(fixture.loop);
         while (fixture.runs() == 0) {
