--- a/apps/ctl.cpp
+++ b/apps/ctl.cpp
@@ -25,6 +25,7 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace metadata = arbutus::metadata;
 namespace json = boost::json;
 namespace core = arbutus::core;
 namespace config = arbutus::config;
--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -55,7 +55,7 @@
     http::Endpoint endpoint(std::string_view path)
     {
         const std::string value = text(path);
-        const http::Endpoint out = http::parseEndpoint(value);
+        http::Endpoint out = http::parseEndpoint(value);
         if (!value.empty() && out.port == 0) {
             m_faults += std::string(path) + ": \"" + value + "\" is not an IP address with a port; ";
         }
--- a/src/arbutus/node/filters.cpp
+++ b/src/arbutus/node/filters.cpp
@@ -78,7 +78,10 @@
     }
     context.requestClass = &found->second;
     context.deadline = context.head.deadline ? std::min(*context.head.deadline, found->second.deadline) : found->second.deadline;
-    context.repeatable = found->second.repeatable || context.head.safeMethod;
+    const RequestHead &head = context.head;
+    const bool atMostOnce = !head.ticket.empty() || !head.idempotencyHash.empty(); // whatever the class says
+    const bool unnamedOrder = head.requestClass.empty() && !head.service.empty();  // the default class is meant for models
+    context.repeatable = !atMostOnce && (head.safeMethod || (found->second.repeatable && !unnamedOrder));
     if (context.deadline.count() <= 0) {
         return core::makeError(core::ErrorKind::DeadlineExceeded, "no time is left");
     }
--- a/tests/beliefstest.cpp
+++ b/tests/beliefstest.cpp
@@ -502,6 +502,7 @@
 TEST_CASE("callers are spread by the capacity of instances", "[directory]")
 {
     std::vector<membership::Member> members;
+    members.reserve(12);
     for (int i = 0; i < 12; ++i) {
         members.push_back(memberOf("n" + std::to_string(i), "x", i < 6 ? 0.5 : 0.125));
     }
--- a/tests/fleettest.cpp
+++ b/tests/fleettest.cpp
@@ -41,6 +41,38 @@
     }
 }
 
+TEST_CASE("a ticket means at most once, whatever the class", "[fleet]")
+{
+    const bool named = GENERATE(false, true); // otherwise the workspace's default class, which may be repeated
+    tests::Fleet fleet(threeNodes());
+    fleet.runFor(5s);
+    node::RequestHead head = fleet.orderHead("o", fleet.takeTicket(0));
+    head.requestClass = named ? core::ClassId("ask") : core::ClassId();
+    std::vector<std::size_t> sent;
+    for (int round = 0; round < 3; ++round) {
+        for (std::size_t entry = 0; entry < 3; ++entry) {
+            sent.push_back(fleet.send(entry, head, fleet.orderBody("o")));
+        }
+    }
+    fleet.runFor(2s);
+    for (const std::size_t order : sent) {
+        CHECK(fleet.told(order).answered);
+    }
+    REQUIRE(fleet.runs("o") == 1);
+}
+
+TEST_CASE("an order without a class and without a ticket is not taken as repeatable", "[fleet]")
+{
+    tests::Fleet fleet(threeNodes());
+    fleet.runFor(5s);
+    node::RequestHead head = fleet.orderHead("o", "");
+    head.requestClass = core::ClassId();
+    const std::size_t order = fleet.send(0, head, fleet.orderBody("o"));
+    fleet.runFor(1s);
+    REQUIRE(fleet.told(order).kind == core::ErrorKind::TicketRequired);
+    REQUIRE(fleet.runs("o") == 0);
+}
+
 TEST_CASE("a repeated order finds its recorded answer", "[fleet]")
 {
     tests::Fleet fleet(threeNodes());
