--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -24,17 +24,15 @@
 
 // Headers between instances; set by the sender on the peers' listener, and never passed on.
 constexpr const char *HopOrigin = "X-Gateway-Origin";   // instance that the caller is connected to
-constexpr const char *HopRegion = "X-Gateway-Region";   // its region
 constexpr const char *HopService = "X-Gateway-Service"; // that it has chosen
 constexpr const char *HopSends = "X-Gateway-Sends";     // sends to upstreams so far
 constexpr const char *HopRuns = "X-Gateway-Runs";       // of these, upstreams that may have run it
 constexpr const char *HopResume = "X-Gateway-Resume";   // last event that the caller has
 constexpr const char *HopOutcome = "X-Gateway-Outcome"; // in the answer: see the values below
-constexpr const char *HopRetry = "X-Gateway-Retry-Ms";  // in the answer: advice to come back
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotRun = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
-constexpr std::array HopHeaders = {HopOrigin, HopRegion, HopService, HopSends, HopRuns, HopResume, HopOutcome, HopRetry};
+constexpr std::array HopHeaders = {HopOrigin, HopService, HopSends, HopRuns, HopResume, HopOutcome};
 
 /// Statuses by which a gateway promises that a request has not run.
 bool promisesNotRun(unsigned status)
@@ -78,7 +76,6 @@
     core::ServiceId service;
     bool fromPeer = false;
     std::string origin; // instance that the caller is connected to
-    std::string hopSends;
     core::TimePoint arrivedAt;
     core::TimePoint endAt{}; // the caller gets its answer by then
     core::TimePoint onTimeUntil{};
@@ -418,7 +415,6 @@
     http::Request request = job.request;
     request.headers = m_context.dialect.peerHeaders(job.request, std::max(milliseconds(1), left - m_settings.hopOverhead / 2));
     request.headers[HopOrigin] = m_context.settings.id.text;
-    request.headers[HopRegion] = m_context.settings.region.text;
     request.headers[HopService] = job.service.text;
     request.headers[HopSends] = std::to_string(job.sends);
     request.headers[HopRuns] = std::to_string(job.runs);
--- a/src/arbutus/edge/placement.cpp
+++ b/src/arbutus/edge/placement.cpp
@@ -345,7 +345,7 @@
                    [&](const routing::Ask &ask) { receiveAsk(ask, from); },
                    [&](const std::vector<VerdictMessage> &verdicts) { receiveVerdicts(verdicts); },
                    [&](const WorkReport &report) { receiveWork(report, message.sender.id); },
-                   [&](const RegionState &state) { receiveState(state, message.region, message.sender.id); },
+                   [&](const RegionState &state) { receiveState(state, message.sender.id); },
                    [&](const Withdrawal &withdrawal) { m_dispatcher.withdraw(withdrawal.id); },
                },
                message.body);
@@ -453,7 +453,7 @@
     deliver(m_dispatcher.settle(m_context.now()));
 }
 
-void Placement::receiveState(const RegionState &state, const core::RegionId &, const core::InstanceId &sender)
+void Placement::receiveState(const RegionState &state, const core::InstanceId &sender)
 {
     const core::TimePoint now = m_context.now();
     for (const RegionOutlook &row : state.outlooks) {
--- a/src/arbutus/edge/placement.h
+++ b/src/arbutus/edge/placement.h
@@ -102,7 +102,7 @@
     void receiveAsk(const routing::Ask &ask, const std::string &from);
     void receiveVerdicts(const std::vector<VerdictMessage> &verdicts);
     void receiveWork(const WorkReport &report, const core::InstanceId &sender);
-    void receiveState(const RegionState &state, const core::RegionId &region, const core::InstanceId &sender);
+    void receiveState(const RegionState &state, const core::InstanceId &sender);
 
     Context &m_context;
     Fleet &m_fleet;
@@ -121,7 +121,7 @@
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::Outlook, core::TimePoint>> m_outlooks; // of other regions
 
 public:
-    /// Called when a peer knows newer beliefs: its id and whether they have to be fetched.
+    /// Called when a peer knows newer beliefs.
     std::function<void(const core::InstanceId &peer)> onNewerBeliefs;
     /// Called for an upstream that a peer saw leaving.
     std::function<void(const core::UpstreamId &upstream)> onLeaving;
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -187,15 +187,11 @@
     void noteOutlook(const core::RegionId &region, const Outlook &outlook, core::TimePoint now);
     /// Whether this node holds the duty, and which share of its members the region is known to have in reach (0 to 1).
     void setDuty(bool holds, double reach, core::TimePoint now);
-    /// Predicted wait for a service's prompt, for the log.
+    /// What is believed of each upstream, for the log.
     [[nodiscard]] const std::map<core::UpstreamId, EngineModel> &models() const
     {
         return m_models;
     }
-    void forgetModel(const core::UpstreamId &id)
-    {
-        m_models.erase(id);
-    }
 
 private:
     struct Candidate
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -224,3 +225,40 @@
     REQUIRE(request.query("workspace") == "a b");
     REQUIRE(request.query("none").empty());
 }
+
+TEST_CASE("a stopping listener closes idle connections, and a request under way gets its answer", "[http]")
+{
+    EchoServer server;
+    auto talk = [&]() -> asio::awaitable<std::string> {
+        asio::ip::tcp::socket idle(server.context);
+        asio::ip::tcp::socket busy(server.context);
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await idle.async_connect(target, asio::use_awaitable);
+        co_await busy.async_connect(target, asio::use_awaitable);
+        const std::string first = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+        co_await asio::async_write(busy, asio::buffer(first), asio::use_awaitable);
+        while (server.handled == 0) { // its headers have been read, its body has not come
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        server.server.closeAfterAnswers();
+        server.server.closeIdle();
+        std::array<char, 2048> space{};
+        boost::system::error_code code;
+        const std::size_t got = co_await idle.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, code));
+        REQUIRE(got == 0);
+        REQUIRE(code == asio::error::eof);
+        const std::string body = "rest";
+        co_await asio::async_write(busy, asio::buffer(body), asio::use_awaitable);
+        std::string answer;
+        code = {};
+        while (!code) {
+            const std::size_t more = co_await busy.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, code));
+            answer.append(space.data(), more);
+        }
+        co_return answer;
+    };
+    const std::string answer = server.run(talk());
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.ends_with("POST rest"));
+}
