Dispatching keeps up on uneven machines: strong holders, an index, senders' own times

On the grown site a region's dispatch duty fell to an instance of 0.12 of a core and 10 Mbit/s (its weight in the ranking was its share, so eighteen small ones outweighed four large). Every ask and every report looked at the whole roster by string key and at all work, three times over; the holder used 40% of a core. Engines' speeds were learned from when reports arrived, so a late holder believed in engines seven times slower than they were, and a new holder learned from work whose prediction it never made. Hundreds of waiting asks were repeated every 100 ms, 19 Mbit/s at the worst.

Members of less than half of the largest capacity come last in rankings of duties; rankings are kept until membership changes. The dispatcher keeps the upstreams of its region by service and reads the roster again when it has changed; it looks for forgotten work ten times a second. First events carry the time that the sender measured. Waiting asks repeat every 300 ms, and ask the next holder at once when theirs is passed over.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -168,7 +168,8 @@
         auto *row = out.add_holdings();
         row->set_id(holding.id.text);
         row->set_upstream(holding.upstream.text);
-        row->set_started(holding.started);
+        row->set_started(holding.firstEventAfter.has_value());
+        row->set_first_event_after_us(static_cast<std::uint64_t>(holding.firstEventAfter.value_or(core::Duration::zero()).count()));
         row->set_memory_tokens(holding.memoryTokens);
     }
     for (const WorkEnded &ended : report.ended) {
@@ -183,7 +184,11 @@
 {
     WorkReport report;
     for (const auto &row : in.holdings()) {
-        report.holdings.push_back(routing::Holding{routing::WorkId(row.id()), core::UpstreamId(row.upstream()), row.started(), row.memory_tokens()});
+        routing::Holding holding{routing::WorkId(row.id()), core::UpstreamId(row.upstream()), std::nullopt, row.memory_tokens()};
+        if (row.started()) {
+            holding.firstEventAfter = durationOf(row.first_event_after_us());
+        }
+        report.holdings.push_back(std::move(holding));
     }
     constexpr auto Last = static_cast<std::uint32_t>(routing::WorkEnding::NeverSent);
     for (const auto &row : in.ended()) {
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -3,6 +3,9 @@
 #include "arbutus/edge/fleet.h"
 #include "arbutus/membership/rendezvous.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -163,6 +166,8 @@
     }
     m_membersVersion = m_view.version();
     m_members.clear();
+    m_dutyOrders.clear();
+    m_watchRank.reset();
     for (const membership::Member &member : m_view.usable()) {
         if (member.condition == membership::Condition::Alive) {
             m_members.push_back(member);
@@ -188,31 +193,27 @@
     return m_members;
 }
 
-std::vector<membership::Member> Fleet::membersOf(const core::RegionId &region)
+const std::vector<membership::Member> &Fleet::dutyOrder(const core::RegionId &region)
 {
-    std::vector<membership::Member> out;
-    for (const membership::Member &member : members()) {
-        if (member.region == region) {
-            out.push_back(member);
-        }
+    const std::vector<membership::Member> &all = members();
+    const auto known = m_dutyOrders.find(region);
+    if (known != m_dutyOrders.end()) {
+        return known->second;
     }
-    return out;
-}
-
-std::vector<membership::Member> Fleet::dutyOrder(const core::RegionId &region)
-{
-    return membership::rankByCapacity(DispatchDuty, membersOf(region));
+    std::vector<membership::Member> inRegion;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(inRegion), [&](const membership::Member &member) { return member.region == region; });
+    return m_dutyOrders[region] = membership::rankStrongFirst(DispatchDuty, std::move(inRegion));
 }
 
 std::size_t Fleet::watchRank()
 {
-    const auto order = membership::rankByCapacity(WatchDuty, members());
-    for (std::size_t i = 0; i < order.size(); ++i) {
-        if (order[i].id == self().id) {
-            return i;
-        }
+    const std::vector<membership::Member> &all = members();
+    if (!m_watchRank) {
+        const auto order = membership::rankStrongFirst(WatchDuty, all);
+        const auto own = std::find_if(order.begin(), order.end(), [&](const membership::Member &member) { return member.id == self().id; });
+        m_watchRank = static_cast<std::size_t>(own - order.begin());
     }
-    return order.size();
+    return *m_watchRank;
 }
 
 const membership::Member *Fleet::find(const core::InstanceId &id) const
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -1,7 +1,7 @@
 // The instances of the fleet: who lives, who holds which duty, and the datagrams between them.
 //
 // Membership is SWIM over all instances (membership::DomainView). A duty is held by the first live member in a rendezvous
-// ranking weighted by capacity; nobody agrees on it, so two may hold it for a moment, and every duty is harmless then.
+// ranking that begins with the strongest; nobody agrees on it, so two may hold it for a moment, and every duty is harmless then.
 
 #pragma once
 
@@ -45,9 +45,8 @@
     }
     /// Live members that are neither leaving nor suspected, this one included unless it leaves.
     [[nodiscard]] const std::vector<membership::Member> &members();
-    [[nodiscard]] std::vector<membership::Member> membersOf(const core::RegionId &region);
-    /// Members of a region in the order in which they hold its duties.
-    [[nodiscard]] std::vector<membership::Member> dutyOrder(const core::RegionId &region);
+    /// Members of a region in the order in which they hold its duties; valid until the loop's next turn.
+    [[nodiscard]] const std::vector<membership::Member> &dutyOrder(const core::RegionId &region);
     /// This instance's place among all members for reading the store; 0 is first.
     [[nodiscard]] std::size_t watchRank();
     [[nodiscard]] const membership::Member *find(const core::InstanceId &id) const;
@@ -68,6 +67,8 @@
     Receiver m_receiver;
     std::vector<membership::Member> m_members; // of m_membersVersion
     std::uint64_t m_membersVersion = 0;
+    std::map<core::RegionId, std::vector<membership::Member>> m_dutyOrders;      // of m_membersVersion; ranking hashes each member
+    std::optional<std::size_t> m_watchRank;                                      // of m_membersVersion
     std::map<core::InstanceId, std::pair<membership::Condition, bool>> m_logged; // condition and leaving
 };
 
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -387,7 +387,7 @@
 
 std::optional<membership::Member> Forwarder::peerIn(const core::RegionId &region)
 {
-    const auto members = m_fleet.membersOf(region);
+    const auto &members = m_fleet.dutyOrder(region);
     double total = 0;
     for (const membership::Member &member : members) {
         total += member.capacity;
--- a/src/arbutus/edge/placement.cpp
+++ b/src/arbutus/edge/placement.cpp
@@ -86,6 +86,11 @@
     m_passedOver[id] = m_context.now() + m_settings.passOver;
     m_context.metrics.count("arbutus_dispatcher_silent_total");
     m_context.write(observe::LogLine("dispatcher_silent").add("member", id).add("passed_over_ms", m_settings.passOver.count()));
+    for (const auto &[work, waiter] : m_waiters) {
+        if (waiter->askedOf == id) {
+            waiter->timer.cancel();
+        }
+    }
 }
 
 std::optional<membership::Member> Placement::holder()
@@ -140,10 +145,11 @@
                 m_dispatcher.withdraw(ask.id);
                 silent = 0;
             }
+            waiter->askedOf = dispatcher->id;
             m_fleet.send(dispatcher->gossipAddress, ask);
             co_await waitFor(*waiter, m_settings.answerTimeout);
             if (!waiter->verdict) {
-                if (++silent >= m_settings.silentAsks && !token->cancelled) {
+                if (++silent >= m_settings.silentAsks && !token->cancelled && !passedOver(dispatcher->id)) {
                     passOver(dispatcher->id);
                 }
             } else if (waits(*waiter->verdict)) { // the holder has it, and tells when it can be placed
@@ -193,18 +199,20 @@
 void Placement::hand(const routing::Ask &ask, const routing::Granted &granted)
 {
     const std::uint32_t memory = ask.ownTokens();
-    m_held[ask.id] = Held{granted.upstream, false, memory};
-    m_dispatcher.report(m_context.settings.id, {routing::Holding{ask.id, granted.upstream, false, memory}}, m_context.now());
+    m_held[ask.id] = Held{granted.upstream, m_context.now(), std::nullopt, memory};
+    m_dispatcher.report(m_context.settings.id, {routing::Holding{ask.id, granted.upstream, std::nullopt, memory}}, m_context.now());
 }
 
 void Placement::started(const routing::WorkId &id)
 {
     const auto found = m_held.find(id);
-    if (found == m_held.end() || found->second.started) {
+    if (found == m_held.end() || found->second.firstEventAfter) {
         return;
     }
-    found->second.started = true;
-    m_dispatcher.started(id, found->second.upstream, m_context.now());
+    const core::TimePoint now = m_context.now();
+    const auto took = std::chrono::duration_cast<core::Duration>(now - found->second.since);
+    found->second.firstEventAfter = took;
+    m_dispatcher.started(id, found->second.upstream, took, now);
     m_newlyStarted.insert(id);
     flushWork();
 }
@@ -232,7 +240,7 @@
         WorkReport report;
         for (const routing::WorkId &id : std::exchange(m_newlyStarted, {})) {
             const Held &held = m_held[id];
-            report.holdings.push_back(routing::Holding{id, held.upstream, held.started, held.memoryTokens});
+            report.holdings.push_back(routing::Holding{id, held.upstream, held.firstEventAfter, held.memoryTokens});
         }
         report.ended = std::exchange(m_newlyEnded, {});
         if (!report.holdings.empty() || !report.ended.empty()) {
@@ -244,7 +252,7 @@
 
 void Placement::sendWork(const WorkReport &report)
 {
-    const auto order = m_fleet.dutyOrder(m_context.settings.region);
+    const auto &order = m_fleet.dutyOrder(m_context.settings.region);
     for (std::size_t i = 0; i < order.size() && i < m_settings.dutyHoldersTold; ++i) {
         if (order[i].id != m_context.settings.id) {
             m_fleet.send(order[i].gossipAddress, report);
@@ -258,7 +266,7 @@
         co_await pause(m_settings.reportPeriod);
         WorkReport report;
         for (const auto &[id, held] : m_held) {
-            report.holdings.push_back(routing::Holding{id, held.upstream, held.started, held.memoryTokens});
+            report.holdings.push_back(routing::Holding{id, held.upstream, held.firstEventAfter, held.memoryTokens});
             if (report.holdings.size() >= m_settings.holdingsPerDatagram) {
                 m_dispatcher.report(m_context.settings.id, report.holdings, m_context.now());
                 sendWork(report);
@@ -328,7 +336,7 @@
 
 void Placement::updateDuty()
 {
-    const auto order = m_fleet.dutyOrder(m_context.settings.region);
+    const auto &order = m_fleet.dutyOrder(m_context.settings.region);
     const bool holds = !order.empty() && order.front().id == m_context.settings.id;
     const double reach = static_cast<double>(order.size()) / static_cast<double>(std::max<std::size_t>(m_fleet.knownInRegion(), 1));
     if (holds != m_holds) {
@@ -409,7 +417,7 @@
 
 void Placement::sendState()
 {
-    const auto order = m_fleet.dutyOrder(m_context.settings.region);
+    const auto &order = m_fleet.dutyOrder(m_context.settings.region);
     const bool holds = !order.empty() && order.front().id == m_context.settings.id;
     const bool watches = m_fleet.watchRank() == 0;
     if (!holds && !watches) {
@@ -428,7 +436,7 @@
     }
     regions.erase(m_context.settings.region);
     for (const core::RegionId &region : regions) {
-        const auto others = m_fleet.dutyOrder(region);
+        const auto &others = m_fleet.dutyOrder(region);
         for (std::size_t i = 0; i < others.size() && i < m_settings.dutyHoldersTold; ++i) {
             m_fleet.send(others[i].gossipAddress, state);
         }
--- a/src/arbutus/edge/placement.h
+++ b/src/arbutus/edge/placement.h
@@ -19,7 +19,7 @@
 struct PlacementSettings
 {
     std::chrono::milliseconds answerTimeout{40}; // of the first answer to an ask
-    std::chrono::milliseconds repeatPeriod{100}; // of an ask that waits
+    std::chrono::milliseconds repeatPeriod{300}; // of an ask that waits; an ask is up to 1 kB, and hundreds may wait
     int silentAsks = 2;                          // unanswered, until a holder is passed over
     std::chrono::milliseconds passOver{700};
     std::chrono::milliseconds settlePeriod{20};         // of the own dispatcher while anything waits there
@@ -71,12 +71,14 @@
         {
         }
         std::optional<routing::Verdict> verdict;
+        core::InstanceId askedOf; // the holder that has the ask
         boost::asio::steady_timer timer;
     };
     struct Held
     {
         core::UpstreamId upstream;
-        bool started = false;
+        core::TimePoint since{};
+        std::optional<core::Duration> firstEventAfter;
         std::uint32_t memoryTokens = 0;
     };
 
@@ -89,6 +91,7 @@
     /// The member that holds the dispatch duty; nothing if it is this instance or nobody answers.
     [[nodiscard]] std::optional<membership::Member> holder();
     [[nodiscard]] bool passedOver(const core::InstanceId &id) const;
+    /// Nobody asks it for a while; what waits there asks the next one at once.
     void passOver(const core::InstanceId &id);
     void hand(const routing::Ask &ask, const routing::Granted &granted);
     void flushWork();
--- a/src/arbutus/edge/storeduty.cpp
+++ b/src/arbutus/edge/storeduty.cpp
@@ -69,7 +69,7 @@
     if (rank == 1) {
         return m_settings.secondReadsAfter;
     }
-    const auto order = m_fleet.dutyOrder(m_context.settings.region);
+    const auto &order = m_fleet.dutyOrder(m_context.settings.region);
     if (!order.empty() && order.front().id == m_context.settings.id) {
         return m_settings.regionReadsAfter;
     }
--- a/src/arbutus/membership/rendezvous.cpp
+++ b/src/arbutus/membership/rendezvous.cpp
@@ -5,7 +5,6 @@
 #include "arbutus/core/hash.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace arbutus::membership {
 
@@ -17,14 +16,15 @@
     return members;
 }
 
-std::vector<Member> rankByCapacity(std::string_view key, std::vector<Member> members)
+std::vector<Member> rankStrongFirst(std::string_view key, std::vector<Member> members)
 {
-    // Weighted rendezvous: -capacity / ln(u) with u uniform in (0, 1).
-    const auto weight = [key](const Member &member) {
-        const double u = (static_cast<double>(core::rendezvousWeight(key, member.id.text) >> 11U) + 0.5) / 9007199254740992.0; // 2^53
-        return -std::max(member.capacity, 1e-6) / std::log(u);
-    };
-    std::sort(members.begin(), members.end(), [&](const Member &left, const Member &right) { return weight(left) > weight(right); });
+    constexpr double StrongShare = 0.5; // of the largest capacity
+    double largest = 0;
+    for (const Member &member : members) {
+        largest = std::max(largest, member.capacity);
+    }
+    members = rankMembers(key, std::move(members));
+    std::stable_partition(members.begin(), members.end(), [&](const Member &member) { return member.capacity >= StrongShare * largest; });
     return members;
 }
 
--- a/src/arbutus/membership/rendezvous.h
+++ b/src/arbutus/membership/rendezvous.h
@@ -15,8 +15,9 @@
 /// Members by descending rendezvous weight for `key`.
 [[nodiscard]] std::vector<Member> rankMembers(std::string_view key, std::vector<Member> members);
 
-/// The same with each member's chance of a place in proportion to its capacity.
-[[nodiscard]] std::vector<Member> rankByCapacity(std::string_view key, std::vector<Member> members);
+/// The same for a duty that takes more work the larger the fleet is: members of less than half of the largest capacity come
+/// last, as a small one that holds it would delay everyone.
+[[nodiscard]] std::vector<Member> rankStrongFirst(std::string_view key, std::vector<Member> members);
 
 /// Whether `self` is among the first `holders` of the ranking.
 [[nodiscard]] bool holdsDuty(std::string_view key, const std::vector<Member> &members, const core::InstanceId &self, std::size_t holders);
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -56,37 +56,47 @@
     return m_models.emplace(entry.said.id, EngineModel(m_settings.engine, memory, slots, tokensPerEvent)).first->second;
 }
 
-bool Dispatcher::serves(const RosterEntry &entry, const core::ServiceId &service) const
+void Dispatcher::readRoster()
 {
-    const auto region = m_view.regions.find(entry.said.domain);
-    return entry.said.service == service && m_view.roster.takesWork(entry) && region != m_view.regions.end() && region->second == m_view.region;
+    m_rosterVersion = m_view.roster.version();
+    m_catalogRead = m_view.catalog.get();
+    m_locals.clear();
+    std::erase_if(m_models, [&](const auto &row) { return m_view.roster.find(row.first) == nullptr; });
+    for (const auto &[id, entry] : m_view.roster.entries()) {
+        const auto region = m_view.regions.find(entry.said.domain);
+        if (m_view.roster.takesWork(entry) && region != m_view.regions.end() && region->second == m_view.region) {
+            m_locals[entry.said.service].push_back(Local{&entry, &modelOf(entry), {}});
+        }
+    }
+}
+
+std::vector<Dispatcher::Local> &Dispatcher::localsOf(const core::ServiceId &service)
+{
+    if (m_rosterVersion != m_view.roster.version() || m_catalogRead != m_view.catalog.get()) {
+        readRoster();
+    }
+    return m_locals[service];
 }
 
-bool Dispatcher::mightServe(const Ask &ask) const
+bool Dispatcher::mightServe(const Ask &ask)
 {
     if ((!ask.regions.empty() && !ask.regions.contains(m_view.region)) || ask.excludedRegions.contains(m_view.region)) {
         return false;
     }
-    const auto &entries = m_view.roster.entries();
-    return std::any_of(entries.begin(), entries.end(), [&](const auto &row) { return serves(row.second, ask.service) && !ask.excluded.contains(row.first); });
+    const auto &locals = localsOf(ask.service);
+    return std::any_of(locals.begin(), locals.end(), [&](const Local &local) { return !ask.excluded.contains(local.entry->said.id); });
 }
 
-std::optional<Dispatcher::Candidate> Dispatcher::considered(const Ask &ask, const RosterEntry &entry, core::TimePoint now)
+std::optional<Dispatcher::Candidate> Dispatcher::considered(const Ask &ask, Local &local, core::TimePoint now) const
 {
-    if (!serves(entry, ask.service) || ask.excluded.contains(entry.said.id)) {
-        return std::nullopt;
-    }
-    EngineModel &model = modelOf(entry);
-    if (!model.accepts(now)) {
+    const EngineModel &model = *local.model;
+    if ((!ask.excluded.empty() && ask.excluded.contains(local.entry->said.id)) || !model.accepts(now)) {
         return std::nullopt;
     }
     Candidate candidate;
-    candidate.entry = &entry;
-    candidate.model = &model;
+    candidate.local = &local;
     candidate.uncachedTokens = model.uncached(ask.prompt, ask.promptTokens);
-    const auto reserved = m_reserved.find(entry.said.id);
-    const core::Duration ahead = reserved == m_reserved.end() ? core::Duration::zero() : reserved->second;
-    candidate.predicted = model.predict(candidate.uncachedTokens, now) + model.slotWait() + ahead;
+    candidate.predicted = model.predict(candidate.uncachedTokens, now) + model.slotWait() + local.reserved;
     core::Duration cost = candidate.predicted;
     if (ask.promptTokens > 0) {
         const core::Duration streaming = model.decodeTime(ask.outputTokens, now);
@@ -97,7 +107,7 @@
     candidate.score = scaled(cost, 1 + 2 * model.failureRate());
     const bool rested = candidate.uncachedTokens < m_settings.longPrompt || model.restedFor(now) >= m_settings.restBetween - m_settings.backlogMost;
     const bool free = rested && model.backlog(now) <= m_settings.backlogMost && model.hasRoom(ask.ownTokens());
-    candidate.admissible = free && ahead == core::Duration::zero();
+    candidate.admissible = free && local.reserved == core::Duration::zero();
     return candidate;
 }
 
@@ -114,34 +124,37 @@
     return now >= m_coldNext[entry.said.id];
 }
 
-std::optional<Dispatcher::Candidate> Dispatcher::bestLocal(const Ask &ask, core::TimePoint now, bool coldToo)
+std::optional<Dispatcher::Candidate> Dispatcher::bestLocal(const Ask &ask, core::TimePoint now)
 {
-    std::optional<Candidate> best;
-    for (const auto &[id, entry] : m_view.roster.entries()) {
-        const bool cold = entry.cold(now);
-        if (cold && (!coldToo || !coldAllowed(entry, now))) {
+    const auto better = [](const Candidate &left, const std::optional<Candidate> &right) {
+        return !right || (left.ends != right->ends ? left.ends : left.score < right->score);
+    };
+    std::optional<Candidate> warm;
+    std::optional<Candidate> any;
+    for (Local &local : localsOf(ask.service)) {
+        const bool cold = local.entry->cold(now);
+        if (cold && !coldAllowed(*local.entry, now)) {
             continue;
         }
-        const auto candidate = considered(ask, entry, now);
+        const auto candidate = considered(ask, local, now);
         if (!candidate) {
             continue;
         }
-        const bool better = !best || (candidate->ends != best->ends ? candidate->ends : candidate->score < best->score);
-        if (better) {
-            best = candidate;
+        if (!cold && better(*candidate, warm)) {
+            warm = candidate;
+        }
+        if (better(*candidate, any)) {
+            any = candidate;
         }
     }
-    return best;
+    return any && (!warm || (!warm->admissible && any->admissible)) ? any : warm;
 }
 
 double Dispatcher::tokensPerMs(const core::ServiceId &service, core::TimePoint now)
 {
     double sum = 0;
-    for (const auto &[id, entry] : m_view.roster.entries()) {
-        if (serves(entry, service)) {
-            EngineModel &model = modelOf(entry);
-            sum += model.accepts(now) ? model.prefillRate() : 0;
-        }
+    for (const Local &local : localsOf(service)) {
+        sum += local.model->accepts(now) ? local.model->prefillRate() : 0;
     }
     return sum;
 }
@@ -163,11 +176,9 @@
     if (ask.promptTokens == 0) { // a plain service: as many at once as there are slots
         std::size_t slots = 0;
         core::Duration each{};
-        for (const auto &[id, entry] : m_view.roster.entries()) {
-            if (serves(entry, ask.service)) {
-                slots += entry.said.slots;
-                each = std::max(each, modelOf(entry).serviceTime());
-            }
+        for (const Local &local : localsOf(ask.service)) {
+            slots += local.entry->said.slots;
+            each = std::max(each, local.model->serviceTime());
         }
         return scaled(each, static_cast<double>(count) / static_cast<double>(std::max<std::size_t>(slots, 1)));
     }
@@ -227,42 +238,36 @@
 
 std::vector<Outlook> Dispatcher::outlooks(core::TimePoint now)
 {
-    std::map<core::ServiceId, Outlook> byService;
-    std::map<core::ServiceId, core::Duration> leastBacklog;
-    std::map<core::ServiceId, std::vector<double>> shares;
-    for (const auto &[id, entry] : m_view.roster.entries()) {
-        if (!serves(entry, entry.said.service) || entry.cold(now)) {
-            continue;
+    std::vector<Outlook> out;
+    (void)localsOf(core::ServiceId()); // reads the roster again if it has changed
+    for (auto &[id, locals] : m_locals) {
+        Outlook outlook;
+        outlook.service = id;
+        std::optional<core::Duration> leastBacklog;
+        std::vector<double> shares;
+        for (const Local &local : locals) {
+            const EngineModel &model = *local.model;
+            if (local.entry->cold(now) || !model.accepts(now)) {
+                continue;
+            }
+            ++outlook.usable;
+            outlook.freeSlots += model.runs().size() < model.slots() ? static_cast<std::uint32_t>(model.slots() - model.runs().size()) : 0;
+            outlook.serviceTime = std::max(outlook.serviceTime, model.serviceTime());
+            outlook.tokensPerMs += model.isEngine() ? model.prefillRate() : 0;
+            shares.push_back(model.prefillShare(now));
+            leastBacklog = std::min(leastBacklog.value_or(core::Duration::max()), model.backlog(now));
         }
-        EngineModel &model = modelOf(entry);
-        if (!model.accepts(now)) {
+        if (outlook.usable == 0) {
             continue;
         }
-        const catalog::Service *service = m_view.catalog ? m_view.catalog->service(entry.said.service) : nullptr;
-        Outlook &outlook = byService[entry.said.service];
-        outlook.service = entry.said.service;
-        ++outlook.usable;
-        outlook.freeSlots += model.runs().size() < model.slots() ? static_cast<std::uint32_t>(model.slots() - model.runs().size()) : 0;
-        outlook.serviceTime = std::max(outlook.serviceTime, model.serviceTime());
-        if (service != nullptr && service->engine) {
-            outlook.tokensPerMs += model.prefillRate();
-        }
-        shares[entry.said.service].push_back(model.prefillShare(now));
-        const auto known = leastBacklog.find(entry.said.service);
-        const core::Duration backlog = model.backlog(now);
-        leastBacklog[entry.said.service] = known == leastBacklog.end() ? backlog : std::min(known->second, backlog);
-    }
-    std::vector<Outlook> out;
-    for (auto &[id, outlook] : byService) {
         std::uint64_t queued = 0;
         for (const auto &[work, waiting] : m_waiting) {
             queued += waiting.ask.service == id ? waiting.needTokens : 0;
         }
-        outlook.wait = leastBacklog[id];
-        std::vector<double> &busy = shares[id];
-        std::sort(busy.begin(), busy.end());
-        busy.resize((busy.size() + 1) / 2);
-        outlook.prefillShare = std::accumulate(busy.begin(), busy.end(), 0.0) / static_cast<double>(busy.size());
+        outlook.wait = *leastBacklog;
+        std::sort(shares.begin(), shares.end());
+        shares.resize((shares.size() + 1) / 2);
+        outlook.prefillShare = std::accumulate(shares.begin(), shares.end(), 0.0) / static_cast<double>(shares.size());
         if (outlook.tokensPerMs > 0) {
             outlook.wait += core::Duration(static_cast<core::Duration::rep>(static_cast<double>(queued) * 1000 / outlook.tokensPerMs));
         }
@@ -282,12 +287,12 @@
 
 Verdict Dispatcher::grant(const Ask &ask, const Candidate &candidate, core::TimePoint now)
 {
-    const RosterEntry &entry = *candidate.entry;
+    const RosterEntry &entry = *candidate.local->entry;
     Run run;
     run.holder = ask.holder;
     run.uncachedTokens = candidate.uncachedTokens;
     run.memoryTokens = ask.ownTokens();
-    candidate.model->granted(ask.id, std::move(run), ask.prompt, now);
+    candidate.local->model->granted(ask.id, std::move(run), ask.prompt, now);
     Granted granted{entry.said.id, entry.said.address, candidate.uncachedTokens, candidate.predicted, entry.cold(now)};
     if (granted.cold) {
         const catalog::Service *service = m_view.catalog ? m_view.catalog->service(ask.service) : nullptr;
@@ -307,28 +312,19 @@
     return Refused{reason, std::clamp(wanted, m_settings.retryLeast, m_settings.retryMost)};
 }
 
-std::optional<Verdict> Dispatcher::place(const Ask &ask, core::TimePoint now)
+Dispatcher::Placing Dispatcher::place(const Ask &ask, core::TimePoint now)
 {
     const bool here = (ask.regions.empty() || ask.regions.contains(m_view.region)) && !ask.excludedRegions.contains(m_view.region);
-    std::optional<Candidate> local;
-    if (here) {
-        local = bestLocal(ask, now, false);
-        if (!local || !local->admissible) {
-            const auto withCold = bestLocal(ask, now, true);
-            if (withCold && (!local || withCold->admissible)) {
-                local = withCold;
-            }
-        }
-    }
+    const std::optional<Candidate> local = here ? bestLocal(ask, now) : std::nullopt;
     const std::optional<Elsewhere> remote = bestRemote(ask, now);
     if (!local) {
         if (remote) {
-            return leave(ask, *remote);
+            return Placing{leave(ask, *remote), nullptr, 0};
         }
         if (!mightServe(ask)) {
-            return refuse(ask, RefusalReason::NoUpstream, core::Duration::zero(), now);
+            return Placing{refuse(ask, RefusalReason::NoUpstream, core::Duration::zero(), now), nullptr, 0};
         }
-        return std::nullopt;
+        return Placing{};
     }
     if (remote) {
         const core::Duration left = between(now, ask.onTimeUntil);
@@ -336,15 +332,16 @@
         const bool localOnTime = predicted <= left;
         const bool remoteOnTime = remote->predicted <= left;
         const bool betterStream = ask.promptTokens > 0 && remoteOnTime && remote->score + m_settings.remoteScoreMargin < local->score;
-        const bool unsound = local->model->failureRate() >= m_settings.failureAvoid && remoteOnTime;
+        const bool unsound = local->local->model->failureRate() >= m_settings.failureAvoid && remoteOnTime;
         if ((!localOnTime && remoteOnTime) || (!localOnTime && remote->predicted + m_settings.remoteMargin < predicted) || betterStream || unsound) {
-            return leave(ask, *remote);
+            return Placing{leave(ask, *remote), nullptr, 0};
         }
     }
+    Placing placing{std::nullopt, local->local, local->uncachedTokens};
     if (local->admissible) {
-        return grant(ask, *local, now);
+        placing.verdict = grant(ask, *local, now);
     }
-    return std::nullopt;
+    return placing;
 }
 
 bool Dispatcher::before(const Ask &left, const Ask &right, core::TimePoint now) const
@@ -366,14 +363,14 @@
 void Dispatcher::pump(core::TimePoint now)
 {
     if (m_waiting.empty()) {
-        m_reserved.clear();
+        clearReserved();
         return;
     }
     if (now - m_pumpedAt < m_settings.pumpPeriod) {
         return;
     }
     m_pumpedAt = now;
-    m_reserved.clear();
+    clearReserved();
     std::vector<const WaitingAsk *> order;
     order.reserve(m_waiting.size());
     for (const auto &[id, waiting] : m_waiting) {
@@ -396,11 +393,13 @@
         if (++looked > m_settings.placedAtOnce) {
             continue;
         }
-        if (auto verdict = place(ask, now)) {
-            m_settled.push_back({ask.id, ask.holder, std::move(*verdict)});
+        Placing placing = place(ask, now);
+        if (placing.verdict) {
+            m_settled.push_back({ask.id, ask.holder, std::move(*placing.verdict)});
             done.push_back(ask.id);
-        } else {
-            reserve(ask, now);
+        } else if (Local *local = placing.waitsFor) { // kept for this ask before worse ones
+            const core::Duration reading = ask.promptTokens == 0 ? local->model->serviceTime() : local->model->prefillTime(placing.uncachedTokens);
+            local->reserved += reading + local->model->slotWait();
         }
     }
     for (const WorkId &id : done) {
@@ -408,12 +407,12 @@
     }
 }
 
-void Dispatcher::reserve(const Ask &ask, core::TimePoint now)
+void Dispatcher::clearReserved()
 {
-    const auto best = bestLocal(ask, now, false);
-    if (best) {
-        const core::Duration reading = ask.promptTokens == 0 ? best->model->serviceTime() : best->model->prefillTime(best->uncachedTokens);
-        m_reserved[best->entry->said.id] += reading + best->model->slotWait();
+    for (auto &[service, locals] : m_locals) {
+        for (Local &local : locals) {
+            local.reserved = core::Duration::zero();
+        }
     }
 }
 
@@ -436,17 +435,14 @@
     if (!arrives) {
         known->second.seenAt = now;
     } else {
+        if (auto verdict = place(ask, now).verdict) { // what better asks wait for stays theirs
+            return *verdict;
+        }
         WaitingAsk waiting{ask, now, ask.promptTokens};
-        for (const auto &[id, entry] : m_view.roster.entries()) {
-            if (const auto candidate = considered(ask, entry, now)) {
-                waiting.needTokens = std::min(waiting.needTokens, candidate->uncachedTokens);
-            }
+        for (const Local &local : localsOf(ask.service)) {
+            waiting.needTokens = std::min(waiting.needTokens, local.model->uncached(ask.prompt, ask.promptTokens));
         }
         m_waiting[ask.id] = std::move(waiting);
-        if (auto verdict = place(ask, now)) { // m_reserved keeps it behind better ones that wait
-            m_waiting.erase(ask.id);
-            return *verdict;
-        }
     }
     pump(now);
     const auto settled = std::find_if(m_settled.begin(), m_settled.end(), [&](const Settled &row) { return row.id == ask.id; });
@@ -471,11 +467,11 @@
     std::erase_if(m_settled, [&](const Settled &row) { return row.id == id; });
 }
 
-void Dispatcher::started(const WorkId &id, const core::UpstreamId &upstream, core::TimePoint now)
+void Dispatcher::started(const WorkId &id, const core::UpstreamId &upstream, core::Duration took, core::TimePoint now)
 {
     const auto model = m_models.find(upstream);
     if (model != m_models.end()) {
-        model->second.started(id, now);
+        model->second.started(id, took, now);
     }
 }
 
@@ -493,17 +489,19 @@
     for (const Holding &holding : holdings) {
         const RosterEntry *entry = m_view.roster.find(holding.upstream);
         if (entry != nullptr) {
-            modelOf(*entry).seen(holding.id, holder, holding.started, holding.memoryTokens, now);
+            modelOf(*entry).seen(holding.id, holder, holding.firstEventAfter, holding.memoryTokens, now);
         }
     }
 }
 
 std::vector<Settled> Dispatcher::settle(core::TimePoint now)
 {
-    std::erase_if(m_models, [&](const auto &row) { return m_view.roster.find(row.first) == nullptr; });
-    for (auto &[id, model] : m_models) {
-        for (const WorkId &work : model.forgetUnseen(now - m_settings.unseenMost, now)) {
-            m_placed.erase(work);
+    if (now - m_forgotAt >= m_settings.forgetPeriod) {
+        m_forgotAt = now;
+        for (auto &[id, model] : m_models) {
+            for (const WorkId &work : model.forgetUnseen(now - m_settings.unseenMost, now)) {
+                m_placed.erase(work);
+            }
         }
     }
     pump(now);
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -105,7 +105,7 @@
 {
     WorkId id;
     core::UpstreamId upstream;
-    bool started = false;
+    std::optional<core::Duration> firstEventAfter; // since it was sent, by the node's clock; nothing until it has come
     std::uint32_t memoryTokens = 0;
 };
 
@@ -144,6 +144,7 @@
     double slowedWeight = 0.4;                                         // of the time by which reading delays each run beside it
     double streamingWeight = 0.2;                                      // of the time that the stream will take: steps are slow where prompts are read
     core::Duration pumpPeriod = std::chrono::milliseconds(8);          // waiting asks are gone through at most so often
+    core::Duration forgetPeriod = std::chrono::milliseconds(100);      // and work that nobody speaks of is looked for
     double slotsUsed = 0.94;                                           // of an engine's slots
     double memoryUsed = 0.95;                                          // of an engine's memory, for running requests and cached parts
     std::size_t placedAtOnce = 48;                                     // asks looked at when something changes
@@ -172,7 +173,8 @@
     [[nodiscard]] Verdict ask(const Ask &ask, core::TimePoint now);
     /// The holder no longer waits.
     void withdraw(const WorkId &id);
-    void started(const WorkId &id, const core::UpstreamId &upstream, core::TimePoint now);
+    /// Its first event came `took` after it was sent.
+    void started(const WorkId &id, const core::UpstreamId &upstream, core::Duration took, core::TimePoint now);
     void finished(const WorkId &id, const core::UpstreamId &upstream, WorkEnding ending, core::TimePoint now);
     /// All that a node holds.
     void report(const core::InstanceId &holder, const std::vector<Holding> &holdings, core::TimePoint now);
@@ -194,10 +196,16 @@
     }
 
 private:
-    struct Candidate
+    /// An upstream of this region that takes work, with what is believed of it.
+    struct Local
     {
         const RosterEntry *entry = nullptr;
         EngineModel *model = nullptr;
+        core::Duration reserved{}; // work of better asks that wait for it
+    };
+    struct Candidate
+    {
+        Local *local = nullptr;
         std::uint32_t uncachedTokens = 0;
         core::Duration predicted{};
         core::Duration score{};  // predicted, with what it costs others
@@ -218,21 +226,29 @@
         std::uint32_t needTokens = 0; // least that any engine would have to read for it
     };
 
+    /// What came of an attempt to place an ask.
+    struct Placing
+    {
+        std::optional<Verdict> verdict; // nothing if the ask has to wait
+        Local *waitsFor = nullptr;      // the upstream that is best for it
+        std::uint32_t uncachedTokens = 0;
+    };
+
     [[nodiscard]] EngineModel &modelOf(const RosterEntry &entry);
-    [[nodiscard]] std::optional<Candidate> bestLocal(const Ask &ask, core::TimePoint now, bool coldToo);
-    /// Whether an upstream of this region may be sent work of the service.
-    [[nodiscard]] bool serves(const RosterEntry &entry, const core::ServiceId &service) const;
+    /// Upstreams of this region that take work of a service, read from the roster again after it has changed.
+    [[nodiscard]] std::vector<Local> &localsOf(const core::ServiceId &service);
+    void readRoster();
+    /// The best of this region: warm ones first, a cold one only where no warm one is admissible.
+    [[nodiscard]] std::optional<Candidate> bestLocal(const Ask &ask, core::TimePoint now);
     /// Whether any upstream of this region may ever serve the ask, now or once it is sound again.
-    [[nodiscard]] bool mightServe(const Ask &ask) const;
-    [[nodiscard]] std::optional<Candidate> considered(const Ask &ask, const RosterEntry &entry, core::TimePoint now);
+    [[nodiscard]] bool mightServe(const Ask &ask);
+    [[nodiscard]] std::optional<Candidate> considered(const Ask &ask, Local &local, core::TimePoint now) const;
     [[nodiscard]] std::optional<Elsewhere> bestRemote(const Ask &ask, core::TimePoint now);
     [[nodiscard]] core::Duration queueWait(const Ask &ask, core::TimePoint now);
-    /// A verdict if there is one now; nothing if the ask has to wait.
-    [[nodiscard]] std::optional<Verdict> place(const Ask &ask, core::TimePoint now);
+    [[nodiscard]] Placing place(const Ask &ask, core::TimePoint now);
     /// Places waiting asks, best first, into m_settled.
     void pump(core::TimePoint now);
-    /// Notes that a better ask waits for the engine that is best for it.
-    void reserve(const Ask &ask, core::TimePoint now);
+    void clearReserved();
     [[nodiscard]] std::optional<Verdict> repeatGrant(const WorkId &id);
     [[nodiscard]] Verdict grant(const Ask &ask, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] Verdict leave(const Ask &ask, const Elsewhere &elsewhere);
@@ -245,10 +261,13 @@
     DispatcherView m_view;
     std::map<core::UpstreamId, EngineModel> m_models;
     std::map<core::UpstreamId, StartTime> m_lives; // the life that each model is of
+    std::map<core::ServiceId, std::vector<Local>> m_locals;
+    std::optional<std::uint64_t> m_rosterVersion; // that m_locals was read from
+    const catalog::Catalog *m_catalogRead = nullptr;
+    core::TimePoint m_forgotAt{};
     std::map<WorkId, WaitingAsk> m_waiting;
-    std::map<WorkId, Granted> m_placed;                    // granted and not finished
-    std::vector<Settled> m_settled;                        // verdicts to hand out
-    std::map<core::UpstreamId, core::Duration> m_reserved; // work of better asks that wait for an engine
+    std::map<WorkId, Granted> m_placed; // granted and not finished
+    std::vector<Settled> m_settled;     // verdicts to hand out
     core::TimePoint m_pumpedAt{};
     std::map<core::RegionId, std::map<core::ServiceId, Remote>> m_remotes;
     std::map<core::UpstreamId, core::TimePoint> m_coldNext; // when a cold upstream may get one more
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -176,7 +176,7 @@
     m_backlogEnd = std::min(m_backlogEnd, now + prefillTime(tokens));
 }
 
-void EngineModel::started(const WorkId &id, core::TimePoint now)
+void EngineModel::started(const WorkId &id, core::Duration took, core::TimePoint now)
 {
     const auto found = m_runs.find(id);
     if (found == m_runs.end() || found->second.started) {
@@ -189,12 +189,18 @@
     if (!m_engine) {
         return;
     }
+    if (run.predicted > core::Duration::zero()) {
+        learnSlowness(run.predicted, took);
+    }
+    rebuildBacklog(now);
+}
+
+void EngineModel::learnSlowness(core::Duration predicted, core::Duration took)
+{
     // The estimate moves by the ratio of what was observed to what was predicted with it, so it settles where both agree.
     constexpr double RatioMost = 4; // one observation says no more than this
-    const double took = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - run.grantedAt));
-    const double ratio = std::clamp(took / std::max(toMillisecondsExact(run.predicted), 1.0), 1 / RatioMost, RatioMost);
+    const double ratio = std::clamp(toMillisecondsExact(took) / std::max(toMillisecondsExact(predicted), 1.0), 1 / RatioMost, RatioMost);
     m_slowness = std::clamp(m_slowness * std::pow(ratio, m_settings.slownessWeight), m_settings.slownessLeast, m_settings.slownessMost);
-    rebuildBacklog(now);
 }
 
 void EngineModel::finished(const WorkId &id, WorkEnding ending, core::TimePoint now)
@@ -216,13 +222,14 @@
     noteHealth(ending, now);
 }
 
-void EngineModel::seen(const WorkId &id, const core::InstanceId &holder, bool hasStarted, std::uint32_t memoryTokens, core::TimePoint now)
+void EngineModel::seen(
+    const WorkId &id, const core::InstanceId &holder, std::optional<core::Duration> firstEventAfter, std::uint32_t memoryTokens, core::TimePoint now)
 {
     const auto found = m_runs.find(id);
     if (found != m_runs.end()) {
         found->second.seenAt = now;
-        if (hasStarted) {
-            started(id, now);
+        if (firstEventAfter) {
+            started(id, *firstEventAfter, now);
         }
         return;
     }
@@ -231,7 +238,7 @@
     run.memoryTokens = memoryTokens;
     run.grantedAt = now;
     run.seenAt = now;
-    run.started = hasStarted;
+    run.started = firstEventAfter.has_value();
     m_memoryUsed += memoryTokens;
     m_runs[id] = std::move(run);
 }
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,7 +74,7 @@
     std::uint32_t memoryTokens = 0; // own part of the prompt and expected output
     core::TimePoint grantedAt{};
     core::TimePoint seenAt{};   // last time that its holder spoke of it
-    core::Duration predicted{}; // to its first event, when it was granted
+    core::Duration predicted{}; // to its first event, when it was granted; zero for work that was learned of from a report
     bool started = false;       // its first event has come
 };
 
@@ -114,10 +115,11 @@
 
     //--- Work
     void granted(const WorkId &id, Run run, const std::vector<PromptPart> &prompt, core::TimePoint now);
-    void started(const WorkId &id, core::TimePoint now);
+    /// Its first event came `took` after it was sent; measured by the sender, as reports may come late.
+    void started(const WorkId &id, core::Duration took, core::TimePoint now);
     void finished(const WorkId &id, WorkEnding ending, core::TimePoint now);
     /// Work that a holder says it has there; unknown work is taken over.
-    void seen(const WorkId &id, const core::InstanceId &holder, bool hasStarted, std::uint32_t memoryTokens, core::TimePoint now);
+    void seen(const WorkId &id, const core::InstanceId &holder, std::optional<core::Duration> firstEventAfter, std::uint32_t memoryTokens, core::TimePoint now);
     /// Forgets work that its holder has not spoken of since `before`.
     std::vector<WorkId> forgetUnseen(core::TimePoint before, core::TimePoint now);
     [[nodiscard]] const std::map<WorkId, Run> &runs() const
@@ -128,6 +130,10 @@
     {
         return m_slots;
     }
+    [[nodiscard]] bool isEngine() const
+    {
+        return m_engine;
+    }
 
     //--- Health
     /// Whether work may be sent there; after an ejection one request at a time tries it.
@@ -139,6 +145,7 @@
 
 private:
     void rebuildBacklog(core::TimePoint now);
+    void learnSlowness(core::Duration predicted, core::Duration took);
     void cacheParts(const std::vector<PromptPart> &prompt);
     void noteHealth(WorkEnding ending, core::TimePoint now);
 
--- a/src/arbutus/routing/roster.cpp
+++ b/src/arbutus/routing/roster.cpp
@@ -63,6 +63,7 @@
     if (said == entry.said) {
         return;
     }
+    ++m_version;
     const bool newer = said.sequence > entry.said.sequence;
     entry.said = said;
     entry.heardAt = now;
@@ -102,6 +103,7 @@
             changes.push_back({id, RosterChange::Kind::Gone});
         }
     }
+    m_version += changes.empty() ? 0 : 1;
     return changes;
 }
 
@@ -112,6 +114,7 @@
     if (found != m_entries.end() && !found->second.leaving) {
         found->second.leaving = true;
         found->second.heardAt = now;
+        ++m_version;
         changes.push_back({id, RosterChange::Kind::Leaving});
     }
     return changes;
@@ -128,6 +131,7 @@
         }
     }
     m_evacuated = std::move(domains);
+    ++m_version;
     return true;
 }
 
@@ -142,7 +146,8 @@
             changes.push_back({id, RosterChange::Kind::Gone});
         }
     }
-    std::erase_if(m_entries, [&](const auto &row) { return row.second.gone && now - row.second.heardAt > m_settings.goneKept; });
+    const auto forgotten = std::erase_if(m_entries, [&](const auto &row) { return row.second.gone && now - row.second.heardAt > m_settings.goneKept; });
+    m_version += changes.empty() && forgotten == 0 ? 0 : 1;
     return changes;
 }
 
--- a/src/arbutus/routing/roster.h
+++ b/src/arbutus/routing/roster.h
@@ -126,6 +126,11 @@
     {
         return m_revision;
     }
+    /// Grows with each change; pointers to entries hold while it stays the same.
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return m_version;
+    }
 
 private:
     void adopt(const Announcement &said, core::TimePoint now, std::vector<RosterChange> &changes);
@@ -134,6 +139,7 @@
     std::map<core::UpstreamId, RosterEntry> m_entries;
     std::set<core::DomainId> m_evacuated;
     RosterRevision m_revision;
+    std::uint64_t m_version = 0;
 };
 
 } // namespace arbutus::routing
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -128,7 +128,7 @@
         home.try_emplace(shared, upstream);
         CHECK(home[shared] == upstream);
         now += 200ms;
-        fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), now);
+        fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), 200ms, now);
         fixture.dispatcher.finished(ask.id, core::UpstreamId(upstream), routing::WorkEnding::Answered, now);
         now += 100ms;
     }
@@ -303,12 +303,47 @@
 TEST_CASE("a new holder learns from reports what runs where", "[dispatcher]")
 {
     Fixture fixture({said("a", Till, "here-a", 1)});
-    fixture.dispatcher.report(core::InstanceId("n"), {routing::Holding{routing::WorkId("old"), core::UpstreamId("a"), true, 0}}, Start);
+    fixture.dispatcher.report(core::InstanceId("n"), {routing::Holding{routing::WorkId("old"), core::UpstreamId("a"), 30ms, 0}}, Start);
     REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(fixture.ask("w", Till, Start), Start)));
     fixture.dispatcher.finished(routing::WorkId("old"), core::UpstreamId("a"), routing::WorkEnding::Answered, Start + 20ms);
     REQUIRE(fixture.dispatcher.settle(Start + 20ms).size() == 1);
 }
 
+TEST_CASE("an engine's speed is learned from times that its senders took, not from when their reports arrive", "[dispatcher]")
+{
+    struct Row
+    {
+        const char *name;
+        bool granted; // by this dispatcher; otherwise it learned of the work from a report
+        core::Duration took;
+        double slowest; // prefill tokens for each millisecond at the end, at least
+        double fastest;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"as predicted, told late", true, 200ms, 30, 45},
+        {"four times as long", true, 800ms, 2, 20},
+        {"work of an earlier holder", false, 800ms, 35.9, 36.1},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture({said("a", Model)});
+    const core::UpstreamId upstream("a");
+    core::TimePoint now = Start;
+    for (int i = 0; i < 30; ++i) {
+        const routing::Ask ask = fixture.prompt("w" + std::to_string(i), 100 + static_cast<std::uint64_t>(i), now);
+        if (row.granted) {
+            REQUIRE(granted(fixture.dispatcher.ask(ask, now)) == "a");
+        } else {
+            fixture.dispatcher.report(core::InstanceId("n"), {routing::Holding{ask.id, upstream, std::nullopt, 1'000}}, now);
+        }
+        now += 2s; // reports of a busy node may be that late
+        fixture.dispatcher.report(core::InstanceId("n"), {routing::Holding{ask.id, upstream, row.took, 1'000}}, now);
+        fixture.dispatcher.finished(ask.id, upstream, routing::WorkEnding::Answered, now);
+    }
+    const double rate = fixture.dispatcher.models().at(upstream).prefillRate();
+    CHECK(rate >= row.slowest);
+    CHECK(rate <= row.fastest);
+}
+
 TEST_CASE("another region is chosen only where it clearly serves better", "[dispatcher]")
 {
     struct Row
@@ -394,7 +429,7 @@
     ToyEngines engines(Engines);
     pcg32 random(7);
     Outcome outcome;
-    std::map<core::TimePoint, std::pair<routing::Ask, std::string>> running; // by first event
+    std::map<core::TimePoint, std::tuple<routing::Ask, std::string, core::TimePoint>> running; // by first event; the last is when it was sent
     std::map<routing::WorkId, routing::Ask> waiting;
     const auto send = [&](const routing::Ask &ask, const std::string &upstream, core::TimePoint now) {
         core::TimePoint at = engines.read(std::stoul(upstream), ask, now);
@@ -402,14 +437,14 @@
         while (running.contains(at)) {
             at += 1us;
         }
-        running[at] = {ask, upstream};
+        running[at] = {ask, upstream, now};
     };
     const core::TimePoint end = Start + Requests * Between + 5s;
     int number = 0;
     for (core::TimePoint now = Start; now < end; now += 5ms) {
         while (!running.empty() && running.begin()->first <= now) {
-            const auto [ask, upstream] = running.begin()->second;
-            fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), now);
+            const auto [ask, upstream, sentAt] = running.begin()->second;
+            fixture.dispatcher.started(ask.id, core::UpstreamId(upstream), std::chrono::duration_cast<core::Duration>(now - sentAt), now);
             fixture.dispatcher.finished(ask.id, core::UpstreamId(upstream), routing::WorkEnding::Answered, now);
             running.erase(running.begin());
         }
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -189,3 +189,25 @@
     }
     REQUIRE_FALSE(membership::holdsDuty("duty", members, core::InstanceId("stranger"), 15));
 }
+
+TEST_CASE("duties that grow with the fleet go to strong members first, whichever joined", "[membership]")
+{
+    std::vector<membership::Member> members;
+    for (int i = 0; i < 21; ++i) {
+        membership::Member member;
+        member.id = core::InstanceId("n" + std::to_string(i));
+        member.capacity = i % 5 == 0 ? 0.5 : 0.12;
+        members.push_back(member);
+    }
+    const std::string key = GENERATE("dispatch", "watch", "another");
+    const auto order = membership::rankStrongFirst(key, members);
+    REQUIRE(order.size() == members.size());
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        CHECK((order[i].capacity == 0.5) == (i < 5));
+    }
+    std::reverse(members.begin(), members.end());
+    const auto again = membership::rankStrongFirst(key, members);
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        CHECK(order[i].id == again[i].id);
+    }
+}
