Waiting work is judged by the pace at which it is placed; mostly cached prompts first

Work counted as on time until its objective had passed, though reading it takes time too, and of two that waited the one that needs three times the reading went first as often as not. Other regions were predicted to read whole prompts, though most shared parts are cached there as well.

The pace of the last second (while work has waited for 0.6 s) predicts when an ask is reached; what would be reached too late is refused as soon as that is known. Work that cannot be on time once it has been read waits behind work that can; of equal priority, mostly cached prompts go first. Regions tell the share of long prompts that they had to read.

Test: one row of "another region is chosen only where it clearly serves better" said that work leaves for a region whose wait (5 s) is longer than it is useful (4 s). It rested on asks being kept that could no longer be served. It is replaced by two rows: 3 s leaves, 5 s does not.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -214,6 +214,7 @@
         outlook->set_free_slots(row.outlook.freeSlots);
         outlook->set_usable(row.outlook.usable);
         outlook->set_prefill_share(row.outlook.prefillShare);
+        outlook->set_read_share(row.outlook.readShare);
         outlook->set_service_time_us(microsecondsOf(row.outlook.serviceTime));
     }
     out.set_belief_revision(state.beliefRevision.value);
@@ -235,6 +236,7 @@
         outlook.freeSlots = row.free_slots();
         outlook.usable = row.usable();
         outlook.prefillShare = row.prefill_share();
+        outlook.readShare = row.read_share();
         outlook.serviceTime = durationOf(row.service_time_us());
         state.outlooks.push_back(RegionOutlook{core::RegionId(row.region()), outlook, durationOf(row.age_us())});
     }
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "arbutus/core/overloaded.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace arbutus::routing {
@@ -150,39 +151,70 @@
     return any && (!warm || (!warm->admissible && any->admissible)) ? any : warm;
 }
 
-double Dispatcher::tokensPerMs(const core::ServiceId &service, core::TimePoint now)
+void Dispatcher::notePlaced(const Ask &ask, std::uint32_t uncachedTokens, core::TimePoint now)
 {
-    double sum = 0;
-    for (const Local &local : localsOf(service)) {
-        sum += local.model->accepts(now) ? local.model->prefillRate() : 0;
+    Pace &pace = m_paces[ask.service];
+    const double memory = static_cast<double>(m_settings.paceMemory.count());
+    pace.placed *= std::exp(-static_cast<double>(between(pace.at, now).count()) / memory);
+    pace.placed += ask.promptTokens == 0 ? 1 : uncachedTokens;
+    pace.at = now;
+    if (ask.promptTokens >= m_settings.longPrompt) {
+        const double share = static_cast<double>(uncachedTokens) / ask.promptTokens;
+        pace.readShare += m_settings.readShareWeight * (share - pace.readShare);
     }
-    return sum;
 }
 
-core::Duration Dispatcher::queueWait(const Ask &ask, core::TimePoint now)
+double Dispatcher::paceOf(const core::ServiceId &service, core::TimePoint now)
 {
-    std::uint64_t tokens = 0;
-    std::size_t count = 0;
-    for (const auto &[id, waiting] : m_waiting) {
-        if (id != ask.id && waiting.ask.service == ask.service && before(waiting.ask, ask, now)) {
-            tokens += waiting.needTokens;
-            ++count;
+    double possible = 0;
+    for (const Local &local : localsOf(service)) {
+        const EngineModel &model = *local.model;
+        if (model.accepts(now)) {
+            const double each = static_cast<double>(core::toMilliseconds(std::max(model.serviceTime(), core::Duration(1'000))));
+            possible += model.isEngine() ? model.prefillRate() : static_cast<double>(model.slots()) / each;
         }
     }
-    const double rate = tokensPerMs(ask.service, now);
-    if (rate <= 0) {
-        return m_settings.outlookAge;
+    const Pace &pace = m_paces[service];
+    if (pace.busySince == core::TimePoint{} || now - pace.busySince < m_settings.paceAfter) {
+        return possible;
     }
-    if (ask.promptTokens == 0) { // a plain service: as many at once as there are slots
-        std::size_t slots = 0;
-        core::Duration each{};
-        for (const Local &local : localsOf(ask.service)) {
-            slots += local.entry->said.slots;
-            each = std::max(each, local.model->serviceTime());
+    const double memory = static_cast<double>(m_settings.paceMemory.count());
+    const double placed = pace.placed * std::exp(-static_cast<double>(between(pace.at, now).count()) / memory);
+    return std::min(possible, placed / (memory / 1000));
+}
+
+core::Duration Dispatcher::queueWait(const WaitingAsk &waiting, core::TimePoint now)
+{
+    double ahead = 0;
+    for (const auto &[id, other] : m_waiting) {
+        if (id != waiting.ask.id && other.ask.service == waiting.ask.service && before(other, waiting, now)) {
+            ahead += workOf(other);
         }
-        return scaled(each, static_cast<double>(count) / static_cast<double>(std::max<std::size_t>(slots, 1)));
     }
-    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(tokens) * 1000 / rate));
+    return timeOf(ahead, paceOf(waiting.ask.service, now));
+}
+
+core::Duration Dispatcher::timeOf(double work, double pace) const
+{
+    if (work <= 0 || pace <= 0) { // no upstream is sound: nobody knows for how long
+        return core::Duration::zero();
+    }
+    const auto longest = static_cast<double>(m_settings.waitMost.count());
+    return core::Duration(static_cast<core::Duration::rep>(std::min(longest, work * 1000 / pace)));
+}
+
+Dispatcher::WaitingAsk Dispatcher::waitingOf(const Ask &ask, core::TimePoint now)
+{
+    WaitingAsk waiting{ask, now, ask.promptTokens, core::Duration::max()};
+    for (const Local &local : localsOf(ask.service)) {
+        const std::uint32_t uncached = local.model->uncached(ask.prompt, ask.promptTokens);
+        waiting.needTokens = std::min(waiting.needTokens, uncached);
+        waiting.needTime = std::min(waiting.needTime, local.model->unloadedTime(uncached));
+    }
+    if (waiting.needTime == core::Duration::max()) { // no upstream here yet
+        waiting.needTime = core::Duration::zero();
+    }
+    return waiting;
 }
 
 //-----------------------------------------------------------------------------
@@ -209,14 +241,15 @@
         core::Duration streaming{};
         if (remote.outlook.tokensPerMs > 0) {
             const double each = remote.outlook.tokensPerMs / remote.outlook.usable;
-            const double reading = ask.promptTokens / each + static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs;
+            const double uncached = ask.promptTokens * remote.outlook.readShare;
+            const double reading = uncached / each + static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs;
             predicted += core::Duration(static_cast<core::Duration::rep>(reading * 1000));
             const double added =
                 static_cast<double>(remote.sentTokens) / remote.outlook.tokensPerMs / static_cast<double>(core::toMilliseconds(m_settings.engine.loadMemory));
             const double share = std::min(1.0, remote.outlook.prefillShare + added);
             const auto step = m_settings.engine.stepBase + scaled(m_settings.engine.chunkTime, share);
             streaming = scaled(step * static_cast<core::Duration::rep>(ask.outputTokens), m_settings.streamingWeight);
-            streaming += scaled(core::Duration(static_cast<core::Duration::rep>(ask.promptTokens / each * 1000)), m_settings.readAgainWeight - 1);
+            streaming += scaled(core::Duration(static_cast<core::Duration::rep>(uncached / each * 1000)), m_settings.readAgainWeight - 1);
         } else {
             const double queued = remote.sent > remote.outlook.freeSlots ? remote.sent - remote.outlook.freeSlots : 0;
             predicted += scaled(remote.outlook.serviceTime, 1 + queued / std::max(1U, remote.outlook.usable));
@@ -231,7 +264,7 @@
 Verdict Dispatcher::leave(const Ask &ask, const Elsewhere &elsewhere)
 {
     Remote &remote = m_remotes[elsewhere.region][ask.service];
-    remote.sentTokens += ask.promptTokens;
+    remote.sentTokens += static_cast<std::uint64_t>(ask.promptTokens * remote.outlook.readShare);
     ++remote.sent;
     return elsewhere;
 }
@@ -260,17 +293,18 @@
         if (outlook.usable == 0) {
             continue;
         }
-        std::uint64_t queued = 0;
+        double queued = 0;
         for (const auto &[work, waiting] : m_waiting) {
-            queued += waiting.ask.service == id ? waiting.needTokens : 0;
+            queued += waiting.ask.service == id ? workOf(waiting) : 0;
         }
         outlook.wait = *leastBacklog;
         std::sort(shares.begin(), shares.end());
         shares.resize((shares.size() + 1) / 2);
         outlook.prefillShare = std::accumulate(shares.begin(), shares.end(), 0.0) / static_cast<double>(shares.size());
-        if (outlook.tokensPerMs > 0) {
-            outlook.wait += core::Duration(static_cast<core::Duration::rep>(static_cast<double>(queued) * 1000 / outlook.tokensPerMs));
+        if (queued > 0) {
+            outlook.wait += timeOf(queued, paceOf(id, now));
         }
+        outlook.readShare = m_paces[id].readShare;
         out.push_back(outlook);
     }
     return out;
@@ -293,6 +327,7 @@
     run.uncachedTokens = candidate.uncachedTokens;
     run.memoryTokens = ask.ownTokens();
     candidate.local->model->granted(ask.id, std::move(run), ask.prompt, now);
+    notePlaced(ask, candidate.uncachedTokens, now);
     Granted granted{entry.said.id, entry.said.address, candidate.uncachedTokens, candidate.predicted, entry.cold(now)};
     if (granted.cold) {
         const catalog::Service *service = m_view.catalog ? m_view.catalog->service(ask.service) : nullptr;
@@ -344,24 +379,35 @@
     return placing;
 }
 
-bool Dispatcher::before(const Ask &left, const Ask &right, core::TimePoint now) const
+bool Dispatcher::before(const WaitingAsk &left, const WaitingAsk &right, core::TimePoint now) const
 {
-    const bool leftLate = now > left.onTimeUntil;
-    const bool rightLate = now > right.onTimeUntil;
+    const bool leftLate = now + left.needTime > left.ask.onTimeUntil;
+    const bool rightLate = now + right.needTime > right.ask.onTimeUntil;
     if (leftLate != rightLate) {
         return rightLate; // what can still be on time goes first
     }
-    if (left.priority != right.priority) {
-        return left.priority < right.priority;
+    if (left.ask.priority != right.ask.priority) {
+        return left.ask.priority < right.ask.priority;
+    }
+    const bool leftCached = left.mostlyCached(m_settings.cachedShare);
+    const bool rightCached = right.mostlyCached(m_settings.cachedShare);
+    if (leftCached != rightCached) {
+        return leftCached;
     }
-    if (left.onTimeUntil != right.onTimeUntil) {
-        return left.onTimeUntil < right.onTimeUntil;
+    if (left.ask.onTimeUntil != right.ask.onTimeUntil) {
+        return left.ask.onTimeUntil < right.ask.onTimeUntil;
     }
-    return left.id < right.id;
+    return left.ask.id < right.ask.id;
 }
 
 void Dispatcher::pump(core::TimePoint now)
 {
+    for (auto &[service, pace] : m_paces) {
+        const bool anyWaits = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &row) { return row.second.ask.service == service; });
+        if (!anyWaits) {
+            pace.busySince = core::TimePoint{};
+        }
+    }
     if (m_waiting.empty()) {
         clearReserved();
         return;
@@ -376,20 +422,31 @@
     for (const auto &[id, waiting] : m_waiting) {
         order.push_back(&waiting);
     }
-    std::sort(order.begin(), order.end(), [&](const WaitingAsk *left, const WaitingAsk *right) { return before(left->ask, right->ask, now); });
+    std::sort(order.begin(), order.end(), [&](const WaitingAsk *left, const WaitingAsk *right) { return before(*left, *right, now); });
     std::vector<WorkId> done;
     std::size_t looked = 0;
+    std::map<core::ServiceId, double> ahead; // work of better asks that stay
+    std::map<core::ServiceId, double> paces;
+    for (const WaitingAsk *waiting : order) {
+        paces.try_emplace(waiting->ask.service, 0);
+    }
+    for (auto &[service, pace] : paces) {
+        pace = paceOf(service, now);
+    }
     for (const WaitingAsk *waiting : order) {
         const Ask &ask = waiting->ask;
         if (now - waiting->seenAt > m_settings.unseenMost) {
             done.push_back(ask.id); // its holder has gone
             continue;
         }
-        if (now >= ask.usefulUntil) {
-            m_settled.push_back({ask.id, ask.holder, refuse(ask, RefusalReason::Overloaded, core::Duration::zero(), now)});
+        double &before = ahead[ask.service];
+        const core::Duration reached = timeOf(before, paces[ask.service]);
+        if (now + reached + waiting->needTime >= ask.usefulUntil) { // it would be served too late
+            m_settled.push_back({ask.id, ask.holder, refuse(ask, RefusalReason::Overloaded, reached, now)});
             done.push_back(ask.id);
             continue;
         }
+        before += workOf(*waiting);
         if (++looked > m_settings.placedAtOnce) {
             continue;
         }
@@ -397,6 +454,7 @@
         if (placing.verdict) {
             m_settled.push_back({ask.id, ask.holder, std::move(*placing.verdict)});
             done.push_back(ask.id);
+            before -= workOf(*waiting);
         } else if (Local *local = placing.waitsFor) { // kept for this ask before worse ones
             const core::Duration reading = ask.promptTokens == 0 ? local->model->serviceTime() : local->model->prefillTime(placing.uncachedTokens);
             local->reserved += reading + local->model->slotWait();
@@ -438,11 +496,11 @@
         if (auto verdict = place(ask, now).verdict) { // what better asks wait for stays theirs
             return *verdict;
         }
-        WaitingAsk waiting{ask, now, ask.promptTokens};
-        for (const Local &local : localsOf(ask.service)) {
-            waiting.needTokens = std::min(waiting.needTokens, local.model->uncached(ask.prompt, ask.promptTokens));
+        m_waiting[ask.id] = waitingOf(ask, now);
+        Pace &pace = m_paces[ask.service];
+        if (pace.busySince == core::TimePoint{}) {
+            pace.busySince = now;
         }
-        m_waiting[ask.id] = std::move(waiting);
     }
     pump(now);
     const auto settled = std::find_if(m_settled.begin(), m_settled.end(), [&](const Settled &row) { return row.id == ask.id; });
@@ -451,12 +509,11 @@
         m_settled.erase(settled);
         return verdict;
     }
-    const core::Duration predicted = queueWait(ask, now);
-    if (arrives) { // judged when it arrives: what cannot be served in time is refused at once
-        if (now + predicted > ask.usefulUntil) {
-            m_waiting.erase(ask.id);
-            return refuse(ask, RefusalReason::Overloaded, predicted, now);
-        }
+    const WaitingAsk &waiting = m_waiting.at(ask.id);
+    const core::Duration predicted = queueWait(waiting, now);
+    if (now + predicted + waiting.needTime > ask.usefulUntil) { // what cannot be served in time is refused at once
+        m_waiting.erase(ask.id);
+        return refuse(ask, RefusalReason::Overloaded, predicted, now);
     }
     return Waits{predicted};
 }
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -10,7 +10,9 @@
 // Load pattern that it answers: regions peak at different hours at 2.3 times their mean, prompts share 6,300 of 9,190
 // tokens, and capacity differs threefold. Requests go where most of their prompt is cached until the wait there costs more
 // than reading it again elsewhere; the backlog of an engine is kept short, so that an urgent request passes the ones that
-// wait; what can still be on time goes before what is late already.
+// wait; what can still be on time goes before what cannot. Beyond an engine's capacity, prompts that are mostly cached go
+// first, since several of them are served in the time of one that is not; what would be reached too late by the pace of the
+// last second is refused at once.
 //
 // Sections:
 //   Ask, Verdict   what is asked and answered
@@ -123,6 +125,7 @@
     std::uint32_t usable = 0;     // upstreams
     core::Duration serviceTime{}; // of a plain service
     double prefillShare = 0;      // of the engines' time, the least busy half
+    double readShare = 1;         // of long prompts' tokens that had to be read lately; the rest was cached
 };
 
 //-----------------------------------------------------------------------------
@@ -152,6 +155,11 @@
     core::Duration coldPause = std::chrono::milliseconds(1'000);       // a new holder sends nothing to cold upstreams for so long
     core::Duration retryLeast = std::chrono::milliseconds(200);        // shortest advice to come back
     core::Duration retryMost = std::chrono::milliseconds(3'000);
+    core::Duration paceMemory = std::chrono::milliseconds(1'000); // over which the pace of placing is taken
+    core::Duration waitMost = std::chrono::seconds(60);           // longest wait that is predicted
+    core::Duration paceAfter = std::chrono::milliseconds(600);    // work has waited for so long before the pace says anything
+    double cachedShare = 0.5;                                     // from which a prompt counts as mostly cached
+    double readShareWeight = 0.02;                                // of one prompt in Outlook::readShare
 };
 
 /// What the dispatcher reads of its node's beliefs.
@@ -224,6 +232,19 @@
         Ask ask;
         core::TimePoint seenAt{};
         std::uint32_t needTokens = 0; // least that any engine would have to read for it
+        core::Duration needTime{};    // least time to its first event
+        [[nodiscard]] bool mostlyCached(double share) const
+        {
+            return needTokens <= static_cast<double>(ask.promptTokens) * (1 - share);
+        }
+    };
+    /// How fast a service's waiting work is placed.
+    struct Pace
+    {
+        double placed = 0; // tokens, or requests of a plain service, fading over paceMemory
+        core::TimePoint at{};
+        core::TimePoint busySince{}; // work has waited since then without a break
+        double readShare = 1;
     };
 
     /// What came of an attempt to place an ask.
@@ -244,7 +265,7 @@
     [[nodiscard]] bool mightServe(const Ask &ask);
     [[nodiscard]] std::optional<Candidate> considered(const Ask &ask, Local &local, core::TimePoint now) const;
     [[nodiscard]] std::optional<Elsewhere> bestRemote(const Ask &ask, core::TimePoint now);
-    [[nodiscard]] core::Duration queueWait(const Ask &ask, core::TimePoint now);
+    [[nodiscard]] core::Duration queueWait(const WaitingAsk &waiting, core::TimePoint now);
     [[nodiscard]] Placing place(const Ask &ask, core::TimePoint now);
     /// Places waiting asks, best first, into m_settled.
     void pump(core::TimePoint now);
@@ -254,8 +275,17 @@
     [[nodiscard]] Verdict leave(const Ask &ask, const Elsewhere &elsewhere);
     [[nodiscard]] Refused refuse(const Ask &ask, RefusalReason reason, core::Duration predicted, core::TimePoint now) const;
     [[nodiscard]] bool coldAllowed(const RosterEntry &entry, core::TimePoint now);
-    [[nodiscard]] bool before(const Ask &left, const Ask &right, core::TimePoint now) const;
-    [[nodiscard]] double tokensPerMs(const core::ServiceId &service, core::TimePoint now);
+    [[nodiscard]] bool before(const WaitingAsk &left, const WaitingAsk &right, core::TimePoint now) const;
+    [[nodiscard]] WaitingAsk waitingOf(const Ask &ask, core::TimePoint now);
+    void notePlaced(const Ask &ask, std::uint32_t uncachedTokens, core::TimePoint now);
+    /// Work placed for each millisecond while some waits; what the engines could do where that is not known.
+    [[nodiscard]] double paceOf(const core::ServiceId &service, core::TimePoint now);
+    [[nodiscard]] core::Duration timeOf(double work, double pace) const;
+    /// What an ask counts in a pace.
+    [[nodiscard]] static double workOf(const WaitingAsk &waiting)
+    {
+        return waiting.ask.promptTokens == 0 ? 1 : static_cast<double>(waiting.needTokens);
+    }
 
     DispatcherSettings m_settings;
     DispatcherView m_view;
@@ -269,6 +299,7 @@
     std::map<WorkId, Granted> m_placed; // granted and not finished
     std::vector<Settled> m_settled;     // verdicts to hand out
     core::TimePoint m_pumpedAt{};
+    std::map<core::ServiceId, Pace> m_paces;
     std::map<core::RegionId, std::map<core::ServiceId, Remote>> m_remotes;
     std::map<core::UpstreamId, core::TimePoint> m_coldNext; // when a cold upstream may get one more
     bool m_holds = false;
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -95,6 +95,14 @@
     return backlog(now) + prefillTime(uncachedTokens) + m_settings.fixedDelay + decodeTime(static_cast<std::uint32_t>(m_tokensPerEvent), now);
 }
 
+core::Duration EngineModel::unloadedTime(std::uint32_t uncachedTokens) const
+{
+    if (!m_engine) {
+        return m_serviceTime;
+    }
+    return prefillTime(uncachedTokens) + m_settings.fixedDelay + m_settings.stepBase * static_cast<core::Duration::rep>(m_tokensPerEvent);
+}
+
 double EngineModel::prefillShare(core::TimePoint now) const
 {
     const double memory = toMillisecondsExact(m_settings.loadMemory);
--- a/src/arbutus/routing/enginemodel.h
+++ b/src/arbutus/routing/enginemodel.h
@@ -94,6 +94,8 @@
     [[nodiscard]] core::Duration restedFor(core::TimePoint now) const;
     /// Time to the first event, or to the whole answer of a plain upstream, of a request granted now.
     [[nodiscard]] core::Duration predict(std::uint32_t uncachedTokens, core::TimePoint now) const;
+    /// The same where nothing else is under way.
+    [[nodiscard]] core::Duration unloadedTime(std::uint32_t uncachedTokens) const;
     /// Time that reading `tokens` takes.
     [[nodiscard]] core::Duration prefillTime(std::uint64_t tokens) const;
     /// Share of the engine's time that recent prompts take, 0 to 1.
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -227,6 +227,73 @@
     REQUIRE(fixture.dispatcher.waiting() == 0);
 }
 
+TEST_CASE("what would be reached too late is refused when that is known, not when its time is over", "[dispatcher]")
+{
+    Fixture fixture({said("a", Model)});
+    int refused = 0;
+    int waiting = 0;
+    for (int i = 0; i < 60; ++i) { // 11.7 s of reading, of which 4 s are useful
+        const routing::Verdict verdict = fixture.dispatcher.ask(fixture.prompt("w" + std::to_string(i), 100 + static_cast<std::uint64_t>(i), Start), Start);
+        refused += std::holds_alternative<routing::Refused>(verdict) ? 1 : 0;
+        waiting += std::holds_alternative<routing::Waits>(verdict) ? 1 : 0;
+    }
+    const auto settled = fixture.dispatcher.settle(Start + 20ms); // asks that came before better ones
+    REQUIRE(std::all_of(settled.begin(), settled.end(), [](const routing::Settled &row) { return std::holds_alternative<routing::Refused>(row.verdict); }));
+    refused += static_cast<int>(settled.size());
+    waiting -= static_cast<int>(settled.size());
+    CHECK(refused >= 38);
+    CHECK(waiting >= 17);
+}
+
+TEST_CASE("while the queue moves slower than engines should, its own pace tells what would be reached too late", "[dispatcher]")
+{
+    Fixture fixture({said("a", Model)});
+    for (int i = 0; i < 18; ++i) { // 3.5 s of reading
+        (void)fixture.dispatcher.ask(fixture.prompt("w" + std::to_string(i), 100 + static_cast<std::uint64_t>(i), Start), Start);
+    }
+    int refused = 0;
+    for (core::TimePoint now = Start; now < Start + 1s; now += 20ms) { // the engine answers nothing
+        for (const routing::Settled &row : fixture.dispatcher.settle(now)) {
+            refused += std::holds_alternative<routing::Refused>(row.verdict) ? 1 : 0;
+        }
+    }
+    CHECK(refused >= 8);
+}
+
+TEST_CASE("which of two asks that wait goes first", "[dispatcher]")
+{
+    struct Row
+    {
+        const char *name;
+        std::uint64_t firstShared; // 1 is cached
+        std::uint64_t secondShared;
+        core::Duration firstLeft; // until it is late
+        core::Duration secondLeft;
+        const char *goesFirst;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"the one that is mostly cached", 50, 1, 900ms, 900ms, "second"},
+        {"of two alike, the one that is late sooner", 50, 51, 900ms, 800ms, "second"},
+        {"one that can still be on time, before one that cannot once it has been read", 50, 51, 150ms, 900ms, "second"},
+        {"of two that are cached, the one that is late sooner", 1, 1, 700ms, 800ms, "first"},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture({said("a", Model)});
+    REQUIRE_FALSE(granted(fixture.dispatcher.ask(fixture.prompt("running", 1, Start), Start)).empty());
+    routing::Ask first = fixture.prompt("first", row.firstShared, Start);
+    first.onTimeUntil = Start + row.firstLeft;
+    routing::Ask second = fixture.prompt("second", row.secondShared, Start);
+    second.onTimeUntil = Start + row.secondLeft;
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(first, Start)));
+    REQUIRE(std::holds_alternative<routing::Waits>(fixture.dispatcher.ask(second, Start)));
+    const core::TimePoint now = Start + 100ms;
+    fixture.dispatcher.started(routing::WorkId("running"), core::UpstreamId("a"), 100ms, now);
+    fixture.dispatcher.finished(routing::WorkId("running"), core::UpstreamId("a"), routing::WorkEnding::Answered, now);
+    const auto settled = fixture.dispatcher.settle(now + 40ms);
+    REQUIRE(settled.size() == 1);
+    CHECK(settled.front().id.text == row.goesFirst);
+}
+
 TEST_CASE("a cold upstream gets requests at its pace, from the holder of the duty only", "[dispatcher]")
 {
     constexpr double PerSecond = 1.7;
@@ -352,7 +419,7 @@
         core::Duration there; // the other region's wait
         bool leaves;
     };
-    const auto row = GENERATE(values<Row>({{0, 0ms, false}, {40, 0ms, true}, {40, 5s, true}, {40, 9s, false}}));
+    const auto row = GENERATE(values<Row>({{0, 0ms, false}, {40, 0ms, true}, {40, 3s, true}, {40, 5s, false}, {40, 9s, false}}));
     Fixture fixture({said("a", Model)});
     for (int i = 0; i < row.running; ++i) {
         (void)fixture.dispatcher.ask(fixture.prompt("r" + std::to_string(i), 100 + static_cast<std::uint64_t>(i), Start), Start);
