After all start at once they greet each other, and nothing is refused before it can be known

Until 39 s, 330 requests of valle got 503 "no place in time": its dispatcher had heard nothing of the regions that are their homes and took that for "nothing serves it". Newcomers learned of each other at one ping each 300 ms with five other members on it, and beliefs could not be fetched from a peer whose entry held no address yet ("Invalid argument").

Whoever reads the store's whole range takes the registrations in it as contacts, with their addresses, and pings each new one; a message carries news of twelve members. For two seconds after its start a dispatcher lets work wait whose upstreams or regions it has not heard of.

--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -42,6 +42,7 @@
     out.probePeriod = settings.probePeriod;
     out.suspicion = settings.suspicion;
     out.wholeFleet = true;
+    out.newsPerMessage = settings.newsPerMessage;
     return out;
 }
 
@@ -113,7 +114,9 @@
 
 void Fleet::addContact(const membership::Member &contact)
 {
-    m_view.addContact(contact);
+    if (m_view.addContact(contact)) {
+        sendAll(m_view.greet(contact.id));
+    }
 }
 
 asio::awaitable<void> Fleet::receiveLoop()
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -22,6 +22,7 @@
     core::Duration probePeriod = std::chrono::milliseconds(300);
     core::Duration suspicion = std::chrono::milliseconds(1'200); // until a suspect is held to be dead
     std::chrono::milliseconds tick{50};
+    std::size_t newsPerMessage = 12; // about 1.3 kB; a fleet that starts again at once has news of everyone
 };
 
 class Fleet
@@ -36,7 +37,7 @@
     void send(const std::string &address, FleetBody body);
     /// Tells the others that this instance takes no new work.
     void leave();
-    /// A member known from the store or the settings.
+    /// A member known from the store or the settings; a new one is greeted.
     void addContact(const membership::Member &contact);
 
     [[nodiscard]] const membership::Member &self() const
--- a/src/arbutus/edge/storeduty.cpp
+++ b/src/arbutus/edge/storeduty.cpp
@@ -115,6 +115,11 @@
             co_return false;
         }
         m_rangeNeeded = false;
+        for (const metadata::StoreItem &item : range.value().items) {
+            if (item.key.starts_with(m_context.dialect.layout().memberPrefix)) { // who else lives is known as soon as the rest
+                addContact(item);
+            }
+        }
         const BeliefChange change = m_beliefs.adoptRange(range.value().items, range.value().revision, storeWasAway(m_context.now()), startedAt);
         report(change, "store_range");
         co_return true;
@@ -249,26 +254,39 @@
     return json::serialize(out);
 }
 
+void StoreDuty::addContact(const metadata::StoreItem &item)
+{
+    const std::string &prefix = m_context.dialect.layout().memberPrefix;
+    boost::system::error_code code;
+    const json::value value = json::parse(item.value, code);
+    const json::object *said = code ? nullptr : value.if_object();
+    const auto text = [&](std::string_view name) {
+        const json::value *field = said == nullptr ? nullptr : said->if_contains(name);
+        return field != nullptr && field->is_string() ? std::string(field->get_string()) : std::string();
+    };
+    membership::Member contact;
+    contact.id = core::InstanceId(item.key.substr(prefix.size()));
+    contact.domain = core::DomainId(text("domain"));
+    contact.region = core::RegionId(text("region"));
+    contact.gossipAddress = text("peer");
+    contact.peerAddress = contact.gossipAddress;
+    contact.url = text("callers");
+    if (contact.gossipAddress.empty()) {
+        m_context.write(observe::LogLine("registration_refused").add("key", item.key));
+        return;
+    }
+    m_fleet.addContact(contact);
+}
+
 asio::awaitable<bool> StoreDuty::readMembers(metadata::Freshness freshness)
 {
-    const std::string prefix = m_context.dialect.layout().memberPrefix;
     m_context.metrics.count("arbutus_store_calls_total", "call=\"members\"");
-    auto range = co_await m_context.store.range(prefix, freshness);
+    auto range = co_await m_context.store.range(m_context.dialect.layout().memberPrefix, freshness);
     if (!range) {
         co_return false;
     }
     for (const metadata::StoreItem &item : range.value().items) {
-        boost::system::error_code code;
-        const json::value value = json::parse(item.value, code);
-        const json::value *peer = code || !value.is_object() ? nullptr : value.as_object().if_contains("peer");
-        if (peer == nullptr || !peer->is_string()) {
-            m_context.write(observe::LogLine("registration_refused").add("key", item.key));
-            continue;
-        }
-        membership::Member contact;
-        contact.id = core::InstanceId(item.key.substr(prefix.size()));
-        contact.gossipAddress = json::value_to<std::string>(*peer);
-        m_fleet.addContact(contact);
+        addContact(item);
     }
     co_return true;
 }
--- a/src/arbutus/edge/storeduty.h
+++ b/src/arbutus/edge/storeduty.h
@@ -55,6 +55,8 @@
     boost::asio::awaitable<void> fetch(membership::Member peer);
     boost::asio::awaitable<bool> readOnce();
     boost::asio::awaitable<bool> readMembers(metadata::Freshness freshness);
+    /// A registered instance; greeted if it is new.
+    void addContact(const metadata::StoreItem &item);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     [[nodiscard]] core::Duration readsAfter();
     [[nodiscard]] bool storeWasAway(core::TimePoint now) const;
--- a/src/arbutus/membership/domainview.cpp
+++ b/src/arbutus/membership/domainview.cpp
@@ -19,16 +19,27 @@
     return m_settings.wholeFleet || member.domain == m_self.domain;
 }
 
-void DomainView::addContact(const Member &contact)
+bool DomainView::addContact(const Member &contact)
 {
     if (contact.id == m_self.id || !inScope(contact) || m_members.contains(contact.id)) {
-        return;
+        return false;
     }
     Member added = contact;
     added.incarnation = core::Incarnation(); // unknown until it speaks
     added.leaving = false;
     added.condition = Condition::Alive;
     m_members[contact.id] = std::move(added);
+    return true;
+}
+
+std::vector<Outgoing> DomainView::greet(const core::InstanceId &id)
+{
+    std::vector<Outgoing> out;
+    const auto found = m_members.find(id);
+    if (found != m_members.end()) {
+        out.push_back(Outgoing{found->second.gossipAddress, makeMessage(Ping{m_nextNumber++})});
+    }
+    return out;
 }
 
 std::vector<Outgoing> DomainView::tick(core::TimePoint now)
--- a/src/arbutus/membership/domainview.h
+++ b/src/arbutus/membership/domainview.h
@@ -88,7 +88,10 @@
     DomainView(Member self, ViewSettings settings, std::uint64_t seed);
 
     /// Members known from the settings or the platform's list; unknown ones become contacts.
-    void addContact(const Member &contact);
+    /// Returns whether it was unknown.
+    bool addContact(const Member &contact);
+    /// A ping outside the turn, so that a newcomer and a member learn of each other at once.
+    std::vector<Outgoing> greet(const core::InstanceId &id);
     /// Time has passed; call at least every ackTimeout.
     std::vector<Outgoing> tick(core::TimePoint now);
     /// A message came in from `address`.
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -27,6 +27,7 @@
     : m_settings(settings)
     , m_view(std::move(view))
     , m_holdsSince(now)
+    , m_startedAt(now)
 {
 }
 
@@ -88,6 +89,21 @@
     return std::any_of(locals.begin(), locals.end(), [&](const Local &local) { return !ask.excluded.contains(local.entry->said.id); });
 }
 
+bool Dispatcher::mayStillHear(const Ask &ask, core::TimePoint now)
+{
+    if (now - m_startedAt >= m_settings.learningTime) {
+        return false;
+    }
+    const auto unheard = [&](const core::RegionId &region) {
+        const bool allowed = (ask.regions.empty() || ask.regions.contains(region)) && !ask.excludedRegions.contains(region);
+        if (region == m_view.region) {
+            return allowed && localsOf(ask.service).empty();
+        }
+        return allowed && ask.mayLeave && !m_remotes.contains(region);
+    };
+    return std::any_of(m_view.regions.begin(), m_view.regions.end(), [&](const auto &row) { return unheard(row.second); });
+}
+
 std::optional<Dispatcher::Candidate> Dispatcher::considered(const Ask &ask, Local &local, core::TimePoint now) const
 {
     const EngineModel &model = *local.model;
@@ -356,7 +372,7 @@
         if (remote) {
             return Placing{leave(ask, *remote), nullptr, 0};
         }
-        if (!mightServe(ask)) {
+        if (!mightServe(ask) && !mayStillHear(ask, now)) {
             return Placing{refuse(ask, RefusalReason::NoUpstream, core::Duration::zero(), now), nullptr, 0};
         }
         return Placing{};
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -155,11 +155,12 @@
     core::Duration coldPause = std::chrono::milliseconds(1'000);       // a new holder sends nothing to cold upstreams for so long
     core::Duration retryLeast = std::chrono::milliseconds(200);        // shortest advice to come back
     core::Duration retryMost = std::chrono::milliseconds(3'000);
-    core::Duration paceMemory = std::chrono::milliseconds(1'000); // over which the pace of placing is taken
-    core::Duration waitMost = std::chrono::seconds(60);           // longest wait that is predicted
-    core::Duration paceAfter = std::chrono::milliseconds(600);    // work has waited for so long before the pace says anything
-    double cachedShare = 0.5;                                     // from which a prompt counts as mostly cached
-    double readShareWeight = 0.02;                                // of one prompt in Outlook::readShare
+    core::Duration paceMemory = std::chrono::milliseconds(1'000);   // over which the pace of placing is taken
+    core::Duration learningTime = std::chrono::milliseconds(2'000); // after its start a dispatcher may not have heard of all upstreams
+    core::Duration waitMost = std::chrono::seconds(60);             // longest wait that is predicted
+    core::Duration paceAfter = std::chrono::milliseconds(600);      // work has waited for so long before the pace says anything
+    double cachedShare = 0.5;                                       // from which a prompt counts as mostly cached
+    double readShareWeight = 0.02;                                  // of one prompt in Outlook::readShare
 };
 
 /// What the dispatcher reads of its node's beliefs.
@@ -263,6 +264,8 @@
     [[nodiscard]] std::optional<Candidate> bestLocal(const Ask &ask, core::TimePoint now);
     /// Whether any upstream of this region may ever serve the ask, now or once it is sound again.
     [[nodiscard]] bool mightServe(const Ask &ask);
+    /// Whether it is too early to say that nothing serves the ask.
+    [[nodiscard]] bool mayStillHear(const Ask &ask, core::TimePoint now);
     [[nodiscard]] std::optional<Candidate> considered(const Ask &ask, Local &local, core::TimePoint now) const;
     [[nodiscard]] std::optional<Elsewhere> bestRemote(const Ask &ask, core::TimePoint now);
     [[nodiscard]] core::Duration queueWait(const WaitingAsk &waiting, core::TimePoint now);
@@ -305,6 +308,7 @@
     bool m_holds = false;
     double m_reach = 1;
     core::TimePoint m_holdsSince{};
+    core::TimePoint m_startedAt{};
 };
 
 } // namespace arbutus::routing
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -211,3 +211,38 @@
         CHECK(order[i].id == again[i].id);
     }
 }
+
+TEST_CASE("a fleet that starts at once knows all of itself after one exchange with those that the store names", "[membership]")
+{
+    constexpr std::size_t Members = 63;
+    membership::ViewSettings settings;
+    settings.wholeFleet = true;
+    settings.newsPerMessage = 12;
+    std::vector<membership::Member> members;
+    std::vector<membership::DomainView> views;
+    for (std::size_t i = 0; i < Members; ++i) {
+        membership::Member member;
+        member.id = core::InstanceId("n" + std::to_string(i));
+        member.incarnation = core::Incarnation(1);
+        member.domain = core::DomainId("z" + std::to_string(i % 6));
+        member.gossipAddress = std::to_string(i);
+        members.push_back(member);
+        views.emplace_back(member, settings, i);
+    }
+    const core::TimePoint now{1000s};
+    for (std::size_t i = 0; i < Members; ++i) {
+        for (const membership::Member &contact : members) {
+            if (!views[i].addContact(contact)) {
+                continue; // itself
+            }
+            for (const membership::Outgoing &ping : views[i].greet(contact.id)) {
+                for (const membership::Outgoing &answer : views[std::stoul(ping.address)].receive(ping.message, std::to_string(i), now)) {
+                    (void)views[std::stoul(answer.address)].receive(answer.message, ping.address, now);
+                }
+            }
+        }
+    }
+    for (const membership::DomainView &view : views) {
+        CHECK(view.usable().size() == Members);
+    }
+}
