--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -1,6 +1,7 @@
 // Queue order, choice of upstream, spill to other regions, refusals.
 
 #include "arbutus/routing/dispatcher.h"
+#include "arbutus/core/hash.h"
 #include "arbutus/core/overloaded.h"
 
 #include <algorithm>
@@ -148,6 +149,9 @@
     };
     std::optional<Candidate> warm;
     std::optional<Candidate> any;
+    std::optional<Candidate> settled; // warm, and the one that the subject falls to by hash
+    std::uint64_t settledHash = 0;
+    const std::uint64_t subject = ask.prompt.size() < 2 ? 0 : ask.prompt[ask.prompt.size() - 2].chain; // the last part is the request's own
     for (Local &local : localsOf(ask.service)) {
         const bool cold = local.entry->cold(now);
         if (cold && !coldAllowed(*local.entry, now)) {
@@ -160,10 +164,21 @@
         if (!cold && better(*candidate, warm)) {
             warm = candidate;
         }
+        const std::uint64_t hash = core::hash64(local.entry->said.id.text, subject);
+        if (!cold && subject != 0 && hash >= settledHash) {
+            settledHash = hash;
+            settled = candidate;
+        }
         if (better(*candidate, any)) {
             any = candidate;
         }
     }
+    if (settled) {
+        settled->score -= m_settings.settledGain;
+        if (better(*settled, warm)) {
+            warm = settled;
+        }
+    }
     return any && (!warm || (!warm->admissible && any->admissible)) ? any : warm;
 }
 
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -19,6 +19,10 @@
 //   Outlook        what regions tell each other
 //   Dispatcher     the queue and the placement
 //
+// Q: What happens to the knowledge of caches when the holder of the duty dies?
+// A: It is lost. A subject (the shared parts of a prompt) that is not known to be cached anywhere therefore goes to the engine
+//    that it falls to by hash, which every dispatcher finds alike: most likely it was read there before.
+//
 // Q: Why does work wait here and not at the engines?
 // A: An engine starts reading whatever it admits, and what it reads cannot be overtaken. Here the order can change until
 //    the last moment, and any engine that gets free can take the next.
@@ -143,6 +147,7 @@
     core::Duration remoteScoreMargin = std::chrono::milliseconds(400); // or by this, slow streams counted, if it is on time
     core::Duration outlookAge = std::chrono::milliseconds(1'500);      // older ones say nothing
     core::Duration unseenMost = std::chrono::milliseconds(1'200);      // work and asks that nobody speaks of are forgotten
+    core::Duration settledGain = std::chrono::milliseconds(60);        // by which the engine that a subject falls to by hash is preferred
     double readAgainWeight = 1.4;                                      // time spent on reading counts so much: it delays others too
     double slowedWeight = 0.4;                                         // of the time by which reading delays each run beside it
     double streamingWeight = 0.2;                                      // of the time that the stream will take: steps are slow where prompts are read
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -205,6 +205,26 @@
     }
 }
 
+TEST_CASE("dispatchers that know nothing of each other send a subject to the same engine, and subjects to all engines", "[dispatcher]")
+{
+    constexpr std::uint64_t Subjects = 200;
+    const std::vector<routing::Announcement> all{said("a", Model), said("b", Model), said("c", Model), said("d", Model)};
+    std::map<std::string, int> counts;
+    for (std::uint64_t subject = 1; subject <= Subjects; ++subject) {
+        std::set<std::string> chosen;
+        for (int holder = 0; holder < 3; ++holder) { // each has placed nothing yet
+            Fixture fixture(all);
+            chosen.insert(granted(fixture.dispatcher.ask(fixture.prompt("w" + std::to_string(holder), subject, Start), Start)));
+        }
+        REQUIRE(chosen.size() == 1);
+        ++counts[*chosen.begin()];
+    }
+    CHECK(counts.size() == all.size());
+    for (const auto &[upstream, count] : counts) {
+        CHECK(count >= 30); // of 50 on average
+    }
+}
+
 TEST_CASE("a retry whose upstreams are all excluded is refused at once", "[dispatcher]")
 {
     Fixture fixture({said("a", Till, "here-a", 6)});
