--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -149,8 +149,8 @@
     };
     std::optional<Candidate> warm;
     std::optional<Candidate> any;
-    std::optional<Candidate> settled; // warm, and the one that the subject falls to by hash
-    std::uint64_t settledHash = 0;
+    std::optional<Candidate> affine; // warm, and the one that the subject falls to by hash
+    std::uint64_t affineHash = 0;
     const std::uint64_t subject = ask.prompt.size() < 2 ? 0 : ask.prompt[ask.prompt.size() - 2].chain; // the last part is the request's own
     for (Local &local : localsOf(ask.service)) {
         const bool cold = local.entry->cold(now);
@@ -165,18 +165,18 @@
             warm = candidate;
         }
         const std::uint64_t hash = core::hash64(local.entry->said.id.text, subject);
-        if (!cold && subject != 0 && hash >= settledHash) {
-            settledHash = hash;
-            settled = candidate;
+        if (!cold && subject != 0 && hash >= affineHash) {
+            affineHash = hash;
+            affine = candidate;
         }
         if (better(*candidate, any)) {
             any = candidate;
         }
     }
-    if (settled) {
-        settled->score -= m_settings.settledGain;
-        if (better(*settled, warm)) {
-            warm = settled;
+    if (affine) {
+        affine->score -= m_settings.affinityGain;
+        if (better(*affine, warm)) {
+            warm = affine;
         }
     }
     return any && (!warm || (!warm->admissible && any->admissible)) ? any : warm;
@@ -433,12 +433,7 @@
 
 void Dispatcher::pump(core::TimePoint now)
 {
-    for (auto &[service, pace] : m_paces) {
-        const bool anyWaits = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &row) { return row.second.ask.service == service; });
-        if (!anyWaits) {
-            pace.busySince = core::TimePoint{};
-        }
-    }
+    endBusyTimes();
     if (m_waiting.empty()) {
         clearReserved();
         return;
@@ -470,14 +465,14 @@
             done.push_back(ask.id); // its holder has gone
             continue;
         }
-        double &before = ahead[ask.service];
-        const core::Duration reached = timeOf(before, paces[ask.service]);
+        double &workAhead = ahead[ask.service];
+        const core::Duration reached = timeOf(workAhead, paces[ask.service]);
         if (now + reached + waiting->needTime >= ask.usefulUntil) { // it would be served too late
             m_settled.push_back({ask.id, ask.holder, refuse(ask, RefusalReason::Overloaded, reached, now)});
             done.push_back(ask.id);
             continue;
         }
-        before += workOf(*waiting);
+        workAhead += workOf(*waiting);
         if (++looked > m_settings.placedAtOnce) {
             continue;
         }
@@ -485,7 +480,7 @@
         if (placing.verdict) {
             m_settled.push_back({ask.id, ask.holder, std::move(*placing.verdict)});
             done.push_back(ask.id);
-            before -= workOf(*waiting);
+            workAhead -= workOf(*waiting);
         } else if (Local *local = placing.waitsFor) { // kept for this ask before worse ones
             const core::Duration reading = ask.promptTokens == 0 ? local->model->serviceTime() : local->model->prefillTime(placing.uncachedTokens);
             local->reserved += reading + local->model->slotWait();
@@ -496,6 +491,16 @@
     }
 }
 
+void Dispatcher::endBusyTimes()
+{
+    for (auto &[service, pace] : m_paces) {
+        const bool anyWaits = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &row) { return row.second.ask.service == service; });
+        if (!anyWaits) {
+            pace.busySince = core::TimePoint{};
+        }
+    }
+}
+
 void Dispatcher::clearReserved()
 {
     for (auto &[service, locals] : m_locals) {
@@ -520,8 +525,7 @@
         return *granted;
     }
     const auto known = m_waiting.find(ask.id);
-    const bool arrives = known == m_waiting.end();
-    if (!arrives) {
+    if (known != m_waiting.end()) {
         known->second.seenAt = now;
     } else {
         if (auto verdict = place(ask, now).verdict) { // what better asks wait for stays theirs
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -139,33 +139,45 @@
 struct DispatcherSettings
 {
     EngineSettings engine;
-    core::Duration backlogMost = std::chrono::milliseconds(0);         // of one engine; what comes on top waits here
-    core::Duration restBetween = std::chrono::milliseconds(25);        // between long prompts, so that streams beside them get steps of their own
-    std::uint32_t longPrompt = 1'500;                                  // uncached tokens from which a prompt counts as long
+
+    //--- What an engine gets
+    core::Duration backlogMost = std::chrono::milliseconds(0);   // of one engine; what comes on top waits here
+    core::Duration restBetween = std::chrono::milliseconds(25);  // between long prompts, so that streams beside them get steps of their own
+    std::uint32_t longPrompt = 1'500;                            // uncached tokens from which a prompt counts as long
+    double slotsUsed = 0.94;                                     // of an engine's slots
+    double memoryUsed = 0.95;                                    // of an engine's memory, for running requests and cached parts
+    core::Duration coldPause = std::chrono::milliseconds(1'000); // a new holder sends nothing to cold upstreams for so long
+
+    //--- Choice of an upstream
+    core::Duration affinityGain = std::chrono::milliseconds(60); // by which the engine that a subject falls to by hash is preferred
+    double readAgainWeight = 1.4;                                // time spent on reading counts so much: it delays others too
+    double slowedWeight = 0.4;                                   // of the time by which reading delays each run beside it
+    double streamingWeight = 0.2;                                // of the time that the stream will take: steps are slow where prompts are read
+    double failureAvoid = 0.3;                                   // failure rate from which another choice is preferred
+
+    //--- Other regions
     core::Duration regionRoundTrip = std::chrono::milliseconds(115);   // there and back, with one hop more
     core::Duration remoteMargin = std::chrono::milliseconds(150);      // another region must be better by this
     core::Duration remoteScoreMargin = std::chrono::milliseconds(400); // or by this, slow streams counted, if it is on time
     core::Duration outlookAge = std::chrono::milliseconds(1'500);      // older ones say nothing
-    core::Duration unseenMost = std::chrono::milliseconds(1'200);      // work and asks that nobody speaks of are forgotten
-    core::Duration settledGain = std::chrono::milliseconds(60);        // by which the engine that a subject falls to by hash is preferred
-    double readAgainWeight = 1.4;                                      // time spent on reading counts so much: it delays others too
-    double slowedWeight = 0.4;                                         // of the time by which reading delays each run beside it
-    double streamingWeight = 0.2;                                      // of the time that the stream will take: steps are slow where prompts are read
-    core::Duration pumpPeriod = std::chrono::milliseconds(8);          // waiting asks are gone through at most so often
-    core::Duration forgetPeriod = std::chrono::milliseconds(100);      // and work that nobody speaks of is looked for
-    double slotsUsed = 0.94;                                           // of an engine's slots
-    double memoryUsed = 0.95;                                          // of an engine's memory, for running requests and cached parts
-    std::size_t placedAtOnce = 48;                                     // asks looked at when something changes
-    double failureAvoid = 0.3;                                         // failure rate from which another choice is preferred
-    core::Duration coldPause = std::chrono::milliseconds(1'000);       // a new holder sends nothing to cold upstreams for so long
-    core::Duration retryLeast = std::chrono::milliseconds(200);        // shortest advice to come back
-    core::Duration retryMost = std::chrono::milliseconds(3'000);
+    double readShareWeight = 0.02;                                     // of one prompt in Outlook::readShare
+
+    //--- Order of what waits
+    core::Duration pumpPeriod = std::chrono::milliseconds(8); // waiting asks are gone through at most so often
+    std::size_t placedAtOnce = 48;                            // of them that are looked at
+    double cachedShare = 0.5;                                 // from which a prompt counts as mostly cached
+
+    //--- Refusals
     core::Duration paceMemory = std::chrono::milliseconds(1'000);   // over which the pace of placing is taken
-    core::Duration learningTime = std::chrono::milliseconds(2'000); // after its start a dispatcher may not have heard of all upstreams
-    core::Duration waitMost = std::chrono::seconds(60);             // longest wait that is predicted
     core::Duration paceAfter = std::chrono::milliseconds(600);      // work has waited for so long before the pace says anything
-    double cachedShare = 0.5;                                       // from which a prompt counts as mostly cached
-    double readShareWeight = 0.02;                                  // of one prompt in Outlook::readShare
+    core::Duration waitMost = std::chrono::seconds(60);             // longest wait that is predicted
+    core::Duration learningTime = std::chrono::milliseconds(2'000); // after its start a dispatcher may not have heard of all upstreams
+    core::Duration retryLeast = std::chrono::milliseconds(200);     // shortest advice to come back
+    core::Duration retryMost = std::chrono::milliseconds(3'000);
+
+    //--- Forgetting
+    core::Duration unseenMost = std::chrono::milliseconds(1'200); // work and asks that nobody speaks of are forgotten
+    core::Duration forgetPeriod = std::chrono::milliseconds(100); // they are looked for so often
 };
 
 /// What the dispatcher reads of its node's beliefs.
@@ -278,6 +290,8 @@
     /// Places waiting asks, best first, into m_settled.
     void pump(core::TimePoint now);
     void clearReserved();
+    /// A service of which nothing waits has no busy time any more.
+    void endBusyTimes();
     [[nodiscard]] std::optional<Verdict> repeatGrant(const WorkId &id);
     [[nodiscard]] Verdict grant(const Ask &ask, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] Verdict leave(const Ask &ask, const Elsewhere &elsewhere);
