--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -68,7 +68,6 @@
     std::chrono::milliseconds objective{1'000}; // latency objective: whole answer, or first event of a stream
     std::chrono::milliseconds pauseMost{0};     // longest pause between events that is still on time; 0 = none stated
     int priority = 0;                           // 0 is first
-    bool sticky = false;                        // prompts share parts that upstreams cache
     std::vector<Split> services;                // at least one
     std::set<core::RegionId> homes;             // regions that may serve it; empty = all
 
@@ -97,11 +96,8 @@
 struct Service
 {
     core::ServiceId id;
-    std::string healthPath;
-    std::size_t connectionsMost = 0;      // that one upstream accepts from all callers; 0 = not stated
-    std::chrono::milliseconds coldFor{0}; // after its start an upstream is slow for so long
-    double coldPerSecond = 0;             // requests that a cold upstream tolerates; 0 = no bound
-    std::optional<EngineTraits> engine;   // set where the upstreams are model engines
+    double coldPerSecond = 0;           // requests that a cold upstream tolerates; 0 = no bound
+    std::optional<EngineTraits> engine; // set where the upstreams are model engines
 };
 
 //-----------------------------------------------------------------------------
@@ -137,10 +133,6 @@
     {
         return m_routes;
     }
-    [[nodiscard]] const std::map<core::ServiceId, Service> &services() const
-    {
-        return m_services;
-    }
     [[nodiscard]] const CallerLimits &limits() const
     {
         return m_limits;
--- a/src/arbutus/edge/beliefs.cpp
+++ b/src/arbutus/edge/beliefs.cpp
@@ -185,7 +185,7 @@
 
 core::Duration Beliefs::evidenceAge(core::TimePoint now) const
 {
-    return m_read ? std::chrono::duration_cast<core::Duration>(now - m_evidenceAt) : core::Duration(std::chrono::hours(24));
+    return m_read ? now - m_evidenceAt : core::Duration(std::chrono::hours(24));
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -64,9 +64,9 @@
     out.set_id(ask.id.text);
     out.set_service(ask.service.text);
     out.set_priority(ask.priority);
-    out.set_on_time_left_us(std::chrono::duration_cast<core::Duration>(ask.onTimeUntil - now).count());
-    out.set_useful_left_us(std::chrono::duration_cast<core::Duration>(ask.usefulUntil - now).count());
-    out.set_ends_left_us(std::chrono::duration_cast<core::Duration>(ask.endsAt - now).count());
+    out.set_on_time_left_us((ask.onTimeUntil - now).count());
+    out.set_useful_left_us((ask.usefulUntil - now).count());
+    out.set_ends_left_us((ask.endsAt - now).count());
     for (const routing::PromptPart &part : ask.prompt) {
         auto *row = out.add_prompt();
         row->set_chain(part.chain);
@@ -74,7 +74,6 @@
     }
     out.set_prompt_tokens(ask.promptTokens);
     out.set_output_tokens(ask.outputTokens);
-    out.set_repeatable(ask.repeatable);
     out.set_may_leave(ask.mayLeave);
     for (const core::RegionId &region : ask.regions) {
         out.add_regions(region.text);
@@ -102,7 +101,6 @@
     }
     ask.promptTokens = in.prompt_tokens();
     ask.outputTokens = in.output_tokens();
-    ask.repeatable = in.repeatable();
     ask.mayLeave = in.may_leave();
     for (const std::string &region : in.regions()) {
         ask.regions.insert(core::RegionId(region));
--- a/src/arbutus/edge/dialect.h
+++ b/src/arbutus/edge/dialect.h
@@ -89,7 +89,6 @@
 /// Key prefixes of the store.
 struct StoreLayout
 {
-    std::string operatorPrefix; // configuration and evacuations
     std::string upstreamPrefix; // announcements of upstreams
     std::string memberPrefix;   // gateway instances that register themselves
 };
--- a/src/arbutus/edge/edge.cpp
+++ b/src/arbutus/edge/edge.cpp
@@ -1,6 +1,7 @@
 // Wiring, listeners, and the planned stop.
 
 #include "arbutus/edge/edge.h"
+#include "arbutus/core/pause.h"
 #include "arbutus/edge/directory.h"
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/edge/storeduty.h"
@@ -210,18 +211,10 @@
 
     //--- Loops
 
-    asio::awaitable<void> pause(milliseconds duration)
-    {
-        asio::steady_timer timer(context.executor);
-        timer.expires_after(duration);
-        boost::system::error_code code;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
-    }
-
     asio::awaitable<void> flushLoop()
     {
         while (true) {
-            co_await pause(LogFlushPeriod);
+            co_await core::pause(LogFlushPeriod);
             context.log.flush();
         }
     }
@@ -232,7 +225,7 @@
         milliseconds boot = bootTime();
         core::TimePoint steady = context.now();
         while (true) {
-            co_await pause(BeliefTick);
+            co_await core::pause(BeliefTick);
             const milliseconds suspended = (bootTime() - boot) - std::chrono::duration_cast<milliseconds>(context.now() - steady);
             if (suspended >= SuspendedLeast) {
                 context.write(observe::LogLine("was_suspended").add("for_ms", suspended.count()));
@@ -278,18 +271,16 @@
         fleet.leave();
         storeDuty.leave();
         const core::TimePoint latest = begunAt + settings.grace - StopMargin;
-        co_await pause(StopAnnounced);
+        co_await core::pause(StopAnnounced);
         callers.stopAccepting(); // callers go on elsewhere at once, instead of coming late with what cannot end in time
         while (context.now() < latest) {
             callers.closeIdle();
-            co_await pause(StopCheck);
+            co_await core::pause(StopCheck);
             if (callers.openExchanges() == 0 && peers.openExchanges() == 0) {
                 break;
             }
         }
-        context.write(observe::LogLine("stopped")
-                          .add("exchanges", callers.openExchanges())
-                          .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(context.now() - begunAt))));
+        context.write(observe::LogLine("stopped").add("exchanges", callers.openExchanges()).add("took_ms", core::toMilliseconds(context.now() - begunAt)));
         context.log.flush();
         loop.stop();
     }
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/fleet.h"
 #include "arbutus/membership/rendezvous.h"
+#include "arbutus/peer/datagrams.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,7 +19,6 @@
 
 namespace {
 
-constexpr std::size_t LargestDatagram = 60'000; // bytes
 constexpr std::string_view WatchDuty = "watch";
 constexpr std::string_view DispatchDuty = "dispatch";
 
@@ -81,22 +81,22 @@
         }
     }
     sendAll(m_view.announce());
-    asio::co_spawn(m_context.executor, receiveLoop(), asio::detached);
+    const auto take = [this](std::string_view bytes, const std::string &from) { receive(bytes, from); };
+    asio::co_spawn(m_context.executor, peer::receiveDatagrams(m_socket, take), asio::detached);
     asio::co_spawn(m_context.executor, tickLoop(), asio::detached);
 }
 
 void Fleet::send(const std::string &address, FleetBody body)
 {
-    const http::Endpoint target = http::parseEndpoint(address);
     boost::system::error_code code;
-    const auto ip = asio::ip::make_address(target.host, code);
-    if (code) {
+    const auto target = peer::datagramEndpoint(address, code);
+    if (!target) {
         m_context.write(observe::LogLine("datagram_not_sent").add("address", address).add("error", code.message()));
         return;
     }
     const FleetMessage message{core::InstanceRef{self().id, self().incarnation}, self().region, std::move(body)};
     const std::string bytes = encode(message, m_context.now());
-    m_socket.send_to(asio::buffer(bytes), Udp::endpoint(ip, target.port), 0, code);
+    m_socket.send_to(asio::buffer(bytes), *target, 0, code);
     m_context.metrics.count(code ? "arbutus_datagrams_failed_total" : "arbutus_datagrams_sent_total");
 }
 
@@ -119,32 +119,19 @@
     }
 }
 
-asio::awaitable<void> Fleet::receiveLoop()
+void Fleet::receive(std::string_view bytes, const std::string &from)
 {
-    std::vector<char> buffer(LargestDatagram);
-    while (true) {
-        Udp::endpoint from;
-        boost::system::error_code code;
-        const std::size_t size = co_await m_socket.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, code));
-        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
-            co_return;
-        }
-        if (code) {
-            continue; // an earlier datagram found no listener
-        }
-        auto message = decodeMessage(std::string_view(buffer.data(), size), m_context.now());
-        if (!message) {
-            m_context.metrics.count("arbutus_datagrams_refused_total");
-            continue;
-        }
-        const std::string address = http::toString(http::Endpoint{from.address().to_string(), from.port()});
-        if (auto *gossip = std::get_if<membership::Message>(&message->body)) {
-            sendAll(m_view.receive(*gossip, address, m_context.now()));
-            logChanges();
-            continue;
-        }
-        m_receiver(std::move(*message), address);
+    auto message = decodeMessage(bytes, m_context.now());
+    if (!message) {
+        m_context.metrics.count("arbutus_datagrams_refused_total");
+        return;
+    }
+    if (auto *gossip = std::get_if<membership::Message>(&message->body)) {
+        sendAll(m_view.receive(*gossip, from, m_context.now()));
+        logChanges();
+        return;
     }
+    m_receiver(std::move(*message), from);
 }
 
 asio::awaitable<void> Fleet::tickLoop()
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -56,7 +56,7 @@
     [[nodiscard]] std::size_t known() const;
 
 private:
-    boost::asio::awaitable<void> receiveLoop();
+    void receive(std::string_view bytes, const std::string &from);
     boost::asio::awaitable<void> tickLoop();
     void sendAll(std::vector<membership::Outgoing> outgoing);
     void logChanges();
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -234,7 +234,6 @@
     ask.prompt = job.head.prompt;
     ask.promptTokens = job.head.promptTokens;
     ask.outputTokens = job.head.outputTokens;
-    ask.repeatable = job.mayRepeat();
     ask.mayLeave = !job.fromPeer;
     ask.regions = job.route->homes;
     ask.excluded = job.tried;
@@ -371,17 +370,16 @@
     }
     job.token->wake = nullptr;
     m_placement.ended(work, ending);
-    m_context.write(
-        observe::LogLine("sent")
-            .add("request", work)
-            .add("upstream", granted.upstream)
-            .add("ending", routing::toString(ending))
-            .add("why", job.lastWhy)
-            .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(m_context.now() - now)))
-            .add("first_event_ms", job.firstEventAt > now ? core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - now)) : 0)
-            .add("predicted_ms", core::toMilliseconds(granted.predicted))
-            .add("sends", job.sends)
-            .add("runs", job.runs));
+    m_context.write(observe::LogLine("sent")
+                        .add("request", work)
+                        .add("upstream", granted.upstream)
+                        .add("ending", routing::toString(ending))
+                        .add("why", job.lastWhy)
+                        .add("took_ms", core::toMilliseconds(m_context.now() - now))
+                        .add("first_event_ms", job.firstEventAt > now ? core::toMilliseconds(job.firstEventAt - now) : 0)
+                        .add("predicted_ms", core::toMilliseconds(granted.predicted))
+                        .add("sends", job.sends)
+                        .add("runs", job.runs));
     co_return sent;
 }
 
@@ -465,7 +463,7 @@
                         .add("region", region)
                         .add("outcome", outcome)
                         .add("why", job.lastWhy)
-                        .add("took_ms", core::toMilliseconds(std::chrono::duration_cast<core::Duration>(m_context.now() - now))));
+                        .add("took_ms", core::toMilliseconds(m_context.now() - now)));
     co_return sent;
 }
 
@@ -590,13 +588,13 @@
         if (!out.empty()) {
             const core::TimePoint now = m_context.now();
             if (job.events->events() > 1 && job.lastEventAt != core::TimePoint{}) {
-                job.longestPause = std::max(job.longestPause, std::chrono::duration_cast<core::Duration>(now - job.lastEventAt));
+                job.longestPause = std::max(job.longestPause, now - job.lastEventAt);
             }
             job.lastEventAt = now;
             if (std::exchange(first, false)) {
                 m_placement.started(job.workId());
                 job.firstEventAt = now;
-                m_context.metrics.observe("arbutus_first_event_seconds", "", std::chrono::duration_cast<core::Duration>(m_context.now() - job.arrivedAt));
+                m_context.metrics.observe("arbutus_first_event_seconds", "", m_context.now() - job.arrivedAt);
             }
             if (!co_await job.exchange.write(out)) {
                 job.token->cancel();
@@ -679,28 +677,26 @@
 
 void Forwarder::logEnd(const Job &job, unsigned status, std::string_view outcome)
 {
-    const auto took = std::chrono::duration_cast<core::Duration>(m_context.now() - job.arrivedAt);
+    const auto took = m_context.now() - job.arrivedAt;
     const std::string route = job.route == nullptr ? "" : job.route->id.text;
     m_context.metrics.count("arbutus_requests_total", "status=\"" + std::to_string(status) + "\"");
     m_context.metrics.observe("arbutus_request_seconds", "", took);
-    m_context.write(
-        observe::LogLine("request")
-            .add("request", job.head.attempt)
-            .add("origin", job.origin)
-            .add("route", route)
-            .add("service", job.service)
-            .add("configuration", job.catalog ? job.catalog->version().value : 0)
-            .add("status", status)
-            .add("outcome", outcome)
-            .add("why", job.lastWhy)
-            .add("upstream", job.lastUpstream)
-            .add("took_ms", core::toMilliseconds(took))
-            .add("placements", job.placements)
-            .add("sends", job.sends)
-            .add("first_event_ms",
-                 job.firstEventAt == core::TimePoint{} ? 0 : core::toMilliseconds(std::chrono::duration_cast<core::Duration>(job.firstEventAt - job.arrivedAt)))
-            .add("longest_pause_ms", core::toMilliseconds(job.longestPause))
-            .add("events", job.events ? job.events->events() : 0));
+    m_context.write(observe::LogLine("request")
+                        .add("request", job.head.attempt)
+                        .add("origin", job.origin)
+                        .add("route", route)
+                        .add("service", job.service)
+                        .add("configuration", job.catalog ? job.catalog->version().value : 0)
+                        .add("status", status)
+                        .add("outcome", outcome)
+                        .add("why", job.lastWhy)
+                        .add("upstream", job.lastUpstream)
+                        .add("took_ms", core::toMilliseconds(took))
+                        .add("placements", job.placements)
+                        .add("sends", job.sends)
+                        .add("first_event_ms", job.firstEventAt == core::TimePoint{} ? 0 : core::toMilliseconds(job.firstEventAt - job.arrivedAt))
+                        .add("longest_pause_ms", core::toMilliseconds(job.longestPause))
+                        .add("events", job.events ? job.events->events() : 0));
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/placement.cpp
+++ b/src/arbutus/edge/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/placement.h"
 #include "arbutus/core/overloaded.h"
+#include "arbutus/core/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -63,14 +64,6 @@
     asio::co_spawn(m_context.executor, stateLoop(), asio::detached);
 }
 
-asio::awaitable<void> Placement::pause(std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(m_context.executor);
-    timer.expires_after(duration);
-    boost::system::error_code code;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
-}
-
 //-----------------------------------------------------------------------------
 // Asking
 //-----------------------------------------------------------------------------
@@ -178,7 +171,7 @@
     if (const auto *granted = std::get_if<routing::Granted>(&verdict)) {
         hand(ask, *granted);
     }
-    const auto waited = std::chrono::duration_cast<core::Duration>(m_context.now() - askedAt);
+    const auto waited = m_context.now() - askedAt;
     m_context.metrics.observe("arbutus_placement_seconds", "", waited);
     m_context.write(observe::LogLine("placed")
                         .add("request", ask.id)
@@ -210,7 +203,7 @@
         return;
     }
     const core::TimePoint now = m_context.now();
-    const auto took = std::chrono::duration_cast<core::Duration>(now - found->second.since);
+    const auto took = now - found->second.since;
     found->second.firstEventAfter = took;
     m_dispatcher.started(id, found->second.upstream, took, now);
     m_newlyStarted.insert(id);
@@ -263,7 +256,7 @@
 asio::awaitable<void> Placement::reportLoop()
 {
     while (true) {
-        co_await pause(m_settings.reportPeriod);
+        co_await core::pause(m_settings.reportPeriod);
         WorkReport report;
         for (const auto &[id, held] : m_held) {
             report.holdings.push_back(routing::Holding{id, held.upstream, held.firstEventAfter, held.memoryTokens});
@@ -326,7 +319,7 @@
 asio::awaitable<void> Placement::settleLoop()
 {
     while (true) {
-        co_await pause(m_settings.settlePeriod);
+        co_await core::pause(m_settings.settlePeriod);
         updateDuty();
         if (m_dispatcher.waiting() > 0) {
             deliver(m_dispatcher.settle(m_context.now()));
@@ -404,7 +397,7 @@
         state.outlooks.push_back(RegionOutlook{m_context.settings.region, outlook, core::Duration::zero()});
     }
     for (const auto &[key, row] : m_outlooks) {
-        state.outlooks.push_back(RegionOutlook{key.first, row.first, std::chrono::duration_cast<core::Duration>(now - row.second)});
+        state.outlooks.push_back(RegionOutlook{key.first, row.first, now - row.second});
     }
     state.beliefRevision = m_beliefs.beliefRevision();
     state.asOf = m_beliefs.asOf();
@@ -446,7 +439,7 @@
 asio::awaitable<void> Placement::stateLoop()
 {
     while (true) {
-        co_await pause(m_settings.statePeriod);
+        co_await core::pause(m_settings.statePeriod);
         sendState();
         if (m_holds && m_context.now() - m_loggedAt >= m_settings.logPeriod) {
             m_loggedAt = m_context.now();
--- a/src/arbutus/edge/placement.h
+++ b/src/arbutus/edge/placement.h
@@ -85,7 +85,6 @@
     boost::asio::awaitable<void> settleLoop();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> stateLoop();
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     boost::asio::awaitable<void> waitFor(Waiter &waiter, std::chrono::milliseconds most);
 
     /// The member that holds the dispatch duty; nothing if it is this instance or nobody answers.
--- a/src/arbutus/edge/storeduty.cpp
+++ b/src/arbutus/edge/storeduty.cpp
@@ -1,14 +1,12 @@
 // Reading, fetching and registering.
 
 #include "arbutus/edge/storeduty.h"
+#include "arbutus/core/pause.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -23,11 +21,6 @@
 
 const std::string EverythingPrefix; // one watch for configuration, evacuations and upstreams
 
-core::Duration since(core::TimePoint then, core::TimePoint now)
-{
-    return std::chrono::duration_cast<core::Duration>(now - then);
-}
-
 } // namespace
 
 StoreDuty::StoreDuty(Context &context, Fleet &fleet, Beliefs &beliefs, std::uint64_t seed, StoreDutySettings settings)
@@ -48,14 +41,6 @@
     asio::co_spawn(m_context.executor, membersLoop(), asio::detached);
 }
 
-asio::awaitable<void> StoreDuty::pause(milliseconds duration)
-{
-    asio::steady_timer timer(m_context.executor);
-    timer.expires_after(duration);
-    boost::system::error_code code;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
-}
-
 //-----------------------------------------------------------------------------
 // Reading
 //-----------------------------------------------------------------------------
@@ -78,13 +63,13 @@
 
 bool StoreDuty::storeWasAway(core::TimePoint now) const
 {
-    return m_everAway && since(m_backAt, now) < m_settings.awayLasts;
+    return m_everAway && now - m_backAt < m_settings.awayLasts;
 }
 
 void StoreDuty::noteAnswer(bool answered, const std::string &what)
 {
     const core::TimePoint now = m_context.now();
-    const core::Duration silence = since(m_answeredAt, now);
+    const core::Duration silence = now - m_answeredAt;
     if (answered) {
         if (m_lost && silence > m_settings.awayAfter) {
             m_everAway = true;
@@ -146,16 +131,16 @@
     while (!m_leaving) {
         const core::Duration after = m_beliefs.catalog() ? readsAfter() : core::Duration::zero();
         if (m_beliefs.evidenceAge(m_context.now()) < after) {
-            co_await pause(m_settings.checkPeriod);
+            co_await core::pause(m_settings.checkPeriod);
             continue;
         }
         if (co_await readOnce()) {
             retry = m_settings.retryFirst;
-            co_await pause(m_settings.watchPause);
+            co_await core::pause(m_settings.watchPause);
             continue;
         }
         const auto jitter = milliseconds(m_random(static_cast<std::uint32_t>(retry.count())));
-        co_await pause(retry / 2 + jitter);
+        co_await core::pause(retry / 2 + jitter);
         retry = std::min(retry * 2, m_settings.retryMost);
     }
 }
@@ -315,17 +300,17 @@
                 continue;
             }
         }
-        co_await pause(m_lease.empty() ? m_settings.retryMost : m_settings.leaseRenewal);
+        co_await core::pause(m_lease.empty() ? m_settings.retryMost : m_settings.leaseRenewal);
     }
 }
 
 asio::awaitable<void> StoreDuty::membersLoop()
 {
     constexpr auto FirstRead = milliseconds(600); // the others have registered by then when all start at once
-    co_await pause(FirstRead);
+    co_await core::pause(FirstRead);
     while (!m_leaving) {
         const bool answered = co_await readMembers(metadata::Freshness::Cheap);
-        co_await pause(answered ? m_settings.membersRead + milliseconds(m_random(3'000)) : m_settings.retryMost);
+        co_await core::pause(answered ? m_settings.membersRead + milliseconds(m_random(3'000)) : m_settings.retryMost);
     }
 }
 
--- a/src/arbutus/edge/storeduty.h
+++ b/src/arbutus/edge/storeduty.h
@@ -57,7 +57,6 @@
     boost::asio::awaitable<bool> readMembers(metadata::Freshness freshness);
     /// A registered instance; greeted if it is new.
     void addContact(const metadata::StoreItem &item);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     [[nodiscard]] core::Duration readsAfter();
     [[nodiscard]] bool storeWasAway(core::TimePoint now) const;
     void noteAnswer(bool answered, const std::string &what);
--- a/src/arbutus/gateway/gossipduty.h
+++ b/src/arbutus/gateway/gossipduty.h
@@ -26,7 +26,7 @@
     void send(node::SendDatagram datagram);
 
 private:
-    boost::asio::awaitable<void> receiveLoop();
+    void receive(std::string_view bytes, const std::string &from);
     void sendNow(const node::SendDatagram &datagram);
 
     observe::Metrics &m_metrics;
--- a/src/arbutus/gateway/platformduty.cpp
+++ b/src/arbutus/gateway/platformduty.cpp
@@ -8,6 +8,7 @@
 //   List and directory
 
 #include "arbutus/gateway/platformduty.h"
+#include "arbutus/core/pause.h"
 
 #include "arbutus/core/json.h"
 
@@ -306,7 +307,7 @@
     node::KeyClaimed claimed;
     claimed.key = order.key;
     while (m_grantingClaimLease) {
-        co_await pause(ClaimWait);
+        co_await core::pause(ClaimWait);
     }
     if (m_claimLease == 0 || m_claimsUnderLease >= ClaimsPerLease) {
         m_grantingClaimLease = true;
@@ -335,12 +336,6 @@
 // Leases of duties
 //-----------------------------------------------------------------------------
 
-asio::awaitable<void> PlatformDuty::pause(std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(m_thread.executor(), duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 asio::awaitable<void> PlatformDuty::holdLease(std::string name, std::uint64_t generation)
 {
     while (m_leaseGeneration == generation) {
@@ -356,7 +351,7 @@
                 co_await keepHeldLease(lease.value(), fencing, since, generation);
             }
         }
-        co_await pause(LeaseRetry);
+        co_await core::pause(LeaseRetry);
     }
 }
 
@@ -367,7 +362,7 @@
         held.fencing = fencing;
         held.until = since + DutyLease - LeaseMargin;
         m_post(held);
-        co_await pause(LeaseRenewal);
+        co_await core::pause(LeaseRenewal);
         const core::TimePoint asked = m_clock.steadyNow();
         const auto kept = co_await m_client.keepLease(lease);
         noteCall("keepalive", static_cast<bool>(kept));
--- a/src/arbutus/gateway/platformduty.h
+++ b/src/arbutus/gateway/platformduty.h
@@ -48,7 +48,6 @@
     boost::asio::awaitable<void> claim(node::ClaimKey order);
     boost::asio::awaitable<void> holdLease(std::string name, std::uint64_t generation);
     boost::asio::awaitable<void> keepHeldLease(std::int64_t lease, core::FencingToken fencing, core::TimePoint since, std::uint64_t generation);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     boost::asio::awaitable<void> readList();
     boost::asio::awaitable<void> writeDirectory(node::WriteDirectory order);
     void adopt(const std::vector<metadata::Stored> &pairs);
--- a/src/arbutus/loadtool/caller.cpp
+++ b/src/arbutus/loadtool/caller.cpp
@@ -1,11 +1,10 @@
 // Entries, tickets, tries.
 
 #include "arbutus/loadtool/caller.h"
+#include "arbutus/core/pause.h"
 
 #include "arbutus/core/json.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -67,12 +66,6 @@
 {
 }
 
-asio::awaitable<void> CallerGroup::pause(std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(m_executor, duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 std::string CallerGroup::entryAt(std::size_t index) const
 {
     return m_entries.empty() ? std::string() : m_entries[index % m_entries.size()];
@@ -313,7 +306,7 @@
             m_tickets.clear(); // of an entry that may be gone
             co_await refreshEntries();
         }
-        co_await pause(std::max(wait, std::min<std::chrono::milliseconds>(tried.retryAfter, 2'000ms)));
+        co_await core::pause(std::max(wait, std::min<std::chrono::milliseconds>(tried.retryAfter, 2'000ms)));
         wait *= 2;
     }
     record.total = m_clock.steadyNow() - due;
--- a/src/arbutus/loadtool/caller.h
+++ b/src/arbutus/loadtool/caller.h
@@ -93,7 +93,6 @@
     boost::asio::awaitable<std::string> takeTicket();
     boost::asio::awaitable<Try> tryOnce(const Plan &plan, const std::string &entry, const std::string &ticket, core::TimePoint due, Record &record);
     boost::asio::awaitable<Try> readStream(const Plan &plan, http::Call &call, const http::Response &head, core::TimePoint due, Record &record);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     [[nodiscard]] std::string entryAt(std::size_t index) const;
     void noteRefusal(const http::Response &answer, Try &tried, Record &record);
 
--- /dev/null
+++ b/src/arbutus/peer/datagrams.cpp
@@ -0,0 +1,46 @@
+// Addresses and the receiving loop.
+
+#include "arbutus/peer/datagrams.h"
+#include "arbutus/http/message.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <vector>
+
+namespace arbutus::peer {
+
+namespace asio = boost::asio;
+using Udp = asio::ip::udp;
+
+namespace {
+
+constexpr std::size_t LargestDatagram = 60'000; // bytes
+
+} // namespace
+
+std::optional<Udp::endpoint> datagramEndpoint(const std::string &address, boost::system::error_code &code)
+{
+    const http::Endpoint target = http::parseEndpoint(address);
+    const auto ip = asio::ip::make_address(target.host, code);
+    return code ? std::nullopt : std::optional(Udp::endpoint(ip, target.port));
+}
+
+asio::awaitable<void> receiveDatagrams(Udp::socket &socket, std::function<void(std::string_view bytes, const std::string &from)> take)
+{
+    std::vector<char> buffer(LargestDatagram);
+    while (true) {
+        Udp::endpoint from;
+        boost::system::error_code code;
+        const std::size_t size = co_await socket.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
+            co_return;
+        }
+        if (code) {
+            continue; // an earlier datagram found no listener
+        }
+        take(std::string_view(buffer.data(), size), http::toString(http::Endpoint{from.address().to_string(), from.port()}));
+    }
+}
+
+} // namespace arbutus::peer
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-core::Duration between(core::TimePoint from, core::TimePoint to)
-{
-    return std::chrono::duration_cast<core::Duration>(to - from);
-}
-
 core::Duration scaled(core::Duration duration, double factor)
 {
     return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -64,7 +59,10 @@
     m_rosterVersion = m_view.roster.version();
     m_catalogRead = m_view.catalog.get();
     m_locals.clear();
-    std::erase_if(m_models, [&](const auto &row) { return m_view.roster.find(row.first) == nullptr; });
+    const auto forgotten = [&](const auto &row) { return m_view.roster.find(row.first) == nullptr; };
+    std::erase_if(m_models, forgotten);
+    std::erase_if(m_lives, forgotten);
+    std::erase_if(m_coldNext, forgotten);
     for (const auto &[id, entry] : m_view.roster.entries()) {
         const auto region = m_view.regions.find(entry.said.domain);
         if (m_view.roster.takesWork(entry) && region != m_view.regions.end() && region->second == m_view.region) {
@@ -164,10 +162,12 @@
         if (!cold && better(*candidate, warm)) {
             warm = candidate;
         }
-        const std::uint64_t hash = core::hash64(local.entry->said.id.text, subject);
-        if (!cold && subject != 0 && hash >= affineHash) {
-            affineHash = hash;
-            affine = candidate;
+        if (!cold && subject != 0) {
+            const std::uint64_t hash = core::hash64(local.entry->said.id.text, subject);
+            if (hash >= affineHash) {
+                affineHash = hash;
+                affine = candidate;
+            }
         }
         if (better(*candidate, any)) {
             any = candidate;
@@ -186,7 +186,7 @@
 {
     Pace &pace = m_paces[ask.service];
     const double memory = static_cast<double>(m_settings.paceMemory.count());
-    pace.placed *= std::exp(-static_cast<double>(between(pace.at, now).count()) / memory);
+    pace.placed *= std::exp(-static_cast<double>((now - pace.at).count()) / memory);
     pace.placed += ask.promptTokens == 0 ? 1 : uncachedTokens;
     pace.at = now;
     if (ask.promptTokens >= m_settings.longPrompt) {
@@ -210,7 +210,7 @@
         return possible;
     }
     const double memory = static_cast<double>(m_settings.paceMemory.count());
-    const double placed = pace.placed * std::exp(-static_cast<double>(between(pace.at, now).count()) / memory);
+    const double placed = pace.placed * std::exp(-static_cast<double>((now - pace.at).count()) / memory);
     return std::min(possible, placed / (memory / 1000));
 }
 
@@ -373,7 +373,7 @@
 
 Refused Dispatcher::refuse(const Ask &ask, RefusalReason reason, core::Duration predicted, core::TimePoint now) const
 {
-    const core::Duration left = std::max(core::Duration::zero(), between(now, ask.usefulUntil));
+    const core::Duration left = std::max(core::Duration::zero(), ask.usefulUntil - now);
     const core::Duration wanted = reason == RefusalReason::NoUpstream ? left / 3 : predicted / 2;
     return Refused{reason, std::clamp(wanted, m_settings.retryLeast, m_settings.retryMost)};
 }
@@ -393,7 +393,7 @@
         return Placing{};
     }
     if (remote) {
-        const core::Duration left = between(now, ask.onTimeUntil);
+        const core::Duration left = ask.onTimeUntil - now;
         const core::Duration predicted = local->predicted;
         const bool localOnTime = predicted <= left;
         const bool remoteOnTime = remote->predicted <= left;
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -55,8 +55,7 @@
     core::TimePoint endsAt{};      // nobody waits for the last event after that
     std::vector<PromptPart> prompt;
     std::uint32_t promptTokens = 0;
-    std::uint32_t outputTokens = 0; // expected
-    bool repeatable = false;
+    std::uint32_t outputTokens = 0;      // expected
     bool mayLeave = true;                // may be served in another region
     std::set<core::RegionId> regions;    // that may serve it; empty = all
     std::set<core::UpstreamId> excluded; // tried before
--- a/src/arbutus/routing/enginemodel.cpp
+++ b/src/arbutus/routing/enginemodel.cpp
@@ -73,12 +73,12 @@
 
 core::Duration EngineModel::backlog(core::TimePoint now) const
 {
-    return std::max(core::Duration::zero(), std::chrono::duration_cast<core::Duration>(m_backlogEnd - now));
+    return std::max(core::Duration::zero(), m_backlogEnd - now);
 }
 
 core::Duration EngineModel::restedFor(core::TimePoint now) const
 {
-    return std::chrono::duration_cast<core::Duration>(now - m_backlogEnd);
+    return now - m_backlogEnd;
 }
 
 core::Duration EngineModel::prefillTime(std::uint64_t tokens) const
@@ -106,7 +106,7 @@
 double EngineModel::prefillShare(core::TimePoint now) const
 {
     const double memory = toMillisecondsExact(m_settings.loadMemory);
-    const double age = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - m_recentAt));
+    const double age = toMillisecondsExact(now - m_recentAt);
     return std::min(1.0, m_recentTokens * std::exp(-age / memory) / memory / prefillRate());
 }
 
@@ -167,7 +167,7 @@
     m_memoryUsed += run.memoryTokens;
     if (m_engine) {
         m_backlogEnd = std::max(m_backlogEnd, now) + prefillTime(run.uncachedTokens);
-        const double age = toMillisecondsExact(std::chrono::duration_cast<core::Duration>(now - m_recentAt));
+        const double age = toMillisecondsExact(now - m_recentAt);
         m_recentTokens = m_recentTokens * std::exp(-age / toMillisecondsExact(m_settings.loadMemory)) + run.uncachedTokens;
         m_recentAt = now;
         cacheParts(prompt);
@@ -220,10 +220,10 @@
         m_memoryUsed -= std::min<std::uint64_t>(m_memoryUsed, run.memoryTokens);
         if (m_engine) {
             rebuildBacklog(now);
-            const auto held = std::chrono::duration_cast<core::Duration>(now - run.grantedAt);
+            const auto held = now - run.grantedAt;
             m_runTime += fromMilliseconds(m_settings.learnWeight * toMillisecondsExact(held - m_runTime));
         } else if (ending == WorkEnding::Answered || ending == WorkEnding::ServerError) {
-            const auto took = std::chrono::duration_cast<core::Duration>(now - run.grantedAt);
+            const auto took = now - run.grantedAt;
             m_serviceTime += fromMilliseconds(m_settings.learnWeight * toMillisecondsExact(took - m_serviceTime));
         }
     }
--- a/src/arbutus/standin/platform.cpp
+++ b/src/arbutus/standin/platform.cpp
@@ -7,14 +7,13 @@
 //   The rest     list, directory, weights, switches
 
 #include "arbutus/standin/platform.h"
+#include "arbutus/core/pause.h"
 
 #include "arbutus/core/base64.h"
 #include "arbutus/core/json.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace arbutus::standin {
 
@@ -131,7 +130,7 @@
         co_return;
     }
     if (m_faults.delay > 0ms) {
-        co_await pause(m_faults.delay);
+        co_await core::pause(m_faults.delay);
     }
     if (path.starts_with("/weights/")) {
         co_await handleWeights(exchange);
@@ -320,7 +319,7 @@
             open = co_await exchange.write(line);
             lastWrite = m_clock.steadyNow();
         }
-        co_await pause(WatchPoll);
+        co_await core::pause(WatchPoll);
     }
     --m_waitingWatches;
     exchange.abort();
@@ -336,21 +335,15 @@
     const auto transfer = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(m_options.weightBytes / m_options.weightBytesPerSecond));
     const core::TimePoint now = m_clock.steadyNow();
     m_weightsFree = std::max(m_weightsFree, now) + transfer;
-    co_await pause(std::chrono::duration_cast<std::chrono::milliseconds>(m_weightsFree - now));
+    co_await core::pause(std::chrono::duration_cast<std::chrono::milliseconds>(m_weightsFree - now));
     const std::string answer = "{\"bytes\":" + std::to_string(m_options.weightBytes) + "}";
     co_await exchange.respond(http::jsonResponse(200, answer));
 }
 
-asio::awaitable<void> Platform::pause(std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(m_executor, duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 asio::awaitable<void> Platform::housekeeping()
 {
     while (true) {
-        co_await pause(HousekeepingPeriod);
+        co_await core::pause(HousekeepingPeriod);
         m_store.expire();
     }
 }
--- a/src/arbutus/standin/platform.h
+++ b/src/arbutus/standin/platform.h
@@ -58,7 +58,6 @@
     boost::asio::awaitable<void> handleKeyValue(http::Exchange &exchange);
     boost::asio::awaitable<void> handleWatch(http::Exchange &exchange, const boost::json::object &body);
     boost::asio::awaitable<void> handleWeights(http::Exchange &exchange);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
     boost::asio::awaitable<void> housekeeping();
 
     Answer dispatch(const std::string &path, const boost::json::object &body);
--- a/src/arbutus/standin/upstream.cpp
+++ b/src/arbutus/standin/upstream.cpp
@@ -7,6 +7,7 @@
 //   Switches     faults and the journal
 
 #include "arbutus/standin/upstream.h"
+#include "arbutus/core/pause.h"
 
 #include "arbutus/core/hash.h"
 #include "arbutus/core/json.h"
@@ -289,7 +290,7 @@
     head.headers["Content-Type"] = "text/event-stream";
     head.headers["X-Attempt-Id"] = id;
     if (m_faults.lateMs > 0) {
-        co_await pause(std::chrono::milliseconds(m_faults.lateMs));
+        co_await core::pause(std::chrono::milliseconds(m_faults.lateMs));
     }
     bool open = co_await exchange.begin(head);
     std::size_t sent = stream->firstToken;
@@ -311,7 +312,7 @@
             co_return;
         }
         if (m_faults.stallAfter > 0 && count >= m_faults.stallAfter) {
-            co_await pause(StallLength);
+            co_await core::pause(StallLength);
         }
     }
     if (!open) {
@@ -332,7 +333,7 @@
         co_await stream->signal.async_wait(asio::redirect_error(asio::use_awaitable, code));
     }
     if (m_faults.lateMs > 0) {
-        co_await pause(std::chrono::milliseconds(m_faults.lateMs));
+        co_await core::pause(std::chrono::milliseconds(m_faults.lateMs));
     }
     if (m_faults.dropAfter) {
         exchange.abort();
@@ -360,7 +361,7 @@
         co_return;
     }
     journal(run, "started");
-    co_await pause(std::chrono::milliseconds(m_faults.serviceMs + m_faults.lateMs));
+    co_await core::pause(std::chrono::milliseconds(m_faults.serviceMs + m_faults.lateMs));
     journal(run, "finished");
     if (m_faults.dropAfter) {
         exchange.abort();
@@ -421,7 +422,7 @@
             co_await m_work.async_wait(asio::redirect_error(asio::use_awaitable, code));
             continue;
         }
-        co_await pause(std::chrono::duration_cast<core::Duration>(result.length * m_faults.slowFactor));
+        co_await core::pause(std::chrono::duration_cast<core::Duration>(result.length * m_faults.slowFactor));
         for (const auto &[id, index] : result.emitted) {
             const auto found = m_streams.find(id);
             if (found != m_streams.end()) {
@@ -440,16 +441,10 @@
         while (m_reports.size() > 1 && m_reports[1].first <= now - std::chrono::milliseconds(m_faults.reportLagMs)) {
             m_reports.pop_front();
         }
-        co_await pause(ReportPeriod);
+        co_await core::pause(ReportPeriod);
     }
 }
 
-asio::awaitable<void> Upstream::pause(core::Duration duration)
-{
-    asio::steady_timer timer(m_executor, duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 json::object Upstream::loadNow() const
 {
     json::array models;
--- a/src/arbutus/standin/upstream.h
+++ b/src/arbutus/standin/upstream.h
@@ -81,7 +81,6 @@
     boost::asio::awaitable<void> order(http::Exchange &exchange);
     boost::asio::awaitable<void> engineLoop();
     boost::asio::awaitable<void> reportLoop();
-    boost::asio::awaitable<void> pause(core::Duration duration);
 
     [[nodiscard]] Run describeRun(const http::Request &request) const;
     [[nodiscard]] boost::json::object loadNow() const;
