Log how a response ends, and bytes of an unfinished event

Cause: the logs of the incident cannot tell a stream that ended with its connection from one that ended with its last chunk, nor a break inside an event from one between two. Change: body_end and partial_event_bytes on upstream_attempt_finished and peer_attempt_finished, and the counter arbutus_upstream_responses_total{body_end}; no decision changes.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -93,6 +93,8 @@
     std::string lastFailure; // reason of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
+    std::string lastBodyEnd;           // how the last response marked the end of its body, for the log
+    std::size_t partialEventBytes = 0; // received after the last complete event of the last stream, for the log
     core::TimePoint firstEventTime{};
     core::TimePoint lastEventTime{};
     core::Duration maxEventGap{}; // longest gap between events of the stream
@@ -351,6 +353,8 @@
     SendResult result = SendResult::NotExecuted;
     routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
     state.sendCount += connected ? 1 : 0;
+    state.lastBodyEnd.clear();
+    state.partialEventBytes = 0;
     if (head) {
         result = co_await handleResponse(state, call, head.value(), false, outcome);
     } else if (state.cancellation->cancelled) {
@@ -379,6 +383,8 @@
                            .add("upstream", granted.upstream)
                            .add("outcome", routing::toString(outcome))
                            .add("reason", state.lastFailure)
+                           .add("body_end", state.lastBodyEnd)
+                           .add("partial_event_bytes", state.partialEventBytes)
                            .add("took_ms", core::toMilliseconds(m_context.now() - now))
                            .add("first_event_ms", state.firstEventTime > now ? core::toMilliseconds(state.firstEventTime - now) : 0)
                            .add("predicted_ms", core::toMilliseconds(granted.predictedLatency))
@@ -434,6 +440,8 @@
     http::Call call(m_context.executor, endpoint, std::move(options));
     state.cancellation->onCancel = [&call] { call.cancel(); };
     auto head = co_await call.start(request, std::max(milliseconds(1), remaining));
+    state.lastBodyEnd.clear();
+    state.partialEventBytes = 0;
     SendResult result = SendResult::NotExecuted;
     routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
     std::string peerOutcome;
@@ -467,6 +475,8 @@
                            .add("region", region)
                            .add("outcome", peerOutcome)
                            .add("reason", state.lastFailure)
+                           .add("body_end", state.lastBodyEnd)
+                           .add("partial_event_bytes", state.partialEventBytes)
                            .add("took_ms", core::toMilliseconds(m_context.now() - now)));
     co_return result;
 }
@@ -479,6 +489,8 @@
 Forwarder::handleResponse(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome)
 {
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
+    state.lastBodyEnd = http::toString(call.bodyEnd());
+    m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + state.lastBodyEnd + "\"");
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
     case ResponseKind::Misdirected: {
@@ -575,6 +587,7 @@
             timeout = std::min(timeout, m_settings.streamIdleTimeout);
         }
         auto chunk = co_await call.readSome(timeout);
+        state.partialEventBytes = state.sseRelay->partialEventBytes();
         if (!chunk) {
             outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected
                 : chunk.error().timedOut            ? routing::SendOutcome::TimedOut
--- a/src/arbutus/edge/sserelay.h
+++ b/src/arbutus/edge/sserelay.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,11 @@
     {
         return m_lastEventId;
     }
+    /// Bytes received after the last complete event.
+    [[nodiscard]] std::size_t partialEventBytes() const
+    {
+        return m_buffer.size();
+    }
     [[nodiscard]] std::uint64_t forwardedEventCount() const
     {
         return m_forwardedEventCount;
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -308,6 +308,14 @@
     co_return response;
 }
 
+BodyEnd Call::bodyEnd() const
+{
+    if (m_impl->parser->chunked()) {
+        return BodyEnd::Chunks;
+    }
+    return m_impl->parser->need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Length;
+}
+
 asio::awaitable<CallResult<std::string>> Call::readSome(std::chrono::milliseconds timeout)
 {
     Impl &impl = *m_impl;
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -99,6 +99,8 @@
     /// Sends the request and reads the status and headers of the response. In each attempt, `timeout` limits connecting (together
     /// with CallOptions::connectTimeout) and, separately, sending the request and reading the headers.
     boost::asio::awaitable<CallResult<Response>> start(const Request &request, std::chrono::milliseconds timeout);
+    /// How the response marks the end of its body; call it only after start() succeeded.
+    [[nodiscard]] BodyEnd bodyEnd() const;
     /// Reads the next chunk of the body; empty at the end of the body.
     boost::asio::awaitable<CallResult<std::string>> readSome(std::chrono::milliseconds timeout);
     /// Reads the rest of the body.
--- a/src/arbutus/http/message.cpp
+++ b/src/arbutus/http/message.cpp
@@ -23,6 +23,19 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+std::string_view toString(BodyEnd bodyEnd)
+{
+    switch (bodyEnd) {
+    case BodyEnd::Length:
+        return "length";
+    case BodyEnd::Chunks:
+        return "chunks";
+    case BodyEnd::ConnectionClose:
+        break;
+    }
+    return "connection_close";
+}
+
 std::string Request::path() const
 {
     return target.substr(0, target.find('?'));
--- a/src/arbutus/http/message.h
+++ b/src/arbutus/http/message.h
@@ -32,6 +32,16 @@
     [[nodiscard]] std::string queryParameter(std::string_view name) const; // percent-decoded value; empty if absent
 };
 
+/// How a message marks the end of its body.
+enum class BodyEnd {
+    Length,          // Content-Length, or a message that has no body
+    Chunks,          // the last chunk
+    ConnectionClose, // the end of the connection; a body that was cut off by a regular close looks like a complete one
+};
+
+/// Name as written in logs and metric labels, e.g. "connection_close".
+[[nodiscard]] std::string_view toString(BodyEnd bodyEnd);
+
 /// HTTP response.
 struct Response
 {
