Failing tests: a stream broken off inside an event is delivered as complete

What callers see: 200 with a body that ends inside an event, framed as complete. Evidence for the hypotheses of the incident: the tests break a stream off at each byte, with four endings. Those that reset, or that lack the last chunk of a chunked body, are noticed: hypothesis 3 is refuted.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -24,6 +24,7 @@
 #include <fcntl.h>
 
 #include <array>
+#include <sstream>
 
 using namespace arbutus;
 using namespace std::chrono_literals;
@@ -110,6 +111,17 @@
     int connections = 0;
     int abortedConnections = 0; // connections closed by the gateway during execution
 
+    static constexpr int LastEvent = 6;
+
+    static std::string events(int from, int to)
+    {
+        std::string out;
+        for (int id = from; id <= to; ++id) {
+            out += "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+        }
+        return out;
+    }
+
     [[nodiscard]] std::string address() const
     {
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
@@ -144,17 +156,32 @@
         const std::string body = "from " + m_name + " to " + attempt;
         return responseHead("200 OK", attempt, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
     }
+    static std::string chunk(const std::string &data)
+    {
+        std::ostringstream size;
+        size << std::hex << data.size();
+        return size.str() + "\r\n" + data + "\r\n";
+    }
     static std::string eventChunks(int from, int to)
     {
         std::string out;
         for (int id = from; id <= to; ++id) {
-            const std::string event = "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
-            char size[16];
-            (void)std::snprintf(size, sizeof size, "%zx", event.size());
-            out += std::string(size) + "\r\n" + event + "\r\n";
+            out += chunk(events(id, id));
         }
         return out;
     }
+    /// Event stream that ends after `length` bytes of its body. `ending` is "unframed-close" (no length or chunks, then a regular
+    /// close), "unframed-reset" (the same, then a reset), "chunked-close" (no last chunk) or "chunked-last" (with a last chunk).
+    static std::string cutStream(const std::string &ending, std::size_t length, const std::string &attempt, int firstEvent)
+    {
+        const std::string body = events(firstEvent, LastEvent).substr(0, length);
+        const std::string contentType = "Content-Type: text/event-stream\r\n";
+        if (ending.starts_with("unframed")) {
+            return responseHead("200 OK", attempt, contentType + "Connection: close\r\n") + body;
+        }
+        return responseHead("200 OK", attempt, contentType + "Transfer-Encoding: chunked\r\n") + (body.empty() ? "" : chunk(body))
+            + (ending == "chunked-last" ? "0\r\n\r\n" : "");
+    }
 
     asio::awaitable<void> serve(Tcp::socket socket)
     {
@@ -245,7 +272,10 @@
                 ++abortedConnections;
                 co_return false;
             } else if (behavior == "stream") {
-                out = chunked + eventChunks(firstEvent, 6) + "0\r\n\r\n";
+                out = chunked + eventChunks(firstEvent, LastEvent) + "0\r\n\r\n";
+            } else if (const std::size_t at = behavior.find('@'); at != std::string::npos) { // for example "unframed-close@20"
+                out = cutStream(behavior.substr(0, at), std::stoul(behavior.substr(at + 1)), attempt, firstEvent);
+                keepOpen = false;
             } else if (behavior == "stream-break") { // ends within the third event
                 out = chunked + eventChunks(firstEvent, 2) + "1a\r\nid: 3\nda";
                 keepOpen = false;
@@ -255,7 +285,7 @@
         }
         ErrorCode code;
         co_await asio::async_write(socket, asio::buffer(out), asio::redirect_error(asio::use_awaitable, code));
-        if (behavior == "unframed-reset") {
+        if (behavior.starts_with("unframed-reset")) {
             asio::steady_timer timer(m_loop, 30ms); // lets the bytes arrive before the reset
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
             reset(socket);
@@ -491,13 +521,7 @@
 
 TEST_CASE("streams are relayed completely, resumed, or aborted", "[edge]")
 {
-    const auto eventsUpTo = [](int lastId) {
-        std::string out;
-        for (int id = 1; id <= lastId; ++id) {
-            out += "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
-        }
-        return out;
-    };
+    const auto eventsUpTo = [](int lastId) { return FakeUpstream::events(1, lastId); };
     SECTION("complete")
     {
         Fixture fixture;
@@ -520,6 +544,44 @@
     }
 }
 
+TEST_CASE("a stream broken off inside an event is not delivered as complete", "[edge]")
+{
+    struct Row
+    {
+        std::string ending;
+        bool completeBetweenEvents; // whether a break between two events cannot be told from the end of the stream
+    };
+    const auto row = GENERATE(values<Row>({{"unframed-close", true}, {"unframed-reset", false}, {"chunked-close", false}, {"chunked-last", true}}));
+    const std::string whole = FakeUpstream::events(1, FakeUpstream::LastEvent);
+    const std::size_t eventLength = FakeUpstream::events(1, 1).size();
+    Fixture fixture;
+    for (std::size_t length = 0; length <= whole.size(); ++length) {
+        const std::string behavior = row.ending + "@" + std::to_string(length);
+        CAPTURE(behavior);
+        const bool betweenEvents = length % eventLength == 0 && (length > 0 || row.ending == "chunked-last");
+        const http::Response response = fixture.sendRequest("stream", "a=" + behavior + ",b=" + behavior, "body", "attempt-" + std::to_string(length));
+        REQUIRE(fixture.executionCount() == length + 1);
+        if (row.completeBetweenEvents && betweenEvents) {
+            CHECK(response.status == 200);
+            CHECK(response.body == whole.substr(0, length));
+        } else {
+            CHECK(response.status == 0);
+        }
+    }
+}
+
+TEST_CASE("a resumable stream broken off inside an event is resumed at the other upstream", "[edge]")
+{
+    const auto ending = GENERATE(as<std::string>{}, "unframed-close", "unframed-reset", "chunked-close", "chunked-last");
+    const std::size_t length = GENERATE(1U, 13U, 15U, 25U, 83U);
+    const std::string behavior = ending + "@" + std::to_string(length);
+    CAPTURE(behavior);
+    Fixture fixture;
+    const std::string whole = FakeUpstream::events(1, FakeUpstream::LastEvent);
+    CHECK(fixture.sendRequest("resume", "a=" + behavior + ",b=stream", "body", "attempt-1").body == whole);
+    CHECK(fixture.sendRequest("resume", "a=stream,b=" + behavior, "body", "attempt-2").body == whole);
+}
+
 TEST_CASE("a client disconnect cancels the upstream request", "[edge]")
 {
     const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream");
