Treat a stream that ends inside an event as broken off

What callers saw: 200 with an event stream that ends inside an event, framed as complete. Cause: the relay took the regular end of the body for the end of the stream, forwarded the rest of its buffer and sent the last chunk. An upstream that fails may close its connection regularly; if its response has neither a length nor chunks, that close is the end of the body, and it may also send a last chunk after part of an event. Class: the end of the transport taken for the end of the message. Change: a stream is complete only if its body ended after a whole event, and, without length or chunks, after at least one; otherwise it is handled like a broken connection: resumed where the route allows it, else aborted. Line ends of events may be CR, LF or CRLF, so that a valid stream is never taken for a broken one.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -597,11 +597,12 @@
             co_return failedSendResult(state);
         }
         const bool complete = chunk.value().empty();
-        std::string output = complete ? state.sseRelay->finish() : state.sseRelay->feed(chunk.value());
-        if (state.sseRelay->hasGap()) {
+        std::string output = complete ? state.sseRelay->finish(call.bodyEnd()) : state.sseRelay->feed(chunk.value());
+        if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
             call.cancel();
             outcome = routing::SendOutcome::Incomplete;
-            state.lastFailure = "stream has a gap after event " + state.sseRelay->lastEventId();
+            state.lastFailure =
+                (state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ") + state.sseRelay->lastEventId();
             state.excludedUpstreams.insert(state.lastUpstream);
             co_return failedSendResult(state);
         }
--- a/src/arbutus/edge/sserelay.cpp
+++ b/src/arbutus/edge/sserelay.cpp
@@ -2,7 +2,8 @@
 
 #include "arbutus/edge/sserelay.h"
 
-#include <algorithm>
+#include "arbutus/http/truncation.h"
+
 #include <charconv>
 #include <utility>
 
@@ -38,16 +39,6 @@
     return std::nullopt;
 }
 
-/// Returns the end of the first complete event in `text`, or npos.
-std::size_t findEventEnd(std::string_view text)
-{
-    const std::size_t lf = text.find("\n\n");
-    const std::size_t crlf = text.find("\r\n\r\n");
-    const std::size_t lfEnd = lf == std::string_view::npos ? lf : lf + 2;
-    const std::size_t crlfEnd = crlf == std::string_view::npos ? crlf : crlf + 4;
-    return std::min(lfEnd, crlfEnd);
-}
-
 } // namespace
 
 SseRelay::SseRelay(const std::string &lastEventId)
@@ -61,27 +52,36 @@
 {
     m_buffer.clear();
     m_resumed = true;
+    m_hasEvent = false;
+    m_isTruncated = false;
 }
 
 std::string SseRelay::feed(std::string_view chunk)
 {
     std::string output;
     m_buffer += chunk;
+    processEvents(false, output);
+    return output;
+}
+
+void SseRelay::processEvents(bool isEndOfBody, std::string &output)
+{
     std::size_t start = 0;
     while (!m_hasGap) {
-        const std::size_t end = findEventEnd(std::string_view(m_buffer).substr(start));
-        if (end == std::string::npos) {
+        const std::string_view rest = std::string_view(m_buffer).substr(start);
+        const std::size_t end = http::findEventEnd(rest, isEndOfBody);
+        if (end == std::string_view::npos) {
             break;
         }
-        processEvent(std::string_view(m_buffer).substr(start, end), output);
+        processEvent(rest.substr(0, end), output);
         start += end;
     }
     m_buffer.erase(0, start);
-    return output;
 }
 
 void SseRelay::processEvent(std::string_view event, std::string &output)
 {
+    m_hasEvent = m_hasEvent || http::hasEventField(event);
     const auto id = findEventId(event);
     const auto number = id ? parseNumber(*id) : std::nullopt;
     if (number && m_lastEventNumber) {
@@ -101,9 +101,16 @@
     output += event;
 }
 
-std::string SseRelay::finish()
+std::string SseRelay::finish(http::BodyEnd bodyEnd)
 {
-    return m_hasGap ? std::string() : std::exchange(m_buffer, {});
+    std::string output;
+    processEvents(true, output);
+    m_isTruncated = http::hasEventField(m_buffer) || (!m_hasEvent && bodyEnd == http::BodyEnd::ConnectionClose);
+    if (!m_hasGap && !m_isTruncated) {
+        output += m_buffer;
+        m_buffer.clear();
+    }
+    return output;
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/sserelay.h
+++ b/src/arbutus/edge/sserelay.h
@@ -2,9 +2,15 @@
 //
 // Numeric event ids increase by one. After a stream is resumed at another upstream, events that the client already has are
 // dropped. A missing event stops the relay.
+//
+// Q: When is a stream complete?
+// A: When its body ended regularly and isTruncated() is false after finish(). How the body ended is not enough: an upstream that
+//    fails may close its connection, or send a last chunk, inside an event.
 
 #pragma once
 
+#include "arbutus/http/message.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -24,8 +30,8 @@
     void resume();
     /// Consumes a chunk of the body and returns the complete events to forward.
     [[nodiscard]] std::string feed(std::string_view chunk);
-    /// Call at the regular end of the body. Returns the remaining bytes after the last complete event.
-    [[nodiscard]] std::string finish();
+    /// Call at the regular end of the body. Returns the remaining bytes to forward; empty if the stream was cut off.
+    [[nodiscard]] std::string finish(http::BodyEnd bodyEnd);
 
     [[nodiscard]] const std::string &lastEventId() const
     {
@@ -44,8 +50,14 @@
     {
         return m_hasGap; // an event was missing; nothing more is forwarded
     }
+    [[nodiscard]] bool isTruncated() const
+    {
+        return m_isTruncated; // the body ended inside an event, or without length or chunks before its first event
+    }
 
 private:
+    /// Moves the complete events from the buffer to `output`.
+    void processEvents(bool isEndOfBody, std::string &output);
     void processEvent(std::string_view event, std::string &output);
 
     std::string m_buffer;
@@ -53,7 +65,9 @@
     std::optional<std::int64_t> m_lastEventNumber; // m_lastEventId, if numeric
     std::uint64_t m_forwardedEventCount = 0;
     bool m_resumed = false;
+    bool m_hasEvent = false; // an event of the current upstream has been received
     bool m_hasGap = false;
+    bool m_isTruncated = false;
 };
 
 } // namespace arbutus::edge
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -337,7 +337,8 @@
     out += relay.feed(bytes.substr(cut));
     CHECK(out == bytes);
     CHECK(relay.lastEventId() == "3");
-    CHECK(relay.finish().empty());
+    CHECK(relay.finish(http::BodyEnd::Chunks).empty());
+    CHECK_FALSE(relay.isTruncated());
 }
 
 TEST_CASE("a resumed stream continues without duplicates and detects gaps", "[events]")
@@ -365,6 +366,41 @@
     CHECK(relay.hasGap() == row.gap);
 }
 
+TEST_CASE("the end of a stream is complete only after a whole event", "[events]")
+{
+    struct Row
+    {
+        std::string body;
+        http::BodyEnd bodyEnd;
+        bool truncated;
+    };
+    using enum http::BodyEnd;
+    const auto row = GENERATE(values<Row>({
+        {event(1), ConnectionClose, false},
+        {event(1), Chunks, false},
+        {event(1) + "i", ConnectionClose, true},
+        {event(1) + "i", Chunks, true},
+        {event(1) + "id: 2\n", Length, true},
+        {"id: 1\ndata: 1\n", Chunks, true},
+        {event(1) + ": comment", ConnectionClose, false},
+        {event(1) + "\n", ConnectionClose, false},
+        {"", ConnectionClose, true},
+        {": comment\n\n", ConnectionClose, true},
+        {"", Chunks, false},
+        {"id: 1\r\ndata: 1\r\n\r\n", ConnectionClose, false},
+        {"id: 1\r\ndata: 1\r\n\r", ConnectionClose, false},
+        {"id: 1\r\ndata: 1\r\n", ConnectionClose, true},
+        {"id: 1\rdata: 1\r\r", ConnectionClose, false},
+        {"id: 1\rdata: 1\r", ConnectionClose, true},
+    }));
+    CAPTURE(row.body, row.bodyEnd);
+    edge::SseRelay relay;
+    std::string out = relay.feed(row.body);
+    out += relay.finish(row.bodyEnd);
+    CHECK(relay.isTruncated() == row.truncated);
+    CHECK((row.truncated || out == row.body));
+}
+
 TEST_CASE("a client that resumes a stream receives the events after its last one", "[events]")
 {
     edge::SseRelay relay("7");
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -573,7 +573,7 @@
 TEST_CASE("a resumable stream broken off inside an event is resumed at the other upstream", "[edge]")
 {
     const auto ending = GENERATE(as<std::string>{}, "unframed-close", "unframed-reset", "chunked-close", "chunked-last");
-    const std::size_t length = GENERATE(1U, 13U, 15U, 25U, 83U);
+    const std::size_t length = GENERATE(1U, 13U, 14U, 16U, 25U, 83U);
     const std::string behavior = ending + "@" + std::to_string(length);
     CAPTURE(behavior);
     Fixture fixture;
