Resume a stream after a gap from the last event delivered

What callers saw: a resumable stream in which an upstream left out an event was broken off instead of resumed; had the resumption worked, events that arrived in the same read as the gap would have been missing. Cause: the relay counted these events as delivered although the forwarder dropped them, and it kept the gap of one upstream as a state of the whole response. Change: what precedes a gap or a break is written before the attempt ends, and resume() clears the gap.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -598,14 +598,6 @@
         }
         const bool complete = chunk.value().empty();
         std::string output = complete ? state.sseRelay->finish(call.bodyEnd()) : state.sseRelay->feed(chunk.value());
-        if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
-            call.cancel();
-            outcome = routing::SendOutcome::Incomplete;
-            state.lastFailure =
-                (state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ") + state.sseRelay->lastEventId();
-            state.excludedUpstreams.insert(state.lastUpstream);
-            co_return failedSendResult(state);
-        }
         if (!output.empty()) {
             const core::TimePoint now = m_context.now();
             if (state.sseRelay->forwardedEventCount() > 1 && state.lastEventTime != core::TimePoint{}) {
@@ -622,6 +614,14 @@
                 continue;
             }
         }
+        if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
+            call.cancel();
+            outcome = routing::SendOutcome::Incomplete;
+            state.lastFailure =
+                (state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ") + state.sseRelay->lastEventId();
+            state.excludedUpstreams.insert(state.lastUpstream);
+            co_return failedSendResult(state);
+        }
         if (complete) {
             outcome = routing::SendOutcome::Completed;
             co_await state.exchange.endResponse();
--- a/src/arbutus/edge/sserelay.cpp
+++ b/src/arbutus/edge/sserelay.cpp
@@ -53,6 +53,7 @@
     m_buffer.clear();
     m_resumed = true;
     m_hasEvent = false;
+    m_hasGap = false;
     m_isTruncated = false;
 }
 
--- a/src/arbutus/edge/sserelay.h
+++ b/src/arbutus/edge/sserelay.h
@@ -48,7 +48,7 @@
     }
     [[nodiscard]] bool hasGap() const
     {
-        return m_hasGap; // an event was missing; nothing more is forwarded
+        return m_hasGap; // an event of the current upstream was missing; nothing more of it is forwarded
     }
     [[nodiscard]] bool isTruncated() const
     {
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -276,6 +276,8 @@
             } else if (const std::size_t at = behavior.find('@'); at != std::string::npos) { // for example "unframed-close@20"
                 out = cutStream(behavior.substr(0, at), std::stoul(behavior.substr(at + 1)), attempt, firstEvent);
                 keepOpen = false;
+            } else if (behavior == "stream-gap") { // the third event is missing; all arrives at once
+                out = chunked + chunk(events(firstEvent, 2) + events(4, LastEvent)) + "0\r\n\r\n";
             } else if (behavior == "stream-break") { // ends within the third event
                 out = chunked + eventChunks(firstEvent, 2) + "1a\r\nid: 3\nda";
                 keepOpen = false;
@@ -536,6 +538,12 @@
         const http::Response secondResponse = fixture.sendRequest("resume", "a=stream,b=stream-break", "body", "attempt-2");
         CHECK(secondResponse.body == eventsUpTo(6));
     }
+    SECTION("events that arrived together with a gap are delivered before the stream is resumed")
+    {
+        Fixture fixture;
+        CHECK(fixture.sendRequest("resume", "a=stream-gap,b=stream").body == eventsUpTo(6));
+        CHECK(fixture.sendRequest("resume", "a=stream,b=stream-gap", "body", "attempt-2").body == eventsUpTo(6));
+    }
     SECTION("aborted")
     {
         Fixture fixture;
