Serve HTTP/1.0 clients streams that end with their connection

What callers saw: an HTTP/1.0 client got chunks, which it cannot read, and after a broken stream a regular close, which it takes for the end. Change: such a client gets the plain bytes; a complete stream ends with a regular close, a broken one with a reset, also if the handler throws. Exchange gains reset(), and writeRaw() for simulated servers.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -117,6 +117,9 @@
     ~StreamExchange() override
     {
         *m_onDisconnect = nullptr;
+        if (m_endsWithConnection && !m_ended && !m_failed) {
+            reset(); // a regular close would look like the end of the response
+        }
     }
 
     [[nodiscard]] const Request &request() const override
@@ -169,7 +172,9 @@
     {
         wire::response<wire::empty_body> message(static_cast<wire::status>(response.status), m_version);
         copyHeaders(response.headers, message);
-        message.chunked(true);
+        m_endsWithConnection = m_version < 11;
+        m_keepAlive = m_keepAlive && !m_endsWithConnection;
+        message.chunked(!m_endsWithConnection);
         message.keep_alive(keepAlive());
         m_started = true;
         beast::get_lowest_layer(m_stream).expires_after(m_limits.writeTimeout);
@@ -185,6 +190,9 @@
             co_return !m_failed;
         }
         beast::get_lowest_layer(m_stream).expires_after(m_limits.writeTimeout);
+        if (m_endsWithConnection) {
+            co_return co_await writeRaw(data);
+        }
         ErrorCode code;
         const auto chunk = wire::make_chunk(asio::buffer(data.data(), data.size()));
         co_await asio::async_write(m_stream, chunk, asio::redirect_error(asio::use_awaitable, code));
@@ -197,6 +205,9 @@
             co_return false;
         }
         m_ended = true;
+        if (m_endsWithConnection) {
+            co_return true; // the connection is closed after the exchange
+        }
         ErrorCode code;
         const auto last = wire::make_chunk_last();
         co_await asio::async_write(m_stream, last, asio::redirect_error(asio::use_awaitable, code));
@@ -209,11 +220,30 @@
     }
 
     void abort() override
+    {
+        if (m_endsWithConnection) {
+            reset();
+            return;
+        }
+        m_failed = true;
+        beast::get_lowest_layer(m_stream).close();
+    }
+
+    void reset() override
     {
         m_failed = true;
+        ErrorCode code;
+        beast::get_lowest_layer(m_stream).socket().set_option(asio::socket_base::linger(true, 0), code);
         beast::get_lowest_layer(m_stream).close();
     }
 
+    asio::awaitable<bool> writeRaw(std::string_view bytes) override
+    {
+        ErrorCode code;
+        co_await asio::async_write(m_stream, asio::buffer(bytes.data(), bytes.size()), asio::redirect_error(asio::use_awaitable, code));
+        co_return succeeded(code);
+    }
+
     void onClientDisconnect(std::function<void()> onDisconnect) override
     {
         if constexpr (std::is_same_v<Stream, beast::tcp_stream>) {
@@ -304,6 +334,7 @@
     bool m_started = false;
     bool m_ended = false;
     bool m_failed = false;
+    bool m_endsWithConnection = false;                                                                 // the response has neither a length nor chunks
     std::shared_ptr<std::function<void()>> m_onDisconnect = std::make_shared<std::function<void()>>(); // null target once the exchange has ended
 };
 
@@ -512,6 +543,11 @@
 
 } // namespace
 
+asio::awaitable<bool> Exchange::writeRaw(std::string_view /*bytes*/)
+{
+    co_return false;
+}
+
 Server::Server(asio::any_io_executor executor, const Endpoint &endpoint, ServerLimits limits, Handler handler, std::shared_ptr<ReloadableTlsContext> tls)
     : m_state(std::make_shared<State>(executor, limits, std::move(handler), std::move(tls)))
 {
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -14,6 +14,9 @@
 // A: Malformed ones, and those that two parsers could interpret differently (request smuggling): Content-Length together
 //    with Transfer-Encoding, several Content-Length headers, a transfer coding other than chunked, or several Host headers.
 //    They get status 400, and the connection is closed.
+//
+// Q: How does a client that cannot read chunks (HTTP/1.0) tell a truncated response from a complete one?
+// A: Its streamed response ends with the connection: a regular close if it is complete, a reset if it is not.
 
 #pragma once
 
@@ -55,7 +58,7 @@
     virtual boost::asio::awaitable<core::Result<void>> readBody() = 0;
     /// Sends a complete response.
     virtual boost::asio::awaitable<bool> respond(const Response &response) = 0;
-    /// Starts a chunked response; `response.body` is not sent.
+    /// Starts a response whose length is not known yet; `response.body` is not sent.
     virtual boost::asio::awaitable<bool> beginResponse(const Response &response) = 0;
     virtual boost::asio::awaitable<bool> writeChunk(std::string_view chunk) = 0;
     virtual boost::asio::awaitable<bool> endResponse() = 0;
@@ -63,6 +66,14 @@
     [[nodiscard]] virtual bool responseStarted() const = 0;
     /// Closes the connection without finishing the response, so that the client detects the truncation.
     virtual void abort() = 0;
+    /// Writes bytes as they are, in place of a response; for simulated servers that break the protocol. Supported only on
+    /// connections of an http::Server; false elsewhere.
+    virtual boost::asio::awaitable<bool> writeRaw(std::string_view bytes);
+    /// Resets the connection; equal to abort() where that is not supported.
+    virtual void reset()
+    {
+        abort();
+    }
     /// Calls `onDisconnect` once if the client closes its connection. Call this after readBody(). Supported only on plain TCP connections, not on TLS.
     virtual void onClientDisconnect(std::function<void()> onDisconnect)
     {
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -195,6 +195,35 @@
     }
 }
 
+TEST_CASE("an HTTP/1.0 client gets a stream without chunks, and a reset if it is cut off", "[http]")
+{
+    const bool cut = GENERATE(false, true);
+    EchoServer server;
+    auto readToEnd = [&]() -> asio::awaitable<std::pair<std::string, boost::system::error_code>> {
+        asio::ip::tcp::socket socket(server.context);
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await socket.async_connect(target, asio::use_awaitable);
+        const std::string request = std::string("GET /stream?cut=") + (cut ? "1" : "0") + " HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+        std::string response;
+        boost::system::error_code code;
+        std::array<char, 4096> readBuffer{};
+        while (!code) {
+            const std::size_t received = co_await socket.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+            response.append(readBuffer.data(), received);
+        }
+        co_return std::pair(response, code);
+    };
+    const auto [response, end] = server.run(readToEnd());
+    CHECK(response.find("Transfer-Encoding") == std::string::npos);
+    if (cut) {
+        CHECK(end == asio::error::connection_reset);
+    } else {
+        CHECK(response.ends_with("\r\n\r\none two three"));
+        CHECK(end == asio::error::eof);
+    }
+}
+
 TEST_CASE("consecutive calls through a connection pool succeed", "[http]")
 {
     http::ServerLimits limits = smallLimits();
