Stand-ins can leave out length and chunks, and break off at any byte

Cause: the simulated upstream and platform always framed their responses and broke off between whole tokens only, so that no test of ours could meet the incident's case.

--- a/src/arbutus/standin/platform.cpp
+++ b/src/arbutus/standin/platform.cpp
@@ -136,6 +136,11 @@
         co_await handleWeights(exchange);
         co_return;
     }
+    if (m_faults.response.active()) {
+        FaultyExchange faultyExchange(exchange, m_faults.response);
+        co_await handleKeyValue(faultyExchange);
+        co_return;
+    }
     co_await handleKeyValue(exchange);
 }
 
@@ -357,6 +362,7 @@
     m_faults.staleReads = core::jsonBool(faults, "stale", m_faults.staleReads);
     m_faults.responseDelay = std::chrono::milliseconds(core::jsonInteger(faults, "delay_ms", m_faults.responseDelay.count()));
     m_faults.instanceListLag = std::chrono::milliseconds(core::jsonInteger(faults, "list_lag_ms", m_faults.instanceListLag.count()));
+    readResponseFaults(faults, m_faults.response);
     if (faults.contains("cut_domains")) {
         m_faults.partitionedDomains.clear();
         for (const json::value &domain : core::jsonArray(faults, "cut_domains")) {
@@ -377,12 +383,14 @@
     for (const std::string &domain : m_faults.partitionedDomains) {
         domains.emplace_back(domain);
     }
-    return json::object{{"refuse", m_faults.dropRequests},
+    json::object faults{{"refuse", m_faults.dropRequests},
                         {"lose_answer", m_faults.dropWriteResponses},
                         {"stale", m_faults.staleReads},
                         {"delay_ms", m_faults.responseDelay.count()},
                         {"list_lag_ms", m_faults.instanceListLag.count()},
                         {"cut_domains", std::move(domains)}};
+    writeResponseFaults(m_faults.response, faults);
+    return faults;
 }
 
 json::object Platform::callCountsToJson() const
--- a/src/arbutus/standin/platform.h
+++ b/src/arbutus/standin/platform.h
@@ -5,6 +5,7 @@
 // simulated.
 //
 //   GET/POST /faults      {"refuse":false,"delay_ms":0,"lose_answer":false,"stale":false,"cut_domains":[],"list_lag_ms":0}
+//                         {"unframed":false,"break_after":-1,"break_reset":false}, see ResponseFaults
 //                         {"lapse_leases":true} expires all leases once
 //   GET /calls            call counts by path, and the number of open watches
 //   GET/POST /list        instance list, delayed by list_lag_ms
@@ -14,6 +15,7 @@
 #pragma once
 
 #include "arbutus/http/server.h"
+#include "arbutus/standin/faultyexchange.h"
 #include "arbutus/standin/keyvaluestore.h"
 
 #include <boost/json.hpp>
@@ -34,6 +36,7 @@
     std::chrono::milliseconds responseDelay{0};   // added before each call is executed
     std::chrono::milliseconds instanceListLag{0}; // age of the instance list that is returned
     std::set<std::string> partitionedDomains;     // close connections from these failure domains
+    ResponseFaults response;                      // framing and breaking off of responses
 };
 
 /// Settings of the simulated platform.
--- a/src/arbutus/standin/upstream.cpp
+++ b/src/arbutus/standin/upstream.cpp
@@ -198,7 +198,18 @@
         response.headers["Content-Type"] = "application/jsonl";
         response.body = m_journal;
         co_await exchange.respond(response);
-    } else if (path == "/load") {
+    } else if (m_faults.response.active()) {
+        FaultyExchange faultyExchange(exchange, m_faults.response);
+        co_await handleCall(faultyExchange);
+    } else {
+        co_await handleCall(exchange);
+    }
+}
+
+asio::awaitable<void> Upstream::handleCall(http::Exchange &exchange)
+{
+    const std::string path = exchange.request().path();
+    if (path == "/load") {
         co_await exchange.respond(http::jsonResponse(200, delayedLoad()));
     } else if (path == "/state") {
         co_await exchange.respond(http::jsonResponse(200, json::serialize(currentLoad())));
@@ -532,11 +543,12 @@
     m_faults.eventLagMs = core::jsonInteger(faults, "event_lag_ms", m_faults.eventLagMs);
     m_faults.eventLossRate = core::jsonNumber(faults, "event_gap", m_faults.eventLossRate);
     m_faults.serviceDurationMs = core::jsonInteger(faults, "service_ms", m_faults.serviceDurationMs);
+    readResponseFaults(faults, m_faults.response);
 }
 
 json::object Upstream::faultsToJson() const
 {
-    return json::object{{"refuse", m_faults.rejectCalls},
+    json::object faults{{"refuse", m_faults.rejectCalls},
                         {"drop_before", m_faults.closeBeforeExecution},
                         {"drop_after", m_faults.closeAfterExecution},
                         {"wrong_id", m_faults.wrongAttemptId},
@@ -549,6 +561,8 @@
                         {"event_lag_ms", m_faults.eventLagMs},
                         {"event_gap", m_faults.eventLossRate},
                         {"service_ms", m_faults.serviceDurationMs}};
+    writeResponseFaults(m_faults.response, faults);
+    return faults;
 }
 
 } // namespace arbutus::standin
--- a/src/arbutus/standin/upstream.h
+++ b/src/arbutus/standin/upstream.h
@@ -16,6 +16,7 @@
 
 #include "arbutus/http/server.h"
 #include "arbutus/standin/engine.h"
+#include "arbutus/standin/faultyexchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -44,6 +45,7 @@
     std::int64_t eventLagMs = 200;       // age at which cache events become visible
     double eventLossRate = 0.0;          // fraction of cache events that are omitted
     std::int64_t serviceDurationMs = 20; // duration of a service call
+    ResponseFaults response;             // framing and breaking off of responses, reports included
 };
 
 /// Settings of a simulated upstream.
@@ -74,6 +76,7 @@
     struct CallInfo;   // fields of a call that are written to the journal
 
     boost::asio::awaitable<void> handle(http::Exchange &exchange);
+    boost::asio::awaitable<void> handleCall(http::Exchange &exchange);
     boost::asio::awaitable<void> handleCompletion(http::Exchange &exchange);
     boost::asio::awaitable<void> sendStream(http::Exchange &exchange, const CallInfo &call, const std::shared_ptr<Generation> &generation);
     boost::asio::awaitable<void> sendCompletion(http::Exchange &exchange, const CallInfo &call, const std::shared_ptr<Generation> &generation);
