Refuse a response whose end cannot be verified unless the caller accepts it

Change: Call refuses such a response, and a transfer coding other than chunked, unless CallOptions::acceptConnectionClose is set. Set for upstreams, load reports and both stores, whose content is checked; not for other instances, which always send a length or chunks. fetch() also refuses a body whose content shows that it was cut off.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -331,6 +331,7 @@
     http::CallOptions options;
     options.pool = &m_upstreamConnections;
     options.retryOnStaleConnection = false; // retries are decided by this class
+    options.acceptConnectionClose = true;
     options.maxIdleTime = state.isRepeatable() ? m_settings.repeatableMaxIdleTime : m_settings.atMostOnceMaxIdleTime;
     options.connectTimeout = m_settings.upstreamConnectTimeout;
     options.matchesResponse = [&](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, state.head.attemptId); };
--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -203,7 +203,10 @@
     const AttemptContext &context, const AttemptRequest &request, const node::Dispatch &dispatch, const node::LocalTarget &target, http::Exchange &exchange)
 {
     const core::TimePoint startedAt = context.clock.steadyNow();
-    http::Call call(context.executor, http::parseEndpoint(target.address), dispatch.repeatable ? &context.connectionPool : nullptr);
+    http::CallOptions options;
+    options.pool = dispatch.repeatable ? &context.connectionPool : nullptr;
+    options.acceptConnectionClose = true;
+    http::Call call(context.executor, http::parseEndpoint(target.address), std::move(options));
     const http::Request out = makeUpstreamRequest(request, dispatch);
     auto head = co_await call.start(out, remainingTimeout(dispatch.remainingTime, dispatch, startedAt, context.clock));
     if (!head) {
--- a/src/arbutus/gateway/upstreamcontrolclient.cpp
+++ b/src/arbutus/gateway/upstreamcontrolclient.cpp
@@ -64,6 +64,14 @@
 
 } // namespace
 
+http::CallOptions UpstreamControlClient::reportCallOptions()
+{
+    http::CallOptions options;
+    options.pool = &m_pool;
+    options.acceptConnectionClose = true; // parsing a report shows whether it was cut off
+    return options;
+}
+
 UpstreamControlClient::UpstreamControlClient(bool readExactState, std::function<void(node::Event)> post)
     : m_readExactState(readExactState)
     , m_post(std::move(post))
@@ -92,7 +100,9 @@
     request.method = "POST";
     request.target = "/orders";
     request.body = placementCommandBody(action);
-    const auto response = co_await http::fetch(m_thread.executor(), http::parseEndpoint(action.address), request, PlacementCommandTimeout);
+    http::CallOptions options;
+    options.acceptConnectionClose = true;
+    const auto response = co_await http::fetch(m_thread.executor(), http::parseEndpoint(action.address), request, PlacementCommandTimeout, options);
     node::PlacementCommandFinished finished;
     finished.command = action.command;
     finished.succeeded = response && response.value().status == 200;
@@ -121,7 +131,7 @@
     result.upstream = action.upstream;
     http::Request request;
     request.target = m_readExactState ? "/state" : "/load";
-    http::Call call(m_thread.executor(), http::parseEndpoint(action.address), &m_pool);
+    http::Call call(m_thread.executor(), http::parseEndpoint(action.address), reportCallOptions());
     auto head = co_await call.start(request, ReadTimeout);
     if (head && head.value().status == 200) {
         const auto body = co_await call.readAll(ReadTimeout);
@@ -141,7 +151,7 @@
 {
     http::Request request;
     request.target = "/events?since=" + std::to_string(action.eventsAfter);
-    http::Call call(m_thread.executor(), http::parseEndpoint(action.address), &m_pool);
+    http::Call call(m_thread.executor(), http::parseEndpoint(action.address), reportCallOptions());
     auto head = co_await call.start(request, ReadTimeout);
     if (!head || head.value().status != 200) {
         co_return std::vector<node::CacheEvent>();
--- a/src/arbutus/gateway/upstreamcontrolclient.h
+++ b/src/arbutus/gateway/upstreamcontrolclient.h
@@ -26,6 +26,7 @@
     void sendPlacementCommand(node::SendPlacementCommand action);
 
 private:
+    [[nodiscard]] http::CallOptions reportCallOptions();
     boost::asio::awaitable<void> fetchLoadReport(node::FetchLoadReport action);
     boost::asio::awaitable<void> postPlacementCommand(node::SendPlacementCommand action);
     boost::asio::awaitable<std::vector<node::CacheEvent>> fetchCacheEvents(const node::FetchLoadReport &action);
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -2,6 +2,8 @@
 
 #include "arbutus/http/client.h"
 
+#include "arbutus/http/truncation.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -300,6 +302,13 @@
     if (!started) {
         co_return started.error();
     }
+    const bool hasTransferCoding = impl.parser->get().count(wire::field::transfer_encoding) > 0;
+    if (hasTransferCoding && !impl.parser->chunked()) {
+        co_return CallError{CallStage::ReadBody, "unsupported transfer coding; only chunked is supported"};
+    }
+    if (impl.parser->need_eof() && !impl.options.acceptConnectionClose) {
+        co_return CallError{CallStage::ReadBody, "the response has neither a length nor chunks"};
+    }
     Response response;
     response.status = impl.parser->get().result_int();
     for (const auto &field : impl.parser->get()) {
@@ -362,9 +371,10 @@
     }
 }
 
-asio::awaitable<CallResult<Response>> fetch(asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout)
+asio::awaitable<CallResult<Response>>
+fetch(asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout, CallOptions options)
 {
-    Call call(std::move(executor), std::move(endpoint));
+    Call call(std::move(executor), std::move(endpoint), std::move(options));
     auto head = co_await call.start(request, timeout);
     if (!head) {
         co_return head.error();
@@ -374,7 +384,15 @@
         co_return body.error();
     }
     head.value().body = std::move(body.value());
+    if (isTruncated(head.value(), call.bodyEnd())) {
+        co_return CallError{CallStage::ReadBody, "the response body was cut off"};
+    }
     co_return std::move(head.value());
 }
 
+asio::awaitable<CallResult<Response>> fetch(asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout)
+{
+    return fetch(std::move(executor), std::move(endpoint), std::move(request), timeout, CallOptions());
+}
+
 } // namespace arbutus::http
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -12,6 +12,10 @@
 // A: CallOptions::matchesResponse checks the headers; a response that belongs to another request is read to its end and
 //    discarded.
 //
+// Q: How does a caller know that a body is complete?
+// A: By its length or its last chunk. A response with neither, or with a transfer coding other than chunked, fails unless
+//    CallOptions::acceptConnectionClose is set. With that option, check the body with isTruncated() (truncation.h).
+//
 // Q: Is a request ever sent twice?
 // A: Only with CallOptions::retryOnStaleConnection, and only once: when a reused connection, which the server may already
 //    have closed, fails before the response headers, other than by a timeout.
@@ -79,6 +83,7 @@
 {
     ConnectionPool *pool = nullptr;                            // idle connections to reuse; null: a new connection for each call
     bool retryOnStaleConnection = true;                        // resend the request once if a reused connection fails
+    bool acceptConnectionClose = false;                        // accept a body that ends with its connection, without length or chunks
     std::chrono::milliseconds maxIdleTime{4'000};              // pooled connections idle for longer are closed
     std::chrono::milliseconds connectTimeout{1'000};           // limit for opening a new connection
     std::function<bool(const Headers &)> matchesResponse = {}; // whether response headers belong to this call; unset: always
@@ -103,7 +108,7 @@
     [[nodiscard]] BodyEnd bodyEnd() const;
     /// Reads the next chunk of the body; empty at the end of the body.
     boost::asio::awaitable<CallResult<std::string>> readSome(std::chrono::milliseconds timeout);
-    /// Reads the rest of the body.
+    /// Reads the rest of the body. The body alone does not show whether it is complete, see bodyEnd().
     boost::asio::awaitable<CallResult<std::string>> readAll(std::chrono::milliseconds timeout);
     /// Closes the connection, which tells the server to stop processing the request.
     void cancel();
@@ -113,7 +118,10 @@
     std::shared_ptr<Impl> m_impl; // shared with the pending write
 };
 
-/// Performs a complete call and returns the response with its body.
+/// Performs a complete call and returns the response with its body. With CallOptions::acceptConnectionClose, a body whose content
+/// shows that it was cut off is an error too.
+boost::asio::awaitable<CallResult<Response>>
+fetch(boost::asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout, CallOptions options);
 boost::asio::awaitable<CallResult<Response>>
 fetch(boost::asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout);
 
--- a/src/arbutus/metadata/kvclient.cpp
+++ b/src/arbutus/metadata/kvclient.cpp
@@ -127,7 +127,9 @@
     request.headers["Content-Type"] = "application/json";
     request.body = std::move(body);
     const http::Endpoint endpoint = m_endpoints[m_nextEndpoint % m_endpoints.size()];
-    auto response = co_await http::fetch(m_executor, endpoint, request, CallTimeout);
+    http::CallOptions options;
+    options.acceptConnectionClose = true; // parsing the JSON body shows whether it was cut off
+    auto response = co_await http::fetch(m_executor, endpoint, request, CallTimeout, options);
     if (!response) {
         ++m_nextEndpoint; // the next call tries the next address
         co_return toPlatformError(response.error());
@@ -230,7 +232,9 @@
     request.target = "/v3/watch";
     request.headers["X-Domain"] = m_domain;
     request.body = json::serialize(watchRequest(key, rangeEnd, startRevision));
-    http::Call call(m_executor, m_endpoints[m_nextEndpoint % m_endpoints.size()]);
+    http::CallOptions options;
+    options.acceptConnectionClose = true; // an incomplete last line is dropped
+    http::Call call(m_executor, m_endpoints[m_nextEndpoint % m_endpoints.size()], std::move(options));
     auto head = co_await call.start(request, CallTimeout);
     if (!head) {
         ++m_nextEndpoint;
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -224,6 +224,43 @@
     }
 }
 
+TEST_CASE("a response whose end cannot be verified is refused unless the caller accepts it", "[http]")
+{
+    struct Row
+    {
+        std::string headers;
+        bool accept;
+        bool accepted;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"", false, false},
+        {"", true, true},
+        {"Content-Length: 4\r\n", false, true},
+        {"Transfer-Encoding: gzip\r\n", true, false},
+    }));
+    CAPTURE(row.headers, row.accept);
+    EchoServer server;
+    asio::ip::tcp::acceptor acceptor(server.context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    auto serveOnce = [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::array<char, 4096> readBuffer{};
+        co_await socket.async_read_some(asio::buffer(readBuffer), asio::use_awaitable);
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + row.headers + "\r\nbody";
+        co_await asio::async_write(socket, asio::buffer(response), asio::use_awaitable);
+    };
+    asio::co_spawn(server.context, serveOnce, asio::detached);
+    http::CallOptions options;
+    options.acceptConnectionClose = row.accept;
+    const http::Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    const auto response = server.run(http::fetch(server.context.get_executor(), endpoint, {}, 2s, options));
+    REQUIRE(response.has_value() == row.accepted);
+    if (row.accepted) {
+        CHECK(response.value().body == "body");
+    } else {
+        CHECK(response.error().stage == http::CallStage::ReadBody);
+    }
+}
+
 TEST_CASE("consecutive calls through a connection pool succeed", "[http]")
 {
     http::ServerLimits limits = smallLimits();
