Report a write as unknown when the store's response was cut off

What callers could see: a claim of an Idempotency-Key, executed at the store, reported as "did not run" when the store's response ended early without length or chunks, and a lease renewal confirmed by a response without its body. Cause: the incident's class; KvClient gave a body that is no JSON the outcome of a malformed request, which is NotRun, and StoreClient read an empty body as an empty document. Other calls to the store parse JSON objects with required fields, which a cut cannot satisfy; the watch drops an incomplete last line and continues from the last revision.

--- a/src/arbutus/metadata/kvclient.cpp
+++ b/src/arbutus/metadata/kvclient.cpp
@@ -137,7 +137,11 @@
     if (response.value().status != 200) {
         co_return core::makeError(core::ErrorKind::PlatformDown, "the platform's service returned status " + std::to_string(response.value().status));
     }
-    co_return core::parseJsonObject(response.value().body);
+    auto document = core::parseJsonObject(response.value().body);
+    if (!document) { // the call was executed, but its result is unknown
+        co_return core::makeUnknownOutcomeError(core::ErrorKind::PlatformDown, "the platform's service returned " + document.error().message);
+    }
+    co_return document;
 }
 
 asio::awaitable<core::Result<json::object>> KvClient::post(std::string target, json::object body)
--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -142,6 +142,8 @@
         {"field of the wrong type", httpResponse(200, R"({"store_revision":"seven","events":[]})"), false, StoreErrorKind::Malformed},
         {"change without a key", httpResponse(200, R"({"store_revision":7,"events":[{"revision":7}]})"), false, StoreErrorKind::Malformed},
         {"body shorter than Content-Length", "HTTP/1.1 200 x\r\nContent-Length: 400\r\n\r\n{\"store_revision\":7", true, StoreErrorKind::Unreachable},
+        {"neither length nor chunks", "HTTP/1.1 200 x\r\n\r\n{\"store_revision\":7,\"events\":[]}", true, std::nullopt},
+        {"neither length nor chunks, cut off", "HTTP/1.1 200 x\r\n\r\n{\"store_revision\":7,\"events\":[]", true, StoreErrorKind::Malformed},
         {"not an HTTP response", "store\r\n\r\n", true, StoreErrorKind::Unreachable},
         {"no response", "", false, StoreErrorKind::Unreachable},
     }));
@@ -200,6 +202,8 @@
         {"no response", "", false, StoreError::WriteEffect::Unknown},
         {"connection closed within the response", "HTTP/1.1 200 x\r\nContent-Length: 40\r\n\r\n{", true, StoreError::WriteEffect::Unknown},
         {"invalid response body", httpResponse(200, "?"), false, StoreError::WriteEffect::Unknown},
+        {"cut off before the body", "HTTP/1.1 200 x\r\n\r\n", true, StoreError::WriteEffect::Unknown},
+        {"cut off inside the body", "HTTP/1.1 200 x\r\n\r\n{\"revision\":1", true, StoreError::WriteEffect::Unknown},
         {"rate limited", httpResponse(429, "{}"), false, StoreError::WriteEffect::None},
         {"precondition failed", httpResponse(412, "{}"), false, StoreError::WriteEffect::None},
         {"internal server error", httpResponse(500, "{}"), false, StoreError::WriteEffect::Unknown},
@@ -214,6 +218,26 @@
     CHECK(fixture.server.requests.size() == 1);
 }
 
+TEST_CASE("a lease renewal whose response was cut off is not confirmed", "[store]")
+{
+    struct Row
+    {
+        std::string response;
+        bool confirmed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {httpResponse(200, ""), true},
+        {"HTTP/1.1 200 x\r\n\r\n{}", true},
+        {"HTTP/1.1 200 x\r\n\r\n", false},
+        {"HTTP/1.1 200 x\r\n\r\n{", false},
+    }));
+    CAPTURE(row.response);
+    Fixture fixture;
+    fixture.server.closeAfterEach = true;
+    fixture.server.responses = {row.response};
+    CHECK(fixture.run(fixture.client.keepLeaseAlive(metadata::LeaseId("4"))).has_value() == row.confirmed);
+}
+
 TEST_CASE("errors for an expired lease and an unreachable store", "[store]")
 {
     Fixture fixture;
