edge: treat a buffered response that its content shows to be cut off as incomplete

What callers could see: a JSON document or an event stream cut off inside, on a route that is not streaming, delivered as 200. Change: the same check for buffered responses, then a retry elsewhere where the route allows it, else 502. A response of another type on a streaming route is buffered and checked, since the relay's rule holds for event streams only. Content that is neither is passed on: a regular close is the only end it has.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -11,6 +11,7 @@
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/edge/sserelay.h"
+#include "arbutus/http/truncation.h"
 
 #include <charconv>
 #include <cmath>
@@ -518,7 +519,8 @@
         break;
     }
     state.possibleExecutions += fromPeer ? 0 : 1;
-    if (state.isStreaming() && parsed.kind == ResponseKind::Success) {
+    const bool hasOtherType = !http::headerValue(head.headers, "Content-Type").empty() && !http::isEventStream(head.headers);
+    if (state.isStreaming() && parsed.kind == ResponseKind::Success && !hasOtherType) {
         co_return co_await relayStream(state, call, head, fromPeer, outcome);
     }
     co_return co_await relayBuffered(state, call, head, fromPeer, outcome);
@@ -536,6 +538,12 @@
         co_return failedSendResult(state);
     }
     head.body = std::move(body.value());
+    if (http::isTruncated(head, call.bodyEnd())) {
+        outcome = routing::SendOutcome::Incomplete;
+        state.lastFailure = "response body was cut off after " + std::to_string(head.body.size()) + " bytes";
+        state.excludedUpstreams.insert(state.lastUpstream);
+        co_return failedSendResult(state);
+    }
     if (success) {
         outcome = routing::SendOutcome::Completed;
         const unsigned status = head.status;
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -253,6 +253,15 @@
             } else if (behavior == "unframed") {
                 out = responseHead("200 OK", attempt, "Connection: close\r\n") + "from " + m_name + " to " + attempt;
                 keepOpen = false;
+            } else if (behavior == "unframed-json") {
+                out = responseHead("200 OK", attempt, "Content-Type: application/json\r\nConnection: close\r\n") + "{\"whole\":true}";
+                keepOpen = false;
+            } else if (behavior == "unframed-json-cut") {
+                out = responseHead("200 OK", attempt, "Content-Type: application/json\r\nConnection: close\r\n") + "{\"whole\":tr";
+                keepOpen = false;
+            } else if (behavior == "unknown-coding") {
+                out = responseHead("200 OK", attempt, "Transfer-Encoding: gzip\r\nConnection: close\r\n") + "coded";
+                keepOpen = false;
             } else if (behavior == "extra-response") {
                 out = completeResponse(attempt) + completeResponse("somebody-else");
             } else if (behavior == "late-response") { // preceded by a late response to another request
@@ -456,6 +465,11 @@
         {"truncated", 502, 1},
         {"unframed-reset", 502, 1},
         {"unframed", 200, 1},
+        {"unframed-json", 200, 1},
+        {"unframed-json-cut", 502, 1},
+        {"unframed-close@20", 502, 1}, // an event stream, although the route is not streaming
+        {"chunked-last@20", 502, 1},
+        {"unknown-coding", 502, 1},
         {"extra-response", 200, 1},
         {"late-response", 200, 1},
         {"no-stamp", 502, 1},
@@ -471,7 +485,7 @@
     CHECK(fixture.executionCount() == row.executionCount);
     if (response.status == 200) {
         const std::string from = fixture.a.executedAttempts.empty() ? "b" : "a";
-        CHECK(response.body == "from " + from + " to attempt-1");
+        CHECK(response.body == (row.behavior == "unframed-json" ? "{\"whole\":true}" : "from " + from + " to attempt-1"));
         CHECK(http::headerValue(response.headers, "X-Response-Stamp") == "stamp");
     }
     if (response.status == 503) {
@@ -484,8 +498,20 @@
 
 TEST_CASE("a failed repeatable request is retried at the other upstream", "[edge]")
 {
-    const auto behavior = GENERATE(
-        as<std::string>{}, "not-executed", "misdirected", "reset", "close", "garbage", "truncated", "unframed-reset", "no-stamp", "gzip", "error", "busy");
+    const auto behavior = GENERATE(as<std::string>{},
+                                   "not-executed",
+                                   "misdirected",
+                                   "reset",
+                                   "close",
+                                   "garbage",
+                                   "truncated",
+                                   "unframed-reset",
+                                   "unframed-json-cut",
+                                   "unknown-coding",
+                                   "no-stamp",
+                                   "gzip",
+                                   "error",
+                                   "busy");
     const auto misbehavingUpstream = GENERATE(as<std::string>{}, "a", "b");
     CAPTURE(behavior, misbehavingUpstream);
     Fixture fixture;
@@ -529,6 +555,12 @@
         Fixture fixture;
         CHECK(fixture.sendRequest("stream", "a=stream,b=stream").body == eventsUpTo(6));
     }
+    SECTION("a response of another type is relayed as it is")
+    {
+        Fixture fixture;
+        CHECK(fixture.sendRequest("stream", "a=unframed-json,b=unframed-json").body == "{\"whole\":true}");
+        CHECK(fixture.sendRequest("stream", "a=unframed-json-cut,b=unframed-json-cut").status == 502);
+    }
     SECTION("resumed at the other upstream")
     {
         Fixture fixture;
