gateway: treat a buffered response that its content shows to be cut off as incomplete

What callers could see: on the OpenAI-compatible interface, a completion or a service's JSON cut off inside, delivered as 200 and recorded in the ledger, from where a repeated request with the same ticket gets it again. Streams were safe, since they need their end marker, and so was the hop, since gRPC marks the last piece. Change: the same check, before anything is sent or recorded.

Evidence: truncationtest breaks responses of the simulated upstream off at every third byte, with and without length or chunks, by a close and by a reset; with the check reverted it fails for the service call and the buffered completion without a length.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -8,6 +8,7 @@
 #include "arbutus/gateway/attempt.h"
 
 #include "arbutus/gateway/ssestreamfilter.h"
+#include "arbutus/http/truncation.h"
 #include "arbutus/http/via.h"
 
 #include <boost/asio/async_result.hpp>
@@ -131,11 +132,16 @@
     if (!body) {
         co_return makeCallFailure(request, body.error());
     }
+    head.body = std::move(body.value());
+    if (http::isTruncated(head, call.bodyEnd())) {
+        std::string message = "upstream: the response body was cut off after " + std::to_string(head.body.size()) + " bytes";
+        co_return makeAttemptEnded(request, node::AttemptResult::Incomplete, std::move(message));
+    }
     http::Response response;
     response.status = head.status;
     response.headers["Content-Type"] = http::headerValue(head.headers, "Content-Type");
     addDecisionHeaders(response, dispatch, context.region.text, upstream);
-    response.body = std::move(body.value());
+    response.body = std::move(head.body);
     const bool delivered = co_await exchange.respond(response);
     node::AttemptEnded ended = makeAttemptEnded(request, node::AttemptResult::Completed, delivered ? "" : "the client closed its connection");
     ended.outcome = makeRecordedOutcome(response.status, response.headers["Content-Type"], response.body);
