--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -4,6 +4,7 @@
 // record the attempts that they execute.
 
 #include "arbutus/edge/routegateway.h"
+#include "arbutus/edge/fleet.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 #include "platform/platformadapter.h"
@@ -97,10 +98,10 @@
 class FakeUpstream
 {
 public:
-    FakeUpstream(asio::io_context &loop, std::string name)
+    FakeUpstream(asio::io_context &loop, std::string name, std::uint16_t port = 0)
         : m_loop(loop)
         , m_name(std::move(name))
-        , m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port))
     {
         asio::co_spawn(loop, acceptLoop(), asio::detached);
     }
@@ -413,6 +414,11 @@
         return call(endpoint, request);
     }
 
+    [[nodiscard]] bool hasMetric(const std::string &line)
+    {
+        return get(settings.metricsEndpoint, "/metrics").body.find(line + "\n") != std::string::npos;
+    }
+
     /// Returns status 0 if no complete response was received.
     http::Response call(const http::Endpoint &endpoint, const http::Request &request)
     {
@@ -445,6 +451,48 @@
     }
 };
 
+/// Another instance of the fleet, whose placement decisions the test makes.
+class FakePeer
+{
+public:
+    using Decide = std::function<routing::PlacementDecision(const routing::PlacementRequest &)>;
+
+    FakePeer(Fixture &fixture, const std::string &id, const std::string &region, double capacity, std::uint16_t port, Decide decide)
+        : m_settings(makeSettings(id, region, capacity, port))
+        , m_context{fixture.loop.get_executor(), fixture.clock, m_settings, fixture.adapter, fixture.store, fixture.log, m_metrics}
+        , m_fleet(m_context, core::Incarnation(1), 1)
+    {
+        m_fleet.start([this, decide = std::move(decide)](const edge::FleetMessage &message, const std::string &from) {
+            if (const auto *request = std::get_if<routing::PlacementRequest>(&message.body)) {
+                m_fleet.send(from, std::vector{edge::PlacementReply{request->id, decide(*request)}});
+            }
+        });
+        membership::Member gateway;
+        gateway.id = fixture.settings.instanceId;
+        gateway.gossipAddress = http::toString(fixture.settings.peersEndpoint);
+        m_fleet.addContact(gateway);
+    }
+
+private:
+    static edge::Settings makeSettings(const std::string &id, const std::string &region, double capacity, std::uint16_t port)
+    {
+        edge::Settings settings;
+        settings.instanceId = core::InstanceId(id);
+        settings.region = core::RegionId(region);
+        settings.failureDomain = core::DomainId(region == "x" ? "z" : "far");
+        settings.capacity = capacity;
+        settings.peersEndpoint = http::Endpoint{"127.0.0.1", port};
+        return settings;
+    }
+
+    edge::Settings m_settings;
+    observe::Metrics m_metrics;
+    edge::InstanceContext m_context;
+    edge::Fleet m_fleet;
+};
+
+constexpr double DispatcherCapacity = 8; // the largest capacity is preferred for the dispatcher role
+
 } // namespace
 
 TEST_CASE("at-most-once route: response status and number of executions for each upstream behavior", "[edge]")
@@ -622,6 +670,23 @@
     CHECK(fixture.sendRequest("resume", "a=stream,b=" + behavior, "body", "attempt-2").body == whole);
 }
 
+TEST_CASE("a response of another instance without length or chunks is not delivered as complete", "[edge]")
+{
+    const auto routeName = GENERATE(as<std::string>{}, "once", "stream");
+    const auto behavior = GENERATE(as<std::string>{}, "unframed", "unframed-close@30", "unframed-json");
+    CAPTURE(routeName, behavior);
+    Fixture fixture;
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const auto redirect = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Redirected{core::RegionId("y"), 10ms}; };
+    const FakePeer peer(fixture, "p", "y", 1, peerPort, refuse);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    CHECK(fixture.sendRequest(routeName, "p=" + behavior).status == 502);
+    CHECK(peerServer.executedAttempts.size() == 1);
+}
+
 TEST_CASE("a client disconnect cancels the upstream request", "[edge]")
 {
     const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream");
@@ -682,6 +747,29 @@
     CHECK(fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200);
 }
 
+TEST_CASE("a placement at an upstream known to be leaving is not used, although the dispatcher granted it", "[edge]")
+{
+    Fixture fixture;
+    const auto grantLeavingFirst = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const bool excluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(excluded ? "b" : "a"), excluded ? fixture.b.address() : fixture.a.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantLeavingFirst);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    REQUIRE(fixture.sendRequest("once", "ok", "body", "before").body == "from a to before");
+    std::string &entry = fixture.store.keys["servers/a"];
+    entry.replace(entry.find("ready"), std::string("ready").size(), "draining");
+    std::string &configuration = fixture.store.keys["op/config"];
+    configuration.replace(configuration.find("\"version\":1"), std::string("\"version\":1").size(), "\"version\":2"); // read together with the entry
+    ++fixture.store.revision;
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_configuration_version 2"); });
+    const auto executedByA = fixture.a.executedAttempts.size();
+    for (int i = 0; i < 5; ++i) {
+        CHECK(fixture.sendRequest("once", "ok", "body", "later-" + std::to_string(i)).status == 200);
+    }
+    CHECK(fixture.a.executedAttempts.size() == executedByA);
+}
+
 TEST_CASE("every upstream request names the intended upstream", "[edge]")
 {
     Fixture fixture;
