Do not use a placement at an upstream that this instance knows to be leaving

Class: a decision made elsewhere used without the requester's own knowledge. Change: the forwarder checks the granted upstream in its registry; if it is leaving or gone, the placement is reported as never sent, the upstream excluded, and another placement requested. Not for evacuations: they end, and the requester cannot tell whose view is newer; their bound is 5 s, longer than the suspensions seen. On the gateway interface the deciding instance sends itself.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -309,6 +309,15 @@
     const routing::PlacementId placementId = state.placementId();
     state.lastUpstream = granted.upstream;
     state.lastAddress = granted.address;
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
+    if (entry != nullptr && !entry->isUsable()) { // a dispatcher that was suspended may know less than this instance
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+        state.excludedUpstreams.insert(granted.upstream);
+        state.lastFailure = "placed at an upstream that is leaving or gone";
+        m_context.writeLog(
+            observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
+        co_return SendResult::NotExecuted;
+    }
     if (state.sendCount == 0) {
         m_retryBudget.recordFirstSend(state.service, now);
     } else if (!m_retryBudget.tryRetry(state.service, m_fleet.knownMemberCount(), now)) {
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -747,7 +747,7 @@
     CHECK(fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200);
 }
 
-TEST_CASE("a placement at an upstream known to be leaving is not used, although the dispatcher granted it", "[edge]")
+TEST_CASE("a placement granted at an upstream known to be leaving is not used", "[edge]")
 {
     Fixture fixture;
     const auto grantLeavingFirst = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
