An instance that reads the store in place of the watcher reports to the others

Cause, from a replay with logs: the store refused the store's watcher and the dispatchers of all regions, and only these report their metadata's revision. Instances that read the store themselves, as they should when no update arrives, told nobody; the others learned when the store let the watcher in again, 8 s later. Class: knowledge tied to a role whose holder may be the one that fails. The service loads it sends are those of a non-dispatcher, which receivers ignore already.

Evidence: the new test (a watcher and dispatchers that report nothing) failed in both checks before and passes.

--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -66,6 +66,11 @@
     return m_hadOutage && now - m_outageEndedAt < m_settings.outageRecoveryPeriod;
 }
 
+bool MetadataSync::isSubstituteReader() const
+{
+    return m_lastSubstituteReadAt && m_context.now() - *m_lastSubstituteReadAt < m_settings.substituteReportTime;
+}
+
 void MetadataSync::recordStoreResult(bool succeeded, const std::string &reason)
 {
     const core::TimePoint now = m_context.now();
@@ -80,6 +85,9 @@
         }
         m_storeUnreachable = false;
         m_lastResponseAt = now;
+        if (m_readsAsSubstitute) {
+            m_lastSubstituteReadAt = now;
+        }
         return;
     }
     m_context.metrics.incrementCounter("arbutus_store_failures_total");
@@ -137,6 +145,7 @@
             co_await core::asyncSleep(m_settings.stalenessCheckInterval);
             continue;
         }
+        m_readsAsSubstitute = threshold > core::Duration::zero();
         if (co_await readOnce()) {
             retryDelay = m_settings.initialRetryDelay;
             co_await core::asyncSleep(m_settings.watchPause);
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -3,7 +3,8 @@
 // Calls to the store are expensive, so one instance of the fleet watches it and notifies the others of changes. An instance
 // whose cached metadata is staler than its threshold reads the store itself. The thresholds are staggered: if the watcher dies
 // or the network is partitioned, one more instance for each region reads the store, and all instances do so only when they
-// receive no updates at all.
+// receive no updates at all. An instance that reads the store in place of the others reports to them like the watcher, since
+// those that usually report may be the very ones that the store refuses.
 //
 // Q: What happens during an outage of the store?
 // A: The cache keeps its contents. Entries whose lease expires meanwhile are kept for a grace period after the store is back
@@ -16,6 +17,8 @@
 
 #include <pcg_random.hpp>
 
+#include <optional>
+
 namespace arbutus::edge {
 
 struct MetadataSyncSettings
@@ -27,7 +30,8 @@
     core::Duration regionReadThreshold = std::chrono::milliseconds(900);     // staleness at which the dispatcher of a region reads
     core::Duration fallbackReadThreshold = std::chrono::milliseconds(1'200); // staleness at which any instance reads, plus a random jitter
     core::Duration fallbackReadJitter = std::chrono::milliseconds(500);
-    std::chrono::milliseconds initialRetryDelay{150}; // after a failed call; doubles with each failure
+    core::Duration substituteReportTime = std::chrono::milliseconds(1'500); // after a read in place of the watcher; longer than a watch and its pause
+    std::chrono::milliseconds initialRetryDelay{150};                       // after a failed call; doubles with each failure
     std::chrono::milliseconds maxRetryDelay{1'000};
     core::Duration outageThreshold = std::chrono::milliseconds(1'000);      // time without a response that counts as an outage
     core::Duration outageRecoveryPeriod = std::chrono::milliseconds(2'000); // time after an outage during which missing entries are kept
@@ -47,6 +51,8 @@
     void start(UpdateHandler handler);
     /// Fetches a metadata snapshot from a peer that has newer data.
     void fetchFromPeer(const core::InstanceId &peer);
+    /// Returns whether this instance reads the store although another one should, because no update has arrived.
+    [[nodiscard]] bool isSubstituteReader() const;
     /// Revokes this instance's registration before a planned shutdown.
     void deregister();
 
@@ -71,8 +77,10 @@
     MetadataSyncSettings m_settings;
     pcg32 m_random;
     UpdateHandler m_updateHandler;
-    bool m_fullReadNeeded = true;       // nothing read yet, the last watch failed, or the history was compacted
-    bool m_storeUnreachable = false;    // the last call failed
+    bool m_fullReadNeeded = true;     // nothing read yet, the last watch failed, or the history was compacted
+    bool m_storeUnreachable = false;  // the last call failed
+    bool m_readsAsSubstitute = false; // the current read is not the watcher's or this instance's first
+    std::optional<core::TimePoint> m_lastSubstituteReadAt;
     core::TimePoint m_lastResponseAt{}; // last response of the store
     core::TimePoint m_outageEndedAt{};  // end of the last outage
     bool m_hadOutage = false;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -418,7 +418,8 @@
     const auto &ranking = m_fleet.dispatcherRanking(m_context.settings.region);
     const bool isDispatcher = !ranking.empty() && ranking.front().id == m_context.settings.instanceId;
     const bool isStoreWatcher = m_fleet.storeWatchRank() == 0;
-    if (!isDispatcher && !isStoreWatcher) {
+    const bool isSubstitute = isSubstituteReader && isSubstituteReader();
+    if (!isDispatcher && !isStoreWatcher && !isSubstitute) {
         return;
     }
     RegionState state = buildRegionState();
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -123,6 +123,8 @@
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::ServiceLoad, core::TimePoint>> m_remoteLoads; // of other regions
 
 public:
+    /// Returns whether this instance reads the store in place of the instances that usually report to others.
+    std::function<bool()> isSubstituteReader;
     /// Called when a peer has newer metadata.
     std::function<void(const core::InstanceId &peer)> onNewerMetadata;
     /// Called for an upstream that a peer has observed to be leaving.
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -317,6 +317,7 @@
                               .add("domain", impl.settings.failureDomain)
                               .add("region", impl.settings.region)
                               .add("callers", http::toString(impl.settings.clientEndpoint)));
+    impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
     impl.fleet.start([&impl](const FleetMessage &message, const std::string &from) { impl.placement.handleMessage(message, from); });
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -43,9 +43,11 @@
     std::map<std::string, std::string> keys;
     std::uint64_t revision = 1;
     bool down = false;
+    int reads = 0;
 
     asio::awaitable<metadata::StoreResult<metadata::StoreRange>> range(std::string prefix, metadata::ReadConsistency) override
     {
+        ++reads;
         if (down) {
             co_return failure();
         }
@@ -60,6 +62,7 @@
     }
     asio::awaitable<metadata::StoreResult<metadata::StoreChanges>> watch(std::string, metadata::StoreRevision after, std::chrono::milliseconds) override
     {
+        ++reads;
         if (down) {
             co_return failure();
         }
@@ -457,6 +460,8 @@
 public:
     using Decide = std::function<routing::PlacementDecision(const routing::PlacementRequest &)>;
 
+    std::vector<edge::RegionState> receivedStates;
+
     FakePeer(Fixture &fixture, const std::string &id, const std::string &region, double capacity, std::uint16_t port, Decide decide)
         : m_settings(makeSettings(id, region, capacity, port))
         , m_context{fixture.loop.get_executor(), fixture.clock, m_settings, fixture.adapter, fixture.store, fixture.log, m_metrics}
@@ -465,6 +470,8 @@
         m_fleet.start([this, decide = std::move(decide)](const edge::FleetMessage &message, const std::string &from) {
             if (const auto *request = std::get_if<routing::PlacementRequest>(&message.body)) {
                 m_fleet.send(from, std::vector{edge::PlacementReply{request->id, decide(*request)}});
+            } else if (const auto *state = std::get_if<edge::RegionState>(&message.body)) {
+                receivedStates.push_back(*state);
             }
         });
         membership::Member gateway;
@@ -770,6 +777,26 @@
     CHECK(fixture.a.executedAttempts.size() == executedByA);
 }
 
+TEST_CASE("an instance that reads the store because no other one reports to it reports to the others", "[edge]")
+{
+    Fixture fixture;
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    // Watches the store and dispatches for both regions, as far as the gateway knows, but reports nothing.
+    const FakePeer watcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), refuse);
+    const FakePeer remoteDispatcher(fixture, "e", "y", DispatcherCapacity, freePort(fixture.loop), refuse);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    std::string &configuration = fixture.store.keys["op/config"];
+    configuration.replace(configuration.find("\"version\":1"), std::string("\"version\":1").size(), "\"version\":2");
+    const std::uint64_t newRevision = ++fixture.store.revision;
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_configuration_version 2"); });
+    const int readsBefore = fixture.store.reads;
+    fixture.runUntil([&] { return fixture.store.reads > readsBefore; }); // by then the reports have arrived
+    for (const FakePeer *peer : {&watcher, &remoteDispatcher}) {
+        const auto &states = peer->receivedStates;
+        CHECK(std::any_of(states.begin(), states.end(), [&](const edge::RegionState &state) { return state.lastChangeRevision.value == newRevision; }));
+    }
+}
+
 TEST_CASE("every upstream request names the intended upstream", "[edge]")
 {
     Fixture fixture;
