Name the end of a connection, and one place for incomplete responses

Change: recordIncompleteResponse() and ConnectionEnd; nothing else. Measured: httptest, routegatewaytest, truncationtest, storeclienttest and metadatacachetest pass.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -303,6 +303,14 @@
     return state.isRepeatable() ? SendResult::Retryable : SendResult::NotRetryable;
 }
 
+Forwarder::SendResult Forwarder::recordIncompleteResponse(RequestState &state, std::string reason, routing::SendOutcome &outcome) const
+{
+    outcome = routing::SendOutcome::Incomplete;
+    state.lastFailure = std::move(reason);
+    state.excludedUpstreams.insert(state.lastUpstream);
+    return failedSendResult(state);
+}
+
 asio::awaitable<Forwarder::SendResult> Forwarder::sendToUpstream(RequestState &state, const routing::Granted &granted)
 {
     const core::TimePoint now = m_context.now();
@@ -519,10 +527,7 @@
     case ResponseKind::Unverified:
         call.cancel();
         state.possibleExecutions += fromPeer ? 0 : 1; // a peer reports its own count
-        state.excludedUpstreams.insert(state.lastUpstream);
-        state.lastFailure = "response is not verified as coming from the upstream";
-        outcome = routing::SendOutcome::Incomplete;
-        co_return failedSendResult(state);
+        co_return recordIncompleteResponse(state, "response is not verified as coming from the upstream", outcome);
     case ResponseKind::ErrorStatus:
     case ResponseKind::Success:
         break;
@@ -548,10 +553,7 @@
     }
     head.body = std::move(body.value());
     if (http::isTruncated(head, call.bodyEnd())) {
-        outcome = routing::SendOutcome::Incomplete;
-        state.lastFailure = "response body was cut off after " + std::to_string(head.body.size()) + " bytes";
-        state.excludedUpstreams.insert(state.lastUpstream);
-        co_return failedSendResult(state);
+        co_return recordIncompleteResponse(state, "response body was cut off after " + std::to_string(head.body.size()) + " bytes", outcome);
     }
     if (success) {
         outcome = routing::SendOutcome::Completed;
@@ -634,11 +636,9 @@
         }
         if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
             call.cancel();
-            outcome = routing::SendOutcome::Incomplete;
-            state.lastFailure =
-                (state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ") + state.sseRelay->lastEventId();
-            state.excludedUpstreams.insert(state.lastUpstream);
-            co_return failedSendResult(state);
+            std::string reason = state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ";
+            reason += state.sseRelay->lastEventId();
+            co_return recordIncompleteResponse(state, std::move(reason), outcome);
         }
         if (complete) {
             outcome = routing::SendOutcome::Completed;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -87,6 +87,8 @@
     [[nodiscard]] bool canRetry(RequestState &state);
     [[nodiscard]] std::optional<membership::Member> pickPeer(const core::RegionId &region);
     [[nodiscard]] SendResult failedSendResult(const RequestState &state) const;
+    /// Ends an attempt whose response began but is not whole or not the upstream's.
+    [[nodiscard]] SendResult recordIncompleteResponse(RequestState &state, std::string reason, routing::SendOutcome &outcome) const;
     void logCompletion(const RequestState &state, unsigned status, std::string_view outcome);
 
     InstanceContext &m_context;
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -330,12 +330,12 @@
     asio::steady_timer m_timer;
     Request m_request;
     unsigned m_version = 11;
+    bool m_endsWithConnection = false; // the response has neither a length nor chunks
     bool m_keepAlive = true;
     bool m_bodyRead = false;
     bool m_started = false;
     bool m_ended = false;
     bool m_failed = false;
-    bool m_endsWithConnection = false;                                                                 // the response has neither a length nor chunks
     std::shared_ptr<std::function<void()>> m_onDisconnect = std::make_shared<std::function<void()>>(); // null target once the exchange has ended
 };
 
@@ -462,21 +462,21 @@
     co_return !code;
 }
 
-/// How the last request of a connection ended.
-enum class LastRequest {
-    Answered,
-    NeverArrived, // no byte of it was read
+/// How a connection ended.
+enum class ConnectionEnd {
+    WhileIdle,   // no byte of a further request was read
+    WithRequest, // after a request, or within one
 };
 
 /// Handles the requests of one connection in sequence.
 template<class Stream>
-asio::awaitable<LastRequest> serveStream(Stream &stream, std::shared_ptr<Server::State> state)
+asio::awaitable<ConnectionEnd> serveStream(Stream &stream, std::shared_ptr<Server::State> state)
 {
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
         if (!co_await waitForRequest(stream, buffer, *state)) {
-            co_return LastRequest::NeverArrived;
+            co_return ConnectionEnd::WhileIdle;
         }
         const ScopedCount requestCount(state->requests);
         const ServerLimits limits = state->limits;
@@ -488,13 +488,13 @@
         co_await wire::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
         if (code) {
             co_await rejectHeaders(stream, code);
-            co_return LastRequest::Answered;
+            co_return ConnectionEnd::WithRequest;
         }
         const std::string_view ambiguity = findAmbiguity(parser.get());
         if (!ambiguity.empty()) {
             std::string reason(ambiguity);
             co_await rejectRequest(stream, std::move(reason));
-            co_return LastRequest::Answered;
+            co_return ConnectionEnd::WithRequest;
         }
         const ScopedCount activeCount(state->exchanges);
         StreamExchange<Stream> exchange(stream, buffer, parser, limits, state->sendConnectionClose);
@@ -502,7 +502,7 @@
         co_await state->handler(exchange);
         open = exchange.reusable() && !state->stopping;
     }
-    co_return LastRequest::Answered;
+    co_return ConnectionEnd::WithRequest;
 }
 
 asio::awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<Server::State> state)
@@ -514,7 +514,7 @@
         if (state->tls == nullptr) {
             beast::tcp_stream stream(std::move(socket));
             // An idle connection is closed at once: a request that arrives while it closes must not be read.
-            if (co_await serveStream(stream, state) == LastRequest::Answered) {
+            if (co_await serveStream(stream, state) == ConnectionEnd::WithRequest) {
                 co_await linger(stream);
             }
             co_return;
