One line splitter for event streams; an event's id ends with its line

What a caller could see: in a stream whose lines end with CR, the id of an event included the rest of the event, so that a resumption would have sent it, with its CR, in a header. Change: takeLine() in http/truncation serves both; streams with LF or CRLF are handled as before. Evidence: the new test fails for CR without the change and passes for LF, CRLF and CR.

--- a/src/arbutus/edge/sserelay.cpp
+++ b/src/arbutus/edge/sserelay.cpp
@@ -22,11 +22,7 @@
 std::optional<std::string_view> findEventId(std::string_view event)
 {
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
+        std::string_view line = http::takeLine(event);
         if (line.starts_with("id:")) {
             line.remove_prefix(3);
             if (line.starts_with(' ')) {
@@ -34,7 +30,6 @@
             }
             return line;
         }
-        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
     }
     return std::nullopt;
 }
--- a/src/arbutus/http/truncation.cpp
+++ b/src/arbutus/http/truncation.cpp
@@ -69,14 +69,20 @@
     }
 }
 
+std::string_view takeLine(std::string_view &text)
+{
+    const std::string_view line = text.substr(0, text.find_first_of(LineTerminators));
+    text.remove_prefix(std::min(line.size() + 1, text.size()));
+    return line;
+}
+
 bool hasEventField(std::string_view text)
 {
     while (!text.empty()) {
-        const std::size_t lineEnd = std::min(text.find_first_of(LineTerminators), text.size());
-        if (lineEnd > 0 && text.front() != ':') {
+        const std::string_view line = takeLine(text);
+        if (!line.empty() && line.front() != ':') {
             return true;
         }
-        text.remove_prefix(std::min(lineEnd + 1, text.size()));
     }
     return false;
 }
--- a/src/arbutus/http/truncation.h
+++ b/src/arbutus/http/truncation.h
@@ -21,6 +21,10 @@
 /// `text` ends a line only if the body ends there, because an LF may follow.
 [[nodiscard]] std::size_t findEventEnd(std::string_view text, bool isEndOfBody = false);
 
+/// Removes the first line from `text` and returns it without its end, which may be CR, LF or CRLF; the LF of a CRLF is left as an
+/// empty line.
+[[nodiscard]] std::string_view takeLine(std::string_view &text);
+
 /// Returns whether `text` has a field, complete or not. Blank lines and comments are not part of an event's content.
 [[nodiscard]] bool hasEventField(std::string_view text);
 
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -401,6 +401,18 @@
     CHECK((row.truncated || out == row.body));
 }
 
+TEST_CASE("the id of an event ends with its line, whatever ends the line", "[events]")
+{
+    const auto lineEnd = GENERATE(as<std::string>{}, "\n", "\r\n", "\r");
+    CAPTURE(lineEnd);
+    const std::string event = "id: 1" + lineEnd + "data: 1" + lineEnd + lineEnd;
+    edge::SseRelay relay;
+    std::string out = relay.feed(event);
+    out += relay.finish(http::BodyEnd::Chunks);
+    CHECK(out == event);
+    CHECK(relay.lastEventId() == "1");
+}
+
 TEST_CASE("a client that resumes a stream receives the events after its last one", "[events]")
 {
     edge::SseRelay relay("7");
