Log the prompt parts of broken attempts, and how far each had got

Change: a prompt part has an id of its own beside the hash of the prefix; upstream_attempt_finished names the shared parts of attempts that were broken off; arbutus_upstream_breaks_total counts them by stage (sent, head, events). No decision changes.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -15,6 +15,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <sstream>
 
 namespace arbutus::edge {
 
@@ -41,6 +42,16 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Ids of the parts of a prompt that other requests may share, in hexadecimal, for the log.
+std::string sharedPartIds(const std::vector<routing::PromptPart> &prompt)
+{
+    std::ostringstream out;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        out << (i == 0 ? "" : ",") << std::hex << prompt[i].id.value;
+    }
+    return out.str();
+}
+
 std::size_t parseCount(const std::string &text)
 {
     std::size_t value = 0;
@@ -397,6 +408,10 @@
     }
     state.cancellation->onCancel = nullptr;
     m_placement.recordCompletion(placementId, outcome);
+    const bool eventReceived = state.firstEventTime >= now;
+    if (outcome == routing::SendOutcome::Incomplete) {
+        m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", eventReceived ? "stage=\"events\"" : head ? "stage=\"head\"" : "stage=\"sent\"");
+    }
     m_context.writeLog(observe::LogLine("upstream_attempt_finished")
                            .add("request", placementId)
                            .add("upstream", granted.upstream)
@@ -404,6 +419,7 @@
                            .add("reason", state.lastFailure)
                            .add("body_end", state.lastBodyEnd)
                            .add("partial_event_bytes", state.partialEventBytes)
+                           .add("prompt_parts", outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
                            .add("took_ms", core::toMilliseconds(m_context.now() - now))
                            .add("first_event_ms", state.firstEventTime > now ? core::toMilliseconds(state.firstEventTime - now) : 0)
                            .add("predicted_ms", core::toMilliseconds(granted.predictedLatency))
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -24,11 +24,14 @@
 
 using PlacementId = core::StrongId<struct PlacementTag>; // identifies one placement of one request
 
+using PromptPartId = core::StrongNumber<struct PromptPartTag>; // the same wherever the part stands in a prompt
+
 /// A part of a prompt, shared or unique. `prefixHash` covers the part and all parts before it, as in a prefix cache.
 struct PromptPart
 {
     std::uint64_t prefixHash = 0;
     std::uint32_t tokens = 0;
+    PromptPartId id;
 };
 
 struct UpstreamEstimatorSettings
