Failing test: a prompt part crashes one upstream after the other

What callers see: no engine runs for longer than some seconds, and most requests fail. The test starts six instances in two regions and eight upstreams over loopback, sends sound requests and, 8 times a second, requests with a part that crashes each upstream that begins to answer them; instances are killed, frozen and cut off from the store meanwhile, and three upstreams crash for other reasons. Arrivals are counted at the upstreams by the rule's own bound.

--- /dev/null
+++ b/tests/support/edgerig.cpp
@@ -0,0 +1,522 @@
+// Store, instances, upstreams and clients of the rig.
+
+#include "support/edgerig.h"
+#include "arbutus/edge/fleet.h"
+#include "arbutus/http/client.h"
+#include "arbutus/http/server.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <sstream>
+#include <thread>
+
+namespace arbutus::tests {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using namespace std::chrono_literals;
+using ErrorCode = boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr const char *SenderHeader = "X-Rig-Sender"; // instance that sent a request to an upstream
+constexpr std::size_t RegionCount = 2;
+
+std::string regionName(std::size_t region)
+{
+    return region == 0 ? "x" : "y";
+}
+
+/// Returns a port that is free for TCP and UDP, outside the ephemeral range, so that the kernel does not assign it to a connection.
+std::uint16_t freePort()
+{
+    constexpr std::uint16_t First = 10'000;
+    constexpr std::uint16_t Last = 19'999;
+    static auto next = static_cast<std::uint16_t>(First + static_cast<unsigned>(::getpid()) * 61 % (Last - First));
+    asio::io_context loop;
+    while (true) {
+        next = next >= Last ? First : static_cast<std::uint16_t>(next + 1);
+        ErrorCode code;
+        Tcp::acceptor acceptor(loop, Tcp::v4());
+        acceptor.bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), next), code);
+        if (code) {
+            continue;
+        }
+        asio::ip::udp::socket udpSocket(loop, asio::ip::udp::v4());
+        udpSocket.bind(asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), next), code);
+        if (!code) {
+            return next;
+        }
+    }
+}
+
+std::vector<std::string> splitList(const std::string &list, char separator)
+{
+    std::vector<std::string> out;
+    std::istringstream in(list);
+    std::string element;
+    while (std::getline(in, element, separator)) {
+        out.push_back(element);
+    }
+    return out;
+}
+
+std::string chunk(const std::string &data)
+{
+    std::ostringstream size;
+    size << std::hex << data.size();
+    return size.str() + "\r\n" + data + "\r\n";
+}
+
+/// Adds the sender to each request for an upstream.
+class RigAdapter final : public platform::PlatformAdapter
+{
+public:
+    explicit RigAdapter(std::string sender)
+        : m_sender(std::move(sender))
+    {
+    }
+    [[nodiscard]] http::Headers upstreamHeaders(const http::Request &request, const edge::UpstreamRequestOptions &options) const override
+    {
+        http::Headers headers = PlatformAdapter::upstreamHeaders(request, options);
+        headers[SenderHeader] = m_sender;
+        return headers;
+    }
+
+private:
+    std::string m_sender;
+};
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Store
+//-----------------------------------------------------------------------------
+
+/// The platform's store, without a history of changes: a watch from an old revision has to read everything again.
+struct EdgeRig::Store
+{
+    std::map<std::string, std::string> keys;
+    std::uint64_t revision = 1;
+
+    void set(const std::string &key, const std::string &value)
+    {
+        keys[key] = value;
+        ++revision;
+    }
+    void remove(const std::string &key)
+    {
+        keys.erase(key);
+        ++revision;
+    }
+};
+
+/// One instance's connection to the store.
+struct EdgeRig::StoreView final : metadata::MetadataStore
+{
+    explicit StoreView(Store &theStore)
+        : store(theStore)
+    {
+    }
+
+    Store &store;
+    bool isCut = false;
+
+    [[nodiscard]] static metadata::StoreError unreachable()
+    {
+        return metadata::StoreError{metadata::StoreErrorKind::Unreachable, "cut off"};
+    }
+
+    asio::awaitable<metadata::StoreResult<metadata::StoreRange>> range(std::string prefix, metadata::ReadConsistency) override
+    {
+        if (isCut) {
+            co_return unreachable();
+        }
+        metadata::StoreRange out;
+        out.revision = metadata::StoreRevision(store.revision);
+        for (const auto &[key, value] : store.keys) {
+            if (key.starts_with(prefix)) {
+                out.items.push_back(metadata::StoreItem{key, value, out.revision});
+            }
+        }
+        co_return out;
+    }
+    asio::awaitable<metadata::StoreResult<metadata::StoreChanges>> watch(std::string, metadata::StoreRevision after, std::chrono::milliseconds) override
+    {
+        if (isCut) {
+            co_return unreachable();
+        }
+        if (after.value < store.revision) {
+            co_return metadata::StoreError{metadata::StoreErrorKind::HistoryCompacted, "no history is kept"};
+        }
+        metadata::StoreChanges out;
+        out.revision = metadata::StoreRevision(store.revision);
+        co_return out;
+    }
+    asio::awaitable<metadata::StoreResult<metadata::StoreRevision>> put(std::string, std::string, metadata::LeaseId) override
+    {
+        co_return metadata::StoreRevision(store.revision);
+    }
+    asio::awaitable<metadata::StoreResult<metadata::LeaseId>> grantLease(std::chrono::milliseconds) override
+    {
+        co_return metadata::LeaseId("1");
+    }
+    asio::awaitable<metadata::StoreResult<void>> keepLeaseAlive(metadata::LeaseId) override
+    {
+        co_return boost::outcome_v2::success();
+    }
+    asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId) override
+    {
+        co_return boost::outcome_v2::success();
+    }
+};
+
+//-----------------------------------------------------------------------------
+// Instances
+//-----------------------------------------------------------------------------
+
+struct EdgeRig::Instance
+{
+    Instance(EdgeRig &rig, std::size_t number)
+        : store(*rig.m_store)
+        , adapter("gateway-" + std::to_string(number))
+        , log(rig.m_clock, ::open(logPath(number).c_str(), O_WRONLY | O_CLOEXEC | O_CREAT | O_APPEND, 0600))
+    {
+        settings.instanceId = core::InstanceId("gateway-" + std::to_string(number));
+        settings.region = core::RegionId(regionName(number % RegionCount));
+        settings.failureDomain = core::DomainId("domain-" + settings.region.text);
+        for (std::size_t region = 0; region < RegionCount; ++region) {
+            settings.regionByDomain[core::DomainId("domain-" + regionName(region))] = core::RegionId(regionName(region));
+        }
+        for (http::Endpoint *endpoint :
+             {&settings.clientEndpoint, &settings.directoryEndpoint, &settings.readinessEndpoint, &settings.metricsEndpoint, &settings.peersEndpoint}) {
+            *endpoint = http::Endpoint{"127.0.0.1", freePort()};
+        }
+    }
+
+    /// ARBUTUS_RIG_LOGS names a directory for the instances' logs; they are discarded if it is unset.
+    static std::string logPath(std::size_t number)
+    {
+        const char *directory = std::getenv("ARBUTUS_RIG_LOGS"); // NOLINT(concurrency-mt-unsafe)
+        return directory == nullptr ? "/dev/null" : std::string(directory) + "/gateway-" + std::to_string(number) + ".log";
+    }
+
+    edge::Settings settings;
+    StoreView store;
+    RigAdapter adapter;
+    observe::LogBuffer log;
+    core::TimePoint frozenUntil{};
+    std::vector<std::pair<core::TimePoint, core::TimePoint>> disruptions; // begin and end
+    std::unique_ptr<asio::io_context> loop;
+    std::unique_ptr<edge::RouteGateway> gateway;
+};
+
+EdgeRig::EdgeRig(EdgeRigOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_store(std::make_unique<Store>())
+{
+    for (std::size_t i = 0; i < options.upstreamsPerRegion * RegionCount; ++i) {
+        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, i, regionName(i % RegionCount)));
+    }
+    writeConfiguration();
+    for (std::size_t i = 0; i < options.instancesPerRegion * RegionCount; ++i) {
+        m_instances.push_back(std::make_unique<Instance>(*this, i));
+    }
+    for (const auto &instance : m_instances) {
+        for (std::size_t i = 0; i < std::min<std::size_t>(2, m_instances.size()); ++i) {
+            instance->settings.seedPeers.push_back(m_instances[i]->settings.peersEndpoint);
+        }
+    }
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        start(i);
+        m_instances[i]->disruptions.clear(); // its first start
+    }
+}
+
+EdgeRig::~EdgeRig()
+{
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        kill(i);
+    }
+}
+
+void EdgeRig::writeConfiguration()
+{
+    m_store->set("op/config",
+                 R"({"version":1,"routes":[{"name":"chat","host":"h.example","path_prefix":"/chat/","route_type":"streaming","resumable":true,)"
+                 R"("max_attempts":3,"timeout_ms":5000,"target_latency_ms":600,"target_gap_ms":400,"priority":0,"service":"s"}],)"
+                 R"("services":[{"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}}],)"
+                 R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+}
+
+std::string EdgeRig::instanceId(std::size_t instance) const
+{
+    return m_instances[instance]->settings.instanceId.text;
+}
+
+bool EdgeRig::isRunning(std::size_t instance) const
+{
+    return m_instances[instance]->gateway != nullptr && now() >= m_instances[instance]->frozenUntil;
+}
+
+void EdgeRig::freeze(std::size_t instance, std::chrono::milliseconds duration)
+{
+    m_instances[instance]->frozenUntil = now() + duration;
+    m_instances[instance]->disruptions.emplace_back(now(), now() + duration);
+}
+
+void EdgeRig::kill(std::size_t instance)
+{
+    m_instances[instance]->gateway.reset();
+    m_instances[instance]->loop.reset();
+    m_instances[instance]->disruptions.emplace_back(now(), now());
+}
+
+void EdgeRig::start(std::size_t index)
+{
+    Instance &instance = *m_instances[index];
+    instance.loop = std::make_unique<asio::io_context>(1);
+    const auto reloadSettings = [&instance]() -> core::Result<edge::Settings> { return instance.settings; };
+    instance.gateway =
+        std::make_unique<edge::RouteGateway>(*instance.loop, m_clock, instance.settings, instance.adapter, instance.store, instance.log, reloadSettings);
+    instance.gateway->start();
+    instance.disruptions.emplace_back(now(), now());
+}
+
+void EdgeRig::setStoreCut(std::size_t instance, bool isCut)
+{
+    m_instances[instance]->store.isCut = isCut;
+    m_instances[instance]->disruptions.emplace_back(now(), now());
+}
+
+bool EdgeRig::wasUndisturbed(const std::string &instance, core::TimePoint at, core::Duration duration) const
+{
+    const auto found = std::find_if(m_instances.begin(), m_instances.end(), [&](const auto &item) { return item->settings.instanceId.text == instance; });
+    const auto &disruptions = (*found)->disruptions;
+    return std::none_of(disruptions.begin(), disruptions.end(), [&](const auto &item) { return item.first <= at && item.second >= at - duration; });
+}
+
+std::string EdgeRig::metricsText(std::size_t instance)
+{
+    std::optional<std::string> out;
+    auto operation = [&]() -> asio::awaitable<void> {
+        http::Request request;
+        request.target = "/metrics";
+        const auto response = co_await http::fetch(m_loop.get_executor(), m_instances[instance]->settings.metricsEndpoint, request, 2s);
+        out = response ? response.value().body : "";
+    };
+    asio::co_spawn(m_loop, operation, asio::detached);
+    while (!out) {
+        runFor(1ms);
+    }
+    return *out;
+}
+
+//-----------------------------------------------------------------------------
+// Time
+//-----------------------------------------------------------------------------
+
+void EdgeRig::schedule(std::chrono::milliseconds delay, std::function<void()> action)
+{
+    m_actions.emplace(now() + delay, std::move(action));
+}
+
+void EdgeRig::runFor(std::chrono::milliseconds duration)
+{
+    const core::TimePoint end = now() + duration;
+    do {
+        while (!m_actions.empty() && m_actions.begin()->first <= now()) {
+            const auto action = std::move(m_actions.begin()->second);
+            m_actions.erase(m_actions.begin());
+            action();
+        }
+        std::size_t handled = m_loop.poll();
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            if (isRunning(i)) {
+                handled += m_instances[i]->loop->poll();
+            }
+        }
+        if (handled == 0) {
+            std::this_thread::sleep_for(200us);
+        }
+    } while (now() < end);
+}
+
+//-----------------------------------------------------------------------------
+// Upstreams
+//-----------------------------------------------------------------------------
+
+RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region)
+    : m_rig(rig)
+    , m_number(number)
+    , m_region(std::move(region))
+    , m_port(freePort())
+{
+    start();
+}
+
+void RigUpstream::announce()
+{
+    m_rig.m_store->set("servers/" + m_id,
+                       R"({"service":"s","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
+                           + R"(","slots":64,"state":"ready","cold_remaining_ms":0,"born":)" + std::to_string(m_run) + R"(,"sequence":1})");
+}
+
+void RigUpstream::start()
+{
+    ++m_run;
+    m_id = "upstream-" + std::to_string(m_number) + "-" + std::to_string(m_run);
+    m_acceptor.emplace(m_rig.m_loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
+    announce();
+    asio::co_spawn(m_rig.m_loop, acceptLoop(m_run), asio::detached);
+}
+
+void RigUpstream::crash()
+{
+    if (!isUp()) {
+        return;
+    }
+    m_acceptor.reset();
+    for (const auto &weak : m_sockets) {
+        if (const auto socket = weak.lock()) {
+            ErrorCode code;
+            socket->set_option(asio::socket_base::linger(true, 0), code); // a reset instead of a regular close
+            socket->close(code);
+        }
+    }
+    m_sockets.clear();
+    asio::co_spawn(m_rig.m_loop, restartLater(m_id), asio::detached);
+}
+
+asio::awaitable<void> RigUpstream::restartLater(std::string crashedId)
+{
+    asio::steady_timer timer(m_rig.m_loop, m_rig.m_options.entryLifetime);
+    co_await timer.async_wait(asio::use_awaitable);
+    m_rig.m_store->remove("servers/" + crashedId);
+    timer.expires_after(m_rig.m_options.crashDuration - m_rig.m_options.entryLifetime);
+    co_await timer.async_wait(asio::use_awaitable);
+    start();
+}
+
+asio::awaitable<void> RigUpstream::acceptLoop(std::uint64_t run)
+{
+    while (run == m_run && isUp()) {
+        ErrorCode code;
+        auto socket = std::make_shared<Tcp::socket>(m_rig.m_loop);
+        co_await m_acceptor->async_accept(*socket, asio::redirect_error(asio::use_awaitable, code));
+        if (code) {
+            co_return;
+        }
+        std::erase_if(m_sockets, [](const auto &weak) { return weak.expired(); });
+        m_sockets.push_back(socket);
+        asio::co_spawn(m_rig.m_loop, serve(std::move(socket), run), asio::detached);
+    }
+}
+
+asio::awaitable<void> RigUpstream::serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run)
+{
+    beast::flat_buffer buffer;
+    while (run == m_run && isUp()) {
+        beast::http::request<beast::http::string_body> request;
+        ErrorCode code;
+        co_await beast::http::async_read(*socket, buffer, request, asio::redirect_error(asio::use_awaitable, code));
+        if (code || run != m_run || !isUp()) {
+            co_return;
+        }
+        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}};
+        for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
+            arrival.parts.push_back(element.substr(0, element.find(':')));
+        }
+        const bool crashes =
+            std::any_of(arrival.parts.begin(), arrival.parts.end(), [&](const std::string &part) { return m_rig.crashingParts.contains(part); });
+        m_rig.m_arrivals.push_back(arrival);
+        const std::string attempt(request["X-Attempt-Id"]);
+        if (std::string(request["X-Expect-Instance"]) != m_id) {
+            const std::string response = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+            co_await asio::async_write(*socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        const std::string lastEvent(request["Last-Event-ID"]);
+        if (!co_await respond(*socket, run, attempt, lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1, crashes)) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, int firstEvent, bool crashes)
+{
+    const EdgeRigOptions &options = m_rig.m_options;
+    asio::steady_timer timer(m_rig.m_loop, options.headDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    ErrorCode code;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\n"
+        + (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, code));
+    timer.expires_after(options.firstEventDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (code || run != m_run || !isUp()) {
+        co_return false;
+    }
+    if (crashes) {
+        m_rig.m_partCrashes.push_back(m_rig.now());
+        crash();
+        co_return false;
+    }
+    for (int id = firstEvent; id <= options.eventCount && !code; ++id) {
+        const std::string event = chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
+        co_await asio::async_write(socket, asio::buffer(event), asio::redirect_error(asio::use_awaitable, code));
+        timer.expires_after(options.eventGap);
+        co_await timer.async_wait(asio::use_awaitable);
+        if (run != m_run || !isUp()) {
+            co_return false;
+        }
+    }
+    const std::string end = "0\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(end), asio::redirect_error(asio::use_awaitable, code));
+    co_return !code;
+}
+
+//-----------------------------------------------------------------------------
+// Clients
+//-----------------------------------------------------------------------------
+
+std::size_t EdgeRig::send(std::size_t instance, const std::vector<std::string> &parts)
+{
+    const std::size_t number = m_results.size();
+    m_results.push_back(ClientResult{number, now(), 0, "", false});
+    http::Request request;
+    request.method = "POST";
+    request.target = "/chat/x";
+    std::string prompt;
+    for (const std::string &part : parts) {
+        prompt += (prompt.empty() ? "" : ",") + part + ":100";
+    }
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "request-" + std::to_string(number)}, {"X-Deadline-Ms", "4000"}, {"X-Model", "m"}};
+    request.headers["X-Prompt-Prefix"] = prompt;
+    request.headers["X-Token-Count"] = std::to_string(100 * parts.size()) + ",25";
+    request.body = "body";
+    auto operation = [this, number, request, endpoint = m_instances[instance]->settings.clientEndpoint]() -> asio::awaitable<void> {
+        const auto response = co_await http::fetch(m_loop.get_executor(), endpoint, request, 5s);
+        ClientResult &result = m_results[number];
+        result.done = true;
+        if (response) {
+            result.status = response.value().status;
+            result.retryAfter = http::headerValue(response.value().headers, "Retry-After");
+        }
+    };
+    asio::co_spawn(m_loop, operation, asio::detached);
+    return number;
+}
+
+} // namespace arbutus::tests
--- /dev/null
+++ b/tests/support/edgerig.h
@@ -0,0 +1,202 @@
+// Several route gateway instances in two regions over loopback, in real time, with upstreams that crash.
+//
+// Each instance has its own event loop, so a test can freeze it, kill it, start it again under the same id, and cut it off from the
+// store. The upstreams record every request that reaches them, with the instance that sent it.
+//
+//   EdgeRig rig(EdgeRigOptions{.seed = 1});
+//   rig.runFor(2s);
+//   rig.upstream(0).crash();
+//   rig.runFor(1s);
+//   CHECK(rig.arrivals().empty());
+//
+// All runs on the calling thread: runFor() polls the event loops in turn.
+
+#pragma once
+
+#include "arbutus/edge/routegateway.h"
+#include "platform/platformadapter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <pcg_random.hpp>
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutus::tests {
+
+/// Size of the deployment and what happens in it.
+struct EdgeRigOptions
+{
+    std::uint64_t seed = 1;
+    std::size_t instancesPerRegion = 3;
+    std::size_t upstreamsPerRegion = 4;
+    std::chrono::milliseconds crashDuration{1'500}; // until an upstream is back, under a new id at the same address
+    std::chrono::milliseconds entryLifetime{800};   // of a crashed upstream's announcement
+    std::chrono::milliseconds headDelay{20};        // from the arrival of a request to the response head
+    std::chrono::milliseconds firstEventDelay{40};  // from the response head to the first event
+    std::chrono::milliseconds eventGap{25};
+    int eventCount = 5;
+};
+
+/// A request that reached an upstream.
+struct Arrival
+{
+    core::TimePoint at{};
+    std::string upstream;
+    std::string sender; // id of the instance
+    std::vector<std::string> parts;
+
+    [[nodiscard]] bool hasPart(const std::string &part) const
+    {
+        return std::find(parts.begin(), parts.end(), part) != parts.end();
+    }
+};
+
+/// What a client saw of a request.
+struct ClientResult
+{
+    std::size_t request = 0; // number in the order of sending
+    core::TimePoint sentAt{};
+    unsigned status = 0; // 0: no complete response
+    std::string retryAfter;
+    bool done = false;
+};
+
+class EdgeRig;
+
+/// A model engine. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts.
+class RigUpstream
+{
+public:
+    RigUpstream(EdgeRig &rig, std::size_t number, std::string region);
+
+    /// Ends all connections, refuses new ones and starts again after EdgeRigOptions::crashDuration.
+    void crash();
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_id;
+    }
+    [[nodiscard]] bool isUp() const
+    {
+        return m_acceptor.has_value();
+    }
+    [[nodiscard]] const std::string &region() const
+    {
+        return m_region;
+    }
+
+    std::string limit; // value of the limit header of its responses; empty: no header
+
+private:
+    using Tcp = boost::asio::ip::tcp;
+
+    void start();
+    void announce();
+    boost::asio::awaitable<void> acceptLoop(std::uint64_t run);
+    boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
+    boost::asio::awaitable<bool> respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, int firstEvent, bool crashes);
+    boost::asio::awaitable<void> restartLater(std::string crashedId);
+
+    EdgeRig &m_rig;
+    std::size_t m_number;
+    std::string m_region;
+    std::string m_id;
+    std::uint64_t m_run = 0; // number of the current or last run
+    std::uint16_t m_port = 0;
+    std::optional<Tcp::acceptor> m_acceptor;         // while it is up
+    std::list<std::weak_ptr<Tcp::socket>> m_sockets; // of the current run
+};
+
+class EdgeRig
+{
+public:
+    explicit EdgeRig(EdgeRigOptions options);
+    ~EdgeRig();
+    EdgeRig(const EdgeRig &) = delete;
+    EdgeRig &operator=(const EdgeRig &) = delete;
+
+    //--- Time
+    void runFor(std::chrono::milliseconds duration);
+    [[nodiscard]] core::TimePoint now() const
+    {
+        return m_clock.steadyNow();
+    }
+    /// Calls `action` after `delay`, from runFor().
+    void schedule(std::chrono::milliseconds delay, std::function<void()> action);
+
+    //--- Instances
+    [[nodiscard]] std::size_t instanceCount() const
+    {
+        return m_instances.size();
+    }
+    [[nodiscard]] std::string instanceId(std::size_t instance) const;
+    [[nodiscard]] bool isRunning(std::size_t instance) const; // neither killed nor frozen
+    void freeze(std::size_t instance, std::chrono::milliseconds duration);
+    void kill(std::size_t instance);
+    void start(std::size_t instance);
+    void setStoreCut(std::size_t instance, bool isCut);
+    /// Whether the instance has run without a disruption for `duration` before `at`.
+    [[nodiscard]] bool wasUndisturbed(const std::string &instance, core::TimePoint at, core::Duration duration) const;
+    [[nodiscard]] std::string metricsText(std::size_t instance);
+
+    //--- Upstreams
+    [[nodiscard]] RigUpstream &upstream(std::size_t index)
+    {
+        return *m_upstreams[index];
+    }
+    [[nodiscard]] std::size_t upstreamCount() const
+    {
+        return m_upstreams.size();
+    }
+    [[nodiscard]] const std::vector<Arrival> &arrivals() const
+    {
+        return m_arrivals;
+    }
+    /// Times of crashes that a part in `crashingParts` caused.
+    [[nodiscard]] const std::vector<core::TimePoint> &partCrashes() const
+    {
+        return m_partCrashes;
+    }
+    std::set<std::string> crashingParts;
+
+    //--- Clients
+    /// Sends a streaming request whose prompt consists of `parts` to an instance; the result is complete later.
+    std::size_t send(std::size_t instance, const std::vector<std::string> &parts);
+    [[nodiscard]] const ClientResult &result(std::size_t request) const
+    {
+        return m_results[request];
+    }
+
+private:
+    friend class RigUpstream;
+    struct Store;
+    struct StoreView;
+    struct Instance;
+
+    void writeConfiguration();
+
+    EdgeRigOptions m_options;
+    core::SystemClock m_clock;
+    pcg32 m_random;
+    std::unique_ptr<Store> m_store;
+    boost::asio::io_context m_loop{1}; // of upstreams and clients
+    std::vector<std::unique_ptr<RigUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::vector<Arrival> m_arrivals;
+    std::vector<core::TimePoint> m_partCrashes;
+    std::deque<ClientResult> m_results;
+    std::multimap<core::TimePoint, std::function<void()>> m_actions;
+};
+
+} // namespace arbutus::tests
