Quarantine prompt parts that crash upstreams

What callers saw: no engine ran for longer than some seconds; most requests of all routes failed. Cause: requests that share one part of their prompts crash every upstream that begins to answer them, and nothing relates the crash of one upstream to that of another: health, ejection, retries and placement each judge one upstream or one request. The class: a failure that the input causes is treated as a failure of the server, so that failover repeats it. Change: routing/PromptQuarantine attributes crashes to the parts of requests that were beginning, with first events as evidence to the contrary; after crashes of three upstreams a part is quarantined. edge/QuarantineService confirms crashes by connecting to the upstream, sends records to all live members at once and to random and new ones periodically, and shows the quarantine to operators. Requests with the part are refused when they arrive, while they wait for a placement, after the placement, before each retry or resumption, by the dispatcher, and by peers in other regions; never after an answer has begun without saying that it may have run.

--- a/src/arbutus/core/error.h
+++ b/src/arbutus/core/error.h
@@ -55,6 +55,7 @@
     NotFound,         // no such path or record
     SettingsInvalid,  // settings file with errors
     Internal,         // bug in the gateway
+    Quarantined,      // a part of the prompt crashes upstreams
 };
 
 /// An error, its remedy and the outcome of the request.
--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -71,6 +71,7 @@
         auto *row = out.add_prompt();
         row->set_chain(part.prefixHash);
         row->set_tokens(part.tokens);
+        row->set_id(part.id.value);
     }
     out.set_prompt_tokens(request.promptTokens);
     out.set_output_tokens(request.outputTokens);
@@ -97,7 +98,7 @@
     request.responseDeadline = now + core::Duration(in.useful_left_us());
     request.completionDeadline = now + core::Duration(in.ends_left_us());
     for (const fleet::PromptPart &part : in.prompt()) {
-        request.prompt.push_back(routing::PromptPart{part.chain(), part.tokens()});
+        request.prompt.push_back(routing::PromptPart{part.chain(), part.tokens(), routing::PromptPartId(part.id())});
     }
     request.promptTokens = in.prompt_tokens();
     request.outputTokens = in.output_tokens();
@@ -138,6 +139,7 @@
                    [&](const routing::Refused &refused) {
                        out.set_kind(fleet::Verdict::REFUSED);
                        out.set_overloaded(refused.reason == routing::RefusalReason::Overloaded);
+                       out.set_quarantined(refused.reason == routing::RefusalReason::Quarantined);
                        out.set_retry_after_us(toMicroseconds(refused.retryAfter));
                    },
                },
@@ -156,7 +158,9 @@
     default:
         break;
     }
-    const auto reason = in.overloaded() ? routing::RefusalReason::Overloaded : routing::RefusalReason::NoUpstream;
+    const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
+        : in.overloaded()                ? routing::RefusalReason::Overloaded
+                                         : routing::RefusalReason::NoUpstream;
     return routing::Refused{reason, fromMicroseconds(in.retry_after_us())};
 }
 
@@ -247,6 +251,43 @@
     return state;
 }
 
+//-----------------------------------------------------------------------------
+// Quarantine
+//-----------------------------------------------------------------------------
+
+void toProto(const std::vector<routing::PartRecord> &records, fleet::QuarantineRecords &out, core::TimePoint now)
+{
+    for (const routing::PartRecord &record : records) {
+        auto *row = out.add_records();
+        row->set_part(record.part.value);
+        row->set_generation(record.generation);
+        row->set_quarantined(record.quarantined);
+        row->set_requested_age_us(toMicroseconds(now - record.lastRequestedAt));
+        for (const routing::PartCrash &crash : record.crashes) {
+            auto *crashRow = row->add_crashes();
+            crashRow->set_upstream(crash.upstream.text);
+            crashRow->set_age_us(toMicroseconds(now - crash.at));
+        }
+    }
+}
+
+std::vector<routing::PartRecord> fromProto(const fleet::QuarantineRecords &in, core::TimePoint now)
+{
+    std::vector<routing::PartRecord> records;
+    for (const auto &row : in.records()) {
+        routing::PartRecord record;
+        record.part = routing::PromptPartId(row.part());
+        record.generation = row.generation();
+        record.quarantined = row.quarantined();
+        record.lastRequestedAt = now - fromMicroseconds(row.requested_age_us());
+        for (const auto &crash : row.crashes()) {
+            record.crashes.push_back(routing::PartCrash{core::UpstreamId(crash.upstream()), now - fromMicroseconds(crash.age_us())});
+        }
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
 void bodyToProto(const FleetMessageBody &body, fleet::Datagram &out, core::TimePoint now)
 {
     std::visit(core::Overloaded{
@@ -273,6 +314,7 @@
                    [&](const PlacementReport &report) { toProto(report, *out.mutable_work()); },
                    [&](const RegionState &state) { toProto(state, *out.mutable_region_state()); },
                    [&](const PlacementCancellation &cancellation) { out.mutable_withdraw()->set_id(cancellation.id.text); },
+                   [&](const std::vector<routing::PartRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
                },
                body);
 }
@@ -337,6 +379,9 @@
     case fleet::Datagram::kWithdraw:
         message.body = PlacementCancellation{routing::PlacementId(in.withdraw().id())};
         return message;
+    case fleet::Datagram::kQuarantine:
+        message.body = fromProto(in.quarantine(), now);
+        return message;
     case fleet::Datagram::BODY_NOT_SET:
         break;
     }
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -5,6 +5,7 @@
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
+#include "arbutus/routing/promptquarantine.h"
 
 #include <optional>
 #include <string>
@@ -60,8 +61,13 @@
     routing::PlacementId id;
 };
 
-using FleetMessageBody =
-    std::variant<membership::Message, routing::PlacementRequest, std::vector<PlacementReply>, PlacementReport, RegionState, PlacementCancellation>;
+using FleetMessageBody = std::variant<membership::Message,
+                                      routing::PlacementRequest,
+                                      std::vector<PlacementReply>,
+                                      PlacementReport,
+                                      RegionState,
+                                      PlacementCancellation,
+                                      std::vector<routing::PartRecord>>;
 
 /// One datagram.
 struct FleetMessage
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -15,7 +15,6 @@
 
 #include <charconv>
 #include <cmath>
-#include <sstream>
 
 namespace arbutus::edge {
 
@@ -34,6 +33,7 @@
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotExecuted = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
+constexpr std::string_view OutcomeQuarantined = "quarantined"; // not run, and no upstream may run it
 constexpr std::array PeerHeaders = {OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, ResumeHeader, OutcomeHeader};
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
@@ -42,14 +42,14 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/// Ids of the parts of a prompt that other requests may share, in hexadecimal, for the log.
+/// Ids of the parts of a prompt that other requests may share, for the log.
 std::string sharedPartIds(const std::vector<routing::PromptPart> &prompt)
 {
-    std::ostringstream out;
+    std::string out;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        out << (i == 0 ? "" : ",") << std::hex << prompt[i].id.value;
+        out += (i == 0 ? "" : ",") + toString(prompt[i].id);
     }
-    return out.str();
+    return out;
 }
 
 std::size_t parseCount(const std::string &text)
@@ -102,7 +102,8 @@
     bool responseStarted = false;                  // the stream's response head was sent to the client
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
-    std::string lastFailure; // reason of the last failed send, for the log
+    std::optional<routing::PromptPartId> quarantinedPart; // because of which the request is refused
+    std::string lastFailure;                              // reason of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
     std::string lastBodyEnd;           // how the last response marked the end of its body, for the log
@@ -125,12 +126,18 @@
     }
 };
 
-Forwarder::Forwarder(
-    InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PlacementService &placement, std::uint64_t seed, ForwarderSettings settings)
+Forwarder::Forwarder(InstanceContext &context,
+                     Fleet &fleet,
+                     MetadataCache &metadataCache,
+                     PlacementService &placement,
+                     QuarantineService &quarantine,
+                     std::uint64_t seed,
+                     ForwarderSettings settings)
     : m_context(context)
     , m_fleet(fleet)
     , m_metadataCache(metadataCache)
     , m_placement(placement)
+    , m_quarantine(quarantine)
     , m_settings(settings)
     , m_retryBudget(limits::SharedRetryBudgetSettings{context.settings.retryRatio, context.settings.minRetries, context.settings.retryWindow})
     , m_random(seed)
@@ -270,10 +277,21 @@
     return state.sendCount == 0 || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
 }
 
+bool Forwarder::isQuarantined(RequestState &state)
+{
+    if (!state.quarantinedPart) {
+        state.quarantinedPart = m_quarantine.findQuarantined(state.head.prompt);
+        if (state.quarantinedPart) {
+            state.lastFailure = "prompt part " + toString(*state.quarantinedPart) + " is quarantined because it crashes upstreams";
+        }
+    }
+    return state.quarantinedPart.has_value();
+}
+
 asio::awaitable<void> Forwarder::placeAndSend(RequestState &state)
 {
     bool mayHaveExecuted = false;
-    while (true) {
+    while (!isQuarantined(state)) {
         routing::PlacementRequest placementRequest = makePlacementRequest(state);
         const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
         if (state.cancellation->cancelled) {
@@ -288,6 +306,10 @@
             result = co_await sendToPeer(state, region);
         } else if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
             state.retryAfter = refused->retryAfter;
+            if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
+                state.quarantinedPart = routing::PromptPartId();
+                state.lastFailure = "the dispatcher reports a quarantined prompt part";
+            }
             break;
         }
         if (result == SendResult::Finished) {
@@ -337,6 +359,10 @@
             observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
         co_return SendResult::NotExecuted;
     }
+    if (isQuarantined(state)) { // since the request was placed
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+        co_return SendResult::NotExecuted;
+    }
     if (state.sendCount == 0) {
         m_retryBudget.recordFirstSend(state.service, now);
     } else if (!m_retryBudget.tryRetry(state.service, m_fleet.knownMemberCount(), now)) {
@@ -410,6 +436,9 @@
     m_placement.recordCompletion(placementId, outcome);
     const bool eventReceived = state.firstEventTime >= now;
     if (outcome == routing::SendOutcome::Incomplete) {
+        if (head && !eventReceived) {
+            m_quarantine.recordBreak(granted.upstream, granted.address, state.head.prompt);
+        }
         m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", eventReceived ? "stage=\"events\"" : head ? "stage=\"head\"" : "stage=\"sent\"");
     }
     m_context.writeLog(observe::LogLine("upstream_attempt_finished")
@@ -484,7 +513,10 @@
         peerOutcome = http::headerValue(head.value().headers, OutcomeHeader);
         state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(head.value().headers, SendCountHeader)));
         state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(head.value().headers, PossibleExecutionsHeader)));
-        if (peerOutcome == OutcomeNotExecuted) {
+        if (peerOutcome == OutcomeQuarantined) {
+            state.quarantinedPart = routing::PromptPartId();
+            state.lastFailure = "peer " + peer->id.text + " reports a quarantined prompt part";
+        } else if (peerOutcome == OutcomeNotExecuted) {
             state.excludedRegions.insert(region);
             state.lastFailure = "not executed by peer " + peer->id.text;
         } else if (peerOutcome == OutcomeUnknown) {
@@ -573,6 +605,9 @@
     }
     if (success) {
         outcome = routing::SendOutcome::Completed;
+        if (!fromPeer) {
+            m_quarantine.recordFirstEvent(state.head.prompt);
+        }
         const unsigned status = head.status;
         co_await respond(state, head);
         logCompletion(state, status, fromPeer ? "answered_by_peer" : "answered");
@@ -642,6 +677,9 @@
             state.lastEventTime = now;
             if (std::exchange(isFirstOutput, false)) {
                 m_placement.recordFirstEvent(state.placementId());
+                if (!fromPeer) {
+                    m_quarantine.recordFirstEvent(state.head.prompt);
+                }
                 state.firstEventTime = now;
                 m_context.metrics.observeDuration("arbutus_first_event_seconds", "", m_context.now() - state.receivedAt);
             }
@@ -697,6 +735,13 @@
         logCompletion(state, status, "upstream_failure");
         co_return;
     }
+    if (state.quarantinedPart) {
+        m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
+    }
+    if (!mayHaveExecuted && state.quarantinedPart) {
+        co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
+        co_return;
+    }
     if (!mayHaveExecuted) {
         std::string message = "request was not executed: no upstream is available in time";
         if (!state.lastFailure.empty()) { // not a conditional expression in the call: GCC 12 destroys temporaries of one in a co_await twice
@@ -723,7 +768,9 @@
         response.headers["Retry-After"] = formatSeconds(std::max(retryAfter, MinRetryAfter));
     }
     if (state.fromPeer) {
-        response.headers[OutcomeHeader] = std::string(error.outcome == core::Outcome::NotRun ? OutcomeNotExecuted : OutcomeUnknown);
+        response.headers[OutcomeHeader] = std::string(kind == core::ErrorKind::Quarantined         ? OutcomeQuarantined
+                                                          : error.outcome == core::Outcome::NotRun ? OutcomeNotExecuted
+                                                                                                   : OutcomeUnknown);
         response.headers[SendCountHeader] = std::to_string(state.sendCount);
         response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
     }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include "arbutus/edge/placementservice.h"
+#include "arbutus/edge/quarantineservice.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 #include "arbutus/limits/sharedretrybudget.h"
@@ -36,6 +37,7 @@
     std::chrono::milliseconds streamIdleTimeout{1'600}; // between events of a resumable stream
     std::chrono::milliseconds crossRegionOverhead{130}; // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds noCatalogRetryAfter{500}; // Retry-After while no configuration is loaded
+    std::chrono::seconds quarantineRetryAfter{60};      // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
     std::chrono::milliseconds deadlineMargin{30};       // the response is due this long before the client's own deadline
     std::size_t maxPlacements = 6;                      // per request, including rejected ones
 
@@ -49,8 +51,13 @@
 class Forwarder
 {
 public:
-    Forwarder(
-        InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PlacementService &placement, std::uint64_t seed, ForwarderSettings settings = {});
+    Forwarder(InstanceContext &context,
+              Fleet &fleet,
+              MetadataCache &metadataCache,
+              PlacementService &placement,
+              QuarantineService &quarantine,
+              std::uint64_t seed,
+              ForwarderSettings settings = {});
 
     /// Handles a client's request.
     boost::asio::awaitable<void> handleRequest(http::Exchange &exchange);
@@ -85,6 +92,8 @@
     boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
     [[nodiscard]] bool canRetry(RequestState &state);
+    /// Whether the request must not be sent because of a quarantined part of its prompt; notes the part in the state.
+    [[nodiscard]] bool isQuarantined(RequestState &state);
     [[nodiscard]] std::optional<membership::Member> pickPeer(const core::RegionId &region);
     [[nodiscard]] SendResult failedSendResult(const RequestState &state) const;
     /// Ends an attempt whose response began but is not whole or not the upstream's.
@@ -95,6 +104,7 @@
     Fleet &m_fleet;
     MetadataCache &m_metadataCache;
     PlacementService &m_placement;
+    QuarantineService &m_quarantine;
     ForwarderSettings m_settings;
     limits::SharedRetryBudget m_retryBudget;
     http::ConnectionPool m_upstreamConnections;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -34,14 +34,21 @@
                                   + " predicted_ms=" + std::to_string(core::toMilliseconds(redirected.predictedLatency));
                           },
                           [](const routing::Refused &refused) {
-                              const bool overloaded = refused.reason == routing::RefusalReason::Overloaded;
-                              return std::string("refused reason=") + (overloaded ? "overloaded" : "no_upstream")
-                                  + " retry_after_ms=" + std::to_string(core::toMilliseconds(refused.retryAfter));
+                              const std::string reason = refused.reason == routing::RefusalReason::Overloaded ? "overloaded"
+                                  : refused.reason == routing::RefusalReason::Quarantined                     ? "quarantined"
+                                                                                                              : "no_upstream";
+                              return "refused reason=" + reason + " retry_after_ms=" + std::to_string(core::toMilliseconds(refused.retryAfter));
                           },
                       },
                       decision);
 }
 
+bool isRefusedAsQuarantined(const routing::PlacementDecision &decision)
+{
+    const auto *refused = std::get_if<routing::Refused>(&decision);
+    return refused != nullptr && refused->reason == routing::RefusalReason::Quarantined;
+}
+
 bool isQueued(const routing::PlacementDecision &decision)
 {
     return std::holds_alternative<routing::Queued>(decision);
@@ -114,6 +121,7 @@
 {
     request.requester = m_context.settings.instanceId;
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
+    pending->prompt = request.prompt;
     m_pending[request.id] = pending;
     token->onCancel = [pending] { pending->timer.cancel(); };
     routing::PlacementDecision decision = routing::Queued{};
@@ -158,11 +166,13 @@
     }
     token->onCancel = nullptr;
     m_pending.erase(request.id);
-    if (token->cancelled) {
+    if (token->cancelled || isRefusedAsQuarantined(decision)) {
         m_dispatcher.cancel(request.id);
         if (const auto dispatcher = remoteDispatcher()) {
             m_fleet.send(dispatcher->gossipAddress, PlacementCancellation{request.id});
         }
+    }
+    if (token->cancelled) {
         if (const auto *granted = std::get_if<routing::Granted>(&decision)) {
             recordGrant(request, *granted);
             recordCompletion(request.id, routing::SendOutcome::NeverSent);
@@ -186,6 +196,16 @@
     co_return decision;
 }
 
+void PlacementService::refuseQuarantined()
+{
+    for (const auto &[id, pending] : m_pending) {
+        if (isQuarantined && isQuarantined(pending->prompt)) {
+            pending->decision = routing::Refused{routing::RefusalReason::Quarantined, {}};
+            pending->timer.cancel();
+        }
+    }
+}
+
 //-----------------------------------------------------------------------------
 // In-flight requests of this instance
 //-----------------------------------------------------------------------------
@@ -353,6 +373,7 @@
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
                    [&](const RegionState &state) { handleRegionState(state, message.sender.id); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
+                   [](const std::vector<routing::PartRecord> &) {}, // handled by the quarantine service
                },
                message.body);
 }
@@ -360,7 +381,12 @@
 void PlacementService::handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from)
 {
     m_requesterAddresses[request.requester] = from;
-    routing::PlacementDecision decision = m_dispatcher.requestPlacement(request, m_context.now());
+    routing::PlacementDecision decision = routing::Refused{routing::RefusalReason::Quarantined, {}};
+    if (isQuarantined && isQuarantined(request.prompt)) { // the requester may not have heard of it yet
+        m_dispatcher.cancel(request.id);
+    } else {
+        decision = m_dispatcher.requestPlacement(request, m_context.now());
+    }
     std::vector<PlacementReply> replies;
     replies.push_back(PlacementReply{request.id, std::move(decision)});
     m_fleet.send(from, std::move(replies));
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -5,6 +5,7 @@
 #include "arbutus/edge/directory.h"
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/edge/metadatasync.h"
+#include "arbutus/edge/quarantineservice.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -71,7 +72,8 @@
         , fleet(context, generateIncarnation(clock, seed), seed)
         , placement(context, fleet, metadataCache)
         , metadataSync(context, fleet, metadataCache, seed)
-        , forwarder(context, fleet, metadataCache, placement, seed)
+        , quarantine(context, fleet, metadataCache, seed)
+        , forwarder(context, fleet, metadataCache, placement, quarantine, seed)
         , reloadSettings(std::move(theReloadSettings))
         , clientServer(
               context.executor, settings.clientEndpoint, {}, [this](http::Exchange &exchange) { return forwarder.handleRequest(exchange); }, nullptr)
@@ -97,6 +99,7 @@
     Fleet fleet;
     PlacementService placement;
     MetadataSync metadataSync;
+    QuarantineService quarantine;
     Forwarder forwarder;
     std::function<core::Result<Settings>()> reloadSettings;
     http::Server clientServer;
@@ -166,6 +169,11 @@
 
     asio::awaitable<void> serveMetrics(http::Exchange &exchange)
     {
+        if (exchange.request().path().starts_with("/quarantine")) {
+            http::Response response = quarantine.handleOperatorRequest(exchange.request());
+            co_await exchange.respond(response);
+            co_return;
+        }
         metrics.setGauge("arbutus_evidence_age_seconds", "", std::chrono::duration<double>(metadataCache.staleness(context.now())).count());
         metrics.setGauge("arbutus_configuration_version", "", metadataCache.catalog() ? static_cast<double>(metadataCache.catalog()->version().value) : 0);
         metrics.setGauge("arbutus_live_members", "", static_cast<double>(fleet.liveMembers().size()));
@@ -321,7 +329,16 @@
     impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
-    impl.fleet.start([&impl](const FleetMessage &message, const std::string &from) { impl.placement.handleMessage(message, from); });
+    impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt) { return impl.quarantine.findQuarantined(prompt).has_value(); };
+    impl.quarantine.onQuarantined = [&impl] { impl.placement.refuseQuarantined(); };
+    impl.fleet.start([&impl](const FleetMessage &message, const std::string &from) {
+        if (const auto *records = std::get_if<std::vector<routing::PartRecord>>(&message.body)) {
+            impl.quarantine.handleRecords(*records, message.sender.id);
+            return;
+        }
+        impl.placement.handleMessage(message, from);
+    });
+    impl.quarantine.start();
     impl.placement.start();
     impl.metadataSync.start([&impl](const MetadataUpdate &update) { impl.onMetadataChanged(update); });
     asio::co_spawn(impl.context.executor, impl.flushLoop(), asio::detached);
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -90,8 +90,9 @@
     core::Duration score{}; // predicted latency plus the cost of a slow stream; not sent to the requester
 };
 enum class RefusalReason {
-    NoUpstream, // no reachable upstream may serve it
-    Overloaded, // would not be served in time
+    NoUpstream,  // no reachable upstream may serve it
+    Overloaded,  // would not be served in time
+    Quarantined, // its prompt has a part that crashes upstreams
 };
 struct Refused
 {
