Rig: traffic source and named limits of upstreams in the test support

Cause: a second test needs the same traffic, and upstreams that name a limit. Change: TrafficSource moves from promptcrashtest to the rig with the same requests in the same order; upstreams can name a limit, and the rig records which instances received it. No check changes.

--- a/tests/promptcrashtest.cpp
+++ b/tests/promptcrashtest.cpp
@@ -24,81 +24,19 @@
 constexpr auto WarmUp = 2'500ms;
 constexpr auto CrashingTime = 13'000ms;
 
-std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
-    return text == nullptr ? fallback : std::stoull(text);
-}
-
-struct Traffic
-{
-    std::vector<std::size_t> sound;   // requests by number
-    std::vector<std::size_t> harmful; // with the crashing part
-};
-
-/// Sends sound and, after `harmfulAfter`, harmful requests to running instances.
-class TrafficSource
-{
-public:
-    TrafficSource(tests::EdgeRig &rig, pcg32 &random, Traffic &traffic, std::chrono::milliseconds duration, std::chrono::milliseconds harmfulAfter)
-        : m_rig(rig)
-        , m_random(random)
-        , m_traffic(traffic)
-    {
-        constexpr auto SoundInterval = 25ms;
-        constexpr auto HarmfulInterval = 120ms;
-        for (auto at = 0ms; at < duration; at += SoundInterval) {
-            rig.schedule(at, [this] { m_traffic.sound.push_back(send("beef" + std::to_string(m_random() % 12))); });
-        }
-        for (auto at = harmfulAfter; at < duration; at += HarmfulInterval) {
-            rig.schedule(at, [this] { m_traffic.harmful.push_back(send("bad0")); });
-        }
-    }
-
-private:
-    std::size_t send(const std::string &part)
-    {
-        std::size_t instance = m_random() % m_rig.instanceCount();
-        while (!m_rig.isRunning(instance)) {
-            instance = (instance + 1) % m_rig.instanceCount();
-        }
-        return m_rig.send(instance, {"a1", part, "c" + std::to_string(m_next++)});
-    }
-
-    tests::EdgeRig &m_rig;
-    pcg32 &m_random;
-    Traffic &m_traffic;
-    std::uint64_t m_next = 0;
-};
-
-double deliveredShare(const tests::EdgeRig &rig, const std::vector<std::size_t> &requests, core::TimePoint from, core::TimePoint to)
-{
-    double sent = 0;
-    double delivered = 0;
-    for (const std::size_t request : requests) {
-        const tests::ClientResult &result = rig.result(request);
-        if (result.sentAt >= from && result.sentAt < to) {
-            ++sent;
-            delivered += result.status == 200 ? 1 : 0;
-        }
-    }
-    return sent == 0 ? 0 : delivered / sent;
-}
-
 } // namespace
 
 TEST_CASE("requests with a prompt part that crashes upstreams are kept from them after the fifth crash", "[rig]")
 {
-    const std::uint64_t first = environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
-    for (std::uint64_t seed = first; seed < first + environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
         CAPTURE(seed);
         pcg32 random(seed);
         tests::EdgeRig rig(tests::EdgeRigOptions{.seed = seed});
         rig.crashingParts = {"bad0"};
         rig.runFor(1'500ms); // membership and configuration
-        Traffic traffic;
-        TrafficSource source(rig, random, traffic, WarmUp + CrashingTime, WarmUp);
-        const core::TimePoint start = rig.now();
+        tests::TrafficSource traffic(rig, random, WarmUp + CrashingTime);
+        traffic.addHarmful("bad0", WarmUp, WarmUp + CrashingTime);
 
         // Disruptions around the first crashes and later: a kill with a restart, a freeze, the store, and crashes for other reasons.
         const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
@@ -130,10 +68,10 @@
                 lateArrivals += ruleHolds && rig.wasUndisturbed(arrival.sender, arrival.at, StabilityWindow) ? 1 : 0;
             }
         }
-        const double before = deliveredShare(rig, traffic.sound, start, start + WarmUp);
-        const double after = deliveredShare(rig, traffic.sound, start + WarmUp + 2 * StabilityWindow, start + WarmUp + CrashingTime);
+        const double before = traffic.deliveredShare(0ms, WarmUp);
+        const double after = traffic.deliveredShare(WarmUp + 2 * StabilityWindow, WarmUp + CrashingTime);
         std::cout << "seed " << seed << ": crashes by the part " << crashes.size() << ", arrivals with the part " << harmfulArrivals << " of "
-                  << traffic.harmful.size() << " requests, late arrivals " << lateArrivals << ", sound requests delivered " << before << " before, " << after
+                  << traffic.harmfulCount() << " requests, late arrivals " << lateArrivals << ", sound requests delivered " << before << " before, " << after
                   << " after" << std::endl;
         CHECK_FALSE(crashes.empty()); // the part does crash upstreams
         CHECK(lateArrivals <= MaxLateArrivals);
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -448,13 +448,14 @@
             continue;
         }
         const std::string lastEvent(request["Last-Event-ID"]);
-        if (!co_await respond(*socket, run, attempt, lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1, crashes)) {
+        if (!co_await respond(*socket, run, attempt, arrival.sender, lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1, crashes)) {
             co_return;
         }
     }
 }
 
-asio::awaitable<bool> RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, int firstEvent, bool crashes)
+asio::awaitable<bool>
+RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes)
 {
     const EdgeRigOptions &options = m_rig.m_options;
     asio::steady_timer timer(m_rig.m_loop, options.headDelay);
@@ -463,6 +464,9 @@
     const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\n"
         + (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     co_await asio::async_write(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, code));
+    if (!limit.empty()) {
+        m_rig.m_toldLimitAt.try_emplace({m_id, sender}, m_rig.now());
+    }
     timer.expires_after(options.firstEventDelay);
     co_await timer.async_wait(asio::use_awaitable);
     if (code || run != m_run || !isUp()) {
@@ -519,4 +523,53 @@
     return number;
 }
 
+TrafficSource::TrafficSource(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds duration)
+    : m_rig(rig)
+    , m_random(random)
+    , m_start(rig.now())
+{
+    constexpr auto Interval = 25ms;
+    constexpr std::uint32_t SubjectCount = 12;
+    for (auto at = 0ms; at < duration; at += Interval) {
+        rig.schedule(at, [this] { m_sound.push_back(send("beef" + std::to_string(m_random() % SubjectCount))); });
+    }
+}
+
+void TrafficSource::addHarmful(const std::string &part, std::chrono::milliseconds from, std::chrono::milliseconds to)
+{
+    constexpr auto Interval = 120ms;
+    for (auto at = from; at < to; at += Interval) {
+        m_rig.schedule(at, [this, part] { m_harmful.push_back(send(part)); });
+    }
+}
+
+std::size_t TrafficSource::send(const std::string &part)
+{
+    std::size_t instance = m_random() % m_rig.instanceCount();
+    while (!m_rig.isRunning(instance)) {
+        instance = (instance + 1) % m_rig.instanceCount();
+    }
+    return m_rig.send(instance, {"a1", part, "c" + std::to_string(m_next++)});
+}
+
+double TrafficSource::deliveredShare(core::Duration from, core::Duration to) const
+{
+    double sent = 0;
+    double delivered = 0;
+    for (const std::size_t request : m_sound) {
+        const ClientResult &result = m_rig.result(request);
+        if (result.sentAt >= m_start + from && result.sentAt < m_start + to) {
+            ++sent;
+            delivered += result.status == 200 ? 1 : 0;
+        }
+    }
+    return sent == 0 ? 0 : delivered / sent;
+}
+
+std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? fallback : std::stoull(text);
+}
+
 } // namespace arbutus::tests
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -105,7 +105,8 @@
     void announce();
     boost::asio::awaitable<void> acceptLoop(std::uint64_t run);
     boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
-    boost::asio::awaitable<bool> respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, int firstEvent, bool crashes);
+    boost::asio::awaitable<bool>
+    respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes);
     boost::asio::awaitable<void> restartLater(std::string crashedId);
 
     EdgeRig &m_rig;
@@ -163,6 +164,12 @@
     {
         return m_arrivals;
     }
+    /// When the instance first received a response in which this run of an upstream names its limit; nothing if it has not.
+    [[nodiscard]] std::optional<core::TimePoint> toldLimitAt(const std::string &upstream, const std::string &instance) const
+    {
+        const auto found = m_toldLimitAt.find({upstream, instance});
+        return found == m_toldLimitAt.end() ? std::nullopt : std::optional(found->second);
+    }
     /// Times of crashes that a part in `crashingParts` caused.
     [[nodiscard]] const std::vector<core::TimePoint> &partCrashes() const
     {
@@ -194,9 +201,39 @@
     std::vector<std::unique_ptr<RigUpstream>> m_upstreams;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<Arrival> m_arrivals;
+    std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
     std::vector<core::TimePoint> m_partCrashes;
     std::deque<ClientResult> m_results;
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
 };
 
+/// Sends sound requests to running instances at random, 40 a second.
+class TrafficSource
+{
+public:
+    TrafficSource(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds duration);
+
+    /// Also sends requests with `part`, 8 a second.
+    void addHarmful(const std::string &part, std::chrono::milliseconds from, std::chrono::milliseconds to);
+    [[nodiscard]] std::size_t harmfulCount() const
+    {
+        return m_harmful.size();
+    }
+    /// Share of the sound requests sent between two times since the start that were delivered whole.
+    [[nodiscard]] double deliveredShare(core::Duration from, core::Duration to) const;
+
+private:
+    std::size_t send(const std::string &part);
+
+    EdgeRig &m_rig;
+    pcg32 &m_random;
+    core::TimePoint m_start;
+    std::vector<std::size_t> m_sound; // requests by number
+    std::vector<std::size_t> m_harmful;
+    std::uint64_t m_next = 0;
+};
+
+/// Value of an environment variable.
+[[nodiscard]] std::uint64_t environmentNumber(const char *name, std::uint64_t fallback);
+
 } // namespace arbutus::tests
