Decode and log the limit that an upstream names

Change: the adapter decodes the limit, and rejects values that are not finite and non-negative; upstream_attempt_finished shows it as named_rate, as text where it is invalid. No decision changes.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -106,6 +106,7 @@
     std::string lastFailure;                              // reason of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
+    std::string lastMaxRequestRate;    // that the last response named, for the log
     std::string lastBodyEnd;           // how the last response marked the end of its body, for the log
     std::size_t partialEventBytes = 0; // received after the last complete event of the last stream, for the log
     core::TimePoint firstEventTime{};
@@ -409,6 +410,7 @@
     SendResult result = SendResult::NotExecuted;
     routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
     state.sendCount += connected ? 1 : 0;
+    state.lastMaxRequestRate.clear();
     state.lastBodyEnd.clear();
     state.partialEventBytes = 0;
     if (head) {
@@ -446,6 +448,7 @@
                            .add("upstream", granted.upstream)
                            .add("outcome", routing::toString(outcome))
                            .add("reason", state.lastFailure)
+                           .add("named_rate", state.lastMaxRequestRate)
                            .add("body_end", state.lastBodyEnd)
                            .add("partial_event_bytes", state.partialEventBytes)
                            .add("prompt_parts", outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
@@ -557,6 +560,7 @@
 {
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
     state.lastBodyEnd = http::toString(call.bodyEnd());
+    state.lastMaxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
     m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + state.lastBodyEnd + "\"");
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -68,7 +68,9 @@
 struct ResponseHead
 {
     ResponseKind kind = ResponseKind::Unverified;
-    bool closesConnection = false; // "Connection: close", sent by draining upstreams, and occasionally by others
+    bool closesConnection = false;        // "Connection: close", sent by draining upstreams, and occasionally by others
+    std::optional<double> maxRequestRate; // that the upstream takes from all instances together, in requests per second
+    std::string invalidMaxRequestRate;    // text of a rate that is not a finite, non-negative number; for the log
 };
 
 //-----------------------------------------------------------------------------
