Keep the request rate that an upstream names, summed over all instances

What an upstream saw: it named a limit and got as many requests as before, up to six times what the limit allows. Cause: nobody read the limit; placement knew slots, memory and backlog, and a limited upstream looked idle. The class: a statement of an upstream about itself in an answer is passed on to the caller and otherwise ignored. Change: routing/UpstreamNotices holds what a run of an upstream said in its answers, ordered by age, and ends a limit with an answer to a request sent later; reports to dispatchers and region states carry the notices, and a new dispatcher gets them before the first request. The dispatcher holds a token bucket for each limited upstream; others never place there. It scales the rate by the part of its region that it reaches and starts with half after taking the role, so that two dispatchers for some seconds stay within the bound. The wait for the rate counts in the score, in reservations, in the capacity that decides refusals and in the load told to other regions.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -164,8 +164,32 @@
     return routing::Refused{reason, fromMicroseconds(in.retry_after_us())};
 }
 
-void toProto(const PlacementReport &report, fleet::Work &out)
+void toProto(const routing::UpstreamNotice &notice, fleet::Notice &out, core::TimePoint now)
 {
+    out.set_upstream(notice.upstream.text);
+    out.set_start_time(notice.startTime.value);
+    out.set_limited(notice.maxRequestRate.has_value());
+    out.set_max_request_rate(notice.maxRequestRate.value_or(0));
+    out.set_age_us(toMicroseconds(now - notice.at));
+}
+
+routing::UpstreamNotice fromProto(const fleet::Notice &in, core::TimePoint now)
+{
+    routing::UpstreamNotice notice;
+    notice.upstream = core::UpstreamId(in.upstream());
+    notice.startTime = routing::StartTime(in.start_time());
+    if (in.limited()) {
+        notice.maxRequestRate = in.max_request_rate();
+    }
+    notice.at = now - fromMicroseconds(in.age_us());
+    return notice;
+}
+
+void toProto(const PlacementReport &report, fleet::Work &out, core::TimePoint now)
+{
+    for (const routing::UpstreamNotice &notice : report.notices) {
+        toProto(notice, *out.add_notices(), now);
+    }
     for (const routing::ReportedRequest &request : report.inFlight) {
         auto *row = out.add_holdings();
         row->set_id(request.id.text);
@@ -182,9 +206,12 @@
     }
 }
 
-PlacementReport fromProto(const fleet::Work &in)
+PlacementReport fromProto(const fleet::Work &in, core::TimePoint now)
 {
     PlacementReport report;
+    for (const fleet::Notice &notice : in.notices()) {
+        report.notices.push_back(fromProto(notice, now));
+    }
     for (const auto &row : in.holdings()) {
         routing::ReportedRequest request{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), std::nullopt, row.memory_tokens()};
         if (row.started()) {
@@ -204,8 +231,11 @@
 // Region state
 //-----------------------------------------------------------------------------
 
-void toProto(const RegionState &state, fleet::RegionState &out)
+void toProto(const RegionState &state, fleet::RegionState &out, core::TimePoint now)
 {
+    for (const routing::UpstreamNotice &notice : state.notices) {
+        toProto(notice, *out.add_notices(), now);
+    }
     for (const RegionServiceLoad &row : state.serviceLoads) {
         auto *entry = out.add_outlooks();
         entry->set_region(row.region.text);
@@ -227,9 +257,12 @@
     }
 }
 
-RegionState fromProto(const fleet::RegionState &in)
+RegionState fromProto(const fleet::RegionState &in, core::TimePoint now)
 {
     RegionState state;
+    for (const fleet::Notice &notice : in.notices()) {
+        state.notices.push_back(fromProto(notice, now));
+    }
     for (const auto &row : in.outlooks()) {
         routing::ServiceLoad load;
         load.service = core::ServiceId(row.service());
@@ -311,8 +344,8 @@
                            toProto(reply, *out.mutable_verdicts()->add_verdicts());
                        }
                    },
-                   [&](const PlacementReport &report) { toProto(report, *out.mutable_work()); },
-                   [&](const RegionState &state) { toProto(state, *out.mutable_region_state()); },
+                   [&](const PlacementReport &report) { toProto(report, *out.mutable_work(), now); },
+                   [&](const RegionState &state) { toProto(state, *out.mutable_region_state(), now); },
                    [&](const PlacementCancellation &cancellation) { out.mutable_withdraw()->set_id(cancellation.id.text); },
                    [&](const std::vector<routing::PartRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
                },
@@ -371,10 +404,10 @@
         return message;
     }
     case fleet::Datagram::kWork:
-        message.body = fromProto(in.work());
+        message.body = fromProto(in.work(), now);
         return message;
     case fleet::Datagram::kRegionState:
-        message.body = fromProto(in.region_state());
+        message.body = fromProto(in.region_state(), now);
         return message;
     case fleet::Datagram::kWithdraw:
         message.body = PlacementCancellation{routing::PlacementId(in.withdraw().id())};
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -6,6 +6,7 @@
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
 #include "arbutus/routing/promptquarantine.h"
+#include "arbutus/routing/upstreamnotices.h"
 
 #include <optional>
 #include <string>
@@ -25,11 +26,12 @@
     routing::SendOutcome outcome = routing::SendOutcome::Completed;
 };
 
-/// Requests that an instance has in flight at upstreams, and those completed since its last report.
+/// Requests that an instance has in flight at upstreams, those completed since its last report, and what upstreams said.
 struct PlacementReport
 {
     std::vector<routing::ReportedRequest> inFlight;
     std::vector<CompletedPlacement> completed;
+    std::vector<routing::UpstreamNotice> notices;
 };
 
 /// Load of a service in a region, as known to the sender.
@@ -48,6 +50,7 @@
     metadata::StoreRevision storeRevision;
     core::Duration metadataStaleness{};
     std::vector<core::UpstreamId> leavingUpstreams; // observed by an instance, not read from the store
+    std::vector<routing::UpstreamNotice> notices;   // of upstreams of the sender's region
 };
 
 struct PlacementReply
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -106,6 +106,7 @@
     std::string lastFailure;                              // reason of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
+    core::TimePoint lastSentAt{};      // of the last request to an upstream
     std::string lastMaxRequestRate;    // that the last response named, for the log
     std::string lastBodyEnd;           // how the last response marked the end of its body, for the log
     std::size_t partialEventBytes = 0; // received after the last complete event of the last stream, for the log
@@ -351,6 +352,7 @@
     const routing::PlacementId placementId = state.placementId();
     state.lastUpstream = granted.upstream;
     state.lastAddress = granted.address;
+    state.lastSentAt = now;
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
     if (entry != nullptr && !entry->isUsable()) { // a dispatcher that was suspended may know less than this instance
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
@@ -560,6 +562,10 @@
 {
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
     state.lastBodyEnd = http::toString(call.bodyEnd());
+    const bool isFromUpstream = parsed.kind != ResponseKind::Misdirected && parsed.kind != ResponseKind::Unverified;
+    if (!fromPeer && isFromUpstream && parsed.invalidMaxRequestRate.empty()) {
+        m_placement.recordResponse(state.lastUpstream, parsed.maxRequestRate, state.lastSentAt);
+    }
     state.lastMaxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
     m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + state.lastBodyEnd + "\"");
     switch (parsed.kind) {
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -147,6 +147,9 @@
                 m_dispatcher.cancel(request.id);
                 unansweredRequests = 0;
             }
+            if (std::exchange(m_lastDispatcher, dispatcher->id) != dispatcher->id && !m_notices.entries().empty()) {
+                m_fleet.send(dispatcher->gossipAddress, PlacementReport{{}, {}, notices()}); // a new dispatcher needs them to decide
+            }
             pending->requestedFrom = dispatcher->id;
             m_fleet.send(dispatcher->gossipAddress, request);
             co_await waitForDecision(*pending, m_settings.replyTimeout);
@@ -258,13 +261,60 @@
             report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens});
         }
         report.completed = std::exchange(m_unreportedCompletions, {});
-        if (!report.inFlight.empty() || !report.completed.empty()) {
+        if (std::exchange(m_hasUnreportedNotice, false)) {
+            report.notices = notices();
+        }
+        if (!report.inFlight.empty() || !report.completed.empty() || !report.notices.empty()) {
             sendReport(report);
         }
         deliverDecisions(m_dispatcher.processQueue(m_context.now()));
     });
 }
 
+std::vector<routing::UpstreamNotice> PlacementService::notices() const
+{
+    std::vector<routing::UpstreamNotice> out;
+    for (const auto &[upstream, notice] : m_notices.entries()) {
+        out.push_back(notice);
+    }
+    return out;
+}
+
+void PlacementService::recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt)
+{
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (entry == nullptr) {
+        return;
+    }
+    if (m_notices.recordResponse(upstream, entry->announcement.startTime, maxRequestRate, requestSentAt, m_context.now())) {
+        applyNotice(upstream, "response");
+        m_hasUnreportedNotice = true;
+        scheduleReport();
+    }
+}
+
+void PlacementService::mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender)
+{
+    for (const routing::UpstreamNotice &notice : notices) {
+        if (m_notices.merge(notice)) {
+            applyNotice(notice.upstream, sender.text);
+        }
+    }
+}
+
+void PlacementService::applyNotice(const core::UpstreamId &upstream, std::string_view source)
+{
+    const core::TimePoint now = m_context.now();
+    const routing::UpstreamNotice &notice = m_notices.entries().at(upstream);
+    m_dispatcher.setMaxRequestRate(upstream, notice.maxRequestRate, now);
+    m_context.metrics.incrementCounter("arbutus_upstream_limit_changes_total");
+    m_context.writeLog(observe::LogLine("upstream_limit_changed")
+                           .add("upstream", upstream)
+                           .add("max_request_rate", notice.maxRequestRate ? std::to_string(*notice.maxRequestRate) : "none")
+                           .add("age_ms", core::toMilliseconds(now - notice.at))
+                           .add("source", source));
+}
+
 void PlacementService::sendReport(const PlacementReport &report)
 {
     const auto &ranking = m_fleet.dispatcherRanking(m_context.settings.region);
@@ -280,6 +330,11 @@
     while (true) {
         co_await core::asyncSleep(m_settings.placementReportInterval);
         PlacementReport report;
+        report.notices = notices();
+        if (!report.notices.empty()) {
+            sendReport(report);
+            report.notices.clear();
+        }
         for (const auto &[id, placement] : m_inFlight) {
             report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens});
             if (report.inFlight.size() >= m_settings.maxInFlightPerDatagram) {
@@ -407,6 +462,7 @@
 void PlacementService::handlePlacementReport(const PlacementReport &report, const core::InstanceId &sender)
 {
     const core::TimePoint now = m_context.now();
+    mergeNotices(report.notices, sender);
     m_dispatcher.recordInFlight(sender, report.inFlight, now);
     for (const CompletedPlacement &completed : report.completed) {
         m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now);
@@ -436,6 +492,7 @@
     for (const core::UpstreamId &id : m_metadataCache.observedLeaving()) {
         state.leavingUpstreams.push_back(id);
     }
+    state.notices = notices();
     return state;
 }
 
@@ -455,6 +512,7 @@
         }
     }
     std::erase_if(state.serviceLoads, [&](const RegionServiceLoad &row) { return row.region != m_context.settings.region || !isDispatcher; });
+    state.notices.clear(); // an upstream accepts connections from its own region only
     std::set<core::RegionId> regions;
     for (const auto &[domain, region] : m_context.settings.regionByDomain) {
         regions.insert(region);
@@ -482,6 +540,10 @@
 
 void PlacementService::onMetadataChanged()
 {
+    for (const core::UpstreamId &upstream : m_notices.eraseEnded(m_metadataCache.registry())) {
+        m_dispatcher.setMaxRequestRate(upstream, std::nullopt, m_context.now());
+        m_context.writeLog(observe::LogLine("upstream_limit_changed").add("upstream", upstream).add("max_request_rate", "none").add("source", "run_ended"));
+    }
     sendRegionState();
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
@@ -489,6 +551,7 @@
 void PlacementService::handleRegionState(const RegionState &state, const core::InstanceId &sender)
 {
     const core::TimePoint now = m_context.now();
+    mergeNotices(state.notices, sender);
     for (const RegionServiceLoad &row : state.serviceLoads) {
         if (row.region == m_context.settings.region) {
             continue;
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -11,6 +11,7 @@
 
 #include "arbutus/edge/fleet.h"
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/routing/upstreamnotices.h"
 
 #include <memory>
 
@@ -54,6 +55,8 @@
     boost::asio::awaitable<routing::PlacementDecision> place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token);
     void recordFirstEvent(const routing::PlacementId &id);
     void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
+    /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
+    void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
     /// Handles a datagram about placements or region state.
     void handleMessage(const FleetMessage &message, const std::string &from);
     /// Sends the region state to other instances and processes the queue after a metadata change.
@@ -98,6 +101,10 @@
     void recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted);
     void scheduleReport();
     void sendReport(const PlacementReport &report);
+    [[nodiscard]] std::vector<routing::UpstreamNotice> notices() const;
+    void mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender);
+    /// Applies and logs a changed notice.
+    void applyNotice(const core::UpstreamId &upstream, std::string_view source);
     void deliverDecisions(std::vector<routing::DeferredDecision> decisions);
     void sendRegionState();
     void updateDispatcherRole();
@@ -118,6 +125,9 @@
     std::map<routing::PlacementId, InFlightPlacement> m_inFlight;
     std::set<routing::PlacementId> m_unreportedFirstEvents;
     std::vector<CompletedPlacement> m_unreportedCompletions;
+    routing::UpstreamNotices m_notices;
+    bool m_hasUnreportedNotice = false;
+    core::InstanceId m_lastDispatcher; // that this instance requested a placement from
     bool m_reportScheduled = false;
     bool m_isDispatcher = false;
     core::TimePoint m_stateLoggedAt{};
--- a/src/arbutus/limits/tokenbucket.cpp
+++ b/src/arbutus/limits/tokenbucket.cpp
@@ -14,10 +14,15 @@
 {
 }
 
-bool TokenBucket::tryAcquire(core::TimePoint now)
+bool TokenBucket::hasToken(core::TimePoint now)
 {
     refill(now);
-    if (m_tokens < 1) {
+    return m_tokens >= 1;
+}
+
+bool TokenBucket::tryAcquire(core::TimePoint now)
+{
+    if (!hasToken(now)) {
         return false;
     }
     m_tokens -= 1;
--- a/src/arbutus/limits/tokenbucket.h
+++ b/src/arbutus/limits/tokenbucket.h
@@ -14,9 +14,14 @@
 
     /// Takes one token; returns false if none is available.
     [[nodiscard]] bool tryAcquire(core::TimePoint now);
+    [[nodiscard]] bool hasToken(core::TimePoint now);
     /// Time until a token is available; zero if one is available or the rate is zero.
     [[nodiscard]] core::Duration timeUntilNextToken(core::TimePoint now);
     void setRate(double ratePerSecond, double burst, core::TimePoint now);
+    [[nodiscard]] double rate() const // tokens per second
+    {
+        return m_tokensPerSecond;
+    }
 
 private:
     void refill(core::TimePoint now);
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -66,7 +66,9 @@
     for (const auto &[id, entry] : m_view.registry.entries()) {
         const auto region = m_view.regionByDomain.find(entry.announcement.domain);
         if (m_view.registry.isEligible(entry) && region != m_view.regionByDomain.end() && region->second == m_view.region) {
-            m_localUpstreams[entry.announcement.service].push_back(LocalUpstream{&entry, &estimatorFor(entry), {}});
+            const auto rateLimit = m_rateLimits.find(id);
+            limits::TokenBucket *bucket = rateLimit == m_rateLimits.end() ? nullptr : &rateLimit->second.bucket;
+            m_localUpstreams[entry.announcement.service].push_back(LocalUpstream{&entry, &estimatorFor(entry), bucket, {}});
         }
     }
 }
@@ -111,10 +113,17 @@
     if ((!request.excludedUpstreams.empty() && request.excludedUpstreams.contains(upstream.entry->announcement.id)) || !estimator.acceptsRequests(now)) {
         return std::nullopt;
     }
+    core::Duration rateWait{};
+    if (upstream.rateLimit != nullptr) {
+        if (!m_hasDispatcherRole) {
+            return std::nullopt; // the rate is the dispatcher's to grant
+        }
+        rateWait = upstream.rateLimit->timeUntilNextToken(now);
+    }
     Candidate candidate;
     candidate.upstream = &upstream;
     candidate.uncachedTokens = estimator.countUncached(request.prompt, request.promptTokens);
-    candidate.predictedLatency = estimator.predictLatency(candidate.uncachedTokens, now) + estimator.slotWait() + upstream.reservedTime;
+    candidate.predictedLatency = estimator.predictLatency(candidate.uncachedTokens, now) + estimator.slotWait() + upstream.reservedTime + rateWait;
     core::Duration score = candidate.predictedLatency;
     if (request.promptTokens > 0) {
         const core::Duration streamTime = estimator.decodeTime(request.outputTokens, now);
@@ -126,7 +135,8 @@
     const bool gapElapsed =
         candidate.uncachedTokens < m_settings.longPromptTokens || estimator.timeSincePrefill(now) >= m_settings.longPromptGap - m_settings.maxBacklog;
     const bool canAccept = gapElapsed && estimator.backlog(now) <= m_settings.maxBacklog && estimator.hasCapacity(request.unsharedTokens());
-    candidate.admissible = canAccept && upstream.reservedTime == core::Duration::zero();
+    const bool hasToken = upstream.rateLimit == nullptr || upstream.rateLimit->hasToken(now);
+    candidate.admissible = canAccept && hasToken && upstream.reservedTime == core::Duration::zero();
     return candidate;
 }
 
@@ -191,7 +201,9 @@
     PlacementRate &rate = m_placementRates[request.service];
     const double timeConstant = static_cast<double>(m_settings.placementRateTimeConstant.count());
     rate.placedWork *= std::exp(-static_cast<double>((now - rate.updatedAt).count()) / timeConstant);
-    rate.placedWork += request.promptTokens == 0 ? 1 : uncachedTokens;
+    const double work = request.promptTokens == 0 ? 1 : uncachedTokens;
+    rate.placedWork += work;
+    rate.meanWork = rate.meanWork == 0 ? work : rate.meanWork + m_settings.placedWorkWeight * (work - rate.meanWork);
     rate.updatedAt = now;
     if (request.promptTokens >= m_settings.longPromptTokens) {
         const double missRatio = static_cast<double>(uncachedTokens) / request.promptTokens;
@@ -199,17 +211,23 @@
     }
 }
 
+double Dispatcher::workCapacity(const LocalUpstream &upstream, double meanWork) const
+{
+    const UpstreamEstimator &estimator = *upstream.estimator;
+    const double serviceTimeMs = static_cast<double>(core::toMilliseconds(std::max(estimator.serviceTime(), core::Duration(1'000))));
+    const double capacity = estimator.isEngine() ? estimator.prefillRate() : static_cast<double>(estimator.slots()) / serviceTimeMs;
+    return upstream.rateLimit == nullptr || meanWork == 0 ? capacity : std::min(capacity, upstream.rateLimit->rate() / 1'000 * meanWork);
+}
+
 double Dispatcher::estimatePlacementRate(const core::ServiceId &service, core::TimePoint now)
 {
+    const PlacementRate &rate = m_placementRates[service];
     double capacity = 0;
     for (const LocalUpstream &upstream : localUpstreamsOf(service)) {
-        const UpstreamEstimator &estimator = *upstream.estimator;
-        if (estimator.acceptsRequests(now)) {
-            const double serviceTimeMs = static_cast<double>(core::toMilliseconds(std::max(estimator.serviceTime(), core::Duration(1'000))));
-            capacity += estimator.isEngine() ? estimator.prefillRate() : static_cast<double>(estimator.slots()) / serviceTimeMs;
+        if (upstream.estimator->acceptsRequests(now)) {
+            capacity += workCapacity(upstream, rate.meanWork);
         }
     }
-    const PlacementRate &rate = m_placementRates[service];
     if (rate.queuedSince == core::TimePoint{} || now - rate.queuedSince < m_settings.placementRateMinBusyTime) {
         return capacity;
     }
@@ -321,9 +339,10 @@
             ++load.usableUpstreams;
             load.freeSlots += estimator.inFlight().size() < estimator.slots() ? static_cast<std::uint32_t>(estimator.slots() - estimator.inFlight().size()) : 0;
             load.serviceTime = std::max(load.serviceTime, estimator.serviceTime());
-            load.prefillTokensPerMs += estimator.isEngine() ? estimator.prefillRate() : 0;
+            load.prefillTokensPerMs += estimator.isEngine() ? workCapacity(upstream, m_placementRates[id].meanWork) : 0;
             utilizations.push_back(estimator.prefillUtilization(now));
-            leastBacklog = std::min(leastBacklog.value_or(core::Duration::max()), estimator.backlog(now));
+            const core::Duration rateWait = upstream.rateLimit == nullptr ? core::Duration::zero() : upstream.rateLimit->timeUntilNextToken(now);
+            leastBacklog = std::min(leastBacklog.value_or(core::Duration::max()), estimator.backlog(now) + rateWait);
         }
         if (load.usableUpstreams == 0) {
             continue;
@@ -363,6 +382,9 @@
     inFlight.memoryTokens = request.unsharedTokens();
     candidate.upstream->estimator->recordGrant(request.id, std::move(inFlight), request.prompt, now);
     recordPlacement(request, candidate.uncachedTokens, now);
+    if (candidate.upstream->rateLimit != nullptr) {
+        (void)candidate.upstream->rateLimit->tryAcquire(now); // an admissible candidate has a token
+    }
     Granted granted{entry.announcement.id, entry.announcement.address, candidate.uncachedTokens, candidate.predictedLatency, entry.isCold(now)};
     if (granted.coldUpstream) {
         const catalog::Service *service = m_view.catalog ? m_view.catalog->findService(request.service) : nullptr;
@@ -489,8 +511,11 @@
             done.push_back(request.id);
             workAhead -= workUnits(*queued);
         } else if (LocalUpstream *upstream = attempt.preferredUpstream) { // reserve the upstream against requests of lower precedence
-            const core::Duration reservation =
+            core::Duration reservation =
                 request.promptTokens == 0 ? upstream->estimator->serviceTime() : upstream->estimator->prefillTime(attempt.uncachedTokens);
+            if (upstream->rateLimit != nullptr) {
+                reservation = std::max(reservation, core::Duration(static_cast<core::Duration::rep>(1e6 / upstream->rateLimit->rate())));
+            }
             upstream->reservedTime += reservation + upstream->estimator->slotWait();
         }
     }
@@ -616,6 +641,30 @@
     }
     m_hasDispatcherRole = hasRole;
     m_reachableRatio = reachableRatio;
+    updateRateLimits(now);
+}
+
+void Dispatcher::setMaxRequestRate(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint now)
+{
+    if (maxRequestRate) {
+        const auto [found, added] = m_rateLimits.try_emplace(upstream, RateLimit{*maxRequestRate, limits::TokenBucket(*maxRequestRate, 1, now)});
+        found->second.maxRequestRate = *maxRequestRate;
+    } else {
+        m_rateLimits.erase(upstream);
+    }
+    m_registryVersion.reset(); // the lists of upstreams refer to the limits
+    updateRateLimits(now);
+}
+
+void Dispatcher::updateRateLimits(core::TimePoint now)
+{
+    const double takeoverFactor = now - m_dispatcherRoleSince < m_settings.takeoverRatePeriod ? m_settings.takeoverRateFactor : 1;
+    for (auto &[upstream, limit] : m_rateLimits) {
+        const double rate = limit.maxRequestRate * m_reachableRatio * takeoverFactor;
+        if (rate != limit.bucket.rate()) {
+            limit.bucket.setRate(rate, rate * m_settings.limitedBurstTime, now);
+        }
+    }
 }
 
 } // namespace arbutus::routing
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -26,6 +26,10 @@
 // A: It is lost. A shared prompt prefix that is not known to be cached anywhere therefore goes to an engine picked by
 //    rendezvous hashing. Every dispatcher picks the same one, so the prefix is most likely cached there already.
 //
+// Q: How is the request rate that an upstream names kept, although several instances send to it?
+// A: Only the dispatcher grants placements there, at that rate. A new dispatcher starts with half of it, because the one before
+//    may still be at work for a moment, and one that reaches only part of its region takes that part of the rate.
+//
 // Q: Why do requests wait here and not at the engines?
 // A: An engine starts the prefill of whatever it admits, and a started prefill cannot be overtaken. Here the order can
 //    change until a request is sent, and any engine with free capacity can take the next one.
@@ -33,6 +37,7 @@
 #pragma once
 
 #include "arbutus/catalog/catalog.h"
+#include "arbutus/limits/tokenbucket.h"
 #include "arbutus/routing/upstreamestimator.h"
 #include "arbutus/routing/upstreamregistry.h"
 
@@ -151,6 +156,12 @@
     double maxMemoryUtilization = 0.95;                                  // share of an engine's memory for running requests and cached parts
     core::Duration takeoverColdDelay = std::chrono::milliseconds(1'000); // a new dispatcher does not use cold upstreams for this long
 
+    //--- Upstreams that name a request rate
+    double limitedBurstTime = 0.1;                                        // seconds of the rate that may be granted at once
+    double takeoverRateFactor = 0.5;                                      // share of the rate that a new dispatcher uses at first
+    core::Duration takeoverRatePeriod = std::chrono::milliseconds(4'000); // for this long
+    double placedWorkWeight = 0.05;                                       // weight of one placement in the mean work of a request
+
     //--- Upstream selection
     core::Duration affinityBonus = std::chrono::milliseconds(60); // score bonus for the engine that a shared prefix is hashed to
     double prefillWeight = 1.4;                                   // factor on prefill time, above 1 because prefill delays other requests too
@@ -216,6 +227,8 @@
 
     [[nodiscard]] std::vector<ServiceLoad> serviceLoads(core::TimePoint now);
     void updateRemoteLoad(const core::RegionId &region, const ServiceLoad &load, core::TimePoint now);
+    /// Sets the rate of requests, per second, that an upstream takes from all nodes together; empty: no limit.
+    void setMaxRequestRate(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint now);
     /// Whether this node is the dispatcher, and the ratio of the region's members known to be reachable (0 to 1).
     void setDispatcherRole(bool hasRole, double reachableRatio, core::TimePoint now);
     /// Estimator of each upstream, for the log.
@@ -230,7 +243,8 @@
     {
         const RegistryEntry *entry = nullptr;
         UpstreamEstimator *estimator = nullptr;
-        core::Duration reservedTime{}; // time reserved for queued requests of higher precedence
+        limits::TokenBucket *rateLimit = nullptr; // one token for each request; null: the upstream names no rate
+        core::Duration reservedTime{};            // time reserved for queued requests of higher precedence
     };
     struct Candidate
     {
@@ -265,6 +279,7 @@
         double placedWork = 0; // tokens, or requests of a plain service; decays with placementRateTimeConstant
         core::TimePoint updatedAt{};
         core::TimePoint queuedSince{}; // the queue has not been empty since then
+        double meanWork = 0;           // of a placed request; 0: none yet
         double cacheMissRatio = 1;
     };
 
@@ -299,6 +314,10 @@
     [[nodiscard]] PlacementDecision grant(const PlacementRequest &request, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] PlacementDecision redirect(const PlacementRequest &request, const Redirected &redirected);
     [[nodiscard]] Refused refuse(const PlacementRequest &request, RefusalReason reason, core::Duration predictedWait, core::TimePoint now) const;
+    /// Work units that an upstream can take per millisecond.
+    [[nodiscard]] double workCapacity(const LocalUpstream &upstream, double meanWork) const;
+    /// Applies this node's share of the rates that upstreams name.
+    void updateRateLimits(core::TimePoint now);
     [[nodiscard]] bool mayUseColdUpstream(const RegistryEntry &entry, core::TimePoint now);
     [[nodiscard]] bool hasPrecedence(const QueuedRequest &left, const QueuedRequest &right, core::TimePoint now) const;
     [[nodiscard]] QueuedRequest makeQueuedRequest(const PlacementRequest &request, core::TimePoint now);
@@ -327,6 +346,12 @@
     core::TimePoint m_lastQueueScan{};
     std::map<core::ServiceId, PlacementRate> m_placementRates;
     std::map<core::RegionId, std::map<core::ServiceId, RemoteRegion>> m_remoteRegions;
+    struct RateLimit
+    {
+        double maxRequestRate = 0; // as named by the upstream
+        limits::TokenBucket bucket;
+    };
+    std::map<core::UpstreamId, RateLimit> m_rateLimits;
     std::map<core::UpstreamId, core::TimePoint> m_nextColdGrant; // earliest time of the next grant to a cold upstream
     bool m_hasDispatcherRole = false;
     double m_reachableRatio = 1;
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -401,6 +401,105 @@
     REQUIRE_FALSE(grantedUpstream(fixture.dispatcher.requestPlacement(fixture.makePromptRequest("then", 1, Start + 6100ms), Start + 6100ms)).empty());
 }
 
+TEST_CASE("an upstream that names a rate gets requests at that rate, and only from the dispatcher of the region", "[dispatcher]")
+{
+    struct Row
+    {
+        const char *name;
+        bool hasRole;
+        double reachableRatio;
+        core::Duration roleHeldFor;
+        double rate;
+        std::size_t minGrants; // in 10 s
+        std::size_t maxGrants;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"dispatcher", true, 1, 10s, 2, 18, 21},
+        {"a fraction of a request a second", true, 1, 10s, 0.5, 4, 6},
+        {"part of the region is unreachable", true, 1.0 / 3, 10s, 3, 9, 11},
+        {"new dispatcher: half of the rate for 4 s", true, 1, 0s, 2, 15, 17},
+        {"not the dispatcher", false, 1, 10s, 2, 0, 0},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture({makeAnnouncement("a", PlainService, "here-a", 100)});
+    fixture.dispatcher.setDispatcherRole(false, 1, Start - row.roleHeldFor);
+    fixture.dispatcher.setDispatcherRole(row.hasRole, row.reachableRatio, Start - row.roleHeldFor);
+    fixture.dispatcher.setMaxRequestRate(core::UpstreamId("a"), row.rate, Start);
+    std::size_t grants = 0;
+    for (auto at = 0ms; at < 10s; at += 20ms) {
+        const core::TimePoint now = Start + at;
+        fixture.dispatcher.setDispatcherRole(row.hasRole, row.reachableRatio, now);
+        routing::PlacementRequest request = fixture.makeRequest("w" + std::to_string(at.count()), PlainService, now);
+        const routing::PlacementDecision decision = fixture.dispatcher.requestPlacement(request, now);
+        fixture.dispatcher.cancel(request.id);
+        if (!grantedUpstream(decision).empty()) {
+            ++grants;
+            fixture.dispatcher.recordCompletion(request.id, core::UpstreamId("a"), routing::SendOutcome::Completed, now);
+        }
+    }
+    CHECK(grants >= row.minGrants);
+    CHECK(grants <= row.maxGrants);
+}
+
+TEST_CASE("a rate below what affinity sends to an upstream moves the requests to others, and ends with the limit", "[dispatcher]")
+{
+    Fixture fixture({makeAnnouncement("a", Model), makeAnnouncement("b", Model)});
+    core::TimePoint now = Start;
+    std::map<std::string, int> grants;
+    const auto place = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            const routing::PlacementRequest request = fixture.makePromptRequest("w" + std::to_string(core::toMilliseconds(now - Start)), 1, now);
+            const std::string upstream = grantedUpstream(fixture.dispatcher.requestPlacement(request, now));
+            REQUIRE_FALSE(upstream.empty());
+            ++grants[upstream];
+            now += 200ms;
+            fixture.dispatcher.recordFirstEvent(request.id, core::UpstreamId(upstream), 100ms, now);
+            fixture.dispatcher.recordCompletion(request.id, core::UpstreamId(upstream), routing::SendOutcome::Completed, now);
+            now += 100ms;
+        }
+    };
+    place(10);
+    REQUIRE(grants.size() == 1);
+    const std::string preferred = grants.begin()->first;
+    fixture.dispatcher.setMaxRequestRate(core::UpstreamId(preferred), 0.5, now);
+    grants.clear();
+    place(20); // 6 s
+    CHECK(grants[preferred] <= 4);
+    CHECK(grants[preferred] >= 1);
+    fixture.dispatcher.setMaxRequestRate(core::UpstreamId(preferred), std::nullopt, now);
+    for (int i = 0; i < 10; ++i) { // only the formerly limited upstream may serve these
+        routing::PlacementRequest request = fixture.makePromptRequest("x" + std::to_string(i), 1, now);
+        request.excludedUpstreams = {core::UpstreamId(preferred == "a" ? "b" : "a")};
+        CHECK(grantedUpstream(fixture.dispatcher.requestPlacement(request, now)) == preferred);
+        now += 300ms;
+    }
+}
+
+TEST_CASE("if all upstreams name low rates, what cannot be served in time is refused at once", "[dispatcher]")
+{
+    Fixture fixture({makeAnnouncement("a", PlainService), makeAnnouncement("b", PlainService)});
+    for (const char *id : {"a", "b"}) {
+        fixture.dispatcher.setMaxRequestRate(core::UpstreamId(id), 1, Start);
+    }
+    std::size_t granted = 0;
+    std::size_t queued = 0;
+    std::size_t refused = 0;
+    for (int i = 0; i < 60; ++i) {
+        const routing::PlacementDecision decision =
+            fixture.dispatcher.requestPlacement(fixture.makeRequest("w" + std::to_string(i), PlainService, Start), Start);
+        granted += std::holds_alternative<routing::Granted>(decision) ? 1 : 0;
+        queued += std::holds_alternative<routing::Queued>(decision) ? 1 : 0;
+        if (const auto *refusal = std::get_if<routing::Refused>(&decision)) {
+            ++refused;
+            CHECK(refusal->reason == routing::RefusalReason::Overloaded);
+            CHECK(refusal->retryAfter >= 1s); // half of a wait of about 4 s
+        }
+    }
+    CHECK(granted == 2);
+    CHECK(queued <= 8); // two a second until the response deadline, 4 s
+    CHECK(refused >= 50);
+}
+
 TEST_CASE("a failing upstream is ejected, and then probed by one request at a time", "[dispatcher]")
 {
     const auto outcome =
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -284,6 +284,22 @@
     CHECK_FALSE(edge::decodeFleetMessage("", Start));
 }
 
+TEST_CASE("notices of upstreams keep their ages between instances", "[codec]")
+{
+    const routing::UpstreamNotice limited{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start - 200ms};
+    const routing::UpstreamNotice ended{core::UpstreamId("v"), routing::StartTime(8), std::nullopt, Start - 1s};
+    const edge::PlacementReport report{{}, {}, {limited, ended}};
+    const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), report};
+    const auto decoded = edge::decodeFleetMessage(edge::encode(message, Start), Start + 1h);
+    REQUIRE(decoded);
+    const auto &notices = std::get<edge::PlacementReport>(decoded->body).notices;
+    REQUIRE(notices.size() == 2);
+    CHECK(notices[0].maxRequestRate == 0.5);
+    CHECK(notices[0].startTime == routing::StartTime(7));
+    CHECK(notices[0].at == Start + 1h - 200ms);
+    CHECK_FALSE(notices[1].maxRequestRate);
+}
+
 TEST_CASE("an instance whose clock went back before a restart refutes the death of its earlier incarnation", "[membership]")
 {
     membership::MembershipSettings settings;
@@ -512,6 +528,35 @@
     CHECK(adapter.parseResponse(response, "a1").kind == row.kind);
 }
 
+TEST_CASE("the limit that an upstream names is decoded, and an unusable one is reported", "[adapter]")
+{
+    struct Row
+    {
+        const char *text;
+        std::optional<double> rate;
+        const char *invalid;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"1", 1.0, ""},
+        {" 0.25 ", 0.25, ""},
+        {"0", 0.0, ""},
+        {"1e9", 1e9, ""},
+        {"-1", std::nullopt, "-1"},
+        {"nan", std::nullopt, "nan"},
+        {"inf", std::nullopt, "inf"},
+        {"many", std::nullopt, "many"},
+        {"1,2", std::nullopt, "1,2"},
+        {"", std::nullopt, ""},
+    }));
+    CAPTURE(row.text);
+    http::Response response;
+    response.status = 200;
+    response.headers = {{"Server-Limit", row.text}};
+    const edge::ResponseHead head = platform::PlatformAdapter().parseResponse(response, "attempt");
+    CHECK(head.maxRequestRate == row.rate);
+    CHECK(head.invalidMaxRequestRate == row.invalid);
+}
+
 //-----------------------------------------------------------------------------
 // Directory
 //-----------------------------------------------------------------------------
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -3,6 +3,8 @@
 #include "arbutus/routing/router.h"
 #include "support/schedules.h"
 
+#include "arbutus/routing/upstreamnotices.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -309,3 +311,77 @@
         }
     }));
 }
+
+//-----------------------------------------------------------------------------
+// Notices of upstreams
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a limit ends with a response to a request that was sent after it was named", "[notices]")
+{
+    struct Response
+    {
+        std::optional<double> rate;
+        core::Duration sentAt;
+        core::Duration arrivedAt;
+    };
+    struct Row
+    {
+        const char *name;
+        std::vector<Response> responses;
+        std::optional<double> rate;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"named", {{1.0, 0ms, 10ms}}, 1.0},
+        {"changed", {{1.0, 0ms, 10ms}, {3.0, 20ms, 30ms}}, 3.0},
+        {"ended", {{1.0, 0ms, 10ms}, {std::nullopt, 20ms, 30ms}}, std::nullopt},
+        {"an older response without it arrives late", {{1.0, 0ms, 10ms}, {std::nullopt, 5ms, 900ms}}, 1.0},
+        {"named again", {{1.0, 0ms, 10ms}, {std::nullopt, 20ms, 30ms}, {2.0, 40ms, 50ms}}, 2.0},
+        {"zero would never end", {{0.0, 0ms, 10ms}}, 0.2},
+        {"absurd", {{1e9, 0ms, 10ms}}, 1e6},
+        {"never named", {{std::nullopt, 0ms, 10ms}}, std::nullopt},
+    }));
+    CAPTURE(row.name);
+    const core::TimePoint start{100s};
+    routing::UpstreamNotices notices;
+    for (const Response &response : row.responses) {
+        (void)notices.recordResponse(core::UpstreamId("u"), routing::StartTime(1), response.rate, start + response.sentAt, start + response.arrivedAt);
+    }
+    CHECK(notices.maxRequestRate(core::UpstreamId("u")) == row.rate);
+}
+
+TEST_CASE("the newest notice of the newest run of an upstream applies, in whatever order notices arrive", "[notices]")
+{
+    const core::TimePoint start{100s};
+    const core::UpstreamId id("u");
+    const std::vector<routing::UpstreamNotice> sent = {
+        {id, routing::StartTime(1), 1.0, start},
+        {id, routing::StartTime(1), std::nullopt, start + 1s},
+        {id, routing::StartTime(2), 5.0, start + 500ms},
+        {id, routing::StartTime(1), 3.0, start + 2s},
+    };
+    std::vector<std::size_t> order = {0, 1, 2, 3};
+    do {
+        routing::UpstreamNotices notices;
+        for (const std::size_t index : order) {
+            (void)notices.merge(sent[index]);
+        }
+        CHECK(notices.maxRequestRate(id) == 5.0);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("a notice ends with the run of its upstream", "[notices]")
+{
+    const core::TimePoint start{100s};
+    routing::Announcement announcement;
+    announcement.id = core::UpstreamId("u");
+    announcement.startTime = routing::StartTime(1);
+    routing::UpstreamRegistry registry;
+    registry.applySnapshot(routing::SnapshotRevision(1), {announcement}, false, start);
+    routing::UpstreamNotices notices;
+    (void)notices.recordResponse(announcement.id, routing::StartTime(1), 1.0, start, start);
+    CHECK(notices.eraseEnded(registry).empty());
+    announcement.startTime = routing::StartTime(2); // restarted under the same id
+    registry.applySnapshot(routing::SnapshotRevision(2), {announcement}, false, start + 1s);
+    CHECK(notices.eraseEnded(registry) == std::vector{announcement.id});
+    CHECK_FALSE(notices.maxRequestRate(announcement.id));
+}
