Bound responses that do not end

What an operator could see: an upstream that sends bytes without end kept a request open and filled the instance's memory: up to 64 MB for a buffered response, without bound for a chunk extension, and an event without end kept a stream open past its deadline, since each read in time extended the wait. Change: the client bounds the response head (32 KiB) and what is received but not parsed (128 KiB), a call may bound its body, and readAll() bounds the whole body's time; the route gateway bounds buffered responses (8 MiB), events (1 MiB) and the time without a complete event; the product's own interface bounds events and the whole stream's time. Each closes the connection.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -390,6 +390,9 @@
     options.pool = &m_upstreamConnections;
     options.retryOnStaleConnection = false; // retries are decided by this class
     options.acceptConnectionClose = true;
+    if (!state.isStreaming()) {
+        options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
+    }
     options.maxIdleTime = state.isRepeatable() ? m_settings.repeatableMaxIdleTime : m_settings.atMostOnceMaxIdleTime;
     options.connectTimeout = m_settings.upstreamConnectTimeout;
     options.matchesResponse = [&](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, state.head.attemptId); };
@@ -505,6 +508,9 @@
     options.maxIdleTime = m_settings.peerMaxIdleTime;
     options.connectTimeout = m_settings.peerConnectTimeout;
     options.onConnected = [&](bool) { connected = true; };
+    if (!state.isStreaming()) {
+        options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
+    }
     const http::Endpoint endpoint = http::parseEndpoint(peer->peerAddress);
     http::Call call(m_context.executor, endpoint, std::move(options));
     state.cancellation->onCancel = [&call] { call.cancel(); };
@@ -657,16 +663,27 @@
         }
     }
     bool isFirstOutput = true;
+    core::TimePoint lastOutputAt = m_context.now();
     while (true) {
         if (state.cancellation->cancelled) {
             call.cancel();
             outcome = routing::SendOutcome::ClientDisconnected;
             co_return SendResult::NotRetryable;
         }
-        milliseconds timeout = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now()));
+        core::TimePoint deadline = state.completionDeadline;
         if (state.isRepeatable()) {
-            timeout = std::min(timeout, m_settings.streamIdleTimeout);
+            deadline = std::min(deadline, lastOutputAt + m_settings.streamIdleTimeout); // bytes that complete no event do not extend it
+        }
+        if (m_context.now() >= deadline || state.sseRelay->partialEventBytes() > m_settings.maxEventBytes) {
+            call.cancel();
+            const bool tooLong = state.sseRelay->partialEventBytes() > m_settings.maxEventBytes;
+            std::string reason = tooLong ? "an event exceeds the maximum size after event " : "no complete event in time after event ";
+            reason += state.sseRelay->lastEventId();
+            const SendResult result = recordIncompleteResponse(state, std::move(reason), outcome);
+            outcome = tooLong ? outcome : routing::SendOutcome::TimedOut;
+            co_return result;
         }
+        const milliseconds timeout = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(deadline - m_context.now()));
         auto chunk = co_await call.readSome(timeout);
         state.partialEventBytes = state.sseRelay->partialEventBytes();
         if (!chunk) {
@@ -685,6 +702,7 @@
                 state.maxEventGap = std::max(state.maxEventGap, now - state.lastEventTime);
             }
             state.lastEventTime = now;
+            lastOutputAt = now;
             if (std::exchange(isFirstOutput, false)) {
                 m_placement.recordFirstEvent(state.placementId());
                 if (!fromPeer) {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -32,14 +32,16 @@
     std::chrono::milliseconds atMostOnceMaxIdleTime{700};  // pooled connections idle for longer are not used for at-most-once requests
     std::chrono::milliseconds repeatableMaxIdleTime{3'000};
     std::chrono::milliseconds peerMaxIdleTime{3'000};
-    std::chrono::milliseconds minFirstByteTimeout{700}; // first byte timeout of repeatable requests; they are retried elsewhere after it
-    double firstByteTimeoutFactor = 3;                  // the timeout is this many times the predicted latency, if that is longer
-    std::chrono::milliseconds streamIdleTimeout{1'600}; // between events of a resumable stream
-    std::chrono::milliseconds crossRegionOverhead{130}; // round trip to another region; half of it is subtracted from the deadline sent to the peer
-    std::chrono::milliseconds noCatalogRetryAfter{500}; // Retry-After while no configuration is loaded
-    std::chrono::seconds quarantineRetryAfter{60};      // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
-    std::chrono::milliseconds deadlineMargin{30};       // the response is due this long before the client's own deadline
-    std::size_t maxPlacements = 6;                      // per request, including rejected ones
+    std::chrono::milliseconds minFirstByteTimeout{700};   // first byte timeout of repeatable requests; they are retried elsewhere after it
+    double firstByteTimeoutFactor = 3;                    // the timeout is this many times the predicted latency, if that is longer
+    std::chrono::milliseconds streamIdleTimeout{1'600};   // between events of a resumable stream
+    std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
+    std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
+    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
+    std::chrono::milliseconds deadlineMargin{30};         // the response is due this long before the client's own deadline
+    std::size_t maxPlacements = 6;                        // per request, including rejected ones
+    std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024; // of a response that is not streamed; many may be in memory at once
+    std::size_t maxEventBytes = 1024 * 1024;              // of one event of a stream
 
     // Clients abandon a stream if its first event does not arrive within the longest of these times.
     double abandonmentGapFactor = 8;                     // times the route's maximum event gap
--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -27,6 +27,7 @@
 
 constexpr auto PeerConnectTimeout = 250ms;          // for connecting to an instance in another failure domain
 constexpr auto StreamIdleTimeout = 10'000ms;        // longest pause between two chunks of a stream
+constexpr std::size_t MaxEventBytes = 1024 * 1024;  // of one event of a stream
 constexpr std::size_t MaxRecordedBytes = 64 * 1024; // larger response bodies are not retained in the ledger
 
 //-----------------------------------------------------------------------------
@@ -165,8 +166,12 @@
         auto chunk = co_await call.readSome(remainingTimeout(StreamIdleTimeout, dispatch, startedAt, context.clock));
         const bool ended = !chunk || chunk.value().empty();
         const std::string events = ended ? std::string() : filter.feed(chunk.value());
-        if (filter.idMismatch() || ended) {
+        const bool tooLong = filter.partialEventBytes() > MaxEventBytes;
+        const bool tooLate = context.clock.steadyNow() - startedAt >= dispatch.remainingTime;
+        if (filter.idMismatch() || ended || tooLong || (tooLate && !filter.complete())) {
             const std::string message = filter.idMismatch() ? "the stream carries the id of another attempt"
+                : tooLong                                   ? "an event of the stream exceeds the maximum size"
+                : tooLate                                   ? "the stream did not end before the deadline"
                                                             : "the stream ended before its end marker" + (chunk ? std::string() : ": " + chunk.error().message);
             node::AttemptEnded failedAttempt = makeAttemptEnded(request, node::AttemptResult::Incomplete, message);
             failedAttempt.tokensRelayed += filter.tokenCount();
--- a/src/arbutus/gateway/ssestreamfilter.h
+++ b/src/arbutus/gateway/ssestreamfilter.h
@@ -31,6 +31,10 @@
     {
         return m_complete; // the end marker has been received
     }
+    [[nodiscard]] std::size_t partialEventBytes() const
+    {
+        return m_pending.size(); // received after the last complete event
+    }
     [[nodiscard]] std::size_t tokenCount() const
     {
         return m_tokenCount; // complete token events passed on
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -30,11 +30,12 @@
 
 namespace {
 
-constexpr std::size_t MaxChunkBytes = 16 * 1024;                 // largest body chunk returned by one read
-constexpr std::size_t MaxIdlePerEndpoint = 16;                   // idle connections kept per endpoint
-constexpr std::uint64_t MaxResponseBodyBytes = 64 * 1024 * 1024; // limit for one response body
-constexpr int MaxMismatchedResponses = 3;                        // responses to other requests discarded before the call fails
-constexpr auto KeepAliveMargin = std::chrono::seconds(1);        // subtracted from the idle timeout announced by the server
+constexpr std::size_t MaxChunkBytes = 16 * 1024;          // largest body chunk returned by one read
+constexpr std::size_t MaxIdlePerEndpoint = 16;            // idle connections kept per endpoint
+constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024; // limit for the status line and headers
+constexpr std::size_t MaxBufferedBytes = 128 * 1024;      // received and not yet parsed; also bounds chunk extensions and trailers
+constexpr int MaxMismatchedResponses = 3;                 // responses to other requests discarded before the call fails
+constexpr auto KeepAliveMargin = std::chrono::seconds(1); // subtracted from the idle timeout announced by the server
 
 using IdleClock = std::chrono::steady_clock;
 
@@ -98,7 +99,7 @@
     std::optional<beast::tcp_stream> stream;
     Endpoint endpoint;
     CallOptions options;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     std::optional<Parser> parser;
     wire::request<wire::string_body> message;
     bool reused = false;
@@ -199,7 +200,8 @@
     {
         for (int discarded = 0; discarded <= MaxMismatchedResponses; ++discarded) {
             parser.emplace();
-            parser->body_limit(MaxResponseBodyBytes);
+            parser->header_limit(MaxResponseHeadBytes);
+            parser->body_limit(options.maxBodyBytes);
             if (message.method() == wire::verb::head) {
                 parser->skip(true);
             }
@@ -351,8 +353,13 @@
 asio::awaitable<CallResult<std::string>> Call::readAll(std::chrono::milliseconds timeout)
 {
     std::string body;
+    const auto deadline = IdleClock::now() + timeout;
     while (true) {
-        auto chunk = co_await readSome(timeout);
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - IdleClock::now());
+        if (remaining <= std::chrono::milliseconds(0)) {
+            co_return CallError{CallStage::ReadBody, "the response body did not end in time", true};
+        }
+        auto chunk = co_await readSome(remaining);
         if (!chunk) {
             co_return chunk.error();
         }
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -84,6 +84,7 @@
     ConnectionPool *pool = nullptr;                            // idle connections to reuse; null: a new connection for each call
     bool retryOnStaleConnection = true;                        // resend the request once if a reused connection fails
     bool acceptConnectionClose = false;                        // accept a body that ends with its connection, without length or chunks
+    std::uint64_t maxBodyBytes = 64 * 1024 * 1024;             // a longer response body is an error
     std::chrono::milliseconds maxIdleTime{4'000};              // pooled connections idle for longer are closed
     std::chrono::milliseconds connectTimeout{1'000};           // limit for opening a new connection
     std::function<bool(const Headers &)> matchesResponse = {}; // whether response headers belong to this call; unset: always
@@ -108,7 +109,7 @@
     [[nodiscard]] BodyEnd bodyEnd() const;
     /// Reads the next chunk of the body; empty at the end of the body.
     boost::asio::awaitable<CallResult<std::string>> readSome(std::chrono::milliseconds timeout);
-    /// Reads the rest of the body. The body alone does not show whether it is complete, see bodyEnd().
+    /// Reads the rest of the body within `timeout`. The body alone does not show whether it is complete, see bodyEnd().
     boost::asio::awaitable<CallResult<std::string>> readAll(std::chrono::milliseconds timeout);
     /// Closes the connection, which tells the server to stop processing the request.
     void cancel();
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -113,7 +113,8 @@
     std::vector<std::string> executedBodies;    // request bodies of these attempts
     std::vector<std::string> expectedInstances; // X-Expect-Instance header of every received request
     int connections = 0;
-    int abortedConnections = 0; // connections closed by the gateway during execution
+    int abortedConnections = 0;   // connections closed by the gateway during execution
+    std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
 
     static constexpr int LastEvent = 6;
 
@@ -224,6 +225,18 @@
         socket.close();
     }
 
+    /// Sends `begin`, then `repeated` until the gateway closes the connection, or until far more than it may accept.
+    asio::awaitable<void> sendWithoutEnd(Tcp::socket &socket, std::string begin, std::string repeated)
+    {
+        constexpr std::size_t MaxBytes = 100'000'000;
+        ErrorCode code;
+        co_await asio::async_write(socket, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+        while (!code && endlessBytes < MaxBytes) {
+            endlessBytes += co_await asio::async_write(socket, asio::buffer(repeated), asio::redirect_error(asio::use_awaitable, code));
+        }
+        abortedConnections += code ? 1 : 0;
+    }
+
     /// Returns false if the connection must be closed.
     asio::awaitable<bool> respond(Tcp::socket &socket, const std::string &behavior, const std::string &attempt, const Request &request)
     {
@@ -239,6 +252,22 @@
             const std::string chunked = responseHead("200 OK", attempt, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
             const std::string lastEventId(request["Last-Event-ID"]);
             const int firstEvent = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1;
+            if (behavior == "endless-head") {
+                co_await sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(16'384, 'x'));
+                co_return false;
+            }
+            if (behavior == "endless-body") {
+                co_await sendWithoutEnd(socket, responseHead("200 OK", attempt, "Connection: close\r\n"), std::string(16'384, 'x'));
+                co_return false;
+            }
+            if (behavior == "endless-chunk-extension") {
+                co_await sendWithoutEnd(socket, chunked + "5;", std::string(16'384, 'x'));
+                co_return false;
+            }
+            if (behavior == "endless-event") {
+                co_await sendWithoutEnd(socket, chunked + eventChunks(firstEvent, 2), chunk("data: " + std::string(16'384, 'x') + "\n"));
+                co_return false;
+            }
             if (behavior == "reset") {
                 reset(socket);
                 co_return false;
@@ -551,6 +580,36 @@
     }
 }
 
+TEST_CASE("bytes of an upstream that do not end are bounded and their connection is closed", "[edge]")
+{
+    struct Row
+    {
+        const char *route;
+        const char *behavior;
+        unsigned status; // of a request that must not be repeated, and both upstreams behave so; 0: no complete response
+    };
+    const auto row = GENERATE(values<Row>({
+        {"once", "endless-head", 502},
+        {"once", "endless-body", 502},
+        {"once", "endless-chunk-extension", 502},
+        {"stream", "endless-head", 502},
+        {"stream", "endless-chunk-extension", 0}, // the response head has been forwarded
+        {"stream", "endless-event", 0},
+        {"resume", "endless-event", 0},
+    }));
+    CAPTURE(row.route, row.behavior);
+    constexpr std::size_t MaxEndlessBytes = 16'000'000; // for each send, with what the sockets hold
+    Fixture fixture;
+    const std::string behavior = row.behavior;
+    const http::Response response = fixture.sendRequest(row.route, "a=" + behavior + ",b=" + behavior);
+    CHECK(response.status == row.status);
+    const std::size_t sends = fixture.executionCount();
+    CHECK(sends >= 1);
+    fixture.runUntil([&] { return static_cast<std::size_t>(fixture.a.abortedConnections + fixture.b.abortedConnections) == sends; });
+    CHECK(fixture.a.endlessBytes + fixture.b.endlessBytes <= sends * MaxEndlessBytes);
+    CHECK(fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200);
+}
+
 TEST_CASE("a failed repeatable request is retried at the other upstream", "[edge]")
 {
     const auto behavior = GENERATE(as<std::string>{},
