Quarantine: planned exits and addresses that are no IP are no evidence

What could happen: an announcement with a host name in its address let the check for a crash throw and end the instance; requests that a leaving upstream cut off at its exit counted against their parts. Change: such an address is not checked, and breaks at upstreams that are leaving or removed are ignored. Found by reading the diff; no run has shown either.

--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -68,7 +68,8 @@
 
 void QuarantineService::recordBreak(const core::UpstreamId &upstream, const std::string &address, const std::vector<routing::PromptPart> &prompt)
 {
-    if (prompt.size() < 2) { // no part that other requests may share
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (prompt.size() < 2 || entry == nullptr || !entry->isUsable()) { // no part that other requests may share, or a planned exit
         return;
     }
     std::vector<Break> &breaks = m_unconfirmed[upstream];
@@ -77,9 +78,7 @@
     }
     breaks.push_back(Break{prompt, m_context.now()});
     if (breaks.size() == 1) {
-        const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-        const auto startTime = entry == nullptr ? routing::StartTime() : entry->announcement.startTime;
-        asio::co_spawn(m_context.executor, confirmCrash(upstream, address, startTime), asio::detached);
+        asio::co_spawn(m_context.executor, confirmCrash(upstream, address, entry->announcement.startTime), asio::detached);
     }
 }
 
@@ -89,7 +88,11 @@
     boost::beast::tcp_stream stream(m_context.executor);
     stream.expires_after(m_settings.connectTimeout);
     boost::system::error_code code;
-    const asio::ip::tcp::endpoint target(asio::ip::make_address(endpoint.host), endpoint.port);
+    const auto hostAddress = asio::ip::make_address(endpoint.host, code);
+    if (code) {
+        co_return false;
+    }
+    const asio::ip::tcp::endpoint target(hostAddress, endpoint.port);
     co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, code));
     co_return code == asio::error::connection_refused || code == asio::error::connection_reset;
 }
