Do not take notices of runs that this instance knows to have ended

What could happen: two instances drop the notice of an ended run at different times and hand it back to each other. Change: a notice of an upstream that the registry does not know, or of an earlier run, is not merged. Found by reading the diff; no run has shown it.

--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -296,7 +296,9 @@
 void PlacementService::mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender)
 {
     for (const routing::UpstreamNotice &notice : notices) {
-        if (m_notices.merge(notice)) {
+        const routing::RegistryEntry *entry = m_metadataCache.registry().find(notice.upstream);
+        const bool hasEnded = entry == nullptr || entry->removed || entry->announcement.startTime > notice.startTime;
+        if (!hasEnded && m_notices.merge(notice)) { // the sender may not know yet that the run has ended
             applyNotice(notice.upstream, sender.text);
         }
     }
