--- a/tests/promptcrashtest.cpp
+++ b/tests/promptcrashtest.cpp
@@ -76,5 +76,9 @@
         CHECK_FALSE(crashes.empty()); // the part does crash upstreams
         CHECK(lateArrivals <= MaxLateArrivals);
         CHECK(after >= MinSoundShare * before);
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) { // also those that were restarted, and those that saw no crash
+            CAPTURE(rig.instanceId(i));
+            CHECK(rig.metricsText(i).find("arbutus_quarantined_prompt_parts 1\n") != std::string::npos);
+        }
     }
 }
