Rig: a dispatcher keeps a limit that only others have heard of

Cause: the rig's traffic enters at all instances, so a dispatcher receives answers itself, and notices that are not sent are not caught. Change: a test whose requests enter at one instance, for two entries of which at least one is not the dispatcher.

--- a/tests/upstreamlimittest.cpp
+++ b/tests/upstreamlimittest.cpp
@@ -110,3 +110,30 @@
         CHECK(after >= 0.9 * before); // the other upstreams have room for all requests
     }
 }
+
+TEST_CASE("a dispatcher that receives no response of an upstream itself keeps the limit that others have heard of", "[rig]")
+{
+    const auto entry = GENERATE(as<std::size_t>{}, 0, 2); // both in the first region, so at least one is not its dispatcher
+    CAPTURE(entry);
+    constexpr double Limit = 1;
+    constexpr auto Interval = 50ms;
+    constexpr auto Duration = 11'000ms;
+    tests::EdgeRig rig(tests::EdgeRigOptions{.seed = 1});
+    rig.runFor(1'500ms); // membership and configuration
+    for (std::size_t i = 0; i < 4; ++i) {
+        if (rig.upstream(i).region() == "x") {
+            rig.upstream(i).limit = "1";
+        }
+    }
+    std::uint64_t next = 0;
+    for (auto at = 0ms; at < Duration; at += Interval) {
+        rig.schedule(at, [&rig, &next, entry] { (void)rig.send(entry, {"a1", "beef0", "c" + std::to_string(next++)}); });
+    }
+    rig.runFor(Duration + 1'000ms);
+    const auto most = mostArrivals(rig);
+    CHECK_FALSE(most.empty());
+    for (const auto &[upstream, count] : most) {
+        CAPTURE(upstream);
+        CHECK(static_cast<double>(count) <= MaxRateFactor * Limit * std::chrono::duration<double>(CountingWindow).count() + MaxExtraArrivals);
+    }
+}
