--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -605,7 +605,7 @@
     CHECK(response.status == row.status);
     const std::size_t sends = fixture.executionCount();
     CHECK(sends >= 1);
-    fixture.runUntil([&] { return static_cast<std::size_t>(fixture.a.abortedConnections + fixture.b.abortedConnections) == sends; });
+    fixture.runUntil([&] { return fixture.a.abortedConnections + fixture.b.abortedConnections == static_cast<int>(sends); });
     CHECK(fixture.a.endlessBytes + fixture.b.endlessBytes <= sends * MaxEndlessBytes);
     CHECK(fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200);
 }
