One check for the end of an upstream's run; the quarantine's gauge is set when it is read

Cause: reading the whole change again. The same test of a registry entry (unknown, removed, or restarted since) stood in three places, and the gauge of quarantined parts was set at the first event of every request, where the other gauges are set when the metrics are read. Change: UpstreamRegistry::hasRunEnded() serves the three; the crash check compared start times for inequality, which is the same, since a registry's start time of an id only increases. No test, bound or check changes.

--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -296,8 +296,7 @@
 void PlacementService::mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender)
 {
     for (const routing::UpstreamNotice &notice : notices) {
-        const routing::RegistryEntry *entry = m_metadataCache.registry().find(notice.upstream);
-        const bool hasEnded = entry == nullptr || entry->removed || entry->announcement.startTime > notice.startTime;
+        const bool hasEnded = m_metadataCache.registry().hasRunEnded(notice.upstream, notice.startTime);
         if (!hasEnded && m_notices.merge(notice)) { // the sender may not know yet that the run has ended
             applyNotice(notice.upstream, sender.text);
         }
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -97,18 +97,12 @@
     co_return code == asio::error::connection_refused || code == asio::error::connection_reset;
 }
 
-bool QuarantineService::hasEndedRun(const core::UpstreamId &upstream, routing::StartTime startTime) const
-{
-    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    return entry == nullptr || entry->removed || entry->announcement.startTime != startTime;
-}
-
 asio::awaitable<void> QuarantineService::confirmCrash(core::UpstreamId upstream, std::string address, routing::StartTime startTime)
 {
     std::string evidence = co_await refusesConnections(address) ? "connection_refused" : "";
     for (int i = 0; i < m_settings.removalChecks && evidence.empty(); ++i) {
         co_await core::asyncSleep(m_settings.removalCheckInterval);
-        evidence = hasEndedRun(upstream, startTime) ? "run_ended" : "";
+        evidence = m_metadataCache.registry().hasRunEnded(upstream, startTime) ? "run_ended" : "";
     }
     const std::vector<Break> breaks = std::exchange(m_unconfirmed[upstream], {});
     m_unconfirmed.erase(upstream);
@@ -166,7 +160,6 @@
                                .add("source", source));
     }
     std::erase_if(m_logged, [&](routing::PromptPartId part) { return !m_quarantine.records().contains(part); });
-    m_context.metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(m_logged.size()));
     std::vector<routing::PartRecord> changed;
     for (const routing::PromptPartId part : m_quarantine.takeChanges()) {
         if (const auto found = m_quarantine.records().find(part); found != m_quarantine.records().end()) {
--- a/src/arbutus/edge/quarantineservice.h
+++ b/src/arbutus/edge/quarantineservice.h
@@ -75,7 +75,6 @@
     /// Waits until the upstream has turned out to have crashed or not, and records the crash.
     boost::asio::awaitable<void> confirmCrash(core::UpstreamId upstream, std::string address, routing::StartTime startTime);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address) const;
-    [[nodiscard]] bool hasEndedRun(const core::UpstreamId &upstream, routing::StartTime startTime) const;
     /// Logs verdicts that have changed and sends changed records to the other instances.
     void publishChanges(std::string_view source);
     void sendRecords(const std::string &address, const std::vector<routing::PartRecord> &records);
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -179,6 +179,7 @@
         metrics.setGauge("arbutus_live_members", "", static_cast<double>(fleet.liveMembers().size()));
         metrics.setGauge("arbutus_waiting_requests", "", static_cast<double>(placement.dispatcher().queueLength()));
         metrics.setGauge("arbutus_log_lines_dropped", "", static_cast<double>(context.log.droppedLines()));
+        metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(quarantine.quarantinedCount()));
         metrics.setGauge("arbutus_ready", "", ready() ? 1 : 0);
         http::Response response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
--- a/src/arbutus/routing/upstreamnotices.cpp
+++ b/src/arbutus/routing/upstreamnotices.cpp
@@ -61,8 +61,7 @@
 {
     std::vector<core::UpstreamId> ended;
     std::erase_if(m_entries, [&](const auto &item) {
-        const RegistryEntry *entry = registry.find(item.first);
-        const bool hasEnded = entry == nullptr || entry->removed || entry->announcement.startTime > item.second.startTime;
+        const bool hasEnded = registry.hasRunEnded(item.first, item.second.startTime);
         if (hasEnded) {
             ended.push_back(item.first);
         }
--- a/src/arbutus/routing/upstreamregistry.cpp
+++ b/src/arbutus/routing/upstreamregistry.cpp
@@ -153,6 +153,12 @@
     return changes;
 }
 
+bool UpstreamRegistry::hasRunEnded(const core::UpstreamId &id, StartTime startTime) const
+{
+    const RegistryEntry *entry = find(id);
+    return entry == nullptr || entry->removed || entry->announcement.startTime > startTime;
+}
+
 const RegistryEntry *UpstreamRegistry::find(const core::UpstreamId &id) const
 {
     const auto found = m_entries.find(id);
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -119,6 +119,8 @@
     {
         return m_evacuatedDomains;
     }
+    /// Whether the run of an upstream that began at `startTime` is over: the upstream is unknown, removed or was restarted.
+    [[nodiscard]] bool hasRunEnded(const core::UpstreamId &id, StartTime startTime) const;
     /// Whether new requests may be sent to the upstream.
     [[nodiscard]] bool isEligible(const RegistryEntry &entry) const
     {
