Rig: upstreams that fall silent and go on, plain services, changes of the configuration, kept connections

Change: EdgeRigOptions::silence and a silence for one request, at four points of an answer; upstreams of a plain service with the routes /plain/ (repeatable) and /once/; configure() writes the next version; a client result tells a complete answer, another status, a cut answer, no response and a request that was not sent apart; KeptClient sends again when its connection has been idle for four fifths of the smallest idle limit that may be in force. No product code, test, bound or check changes.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -2,7 +2,6 @@
 
 #include "support/edgerig.h"
 #include "arbutus/edge/fleet.h"
-#include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -195,6 +194,8 @@
         settings.instanceId = core::InstanceId("gateway-" + std::to_string(number));
         settings.region = core::RegionId(regionName(number % RegionCount));
         settings.failureDomain = core::DomainId("domain-" + settings.region.text);
+        settings.retryRatio = rig.m_options.retryRatio;
+        settings.minRetries = rig.m_options.minRetries;
         for (std::size_t region = 0; region < RegionCount; ++region) {
             settings.regionByDomain[core::DomainId("domain-" + regionName(region))] = core::RegionId(regionName(region));
         }
@@ -229,6 +230,9 @@
     for (std::size_t i = 0; i < options.upstreamsPerRegion * RegionCount; ++i) {
         m_upstreams.push_back(std::make_unique<RigUpstream>(*this, i, regionName(i % RegionCount)));
     }
+    for (std::size_t i = 0; i < options.plainUpstreamsPerRegion * RegionCount; ++i) {
+        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, m_upstreams.size(), regionName(i % RegionCount), "p"));
+    }
     writeConfiguration();
     for (std::size_t i = 0; i < options.instancesPerRegion * RegionCount; ++i) {
         m_instances.push_back(std::make_unique<Instance>(*this, i));
@@ -251,13 +255,37 @@
     }
 }
 
+void EdgeRig::configure(RigConfiguration configuration)
+{
+    m_options.configuration = std::move(configuration);
+    writeConfiguration();
+}
+
 void EdgeRig::writeConfiguration()
 {
+    const RigConfiguration &configuration = m_options.configuration;
+    const auto route = [&](const std::string &name, const std::string &path, const std::string &fields) {
+        return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + path + R"(/",)" + fields + R"(,"timeout_ms":)"
+            + std::to_string(configuration.routeTimeout.count()) + R"(,"target_latency_ms":600,"target_gap_ms":400,"priority":0})";
+    };
+    const std::string repeatable = R"("route_type":"safe","max_attempts":3,"service":"p")";
+    std::string routes = route("chat" + configuration.nameSuffix, "chat", R"("route_type":"streaming","resumable":true,"max_attempts":3,"service":"s")");
+    std::string services = R"({"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}})";
+    if (m_options.plainUpstreamsPerRegion > 0) {
+        services += R"(,{"name":"p"})";
+        routes += "," + route("plain" + configuration.nameSuffix, "plain", repeatable);
+        routes += "," + route("once" + configuration.nameSuffix, "once", R"("route_type":"unsafe","max_attempts":1,"service":"p")");
+        for (const std::string &name : configuration.extraRoutes) {
+            routes += "," + route(name, name, repeatable);
+        }
+    }
+    for (const std::string &name : configuration.extraServices) {
+        services += R"(,{"name":")" + name + R"("})";
+    }
     m_store->set("op/config",
-                 R"({"version":1,"routes":[{"name":"chat","host":"h.example","path_prefix":"/chat/","route_type":"streaming","resumable":true,)"
-                 R"("max_attempts":3,"timeout_ms":5000,"target_latency_ms":600,"target_gap_ms":400,"priority":0,"service":"s"}],)"
-                 R"("services":[{"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}}],)"
-                 R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+                 R"({"version":)" + std::to_string(++m_configurationVersion) + R"(,"routes":[)" + routes + R"(],"services":[)" + services
+                     + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":)"
+                     + std::to_string(configuration.idleLimit.count()) + "}}");
 }
 
 std::string EdgeRig::instanceId(std::size_t instance) const
@@ -357,10 +385,11 @@
 // Upstreams
 //-----------------------------------------------------------------------------
 
-RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region)
+RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service)
     : m_rig(rig)
     , m_number(number)
     , m_region(std::move(region))
+    , m_service(std::move(service))
     , m_port(freePort())
 {
     start();
@@ -369,7 +398,7 @@
 void RigUpstream::announce()
 {
     m_rig.m_store->set("servers/" + m_id,
-                       R"({"service":"s","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
+                       R"({"service":")" + m_service + R"(","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
                            + R"(","slots":64,"state":"ready","cold_remaining_ms":0,"born":)" + std::to_string(m_run) + R"(,"sequence":1})");
 }
 
@@ -434,19 +463,26 @@
         if (code || run != m_run || !isUp()) {
             co_return;
         }
-        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}};
+        const std::string attempt(request["X-Attempt-Id"]);
+        const bool misdirected = std::string(request["X-Expect-Instance"]) != m_id;
+        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected};
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
         const bool crashes =
             std::any_of(arrival.parts.begin(), arrival.parts.end(), [&](const std::string &part) { return m_rig.crashingParts.contains(part); });
         m_rig.m_arrivals.push_back(arrival);
-        const std::string attempt(request["X-Attempt-Id"]);
-        if (std::string(request["X-Expect-Instance"]) != m_id) {
+        if (misdirected) {
             const std::string response = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
             co_await asio::async_write(*socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
             continue;
         }
+        if (m_service != "s") {
+            if (!co_await respondPlain(*socket, run, attempt)) {
+                co_return;
+            }
+            continue;
+        }
         const std::string lastEvent(request["Last-Event-ID"]);
         if (!co_await respond(*socket, run, attempt, arrival.sender, lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1, crashes)) {
             co_return;
@@ -454,12 +490,75 @@
     }
 }
 
+std::optional<Silence> RigUpstream::silenceFor(const std::string &attempt) const
+{
+    if (const auto requested = m_rig.requestedSilence(attempt)) {
+        return requested;
+    }
+    const SilenceOptions &options = m_rig.m_options.silence;
+    std::uint64_t stream = m_number;
+    for (const char c : attempt) {
+        stream = stream * 131 + static_cast<unsigned char>(c);
+    }
+    pcg32 random(m_rig.m_options.seed, stream);
+    constexpr double RandomRange = 4294967296.0; // 2^32
+    if (options.points.empty() || static_cast<double>(random()) / RandomRange >= options.share) {
+        return std::nullopt;
+    }
+    const SilencePoint point = options.points[random() % options.points.size()];
+    const auto range = static_cast<std::uint32_t>((options.maxDuration - options.minDuration).count()) + 1;
+    return Silence{point, options.minDuration + std::chrono::milliseconds(random() % range)};
+}
+
+asio::awaitable<void> RigUpstream::fallSilentAt(SilencePoint point, const std::string &attempt)
+{
+    const auto silence = silenceFor(attempt);
+    if (silence && silence->point == point) {
+        asio::steady_timer timer(m_rig.m_loop, silence->duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<bool> RigUpstream::respondPlain(Tcp::socket &socket, std::uint64_t run, const std::string &attempt)
+{
+    const EdgeRigOptions &options = m_rig.m_options;
+    const std::string body = "answer to " + attempt;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    struct Part
+    {
+        SilencePoint silenceBefore;
+        std::chrono::milliseconds delay;
+        std::string bytes;
+    };
+    const std::size_t half = body.size() / 2;
+    const std::vector<Part> parts = {
+        {SilencePoint::BeforeHead, options.headDelay, head},
+        {SilencePoint::BeforeFirstEvent, options.firstEventDelay, body.substr(0, half)},
+        {SilencePoint::BetweenEvents, options.eventGap, body.substr(half, body.size() - half - 1)},
+        {SilencePoint::BeforeEnd, options.eventGap, body.substr(body.size() - 1)},
+    };
+    asio::steady_timer timer(m_rig.m_loop);
+    ErrorCode code;
+    for (const Part &part : parts) {
+        timer.expires_after(part.delay);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await fallSilentAt(part.silenceBefore, attempt);
+        if (code || run != m_run || !isUp()) {
+            co_return false;
+        }
+        co_await asio::async_write(socket, asio::buffer(part.bytes), asio::redirect_error(asio::use_awaitable, code));
+    }
+    co_return !code;
+}
+
 asio::awaitable<bool>
 RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes)
 {
     const EdgeRigOptions &options = m_rig.m_options;
     asio::steady_timer timer(m_rig.m_loop, options.headDelay);
     co_await timer.async_wait(asio::use_awaitable);
+    co_await fallSilentAt(SilencePoint::BeforeHead, attempt);
     ErrorCode code;
     const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\n"
         + (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -469,6 +568,7 @@
     }
     timer.expires_after(options.firstEventDelay);
     co_await timer.async_wait(asio::use_awaitable);
+    co_await fallSilentAt(SilencePoint::BeforeFirstEvent, attempt);
     if (code || run != m_run || !isUp()) {
         co_return false;
     }
@@ -482,10 +582,14 @@
         co_await asio::async_write(socket, asio::buffer(event), asio::redirect_error(asio::use_awaitable, code));
         timer.expires_after(options.eventGap);
         co_await timer.async_wait(asio::use_awaitable);
+        if (id == options.eventCount / 2) {
+            co_await fallSilentAt(SilencePoint::BetweenEvents, attempt);
+        }
         if (run != m_run || !isUp()) {
             co_return false;
         }
     }
+    co_await fallSilentAt(SilencePoint::BeforeEnd, attempt);
     const std::string end = "0\r\n\r\n";
     co_await asio::async_write(socket, asio::buffer(end), asio::redirect_error(asio::use_awaitable, code));
     co_return !code;
@@ -496,33 +600,97 @@
 //-----------------------------------------------------------------------------
 
 std::size_t EdgeRig::send(std::size_t instance, const std::vector<std::string> &parts)
+{
+    return send(RigRequest{.instance = instance, .parts = parts});
+}
+
+std::size_t EdgeRig::send(const RigRequest &rigRequest)
 {
     const std::size_t number = m_results.size();
-    m_results.push_back(ClientResult{number, now(), 0, "", false});
+    if (rigRequest.silence) {
+        m_requestedSilences[attemptId(number)] = *rigRequest.silence;
+    }
+    m_results.push_back(ClientResult{.request = number, .sentAt = now(), .target = rigRequest.target});
     http::Request request;
     request.method = "POST";
-    request.target = "/chat/x";
-    std::string prompt;
-    for (const std::string &part : parts) {
-        prompt += (prompt.empty() ? "" : ",") + part + ":100";
-    }
-    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "request-" + std::to_string(number)}, {"X-Deadline-Ms", "4000"}, {"X-Model", "m"}};
-    request.headers["X-Prompt-Prefix"] = prompt;
-    request.headers["X-Token-Count"] = std::to_string(100 * parts.size()) + ",25";
+    request.target = rigRequest.target;
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", attemptId(number)}, {"X-Deadline-Ms", std::to_string(rigRequest.deadline.count())}};
+    if (!rigRequest.parts.empty()) {
+        std::string prompt;
+        for (const std::string &part : rigRequest.parts) {
+            prompt += (prompt.empty() ? "" : ",") + part + ":100";
+        }
+        request.headers["X-Model"] = "m";
+        request.headers["X-Prompt-Prefix"] = prompt;
+        request.headers["X-Token-Count"] = std::to_string(100 * rigRequest.parts.size()) + ",25";
+    }
     request.body = "body";
-    auto operation = [this, number, request, endpoint = m_instances[instance]->settings.clientEndpoint]() -> asio::awaitable<void> {
-        const auto response = co_await http::fetch(m_loop.get_executor(), endpoint, request, 5s);
+    constexpr auto Slack = 1s; // after the request's deadline, until the client gives up
+    const std::chrono::milliseconds timeout = rigRequest.deadline + Slack;
+    auto operation = [this, number, request, timeout, pool = rigRequest.pool, endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint]()
+        -> asio::awaitable<void> {
+        http::CallOptions options;
+        options.pool = pool;
+        options.retryOnStaleConnection = false;
+        options.maxIdleTime = 1min; // the sender decides how long a connection may be idle
+        options.onConnected = [this, number](bool isNewConnection) { m_results[number].connectionReused = !isNewConnection; };
+        const auto response = co_await http::fetch(m_loop.get_executor(), endpoint, request, timeout, options);
         ClientResult &result = m_results[number];
         result.done = true;
+        result.endedAt = now();
         if (response) {
             result.status = response.value().status;
             result.retryAfter = http::headerValue(response.value().headers, "Retry-After");
+            result.outcome = result.status == 200 ? ClientOutcome::Complete : ClientOutcome::OtherStatus;
+            co_return;
         }
+        result.failure = response.error().message;
+        const http::CallStage stage = response.error().stage;
+        result.outcome = stage == http::CallStage::ReadBody ? ClientOutcome::Cut
+            : stage == http::CallStage::ReadHeaders         ? ClientOutcome::NoResponse
+                                                            : ClientOutcome::NotSent;
     };
     asio::co_spawn(m_loop, operation, asio::detached);
     return number;
 }
 
+KeptClient::KeptClient(EdgeRig &rig, std::size_t instance, std::string target)
+    : m_rig(rig)
+    , m_instance(instance)
+    , m_target(std::move(target))
+{
+}
+
+void KeptClient::run(core::TimePoint end)
+{
+    step(end);
+}
+
+void KeptClient::step(core::TimePoint end)
+{
+    constexpr auto PollPeriod = 5ms;
+    if (m_request && !m_rig.result(*m_request).done) {
+        m_rig.schedule(PollPeriod, [this, end] { step(end); });
+        return;
+    }
+    const core::TimePoint now = m_rig.now();
+    const core::TimePoint idleSince = m_request ? m_rig.result(*m_request).endedAt : now;
+    const core::TimePoint next = m_request ? idleSince + idleLimit(idleSince) * 4 / 5 : now;
+    if (now >= end) {
+        return;
+    }
+    if (next > now) { // the limit may change while the connection is idle
+        m_rig.schedule(PollPeriod, [this, end] { step(end); });
+        return;
+    }
+    std::vector<std::string> parts;
+    if (m_target.starts_with("/chat/")) {
+        parts = {"a1", "k" + std::to_string(m_rig.requestCount())};
+    }
+    m_request = m_rig.send(RigRequest{.instance = m_instance, .target = m_target, .parts = parts, .deadline = 6'000ms, .pool = &m_pool});
+    m_rig.schedule(PollPeriod, [this, end] { step(end); });
+}
+
 TrafficSource::TrafficSource(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds duration)
     : m_rig(rig)
     , m_random(random)
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "arbutus/edge/routegateway.h"
+#include "arbutus/http/client.h"
 #include "platform/platformadapter.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,7 @@
 
 #include <pcg_random.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <list>
@@ -35,6 +37,37 @@
 
 namespace arbutus::tests {
 
+/// Where in an answer an upstream falls silent. A buffered answer consists of a head and a body; BeforeFirstEvent is before its body,
+/// BetweenEvents within it, and BeforeEnd before its last byte.
+enum class SilencePoint { BeforeHead, BeforeFirstEvent, BetweenEvents, BeforeEnd };
+
+/// One silence of an upstream.
+struct Silence
+{
+    SilencePoint point = SilencePoint::BeforeHead;
+    std::chrono::milliseconds duration{};
+};
+
+/// Upstreams that fall silent for a while and go on.
+struct SilenceOptions
+{
+    double share = 0; // of the answers
+    std::chrono::milliseconds minDuration{500};
+    std::chrono::milliseconds maxDuration{1'900};
+    std::vector<SilencePoint> points{SilencePoint::BeforeHead, SilencePoint::BeforeFirstEvent, SilencePoint::BetweenEvents, SilencePoint::BeforeEnd};
+};
+
+/// What the store's configuration says. The routes /chat/ (resumable stream), /plain/ (buffered, repeatable) and /once/ (buffered, at most
+/// once) are always there.
+struct RigConfiguration
+{
+    std::chrono::milliseconds idleLimit{15'000};
+    std::chrono::milliseconds routeTimeout{5'000};
+    std::string nameSuffix;               // of the names of the routes; a route that gets another name keeps its path
+    std::vector<std::string> extraRoutes; // repeatable, to the plain service; the name is also the path
+    std::vector<std::string> extraServices;
+};
+
 /// Size of the deployment and what happens in it.
 struct EdgeRigOptions
 {
@@ -47,6 +80,11 @@
     std::chrono::milliseconds firstEventDelay{40};  // from the response head to the first event
     std::chrono::milliseconds eventGap{25};
     int eventCount = 5;
+    double retryRatio = 0.2;                 // retries per first send
+    double minRetries = 50;                  // of all instances, regardless of first sends
+    std::size_t plainUpstreamsPerRegion = 0; // besides the model engines, of the plain service
+    SilenceOptions silence = {};
+    RigConfiguration configuration = {};
 };
 
 /// A request that reached an upstream.
@@ -56,6 +94,8 @@
     std::string upstream;
     std::string sender; // id of the instance
     std::vector<std::string> parts;
+    std::string attempt;
+    bool misdirected = false; // not run, because it was meant for another upstream
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -63,6 +103,27 @@
     }
 };
 
+/// How a request ended for its client.
+enum class ClientOutcome {
+    Pending,
+    Complete,    // a whole response of the upstream with status 200
+    OtherStatus, // another response
+    Cut,         // the response began and did not end
+    NoResponse,  // the request was sent whole, and the connection ended or the client gave up before a response head
+    NotSent,     // no connection, or the request could not be written whole
+};
+
+/// A request for EdgeRig::send().
+struct RigRequest
+{
+    std::size_t instance = 0;
+    std::string target = "/chat/x";
+    std::vector<std::string> parts;
+    std::chrono::milliseconds deadline{4'000};
+    std::optional<Silence> silence;       // of every upstream that answers it; none: as EdgeRigOptions::silence says
+    http::ConnectionPool *pool = nullptr; // connections that the client keeps; null: a new one
+};
+
 /// What a client saw of a request.
 struct ClientResult
 {
@@ -71,15 +132,20 @@
     unsigned status = 0; // 0: no complete response
     std::string retryAfter;
     bool done = false;
+    std::string target;
+    ClientOutcome outcome = ClientOutcome::Pending;
+    bool connectionReused = false;
+    core::TimePoint endedAt{};
+    std::string failure; // why there is no response
 };
 
 class EdgeRig;
 
-/// A model engine. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts.
+/// A model engine, or an upstream of the plain service. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts.
 class RigUpstream
 {
 public:
-    RigUpstream(EdgeRig &rig, std::size_t number, std::string region);
+    RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service = "s");
 
     /// Ends all connections, refuses new ones and starts again after EdgeRigOptions::crashDuration.
     void crash();
@@ -107,11 +173,16 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
     boost::asio::awaitable<bool>
     respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes);
+    boost::asio::awaitable<bool> respondPlain(Tcp::socket &socket, std::uint64_t run, const std::string &attempt);
+    /// Where and how long this upstream is silent in its answer to a request; depends on nothing but the seed and the request.
+    [[nodiscard]] std::optional<Silence> silenceFor(const std::string &attempt) const;
+    boost::asio::awaitable<void> fallSilentAt(SilencePoint point, const std::string &attempt);
     boost::asio::awaitable<void> restartLater(std::string crashedId);
 
     EdgeRig &m_rig;
     std::size_t m_number;
     std::string m_region;
+    std::string m_service;
     std::string m_id;
     std::uint64_t m_run = 0; // number of the current or last run
     std::uint16_t m_port = 0;
@@ -177,9 +248,33 @@
     }
     std::set<std::string> crashingParts;
 
+    //--- Configuration
+    [[nodiscard]] const RigConfiguration &configuration() const
+    {
+        return m_options.configuration;
+    }
+    /// Writes another configuration, with the next version.
+    void configure(RigConfiguration configuration);
+
     //--- Clients
     /// Sends a streaming request whose prompt consists of `parts` to an instance; the result is complete later.
     std::size_t send(std::size_t instance, const std::vector<std::string> &parts);
+    std::size_t send(const RigRequest &request);
+    [[nodiscard]] std::size_t requestCount() const
+    {
+        return m_results.size();
+    }
+    /// X-Attempt-Id of a request.
+    [[nodiscard]] static std::string attemptId(std::size_t request)
+    {
+        return "request-" + std::to_string(request);
+    }
+    /// Silence that a request asks for.
+    [[nodiscard]] std::optional<Silence> requestedSilence(const std::string &attempt) const
+    {
+        const auto found = m_requestedSilences.find(attempt);
+        return found == m_requestedSilences.end() ? std::nullopt : std::optional(found->second);
+    }
     [[nodiscard]] const ClientResult &result(std::size_t request) const
     {
         return m_results[request];
@@ -194,6 +289,7 @@
     void writeConfiguration();
 
     EdgeRigOptions m_options;
+    std::uint64_t m_configurationVersion = 0;
     core::SystemClock m_clock;
     pcg32 m_random;
     std::unique_ptr<Store> m_store;
@@ -204,9 +300,32 @@
     std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
     std::vector<core::TimePoint> m_partCrashes;
     std::deque<ClientResult> m_results;
+    std::map<std::string, Silence> m_requestedSilences; // by X-Attempt-Id
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
 };
 
+/// A client that keeps its connection to one instance and sends its next request when the connection has been idle for four fifths of
+/// the smallest idle limit that may have been in force meanwhile.
+class KeptClient
+{
+public:
+    KeptClient(EdgeRig &rig, std::size_t instance, std::string target);
+    /// Sends requests until `end`.
+    void run(core::TimePoint end);
+
+    /// Smallest idle limit that may have been in force at any time since `begin`.
+    std::function<std::chrono::milliseconds(core::TimePoint begin)> idleLimit;
+
+private:
+    void step(core::TimePoint end);
+
+    EdgeRig &m_rig;
+    std::size_t m_instance;
+    std::string m_target;
+    http::ConnectionPool m_pool;
+    std::optional<std::size_t> m_request; // in progress
+};
+
 /// Sends sound requests to running instances at random, 40 a second.
 class TrafficSource
 {
