A request without a complete response is counted and logged with its reason

The server closed the connection of such a request without a trace: an exception of the handler was caught and dropped, and a handler that returned early was not noticed. Nothing told the two apart from a client that had gone.

http::Server reports each request that reached its handler and has no complete response, with the reason; both interfaces count it in arbutus_unanswered_requests_total{listener,reason} and write a line request_unanswered. No behavior changes.

--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -87,6 +87,8 @@
               context.executor, settings.metricsEndpoint, {}, [this](http::Exchange &exchange) { return serveMetrics(exchange); }, nullptr)
         , signals(context.executor, SIGTERM, SIGINT, SIGHUP)
     {
+        clientServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("clients", unanswered); });
+        peerServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("peers", unanswered); });
     }
 
     asio::io_context &ioContext;
@@ -118,6 +120,21 @@
 
     //--- Listeners
 
+    void recordUnanswered(std::string_view listener, const http::UnansweredRequest &unanswered)
+    {
+        std::string labels = "listener=\"" + std::string(listener) + "\",reason=\"";
+        labels += http::toString(unanswered.reason);
+        metrics.incrementCounter("arbutus_unanswered_requests_total", labels + "\"");
+        const auto head = context.adapter.parseRequest(unanswered.request);
+        context.writeLog(observe::LogLine("request_unanswered")
+                             .add("listener", listener)
+                             .add("request", head ? head.value().attemptId : "")
+                             .add("reason", http::toString(unanswered.reason))
+                             .add("response_started", unanswered.responseStarted)
+                             .add("detail", unanswered.detail)
+                             .add("configuration", metadataCache.catalog() ? metadataCache.catalog()->version().value : 0));
+    }
+
     asio::awaitable<void> servePeers(http::Exchange &exchange)
     {
         if (Forwarder::isForwardedRequest(exchange.request())) {
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -111,6 +111,21 @@
         , adminServer(settings.adminEndpoint, settings.adminKey, tls, decisionLoop, decisionLog, metrics)
         , peerServer(http::toString(settings.peersEndpoint), settings.clusterKey, makeHandlers())
     {
+        clientServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered(unanswered); });
+    }
+
+    void recordUnanswered(const http::UnansweredRequest &unanswered)
+    {
+        std::string labels = "listener=\"clients\",reason=\"";
+        labels += http::toString(unanswered.reason);
+        metrics.incrementCounter("arbutus_unanswered_requests_total", labels + "\"");
+        observe::LogLine("request_unanswered")
+            .add("listener", "clients")
+            .add("request", http::headerValue(unanswered.request.headers, "X-Request-Id"))
+            .add("reason", http::toString(unanswered.reason))
+            .add("response_started", unanswered.responseStarted)
+            .add("detail", unanswered.detail)
+            .write();
     }
 
     peer::ServerHandlers makeHandlers()
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -50,6 +50,7 @@
     std::atomic<bool> stopping{false};            // close connections after the response in progress
     std::atomic<bool> sendConnectionClose{false}; // add `Connection: close` to responses
     std::set<Tcp::socket *> idle;                 // connections waiting for a request; accessed only on the executor
+    std::function<void(const UnansweredRequest &)> onUnanswered;
 };
 
 namespace {
@@ -226,12 +227,14 @@
             reset();
             return;
         }
+        m_aborted = true;
         m_failed = true;
         beast::get_lowest_layer(m_stream).close();
     }
 
     void reset() override
     {
+        m_aborted = true;
         m_failed = true;
         ErrorCode code;
         beast::get_lowest_layer(m_stream).socket().set_option(asio::socket_base::linger(true, 0), code);
@@ -257,6 +260,7 @@
                 ErrorCode peekError;
                 m_stream.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, peekError);
                 if (peekError && peekError != asio::error::would_block) {
+                    m_failure = peekError;
                     m_failed = true;
                     const auto notify = std::move(*callback);
                     *callback = nullptr;
@@ -266,6 +270,27 @@
         }
     }
 
+    /// Why the request has no complete response; nothing if it has one. Call this after the handler.
+    [[nodiscard]] std::optional<UnansweredReason> unansweredReason() const
+    {
+        if (m_failure) { // a handler aborts also because its client is gone
+            return m_failure == beast::error::timeout ? UnansweredReason::WriteTimeout : UnansweredReason::ClientDisconnected;
+        }
+        if (m_aborted) {
+            return UnansweredReason::Aborted;
+        }
+        if (!m_started) {
+            return UnansweredReason::NoResponse;
+        }
+        return m_ended ? std::nullopt : std::optional(UnansweredReason::Incomplete);
+    }
+
+    /// Message of the failed write, if one failed.
+    [[nodiscard]] std::string failureMessage() const
+    {
+        return m_failure ? m_failure.message() : std::string();
+    }
+
     /// Whether another request may follow on this connection.
     [[nodiscard]] bool reusable() const
     {
@@ -275,7 +300,10 @@
 private:
     bool succeeded(const ErrorCode &code)
     {
-        m_failed = m_failed || static_cast<bool>(code);
+        if (code && !m_failed) {
+            m_failure = code;
+            m_failed = true;
+        }
         return !m_failed;
     }
 
@@ -336,6 +364,8 @@
     bool m_started = false;
     bool m_ended = false;
     bool m_failed = false;
+    bool m_aborted = false;                                                                            // by the handler
+    ErrorCode m_failure;                                                                               // of the first failed write, or of the connection
     std::shared_ptr<std::function<void()>> m_onDisconnect = std::make_shared<std::function<void()>>(); // null target once the exchange has ended
 };
 
@@ -468,6 +498,28 @@
     WithRequest, // after a request, or within one
 };
 
+/// Runs the handler and reports a request without a complete response.
+template<class Stream>
+asio::awaitable<void> runHandler(StreamExchange<Stream> &exchange, Server::State &state)
+{
+    std::exception_ptr failure;
+    std::string failureMessage;
+    try {
+        co_await state.handler(exchange);
+    } catch (const std::exception &exception) {
+        failure = std::current_exception();
+        failureMessage = exception.what();
+    }
+    const auto reason = failure ? UnansweredReason::HandlerFailed : exchange.unansweredReason();
+    if (reason && state.onUnanswered) {
+        const std::string detail = failure ? failureMessage : exchange.failureMessage();
+        state.onUnanswered(UnansweredRequest{exchange.request(), *reason, exchange.responseStarted(), detail});
+    }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
 /// Handles the requests of one connection in sequence.
 template<class Stream>
 asio::awaitable<ConnectionEnd> serveStream(Stream &stream, std::shared_ptr<Server::State> state)
@@ -499,7 +551,7 @@
         const ScopedCount activeCount(state->exchanges);
         StreamExchange<Stream> exchange(stream, buffer, parser, limits, state->sendConnectionClose);
         beast::get_lowest_layer(stream).expires_never();
-        co_await state->handler(exchange);
+        co_await runHandler(exchange, *state);
         open = exchange.reusable() && !state->stopping;
     }
     co_return ConnectionEnd::WithRequest;
@@ -528,7 +580,8 @@
             co_await stream.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
         }
     } catch (const std::exception &) {
-        // The handler threw; the connection is closed with the response incomplete, which the client can detect.
+        // The handler threw, which has been reported; the connection is closed with the response incomplete, which the
+        // client can detect.
     }
 }
 
@@ -554,6 +607,25 @@
 
 } // namespace
 
+std::string_view toString(UnansweredReason reason)
+{
+    switch (reason) {
+    case UnansweredReason::HandlerFailed:
+        return "handler_failed";
+    case UnansweredReason::NoResponse:
+        return "no_response";
+    case UnansweredReason::Incomplete:
+        return "incomplete";
+    case UnansweredReason::Aborted:
+        return "aborted";
+    case UnansweredReason::WriteTimeout:
+        return "write_timeout";
+    case UnansweredReason::ClientDisconnected:
+        return "client_disconnected";
+    }
+    return "unknown";
+}
+
 asio::awaitable<bool> Exchange::writeRaw(std::string_view /*bytes*/)
 {
     co_return false;
@@ -597,6 +669,11 @@
     }
 }
 
+void Server::setUnansweredCallback(std::function<void(const UnansweredRequest &)> onUnanswered)
+{
+    m_state->onUnanswered = std::move(onUnanswered);
+}
+
 void Server::setLimits(const ServerLimits &limits)
 {
     m_state->limits = limits;
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -17,6 +17,9 @@
 //
 // Q: How does a client that cannot read chunks (HTTP/1.0) tell a truncated response from a complete one?
 // A: Its streamed response ends with the connection: a regular close if it is complete, a reset if it is not.
+//
+// Q: How does the owner learn of requests that got no complete response?
+// A: setUnansweredCallback(); the callback runs when the handler has returned.
 
 #pragma once
 
@@ -83,6 +86,27 @@
 
 using Handler = std::function<boost::asio::awaitable<void>(Exchange &)>;
 
+/// Why a request that reached the handler has no complete response.
+enum class UnansweredReason {
+    HandlerFailed,      // the handler threw an exception
+    NoResponse,         // the handler returned without a response
+    Incomplete,         // the handler returned before the end of its response
+    Aborted,            // the handler called abort() or reset()
+    WriteTimeout,       // the client did not read its response in time
+    ClientDisconnected, // the client closed its connection
+};
+
+/// Name of a reason as written in log lines and metric labels, e.g. "handler_failed".
+[[nodiscard]] std::string_view toString(UnansweredReason reason);
+
+struct UnansweredRequest
+{
+    const Request &request;
+    UnansweredReason reason;
+    bool responseStarted; // whether the client may have received a part of the response
+    std::string detail;   // message of the exception or of the failed write
+};
+
 /// HTTP server. stopAccepting() closes the listening socket; exchanges in progress continue.
 class Server
 {
@@ -99,6 +123,8 @@
     /// Closes connections without a request in progress or unread data. A request in transit during the close is not read,
     /// and its client can detect that.
     void closeIdleConnections();
+    /// Sets the function that is called for each request that reached the handler and has no complete response.
+    void setUnansweredCallback(std::function<void(const UnansweredRequest &)> onUnanswered);
     /// Sets the limits for requests that start from now on.
     void setLimits(const ServerLimits &limits);
     [[nodiscard]] std::size_t activeExchangeCount() const; // requests currently being handled
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -47,6 +47,12 @@
             co_await exchange.respond(rejection);
             co_return;
         }
+        if (exchange.request().path() == "/silent") {
+            co_return;
+        }
+        if (exchange.request().path() == "/throw") {
+            throw std::runtime_error("handler error");
+        }
         const auto read = co_await exchange.readBody();
         if (!read) {
             http::Response rejection = http::jsonResponse(core::httpStatus(read.error().kind), core::toJson(read.error()));
@@ -63,6 +69,9 @@
                 exchange.abort();
                 co_return;
             }
+            if (exchange.request().queryParameter("end") == "0") {
+                co_return;
+            }
             co_await exchange.endResponse();
             co_return;
         }
@@ -159,6 +168,36 @@
     REQUIRE(response.starts_with("HTTP/1.1 " + row.status));
 }
 
+TEST_CASE("a request without a complete response is reported with its reason", "[http]")
+{
+    struct Row
+    {
+        std::string target;
+        std::string reason; // empty: not reported
+        bool responseStarted;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"/", "", true},
+        {"/stream", "", true},
+        {"/refuse", "", true},
+        {"/silent", "no_response", false},
+        {"/throw", "handler_failed", false},
+        {"/stream?cut=1", "aborted", true},
+        {"/stream?end=0", "incomplete", true},
+    }));
+    CAPTURE(row.target);
+    EchoServer server(smallLimits());
+    std::vector<std::string> reasons;
+    server.server.setUnansweredCallback([&](const http::UnansweredRequest &unanswered) {
+        CHECK(unanswered.request.target == row.target);
+        CHECK(unanswered.responseStarted == row.responseStarted);
+        CHECK(unanswered.detail == (row.reason == "handler_failed" ? "handler error" : ""));
+        reasons.emplace_back(http::toString(unanswered.reason));
+    });
+    server.sendRaw("GET " + row.target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", false);
+    CHECK(reasons == (row.reason.empty() ? std::vector<std::string>{} : std::vector{row.reason}));
+}
+
 TEST_CASE("pipelined requests are answered in order", "[http]")
 {
     EchoServer server(smallLimits());
