--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -4,15 +4,20 @@
 //   Request state   state of one request
 //   Acceptance      headers, route, body
 //   Placement       retry loop over placements
-//   Sending         to an upstream or a peer
+//   Sending         attempts at upstreams and peers
+//   Silence         replacement of attempts whose upstream is silent
 //   Relay           buffered responses and streams
 //   Responses       error responses and the request log
 
 #include "arbutus/edge/forwarder.h"
+#include "arbutus/core/asyncevent.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/http/truncation.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <charconv>
 #include <cmath>
 
@@ -72,15 +77,55 @@
 // Request state
 //-----------------------------------------------------------------------------
 
-struct Forwarder::RequestState
+/// One send of a request to an upstream, or to an instance in another region.
+struct Forwarder::Attempt
+{
+    //--- Target
+    routing::PlacementId placement;
+    core::UpstreamId upstream;
+    core::InstanceId peer; // instead of an upstream
+    core::RegionId region; // of the peer
+    std::string address;
+    core::Duration predictedLatency{};
+
+    //--- Progress
+    http::Request request;
+    std::optional<http::Call> call;
+    core::TimePoint sentAt{};
+    std::optional<core::TimePoint> connectedAt;
+    std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
+    core::TimePoint firstEventAt{};
+    core::TimePoint lastProgressAt{}; // response head or last complete event
+    bool delivered = false;           // the client gets the complete response of this attempt
+    bool superseded = false;          // another attempt continues the request
+    bool ended = false;
+
+    //--- Result, also for the log
+    routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
+    std::string peerOutcome; // OutcomeHeader
+    std::string failure;
+    std::string maxRequestRate;        // that the response named
+    std::string bodyEnd;               // how the response marked the end of its body
+    std::size_t partialEventBytes = 0; // received after the last complete event
+
+    [[nodiscard]] bool isToPeer() const
+    {
+        return !peer.empty();
+    }
+};
+
+struct Forwarder::RequestState : std::enable_shared_from_this<RequestState>
 {
-    RequestState(http::Exchange &clientExchange, core::TimePoint now)
+    RequestState(http::Exchange &clientExchange, const InstanceContext &context)
         : exchange(clientExchange)
-        , receivedAt(now)
+        , clock(context.clock)
+        , receivedAt(context.now())
+        , changed(context.executor)
     {
     }
 
-    http::Exchange &exchange;
+    http::Exchange &exchange; // only valid until the request has been answered
+    const core::Clock &clock;
     http::Request request; // without PeerHeaders
     RequestHead head;
     catalog::CatalogPointer catalog;
@@ -103,17 +148,18 @@
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
     std::optional<routing::PromptPartId> quarantinedPart; // because of which the request is refused
-    std::string lastFailure;                              // reason of the last failed send, for the log
+    std::string lastFailure;                              // reason of the last failed attempt, for the log
     core::UpstreamId lastUpstream;
-    std::string lastAddress;
-    core::TimePoint lastSentAt{};      // of the last request to an upstream
-    std::string lastMaxRequestRate;    // that the last response named, for the log
-    std::string lastBodyEnd;           // how the last response marked the end of its body, for the log
-    std::size_t partialEventBytes = 0; // received after the last complete event of the last stream, for the log
     core::TimePoint firstEventTime{};
     core::TimePoint lastEventTime{};
     core::Duration maxEventGap{}; // longest gap between events of the stream
 
+    core::AsyncEvent changed;                            // an attempt has connected, got its response head or ended
+    std::shared_ptr<Attempt> current;                    // the attempt whose response is relayed
+    std::shared_ptr<Attempt> replacement;                // takes the place of the current one, which is silent
+    std::shared_ptr<CancellationToken> replacementToken; // while a replacement waits for its placement
+    bool isSeekingReplacement = false;
+
     [[nodiscard]] bool isRepeatable() const
     {
         return route->executionSemantics == catalog::ExecutionSemantics::Repeatable;
@@ -126,6 +172,18 @@
     {
         return routing::PlacementId(head.attemptId + "/" + std::to_string(placements));
     }
+    void cancelAttempts()
+    {
+        for (const auto &attempt : {current, replacement}) {
+            if (attempt) {
+                attempt->call->cancel();
+            }
+        }
+        if (replacementToken) {
+            replacementToken->cancel();
+        }
+        changed.notify();
+    }
 };
 
 Forwarder::Forwarder(InstanceContext &context,
@@ -162,7 +220,8 @@
 
 asio::awaitable<void> Forwarder::handleRequest(http::Exchange &exchange)
 {
-    RequestState state(exchange, m_context.now());
+    const auto owner = std::make_shared<RequestState>(exchange, m_context);
+    RequestState &state = *owner;
     state.request = exchange.request();
     for (const char *name : PeerHeaders) {
         state.request.headers.erase(name); // reserved for requests between instances
@@ -174,7 +233,8 @@
 
 asio::awaitable<void> Forwarder::handleForwardedRequest(http::Exchange &exchange)
 {
-    RequestState state(exchange, m_context.now());
+    const auto owner = std::make_shared<RequestState>(exchange, m_context);
+    RequestState &state = *owner;
     state.request = exchange.request();
     state.fromPeer = true;
     state.origin = http::headerValue(state.request.headers, OriginHeader);
@@ -273,7 +333,8 @@
         || now >= (state.responseStarted ? state.completionDeadline : state.responseDeadline)) {
         return false;
     }
-    if (state.possibleExecutions >= state.route->maxUpstreamsPerAttempt) {
+    const bool isPeerPending = state.current && state.current->isToPeer() && !state.current->head; // it has not reported its executions yet
+    if (state.possibleExecutions + (isPeerPending ? 1 : 0) >= state.route->maxUpstreamsPerAttempt) {
         return false;
     }
     return state.sendCount == 0 || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
@@ -293,26 +354,36 @@
 asio::awaitable<void> Forwarder::placeAndSend(RequestState &state)
 {
     bool mayHaveExecuted = false;
-    while (!isQuarantined(state)) {
-        routing::PlacementRequest placementRequest = makePlacementRequest(state);
-        const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
-        if (state.cancellation->cancelled) {
-            logCompletion(state, 0, "client_disconnected");
-            co_return;
+    while (state.replacement || !isQuarantined(state)) {
+        state.current = std::exchange(state.replacement, nullptr);
+        if (!state.current) {
+            routing::PlacementRequest placementRequest = makePlacementRequest(state);
+            const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
+            if (state.cancellation->cancelled) {
+                logCompletion(state, 0, "client_disconnected");
+                co_return;
+            }
+            if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
+                state.retryAfter = refused->retryAfter;
+                if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
+                    state.quarantinedPart = routing::PromptPartId();
+                    state.lastFailure = "the dispatcher reports a quarantined prompt part";
+                }
+                break;
+            }
+            state.current = openAttempt(state, decision);
         }
         SendResult result = SendResult::NotExecuted;
-        if (const auto *granted = std::get_if<routing::Granted>(&decision)) {
-            result = co_await sendToUpstream(state, *granted);
-        } else if (const auto *redirected = std::get_if<routing::Redirected>(&decision)) {
-            const core::RegionId region = redirected->region;
-            result = co_await sendToPeer(state, region);
-        } else if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
-            state.retryAfter = refused->retryAfter;
-            if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
-                state.quarantinedPart = routing::PromptPartId();
-                state.lastFailure = "the dispatcher reports a quarantined prompt part";
+        if (state.current) {
+            state.cancellation->onCancel = [&state] { state.cancelAttempts(); };
+            if (state.isRepeatable()) {
+                asio::co_spawn(m_context.executor, watchForSilence(state.shared_from_this(), state.current), asio::detached);
             }
-            break;
+            result = co_await finishAttempt(state, state.current);
+            if (result != SendResult::Finished) {
+                co_await waitForReplacement(state);
+            }
+            state.cancellation->onCancel = nullptr;
         }
         if (result == SendResult::Finished) {
             co_return;
@@ -322,7 +393,7 @@
             co_return;
         }
         mayHaveExecuted = mayHaveExecuted || result != SendResult::NotExecuted;
-        if (result == SendResult::NotRetryable || !canRetry(state)) {
+        if (!state.replacement && (result == SendResult::NotRetryable || !canRetry(state))) {
             break;
         }
     }
@@ -338,21 +409,39 @@
     return state.isRepeatable() ? SendResult::Retryable : SendResult::NotRetryable;
 }
 
-Forwarder::SendResult Forwarder::recordIncompleteResponse(RequestState &state, std::string reason, routing::SendOutcome &outcome) const
+Forwarder::SendResult Forwarder::recordFailedAttempt(RequestState &state, Attempt &attempt, routing::SendOutcome outcome, std::string reason) const
 {
-    outcome = routing::SendOutcome::Incomplete;
-    state.lastFailure = std::move(reason);
-    state.excludedUpstreams.insert(state.lastUpstream);
+    attempt.outcome = outcome;
+    attempt.failure = std::move(reason);
+    exclude(state, attempt);
     return failedSendResult(state);
 }
 
-asio::awaitable<Forwarder::SendResult> Forwarder::sendToUpstream(RequestState &state, const routing::Granted &granted)
+void Forwarder::exclude(RequestState &state, const Attempt &attempt)
+{
+    if (attempt.isToPeer()) {
+        state.excludedRegions.insert(attempt.region);
+    } else {
+        state.excludedUpstreams.insert(attempt.upstream);
+    }
+}
+
+std::shared_ptr<Forwarder::Attempt> Forwarder::openAttempt(RequestState &state, const routing::PlacementDecision &decision)
+{
+    if (const auto *granted = std::get_if<routing::Granted>(&decision)) {
+        return openUpstreamAttempt(state, *granted);
+    }
+    if (const auto *redirected = std::get_if<routing::Redirected>(&decision)) {
+        return openPeerAttempt(state, redirected->region);
+    }
+    return nullptr;
+}
+
+std::shared_ptr<Forwarder::Attempt> Forwarder::openUpstreamAttempt(RequestState &state, const routing::Granted &granted)
 {
     const core::TimePoint now = m_context.now();
     const routing::PlacementId placementId = state.placementId();
     state.lastUpstream = granted.upstream;
-    state.lastAddress = granted.address;
-    state.lastSentAt = now;
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
     if (entry != nullptr && !entry->isUsable()) { // a dispatcher that was suspended may know less than this instance
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
@@ -360,18 +449,18 @@
         state.lastFailure = "placed at an upstream that is leaving or gone";
         m_context.writeLog(
             observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
-        co_return SendResult::NotExecuted;
+        return nullptr;
     }
     if (isQuarantined(state)) { // since the request was placed
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
-        co_return SendResult::NotExecuted;
+        return nullptr;
     }
     if (state.sendCount == 0) {
         m_retryBudget.recordFirstSend(state.service, now);
     } else if (!m_retryBudget.tryRetry(state.service, m_fleet.knownMemberCount(), now)) {
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
         state.lastFailure = "retry budget exhausted";
-        co_return SendResult::NotExecuted;
+        return nullptr;
     }
     const catalog::Service *service = state.catalog->findService(state.service);
     UpstreamRequestOptions requestOptions;
@@ -382,87 +471,23 @@
     if (state.sseRelay) {
         requestOptions.resumeAfterEventId = state.sseRelay->lastEventId();
     }
-    http::Request request = state.request;
-    request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->placement = placementId;
+    attempt->upstream = granted.upstream;
+    attempt->address = granted.address;
+    attempt->predictedLatency = granted.predictedLatency;
+    attempt->request = state.request;
+    attempt->request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
 
-    bool connected = false;
     http::CallOptions options;
     options.pool = &m_upstreamConnections;
     options.retryOnStaleConnection = false; // retries are decided by this class
     options.acceptConnectionClose = true;
-    if (!state.isStreaming()) {
-        options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
-    }
     options.maxIdleTime = state.isRepeatable() ? m_settings.repeatableMaxIdleTime : m_settings.atMostOnceMaxIdleTime;
     options.connectTimeout = m_settings.upstreamConnectTimeout;
-    options.matchesResponse = [&](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, state.head.attemptId); };
-    options.onConnected = [&](bool isNewConnection) {
-        connected = true;
-        m_context.metrics.incrementCounter("arbutus_upstream_sends_total", isNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
-    };
-    const http::Endpoint endpoint = http::parseEndpoint(granted.address);
-    http::Call call(m_context.executor, endpoint, std::move(options));
-    state.cancellation->onCancel = [&call] { call.cancel(); };
-
-    const milliseconds remaining = std::max(milliseconds(1), requestOptions.timeout);
-    milliseconds firstByteTimeout = remaining;
-    if (state.isRepeatable()) {
-        const auto predicted = std::chrono::duration<double, std::milli>(granted.predictedLatency).count();
-        firstByteTimeout =
-            std::min(remaining, std::max(m_settings.minFirstByteTimeout, milliseconds(std::llround(m_settings.firstByteTimeoutFactor * predicted))));
-    }
-    auto head = co_await call.start(request, firstByteTimeout);
-    SendResult result = SendResult::NotExecuted;
-    routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
-    state.sendCount += connected ? 1 : 0;
-    state.lastMaxRequestRate.clear();
-    state.lastBodyEnd.clear();
-    state.partialEventBytes = 0;
-    if (head) {
-        result = co_await handleResponse(state, call, head.value(), false, outcome);
-    } else if (state.cancellation->cancelled) {
-        outcome = routing::SendOutcome::ClientDisconnected;
-        state.possibleExecutions += connected ? 1 : 0;
-        result = failedSendResult(state);
-    } else {
-        state.lastFailure = head.error().message;
-        const bool staleConnection = head.error().connectionReused && !head.error().timedOut;
-        if (connected) {
-            ++state.possibleExecutions;
-            outcome = head.error().timedOut ? routing::SendOutcome::TimedOut : routing::SendOutcome::Incomplete;
-            outcome = staleConnection ? routing::SendOutcome::NeverSent : outcome; // a stale pooled connection is not counted against the upstream
-            result = failedSendResult(state);
-        }
-        if (!staleConnection) {
-            state.excludedUpstreams.insert(granted.upstream);
-        } else if (state.isRepeatable()) {
-            --state.possibleExecutions; // the request is sent to the same upstream again
-        }
-    }
-    state.cancellation->onCancel = nullptr;
-    m_placement.recordCompletion(placementId, outcome);
-    const bool eventReceived = state.firstEventTime >= now;
-    if (outcome == routing::SendOutcome::Incomplete) {
-        if (head && !eventReceived) {
-            m_quarantine.recordBreak(granted.upstream, granted.address, state.head.prompt);
-        }
-        m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", eventReceived ? "stage=\"events\"" : head ? "stage=\"head\"" : "stage=\"sent\"");
-    }
-    m_context.writeLog(observe::LogLine("upstream_attempt_finished")
-                           .add("request", placementId)
-                           .add("upstream", granted.upstream)
-                           .add("outcome", routing::toString(outcome))
-                           .add("reason", state.lastFailure)
-                           .add("named_rate", state.lastMaxRequestRate)
-                           .add("body_end", state.lastBodyEnd)
-                           .add("partial_event_bytes", state.partialEventBytes)
-                           .add("prompt_parts", outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
-                           .add("took_ms", core::toMilliseconds(m_context.now() - now))
-                           .add("first_event_ms", state.firstEventTime > now ? core::toMilliseconds(state.firstEventTime - now) : 0)
-                           .add("predicted_ms", core::toMilliseconds(granted.predictedLatency))
-                           .add("upstream_sends", state.sendCount)
-                           .add("runs", state.possibleExecutions));
-    co_return result;
+    options.matchesResponse = [this, id = state.head.attemptId](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, id); };
+    startAttempt(state, attempt, std::move(options));
+    return attempt;
 }
 
 std::optional<membership::Member> Forwarder::pickPeer(const core::RegionId &region)
@@ -482,250 +507,484 @@
     return members.empty() ? std::nullopt : std::optional(members.back());
 }
 
-asio::awaitable<Forwarder::SendResult> Forwarder::sendToPeer(RequestState &state, const core::RegionId &region)
+std::shared_ptr<Forwarder::Attempt> Forwarder::openPeerAttempt(RequestState &state, const core::RegionId &region)
 {
-    const core::TimePoint now = m_context.now();
     const auto peer = pickPeer(region);
     if (!peer) {
         state.excludedRegions.insert(region);
         state.lastFailure = "no instance in region " + region.text;
-        co_return SendResult::NotExecuted;
+        return nullptr;
     }
-    const auto remaining = std::chrono::duration_cast<milliseconds>(state.completionDeadline - now);
-    http::Request request = state.request;
-    request.headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - m_settings.crossRegionOverhead / 2));
-    request.headers[OriginHeader] = m_context.settings.instanceId.text;
-    request.headers[ServiceHeader] = state.service.text;
-    request.headers[SendCountHeader] = std::to_string(state.sendCount);
-    request.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->placement = state.placementId();
+    attempt->peer = peer->id;
+    attempt->region = region;
+    attempt->address = peer->peerAddress;
+    attempt->request = state.request;
+    const auto remaining = std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now());
+    http::Headers &headers = attempt->request.headers;
+    headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - m_settings.crossRegionOverhead / 2));
+    headers[OriginHeader] = m_context.settings.instanceId.text;
+    headers[ServiceHeader] = state.service.text;
+    headers[SendCountHeader] = std::to_string(state.sendCount);
+    headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
     if (state.sseRelay && !state.sseRelay->lastEventId().empty()) {
-        request.headers[ResumeHeader] = state.sseRelay->lastEventId();
+        headers[ResumeHeader] = state.sseRelay->lastEventId();
     }
-    bool connected = false;
     http::CallOptions options;
     options.pool = &m_peerConnections;
     options.retryOnStaleConnection = false;
     options.maxIdleTime = m_settings.peerMaxIdleTime;
     options.connectTimeout = m_settings.peerConnectTimeout;
-    options.onConnected = [&](bool) { connected = true; };
+    startAttempt(state, attempt, std::move(options));
+    return attempt;
+}
+
+void Forwarder::startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options)
+{
+    const core::TimePoint now = m_context.now();
+    attempt->sentAt = now;
+    attempt->lastProgressAt = now;
     if (!state.isStreaming()) {
         options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
     }
-    const http::Endpoint endpoint = http::parseEndpoint(peer->peerAddress);
-    http::Call call(m_context.executor, endpoint, std::move(options));
-    state.cancellation->onCancel = [&call] { call.cancel(); };
-    auto head = co_await call.start(request, std::max(milliseconds(1), remaining));
-    state.lastBodyEnd.clear();
-    state.partialEventBytes = 0;
-    SendResult result = SendResult::NotExecuted;
-    routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
-    std::string peerOutcome;
-    if (head) {
-        peerOutcome = http::headerValue(head.value().headers, OutcomeHeader);
-        state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(head.value().headers, SendCountHeader)));
-        state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(head.value().headers, PossibleExecutionsHeader)));
-        if (peerOutcome == OutcomeQuarantined) {
-            state.quarantinedPart = routing::PromptPartId();
-            state.lastFailure = "peer " + peer->id.text + " reports a quarantined prompt part";
-        } else if (peerOutcome == OutcomeNotExecuted) {
-            state.excludedRegions.insert(region);
-            state.lastFailure = "not executed by peer " + peer->id.text;
-        } else if (peerOutcome == OutcomeUnknown) {
-            state.excludedRegions.insert(region);
-            state.lastFailure = "outcome unknown at peer " + peer->id.text;
-            result = failedSendResult(state);
-        } else {
-            result = co_await handleResponse(state, call, head.value(), true, outcome);
+    options.onConnected = [this, &state, attempt = attempt.get()](bool isNewConnection) {
+        attempt->connectedAt = m_context.now();
+        if (!attempt->isToPeer()) { // a peer reports its own counts
+            ++state.sendCount;
+            ++state.possibleExecutions;
+            m_context.metrics.incrementCounter("arbutus_upstream_sends_total", isNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
         }
+        state.changed.notify();
+    };
+    attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
+    const milliseconds remaining = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - now));
+    auto operation = [attempt, remaining, owner = state.shared_from_this()]() -> asio::awaitable<void> {
+        http::CallResult<http::Response> head = http::CallError{http::CallStage::SendRequest, "unexpected failure of the call"};
+        try {
+            head = co_await attempt->call->start(attempt->request, remaining);
+        } catch (const std::exception &error) {
+            head = http::CallError{http::CallStage::SendRequest, error.what()};
+        }
+        attempt->head.emplace(std::move(head));
+        attempt->lastProgressAt = std::max(attempt->lastProgressAt, owner->clock.steadyNow());
+        owner->changed.notify();
+    };
+    asio::co_spawn(m_context.executor, std::move(operation), asio::detached);
+}
+
+asio::awaitable<Forwarder::SendResult> Forwarder::finishAttempt(RequestState &state, std::shared_ptr<Attempt> attempt)
+{
+    while (!attempt->head) {
+        co_await state.changed.wait();
+    }
+    SendResult result = SendResult::NotExecuted;
+    if (*attempt->head) {
+        result = attempt->isToPeer() ? co_await handlePeerResponse(state, *attempt) : co_await handleResponse(state, *attempt);
     } else {
-        state.lastFailure = head.error().message;
-        state.excludedRegions.insert(region);
+        result = handleFailedStart(state, *attempt);
+    }
+    attempt->ended = true;
+    attempt->call->cancel();
+    state.changed.notify();
+    if (attempt->superseded && result != SendResult::Finished) {
+        attempt->outcome = routing::SendOutcome::TimedOut;
+        attempt->failure = "silent; replaced by another attempt";
+        result = SendResult::Superseded;
+    }
+    if (!attempt->failure.empty()) {
+        state.lastFailure = attempt->failure;
+    }
+    if (!attempt->isToPeer()) {
+        m_placement.recordCompletion(attempt->placement, attempt->outcome);
+        recordBreak(state, *attempt);
+    }
+    logAttempt(state, *attempt);
+    co_return result;
+}
+
+Forwarder::SendResult Forwarder::handleFailedStart(RequestState &state, Attempt &attempt)
+{
+    const http::CallError &error = attempt.head->error();
+    attempt.failure = error.message;
+    const bool connected = attempt.connectedAt.has_value();
+    if (state.cancellation->cancelled) {
+        attempt.outcome = routing::SendOutcome::ClientDisconnected;
+        return failedSendResult(state);
+    }
+    if (attempt.isToPeer()) {
+        state.excludedRegions.insert(attempt.region);
         if (connected) { // the peer may have forwarded it
             ++state.possibleExecutions;
             ++state.sendCount;
-            result = failedSendResult(state);
         }
+        return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
-    state.cancellation->onCancel = nullptr;
-    m_context.writeLog(observe::LogLine("peer_attempt_finished")
-                           .add("request", state.placementId())
-                           .add("peer", peer->id)
-                           .add("region", region)
-                           .add("outcome", peerOutcome)
-                           .add("reason", state.lastFailure)
-                           .add("body_end", state.lastBodyEnd)
-                           .add("partial_event_bytes", state.partialEventBytes)
-                           .add("took_ms", core::toMilliseconds(m_context.now() - now)));
-    co_return result;
+    const bool staleConnection = connected && error.connectionReused && !error.timedOut;
+    if (connected) {
+        attempt.outcome = staleConnection ? routing::SendOutcome::NeverSent // a stale pooled connection is not counted against the upstream
+            : error.timedOut              ? routing::SendOutcome::TimedOut
+                                          : routing::SendOutcome::Incomplete;
+    }
+    if (!staleConnection) {
+        state.excludedUpstreams.insert(attempt.upstream);
+    } else if (state.isRepeatable()) {
+        --state.possibleExecutions; // the request is sent to the same upstream again
+    }
+    return connected ? failedSendResult(state) : SendResult::NotExecuted;
+}
+
+void Forwarder::recordBreak(RequestState &state, const Attempt &attempt)
+{
+    if (attempt.outcome != routing::SendOutcome::Incomplete) {
+        return;
+    }
+    const bool hasHead = attempt.head->has_value();
+    const bool hasEvent = attempt.firstEventAt != core::TimePoint{};
+    if (hasHead && !hasEvent) {
+        m_quarantine.recordBreak(attempt.upstream, attempt.address, state.head.prompt);
+    }
+    m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", hasEvent ? "stage=\"events\"" : hasHead ? "stage=\"head\"" : "stage=\"sent\"");
+}
+
+void Forwarder::logAttempt(const RequestState &state, const Attempt &attempt)
+{
+    const core::TimePoint now = m_context.now();
+    const bool hasEvent = attempt.firstEventAt != core::TimePoint{};
+    observe::LogLine line(attempt.isToPeer() ? "peer_attempt_finished" : "upstream_attempt_finished");
+    line.add("request", attempt.placement);
+    if (attempt.isToPeer()) {
+        line.add("peer", attempt.peer).add("region", attempt.region).add("outcome", attempt.peerOutcome).add("reason", attempt.failure);
+    } else {
+        line.add("upstream", attempt.upstream)
+            .add("outcome", routing::toString(attempt.outcome))
+            .add("reason", attempt.failure)
+            .add("named_rate", attempt.maxRequestRate)
+            .add("prompt_parts", attempt.outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
+            .add("first_event_ms", hasEvent ? core::toMilliseconds(attempt.firstEventAt - attempt.sentAt) : 0)
+            .add("predicted_ms", core::toMilliseconds(attempt.predictedLatency))
+            .add("upstream_sends", state.sendCount)
+            .add("runs", state.possibleExecutions);
+    }
+    line.add("body_end", attempt.bodyEnd).add("partial_event_bytes", attempt.partialEventBytes).add("took_ms", core::toMilliseconds(now - attempt.sentAt));
+    m_context.writeLog(line);
+}
+
+//-----------------------------------------------------------------------------
+// Silence
+//-----------------------------------------------------------------------------
+
+std::optional<core::Duration> Forwarder::silenceLimit(const RequestState &state, const Attempt &attempt) const
+{
+    const core::Duration peerDelay = attempt.isToPeer() ? core::Duration(m_settings.peerSilenceMargin) : core::Duration::zero();
+    if (attempt.head) {
+        return state.isStreaming() ? std::optional(m_settings.streamIdleTimeout + peerDelay) : std::nullopt;
+    }
+    const auto expected = std::chrono::duration_cast<core::Duration>(attempt.predictedLatency * m_settings.firstByteTimeoutFactor);
+    return std::max(core::Duration(m_settings.minFirstByteTimeout), expected) + peerDelay;
+}
+
+bool Forwarder::isSilent(const RequestState &state, const Attempt &attempt) const
+{
+    const auto limit = silenceLimit(state, attempt);
+    return limit && m_context.now() - attempt.lastProgressAt >= *limit;
+}
+
+asio::awaitable<void> Forwarder::watchForSilence(std::shared_ptr<RequestState> state, std::shared_ptr<Attempt> attempt)
+{
+    while (!attempt->ended && !attempt->superseded) {
+        const auto limit = silenceLimit(*state, *attempt);
+        if (!limit) {
+            co_return;
+        }
+        const core::Duration silence = m_context.now() - attempt->lastProgressAt;
+        if (silence < *limit) {
+            co_await state->changed.wait(*limit - silence);
+            continue;
+        }
+        state->isSeekingReplacement = true;
+        co_await seekReplacement(*state, attempt);
+        state->isSeekingReplacement = false;
+        state->changed.notify();
+        const core::TimePoint soughtAt = m_context.now();
+        while (!attempt->ended && !attempt->superseded && m_context.now() - soughtAt < m_settings.replacementInterval) {
+            co_await state->changed.wait(m_settings.replacementInterval - (m_context.now() - soughtAt));
+        }
+    }
+}
+
+asio::awaitable<void> Forwarder::waitForReplacement(RequestState &state)
+{
+    if (state.replacementToken) {
+        state.replacementToken->cancel(); // the request is placed again without an attempt to keep
+    }
+    while (state.isSeekingReplacement) {
+        co_await state.changed.wait();
+    }
+}
+
+asio::awaitable<void> Forwarder::seekReplacement(RequestState &state, std::shared_ptr<Attempt> silent)
+{
+    if (!canRetry(state) || isQuarantined(state)) {
+        co_return;
+    }
+    exclude(state, *silent);
+    state.replacementToken = std::make_shared<CancellationToken>();
+    routing::PlacementRequest placementRequest = makePlacementRequest(state);
+    const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.replacementToken);
+    state.replacementToken = nullptr;
+    if (silent->ended || state.cancellation->cancelled || !isSilent(state, *silent)) {
+        if (std::holds_alternative<routing::Granted>(decision)) {
+            m_placement.recordCompletion(placementRequest.id, routing::SendOutcome::NeverSent);
+        }
+        co_return;
+    }
+    const std::shared_ptr<Attempt> replacement = openAttempt(state, decision);
+    if (!replacement) {
+        co_return;
+    }
+    state.replacement = replacement;
+    // Two upstreams run the request until the replacement has answered, but not for longer than `maxOverlap`.
+    while (!replacement->head && !silent->ended) {
+        const core::Duration overlap = replacement->connectedAt ? m_context.now() - *replacement->connectedAt : core::Duration::zero();
+        if (overlap >= m_settings.maxOverlap) {
+            break;
+        }
+        co_await state.changed.wait(m_settings.maxOverlap - overlap);
+    }
+    if (silent->delivered || state.cancellation->cancelled) {
+        state.replacement = nullptr;
+        co_await abandonAttempt(state, replacement);
+    } else if (replacement->head && !isAccepted(state, *replacement)) {
+        state.replacement = nullptr;
+        (void)co_await finishAttempt(state, replacement); // it has failed; the silent attempt goes on
+    } else {
+        silent->superseded = true;
+        silent->call->cancel();
+        m_context.metrics.incrementCounter("arbutus_silent_attempts_replaced_total");
+    }
+}
+
+asio::awaitable<void> Forwarder::abandonAttempt(RequestState &state, std::shared_ptr<Attempt> attempt)
+{
+    attempt->call->cancel();
+    while (!attempt->head) {
+        co_await state.changed.wait();
+    }
+    attempt->ended = true;
+    attempt->outcome = routing::SendOutcome::ClientDisconnected;
+    attempt->failure = "not needed any more";
+    if (!attempt->isToPeer()) {
+        m_placement.recordCompletion(attempt->placement, attempt->outcome);
+    }
+    logAttempt(state, *attempt);
+}
+
+bool Forwarder::isAccepted(const RequestState &state, const Attempt &attempt) const
+{
+    if (!attempt.head->has_value()) {
+        return false;
+    }
+    const http::Response &response = attempt.head->value();
+    if (attempt.isToPeer() && http::headerValue(response.headers, OutcomeHeader) != OutcomeAnswered) {
+        return false;
+    }
+    return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success;
 }
 
 //-----------------------------------------------------------------------------
 // Relay
 //-----------------------------------------------------------------------------
 
-asio::awaitable<Forwarder::SendResult>
-Forwarder::handleResponse(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome)
+asio::awaitable<Forwarder::SendResult> Forwarder::handlePeerResponse(RequestState &state, Attempt &attempt)
 {
+    const http::Headers &headers = attempt.head->value().headers;
+    attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
+    state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(headers, SendCountHeader)));
+    state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(headers, PossibleExecutionsHeader)));
+    if (attempt.peerOutcome == OutcomeQuarantined) {
+        state.quarantinedPart = routing::PromptPartId();
+        attempt.failure = "peer " + attempt.peer.text + " reports a quarantined prompt part";
+        co_return SendResult::NotExecuted;
+    }
+    if (attempt.peerOutcome == OutcomeNotExecuted) {
+        state.excludedRegions.insert(attempt.region);
+        attempt.failure = "not executed by peer " + attempt.peer.text;
+        co_return SendResult::NotExecuted;
+    }
+    if (attempt.peerOutcome == OutcomeUnknown) {
+        state.excludedRegions.insert(attempt.region);
+        attempt.failure = "outcome unknown at peer " + attempt.peer.text;
+        co_return failedSendResult(state);
+    }
+    co_return co_await handleResponse(state, attempt);
+}
+
+asio::awaitable<Forwarder::SendResult> Forwarder::handleResponse(RequestState &state, Attempt &attempt)
+{
+    http::Response &head = attempt.head->value();
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
-    state.lastBodyEnd = http::toString(call.bodyEnd());
+    attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
     const bool isFromUpstream = parsed.kind != ResponseKind::Misdirected && parsed.kind != ResponseKind::Unverified;
-    if (!fromPeer && isFromUpstream && parsed.invalidMaxRequestRate.empty()) {
-        m_placement.recordResponse(state.lastUpstream, parsed.maxRequestRate, state.lastSentAt);
+    if (!attempt.isToPeer() && isFromUpstream && parsed.invalidMaxRequestRate.empty()) {
+        m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
     }
-    state.lastMaxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
-    m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + state.lastBodyEnd + "\"");
+    attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
+    m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + attempt.bodyEnd + "\"");
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
     case ResponseKind::Misdirected: {
+        state.possibleExecutions -= attempt.isToPeer() ? 0 : 1;
         constexpr auto BodyTimeout = milliseconds(200); // reading the short body lets the connection be reused
-        const auto body = co_await call.readAll(BodyTimeout);
-        state.lastFailure = body ? "rejected by the upstream" : "rejected by the upstream; reading the response body failed: " + body.error().message;
-        state.excludedUpstreams.insert(state.lastUpstream);
-        outcome = routing::SendOutcome::Rejected;
+        const auto body = co_await attempt.call->readAll(BodyTimeout);
+        attempt.failure = body ? "rejected by the upstream" : "rejected by the upstream; reading the response body failed: " + body.error().message;
+        exclude(state, attempt);
+        attempt.outcome = routing::SendOutcome::Rejected;
         if (parsed.kind == ResponseKind::Misdirected) {
-            outcome = routing::SendOutcome::Unreachable; // another upstream has the address
-            closeIdleConnections(state.lastAddress);
+            attempt.outcome = routing::SendOutcome::Unreachable; // another upstream has the address
+            closeIdleConnections(attempt.address);
         }
         co_return SendResult::NotExecuted;
     }
     case ResponseKind::Unverified:
-        call.cancel();
-        state.possibleExecutions += fromPeer ? 0 : 1; // a peer reports its own count
-        co_return recordIncompleteResponse(state, "response is not verified as coming from the upstream", outcome);
+        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, "response is not verified as coming from the upstream");
     case ResponseKind::ErrorStatus:
     case ResponseKind::Success:
         break;
     }
-    state.possibleExecutions += fromPeer ? 0 : 1;
     const bool hasOtherType = !http::headerValue(head.headers, "Content-Type").empty() && !http::isEventStream(head.headers);
     if (state.isStreaming() && parsed.kind == ResponseKind::Success && !hasOtherType) {
-        co_return co_await relayStream(state, call, head, fromPeer, outcome);
+        co_return co_await relayStream(state, attempt);
     }
-    co_return co_await relayBuffered(state, call, head, fromPeer, outcome);
+    co_return co_await relayBuffered(state, attempt);
 }
 
-asio::awaitable<Forwarder::SendResult>
-Forwarder::relayBuffered(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome)
+asio::awaitable<Forwarder::SendResult> Forwarder::relayBuffered(RequestState &state, Attempt &attempt)
 {
-    const bool success = head.status >= 200 && head.status < 300;
-    auto body = co_await call.readAll(std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now())));
+    http::Response &head = attempt.head->value();
+    const unsigned status = head.status;
+    auto body = co_await attempt.call->readAll(std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now())));
     if (!body) {
-        outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected : routing::SendOutcome::Incomplete;
-        state.lastFailure = "incomplete response body: " + body.error().message;
-        state.excludedUpstreams.insert(state.lastUpstream);
-        co_return failedSendResult(state);
+        const auto outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected : routing::SendOutcome::Incomplete;
+        co_return recordFailedAttempt(state, attempt, outcome, "incomplete response body: " + body.error().message);
     }
     head.body = std::move(body.value());
-    if (http::isTruncated(head, call.bodyEnd())) {
-        co_return recordIncompleteResponse(state, "response body was cut off after " + std::to_string(head.body.size()) + " bytes", outcome);
+    if (http::isTruncated(head, attempt.call->bodyEnd())) {
+        std::string reason = "response body was cut off after " + std::to_string(head.body.size()) + " bytes";
+        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, std::move(reason));
     }
-    if (success) {
-        outcome = routing::SendOutcome::Completed;
-        if (!fromPeer) {
+    if (status >= 200 && status < 300) {
+        attempt.outcome = routing::SendOutcome::Completed;
+        attempt.delivered = true;
+        if (!attempt.isToPeer()) {
             m_quarantine.recordFirstEvent(state.head.prompt);
         }
-        const unsigned status = head.status;
         co_await respond(state, head);
-        logCompletion(state, status, fromPeer ? "answered_by_peer" : "answered");
+        state.lastUpstream = attempt.upstream;
+        logCompletion(state, status, attempt.isToPeer() ? "answered_by_peer" : "answered");
         co_return SendResult::Finished;
     }
-    outcome = routing::SendOutcome::ServerError;
-    state.lastFailure = "status " + std::to_string(head.status);
-    state.excludedUpstreams.insert(state.lastUpstream);
+    const SendResult result = recordFailedAttempt(state, attempt, routing::SendOutcome::ServerError, "status " + std::to_string(status));
     state.upstreamFailure = std::move(head);
-    co_return failedSendResult(state);
+    co_return result;
 }
 
-asio::awaitable<Forwarder::SendResult>
-Forwarder::relayStream(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome)
+asio::awaitable<void> Forwarder::beginStream(RequestState &state, const http::Response &head)
 {
     if (!state.sseRelay) {
         state.sseRelay.emplace(state.head.lastEventId);
     } else {
         state.sseRelay->resume();
     }
-    if (!state.responseStarted) {
-        state.responseStarted = true;
-        http::Response response;
-        response.status = head.status;
-        response.headers = m_context.adapter.clientHeaders(head.headers);
-        if (state.fromPeer) {
-            response.headers[OutcomeHeader] = std::string(OutcomeAnswered);
-            response.headers[SendCountHeader] = std::to_string(state.sendCount);
-            response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
-        } else {
-            for (const char *name : PeerHeaders) {
-                response.headers.erase(name);
-            }
+    if (std::exchange(state.responseStarted, true)) {
+        co_return;
+    }
+    http::Response response;
+    response.status = head.status;
+    response.headers = m_context.adapter.clientHeaders(head.headers);
+    if (state.fromPeer) {
+        response.headers[OutcomeHeader] = std::string(OutcomeAnswered);
+        response.headers[SendCountHeader] = std::to_string(state.sendCount);
+        response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
+    } else {
+        for (const char *name : PeerHeaders) {
+            response.headers.erase(name);
         }
-        if (!co_await state.exchange.beginResponse(response)) {
-            state.cancellation->cancel();
+    }
+    if (!co_await state.exchange.beginResponse(response)) {
+        state.cancellation->cancel();
+    }
+}
+
+void Forwarder::recordOutput(RequestState &state, Attempt &attempt)
+{
+    const core::TimePoint now = m_context.now();
+    if (state.sseRelay->forwardedEventCount() > 1 && state.lastEventTime != core::TimePoint{}) {
+        state.maxEventGap = std::max(state.maxEventGap, now - state.lastEventTime);
+    }
+    state.lastEventTime = now;
+    attempt.lastProgressAt = now;
+    if (state.replacementToken) {
+        state.replacementToken->cancel(); // the upstream is no longer silent
+    }
+    if (attempt.firstEventAt == core::TimePoint{}) {
+        attempt.firstEventAt = now;
+        m_placement.recordFirstEvent(attempt.placement);
+        if (!attempt.isToPeer()) {
+            m_quarantine.recordFirstEvent(state.head.prompt);
         }
+        state.firstEventTime = now;
+        m_context.metrics.observeDuration("arbutus_first_event_seconds", "", now - state.receivedAt);
     }
-    bool isFirstOutput = true;
-    core::TimePoint lastOutputAt = m_context.now();
+}
+
+asio::awaitable<Forwarder::SendResult> Forwarder::relayStream(RequestState &state, Attempt &attempt)
+{
+    const unsigned status = attempt.head->value().status;
+    co_await beginStream(state, attempt.head->value());
     while (true) {
         if (state.cancellation->cancelled) {
-            call.cancel();
-            outcome = routing::SendOutcome::ClientDisconnected;
+            attempt.outcome = routing::SendOutcome::ClientDisconnected;
             co_return SendResult::NotRetryable;
         }
-        core::TimePoint deadline = state.completionDeadline;
-        if (state.isRepeatable()) {
-            deadline = std::min(deadline, lastOutputAt + m_settings.streamIdleTimeout); // bytes that complete no event do not extend it
+        if (state.sseRelay->partialEventBytes() > m_settings.maxEventBytes) {
+            co_return recordFailedAttempt(
+                state, attempt, routing::SendOutcome::Incomplete, "an event exceeds the maximum size after event " + state.sseRelay->lastEventId());
         }
-        if (m_context.now() >= deadline || state.sseRelay->partialEventBytes() > m_settings.maxEventBytes) {
-            call.cancel();
-            const bool tooLong = state.sseRelay->partialEventBytes() > m_settings.maxEventBytes;
-            std::string reason = tooLong ? "an event exceeds the maximum size after event " : "no complete event in time after event ";
-            reason += state.sseRelay->lastEventId();
-            const SendResult result = recordIncompleteResponse(state, std::move(reason), outcome);
-            outcome = tooLong ? outcome : routing::SendOutcome::TimedOut;
-            co_return result;
+        if (m_context.now() >= state.completionDeadline) { // also if bytes that complete no event keep arriving
+            co_return recordFailedAttempt(
+                state, attempt, routing::SendOutcome::TimedOut, "no complete event in time after event " + state.sseRelay->lastEventId());
         }
-        const milliseconds timeout = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(deadline - m_context.now()));
-        auto chunk = co_await call.readSome(timeout);
-        state.partialEventBytes = state.sseRelay->partialEventBytes();
+        const milliseconds timeout = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now()));
+        auto chunk = co_await attempt.call->readSome(timeout);
+        attempt.partialEventBytes = state.sseRelay->partialEventBytes();
         if (!chunk) {
-            outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected
-                : chunk.error().timedOut            ? routing::SendOutcome::TimedOut
-                                                    : routing::SendOutcome::Incomplete;
-            state.lastFailure = "stream interrupted after event " + state.sseRelay->lastEventId() + ": " + chunk.error().message;
-            state.excludedUpstreams.insert(state.lastUpstream);
-            co_return failedSendResult(state);
+            const auto outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected
+                : chunk.error().timedOut                       ? routing::SendOutcome::TimedOut
+                                                               : routing::SendOutcome::Incomplete;
+            std::string reason = "stream interrupted after event " + state.sseRelay->lastEventId() + ": " + chunk.error().message;
+            co_return recordFailedAttempt(state, attempt, outcome, std::move(reason));
         }
         const bool complete = chunk.value().empty();
-        std::string output = complete ? state.sseRelay->finish(call.bodyEnd()) : state.sseRelay->feed(chunk.value());
+        const std::string output = complete ? state.sseRelay->finish(attempt.call->bodyEnd()) : state.sseRelay->feed(chunk.value());
         if (!output.empty()) {
-            const core::TimePoint now = m_context.now();
-            if (state.sseRelay->forwardedEventCount() > 1 && state.lastEventTime != core::TimePoint{}) {
-                state.maxEventGap = std::max(state.maxEventGap, now - state.lastEventTime);
-            }
-            state.lastEventTime = now;
-            lastOutputAt = now;
-            if (std::exchange(isFirstOutput, false)) {
-                m_placement.recordFirstEvent(state.placementId());
-                if (!fromPeer) {
-                    m_quarantine.recordFirstEvent(state.head.prompt);
-                }
-                state.firstEventTime = now;
-                m_context.metrics.observeDuration("arbutus_first_event_seconds", "", m_context.now() - state.receivedAt);
-            }
+            recordOutput(state, attempt);
             if (!co_await state.exchange.writeChunk(output)) {
                 state.cancellation->cancel();
                 continue;
             }
         }
         if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
-            call.cancel();
             std::string reason = state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ";
             reason += state.sseRelay->lastEventId();
-            co_return recordIncompleteResponse(state, std::move(reason), outcome);
+            co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, std::move(reason));
         }
         if (complete) {
-            outcome = routing::SendOutcome::Completed;
+            attempt.outcome = routing::SendOutcome::Completed;
+            attempt.delivered = true;
             co_await state.exchange.endResponse();
-            logCompletion(state, head.status, fromPeer ? "streamed_by_peer" : "streamed");
+            state.lastUpstream = attempt.upstream;
+            logCompletion(state, status, attempt.isToPeer() ? "streamed_by_peer" : "streamed");
             co_return SendResult::Finished;
         }
     }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -12,6 +12,11 @@
 // still be retried or reported as an error. Streams are relayed event by event. A broken stream is resumed at another
 // upstream if the route allows it; otherwise the client's connection is aborted, so that the client can see that the stream
 // is incomplete.
+//
+// Q: What if an upstream is silent?
+// A: It may go on at any time, so its attempt is kept. If the request may be repeated, a replacement is sought meanwhile: a
+//    placement at another upstream, within the retry budget. The silent attempt is cancelled only after the replacement has accepted
+//    the request, or has had it for `maxOverlap`. Without a replacement, the silent attempt is waited for until the deadline.
 
 #pragma once
 
@@ -32,9 +37,12 @@
     std::chrono::milliseconds atMostOnceMaxIdleTime{700};  // pooled connections idle for longer are not used for at-most-once requests
     std::chrono::milliseconds repeatableMaxIdleTime{3'000};
     std::chrono::milliseconds peerMaxIdleTime{3'000};
-    std::chrono::milliseconds minFirstByteTimeout{700};   // first byte timeout of repeatable requests; they are retried elsewhere after it
-    double firstByteTimeoutFactor = 3;                    // the timeout is this many times the predicted latency, if that is longer
-    std::chrono::milliseconds streamIdleTimeout{1'600};   // between events of a resumable stream
+    std::chrono::milliseconds minFirstByteTimeout{700};   // without a response head, an attempt of a repeatable request is silent after this time
+    double firstByteTimeoutFactor = 3;                    // the time is this many times the predicted latency, if that is longer
+    std::chrono::milliseconds streamIdleTimeout{1'600};   // without an event, an attempt of a resumable stream is silent after this time
+    std::chrono::milliseconds peerSilenceMargin{1'000};   // added for a peer, which looks for a replacement itself first
+    std::chrono::milliseconds replacementInterval{300};   // between two searches for a replacement of the same attempt
+    std::chrono::milliseconds maxOverlap{150};            // time for which two upstreams may run the same request
     std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
     std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
@@ -72,34 +80,71 @@
 
 private:
     struct RequestState;
-    /// Result of one send attempt.
+    struct Attempt;
+    /// Result of one attempt.
     enum class SendResult {
         Finished,     // the response was sent, or the client has disconnected
         NotExecuted,  // the request was not executed and will not be
         Retryable,    // it may have been executed, and may be repeated
         NotRetryable, // it may have been executed, and must not be repeated
+        Superseded,   // the attempt was silent, and another one continues the request
     };
 
-    boost::asio::awaitable<void> placeAndSend(RequestState &state);
     boost::asio::awaitable<bool> acceptRequest(RequestState &state);
-    boost::asio::awaitable<SendResult> sendToUpstream(RequestState &state, const routing::Granted &granted);
-    boost::asio::awaitable<SendResult> sendToPeer(RequestState &state, const core::RegionId &region);
-    boost::asio::awaitable<SendResult>
-    handleResponse(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome);
-    boost::asio::awaitable<SendResult> relayBuffered(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome);
-    boost::asio::awaitable<SendResult> relayStream(RequestState &state, http::Call &call, http::Response &head, bool fromPeer, routing::SendOutcome &outcome);
-    boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool mayHaveExecuted, bool timedOut);
-    boost::asio::awaitable<void>
-    respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
-    boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
+
+    //--- Placement
+    boost::asio::awaitable<void> placeAndSend(RequestState &state);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
     [[nodiscard]] bool canRetry(RequestState &state);
     /// Whether the request must not be sent because of a quarantined part of its prompt; notes the part in the state.
     [[nodiscard]] bool isQuarantined(RequestState &state);
+
+    //--- Sending
+    /// Sends the request; null if it must not be sent, or if there is nowhere to send it.
+    [[nodiscard]] std::shared_ptr<Attempt> openAttempt(RequestState &state, const routing::PlacementDecision &decision);
+    [[nodiscard]] std::shared_ptr<Attempt> openUpstreamAttempt(RequestState &state, const routing::Granted &granted);
+    [[nodiscard]] std::shared_ptr<Attempt> openPeerAttempt(RequestState &state, const core::RegionId &region);
+    void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
+    /// Waits for the response and relays it.
+    boost::asio::awaitable<SendResult> finishAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
+    /// Cancels an attempt that is not needed any more.
+    boost::asio::awaitable<void> abandonAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
+    [[nodiscard]] SendResult handleFailedStart(RequestState &state, Attempt &attempt);
     [[nodiscard]] std::optional<membership::Member> pickPeer(const core::RegionId &region);
     [[nodiscard]] SendResult failedSendResult(const RequestState &state) const;
-    /// Ends an attempt whose response began but is not whole or not the upstream's.
-    [[nodiscard]] SendResult recordIncompleteResponse(RequestState &state, std::string reason, routing::SendOutcome &outcome) const;
+    /// Ends an attempt whose response is not whole, not the upstream's, or a failure.
+    [[nodiscard]] SendResult recordFailedAttempt(RequestState &state, Attempt &attempt, routing::SendOutcome outcome, std::string reason) const;
+    /// Excludes the target of the attempt from further placements of the request.
+    static void exclude(RequestState &state, const Attempt &attempt);
+    void recordBreak(RequestState &state, const Attempt &attempt);
+    void logAttempt(const RequestState &state, const Attempt &attempt);
+
+    //--- Silence
+    /// How long the attempt may be without progress before a replacement is sought; nothing if none ever is.
+    [[nodiscard]] std::optional<core::Duration> silenceLimit(const RequestState &state, const Attempt &attempt) const;
+    [[nodiscard]] bool isSilent(const RequestState &state, const Attempt &attempt) const;
+    /// Seeks a replacement whenever the attempt is silent, until it ends.
+    boost::asio::awaitable<void> watchForSilence(std::shared_ptr<RequestState> state, std::shared_ptr<Attempt> attempt);
+    boost::asio::awaitable<void> seekReplacement(RequestState &state, std::shared_ptr<Attempt> silent);
+    /// Waits until it is known whether a replacement that is being sought continues the request.
+    boost::asio::awaitable<void> waitForReplacement(RequestState &state);
+    /// Whether the attempt's upstream has begun a successful response.
+    [[nodiscard]] bool isAccepted(const RequestState &state, const Attempt &attempt) const;
+
+    //--- Relay
+    boost::asio::awaitable<SendResult> handlePeerResponse(RequestState &state, Attempt &attempt);
+    boost::asio::awaitable<SendResult> handleResponse(RequestState &state, Attempt &attempt);
+    boost::asio::awaitable<SendResult> relayBuffered(RequestState &state, Attempt &attempt);
+    boost::asio::awaitable<SendResult> relayStream(RequestState &state, Attempt &attempt);
+    /// Sends the response head, unless an earlier attempt did.
+    boost::asio::awaitable<void> beginStream(RequestState &state, const http::Response &head);
+    void recordOutput(RequestState &state, Attempt &attempt);
+
+    //--- Responses
+    boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool mayHaveExecuted, bool timedOut);
+    boost::asio::awaitable<void>
+    respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
+    boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
     void logCompletion(const RequestState &state, unsigned status, std::string_view outcome);
 
     InstanceContext &m_context;
