--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -471,7 +471,7 @@
     if (state.sseRelay) {
         requestOptions.resumeAfterEventId = state.sseRelay->lastEventId();
     }
-    const auto attempt = std::make_shared<Attempt>();
+    auto attempt = std::make_shared<Attempt>();
     attempt->placement = placementId;
     attempt->upstream = granted.upstream;
     attempt->address = granted.address;
@@ -515,7 +515,7 @@
         state.lastFailure = "no instance in region " + region.text;
         return nullptr;
     }
-    const auto attempt = std::make_shared<Attempt>();
+    auto attempt = std::make_shared<Attempt>();
     attempt->placement = state.placementId();
     attempt->peer = peer->id;
     attempt->region = region;
