A request read when the idle timeout expires is answered

What callers saw: a whole request on a kept connection, neither answered nor refused. It needs a request that arrives shortly before its connection's idle timeout while the event loop is held up; a change of the configuration that shortens the idle timeout makes that likelier, since clients still use connections for as long as the old one allows.

Cause: onClientDisconnect() of the previous exchange leaves a wait for readability in the socket's queue. When data arrives, the reactor completes that wait first and posts the read, which has taken the bytes, behind the expired timer of the same turn. Beast's timer then closes the socket and reports the completed read as a timeout, and the request is dropped.

Change: waitForRequest() uses a timer of its own that ends the wait as closeIdleConnections() does: only if nothing has arrived, and with cancel(), which leaves a completed read as it is.

Whether this is what the users saw is not shown.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -30,6 +30,45 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+namespace {
+
+/// A connection that waits for the first byte of the next request.
+struct IdleConnection : std::enable_shared_from_this<IdleConnection>
+{
+    explicit IdleConnection(Tcp::socket &theSocket)
+        : socket(&theSocket)
+        , timer(theSocket.get_executor())
+    {
+    }
+
+    /// Ends the wait after `duration`, and checks again after each further `duration` in case the data was less than a TLS record.
+    void startTimer(std::chrono::milliseconds duration)
+    {
+        timer.expires_after(duration);
+        timer.async_wait([self = shared_from_this(), duration](const ErrorCode &code) {
+            if (!code && self->socket != nullptr) {
+                self->cancelUnlessReceiving();
+                self->startTimer(duration);
+            }
+        });
+    }
+
+    /// Ends the wait unless data has arrived. cancel(), not close(): a read that has completed but whose coroutine has not
+    /// resumed yet keeps its request.
+    void cancelUnlessReceiving() const
+    {
+        ErrorCode code;
+        if (socket->available(code) == 0) {
+            socket->cancel(code);
+        }
+    }
+
+    Tcp::socket *socket; // null once the wait has ended
+    asio::steady_timer timer;
+};
+
+} // namespace
+
 struct Server::State
 {
     State(asio::any_io_executor executor, ServerLimits serverLimits, Handler serverHandler, std::shared_ptr<ReloadableTlsContext> tlsContext)
@@ -46,10 +85,10 @@
     std::shared_ptr<ReloadableTlsContext> tls;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> exchanges{0};
-    std::atomic<std::size_t> requests{0};         // of which at least the first byte has been read
-    std::atomic<bool> stopping{false};            // close connections after the response in progress
-    std::atomic<bool> sendConnectionClose{false}; // add `Connection: close` to responses
-    std::set<Tcp::socket *> idle;                 // connections waiting for a request; accessed only on the executor
+    std::atomic<std::size_t> requests{0};           // of which at least the first byte has been read
+    std::atomic<bool> stopping{false};              // close connections after the response in progress
+    std::atomic<bool> sendConnectionClose{false};   // add `Connection: close` to responses
+    std::set<std::shared_ptr<IdleConnection>> idle; // accessed only on the executor
     std::function<void(const UnansweredRequest &)> onUnanswered;
 };
 
@@ -460,20 +499,23 @@
 public:
     IdleRegistration(Server::State &state, Tcp::socket &socket)
         : m_state(state)
-        , m_socket(&socket)
+        , m_connection(std::make_shared<IdleConnection>(socket))
     {
-        m_state.idle.insert(m_socket);
+        m_state.idle.insert(m_connection);
+        m_connection->startTimer(state.limits.idleTimeout);
     }
     IdleRegistration(const IdleRegistration &) = delete;
     IdleRegistration &operator=(const IdleRegistration &) = delete;
     ~IdleRegistration()
     {
-        m_state.idle.erase(m_socket);
+        m_connection->socket = nullptr;
+        m_connection->timer.cancel();
+        m_state.idle.erase(m_connection);
     }
 
 private:
     Server::State &m_state;
-    Tcp::socket *m_socket;
+    std::shared_ptr<IdleConnection> m_connection;
 };
 
 /// Waits for the first byte of the next request; false if the connection ended or the idle timeout expired.
@@ -484,7 +526,7 @@
         co_return true;
     }
     const IdleRegistration registration(state, beast::get_lowest_layer(stream).socket());
-    beast::get_lowest_layer(stream).expires_after(state.limits.idleTimeout);
+    beast::get_lowest_layer(stream).expires_never(); // the stream's own timeout drops a read that has completed in the same turn
     ErrorCode code;
     constexpr std::size_t FirstReadBytes = 8192;
     const std::size_t received = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, code));
@@ -661,11 +703,8 @@
 
 void Server::closeIdleConnections()
 {
-    for (Tcp::socket *socket : m_state->idle) {
-        ErrorCode code;
-        if (socket->available(code) == 0) {
-            socket->cancel(code); // not close(): a read that has completed but whose coroutine has not resumed yet keeps its request
-        }
+    for (const auto &connection : m_state->idle) {
+        connection->cancelUnlessReceiving();
     }
 }
 
