Test that fails: a request after a stream is discarded during a planned stop

What callers see: a stream that began before the stop ends completely, its connection has not been announced to close, and the next request on it gets neither a response nor a reset, which would tell that it was not read.

--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -11,11 +11,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <thread>
 
@@ -31,6 +33,7 @@
 {
     asio::io_context context{1};
     int handled = 0;
+    std::function<asio::awaitable<void>()> beforeStreamEnd = {}; // called before the last chunk
     http::Server server;
 
     explicit EchoServer(http::ServerLimits limits = {})
@@ -72,6 +75,9 @@
             if (exchange.request().queryParameter("end") == "0") {
                 co_return;
             }
+            if (beforeStreamEnd) {
+                co_await beforeStreamEnd();
+            }
             co_await exchange.endResponse();
             co_return;
         }
@@ -500,3 +506,48 @@
     const bool answered = response.starts_with("HTTP/1.1 ");
     CHECK((answered || (notRead && row.sentInTime == 0)));
 }
+
+TEST_CASE("a request that follows a stream begun before a planned stop is answered or not read", "[http]")
+{
+    EchoServer server;
+    asio::ip::tcp::socket client(server.context);
+    bool streamMayEnd = false;
+    server.beforeStreamEnd = [&]() -> asio::awaitable<void> {
+        while (!streamMayEnd) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+    };
+    auto stopDuringStream = [&]() -> asio::awaitable<bool> {
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        const std::string streamRequest = "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n";
+        co_await asio::async_write(client, asio::buffer(streamRequest), asio::use_awaitable);
+        std::array<char, 2048> readBuffer{};
+        const std::size_t received = co_await client.async_read_some(asio::buffer(readBuffer), asio::use_awaitable);
+        REQUIRE(std::string_view(readBuffer.data(), received).find("Connection: close") == std::string_view::npos);
+        server.server.closeAfterResponses();
+        server.server.stopAccepting();
+        streamMayEnd = true;
+        constexpr int EnoughTurns = 20; // of the event loop, for the stream to end
+        for (int i = 0; i < EnoughTurns; ++i) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+        asio::write(client, asio::buffer(request)); // on loopback, it has arrived when this returns
+        while (server.server.openConnectionCount() > 0) {
+            server.server.closeIdleConnections();
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        co_return true;
+    };
+    server.run(stopDuringStream());
+    std::string received;
+    std::array<char, 2048> readBuffer{};
+    boost::system::error_code code;
+    while (!code) {
+        received.append(readBuffer.data(), client.read_some(asio::buffer(readBuffer), code));
+    }
+    const bool answered = received.ends_with("POST body");
+    CAPTURE(received, code);
+    CHECK((answered || code == asio::error::connection_reset)); // a reset: the client knows that the request was not read
+}
