A connection is closed during a stop only after a response that announced it

What callers saw: a whole request that is sent on a kept connection right after a stream has ended, during a planned stop, with no response although the connection was not announced to close.

Cause: stopAccepting() made the server close each connection after the response in progress. For a stream that began before closeAfterResponses() nothing had announced that. The close lingers: it reads and discards what arrives for 500 ms, so the next request was read and lost.

Change: such a connection waits for a request like any other. closeIdleConnections(), which the stop repeats every 50 ms, closes it without reading, and a request that arrived is answered with "Connection: close". stopAccepting() announces the close in all further responses.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -86,7 +86,6 @@
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> exchanges{0};
     std::atomic<std::size_t> requests{0};           // of which at least the first byte has been read
-    std::atomic<bool> stopping{false};              // close connections after the response in progress
     std::atomic<bool> sendConnectionClose{false};   // add `Connection: close` to responses
     std::set<std::shared_ptr<IdleConnection>> idle; // accessed only on the executor
     std::function<void(const UnansweredRequest &)> onUnanswered;
@@ -594,7 +593,7 @@
         StreamExchange<Stream> exchange(stream, buffer, parser, limits, state->sendConnectionClose);
         beast::get_lowest_layer(stream).expires_never();
         co_await runHandler(exchange, *state);
-        open = exchange.reusable() && !state->stopping;
+        open = exchange.reusable(); // also while stopping: the client may send a request unless a response announced the close
     }
     co_return ConnectionEnd::WithRequest;
 }
@@ -691,7 +690,7 @@
 
 void Server::stopAccepting()
 {
-    m_state->stopping = true;
+    m_state->sendConnectionClose = true;
     ErrorCode code;
     m_state->acceptor.close(code);
 }
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -107,7 +107,8 @@
     std::string detail;   // message of the exception or of the failed write
 };
 
-/// HTTP server. stopAccepting() closes the listening socket; exchanges in progress continue.
+/// HTTP server. stopAccepting() closes the listening socket; exchanges in progress continue, and open connections stay open
+/// until a response has announced the close or closeIdleConnections() is called.
 class Server
 {
 public:
