--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -551,3 +551,12 @@
     CAPTURE(received, code);
     CHECK((answered || code == asio::error::connection_reset)); // a reset: the client knows that the request was not read
 }
+
+TEST_CASE("a request whose handler throws gets an error status", "[http]")
+{
+    EchoServer server(smallLimits());
+    const std::string response = server.sendRaw("GET /throw HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", false);
+    CAPTURE(response);
+    CHECK(response.starts_with("HTTP/1.1 500"));
+    CHECK(response.find("\"unknown\"") != std::string::npos); // the request may have been executed
+}
