A request whose handler throws gets status 500

What callers saw: the connection closes without a byte of a response to a request that was read.

Cause: serveConnection() caught the exception of the handler and let the connection go. Evidence by the test only; no handler is known to have thrown.

Change: the exception ends the exchange, not the connection's coroutine. A response that has not begun becomes status 500 with outcome unknown, one that has begun is aborted.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -543,21 +543,22 @@
 template<class Stream>
 asio::awaitable<void> runHandler(StreamExchange<Stream> &exchange, Server::State &state)
 {
-    std::exception_ptr failure;
-    std::string failureMessage;
+    std::optional<std::string> failure;
     try {
         co_await state.handler(exchange);
     } catch (const std::exception &exception) {
-        failure = std::current_exception();
-        failureMessage = exception.what();
+        failure = exception.what();
     }
     const auto reason = failure ? UnansweredReason::HandlerFailed : exchange.unansweredReason();
     if (reason && state.onUnanswered) {
-        const std::string detail = failure ? failureMessage : exchange.failureMessage();
+        const std::string detail = failure ? *failure : exchange.failureMessage();
         state.onUnanswered(UnansweredRequest{exchange.request(), *reason, exchange.responseStarted(), detail});
     }
-    if (failure) {
-        std::rethrow_exception(failure);
+    if (failure && exchange.responseStarted()) {
+        exchange.abort();
+    } else if (failure) {
+        const Response response = errorResponse(core::makeUnknownOutcomeError(core::ErrorKind::Internal, "the request failed with an internal error"));
+        co_await exchange.respond(response);
     }
 }
 
@@ -621,8 +622,7 @@
             co_await stream.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
         }
     } catch (const std::exception &) {
-        // The handler threw, which has been reported; the connection is closed with the response incomplete, which the
-        // client can detect.
+        // Not from the handler. The connection is closed with the response incomplete, which the client can detect.
     }
 }
 
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -4,7 +4,8 @@
 //   asio::awaitable<void> handler(http::Exchange &exchange) { co_await exchange.respond(jsonResponse(200, "{}")); }
 //
 // The handler runs as soon as the headers have been read and requests the body itself, so that it can reject a request
-// without reading its body. If the handler returns without a response, the connection is closed.
+// without reading its body. If the handler returns without a response, the connection is closed. If it throws, the client gets
+// status 500, or an aborted response if it had begun.
 //
 // Q: How does a handler learn that the client has disconnected?
 // A: respond(), beginResponse(), writeChunk() and endResponse() return false from then on. A handler that waits for
@@ -86,7 +87,7 @@
 
 using Handler = std::function<boost::asio::awaitable<void>(Exchange &)>;
 
-/// Why a request that reached the handler has no complete response.
+/// Why a request that reached the handler has no complete response from it.
 enum class UnansweredReason {
     HandlerFailed,      // the handler threw an exception
     NoResponse,         // the handler returned without a response
