--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -560,3 +560,34 @@
     CHECK(response.starts_with("HTTP/1.1 500"));
     CHECK(response.find("\"unknown\"") != std::string::npos); // the request may have been executed
 }
+
+TEST_CASE("an idle connection stays open for the idle timeout that is set while it waits, if that is longer", "[http]")
+{
+    http::ServerLimits limits;
+    limits.idleTimeout = 100ms;
+    EchoServer server(limits);
+    auto reuseAfterChange = [&]() -> asio::awaitable<std::string> {
+        asio::ip::tcp::socket client(server.context);
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        while (!server.server.hasOpenRequests()) { // until the server waits for a request
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        http::ServerLimits longer = limits;
+        longer.idleTimeout = 60s;
+        server.server.setLimits(longer);
+        asio::steady_timer timer(server.context, 3 * limits.idleTimeout);
+        co_await timer.async_wait(asio::use_awaitable);
+        const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+        std::string response;
+        boost::system::error_code code;
+        co_await asio::async_write(client, asio::buffer(request), asio::redirect_error(asio::use_awaitable, code));
+        std::array<char, 2048> readBuffer{};
+        while (!code) {
+            const std::size_t count = co_await client.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+            response.append(readBuffer.data(), count);
+        }
+        co_return response;
+    };
+    CHECK(server.run(reuseAfterChange()).ends_with("POST body"));
+}
