Test: a request on a connection that was idle while the idle timeout changed is answered or not read

If it grows (250 ms to 1 s), a connection that was idle before is closed after the old timeout, before the request is sent, and nothing of it is read. So the hypothesis is refuted for a client that counts on the smaller of two timeouts. No product code changes.

--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -591,3 +591,49 @@
     };
     CHECK(server.run(reuseAfterChange()).ends_with("POST body"));
 }
+
+TEST_CASE("a request on a connection that was idle while the idle timeout changed is answered or not read", "[http]")
+{
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds before;
+        std::chrono::milliseconds after;
+        std::chrono::milliseconds idle; // until the second request
+    };
+    const auto row = GENERATE(values<Row>({
+        {"grows, four fifths of the shorter", 250ms, 1'000ms, 200ms},
+        {"grows, four fifths of the longer", 250ms, 1'000ms, 800ms},
+        {"shrinks, four fifths of the shorter", 1'000ms, 250ms, 200ms},
+        {"shrinks, four fifths of the longer", 1'000ms, 250ms, 800ms},
+    }));
+    CAPTURE(row.name);
+    http::ServerLimits limits;
+    limits.idleTimeout = row.before;
+    EchoServer server(limits);
+    asio::ip::tcp::socket client(server.context);
+    std::array<char, 2048> readBuffer{};
+    boost::system::error_code code;
+    bool closedBefore = false;
+    auto sendBoth = [&]() -> asio::awaitable<std::string> {
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        asio::write(client, asio::buffer(std::string("POST /watch HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst")));
+        std::size_t received = co_await client.async_read_some(asio::buffer(readBuffer), asio::use_awaitable);
+        constexpr int EnoughTurns = 20; // of the event loop, to wait for the second request
+        for (int i = 0; i < EnoughTurns; ++i) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        limits.idleTimeout = row.after;
+        server.server.setLimits(limits);
+        asio::steady_timer timer(server.context, row.idle);
+        co_await timer.async_wait(asio::use_awaitable);
+        closedBefore = server.server.openConnectionCount() == 0;
+        asio::write(client, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")));
+        received = co_await client.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+        co_return std::string(readBuffer.data(), received);
+    };
+    const std::string response = server.run(sendBoth());
+    CAPTURE(response, code.message(), closedBefore);
+    CHECK((response.ends_with("POST body") || code == asio::error::connection_reset || (closedBefore && server.handled == 1)));
+}
