Test: requests whose route is removed or renamed while they run end in an answer or a refusal

Region x has no upstreams, so its requests go through region y; the answers are silent for 0.5 to 1.9 s within their body, so they run while configurations are written every 0.3 to 0.9 s, each with SIGHUP. No product code changes.

--- a/tests/silentupstreamtest.cpp
+++ b/tests/silentupstreamtest.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <iostream>
 
 using namespace arbutus;
@@ -153,6 +154,19 @@
     std::vector<std::pair<core::TimePoint, std::chrono::milliseconds>> m_idleLimits; // by the time of writing
 };
 
+/// Runs until every request has ended; each ends soon after its deadline at the latest.
+void runUntilDone(tests::EdgeRig &rig)
+{
+    std::size_t next = 0;
+    while (next < rig.requestCount()) {
+        if (rig.result(next).done) {
+            ++next;
+        } else {
+            rig.runFor(50ms);
+        }
+    }
+}
+
 /// Requests of all kinds to random instances for TrafficTime, from clients with new and with kept connections. Returns when all are done.
 void runTraffic(tests::EdgeRig &rig, pcg32 &random, bool changesConfiguration)
 {
@@ -190,17 +204,7 @@
         }
     }
     rig.runFor(TrafficTime);
-    const auto isDone = [&] {
-        for (std::size_t i = 0; i < rig.requestCount(); ++i) {
-            if (!rig.result(i).done) {
-                return false;
-            }
-        }
-        return true;
-    };
-    while (!isDone()) {
-        rig.runFor(50ms);
-    }
+    runUntilDone(rig);
     constexpr auto KeptClientPoll = 100ms; // lets the kept clients see that the time is over
     rig.runFor(KeptClientPoll);
 }
@@ -288,7 +292,7 @@
             }
         }
     }
-    rig.runFor(Deadline + 1'100ms);
+    runUntilDone(rig);
     for (const Row &row : rows) {
         const tests::ClientResult &result = rig.result(row.request);
         const auto arrivals = std::count_if(rig.arrivals().begin(), rig.arrivals().end(), [&](const tests::Arrival &arrival) {
@@ -301,3 +305,54 @@
         CHECK((arrivals == 1 || !row.name.starts_with("/once/")));
     }
 }
+
+TEST_CASE("requests whose route is removed or renamed while they run end in an answer or a refusal", "[rig]")
+{
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
+        CAPTURE(seed);
+        pcg32 random(seed);
+        tests::EdgeRigOptions options = rigOptions(seed);
+        options.crashDuration = 1min;
+        options.configuration.extraRoutes = {"extra"};
+        options.silence.share = 1;
+        options.silence.points = {tests::SilencePoint::BetweenEvents}; // requests run while the configuration changes
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        for (std::size_t i = 0; i < rig.upstreamCount(); ++i) { // region x has no upstream: its requests go to an instance of region y
+            if (rig.upstream(i).region() == "x") {
+                rig.upstream(i).crash();
+            }
+        }
+        rig.runFor(StartTime);
+        constexpr auto Time = 5'000ms;
+        constexpr auto MinChangePeriod = 300ms;
+        constexpr std::uint32_t ChangePeriodRange = 600; // ms
+        constexpr auto Interval = 20ms;
+        for (auto at = 0ms; at < Time; at += MinChangePeriod + std::chrono::milliseconds(random() % ChangePeriodRange)) {
+            rig.schedule(at, [&] {
+                tests::RigConfiguration configuration = rig.configuration();
+                configuration.extraRoutes = configuration.extraRoutes.empty() ? std::vector<std::string>{"extra"} : std::vector<std::string>{};
+                configuration.nameSuffix = std::to_string(random() % 100);
+                rig.configure(std::move(configuration));
+                REQUIRE(std::raise(SIGHUP) == 0); // all instances load their settings again
+            });
+        }
+        for (auto at = 0ms; at < Time; at += Interval) {
+            rig.schedule(at, [&] {
+                const char *target = random() % 2 == 0 ? "/extra/x" : "/plain/x";
+                rig.send(tests::RigRequest{.instance = random() % rig.instanceCount(), .target = target, .parts = {}, .deadline = Deadline});
+            });
+        }
+        rig.runFor(Time);
+        runUntilDone(rig);
+        for (const char *prefix : {"/extra/", "/plain/"}) {
+            const Summary summary = summarize(rig, prefix);
+            std::cout << "routes removed, seed " << seed << " " << prefix << ": " << summary << std::endl;
+            CAPTURE(prefix);
+            CHECK(summary.complete > 0);
+            CHECK((summary.notFound > 0) == (std::string(prefix) == "/extra/"));
+            CHECK(summary.complete + summary.notFound + summary.refused == summary.requests);
+        }
+    }
+}
