Test: an instance that does not know the route or service of a forwarded request reports it as not executed

The instance that forwarded it then refuses it or places it again; that side was read, not run. No product code changes.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -918,3 +918,32 @@
     CHECK(metrics.find("arbutus_requests_total{status=\"200\"} 1") != std::string::npos);
     CHECK(metrics.find("arbutus_request_seconds_bucket") != std::string::npos);
 }
+
+TEST_CASE("an instance that does not know the route or service of a forwarded request reports it as not executed", "[edge]")
+{
+    struct Row
+    {
+        const char *name;
+        std::string path;
+        std::string service;
+        unsigned status;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"unknown route", "/removed/x", "s", 404},
+        {"unknown service", "/again/x", "removed", 503},
+        {"known", "/again/x", "s", 200},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture;
+    http::Request request;
+    request.method = "POST";
+    request.target = row.path;
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}};
+    request.headers["X-Gateway-Origin"] = "other";
+    request.headers["X-Gateway-Service"] = row.service;
+    request.body = "body";
+    const http::Response response = fixture.call(fixture.settings.peersEndpoint, request);
+    CHECK(response.status == row.status);
+    CHECK(http::headerValue(response.headers, "X-Gateway-Outcome") == (row.status == 200 ? "answered" : "not_run"));
+    CHECK(fixture.a.executedAttempts.size() + fixture.b.executedAttempts.size() == (row.status == 200 ? 1 : 0));
+}
