An idle connection keeps the longer of the idle timeouts that applied while it waited

What callers saw: beside a change of the configuration that raises the idle timeout, a request on a connection that had been idle for less than the new one crosses its close.

Cause: setLimits() changed only later waits; the timer of the current wait kept the old timeout.

Change: setLimits() extends waits that began with a shorter timeout. A shorter one does not cut a wait that has begun, as before: the client may still rely on the older configuration.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -44,11 +44,28 @@
     /// Ends the wait after `duration`, and checks again after each further `duration` in case the data was less than a TLS record.
     void startTimer(std::chrono::milliseconds duration)
     {
+        idleTimeout = duration;
         timer.expires_after(duration);
-        timer.async_wait([self = shared_from_this(), duration](const ErrorCode &code) {
-            if (!code && self->socket != nullptr) {
+        waitForTimer();
+    }
+
+    /// Extends the current wait if `duration` is longer than the one it started with.
+    void extendTimer(std::chrono::milliseconds duration)
+    {
+        if (duration > idleTimeout) {
+            timer.expires_at(timer.expiry() + (duration - idleTimeout));
+            idleTimeout = duration;
+            waitForTimer();
+        }
+    }
+
+    void waitForTimer()
+    {
+        timer.async_wait([self = shared_from_this()](const ErrorCode &code) {
+            const bool expired = !code && self->timer.expiry() <= std::chrono::steady_clock::now(); // not extended in the same turn
+            if (expired && self->socket != nullptr) {
                 self->cancelUnlessReceiving();
-                self->startTimer(duration);
+                self->startTimer(self->idleTimeout);
             }
         });
     }
@@ -65,6 +82,7 @@
 
     Tcp::socket *socket; // null once the wait has ended
     asio::steady_timer timer;
+    std::chrono::milliseconds idleTimeout{0};
 };
 
 } // namespace
@@ -715,6 +733,9 @@
 void Server::setLimits(const ServerLimits &limits)
 {
     m_state->limits = limits;
+    for (const auto &connection : m_state->idle) {
+        connection->extendTimer(limits.idleTimeout);
+    }
 }
 
 std::size_t Server::openConnectionCount() const
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -127,7 +127,8 @@
     void closeIdleConnections();
     /// Sets the function that is called for each request that reached the handler and has no complete response.
     void setUnansweredCallback(std::function<void(const UnansweredRequest &)> onUnanswered);
-    /// Sets the limits for requests that start from now on.
+    /// Sets the limits for requests that start from now on. An idle connection that waits keeps the longer idle timeout, since
+    /// its client may rely on either. Call this on the executor.
     void setLimits(const ServerLimits &limits);
     [[nodiscard]] std::size_t activeExchangeCount() const; // requests currently being handled
     /// Returns whether a request is being read or handled, or an open idle connection may still deliver one. After
