Failing test: a request that crashes each upstream that runs it is sent to one after the other

Callers saw 504 for a request under which three upstreams had ended, and it went on to be sent to others: its retries and the repeats of its clients, with the same path and body at any instance, carry it to one upstream after the other.

requestcrashtest plays this over loopback: six instances, a plain service with a repeatable route and resumable streams, one harmful request of each kind five times a second, crashes before any response head, sound traffic of which half are requests repeated every second, a kill, a freeze, a store cut and six crashes for other reasons. The bound is the users' rule: later than 5 s after the third crash at most three arrivals, sent by instances that were not disrupted.

--- /dev/null
+++ b/tests/requestcrashtest.cpp
@@ -0,0 +1,167 @@
+// Requests that crash each upstream that runs them, in a deployment of several instances in two regions over loopback.
+//
+// ARBUTUS_RIG_SEEDS is the number of seeds to run, ARBUTUS_RIG_FIRST_SEED the first one.
+
+#include "support/edgerig.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace arbutus;
+using namespace std::chrono_literals;
+using tests::RigRequest;
+
+namespace {
+
+// The users' rule: later than StabilityWindow after the third crash, at most MaxLateArrivals of the request reach upstreams, sent by
+// instances without a disruption in the last StabilityWindow.
+constexpr core::Duration StabilityWindow = 5s;
+constexpr std::size_t CrashesUntilRuleHolds = 3;
+constexpr std::size_t MaxLateArrivals = 3;
+// Sound requests are delivered at least half as often as before the crashes.
+constexpr double MinSoundShare = 0.5;
+
+constexpr auto WarmUp = 2'500ms;
+constexpr auto CrashingTime = 13'000ms;
+
+/// A stream has a prompt. Its last part belongs to one sending of the request only.
+RigRequest makeRequest(bool isStream, const std::string &name, std::uint64_t subject, std::uint64_t sending)
+{
+    if (!isStream) {
+        return RigRequest{tests::RigPlainPath + name, "body of " + name, {}};
+    }
+    return RigRequest{tests::RigStreamPath + name, "body of " + name, {"a1", "beef" + std::to_string(subject), "c" + std::to_string(sending)}};
+}
+
+/// Sound requests, 40 a second: of each kind 10 that are repeated every second, and 10 a second that are sent once.
+class SoundTraffic
+{
+public:
+    SoundTraffic(tests::EdgeRig &rig, pcg32 &random, std::chrono::milliseconds duration)
+        : m_rig(rig)
+        , m_random(random)
+        , m_start(rig.now())
+    {
+        constexpr auto Interval = 25ms;
+        std::size_t number = 0;
+        for (auto at = 0ms; at < duration; at += Interval, ++number) {
+            rig.schedule(at, [this, number] { sendNext(number); });
+        }
+    }
+
+    [[nodiscard]] std::size_t pickInstance()
+    {
+        std::size_t instance = m_random() % m_rig.instanceCount();
+        while (!m_rig.isRunning(instance)) {
+            instance = (instance + 1) % m_rig.instanceCount();
+        }
+        return instance;
+    }
+
+    /// Share of the requests sent between two times since the start that were delivered whole.
+    [[nodiscard]] double deliveredShare(core::Duration from, core::Duration to) const
+    {
+        double sent = 0;
+        double delivered = 0;
+        for (const std::size_t request : m_sent) {
+            const tests::ClientResult &result = m_rig.result(request);
+            if (result.sentAt >= m_start + from && result.sentAt < m_start + to) {
+                ++sent;
+                delivered += result.status == 200 ? 1 : 0;
+            }
+        }
+        return sent == 0 ? 0 : delivered / sent;
+    }
+
+private:
+    void sendNext(std::size_t number)
+    {
+        constexpr std::size_t PerSecond = 40;
+        constexpr std::uint32_t SubjectCount = 12;
+        const bool isStream = number % 2 == 0;
+        const bool isPoll = number % 4 < 2;
+        const std::string name = isPoll ? "poll" + std::to_string(number % PerSecond) : "once" + std::to_string(number);
+        const std::uint64_t subject = isPoll ? number % PerSecond % SubjectCount : m_random() % SubjectCount;
+        m_sent.push_back(m_rig.send(pickInstance(), makeRequest(isStream, name, subject, number)));
+    }
+
+    tests::EdgeRig &m_rig;
+    pcg32 &m_random;
+    core::TimePoint m_start;
+    std::vector<std::size_t> m_sent;
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes each upstream that runs it is kept from them after the third crash", "[rig]")
+{
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
+        CAPTURE(seed);
+        pcg32 random(seed);
+        tests::EdgeRig rig(tests::EdgeRigOptions{.seed = seed, .plainUpstreamsPerRegion = 4});
+        constexpr std::uint64_t HarmfulSubject = 0;
+        const std::vector<RigRequest> harmful = {makeRequest(false, "bad", HarmfulSubject, 0), makeRequest(true, "bad", HarmfulSubject, 0)};
+        rig.crashingRequests = harmful;
+        rig.runFor(1'500ms); // membership and configuration
+        SoundTraffic traffic(rig, random, WarmUp + CrashingTime);
+        std::uint64_t repeats = 0;
+        constexpr auto RepeatInterval = 200ms;
+        for (auto at = std::chrono::milliseconds(WarmUp); at < WarmUp + CrashingTime; at += RepeatInterval) {
+            rig.schedule(at, [&] {
+                ++repeats;
+                rig.send(traffic.pickInstance(), makeRequest(false, "bad", HarmfulSubject, repeats));
+                rig.send(traffic.pickInstance(), makeRequest(true, "bad", HarmfulSubject, repeats));
+            });
+        }
+
+        // Disruptions around the first crashes and later: a kill with a restart, a freeze, the store, and crashes for other reasons.
+        const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
+            return from + std::chrono::milliseconds(random() % static_cast<std::uint32_t>((to - from).count()));
+        };
+        const std::size_t killed = random() % rig.instanceCount();
+        const std::size_t frozen = (killed + 1 + random() % (rig.instanceCount() - 1)) % rig.instanceCount();
+        const std::size_t cut = random() % rig.instanceCount();
+        const auto killAt = randomTime(WarmUp, WarmUp + 6'000ms);
+        rig.schedule(killAt, [&] { rig.kill(killed); });
+        rig.schedule(killAt + 900ms, [&] { rig.start(killed); });
+        rig.schedule(randomTime(WarmUp - 200ms, WarmUp + 1'500ms), [&] { rig.freeze(frozen, 1'500ms); });
+        const auto cutAt = randomTime(WarmUp, WarmUp + 6'000ms);
+        rig.schedule(cutAt, [&] { rig.setStoreCut(cut, true); });
+        rig.schedule(cutAt + 2'000ms, [&] { rig.setStoreCut(cut, false); });
+        for (int i = 0; i < 6; ++i) {
+            const std::size_t upstream = random() % rig.upstreamCount();
+            rig.schedule(randomTime(500ms, WarmUp + 9'000ms), [&rig, upstream] { rig.upstream(upstream).crash(); });
+        }
+        rig.runFor(WarmUp + CrashingTime + 1'000ms);
+
+        const double before = traffic.deliveredShare(0ms, WarmUp);
+        const double after = traffic.deliveredShare(WarmUp + 2 * StabilityWindow, WarmUp + CrashingTime);
+        std::cout << "seed " << seed << ": sound requests delivered " << before << " before, " << after << " after" << std::endl;
+        for (const RigRequest &request : harmful) {
+            const std::vector<core::TimePoint> &crashes = rig.requestCrashes(request);
+            std::size_t arrivals = 0;
+            std::size_t lateArrivals = 0;
+            for (const tests::Arrival &arrival : rig.arrivals()) {
+                if (arrival.request.isRepeatOf(request)) {
+                    ++arrivals;
+                    const bool ruleHolds = crashes.size() >= CrashesUntilRuleHolds && arrival.at > crashes[CrashesUntilRuleHolds - 1] + StabilityWindow;
+                    lateArrivals += ruleHolds && rig.wasUndisturbed(arrival.sender, arrival.at, StabilityWindow) ? 1 : 0;
+                }
+            }
+            std::cout << "  " << request.path << ": crashes " << crashes.size() << ", arrivals " << arrivals << " of " << repeats << " requests, late arrivals "
+                      << lateArrivals << std::endl;
+            CAPTURE(request.path);
+            CHECK_FALSE(crashes.empty()); // the request does crash upstreams
+            CHECK(lateArrivals <= MaxLateArrivals);
+        }
+        CHECK(after >= MinSoundShare * before);
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) { // also those that were restarted, and those that saw no crash
+            CAPTURE(rig.instanceId(i));
+            const std::string metrics = rig.metricsText(i);
+            CHECK(metrics.find("arbutus_quarantined_requests 2\n") != std::string::npos); // and no sound request
+            CHECK(metrics.find("arbutus_quarantined_prompt_parts 0\n") != std::string::npos);
+        }
+    }
+}
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -227,7 +227,10 @@
     , m_store(std::make_unique<Store>())
 {
     for (std::size_t i = 0; i < options.upstreamsPerRegion * RegionCount; ++i) {
-        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, i, regionName(i % RegionCount)));
+        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, i, regionName(i % RegionCount), "s"));
+    }
+    for (std::size_t i = 0; i < options.plainUpstreamsPerRegion * RegionCount; ++i) {
+        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, m_upstreams.size(), regionName(i % RegionCount), "plain"));
     }
     writeConfiguration();
     for (std::size_t i = 0; i < options.instancesPerRegion * RegionCount; ++i) {
@@ -253,11 +256,19 @@
 
 void EdgeRig::writeConfiguration()
 {
+    std::string plainRoute;
+    std::string plainService;
+    if (m_options.plainUpstreamsPerRegion > 0) {
+        plainRoute = R"(,{"name":"orders","host":"h.example","path_prefix":"/orders/","route_type":"safe","max_attempts":3,)"
+                     R"("timeout_ms":5000,"target_latency_ms":600,"priority":0,"service":"plain"})";
+        plainService = R"(,{"name":"plain"})";
+    }
     m_store->set("op/config",
                  R"({"version":1,"routes":[{"name":"chat","host":"h.example","path_prefix":"/chat/","route_type":"streaming","resumable":true,)"
-                 R"("max_attempts":3,"timeout_ms":5000,"target_latency_ms":600,"target_gap_ms":400,"priority":0,"service":"s"}],)"
-                 R"("services":[{"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}}],)"
-                 R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+                 R"("max_attempts":3,"timeout_ms":5000,"target_latency_ms":600,"target_gap_ms":400,"priority":0,"service":"s"})"
+                     + plainRoute + R"(],"services":[{"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}})" + plainService
+                     + R"(],)"
+                       R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
 }
 
 std::string EdgeRig::instanceId(std::size_t instance) const
@@ -357,10 +368,11 @@
 // Upstreams
 //-----------------------------------------------------------------------------
 
-RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region)
+RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service)
     : m_rig(rig)
     , m_number(number)
     , m_region(std::move(region))
+    , m_service(std::move(service))
     , m_port(freePort())
 {
     start();
@@ -369,7 +381,7 @@
 void RigUpstream::announce()
 {
     m_rig.m_store->set("servers/" + m_id,
-                       R"({"service":"s","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
+                       R"({"service":")" + m_service + R"(","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
                            + R"(","slots":64,"state":"ready","cold_remaining_ms":0,"born":)" + std::to_string(m_run) + R"(,"sequence":1})");
 }
 
@@ -434,7 +446,7 @@
         if (code || run != m_run || !isUp()) {
             co_return;
         }
-        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}};
+        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}, {std::string(request.target()), request.body(), {}}};
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
@@ -447,6 +459,22 @@
             co_await asio::async_write(*socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
             continue;
         }
+        if (std::any_of(
+                m_rig.crashingRequests.begin(), m_rig.crashingRequests.end(), [&](const RigRequest &item) { return item.isRepeatOf(arrival.request); })) {
+            asio::steady_timer timer(m_rig.m_loop, m_rig.m_options.headDelay);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (run == m_run && isUp()) {
+                m_rig.m_requestCrashes[arrival.request.path + arrival.request.body].push_back(m_rig.now());
+                crash();
+            }
+            co_return;
+        }
+        if (m_service == "plain") {
+            if (!co_await respondPlainly(*socket, run, attempt)) {
+                co_return;
+            }
+            continue;
+        }
         const std::string lastEvent(request["Last-Event-ID"]);
         if (!co_await respond(*socket, run, attempt, arrival.sender, lastEvent.empty() ? 1 : std::stoi(lastEvent) + 1, crashes)) {
             co_return;
@@ -454,6 +482,19 @@
     }
 }
 
+asio::awaitable<bool> RigUpstream::respondPlainly(Tcp::socket &socket, std::uint64_t run, const std::string &attempt)
+{
+    asio::steady_timer timer(m_rig.m_loop, m_rig.m_options.headDelay + m_rig.m_options.firstEventDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (run != m_run || !isUp()) {
+        co_return false;
+    }
+    ErrorCode code;
+    const std::string response = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\nContent-Length: 4\r\n\r\ndone";
+    co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+    co_return !code;
+}
+
 asio::awaitable<bool>
 RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes)
 {
@@ -496,20 +537,28 @@
 //-----------------------------------------------------------------------------
 
 std::size_t EdgeRig::send(std::size_t instance, const std::vector<std::string> &parts)
+{
+    return send(instance, RigRequest{"/chat/x", "body", parts});
+}
+
+std::size_t EdgeRig::send(std::size_t instance, const RigRequest &rigRequest)
 {
     const std::size_t number = m_results.size();
     m_results.push_back(ClientResult{number, now(), 0, "", false});
     http::Request request;
     request.method = "POST";
-    request.target = "/chat/x";
+    request.target = rigRequest.path;
     std::string prompt;
-    for (const std::string &part : parts) {
+    for (const std::string &part : rigRequest.parts) {
         prompt += (prompt.empty() ? "" : ",") + part + ":100";
     }
-    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "request-" + std::to_string(number)}, {"X-Deadline-Ms", "4000"}, {"X-Model", "m"}};
-    request.headers["X-Prompt-Prefix"] = prompt;
-    request.headers["X-Token-Count"] = std::to_string(100 * parts.size()) + ",25";
-    request.body = "body";
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "request-" + std::to_string(number)}, {"X-Deadline-Ms", "4000"}};
+    if (!prompt.empty()) {
+        request.headers["X-Model"] = "m";
+        request.headers["X-Prompt-Prefix"] = prompt;
+        request.headers["X-Token-Count"] = std::to_string(100 * rigRequest.parts.size()) + ",25";
+    }
+    request.body = rigRequest.body;
     auto operation = [this, number, request, endpoint = m_instances[instance]->settings.clientEndpoint]() -> asio::awaitable<void> {
         const auto response = co_await http::fetch(m_loop.get_executor(), endpoint, request, 5s);
         ClientResult &result = m_results[number];
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -47,6 +47,24 @@
     std::chrono::milliseconds firstEventDelay{40};  // from the response head to the first event
     std::chrono::milliseconds eventGap{25};
     int eventCount = 5;
+    std::size_t plainUpstreamsPerRegion = 0; // of a second service, on the route RigPlainPath
+};
+
+constexpr const char *RigStreamPath = "/chat/";  // of resumable streams
+constexpr const char *RigPlainPath = "/orders/"; // of repeatable requests to a plain service
+
+/// What a client sends. Requests with the same path and body are the same request, whatever the last part of their prompts is.
+struct RigRequest
+{
+    std::string path;
+    std::string body;
+    std::vector<std::string> parts; // of the prompt; none for a plain service
+
+    /// Whether both are repeats of the same request.
+    [[nodiscard]] bool isRepeatOf(const RigRequest &other) const
+    {
+        return path == other.path && body == other.body;
+    }
 };
 
 /// A request that reached an upstream.
@@ -56,6 +74,7 @@
     std::string upstream;
     std::string sender; // id of the instance
     std::vector<std::string> parts;
+    RigRequest request{};
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -75,11 +94,12 @@
 
 class EdgeRig;
 
-/// A model engine. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts.
+/// A model engine or a plain service. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts, and before
+/// it answers one in EdgeRig::crashingRequests.
 class RigUpstream
 {
 public:
-    RigUpstream(EdgeRig &rig, std::size_t number, std::string region);
+    RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service);
 
     /// Ends all connections, refuses new ones and starts again after EdgeRigOptions::crashDuration.
     void crash();
@@ -107,11 +127,13 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
     boost::asio::awaitable<bool>
     respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes);
+    boost::asio::awaitable<bool> respondPlainly(Tcp::socket &socket, std::uint64_t run, const std::string &attempt);
     boost::asio::awaitable<void> restartLater(std::string crashedId);
 
     EdgeRig &m_rig;
     std::size_t m_number;
     std::string m_region;
+    std::string m_service;
     std::string m_id;
     std::uint64_t m_run = 0; // number of the current or last run
     std::uint16_t m_port = 0;
@@ -176,10 +198,17 @@
         return m_partCrashes;
     }
     std::set<std::string> crashingParts;
+    /// Times of crashes that this request, in `crashingRequests`, caused.
+    [[nodiscard]] const std::vector<core::TimePoint> &requestCrashes(const RigRequest &request)
+    {
+        return m_requestCrashes[request.path + request.body];
+    }
+    std::vector<RigRequest> crashingRequests; // they crash an upstream headDelay after their arrival
 
     //--- Clients
     /// Sends a streaming request whose prompt consists of `parts` to an instance; the result is complete later.
     std::size_t send(std::size_t instance, const std::vector<std::string> &parts);
+    std::size_t send(std::size_t instance, const RigRequest &rigRequest);
     [[nodiscard]] const ClientResult &result(std::size_t request) const
     {
         return m_results[request];
@@ -203,6 +232,7 @@
     std::vector<Arrival> m_arrivals;
     std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
     std::vector<core::TimePoint> m_partCrashes;
+    std::map<std::string, std::vector<core::TimePoint>> m_requestCrashes; // by path and body
     std::deque<ClientResult> m_results;
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
 };
