Quarantine requests that crash upstreams, by fingerprint

Callers saw 504 for a request under which three upstreams had ended, and its retries and repeats went on to crash others.

Cause: the quarantine knew one kind of cause, a part of a prompt, and one kind of evidence, a crash between response head and first event. A request to a plain service has no parts, and these crashes come before any response head, on kept connections also as what looked like a stale connection. The class is that of the prompt parts: a failure that the input causes, treated as one of the server.

Change: PromptQuarantine becomes RequestQuarantine. Both kinds share records, exchange, log, metrics, operators' view and lift; placement requests carry the fingerprint, so dispatchers refuse too. Any break of a request that was sent, at an upstream that then turns out to have crashed, is evidence; a completed run clears the fingerprint, and one within the last minute delays blame by 4 s, in which a request that is repeated every second completes again. Three crashes condemn, 100 ms after the last, when the evidence of other instances is in; until then the request is refused. Crashes that a quarantined cause explains do not count against others; if another request with as many crashes shares all of them or all but one, a further crash decides. Requests sent after the first broken connection found the upstream gone and are no evidence. Cleared records are no longer sent to random members: a crash now leaves one for each request that was running.

In the exchange, `part` moves into a oneof with the new field, which does not change its encoding.

--- a/src/arbutus/core/error.cpp
+++ b/src/arbutus/core/error.cpp
@@ -48,7 +48,7 @@
     ErrorKindInfo{ErrorKind::NotFound, "not_found", 404, "check the path against the README"},
     ErrorKindInfo{ErrorKind::SettingsInvalid, "settings_invalid", 500, "correct the settings file at the place given in the message"},
     ErrorKindInfo{ErrorKind::Internal, "internal", 500, "report it with the X-Decision-Id of the response"},
-    ErrorKindInfo{ErrorKind::Quarantined, "quarantined", 503, "send the request without that part of the prompt; operators: see GET /quarantine"},
+    ErrorKindInfo{ErrorKind::Quarantined, "quarantined", 503, "change the request, or send it without that part of the prompt; operators: see GET /quarantine"},
 };
 
 const ErrorKindInfo &infoFor(ErrorKind kind)
--- a/src/arbutus/core/error.h
+++ b/src/arbutus/core/error.h
@@ -55,7 +55,7 @@
     NotFound,         // no such path or record
     SettingsInvalid,  // settings file with errors
     Internal,         // bug in the gateway
-    Quarantined,      // a part of the prompt crashes upstreams
+    Quarantined,      // the request, or a part of its prompt, crashes upstreams
 };
 
 /// An error, its remedy and the outcome of the request.
--- a/src/arbutus/core/hash.cpp
+++ b/src/arbutus/core/hash.cpp
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <memory>
 
 namespace arbutus::core {
 
@@ -45,6 +46,27 @@
     return toHex(digest.data(), digest.size());
 }
 
+Digest128 sha256Fields(std::initializer_list<std::string_view> fields)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view field : fields) {
+        const std::uint64_t size = field.size();
+        EVP_DigestUpdate(context.get(), &size, sizeof size);
+        EVP_DigestUpdate(context.get(), field.data(), field.size());
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    const auto word = [&](std::size_t begin) {
+        std::uint64_t out = 0;
+        for (std::size_t i = begin; i < begin + sizeof out; ++i) {
+            out = out << 8U | digest[i];
+        }
+        return out;
+    };
+    return Digest128{word(0), word(sizeof(std::uint64_t))};
+}
+
 std::string hmacSha256Hex(std::string_view key, std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/src/arbutus/core/hash.h
+++ b/src/arbutus/core/hash.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,15 @@
 /// SHA-256 as 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string sha256Hex(std::string_view text);
 
+struct Digest128
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+};
+
+/// First 128 bits of SHA-256 over the fields, each preceded by its length.
+[[nodiscard]] Digest128 sha256Fields(std::initializer_list<std::string_view> fields);
+
 /// HMAC-SHA-256 as 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string hmacSha256Hex(std::string_view key, std::string_view text);
 
--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -59,6 +59,17 @@
 // Placement
 //-----------------------------------------------------------------------------
 
+void toProto(const routing::RequestFingerprint &fingerprint, fleet::Fingerprint &out)
+{
+    out.set_high(fingerprint.high);
+    out.set_low(fingerprint.low);
+}
+
+routing::RequestFingerprint fromProto(const fleet::Fingerprint &in)
+{
+    return routing::RequestFingerprint{in.high(), in.low()};
+}
+
 void toProto(const routing::PlacementRequest &request, fleet::Ask &out, core::TimePoint now)
 {
     out.set_id(request.id.text);
@@ -67,6 +78,7 @@
     out.set_on_time_left_us((request.latencyDeadline - now).count());
     out.set_useful_left_us((request.responseDeadline - now).count());
     out.set_ends_left_us((request.completionDeadline - now).count());
+    toProto(request.fingerprint, *out.mutable_fingerprint());
     for (const routing::PromptPart &part : request.prompt) {
         auto *row = out.add_prompt();
         row->set_chain(part.prefixHash);
@@ -97,6 +109,7 @@
     request.latencyDeadline = now + core::Duration(in.on_time_left_us());
     request.responseDeadline = now + core::Duration(in.useful_left_us());
     request.completionDeadline = now + core::Duration(in.ends_left_us());
+    request.fingerprint = fromProto(in.fingerprint());
     for (const fleet::PromptPart &part : in.prompt()) {
         request.prompt.push_back(routing::PromptPart{part.chain(), part.tokens(), routing::PromptPartId(part.id())});
     }
@@ -288,15 +301,19 @@
 // Quarantine
 //-----------------------------------------------------------------------------
 
-void toProto(const std::vector<routing::PartRecord> &records, fleet::QuarantineRecords &out, core::TimePoint now)
+void toProto(const std::vector<routing::CauseRecord> &records, fleet::QuarantineRecords &out, core::TimePoint now)
 {
-    for (const routing::PartRecord &record : records) {
+    for (const routing::CauseRecord &record : records) {
         auto *row = out.add_records();
-        row->set_part(record.part.value);
+        std::visit(core::Overloaded{
+                       [&](routing::PromptPartId part) { row->set_part(part.value); },
+                       [&](const routing::RequestFingerprint &request) { toProto(request, *row->mutable_request()); },
+                   },
+                   record.cause);
         row->set_generation(record.generation);
         row->set_quarantined(record.quarantined);
         row->set_requested_age_us(toMicroseconds(now - record.lastRequestedAt));
-        for (const routing::PartCrash &crash : record.crashes) {
+        for (const routing::CauseCrash &crash : record.crashes) {
             auto *crashRow = row->add_crashes();
             crashRow->set_upstream(crash.upstream.text);
             crashRow->set_age_us(toMicroseconds(now - crash.at));
@@ -304,17 +321,20 @@
     }
 }
 
-std::vector<routing::PartRecord> fromProto(const fleet::QuarantineRecords &in, core::TimePoint now)
+std::vector<routing::CauseRecord> fromProto(const fleet::QuarantineRecords &in, core::TimePoint now)
 {
-    std::vector<routing::PartRecord> records;
+    std::vector<routing::CauseRecord> records;
     for (const auto &row : in.records()) {
-        routing::PartRecord record;
-        record.part = routing::PromptPartId(row.part());
+        routing::CauseRecord record;
+        record.cause = routing::PromptPartId(row.part());
+        if (row.has_request()) {
+            record.cause = fromProto(row.request());
+        }
         record.generation = row.generation();
         record.quarantined = row.quarantined();
         record.lastRequestedAt = now - fromMicroseconds(row.requested_age_us());
         for (const auto &crash : row.crashes()) {
-            record.crashes.push_back(routing::PartCrash{core::UpstreamId(crash.upstream()), now - fromMicroseconds(crash.age_us())});
+            record.crashes.push_back(routing::CauseCrash{core::UpstreamId(crash.upstream()), now - fromMicroseconds(crash.age_us())});
         }
         records.push_back(std::move(record));
     }
@@ -347,7 +367,7 @@
                    [&](const PlacementReport &report) { toProto(report, *out.mutable_work(), now); },
                    [&](const RegionState &state) { toProto(state, *out.mutable_region_state(), now); },
                    [&](const PlacementCancellation &cancellation) { out.mutable_withdraw()->set_id(cancellation.id.text); },
-                   [&](const std::vector<routing::PartRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
+                   [&](const std::vector<routing::CauseRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
                },
                body);
 }
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -5,7 +5,7 @@
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
-#include "arbutus/routing/promptquarantine.h"
+#include "arbutus/routing/requestquarantine.h"
 #include "arbutus/routing/upstreamnotices.h"
 
 #include <optional>
@@ -70,7 +70,7 @@
                                       PlacementReport,
                                       RegionState,
                                       PlacementCancellation,
-                                      std::vector<routing::PartRecord>>;
+                                      std::vector<routing::CauseRecord>>;
 
 /// One datagram.
 struct FleetMessage
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -47,7 +47,7 @@
 {
     std::string out;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        out += (i == 0 ? "" : ",") + toString(prompt[i].id);
+        out += (i == 0 ? "" : ",") + routing::toString(prompt[i].id);
     }
     return out;
 }
@@ -83,6 +83,7 @@
     http::Exchange &exchange;
     http::Request request; // without PeerHeaders
     RequestHead head;
+    routing::RequestFingerprint fingerprint;
     catalog::CatalogPointer catalog;
     const catalog::Route *route = nullptr;
     core::ServiceId service;
@@ -102,8 +103,8 @@
     bool responseStarted = false;                  // the stream's response head was sent to the client
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
-    std::optional<routing::PromptPartId> quarantinedPart; // because of which the request is refused
-    std::string lastFailure;                              // reason of the last failed send, for the log
+    std::optional<routing::CrashCause> quarantinedCause; // because of which the request is refused
+    std::string lastFailure;                             // reason of the last failed send, for the log
     core::UpstreamId lastUpstream;
     std::string lastAddress;
     core::TimePoint lastSentAt{};      // of the last request to an upstream
@@ -224,6 +225,7 @@
         co_return false;
     }
     state.request.body = state.exchange.request().body;
+    state.fingerprint = routing::RequestFingerprint::of({state.request.method, state.head.host, state.request.target, state.head.prompt, state.request.body});
     auto timeout = state.route->timeout;
     if (state.head.timeout) {
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
@@ -257,6 +259,7 @@
     placementRequest.responseDeadline = state.responseStarted ? state.completionDeadline : state.responseDeadline;
     placementRequest.completionDeadline = state.completionDeadline;
     placementRequest.prompt = state.head.prompt;
+    placementRequest.fingerprint = state.fingerprint;
     placementRequest.promptTokens = state.head.promptTokens;
     placementRequest.outputTokens = state.head.expectedOutputTokens;
     placementRequest.allowOtherRegions = !state.fromPeer;
@@ -281,13 +284,15 @@
 
 bool Forwarder::isQuarantined(RequestState &state)
 {
-    if (!state.quarantinedPart) {
-        state.quarantinedPart = m_quarantine.findQuarantined(state.head.prompt);
-        if (state.quarantinedPart) {
-            state.lastFailure = "prompt part " + toString(*state.quarantinedPart) + " is quarantined because it crashes upstreams";
+    if (!state.quarantinedCause) {
+        state.quarantinedCause = m_quarantine.findQuarantined(state.head.prompt, state.fingerprint);
+        if (state.quarantinedCause) {
+            const bool isRequest = std::holds_alternative<routing::RequestFingerprint>(*state.quarantinedCause);
+            state.lastFailure =
+                (isRequest ? "request " : "prompt part ") + routing::toString(*state.quarantinedCause) + " is quarantined because it crashes upstreams";
         }
     }
-    return state.quarantinedPart.has_value();
+    return state.quarantinedCause.has_value();
 }
 
 asio::awaitable<void> Forwarder::placeAndSend(RequestState &state)
@@ -309,8 +314,8 @@
         } else if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
             state.retryAfter = refused->retryAfter;
             if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
-                state.quarantinedPart = routing::PromptPartId();
-                state.lastFailure = "the dispatcher reports a quarantined prompt part";
+                state.quarantinedCause = state.fingerprint;
+                state.lastFailure = "the dispatcher reports a quarantined request or prompt part";
             }
             break;
         }
@@ -442,10 +447,13 @@
     state.cancellation->onCancel = nullptr;
     m_placement.recordCompletion(placementId, outcome);
     const bool eventReceived = state.firstEventTime >= now;
+    const bool broken = outcome == routing::SendOutcome::Incomplete || (connected && !head && !head.error().timedOut && !state.cancellation->cancelled);
+    if (broken) { // also on a kept connection, whose end may be that of the upstream
+        m_quarantine.recordBreak(granted.upstream, granted.address, BrokenRequest{state.head.prompt, state.fingerprint, head && !eventReceived, now});
+    } else if (outcome == routing::SendOutcome::Completed || outcome == routing::SendOutcome::ServerError) {
+        m_quarantine.recordCompletion(state.fingerprint);
+    }
     if (outcome == routing::SendOutcome::Incomplete) {
-        if (head && !eventReceived) {
-            m_quarantine.recordBreak(granted.upstream, granted.address, state.head.prompt);
-        }
         m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", eventReceived ? "stage=\"events\"" : head ? "stage=\"head\"" : "stage=\"sent\"");
     }
     m_context.writeLog(observe::LogLine("upstream_attempt_finished")
@@ -457,6 +465,7 @@
                            .add("body_end", state.lastBodyEnd)
                            .add("partial_event_bytes", state.partialEventBytes)
                            .add("prompt_parts", outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
+                           .add("fingerprint", broken ? routing::toString(state.fingerprint) : "")
                            .add("took_ms", core::toMilliseconds(m_context.now() - now))
                            .add("first_event_ms", state.firstEventTime > now ? core::toMilliseconds(state.firstEventTime - now) : 0)
                            .add("predicted_ms", core::toMilliseconds(granted.predictedLatency))
@@ -525,8 +534,8 @@
         state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(head.value().headers, SendCountHeader)));
         state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(head.value().headers, PossibleExecutionsHeader)));
         if (peerOutcome == OutcomeQuarantined) {
-            state.quarantinedPart = routing::PromptPartId();
-            state.lastFailure = "peer " + peer->id.text + " reports a quarantined prompt part";
+            state.quarantinedCause = state.fingerprint;
+            state.lastFailure = "peer " + peer->id.text + " reports a quarantined request or prompt part";
         } else if (peerOutcome == OutcomeNotExecuted) {
             state.excludedRegions.insert(region);
             state.lastFailure = "not executed by peer " + peer->id.text;
@@ -763,10 +772,10 @@
         logCompletion(state, status, "upstream_failure");
         co_return;
     }
-    if (state.quarantinedPart) {
+    if (state.quarantinedCause) {
         m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
     }
-    if (!mayHaveExecuted && state.quarantinedPart) {
+    if (!mayHaveExecuted && state.quarantinedCause) {
         co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
         co_return;
     }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -37,7 +37,7 @@
     std::chrono::milliseconds streamIdleTimeout{1'600};   // between events of a resumable stream
     std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
-    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
+    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
     std::chrono::milliseconds deadlineMargin{30};         // the response is due this long before the client's own deadline
     std::size_t maxPlacements = 6;                        // per request, including rejected ones
     std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024; // of a response that is not streamed; many may be in memory at once
@@ -94,7 +94,7 @@
     boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
     [[nodiscard]] bool canRetry(RequestState &state);
-    /// Whether the request must not be sent because of a quarantined part of its prompt; notes the part in the state.
+    /// Whether the request must not be sent because it, or a part of its prompt, is quarantined; notes the cause in the state.
     [[nodiscard]] bool isQuarantined(RequestState &state);
     [[nodiscard]] std::optional<membership::Member> pickPeer(const core::RegionId &region);
     [[nodiscard]] SendResult failedSendResult(const RequestState &state) const;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -122,6 +122,7 @@
     request.requester = m_context.settings.instanceId;
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
     pending->prompt = request.prompt;
+    pending->fingerprint = request.fingerprint;
     m_pending[request.id] = pending;
     token->onCancel = [pending] { pending->timer.cancel(); };
     routing::PlacementDecision decision = routing::Queued{};
@@ -202,7 +203,7 @@
 void PlacementService::refuseQuarantined()
 {
     for (const auto &[id, pending] : m_pending) {
-        if (isQuarantined && isQuarantined(pending->prompt)) {
+        if (isQuarantined && isQuarantined(pending->prompt, pending->fingerprint)) {
             pending->decision = routing::Refused{routing::RefusalReason::Quarantined, {}};
             pending->timer.cancel();
         }
@@ -429,7 +430,7 @@
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
                    [&](const RegionState &state) { handleRegionState(state, message.sender.id); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
-                   [](const std::vector<routing::PartRecord> &) {}, // handled by the quarantine service
+                   [](const std::vector<routing::CauseRecord> &) {}, // handled by the quarantine service
                },
                message.body);
 }
@@ -438,7 +439,7 @@
 {
     m_requesterAddresses[request.requester] = from;
     routing::PlacementDecision decision = routing::Refused{routing::RefusalReason::Quarantined, {}};
-    if (isQuarantined && isQuarantined(request.prompt)) { // the requester may not have heard of it yet
+    if (isQuarantined && isQuarantined(request.prompt, request.fingerprint)) { // the requester may not have heard of it yet
         m_dispatcher.cancel(request.id);
     } else {
         decision = m_dispatcher.requestPlacement(request, m_context.now());
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -61,7 +61,7 @@
     void handleMessage(const FleetMessage &message, const std::string &from);
     /// Sends the region state to other instances and processes the queue after a metadata change.
     void onMetadataChanged();
-    /// Refuses requests that wait for a placement and contain a part that was quarantined meanwhile.
+    /// Refuses requests that wait for a placement and were quarantined meanwhile.
     void refuseQuarantined();
     [[nodiscard]] const routing::Dispatcher &dispatcher() const
     {
@@ -77,6 +77,7 @@
         }
         std::optional<routing::PlacementDecision> decision;
         std::vector<routing::PromptPart> prompt;
+        routing::RequestFingerprint fingerprint;
         core::InstanceId requestedFrom; // dispatcher that the request was last sent to
         boost::asio::steady_timer timer;
     };
@@ -136,8 +137,8 @@
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::ServiceLoad, core::TimePoint>> m_remoteLoads; // of other regions
 
 public:
-    /// Returns whether a prompt contains a quarantined part.
-    std::function<bool(const std::vector<routing::PromptPart> &prompt)> isQuarantined;
+    /// Returns whether a request, or a part of its prompt, is quarantined.
+    std::function<bool(const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint)> isQuarantined;
     /// Returns whether this instance reads the store in place of the instances that usually report to others.
     std::function<bool()> isSubstituteReader;
     /// Called when a peer has newer metadata.
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -11,8 +11,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <sstream>
 
 namespace arbutus::edge {
 
@@ -23,24 +21,28 @@
 
 constexpr std::string_view OperatorPath = "/quarantine";
 
-std::string describeCrashes(const routing::PartRecord &record, core::TimePoint now)
+std::string describeCrashes(const routing::CauseRecord &record, core::TimePoint now)
 {
     std::string out;
-    for (const routing::PartCrash &crash : record.crashes) {
+    for (const routing::CauseCrash &crash : record.crashes) {
         out += (out.empty() ? "" : ",") + crash.upstream.text + ":" + std::to_string(core::toMilliseconds(now - crash.at));
     }
     return out;
 }
 
-} // namespace
+bool isRequest(const routing::CrashCause &cause)
+{
+    return std::holds_alternative<routing::RequestFingerprint>(cause);
+}
 
-std::string toString(routing::PromptPartId part)
+/// Name of the field that identifies a cause in logs and the operators' view.
+const char *fieldName(const routing::CrashCause &cause)
 {
-    std::ostringstream out;
-    out << std::hex << part.value;
-    return out.str();
+    return isRequest(cause) ? "fingerprint" : "part";
 }
 
+} // namespace
+
 QuarantineService::QuarantineService(
     InstanceContext &context, Fleet &fleet, const MetadataCache &metadataCache, std::uint64_t seed, QuarantineServiceSettings settings)
     : m_context(context)
@@ -57,26 +59,36 @@
     asio::co_spawn(m_context.executor, tickLoop(), asio::detached);
 }
 
-std::optional<routing::PromptPartId> QuarantineService::findQuarantined(const std::vector<routing::PromptPart> &prompt)
+std::optional<routing::CrashCause> QuarantineService::findQuarantined(const std::vector<routing::PromptPart> &prompt,
+                                                                      const routing::RequestFingerprint &fingerprint)
+{
+    return m_quarantine.findQuarantined(prompt, fingerprint, m_context.now());
+}
+
+std::size_t QuarantineService::quarantinedPartCount() const
 {
-    return m_quarantine.findQuarantined(prompt, m_context.now());
+    return static_cast<std::size_t>(std::count_if(m_logged.begin(), m_logged.end(), [](const routing::CrashCause &cause) { return !isRequest(cause); }));
 }
 
 //-----------------------------------------------------------------------------
 // Crashes
 //-----------------------------------------------------------------------------
 
-void QuarantineService::recordBreak(const core::UpstreamId &upstream, const std::string &address, const std::vector<routing::PromptPart> &prompt)
+void QuarantineService::recordBreak(const core::UpstreamId &upstream, const std::string &address, const BrokenRequest &request)
 {
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    if (prompt.size() < 2 || entry == nullptr || !entry->isUsable()) { // no part that other requests may share, or a planned exit
+    if (entry == nullptr || !entry->isUsable()) { // a planned exit
+        return;
+    }
+    if (const auto crashedAt = m_crashedAt.find(upstream); crashedAt != m_crashedAt.end() && request.sentAt > crashedAt->second) {
         return;
     }
     std::vector<Break> &breaks = m_unconfirmed[upstream];
-    if (breaks.size() >= m_settings.maxBreaksPerUpstream) {
-        return; // enough to judge by; an upstream that fails for long must not fill the memory
+    const bool wasGone = !breaks.empty() && request.sentAt > breaks.front().at;
+    if (wasGone || breaks.size() >= m_settings.maxBreaksPerUpstream) {
+        return; // an upstream that fails for long must not fill the memory
     }
-    breaks.push_back(Break{prompt, m_context.now()});
+    breaks.push_back(Break{request.isBeginning ? request.prompt : std::vector<routing::PromptPart>(), request.fingerprint, m_context.now()});
     if (breaks.size() == 1) {
         asio::co_spawn(m_context.executor, confirmCrash(upstream, address, entry->announcement.startTime), asio::detached);
     }
@@ -110,15 +122,19 @@
                            .add("upstream", upstream)
                            .add("crashed", !evidence.empty())
                            .add("evidence", evidence)
-                           .add("beginning_requests", breaks.size()));
+                           .add("broken_requests", breaks.size())
+                           .add("beginning_requests", std::count_if(breaks.begin(), breaks.end(), [](const Break &item) { return !item.prompt.empty(); })));
     if (evidence.empty()) {
         co_return;
     }
     m_context.metrics.incrementCounter("arbutus_upstream_crashes_total");
+    m_crashedAt.try_emplace(upstream, breaks.front().at);
     for (const Break &item : breaks) {
         m_quarantine.recordCrash(item.prompt, upstream, item.at);
+        m_quarantine.recordCrash(item.fingerprint, upstream, item.at);
     }
     publishChanges("own");
+    scheduleVerdict();
 }
 
 void QuarantineService::recordFirstEvent(const std::vector<routing::PromptPart> &prompt)
@@ -127,42 +143,50 @@
     publishChanges("own");
 }
 
+void QuarantineService::recordCompletion(const routing::RequestFingerprint &fingerprint)
+{
+    m_quarantine.recordCompletion(fingerprint, m_context.now());
+    publishChanges("own");
+}
+
 //-----------------------------------------------------------------------------
 // Exchange with other instances
 //-----------------------------------------------------------------------------
 
-void QuarantineService::handleRecords(const std::vector<routing::PartRecord> &records, const core::InstanceId &sender)
+void QuarantineService::handleRecords(const std::vector<routing::CauseRecord> &records, const core::InstanceId &sender)
 {
-    for (const routing::PartRecord &record : records) {
+    for (const routing::CauseRecord &record : records) {
         m_quarantine.merge(record, m_context.now());
     }
     publishChanges(sender.text);
+    scheduleVerdict();
 }
 
 void QuarantineService::publishChanges(std::string_view source)
 {
     const core::TimePoint now = m_context.now();
     bool hasNewVerdict = false;
-    for (const auto &[part, record] : m_quarantine.records()) {
-        if (record.quarantined == m_logged.contains(part)) {
+    for (const auto &[cause, record] : m_quarantine.records()) {
+        if (record.quarantined == m_logged.contains(cause)) {
             continue;
         }
         if (record.quarantined) {
-            m_logged.insert(part);
+            m_logged.insert(cause);
         } else {
-            m_logged.erase(part);
+            m_logged.erase(cause);
         }
         hasNewVerdict = hasNewVerdict || record.quarantined;
-        m_context.writeLog(observe::LogLine(record.quarantined ? "prompt_part_quarantined" : "prompt_part_released")
-                               .add("part", toString(part))
+        const std::string subject = isRequest(cause) ? "request_" : "prompt_part_";
+        m_context.writeLog(observe::LogLine(subject + (record.quarantined ? "quarantined" : "released"))
+                               .add(fieldName(cause), toString(cause))
                                .add("generation", record.generation)
                                .add("crashes_and_age_ms", describeCrashes(record, now))
                                .add("source", source));
     }
-    std::erase_if(m_logged, [&](routing::PromptPartId part) { return !m_quarantine.records().contains(part); });
-    std::vector<routing::PartRecord> changed;
-    for (const routing::PromptPartId part : m_quarantine.takeChanges()) {
-        if (const auto found = m_quarantine.records().find(part); found != m_quarantine.records().end()) {
+    std::erase_if(m_logged, [&](const routing::CrashCause &cause) { return !m_quarantine.records().contains(cause); });
+    std::vector<routing::CauseRecord> changed;
+    for (const routing::CrashCause &cause : m_quarantine.takeChanges()) {
+        if (const auto found = m_quarantine.records().find(cause); found != m_quarantine.records().end()) {
             changed.push_back(found->second);
         }
     }
@@ -178,12 +202,12 @@
     }
 }
 
-void QuarantineService::sendRecords(const std::string &address, const std::vector<routing::PartRecord> &records)
+void QuarantineService::sendRecords(const std::string &address, const std::vector<routing::CauseRecord> &records)
 {
     for (std::size_t i = 0; i < records.size(); i += m_settings.maxRecordsPerDatagram) {
         const auto begin = records.begin() + static_cast<std::ptrdiff_t>(i);
         const auto end = records.begin() + static_cast<std::ptrdiff_t>(std::min(i + m_settings.maxRecordsPerDatagram, records.size()));
-        m_fleet.send(address, std::vector<routing::PartRecord>(begin, end));
+        m_fleet.send(address, std::vector<routing::CauseRecord>(begin, end));
     }
 }
 
@@ -198,25 +222,26 @@
         }
     }
     const std::set<core::InstanceRef> known = std::exchange(m_knownMembers, live);
-    const std::size_t count = m_quarantine.records().size();
-    if (count == 0) {
+    std::vector<routing::CauseRecord> quarantined;
+    std::vector<routing::CauseRecord> evidence; // cleared records answer outdated evidence only
+    for (const auto &[cause, record] : m_quarantine.records()) {
+        if (record.quarantined) {
+            quarantined.push_back(record);
+        }
+        if (!record.crashes.empty() || record.quarantined) {
+            evidence.push_back(record);
+        }
+    }
+    if (evidence.empty()) {
         return;
     }
-    std::vector<routing::PartRecord> quarantined;
-    std::vector<routing::PartRecord> records;
     const std::size_t limit = m_settings.maxRecordsPerDatagram * m_settings.maxDatagramsPerExchange;
-    m_nextRecord %= count;
-    auto next = std::next(m_quarantine.records().begin(), static_cast<std::ptrdiff_t>(m_nextRecord));
-    for (std::size_t i = 0; i < std::min(count, limit); ++i) {
-        records.push_back(next->second);
-        next = std::next(next) == m_quarantine.records().end() ? m_quarantine.records().begin() : std::next(next);
+    std::vector<routing::CauseRecord> records;
+    m_nextRecord %= evidence.size();
+    for (std::size_t i = 0; i < std::min(evidence.size(), limit); ++i) {
+        records.push_back(evidence[(m_nextRecord + i) % evidence.size()]);
     }
     m_nextRecord += records.size();
-    for (const auto &[part, record] : m_quarantine.records()) {
-        if (record.quarantined) {
-            quarantined.push_back(record);
-        }
-    }
     for (const membership::Member *member : others) {
         if (!known.contains(core::InstanceRef{member->id, member->incarnation})) {
             sendRecords(member->gossipAddress, quarantined);
@@ -229,11 +254,26 @@
     }
 }
 
+void QuarantineService::scheduleVerdict()
+{
+    if (std::exchange(m_isVerdictScheduled, true)) {
+        return;
+    }
+    auto judgeLater = [this]() -> asio::awaitable<void> {
+        co_await core::asyncSleep(std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.quarantine.verdictDelay) + std::chrono::milliseconds(1));
+        m_isVerdictScheduled = false;
+        m_quarantine.tick(m_context.now());
+        publishChanges("own");
+    };
+    asio::co_spawn(m_context.executor, std::move(judgeLater), asio::detached);
+}
+
 asio::awaitable<void> QuarantineService::tickLoop()
 {
     while (true) {
         co_await core::asyncSleep(m_settings.exchangePeriod);
         m_quarantine.tick(m_context.now());
+        std::erase_if(m_crashedAt, [&](const auto &item) { return m_context.now() - item.second > m_settings.crashMemory; });
         publishChanges("own");
         exchangeRecords();
     }
@@ -249,28 +289,29 @@
     const std::string path = request.path();
     if (request.method == "DELETE" && path.size() > OperatorPath.size() + 1) {
         const std::string text = path.substr(OperatorPath.size() + 1);
-        std::uint64_t part = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), part, 16);
-        const bool lifted = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && m_quarantine.lift(routing::PromptPartId(part), now);
+        const auto cause = routing::parseCrashCause(text);
+        const bool lifted = cause && m_quarantine.lift(*cause, now);
         publishChanges("operator");
-        return http::jsonResponse(lifted ? 200 : 404, json::serialize(json::object{{"part", text}, {"lifted", lifted}}));
+        return http::jsonResponse(lifted ? 200 : 404, json::serialize(json::object{{cause ? fieldName(*cause) : "part", text}, {"lifted", lifted}}));
     }
     if (request.method != "GET" || path != OperatorPath) {
         return http::jsonResponse(404, "{}");
     }
     json::array parts;
-    for (const auto &[part, record] : m_quarantine.records()) {
+    json::array requests;
+    for (const auto &[cause, record] : m_quarantine.records()) {
         json::array crashes;
-        for (const routing::PartCrash &crash : record.crashes) {
+        for (const routing::CauseCrash &crash : record.crashes) {
             crashes.push_back(json::object{{"upstream", crash.upstream.text}, {"age_ms", core::toMilliseconds(now - crash.at)}});
         }
-        parts.push_back(json::object{{"part", toString(part)},
-                                     {"quarantined", record.quarantined},
-                                     {"generation", record.generation},
-                                     {"last_requested_age_ms", core::toMilliseconds(now - record.lastRequestedAt)},
-                                     {"crashes", std::move(crashes)}});
+        (isRequest(cause) ? requests : parts)
+            .push_back(json::object{{fieldName(cause), toString(cause)},
+                                    {"quarantined", record.quarantined},
+                                    {"generation", record.generation},
+                                    {"last_requested_age_ms", core::toMilliseconds(now - record.lastRequestedAt)},
+                                    {"crashes", std::move(crashes)}});
     }
-    return http::jsonResponse(200, json::serialize(json::object{{"parts", std::move(parts)}}));
+    return http::jsonResponse(200, json::serialize(json::object{{"parts", std::move(parts)}, {"requests", std::move(requests)}}));
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/quarantineservice.h
+++ b/src/arbutus/edge/quarantineservice.h
@@ -1,15 +1,15 @@
-// Keeps requests away from upstreams whose prompts contain a part that crashes them.
+// Keeps requests that crash upstreams away from them: one request in all its repeats, or all with one part in their prompts.
 //
-// routing::PromptQuarantine judges the parts. This class decides what counts as a crash, exchanges records with the other
+// routing::RequestQuarantine judges the causes. This class decides what counts as a crash, exchanges records with the other
 // instances, and shows the quarantine to operators:
 //
-//   GET /quarantine              JSON list of suspect and quarantined parts
-//   DELETE /quarantine/PART      lifts the quarantine of a part, on all instances
+//   GET /quarantine              JSON lists of suspect and quarantined parts and requests
+//   DELETE /quarantine/CAUSE     lifts the quarantine of a part or a request, on all instances
 //
 // Q: What counts as a crash?
-// A: The connection of a request ended between the response head and the first event, and the upstream then refuses connections,
-//    is removed from the metadata or announces another start. An upstream that breaks off single responses still accepts
-//    connections and announces no other start.
+// A: The connection of a request ended before the response was complete, and the upstream then refuses connections, is removed from
+//    the metadata or announces another start. An upstream that breaks off single responses still accepts connections and announces
+//    no other start. Requests that were sent after its first broken connection found it gone and are no evidence.
 //
 // Q: How do other instances learn of it?
 // A: Every change is sent to all live members at once. Datagrams may be lost and members may be cut off or start later, so each
@@ -29,70 +29,85 @@
 
 struct QuarantineServiceSettings
 {
-    routing::PromptQuarantineSettings quarantine;
+    routing::RequestQuarantineSettings quarantine;
     std::chrono::milliseconds connectTimeout{300};       // of the connection that tells whether an upstream has crashed
     std::chrono::milliseconds removalCheckInterval{200}; // of the metadata, if the upstream did not refuse the connection
     int removalChecks = 25;                              // then it has not crashed
-    std::size_t maxBreaksPerUpstream = 64;               // remembered until it is known whether the upstream has crashed
+    std::size_t maxBreaksPerUpstream = 512;              // remembered until it is known whether the upstream has crashed
+    std::chrono::seconds crashMemory{60};                // for which an upstream is known to have crashed
     std::chrono::milliseconds exchangePeriod{500};       // of sending records to random members
     std::size_t exchangeMembers = 3;                     // in each period
     std::size_t maxRecordsPerDatagram = 8;               // about 1.2 kB
     std::size_t maxDatagramsPerExchange = 4;             // further records follow in the next periods
 };
 
+/// A request whose connection to an upstream ended before the response was complete.
+struct BrokenRequest
+{
+    const std::vector<routing::PromptPart> &prompt;
+    routing::RequestFingerprint fingerprint;
+    bool isBeginning = false; // its response head had arrived, but no event
+    core::TimePoint sentAt{};
+};
+
 class QuarantineService
 {
 public:
     QuarantineService(InstanceContext &context, Fleet &fleet, const MetadataCache &metadataCache, std::uint64_t seed, QuarantineServiceSettings settings = {});
 
     void start();
-    /// The first quarantined part of a prompt, if any.
-    [[nodiscard]] std::optional<routing::PromptPartId> findQuarantined(const std::vector<routing::PromptPart> &prompt);
-    /// A request's response head had arrived, but no event, when its connection to the upstream ended.
-    void recordBreak(const core::UpstreamId &upstream, const std::string &address, const std::vector<routing::PromptPart> &prompt);
+    /// The first quarantined cause in a request, if any.
+    [[nodiscard]] std::optional<routing::CrashCause> findQuarantined(const std::vector<routing::PromptPart> &prompt,
+                                                                     const routing::RequestFingerprint &fingerprint);
+    void recordBreak(const core::UpstreamId &upstream, const std::string &address, const BrokenRequest &request);
     /// The first event of a request, or the whole response, has arrived.
     void recordFirstEvent(const std::vector<routing::PromptPart> &prompt);
+    /// The upstream has answered the whole request.
+    void recordCompletion(const routing::RequestFingerprint &fingerprint);
     /// Handles the records of another instance.
-    void handleRecords(const std::vector<routing::PartRecord> &records, const core::InstanceId &sender);
+    void handleRecords(const std::vector<routing::CauseRecord> &records, const core::InstanceId &sender);
     /// Handles a request under /quarantine.
     [[nodiscard]] http::Response handleOperatorRequest(const http::Request &request);
-    [[nodiscard]] std::size_t quarantinedCount() const
+    [[nodiscard]] std::size_t quarantinedPartCount() const;
+    [[nodiscard]] std::size_t quarantinedRequestCount() const
     {
-        return m_logged.size();
+        return m_logged.size() - quarantinedPartCount();
     }
 
-    /// Called after a part has been quarantined.
+    /// Called after a cause has been quarantined.
     std::function<void()> onQuarantined;
 
 private:
     struct Break
     {
-        std::vector<routing::PromptPart> prompt;
+        std::vector<routing::PromptPart> prompt; // of a beginning request
+        routing::RequestFingerprint fingerprint;
         core::TimePoint at{};
     };
 
     boost::asio::awaitable<void> tickLoop();
+    /// Judges once the evidence of other instances has arrived too.
+    void scheduleVerdict();
     /// Waits until the upstream has turned out to have crashed or not, and records the crash.
     boost::asio::awaitable<void> confirmCrash(core::UpstreamId upstream, std::string address, routing::StartTime startTime);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address) const;
     /// Logs verdicts that have changed and sends changed records to the other instances.
     void publishChanges(std::string_view source);
-    void sendRecords(const std::string &address, const std::vector<routing::PartRecord> &records);
+    void sendRecords(const std::string &address, const std::vector<routing::CauseRecord> &records);
     void exchangeRecords();
 
     InstanceContext &m_context;
     Fleet &m_fleet;
     const MetadataCache &m_metadataCache;
     QuarantineServiceSettings m_settings;
-    routing::PromptQuarantine m_quarantine;
+    routing::RequestQuarantine m_quarantine;
     pcg32 m_random;
     std::map<core::UpstreamId, std::vector<Break>> m_unconfirmed; // upstreams that may have crashed
-    std::set<routing::PromptPartId> m_logged;                     // quarantined parts, as last logged
+    std::map<core::UpstreamId, core::TimePoint> m_crashedAt;      // first broken connection to upstreams that have crashed
+    std::set<routing::CrashCause> m_logged;                       // quarantined causes, as last logged
     std::set<core::InstanceRef> m_knownMembers;                   // live members that have received the records
-    std::size_t m_nextRecord = 0;                                 // with which the next exchange begins
+    bool m_isVerdictScheduled = false;
+    std::size_t m_nextRecord = 0; // with which the next exchange begins
 };
 
-/// Id of a part as logs and the operators' view show it.
-[[nodiscard]] std::string toString(routing::PromptPartId part);
-
 } // namespace arbutus::edge
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -179,7 +179,8 @@
         metrics.setGauge("arbutus_live_members", "", static_cast<double>(fleet.liveMembers().size()));
         metrics.setGauge("arbutus_waiting_requests", "", static_cast<double>(placement.dispatcher().queueLength()));
         metrics.setGauge("arbutus_log_lines_dropped", "", static_cast<double>(context.log.droppedLines()));
-        metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(quarantine.quarantinedCount()));
+        metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(quarantine.quarantinedPartCount()));
+        metrics.setGauge("arbutus_quarantined_requests", "", static_cast<double>(quarantine.quarantinedRequestCount()));
         metrics.setGauge("arbutus_ready", "", ready() ? 1 : 0);
         http::Response response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
@@ -330,10 +331,12 @@
     impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
-    impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt) { return impl.quarantine.findQuarantined(prompt).has_value(); };
+    impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint) {
+        return impl.quarantine.findQuarantined(prompt, fingerprint).has_value();
+    };
     impl.quarantine.onQuarantined = [&impl] { impl.placement.refuseQuarantined(); };
     impl.fleet.start([&impl](const FleetMessage &message, const std::string &from) {
-        if (const auto *records = std::get_if<std::vector<routing::PartRecord>>(&message.body)) {
+        if (const auto *records = std::get_if<std::vector<routing::CauseRecord>>(&message.body)) {
             impl.quarantine.handleRecords(*records, message.sender.id);
             return;
         }
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -38,7 +38,7 @@
 
 #include "arbutus/catalog/catalog.h"
 #include "arbutus/limits/tokenbucket.h"
-#include "arbutus/routing/upstreamestimator.h"
+#include "arbutus/routing/crashcause.h"
 #include "arbutus/routing/upstreamregistry.h"
 
 #include <deque>
@@ -62,6 +62,7 @@
     core::TimePoint responseDeadline{};   // a first event, or a response, is useless after that
     core::TimePoint completionDeadline{}; // the client does not wait for the last event after that
     std::vector<PromptPart> prompt;
+    RequestFingerprint fingerprint;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;               // expected
     bool allowOtherRegions = true;                // may be redirected to another region
@@ -97,7 +98,7 @@
 enum class RefusalReason {
     NoUpstream,  // no reachable upstream may serve it
     Overloaded,  // would not be served in time
-    Quarantined, // its prompt has a part that crashes upstreams
+    Quarantined, // the request, or a part of its prompt, crashes upstreams
 };
 struct Refused
 {
