Do not send a request to a third upstream after two have crashed under it

A request that crashes upstreams took up to `max_attempts` of them in one attempt of its client, before any verdict.

Each instance now counts the upstreams that crashed while they ran the request; after two, confirmed by a refused connection or the end of their run, it is not sent again, and its client gets 502 or, where a stream has begun, an aborted connection. A sound request that loses two upstreams gets 502 too, where a third send was allowed before.

The count is that of one instance: what an instance in another region lost before the hop is only limited by `max_attempts`.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -95,6 +95,7 @@
     core::TimePoint responseDeadline{}; // for the first event or a buffered response; later ones are useless to the client
     std::shared_ptr<CancellationToken> cancellation = std::make_shared<CancellationToken>();
     std::set<core::UpstreamId> excludedUpstreams;
+    std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
     std::set<core::RegionId> excludedRegions;
     std::size_t placements = 0;
     std::size_t sendCount = 0;                     // requests that reached an upstream
@@ -276,7 +277,7 @@
         || now >= (state.responseStarted ? state.completionDeadline : state.responseDeadline)) {
         return false;
     }
-    if (state.possibleExecutions >= state.route->maxUpstreamsPerAttempt) {
+    if (state.possibleExecutions >= state.route->maxUpstreamsPerAttempt || m_quarantine.countCrashed(state.brokenUpstreams) >= m_settings.maxCrashedUpstreams) {
         return false;
     }
     return state.sendCount == 0 || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
@@ -327,6 +328,9 @@
             co_return;
         }
         mayHaveExecuted = mayHaveExecuted || result != SendResult::NotExecuted;
+        if (state.brokenUpstreams.size() >= m_settings.maxCrashedUpstreams) {
+            co_await m_quarantine.waitForExamination(state.brokenUpstreams);
+        }
         if (result == SendResult::NotRetryable || !canRetry(state)) {
             break;
         }
@@ -449,6 +453,7 @@
     const bool eventReceived = state.firstEventTime >= now;
     const bool broken = outcome == routing::SendOutcome::Incomplete || (connected && !head && !head.error().timedOut && !state.cancellation->cancelled);
     if (broken) { // also on a kept connection, whose end may be that of the upstream
+        state.brokenUpstreams.insert(granted.upstream);
         m_quarantine.recordBreak(granted.upstream, granted.address, BrokenRequest{state.head.prompt, state.fingerprint, head && !eventReceived, now});
     } else if (outcome == routing::SendOutcome::Completed || outcome == routing::SendOutcome::ServerError) {
         m_quarantine.recordCompletion(state.fingerprint);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -39,6 +39,7 @@
     std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
     std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
     std::chrono::milliseconds deadlineMargin{30};         // the response is due this long before the client's own deadline
+    std::size_t maxCrashedUpstreams = 2;                  // under one request; it is not sent to a further one
     std::size_t maxPlacements = 6;                        // per request, including rejected ones
     std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024; // of a response that is not streamed; many may be in memory at once
     std::size_t maxEventBytes = 1024 * 1024;              // of one event of a stream
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -90,6 +90,7 @@
     }
     breaks.push_back(Break{request.isBeginning ? request.prompt : std::vector<routing::PromptPart>(), request.fingerprint, m_context.now()});
     if (breaks.size() == 1) {
+        m_connecting.insert(upstream);
         asio::co_spawn(m_context.executor, confirmCrash(upstream, address, entry->announcement.startTime), asio::detached);
     }
 }
@@ -112,6 +113,7 @@
 asio::awaitable<void> QuarantineService::confirmCrash(core::UpstreamId upstream, std::string address, routing::StartTime startTime)
 {
     std::string evidence = co_await refusesConnections(address) ? "connection_refused" : "";
+    m_connecting.erase(upstream);
     for (int i = 0; i < m_settings.removalChecks && evidence.empty(); ++i) {
         co_await core::asyncSleep(m_settings.removalCheckInterval);
         evidence = m_metadataCache.registry().hasRunEnded(upstream, startTime) ? "run_ended" : "";
@@ -143,6 +145,20 @@
     publishChanges("own");
 }
 
+asio::awaitable<void> QuarantineService::waitForExamination(const std::set<core::UpstreamId> &upstreams) const
+{
+    constexpr auto CheckInterval = std::chrono::milliseconds(5);
+    while (std::any_of(upstreams.begin(), upstreams.end(), [&](const core::UpstreamId &upstream) { return m_connecting.contains(upstream); })) {
+        co_await core::asyncSleep(CheckInterval);
+    }
+}
+
+std::size_t QuarantineService::countCrashed(const std::set<core::UpstreamId> &upstreams) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams.begin(), upstreams.end(), [&](const core::UpstreamId &upstream) { return m_crashedAt.contains(upstream); }));
+}
+
 void QuarantineService::recordCompletion(const routing::RequestFingerprint &fingerprint)
 {
     m_quarantine.recordCompletion(fingerprint, m_context.now());
--- a/src/arbutus/edge/quarantineservice.h
+++ b/src/arbutus/edge/quarantineservice.h
@@ -64,6 +64,10 @@
     void recordFirstEvent(const std::vector<routing::PromptPart> &prompt);
     /// The upstream has answered the whole request.
     void recordCompletion(const routing::RequestFingerprint &fingerprint);
+    /// Waits until each of these upstreams has refused or accepted a connection since its break, if it is being examined.
+    boost::asio::awaitable<void> waitForExamination(const std::set<core::UpstreamId> &upstreams) const;
+    /// How many of these upstreams are known to have crashed in the last minute.
+    [[nodiscard]] std::size_t countCrashed(const std::set<core::UpstreamId> &upstreams) const;
     /// Handles the records of another instance.
     void handleRecords(const std::vector<routing::CauseRecord> &records, const core::InstanceId &sender);
     /// Handles a request under /quarantine.
@@ -104,6 +108,7 @@
     pcg32 m_random;
     std::map<core::UpstreamId, std::vector<Break>> m_unconfirmed; // upstreams that may have crashed
     std::map<core::UpstreamId, core::TimePoint> m_crashedAt;      // first broken connection to upstreams that have crashed
+    std::set<core::UpstreamId> m_connecting;                      // upstreams to which a connection is being tried
     std::set<routing::CrashCause> m_logged;                       // quarantined causes, as last logged
     std::set<core::InstanceRef> m_knownMembers;                   // live members that have received the records
     bool m_isVerdictScheduled = false;
--- a/tests/requestcrashtest.cpp
+++ b/tests/requestcrashtest.cpp
@@ -165,3 +165,17 @@
         }
     }
 }
+
+TEST_CASE("a request under which two upstreams have crashed is not sent to a third", "[rig]")
+{
+    const std::string path = GENERATE(as<std::string>{}, tests::RigPlainPath, tests::RigStreamPath);
+    CAPTURE(path);
+    tests::EdgeRig rig(tests::EdgeRigOptions{.plainUpstreamsPerRegion = 4});
+    const RigRequest harmful = makeRequest(path == tests::RigStreamPath, "bad", 0, 0);
+    rig.crashingRequests = {harmful};
+    rig.runFor(1'500ms); // membership and configuration
+    const std::size_t request = rig.send(0, harmful);
+    rig.runFor(1'500ms);
+    CHECK(rig.requestCrashes(harmful).size() == 2);
+    CHECK(rig.result(request).status == 502); // it may have run
+}
