Test: a request that may run only once is refused after its client's repeats have crashed three upstreams

It is never retried by an instance, so the evidence comes from several of them. At every instance a further repeat gets 503 with the Retry-After of a quarantine and reaches no upstream, and another request on the same path is answered.

--- a/tests/requestcrashtest.cpp
+++ b/tests/requestcrashtest.cpp
@@ -179,3 +179,29 @@
     CHECK(rig.requestCrashes(harmful).size() == 2);
     CHECK(rig.result(request).status == 502); // it may have run
 }
+
+TEST_CASE("a request that may run only once is refused after its client's repeats have crashed three upstreams", "[rig]")
+{
+    tests::EdgeRig rig(tests::EdgeRigOptions{.plainUpstreamsPerRegion = 4});
+    const RigRequest harmful{std::string(tests::RigOncePath) + "bad", "body", {}};
+    const RigRequest sound{harmful.path, "other body", {}};
+    rig.crashingRequests = {harmful};
+    rig.runFor(1'500ms); // membership and configuration
+    constexpr std::size_t CrashesUntilRefused = 3;
+    for (std::size_t i = 0; i < CrashesUntilRefused; ++i) {
+        const std::size_t request = rig.send(i, harmful);
+        rig.runFor(400ms);
+        CHECK(rig.result(request).status == 502); // it may have run
+    }
+    REQUIRE(rig.requestCrashes(harmful).size() == CrashesUntilRefused);
+    for (std::size_t i = 0; i < rig.instanceCount(); ++i) {
+        CAPTURE(rig.instanceId(i));
+        const std::size_t refused = rig.send(i, harmful);
+        const std::size_t answered = rig.send(i, sound);
+        rig.runFor(300ms);
+        CHECK(rig.result(refused).status == 503);
+        CHECK(rig.result(refused).retryAfter == "60.00");
+        CHECK(rig.result(answered).status == 200);
+    }
+    CHECK(rig.requestCrashes(harmful).size() == CrashesUntilRefused);
+}
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -260,6 +260,8 @@
     std::string plainService;
     if (m_options.plainUpstreamsPerRegion > 0) {
         plainRoute = R"(,{"name":"orders","host":"h.example","path_prefix":"/orders/","route_type":"safe","max_attempts":3,)"
+                     R"("timeout_ms":5000,"target_latency_ms":600,"priority":0,"service":"plain"},)"
+                     R"({"name":"payments","host":"h.example","path_prefix":"/payments/","route_type":"unsafe","max_attempts":1,)"
                      R"("timeout_ms":5000,"target_latency_ms":600,"priority":0,"service":"plain"})";
         plainService = R"(,{"name":"plain"})";
     }
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -50,8 +50,9 @@
     std::size_t plainUpstreamsPerRegion = 0; // of a second service, on the route RigPlainPath
 };
 
-constexpr const char *RigStreamPath = "/chat/";  // of resumable streams
-constexpr const char *RigPlainPath = "/orders/"; // of repeatable requests to a plain service
+constexpr const char *RigStreamPath = "/chat/";   // of resumable streams
+constexpr const char *RigPlainPath = "/orders/";  // of repeatable requests to a plain service
+constexpr const char *RigOncePath = "/payments/"; // of at-most-once requests to it
 
 /// What a client sends. Requests with the same path and body are the same request, whatever the last part of their prompts is.
 struct RigRequest
