--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -406,6 +406,7 @@
 {
     ++m_run;
     m_id = "upstream-" + std::to_string(m_number) + "-" + std::to_string(m_run);
+    m_reservation.reset();
     m_acceptor.emplace(m_rig.m_loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
     announce();
     asio::co_spawn(m_rig.m_loop, acceptLoop(m_run), asio::detached);
@@ -417,6 +418,9 @@
         return;
     }
     m_acceptor.reset();
+    m_reservation.emplace(m_rig.m_loop, Tcp::v4()); // other processes look for free ports meanwhile
+    m_reservation->set_option(asio::socket_base::reuse_address(true));
+    m_reservation->bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
     for (const auto &weak : m_sockets) {
         if (const auto socket = weak.lock()) {
             ErrorCode code;
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -191,6 +191,7 @@
     std::uint64_t m_run = 0; // number of the current or last run
     std::uint16_t m_port = 0;
     std::optional<Tcp::acceptor> m_acceptor;         // while it is up
+    std::optional<Tcp::socket> m_reservation;        // of the port while it is down; it refuses connections
     std::list<std::weak_ptr<Tcp::socket>> m_sockets; // of the current run
 };
 
