--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -52,7 +52,7 @@
 {
     std::string out;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        out += (i == 0 ? "" : ",") + toString(prompt[i].id);
+        out += (i == 0 ? "" : ",") + routing::toString(prompt[i].id);
     }
     return out;
 }
@@ -128,6 +128,7 @@
     const core::Clock &clock;
     http::Request request; // without PeerHeaders
     RequestHead head;
+    routing::RequestFingerprint fingerprint;
     catalog::CatalogPointer catalog;
     const catalog::Route *route = nullptr;
     core::ServiceId service;
@@ -139,6 +140,7 @@
     core::TimePoint responseDeadline{}; // for the first event or a buffered response; later ones are useless to the client
     std::shared_ptr<CancellationToken> cancellation = std::make_shared<CancellationToken>();
     std::set<core::UpstreamId> excludedUpstreams;
+    std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
     std::set<core::RegionId> excludedRegions;
     std::size_t placements = 0;
     std::size_t sendCount = 0;                     // requests that reached an upstream
@@ -147,8 +149,8 @@
     bool responseStarted = false;                  // the stream's response head was sent to the client
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
-    std::optional<routing::PromptPartId> quarantinedPart; // because of which the request is refused
-    std::string lastFailure;                              // reason of the last failed attempt, for the log
+    std::optional<routing::CrashCause> quarantinedCause; // because of which the request is refused
+    std::string lastFailure;                             // reason of the last failed attempt, for the log
     core::UpstreamId lastUpstream;
     core::TimePoint firstEventTime{};
     core::TimePoint lastEventTime{};
@@ -284,6 +286,7 @@
         co_return false;
     }
     state.request.body = state.exchange.request().body;
+    state.fingerprint = routing::RequestFingerprint::of({state.request.method, state.head.host, state.request.target, state.head.prompt, state.request.body});
     auto timeout = state.route->timeout;
     if (state.head.timeout) {
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
@@ -317,6 +320,7 @@
     placementRequest.responseDeadline = state.responseStarted ? state.completionDeadline : state.responseDeadline;
     placementRequest.completionDeadline = state.completionDeadline;
     placementRequest.prompt = state.head.prompt;
+    placementRequest.fingerprint = state.fingerprint;
     placementRequest.promptTokens = state.head.promptTokens;
     placementRequest.outputTokens = state.head.expectedOutputTokens;
     placementRequest.allowOtherRegions = !state.fromPeer;
@@ -334,7 +338,8 @@
         return false;
     }
     const bool isPeerPending = state.current && state.current->isToPeer() && !state.current->head; // it has not reported its executions yet
-    if (state.possibleExecutions + (isPeerPending ? 1 : 0) >= state.route->maxUpstreamsPerAttempt) {
+    if (state.possibleExecutions + (isPeerPending ? 1 : 0) >= state.route->maxUpstreamsPerAttempt
+        || m_quarantine.countCrashed(state.brokenUpstreams) >= m_settings.maxCrashedUpstreams) {
         return false;
     }
     return state.sendCount == 0 || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
@@ -342,13 +347,15 @@
 
 bool Forwarder::isQuarantined(RequestState &state)
 {
-    if (!state.quarantinedPart) {
-        state.quarantinedPart = m_quarantine.findQuarantined(state.head.prompt);
-        if (state.quarantinedPart) {
-            state.lastFailure = "prompt part " + toString(*state.quarantinedPart) + " is quarantined because it crashes upstreams";
+    if (!state.quarantinedCause) {
+        state.quarantinedCause = m_quarantine.findQuarantined(state.head.prompt, state.fingerprint);
+        if (state.quarantinedCause) {
+            const bool isRequest = std::holds_alternative<routing::RequestFingerprint>(*state.quarantinedCause);
+            state.lastFailure =
+                (isRequest ? "request " : "prompt part ") + routing::toString(*state.quarantinedCause) + " is quarantined because it crashes upstreams";
         }
     }
-    return state.quarantinedPart.has_value();
+    return state.quarantinedCause.has_value();
 }
 
 asio::awaitable<void> Forwarder::placeAndSend(RequestState &state)
@@ -366,8 +373,8 @@
             if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
                 state.retryAfter = refused->retryAfter;
                 if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
-                    state.quarantinedPart = routing::PromptPartId();
-                    state.lastFailure = "the dispatcher reports a quarantined prompt part";
+                    state.quarantinedCause = state.fingerprint;
+                    state.lastFailure = "the dispatcher reports a quarantined request or prompt part";
                 }
                 break;
             }
@@ -393,6 +400,9 @@
             co_return;
         }
         mayHaveExecuted = mayHaveExecuted || result != SendResult::NotExecuted;
+        if (state.brokenUpstreams.size() >= m_settings.maxCrashedUpstreams) {
+            co_await m_quarantine.waitForExamination(state.brokenUpstreams);
+        }
         if (!state.replacement && (result == SendResult::NotRetryable || !canRetry(state))) {
             break;
         }
@@ -597,7 +607,7 @@
     }
     if (!attempt->isToPeer()) {
         m_placement.recordCompletion(attempt->placement, attempt->outcome);
-        recordBreak(state, *attempt);
+        recordEvidence(state, *attempt);
     }
     logAttempt(state, *attempt);
     co_return result;
@@ -634,16 +644,26 @@
     return connected ? failedSendResult(state) : SendResult::NotExecuted;
 }
 
-void Forwarder::recordBreak(RequestState &state, const Attempt &attempt)
+bool Forwarder::isBroken(const Attempt &attempt)
+{
+    const bool connectionEnded = attempt.connectedAt && attempt.head && !*attempt.head && !attempt.head->error().timedOut;
+    return attempt.outcome == routing::SendOutcome::Incomplete
+        || (connectionEnded && attempt.outcome == routing::SendOutcome::NeverSent); // a kept connection, whose end may be that of the upstream
+}
+
+void Forwarder::recordEvidence(RequestState &state, const Attempt &attempt)
 {
+    const bool hasHead = attempt.head && attempt.head->has_value();
+    const bool hasEvent = attempt.firstEventAt != core::TimePoint{};
+    if (attempt.outcome == routing::SendOutcome::Completed || attempt.outcome == routing::SendOutcome::ServerError) {
+        m_quarantine.recordCompletion(state.fingerprint);
+    } else if (isBroken(attempt)) {
+        state.brokenUpstreams.insert(attempt.upstream);
+        m_quarantine.recordBreak(attempt.upstream, attempt.address, BrokenRequest{state.head.prompt, state.fingerprint, hasHead && !hasEvent, attempt.sentAt});
+    }
     if (attempt.outcome != routing::SendOutcome::Incomplete) {
         return;
     }
-    const bool hasHead = attempt.head->has_value();
-    const bool hasEvent = attempt.firstEventAt != core::TimePoint{};
-    if (hasHead && !hasEvent) {
-        m_quarantine.recordBreak(attempt.upstream, attempt.address, state.head.prompt);
-    }
     m_context.metrics.incrementCounter("arbutus_upstream_breaks_total", hasEvent ? "stage=\"events\"" : hasHead ? "stage=\"head\"" : "stage=\"sent\"");
 }
 
@@ -661,6 +681,7 @@
             .add("reason", attempt.failure)
             .add("named_rate", attempt.maxRequestRate)
             .add("prompt_parts", attempt.outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
+            .add("fingerprint", isBroken(attempt) ? routing::toString(state.fingerprint) : "")
             .add("first_event_ms", hasEvent ? core::toMilliseconds(attempt.firstEventAt - attempt.sentAt) : 0)
             .add("predicted_ms", core::toMilliseconds(attempt.predictedLatency))
             .add("upstream_sends", state.sendCount)
@@ -803,8 +824,8 @@
     state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(headers, SendCountHeader)));
     state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(headers, PossibleExecutionsHeader)));
     if (attempt.peerOutcome == OutcomeQuarantined) {
-        state.quarantinedPart = routing::PromptPartId();
-        attempt.failure = "peer " + attempt.peer.text + " reports a quarantined prompt part";
+        state.quarantinedCause = state.fingerprint;
+        attempt.failure = "peer " + attempt.peer.text + " reports a quarantined request or prompt part";
         co_return SendResult::NotExecuted;
     }
     if (attempt.peerOutcome == OutcomeNotExecuted) {
@@ -1022,10 +1043,10 @@
         logCompletion(state, status, "upstream_failure");
         co_return;
     }
-    if (state.quarantinedPart) {
+    if (state.quarantinedCause) {
         m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
     }
-    if (!mayHaveExecuted && state.quarantinedPart) {
+    if (!mayHaveExecuted && state.quarantinedCause) {
         co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
         co_return;
     }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -45,8 +45,9 @@
     std::chrono::milliseconds maxOverlap{150};            // time for which two upstreams may run the same request
     std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
-    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a prompt with a quarantined part; only an operator lifts it sooner
+    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
     std::chrono::milliseconds deadlineMargin{30};         // the response is due this long before the client's own deadline
+    std::size_t maxCrashedUpstreams = 2;                  // under one request; it is not sent to a further one
     std::size_t maxPlacements = 6;                        // per request, including rejected ones
     std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024; // of a response that is not streamed; many may be in memory at once
     std::size_t maxEventBytes = 1024 * 1024;              // of one event of a stream
@@ -96,7 +97,7 @@
     boost::asio::awaitable<void> placeAndSend(RequestState &state);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
     [[nodiscard]] bool canRetry(RequestState &state);
-    /// Whether the request must not be sent because of a quarantined part of its prompt; notes the part in the state.
+    /// Whether the request must not be sent because it, or a part of its prompt, is quarantined; notes the cause in the state.
     [[nodiscard]] bool isQuarantined(RequestState &state);
 
     //--- Sending
@@ -116,7 +117,10 @@
     [[nodiscard]] SendResult recordFailedAttempt(RequestState &state, Attempt &attempt, routing::SendOutcome outcome, std::string reason) const;
     /// Excludes the target of the attempt from further placements of the request.
     static void exclude(RequestState &state, const Attempt &attempt);
-    void recordBreak(RequestState &state, const Attempt &attempt);
+    /// Whether the upstream's connection ended before the response was complete.
+    [[nodiscard]] static bool isBroken(const Attempt &attempt);
+    /// Tells the quarantine how the attempt ended, and counts breaks.
+    void recordEvidence(RequestState &state, const Attempt &attempt);
     void logAttempt(const RequestState &state, const Attempt &attempt);
 
     //--- Silence
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -406,6 +406,7 @@
 {
     ++m_run;
     m_id = "upstream-" + std::to_string(m_number) + "-" + std::to_string(m_run);
+    m_reservation.reset();
     m_acceptor.emplace(m_rig.m_loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
     announce();
     asio::co_spawn(m_rig.m_loop, acceptLoop(m_run), asio::detached);
@@ -417,6 +418,9 @@
         return;
     }
     m_acceptor.reset();
+    m_reservation.emplace(m_rig.m_loop, Tcp::v4()); // other processes look for free ports meanwhile
+    m_reservation->set_option(asio::socket_base::reuse_address(true));
+    m_reservation->bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
     for (const auto &weak : m_sockets) {
         if (const auto socket = weak.lock()) {
             ErrorCode code;
@@ -465,7 +469,7 @@
         }
         const std::string attempt(request["X-Attempt-Id"]);
         const bool misdirected = std::string(request["X-Expect-Instance"]) != m_id;
-        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected};
+        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected, std::string(request.target()), request.body()};
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
@@ -477,6 +481,17 @@
             co_await asio::async_write(*socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
             continue;
         }
+        if (std::any_of(m_rig.crashingRequests.begin(), m_rig.crashingRequests.end(), [&](const RigRequest &item) {
+                return item.target == arrival.target && item.body == arrival.body;
+            })) {
+            asio::steady_timer timer(m_rig.m_loop, m_rig.m_options.headDelay);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (run == m_run && isUp()) {
+                m_rig.m_requestCrashes[{arrival.target, arrival.body}].push_back(m_rig.now());
+                crash();
+            }
+            co_return;
+        }
         if (m_service != "s") {
             if (!co_await respondPlain(*socket, run, attempt)) {
                 co_return;
@@ -624,7 +639,7 @@
         request.headers["X-Prompt-Prefix"] = prompt;
         request.headers["X-Token-Count"] = std::to_string(100 * rigRequest.parts.size()) + ",25";
     }
-    request.body = "body";
+    request.body = rigRequest.body;
     constexpr auto Slack = 1s; // after the request's deadline, until the client gives up
     const std::chrono::milliseconds timeout = rigRequest.deadline + Slack;
     auto operation = [this, number, request, timeout, pool = rigRequest.pool, endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint]()
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -96,6 +96,8 @@
     std::vector<std::string> parts;
     std::string attempt;
     bool misdirected = false; // not run, because it was meant for another upstream
+    std::string target = {};
+    std::string body = {};
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -119,6 +121,7 @@
     std::size_t instance = 0;
     std::string target = "/chat/x";
     std::vector<std::string> parts;
+    std::string body = "body"; // requests with the same target and body are the same request
     std::chrono::milliseconds deadline{4'000};
     std::optional<Silence> silence;       // of every upstream that answers it; none: as EdgeRigOptions::silence says
     http::ConnectionPool *pool = nullptr; // connections that the client keeps; null: a new one
@@ -141,7 +144,8 @@
 
 class EdgeRig;
 
-/// A model engine, or an upstream of the plain service. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts.
+/// A model engine, or an upstream of the plain service. It crashes when it begins to answer a request with a part in EdgeRig::crashingParts,
+/// and before it answers one in EdgeRig::crashingRequests.
 class RigUpstream
 {
 public:
@@ -187,6 +191,7 @@
     std::uint64_t m_run = 0; // number of the current or last run
     std::uint16_t m_port = 0;
     std::optional<Tcp::acceptor> m_acceptor;         // while it is up
+    std::optional<Tcp::socket> m_reservation;        // of the port while it is down; it refuses connections
     std::list<std::weak_ptr<Tcp::socket>> m_sockets; // of the current run
 };
 
@@ -247,6 +252,12 @@
         return m_partCrashes;
     }
     std::set<std::string> crashingParts;
+    /// Times of crashes that this request, in `crashingRequests`, caused.
+    [[nodiscard]] const std::vector<core::TimePoint> &requestCrashes(const RigRequest &request)
+    {
+        return m_requestCrashes[{request.target, request.body}];
+    }
+    std::vector<RigRequest> crashingRequests; // they crash an upstream headDelay after their arrival
 
     //--- Configuration
     [[nodiscard]] const RigConfiguration &configuration() const
@@ -299,6 +310,7 @@
     std::vector<Arrival> m_arrivals;
     std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
     std::vector<core::TimePoint> m_partCrashes;
+    std::map<std::pair<std::string, std::string>, std::vector<core::TimePoint>> m_requestCrashes; // by target and body
     std::deque<ClientResult> m_results;
     std::map<std::string, Silence> m_requestedSilences; // by X-Attempt-Id
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
