Failing test: a stop of the last instance of a region leaves its clients without one

What callers saw: a rolling stop of all instances, 1 s apart, leaves a region without an instance for 1 to 3 s; its clients are sent to other regions, also to those that may not process their requests. The tests stop an instance alone in its region (failing), one that has a neighbor, and one that never gets a successor (both pass).

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -25,6 +25,7 @@
 #include <fcntl.h>
 
 #include <array>
+#include <csignal>
 #include <sstream>
 
 using namespace arbutus;
@@ -383,9 +384,11 @@
     FakeUpstream b{loop, "b"};
     edge::Settings settings;
     std::optional<edge::RouteGateway> gateway;
+    bool hasStopped = false;
 
-    explicit Fixture(bool configured = true)
+    explicit Fixture(bool configured = true, std::chrono::milliseconds shutdownGracePeriod = 8s)
     {
+        settings.shutdownGracePeriod = shutdownGracePeriod;
         settings.instanceId = core::InstanceId("n");
         settings.failureDomain = core::DomainId("z");
         settings.region = core::RegionId("x");
@@ -425,9 +428,8 @@
         std::optional<T> result;
         auto body = [&]() -> asio::awaitable<void> { result.emplace(co_await std::move(operation)); };
         asio::co_spawn(loop, body, asio::detached);
-        loop.restart();
         while (!result) {
-            loop.run_one();
+            runOne();
         }
         return std::move(*result);
     }
@@ -435,7 +437,16 @@
     void runUntil(const std::function<bool()> &condition)
     {
         while (!condition()) {
-            loop.run_one();
+            runOne();
+        }
+    }
+
+    /// The gateway stops the event loop at the end of a graceful shutdown.
+    void runOne()
+    {
+        if (loop.run_one() == 0) {
+            hasStopped = true;
+            loop.restart();
         }
     }
 
@@ -918,3 +929,69 @@
     CHECK(metrics.find("arbutus_requests_total{status=\"200\"} 1") != std::string::npos);
     CHECK(metrics.find("arbutus_request_seconds_bucket") != std::string::npos);
 }
+
+//-----------------------------------------------------------------------------
+// Planned stop
+//-----------------------------------------------------------------------------
+
+namespace {
+
+routing::PlacementDecision refuseAll(const routing::PlacementRequest &)
+{
+    return routing::Refused{};
+}
+
+bool isListed(Fixture &fixture)
+{
+    const http::Response response = fixture.get(fixture.settings.directoryEndpoint, "/-/resolve?name=h.example&region=x&zone=z");
+    return response.body.find(http::toString(fixture.settings.clientEndpoint)) != std::string::npos;
+}
+
+/// Returns when the instance is no longer ready.
+void sendStopSignal(Fixture &fixture)
+{
+    REQUIRE(std::raise(SIGTERM) == 0);
+    fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 503; });
+}
+
+constexpr auto LongGracePeriod = 100s; // a slow machine does not reach its end
+
+} // namespace
+
+TEST_CASE("the last instance of a region serves until another one has started", "[edge][stop]")
+{
+    Fixture fixture(true, LongGracePeriod);
+    const FakePeer remote(fixture, "r", "y", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    sendStopSignal(fixture);
+    for (int i = 0; i < 8; ++i) {
+        auto wait = [&]() -> asio::awaitable<bool> {
+            asio::steady_timer timer(fixture.loop, 100ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            co_return true;
+        };
+        fixture.run(wait());
+        CHECK(isListed(fixture));
+        CHECK(fixture.sendRequest("once", "ok", "body", "attempt-" + std::to_string(i)).status == 200);
+    }
+    const FakePeer successor(fixture, "s", "x", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasStopped || !isListed(fixture); });
+    fixture.runUntil([&] { return fixture.hasStopped; });
+}
+
+TEST_CASE("an instance whose region has another one stops serving at once", "[edge][stop]")
+{
+    Fixture fixture(true, LongGracePeriod);
+    const FakePeer neighbor(fixture, "p", "x", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    sendStopSignal(fixture);
+    CHECK_FALSE(isListed(fixture));
+    fixture.runUntil([&] { return fixture.hasStopped; });
+}
+
+TEST_CASE("the last instance of a region stops although no other one starts", "[edge][stop]")
+{
+    Fixture fixture(true, 2s);
+    sendStopSignal(fixture);
+    fixture.runUntil([&] { return fixture.hasStopped; });
+}
