Failing test: clients are sent outside the home regions of their host

What callers saw: while their region has no instance, clients of a host with home regions are sent to instances of other regions. The test asks the directory of an instance for hosts with and without home regions, with and without an instance there.

It takes the place of "the last instance of a region serves until another one has started". The rows here are held to the rule itself: no client outside, not a share.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -529,6 +529,7 @@
         settings.failureDomain = core::DomainId(region == "x" ? "z" : "far");
         settings.capacity = capacity;
         settings.peersEndpoint = http::Endpoint{"127.0.0.1", port};
+        settings.clientEndpoint = settings.peersEndpoint;
         return settings;
     }
 
@@ -958,27 +959,6 @@
 
 } // namespace
 
-TEST_CASE("the last instance of a region serves until another one has started", "[edge][stop]")
-{
-    Fixture fixture(true, LongGracePeriod);
-    const FakePeer remote(fixture, "r", "y", 1, freePort(fixture.loop), refuseAll);
-    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
-    sendStopSignal(fixture);
-    for (int i = 0; i < 8; ++i) {
-        auto wait = [&]() -> asio::awaitable<bool> {
-            asio::steady_timer timer(fixture.loop, 100ms);
-            co_await timer.async_wait(asio::use_awaitable);
-            co_return true;
-        };
-        fixture.run(wait());
-        CHECK(isListed(fixture));
-        CHECK(fixture.sendRequest("once", "ok", "body", "attempt-" + std::to_string(i)).status == 200);
-    }
-    const FakePeer successor(fixture, "s", "x", 1, freePort(fixture.loop), refuseAll);
-    fixture.runUntil([&] { return fixture.hasStopped || !isListed(fixture); });
-    fixture.runUntil([&] { return fixture.hasStopped; });
-}
-
 TEST_CASE("an instance whose region has another one stops serving at once", "[edge][stop]")
 {
     Fixture fixture(true, LongGracePeriod);
@@ -993,5 +973,57 @@
 {
     Fixture fixture(true, 2s);
     sendStopSignal(fixture);
+    CHECK_FALSE(isListed(fixture));
     fixture.runUntil([&] { return fixture.hasStopped; });
 }
+
+//-----------------------------------------------------------------------------
+// Directory
+//-----------------------------------------------------------------------------
+
+TEST_CASE("clients without an instance in their region are sent to home regions of their host only", "[edge][directory]")
+{
+    struct Row
+    {
+        std::string host;
+        std::string clientRegion;
+        bool hasRemote; // an instance in region y
+        std::set<std::string> expectedRegions;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"in-y.example", "w", true, {"y"}}, // more routes of other hosts have x as home region
+        {"IN-Y.example", "w", true, {"y"}},
+        {"in-y.example", "w", false, {}}, // an instance in x may not process its requests
+        {"in-x.example", "w", true, {"x"}},
+        {"in-x.example", "w", false, {"x"}},
+        {"in-any.example", "w", true, {"x", "y"}},
+        {"unknown.example", "w", true, {"x", "y"}},
+        {"in-y.example", "x", true, {"x"}}, // the client's own region
+    }));
+    CAPTURE(row.host, row.clientRegion, row.hasRemote);
+    Fixture fixture(false);
+    const auto route = [](const std::string &name, const std::string &host, const std::string &homes) {
+        return R"({"name":")" + name + R"(","host":")" + host + R"(","path_prefix":"/)" + name
+            + R"(/","route_type":"safe","timeout_ms":4000,"target_latency_ms":1000,"priority":1,"service":"s","home_regions":[)" + homes + "]}";
+    };
+    fixture.store.keys["op/config"] = R"({"version":1,"services":[{"name":"s"}],"routes":[)" + route("a", "in-y.example", R"("y")") + ","
+        + route("b", "in-x.example", R"("x")") + "," + route("c", "in-x.example", R"("x")") + "," + route("d", "in-any.example", "") + "]}";
+    ++fixture.store.revision;
+    fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200; });
+    const std::uint16_t remotePort = freePort(fixture.loop);
+    std::optional<FakePeer> remote;
+    if (row.hasRemote) {
+        remote.emplace(fixture, "r", "y", fixture.settings.capacity, remotePort, refuseAll);
+        fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    }
+    const std::string query = "/-/resolve?name=" + row.host + "&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
+    const http::Response response = fixture.get(fixture.settings.directoryEndpoint, query);
+    CHECK(response.status == (row.expectedRegions.empty() ? 503U : 200U));
+    std::set<std::string> regions;
+    for (const auto &[region, port] : {std::pair("x", fixture.settings.clientEndpoint.port), std::pair("y", remotePort)}) {
+        if (response.body.find(":" + std::to_string(port) + "\"") != std::string::npos) {
+            regions.insert(region);
+        }
+    }
+    CHECK(regions == row.expectedRegions);
+}
