Directory: clients of an empty region are sent to home regions of their host only

What callers saw: a rolling stop of all instances, 1 s apart, leaves regions without an instance for 1 to 3 s.

Cause, two parts. And if the preferred regions had no instance either, it named any. The class: a decision for one client made from a summary of all.

Change: the query carries the host, and the home regions are those of its routes (the ones most of them share). In an empty region only instances there are listed; if there are none, the answer is 503: an instance elsewhere could not place the request, as no instance of a home region would take the hop, and its body would have left the home regions for nothing. Clients keep the instances that they know and ask again. Hosts without home regions are now directed to all regions. The log line names host and home regions.

Alternatives. (a) The last instance of a region serves until another one has started, for at most 3/8 of the grace period: tried, measured and not taken. (b) Listing instances that are stopping: the same cost, on all of them. (c) Waiting for a moment when the region has another instance: the platform kills at the end of the grace period.

--- a/src/arbutus/edge/directory.cpp
+++ b/src/arbutus/edge/directory.cpp
@@ -9,23 +9,22 @@
 
 namespace {
 
-/// Removes members outside `regions`, unless that would remove all of them.
-void preferRegions(std::vector<membership::Member> &members, const std::set<core::RegionId> &regions)
+void removeOutside(std::vector<membership::Member> &members, const std::set<core::RegionId> &regions)
 {
-    const auto inRegions = [&](const membership::Member &member) { return regions.contains(member.region); };
-    if (std::any_of(members.begin(), members.end(), inRegions)) {
-        std::erase_if(members, [&](const membership::Member &member) { return !inRegions(member); });
-    }
+    std::erase_if(members, [&](const membership::Member &member) { return !regions.contains(member.region); });
 }
 
 } // namespace
 
-std::set<core::RegionId> mostCommonHomeRegions(const catalog::CatalogPointer &catalog)
+std::set<core::RegionId> mostCommonHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host)
 {
     std::map<core::RegionId, std::size_t> counts;
     std::size_t maxCount = 0;
     if (catalog) {
         for (const catalog::Route &route : catalog->routes()) {
+            if (route.host != host) {
+                continue;
+            }
             for (const core::RegionId &region : route.homeRegions) {
                 maxCount = std::max(maxCount, ++counts[region]);
             }
@@ -47,7 +46,11 @@
                                          pcg32 &random)
 {
     const bool anyInRegion = std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query.region; });
-    preferRegions(members, anyInRegion ? std::set<core::RegionId>{query.region} : homeRegions);
+    if (anyInRegion) {
+        removeOutside(members, {query.region});
+    } else if (!homeRegions.empty()) {
+        removeOutside(members, homeRegions);
+    }
     // Efraimidis-Spirakis: the items with the largest u^(1/w) are a weighted sample without replacement. Their logarithms
     // give the same order.
     std::vector<std::pair<double, const membership::Member *>> samples;
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -77,9 +77,10 @@
 // Directory
 //-----------------------------------------------------------------------------
 
-/// Location of a client that asks for instances.
+/// Location of a client that asks for instances, and the host that it wants to reach.
 struct DirectoryQuery
 {
+    std::string host; // lower case, without port
     core::RegionId region;
     core::DomainId domain;
 };
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -145,10 +145,20 @@
             }
             const bool regionHasInstances =
                 std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query->region; });
+            std::set<core::RegionId> homeRegions;
             if (!regionHasInstances) {
-                context.writeLog(observe::LogLine("directory_region_empty").add("region", query->region).add("live", members.size()).add("ready", ready()));
+                homeRegions = mostCommonHomeRegions(metadataCache.catalog(), query->host);
+                std::string homes;
+                for (const core::RegionId &region : homeRegions) {
+                    homes += (homes.empty() ? "" : ",") + region.text;
+                }
+                context.writeLog(observe::LogLine("directory_region_empty")
+                                     .add("host", query->host)
+                                     .add("region", query->region)
+                                     .add("home_regions", homes)
+                                     .add("live", members.size())
+                                     .add("ready", ready()));
             }
-            const std::set<core::RegionId> homeRegions = mostCommonHomeRegions(metadataCache.catalog());
             const DirectorySettings directorySettings;
             const auto addresses = sampleAddresses(std::move(members), *query, homeRegions, directorySettings, random);
             response.status = 503; // no instance accepts requests
