Directory: an instance without configuration names no instances of other regions

What callers saw: an instance that has just started answers the directory before it knows the configuration; a client of an empty region is then sent to any region, whatever its host's home regions are. Cause: no catalog was treated like a catalog without home regions; the class is a missing value taken for an empty one. Change: without a catalog, only instances of the client's region are named; that needs no configuration. Measured: routegatewaytest passes (1234 assertions).

--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -147,6 +147,9 @@
                 std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query->region; });
             std::set<core::RegionId> homeRegions;
             if (!regionHasInstances) {
+                if (metadataCache.catalog() == nullptr) {
+                    members.clear(); // the home regions are not known
+                }
                 homeRegions = mostCommonHomeRegions(metadataCache.catalog(), query->host);
                 std::string homes;
                 for (const core::RegionId &region : homeRegions) {
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1027,3 +1027,19 @@
     }
     CHECK(regions == row.expectedRegions);
 }
+
+TEST_CASE("an instance without configuration names only instances of the client's region", "[edge][directory]")
+{
+    struct Row
+    {
+        std::string clientRegion;
+        unsigned status;
+    };
+    const auto row = GENERATE(values<Row>({{"y", 200}, {"w", 503}}));
+    CAPTURE(row.clientRegion);
+    Fixture fixture(false);
+    const FakePeer remote(fixture, "r", "y", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    const std::string query = "/-/resolve?name=h.example&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
+    CHECK(fixture.get(fixture.settings.directoryEndpoint, query).status == row.status);
+}
