Directory: home regions are compared among regions that have instances

What callers would see: if one home region is shared by more routes of a host than another and has no instance, clients get 503 although the other has some. Change: the routes of the host are counted by home region, and of the regions with live instances those with the highest count are listed. It takes the place of a choice that excluded regions, so a client gets 503 only if no home region of its host has an instance. The new rows of the test: 1 of 2 failed before (503 instead of an instance of x).

--- a/src/arbutus/edge/directory.cpp
+++ b/src/arbutus/edge/directory.cpp
@@ -9,47 +9,46 @@
 
 namespace {
 
-void removeOutside(std::vector<membership::Member> &members, const std::set<core::RegionId> &regions)
+/// Removes all members but those in the regions with the highest count.
+void keepCommonHomeRegions(std::vector<membership::Member> &members, const HomeRegionCounts &homeRegions)
 {
-    std::erase_if(members, [&](const membership::Member &member) { return !regions.contains(member.region); });
+    const auto countOf = [&](const membership::Member &member) {
+        const auto found = homeRegions.find(member.region);
+        return found == homeRegions.end() ? std::size_t{0} : found->second;
+    };
+    std::size_t maxCount = 1;
+    for (const membership::Member &member : members) {
+        maxCount = std::max(maxCount, countOf(member));
+    }
+    std::erase_if(members, [&](const membership::Member &member) { return countOf(member) < maxCount; });
 }
 
 } // namespace
 
-std::set<core::RegionId> mostCommonHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host)
+HomeRegionCounts countHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host)
 {
-    std::map<core::RegionId, std::size_t> counts;
-    std::size_t maxCount = 0;
+    HomeRegionCounts counts;
     if (catalog) {
         for (const catalog::Route &route : catalog->routes()) {
             if (route.host != host) {
                 continue;
             }
             for (const core::RegionId &region : route.homeRegions) {
-                maxCount = std::max(maxCount, ++counts[region]);
+                ++counts[region];
             }
         }
     }
-    std::set<core::RegionId> result;
-    for (const auto &[region, count] : counts) {
-        if (count == maxCount) {
-            result.insert(region);
-        }
-    }
-    return result;
+    return counts;
 }
 
-std::vector<std::string> sampleAddresses(std::vector<membership::Member> members,
-                                         const DirectoryQuery &query,
-                                         const std::set<core::RegionId> &homeRegions,
-                                         const DirectorySettings &settings,
-                                         pcg32 &random)
+std::vector<std::string> sampleAddresses(
+    std::vector<membership::Member> members, const DirectoryQuery &query, const HomeRegionCounts &homeRegions, const DirectorySettings &settings, pcg32 &random)
 {
     const bool anyInRegion = std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query.region; });
     if (anyInRegion) {
-        removeOutside(members, {query.region});
+        std::erase_if(members, [&](const membership::Member &member) { return member.region != query.region; });
     } else if (!homeRegions.empty()) {
-        removeOutside(members, homeRegions);
+        keepCommonHomeRegions(members, homeRegions);
     }
     // Efraimidis-Spirakis: the items with the largest u^(1/w) are a weighted sample without replacement. Their logarithms
     // give the same order.
--- a/src/arbutus/edge/directory.h
+++ b/src/arbutus/edge/directory.h
@@ -3,7 +3,7 @@
 // A response lists live instances in the client's region, sampled in proportion to capacity and with a preference for the
 // client's failure domain. Clients pick one of them at random, so over many responses each instance receives load in
 // proportion to its weight. If the region has no instances, those in other regions are listed. If routes of the client's host
-// have home regions, these are the ones that most of them share.
+// have home regions, these are the live regions that are home to most of them.
 //
 // Q: Why is a client not sent to any instance if the home regions have none either?
 // A: An instance elsewhere could only refuse its requests, and their bodies would have left the home regions.
@@ -15,6 +15,8 @@
 
 #include <pcg_random.hpp>
 
+#include <map>
+
 namespace arbutus::edge {
 
 struct DirectorySettings
@@ -23,14 +25,16 @@
     double otherDomainWeight = 0.25; // sampling weight relative to an instance in the client's failure domain
 };
 
-/// Regions that are a home region of the most routes of `host`. Empty if none of them has home regions.
-[[nodiscard]] std::set<core::RegionId> mostCommonHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host);
+using HomeRegionCounts = std::map<core::RegionId, std::size_t>; // routes that have the region as a home region
+
+/// Counts the routes of `host` by home region. Empty if none of them has home regions.
+[[nodiscard]] HomeRegionCounts countHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host);
 
-/// Samples the instances for one response. `members` must be live. If the client's region has none, only those in
-/// `homeRegions` are listed, or all if it is empty.
+/// Samples the instances for one response. `members` must be live. If the client's region has none, only those in the live
+/// regions with the highest count in `homeRegions` are listed, or all if it is empty.
 [[nodiscard]] std::vector<std::string> sampleAddresses(std::vector<membership::Member> members,
                                                        const DirectoryQuery &query,
-                                                       const std::set<core::RegionId> &homeRegions,
+                                                       const HomeRegionCounts &homeRegions,
                                                        const DirectorySettings &settings,
                                                        pcg32 &random);
 
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -145,14 +145,14 @@
             }
             const bool regionHasInstances =
                 std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query->region; });
-            std::set<core::RegionId> homeRegions;
+            HomeRegionCounts homeRegions;
             if (!regionHasInstances) {
                 if (metadataCache.catalog() == nullptr) {
                     members.clear(); // the home regions are not known
                 }
-                homeRegions = mostCommonHomeRegions(metadataCache.catalog(), query->host);
+                homeRegions = countHomeRegions(metadataCache.catalog(), query->host);
                 std::string homes;
-                for (const core::RegionId &region : homeRegions) {
+                for (const auto &[region, count] : homeRegions) {
                     homes += (homes.empty() ? "" : ",") + region.text;
                 }
                 context.writeLog(observe::LogLine("directory_region_empty")
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -591,7 +591,7 @@
     }));
     pcg32 random(1);
     const edge::DirectoryQuery query{"h.example", core::RegionId("x"), core::DomainId("x-a")};
-    const auto addresses = edge::sampleAddresses(row.live, query, {core::RegionId("y")}, edge::DirectorySettings{}, random);
+    const auto addresses = edge::sampleAddresses(row.live, query, {{core::RegionId("y"), 1}}, edge::DirectorySettings{}, random);
     CHECK(std::set<std::string>(addresses.begin(), addresses.end()) == row.expected);
 }
 
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -996,6 +996,8 @@
         {"in-y.example", "w", false, {}}, // an instance in x may not process its requests
         {"in-x.example", "w", true, {"x"}},
         {"in-x.example", "w", false, {"x"}},
+        {"in-y-or-both.example", "w", true, {"y"}},
+        {"in-y-or-both.example", "w", false, {"x"}},
         {"in-any.example", "w", true, {"x", "y"}},
         {"unknown.example", "w", true, {"x", "y"}},
         {"in-y.example", "x", true, {"x"}}, // the client's own region
@@ -1007,7 +1009,8 @@
             + R"(/","route_type":"safe","timeout_ms":4000,"target_latency_ms":1000,"priority":1,"service":"s","home_regions":[)" + homes + "]}";
     };
     fixture.store.keys["op/config"] = R"({"version":1,"services":[{"name":"s"}],"routes":[)" + route("a", "in-y.example", R"("y")") + ","
-        + route("b", "in-x.example", R"("x")") + "," + route("c", "in-x.example", R"("x")") + "," + route("d", "in-any.example", "") + "]}";
+        + route("b", "in-x.example", R"("x")") + "," + route("c", "in-x.example", R"("x")") + "," + route("d", "in-any.example", "") + ","
+        + route("e", "in-y-or-both.example", R"("y")") + "," + route("f", "in-y-or-both.example", R"("x","y")") + "]}";
     ++fixture.store.revision;
     fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200; });
     const std::uint16_t remotePort = freePort(fixture.loop);
