--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -162,10 +162,23 @@
             }
             const bool regionHasInstances =
                 std::any_of(members.begin(), members.end(), [&](const membership::Member &member) { return member.region == query->region; });
+            HomeRegionCounts homeRegions;
             if (!regionHasInstances) {
-                context.writeLog(observe::LogLine("directory_region_empty").add("region", query->region).add("live", members.size()).add("ready", ready()));
+                if (metadataCache.catalog() == nullptr) {
+                    members.clear(); // the home regions are not known
+                }
+                homeRegions = countHomeRegions(metadataCache.catalog(), query->host);
+                std::string homes;
+                for (const auto &[region, count] : homeRegions) {
+                    homes += (homes.empty() ? "" : ",") + region.text;
+                }
+                context.writeLog(observe::LogLine("directory_region_empty")
+                                     .add("host", query->host)
+                                     .add("region", query->region)
+                                     .add("home_regions", homes)
+                                     .add("live", members.size())
+                                     .add("ready", ready()));
             }
-            const std::set<core::RegionId> homeRegions = mostCommonHomeRegions(metadataCache.catalog());
             const DirectorySettings directorySettings;
             const auto addresses = sampleAddresses(std::move(members), *query, homeRegions, directorySettings, random);
             response.status = 503; // no instance accepts requests
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -25,6 +25,7 @@
 #include <fcntl.h>
 
 #include <array>
+#include <csignal>
 #include <sstream>
 
 using namespace arbutus;
@@ -383,9 +384,11 @@
     FakeUpstream b{loop, "b"};
     edge::Settings settings;
     std::optional<edge::RouteGateway> gateway;
+    bool hasStopped = false;
 
-    explicit Fixture(bool configured = true)
+    explicit Fixture(bool configured = true, std::chrono::milliseconds shutdownGracePeriod = 8s)
     {
+        settings.shutdownGracePeriod = shutdownGracePeriod;
         settings.instanceId = core::InstanceId("n");
         settings.failureDomain = core::DomainId("z");
         settings.region = core::RegionId("x");
@@ -425,9 +428,8 @@
         std::optional<T> result;
         auto body = [&]() -> asio::awaitable<void> { result.emplace(co_await std::move(operation)); };
         asio::co_spawn(loop, body, asio::detached);
-        loop.restart();
         while (!result) {
-            loop.run_one();
+            runOne();
         }
         return std::move(*result);
     }
@@ -435,7 +437,16 @@
     void runUntil(const std::function<bool()> &condition)
     {
         while (!condition()) {
-            loop.run_one();
+            runOne();
+        }
+    }
+
+    /// The gateway stops the event loop at the end of a graceful shutdown.
+    void runOne()
+    {
+        if (loop.run_one() == 0) {
+            hasStopped = true;
+            loop.restart();
         }
     }
 
@@ -518,6 +529,7 @@
         settings.failureDomain = core::DomainId(region == "x" ? "z" : "far");
         settings.capacity = capacity;
         settings.peersEndpoint = http::Endpoint{"127.0.0.1", port};
+        settings.clientEndpoint = settings.peersEndpoint;
         return settings;
     }
 
@@ -947,3 +959,119 @@
     CHECK(http::headerValue(response.headers, "X-Gateway-Outcome") == (row.status == 200 ? "answered" : "not_run"));
     CHECK(fixture.a.executedAttempts.size() + fixture.b.executedAttempts.size() == (row.status == 200 ? 1 : 0));
 }
+
+//-----------------------------------------------------------------------------
+// Planned stop
+//-----------------------------------------------------------------------------
+
+namespace {
+
+routing::PlacementDecision refuseAll(const routing::PlacementRequest &)
+{
+    return routing::Refused{};
+}
+
+bool isListed(Fixture &fixture)
+{
+    const http::Response response = fixture.get(fixture.settings.directoryEndpoint, "/-/resolve?name=h.example&region=x&zone=z");
+    return response.body.find(http::toString(fixture.settings.clientEndpoint)) != std::string::npos;
+}
+
+/// Returns when the instance is no longer ready.
+void sendStopSignal(Fixture &fixture)
+{
+    REQUIRE(std::raise(SIGTERM) == 0);
+    fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 503; });
+}
+
+constexpr auto LongGracePeriod = 100s; // a slow machine does not reach its end
+
+} // namespace
+
+TEST_CASE("an instance whose region has another one stops serving at once", "[edge][stop]")
+{
+    Fixture fixture(true, LongGracePeriod);
+    const FakePeer neighbor(fixture, "p", "x", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    sendStopSignal(fixture);
+    CHECK_FALSE(isListed(fixture));
+    fixture.runUntil([&] { return fixture.hasStopped; });
+}
+
+TEST_CASE("the last instance of a region stops although no other one starts", "[edge][stop]")
+{
+    Fixture fixture(true, 2s);
+    sendStopSignal(fixture);
+    CHECK_FALSE(isListed(fixture));
+    fixture.runUntil([&] { return fixture.hasStopped; });
+}
+
+//-----------------------------------------------------------------------------
+// Directory
+//-----------------------------------------------------------------------------
+
+TEST_CASE("clients without an instance in their region are sent to home regions of their host only", "[edge][directory]")
+{
+    struct Row
+    {
+        std::string host;
+        std::string clientRegion;
+        bool hasRemote; // an instance in region y
+        std::set<std::string> expectedRegions;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"in-y.example", "w", true, {"y"}}, // more routes of other hosts have x as home region
+        {"IN-Y.example", "w", true, {"y"}},
+        {"in-y.example", "w", false, {}}, // an instance in x may not process its requests
+        {"in-x.example", "w", true, {"x"}},
+        {"in-x.example", "w", false, {"x"}},
+        {"in-y-or-both.example", "w", true, {"y"}},
+        {"in-y-or-both.example", "w", false, {"x"}},
+        {"in-any.example", "w", true, {"x", "y"}},
+        {"unknown.example", "w", true, {"x", "y"}},
+        {"in-y.example", "x", true, {"x"}}, // the client's own region
+    }));
+    CAPTURE(row.host, row.clientRegion, row.hasRemote);
+    Fixture fixture(false);
+    const auto route = [](const std::string &name, const std::string &host, const std::string &homes) {
+        return R"({"name":")" + name + R"(","host":")" + host + R"(","path_prefix":"/)" + name
+            + R"(/","route_type":"safe","timeout_ms":4000,"target_latency_ms":1000,"priority":1,"service":"s","home_regions":[)" + homes + "]}";
+    };
+    fixture.store.keys["op/config"] = R"({"version":1,"services":[{"name":"s"}],"routes":[)" + route("a", "in-y.example", R"("y")") + ","
+        + route("b", "in-x.example", R"("x")") + "," + route("c", "in-x.example", R"("x")") + "," + route("d", "in-any.example", "") + ","
+        + route("e", "in-y-or-both.example", R"("y")") + "," + route("f", "in-y-or-both.example", R"("x","y")") + "]}";
+    ++fixture.store.revision;
+    fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200; });
+    const std::uint16_t remotePort = freePort(fixture.loop);
+    std::optional<FakePeer> remote;
+    if (row.hasRemote) {
+        remote.emplace(fixture, "r", "y", fixture.settings.capacity, remotePort, refuseAll);
+        fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    }
+    const std::string query = "/-/resolve?name=" + row.host + "&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
+    const http::Response response = fixture.get(fixture.settings.directoryEndpoint, query);
+    CHECK(response.status == (row.expectedRegions.empty() ? 503U : 200U));
+    std::set<std::string> regions;
+    for (const auto &[region, port] : {std::pair("x", fixture.settings.clientEndpoint.port), std::pair("y", remotePort)}) {
+        if (response.body.find(":" + std::to_string(port) + "\"") != std::string::npos) {
+            regions.insert(region);
+        }
+    }
+    CHECK(regions == row.expectedRegions);
+}
+
+TEST_CASE("an instance without configuration names only instances of the client's region", "[edge][directory]")
+{
+    struct Row
+    {
+        std::string clientRegion;
+        unsigned status;
+    };
+    const auto row = GENERATE(values<Row>({{"y", 200}, {"w", 503}}));
+    CAPTURE(row.clientRegion);
+    Fixture fixture(false);
+    const FakePeer remote(fixture, "r", "y", 1, freePort(fixture.loop), refuseAll);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    const std::string query = "/-/resolve?name=h.example&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
+    CHECK(fixture.get(fixture.settings.directoryEndpoint, query).status == row.status);
+}
