A response of another type does not continue a stream that has begun

Found by reading: an upstream that resumes a stream might answer with a body that is not an event stream. It was sent to the client as a second response head within the stream; as a replacement of a silent attempt it also ended that attempt. It now counts as incomplete. No test shows it; the client's view of the old behavior was not measured.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -810,7 +810,8 @@
     if (attempt.isToPeer() && http::headerValue(response.headers, OutcomeHeader) != OutcomeAnswered) {
         return false;
     }
-    return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success;
+    const bool hasOtherType = !http::headerValue(response.headers, "Content-Type").empty() && !http::isEventStream(response.headers);
+    return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success && (!state.responseStarted || !hasOtherType);
 }
 
 //-----------------------------------------------------------------------------
@@ -877,6 +878,9 @@
     if (state.isStreaming() && parsed.kind == ResponseKind::Success && !hasOtherType) {
         co_return co_await relayStream(state, attempt);
     }
+    if (state.responseStarted && parsed.kind == ResponseKind::Success) { // it cannot continue the stream that has begun
+        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, "response is not an event stream");
+    }
     co_return co_await relayBuffered(state, attempt);
 }
 
