Searches for a replacement without result do not use up the placements of a request

Found by reading: a request may be placed six times. A silent attempt looks for a replacement every 300 ms; after 1.8 s of searches without result, an attempt that then broke off could not be retried, and its answer was lost. Only placements that were sent count now; the deadline bounds the searches. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -143,6 +143,7 @@
     std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
     std::set<core::RegionId> excludedRegions;
     std::size_t placements = 0;
+    std::size_t fruitlessSearches = 0;             // placements for a replacement that was not sent
     std::size_t sendCount = 0;                     // requests that reached an upstream
     std::size_t possibleExecutions = 0;            // sends after which an upstream may have executed the request
     std::optional<http::Response> upstreamFailure; // error response of an upstream, forwarded if no retry succeeds
@@ -333,7 +334,7 @@
 bool Forwarder::canRetry(RequestState &state)
 {
     const core::TimePoint now = m_context.now();
-    if (state.cancellation->cancelled || state.placements >= m_settings.maxPlacements
+    if (state.cancellation->cancelled || state.placements - state.fruitlessSearches >= m_settings.maxPlacements
         || now >= (state.responseStarted ? state.completionDeadline : state.responseDeadline)) {
         return false;
     }
@@ -758,10 +759,12 @@
         if (std::holds_alternative<routing::Granted>(decision)) {
             m_placement.recordCompletion(placementRequest.id, routing::SendOutcome::NeverSent);
         }
+        ++state.fruitlessSearches;
         co_return;
     }
     const std::shared_ptr<Attempt> replacement = openAttempt(state, decision);
     if (!replacement) {
+        ++state.fruitlessSearches;
         co_return;
     }
     state.replacement = replacement;
