A replacement that is not needed any more is always abandoned

Found by review: if a silent attempt was delivered all the same, or the client left while a ready replacement waited, the request ended without it. Its placement was never completed, so the dispatcher counted it until the instance restarted, and its upstream ran on. The end of a request now waits for a search in progress and abandons the replacement. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -388,22 +388,22 @@
                 asio::co_spawn(m_context.executor, watchForSilence(state.shared_from_this(), state.current), asio::detached);
             }
             result = co_await finishAttempt(state, state.current);
-            if (result != SendResult::Finished) {
-                co_await waitForReplacement(state);
-            }
-            state.cancellation->onCancel = nullptr;
+            co_await waitForReplacement(state);
         }
-        if (result == SendResult::Finished) {
-            co_return;
+        if (state.brokenUpstreams.size() >= m_settings.maxCrashedUpstreams && result != SendResult::Finished) {
+            co_await m_quarantine.waitForExamination(state.brokenUpstreams);
         }
-        if (state.cancellation->cancelled) {
-            logCompletion(state, 0, "client_disconnected");
+        state.cancellation->onCancel = nullptr;
+        if (result == SendResult::Finished || state.cancellation->cancelled) {
+            if (const auto unused = std::exchange(state.replacement, nullptr)) {
+                co_await abandonAttempt(state, unused);
+            }
+            if (result != SendResult::Finished) {
+                logCompletion(state, 0, "client_disconnected");
+            }
             co_return;
         }
         mayHaveExecuted = mayHaveExecuted || result != SendResult::NotExecuted;
-        if (state.brokenUpstreams.size() >= m_settings.maxCrashedUpstreams) {
-            co_await m_quarantine.waitForExamination(state.brokenUpstreams);
-        }
         if (!state.replacement && (result == SendResult::NotRetryable || !canRetry(state))) {
             break;
         }
