A replaced attempt on a kept connection may have been executed

Found by review: an attempt that was cancelled without a response head on a kept connection was taken for a stale connection, so that its execution was not counted and one more upstream than the route allows might run the request. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -631,7 +631,7 @@
         }
         return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
-    const bool staleConnection = connected && error.connectionReused && !error.timedOut;
+    const bool staleConnection = connected && error.connectionReused && !error.timedOut && !attempt.superseded;
     if (connected) {
         attempt.outcome = staleConnection ? routing::SendOutcome::NeverSent // a stale pooled connection is not counted against the upstream
             : error.timedOut              ? routing::SendOutcome::TimedOut
