A slow client does not make its upstream silent

Found by review: while an event was being written to a client that does not read, no further event was read, and after 1.6 s the upstream was taken for silent: a sound attempt was replaced and a retry spent. Time in a write does not count now. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -96,6 +96,7 @@
     std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
     core::TimePoint firstEventAt{};
     core::TimePoint lastProgressAt{}; // response head or last complete event
+    bool isWriting = false;           // an event to the client, which may be slow
     bool delivered = false;           // the client gets the complete response of this attempt
     bool superseded = false;          // another attempt continues the request
     bool ended = false;
@@ -709,7 +710,7 @@
 bool Forwarder::isSilent(const RequestState &state, const Attempt &attempt) const
 {
     const auto limit = silenceLimit(state, attempt);
-    return limit && m_context.now() - attempt.lastProgressAt >= *limit;
+    return limit && !attempt.isWriting && m_context.now() - attempt.lastProgressAt >= *limit;
 }
 
 asio::awaitable<void> Forwarder::watchForSilence(std::shared_ptr<RequestState> state, std::shared_ptr<Attempt> attempt)
@@ -719,7 +720,7 @@
         if (!limit) {
             co_return;
         }
-        const core::Duration silence = m_context.now() - attempt->lastProgressAt;
+        const core::Duration silence = attempt->isWriting ? core::Duration::zero() : m_context.now() - attempt->lastProgressAt;
         if (silence < *limit) {
             co_await state->changed.wait(*limit - silence);
             continue;
@@ -969,7 +970,10 @@
 asio::awaitable<Forwarder::SendResult> Forwarder::relayStream(RequestState &state, Attempt &attempt)
 {
     const unsigned status = attempt.head->value().status;
+    attempt.isWriting = true;
     co_await beginStream(state, attempt.head->value());
+    attempt.isWriting = false;
+    attempt.lastProgressAt = m_context.now();
     while (true) {
         if (state.cancellation->cancelled) {
             attempt.outcome = routing::SendOutcome::ClientDisconnected;
@@ -997,7 +1001,11 @@
         const std::string output = complete ? state.sseRelay->finish(attempt.call->bodyEnd()) : state.sseRelay->feed(chunk.value());
         if (!output.empty()) {
             recordOutput(state, attempt);
-            if (!co_await state.exchange.writeChunk(output)) {
+            attempt.isWriting = true;
+            const bool written = co_await state.exchange.writeChunk(output);
+            attempt.isWriting = false;
+            attempt.lastProgressAt = m_context.now();
+            if (!written) {
                 state.cancellation->cancel();
                 continue;
             }
