A search for a replacement that throws does not hold up its request

Found by review: an exception left the search marked as running, and the request waited for its end without a limit once the silent attempt had failed. It is logged, and the silent attempt goes on. No test shows it; no such exception is known.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -726,7 +726,11 @@
             continue;
         }
         state->isSeekingReplacement = true;
-        co_await seekReplacement(*state, attempt);
+        try {
+            co_await seekReplacement(*state, attempt);
+        } catch (const std::exception &error) { // the silent attempt goes on
+            m_context.writeLog(observe::LogLine("replacement_failed").add("request", attempt->placement).add("reason", error.what()));
+        }
         state->isSeekingReplacement = false;
         state->changed.notify();
         const core::TimePoint soughtAt = m_context.now();
