A failed replacement counts when it is stated whether a request ran

Found by review: if a replacement broke off after it was sent and the silent attempt then ended as not executed, the client got 503, not executed, although the replacement's upstream may have run the request. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -148,6 +148,7 @@
     std::size_t sendCount = 0;                     // requests that reached an upstream
     std::size_t possibleExecutions = 0;            // sends after which an upstream may have executed the request
     std::optional<http::Response> upstreamFailure; // error response of an upstream, forwarded if no retry succeeds
+    bool mayHaveExecuted = false;                  // an attempt ended, and its upstream may have executed the request
     bool responseStarted = false;                  // the stream's response head was sent to the client
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
@@ -362,7 +363,6 @@
 
 asio::awaitable<void> Forwarder::placeAndSend(RequestState &state)
 {
-    bool mayHaveExecuted = false;
     while (state.replacement || !isQuarantined(state)) {
         state.current = std::exchange(state.replacement, nullptr);
         if (!state.current) {
@@ -404,12 +404,11 @@
             }
             co_return;
         }
-        mayHaveExecuted = mayHaveExecuted || result != SendResult::NotExecuted;
         if (!state.replacement && (result == SendResult::NotRetryable || !canRetry(state))) {
             break;
         }
     }
-    co_await respondWithFailure(state, mayHaveExecuted, m_context.now() >= state.completionDeadline);
+    co_await respondWithFailure(state, m_context.now() >= state.completionDeadline);
 }
 
 //-----------------------------------------------------------------------------
@@ -599,6 +598,7 @@
     attempt->ended = true;
     attempt->call->cancel();
     state.changed.notify();
+    state.mayHaveExecuted = state.mayHaveExecuted || result != SendResult::NotExecuted;
     if (attempt->superseded && result != SendResult::Finished) {
         attempt->outcome = routing::SendOutcome::TimedOut;
         attempt->failure = "silent; replaced by another attempt";
@@ -1048,7 +1048,7 @@
     co_await state.exchange.respond(response);
 }
 
-asio::awaitable<void> Forwarder::respondWithFailure(RequestState &state, bool mayHaveExecuted, bool timedOut)
+asio::awaitable<void> Forwarder::respondWithFailure(RequestState &state, bool timedOut)
 {
     if (state.responseStarted) { // aborting the connection shows the client that the stream is incomplete
         state.exchange.abort();
@@ -1065,11 +1065,11 @@
     if (state.quarantinedCause) {
         m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
     }
-    if (!mayHaveExecuted && state.quarantinedCause) {
+    if (!state.mayHaveExecuted && state.quarantinedCause) {
         co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
         co_return;
     }
-    if (!mayHaveExecuted) {
+    if (!state.mayHaveExecuted) {
         std::string message = "request was not executed: no upstream is available in time";
         if (!state.lastFailure.empty()) { // not a conditional expression in the call: GCC 12 destroys temporaries of one in a co_await twice
             message = "request was not executed: " + state.lastFailure;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -145,7 +145,7 @@
     void recordOutput(RequestState &state, Attempt &attempt);
 
     //--- Responses
-    boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool mayHaveExecuted, bool timedOut);
+    boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool timedOut);
     boost::asio::awaitable<void>
     respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
     boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
