A peer gets time to refuse before the attempt that it replaces is cancelled

Found by review: the overlap of a replacement in another region began with the connection to the peer. A peer that needed more than 150 ms for its refusal left the request without any attempt. It has 300 ms now, which with the way there leaves less than 250 ms in which two upstreams run the request. No test shows it.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -775,11 +775,12 @@
     state.replacement = replacement;
     // Two upstreams run the request until the replacement has answered, but not for longer than `maxOverlap`.
     while (!replacement->head && !silent->ended) {
+        const core::Duration maxOverlap = replacement->isToPeer() ? m_settings.maxPeerOverlap : m_settings.maxOverlap;
         const core::Duration overlap = replacement->connectedAt ? m_context.now() - *replacement->connectedAt : core::Duration::zero();
-        if (overlap >= m_settings.maxOverlap) {
+        if (overlap >= maxOverlap) {
             break;
         }
-        co_await state.changed.wait(m_settings.maxOverlap - overlap);
+        co_await state.changed.wait(maxOverlap - overlap);
     }
     if (silent->delivered || state.cancellation->cancelled) {
         state.replacement = nullptr;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -43,6 +43,7 @@
     std::chrono::milliseconds peerSilenceMargin{1'000};   // added for a peer, which looks for a replacement itself first
     std::chrono::milliseconds replacementInterval{300};   // between two searches for a replacement of the same attempt
     std::chrono::milliseconds maxOverlap{150};            // time for which two upstreams may run the same request
+    std::chrono::milliseconds maxPeerOverlap{300};        // the same if the second one is in another region; includes the way there and back
     std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
     std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
