One place for the shared parts of a prompt, and for the kind of a crash cause

Found on rereading: three loops over all parts of a prompt but the last, and two functions isRequest() beside a third test of the same. sharedParts() and isRequest() serve all; isMatched() checks what is cheap before it counts shared crashes. Behavior is unchanged, also the bytes that a fingerprint is made of.

--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -30,11 +30,6 @@
     return out;
 }
 
-bool isRequest(const routing::CrashCause &cause)
-{
-    return std::holds_alternative<routing::RequestFingerprint>(cause);
-}
-
 /// Name of the field that identifies a cause in logs and the operators' view.
 const char *fieldName(const routing::CrashCause &cause)
 {
--- a/src/arbutus/routing/crashcause.cpp
+++ b/src/arbutus/routing/crashcause.cpp
@@ -24,11 +24,11 @@
 
 RequestFingerprint RequestFingerprint::of(const RequestIdentity &identity)
 {
-    std::string sharedParts;
-    for (std::size_t i = 0; i + 1 < identity.prompt.size(); ++i) {
-        sharedParts += toString(identity.prompt[i].id) + ",";
+    std::string parts;
+    for (const PromptPart &part : sharedParts(identity.prompt)) {
+        parts += toString(part.id) + ",";
     }
-    const core::Digest128 digest = core::sha256Fields({identity.method, identity.host, identity.target, sharedParts, identity.body});
+    const core::Digest128 digest = core::sha256Fields({identity.method, identity.host, identity.target, parts, identity.body});
     return RequestFingerprint{digest.high, digest.low};
 }
 
--- a/src/arbutus/routing/crashcause.h
+++ b/src/arbutus/routing/crashcause.h
@@ -62,6 +62,11 @@
 
 using CrashCause = std::variant<PromptPartId, RequestFingerprint>;
 
+[[nodiscard]] inline bool isRequest(const CrashCause &cause)
+{
+    return std::holds_alternative<RequestFingerprint>(cause);
+}
+
 /// Hexadecimal: up to 16 digits for a part, 32 for a request.
 [[nodiscard]] std::string toString(const CrashCause &cause);
 [[nodiscard]] std::optional<CrashCause> parseCrashCause(std::string_view text);
--- a/src/arbutus/routing/requestquarantine.cpp
+++ b/src/arbutus/routing/requestquarantine.cpp
@@ -9,20 +9,6 @@
 
 namespace {
 
-/// Calls `visit` with the id of each part that other requests may share.
-template<class Visitor>
-void forEachSharedPart(const std::vector<PromptPart> &prompt, Visitor visit)
-{
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        visit(prompt[i].id);
-    }
-}
-
-bool isRequest(const CrashCause &cause)
-{
-    return std::holds_alternative<RequestFingerprint>(cause);
-}
-
 bool hasCrash(const CauseRecord &record, const core::UpstreamId &upstream)
 {
     return std::any_of(record.crashes.begin(), record.crashes.end(), [&](const CauseCrash &crash) { return crash.upstream == upstream; });
@@ -67,7 +53,7 @@
 
 core::TimePoint RequestQuarantine::lastSuccess(const CrashCause &cause) const
 {
-    return std::holds_alternative<PromptPartId>(cause) ? m_firstEvents.last(cause) : m_completions.last(cause);
+    return isRequest(cause) ? m_completions.last(cause) : m_firstEvents.last(cause);
 }
 
 CauseRecord &RequestQuarantine::recordFor(const CrashCause &cause, core::TimePoint now)
@@ -119,10 +105,12 @@
 {
     return std::any_of(m_records.begin(), m_records.end(), [&](const auto &item) {
         const CauseRecord &other = item.second;
+        if (other.cause == record.cause || !isRequest(other.cause) || other.quarantined || other.crashes.size() < record.crashes.size()) {
+            return false;
+        }
         const auto shared =
             std::count_if(record.crashes.begin(), record.crashes.end(), [&](const CauseCrash &crash) { return hasCrash(other, crash.upstream); });
-        return other.cause != record.cause && isRequest(other.cause) && !other.quarantined && other.crashes.size() >= record.crashes.size()
-            && static_cast<std::size_t>(shared) + 1 >= record.crashes.size();
+        return static_cast<std::size_t>(shared) + 1 >= record.crashes.size();
     });
 }
 
@@ -174,11 +162,11 @@
 {
     std::vector<CrashCause> trusted;
     std::vector<CrashCause> untrusted;
-    forEachSharedPart(prompt, [&](PromptPartId part) {
-        const core::TimePoint firstEvent = lastSuccess(part);
+    for (const PromptPart &part : sharedParts(prompt)) {
+        const core::TimePoint firstEvent = lastSuccess(part.id);
         const bool isTrusted = firstEvent != core::TimePoint{} && now - firstEvent < m_settings.trustPeriod;
-        (isTrusted ? trusted : untrusted).push_back(part);
-    });
+        (isTrusted ? trusted : untrusted).push_back(part.id);
+    }
     for (const CrashCause &part : untrusted) {
         blame(part, CauseCrash{upstream, now});
     }
@@ -211,7 +199,9 @@
 
 void RequestQuarantine::recordFirstEvent(const std::vector<PromptPart> &prompt, core::TimePoint now)
 {
-    forEachSharedPart(prompt, [&](PromptPartId part) { recordSuccess(m_firstEvents, part, now); });
+    for (const PromptPart &part : sharedParts(prompt)) {
+        recordSuccess(m_firstEvents, part.id, now);
+    }
 }
 
 void RequestQuarantine::recordCompletion(const RequestFingerprint &request, core::TimePoint now)
@@ -307,7 +297,9 @@
             out = cause;
         }
     };
-    forEachSharedPart(prompt, check);
+    for (const PromptPart &part : sharedParts(prompt)) {
+        check(part.id);
+    }
     check(request);
     return out;
 }
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -16,6 +16,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,12 @@
     PromptPartId id;
 };
 
+/// The parts that other requests may share: all but the last, which belongs to the request alone.
+[[nodiscard]] inline std::span<const PromptPart> sharedParts(const std::vector<PromptPart> &prompt)
+{
+    return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
+}
+
 struct UpstreamEstimatorSettings
 {
     double prefillTokensPerMs = 36; // nominal engine speed; current deployments state 38.7 and 42.6
