edge: one place for the headers between instances, the content type of a stream and the time until an attempt is silent

Found on rereading: the three headers for a peer were set in three places, the check of the content type stood twice, and the watch of an attempt computed again what isSilent() computes. setPeerHeaders(), mayBeEventStream() and timeUntilSilent() serve all; exclude() takes the place of four of its copies. The time of the last progress is set once for each event, after its write. One difference: a stream that goes to another instance is now also cleared of headers between instances that its upstream may have sent, as buffered answers were.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -51,12 +51,17 @@
 std::string sharedPartIds(const std::vector<routing::PromptPart> &prompt)
 {
     std::string out;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        out += (i == 0 ? "" : ",") + routing::toString(prompt[i].id);
+    for (const routing::PromptPart &part : routing::sharedParts(prompt)) {
+        out += (out.empty() ? "" : ",") + routing::toString(part.id);
     }
     return out;
 }
 
+bool mayBeEventStream(const http::Headers &headers)
+{
+    return http::headerValue(headers, "Content-Type").empty() || http::isEventStream(headers);
+}
+
 std::size_t parseCount(const std::string &text)
 {
     std::size_t value = 0;
@@ -353,9 +358,8 @@
     if (!state.quarantinedCause) {
         state.quarantinedCause = m_quarantine.findQuarantined(state.head.prompt, state.fingerprint);
         if (state.quarantinedCause) {
-            const bool isRequest = std::holds_alternative<routing::RequestFingerprint>(*state.quarantinedCause);
-            state.lastFailure =
-                (isRequest ? "request " : "prompt part ") + routing::toString(*state.quarantinedCause) + " is quarantined because it crashes upstreams";
+            state.lastFailure = (routing::isRequest(*state.quarantinedCause) ? "request " : "prompt part ") + routing::toString(*state.quarantinedCause)
+                + " is quarantined because it crashes upstreams";
         }
     }
     return state.quarantinedCause.has_value();
@@ -625,7 +629,7 @@
         return failedSendResult(state);
     }
     if (attempt.isToPeer()) {
-        state.excludedRegions.insert(attempt.region);
+        exclude(state, attempt);
         if (connected) { // the peer may have forwarded it
             ++state.possibleExecutions;
             ++state.sendCount;
@@ -639,7 +643,7 @@
                                           : routing::SendOutcome::Incomplete;
     }
     if (!staleConnection) {
-        state.excludedUpstreams.insert(attempt.upstream);
+        exclude(state, attempt);
     } else if (state.isRepeatable()) {
         --state.possibleExecutions; // the request is sent to the same upstream again
     }
@@ -697,32 +701,34 @@
 // Silence
 //-----------------------------------------------------------------------------
 
-std::optional<core::Duration> Forwarder::silenceLimit(const RequestState &state, const Attempt &attempt) const
+std::optional<core::Duration> Forwarder::timeUntilSilent(const RequestState &state, const Attempt &attempt) const
 {
-    const core::Duration peerDelay = attempt.isToPeer() ? core::Duration(m_settings.peerSilenceMargin) : core::Duration::zero();
-    if (attempt.head) {
-        return state.isStreaming() ? std::optional(m_settings.streamIdleTimeout + peerDelay) : std::nullopt;
+    if (attempt.head && !state.isStreaming()) {
+        return std::nullopt;
     }
     const auto expected = std::chrono::duration_cast<core::Duration>(attempt.predictedLatency * m_settings.firstByteTimeoutFactor);
-    return std::max(core::Duration(m_settings.minFirstByteTimeout), expected) + peerDelay;
+    core::Duration limit = attempt.head ? core::Duration(m_settings.streamIdleTimeout) : std::max(core::Duration(m_settings.minFirstByteTimeout), expected);
+    if (attempt.isToPeer()) {
+        limit += m_settings.peerSilenceMargin;
+    }
+    return attempt.isWriting ? limit : limit - (m_context.now() - attempt.lastProgressAt);
 }
 
 bool Forwarder::isSilent(const RequestState &state, const Attempt &attempt) const
 {
-    const auto limit = silenceLimit(state, attempt);
-    return limit && !attempt.isWriting && m_context.now() - attempt.lastProgressAt >= *limit;
+    const auto remaining = timeUntilSilent(state, attempt);
+    return remaining && *remaining <= core::Duration::zero();
 }
 
 asio::awaitable<void> Forwarder::watchForSilence(std::shared_ptr<RequestState> state, std::shared_ptr<Attempt> attempt)
 {
     while (!attempt->ended && !attempt->superseded) {
-        const auto limit = silenceLimit(*state, *attempt);
-        if (!limit) {
+        const auto remaining = timeUntilSilent(*state, *attempt);
+        if (!remaining) {
             co_return;
         }
-        const core::Duration silence = attempt->isWriting ? core::Duration::zero() : m_context.now() - attempt->lastProgressAt;
-        if (silence < *limit) {
-            co_await state->changed.wait(*limit - silence);
+        if (*remaining > core::Duration::zero()) {
+            co_await state->changed.wait(*remaining);
             continue;
         }
         state->isSeekingReplacement = true;
@@ -774,8 +780,8 @@
     }
     state.replacement = replacement;
     // Two upstreams run the request until the replacement has answered, but not for longer than `maxOverlap`.
+    const core::Duration maxOverlap = replacement->isToPeer() ? m_settings.maxPeerOverlap : m_settings.maxOverlap;
     while (!replacement->head && !silent->ended) {
-        const core::Duration maxOverlap = replacement->isToPeer() ? m_settings.maxPeerOverlap : m_settings.maxOverlap;
         const core::Duration overlap = replacement->connectedAt ? m_context.now() - *replacement->connectedAt : core::Duration::zero();
         if (overlap >= maxOverlap) {
             break;
@@ -819,8 +825,8 @@
     if (attempt.isToPeer() && http::headerValue(response.headers, OutcomeHeader) != OutcomeAnswered) {
         return false;
     }
-    const bool hasOtherType = !http::headerValue(response.headers, "Content-Type").empty() && !http::isEventStream(response.headers);
-    return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success && (!state.responseStarted || !hasOtherType);
+    return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success
+        && (!state.responseStarted || mayBeEventStream(response.headers));
 }
 
 //-----------------------------------------------------------------------------
@@ -839,12 +845,12 @@
         co_return SendResult::NotExecuted;
     }
     if (attempt.peerOutcome == OutcomeNotExecuted) {
-        state.excludedRegions.insert(attempt.region);
+        exclude(state, attempt);
         attempt.failure = "not executed by peer " + attempt.peer.text;
         co_return SendResult::NotExecuted;
     }
     if (attempt.peerOutcome == OutcomeUnknown) {
-        state.excludedRegions.insert(attempt.region);
+        exclude(state, attempt);
         attempt.failure = "outcome unknown at peer " + attempt.peer.text;
         co_return failedSendResult(state);
     }
@@ -883,8 +889,7 @@
     case ResponseKind::Success:
         break;
     }
-    const bool hasOtherType = !http::headerValue(head.headers, "Content-Type").empty() && !http::isEventStream(head.headers);
-    if (state.isStreaming() && parsed.kind == ResponseKind::Success && !hasOtherType) {
+    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeEventStream(head.headers)) {
         co_return co_await relayStream(state, attempt);
     }
     if (state.responseStarted && parsed.kind == ResponseKind::Success) { // it cannot continue the stream that has begun
@@ -936,15 +941,7 @@
     http::Response response;
     response.status = head.status;
     response.headers = m_context.adapter.clientHeaders(head.headers);
-    if (state.fromPeer) {
-        response.headers[OutcomeHeader] = std::string(OutcomeAnswered);
-        response.headers[SendCountHeader] = std::to_string(state.sendCount);
-        response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
-    } else {
-        for (const char *name : PeerHeaders) {
-            response.headers.erase(name);
-        }
-    }
+    setPeerHeaders(state, OutcomeAnswered, response);
     if (!co_await state.exchange.beginResponse(response)) {
         state.cancellation->cancel();
     }
@@ -957,7 +954,6 @@
         state.maxEventGap = std::max(state.maxEventGap, now - state.lastEventTime);
     }
     state.lastEventTime = now;
-    attempt.lastProgressAt = now;
     if (state.replacementToken) {
         state.replacementToken->cancel(); // the upstream is no longer silent
     }
@@ -1035,17 +1031,22 @@
 // Responses
 //-----------------------------------------------------------------------------
 
-asio::awaitable<void> Forwarder::respond(RequestState &state, http::Response &response)
+void Forwarder::setPeerHeaders(const RequestState &state, std::string_view outcome, http::Response &response)
 {
-    response.headers = m_context.adapter.clientHeaders(response.headers);
     for (const char *name : PeerHeaders) {
         response.headers.erase(name);
     }
     if (state.fromPeer) {
-        response.headers[OutcomeHeader] = std::string(OutcomeAnswered);
+        response.headers[OutcomeHeader] = std::string(outcome);
         response.headers[SendCountHeader] = std::to_string(state.sendCount);
         response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
     }
+}
+
+asio::awaitable<void> Forwarder::respond(RequestState &state, http::Response &response)
+{
+    response.headers = m_context.adapter.clientHeaders(response.headers);
+    setPeerHeaders(state, OutcomeAnswered, response);
     co_await state.exchange.respond(response);
 }
 
@@ -1095,13 +1096,10 @@
         constexpr core::Duration MinRetryAfter = milliseconds(100);
         response.headers["Retry-After"] = formatSeconds(std::max(retryAfter, MinRetryAfter));
     }
-    if (state.fromPeer) {
-        response.headers[OutcomeHeader] = std::string(kind == core::ErrorKind::Quarantined         ? OutcomeQuarantined
-                                                          : error.outcome == core::Outcome::NotRun ? OutcomeNotExecuted
-                                                                                                   : OutcomeUnknown);
-        response.headers[SendCountHeader] = std::to_string(state.sendCount);
-        response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
-    }
+    const std::string_view outcome = kind == core::ErrorKind::Quarantined ? OutcomeQuarantined
+        : error.outcome == core::Outcome::NotRun                          ? OutcomeNotExecuted
+                                                                          : OutcomeUnknown;
+    setPeerHeaders(state, outcome, response);
     co_await state.exchange.respond(response);
     logCompletion(state, status, error.message);
 }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -125,8 +125,8 @@
     void logAttempt(const RequestState &state, const Attempt &attempt);
 
     //--- Silence
-    /// How long the attempt may be without progress before a replacement is sought; nothing if none ever is.
-    [[nodiscard]] std::optional<core::Duration> silenceLimit(const RequestState &state, const Attempt &attempt) const;
+    /// Time until a replacement is sought if there is no progress; nothing if none ever is.
+    [[nodiscard]] std::optional<core::Duration> timeUntilSilent(const RequestState &state, const Attempt &attempt) const;
     [[nodiscard]] bool isSilent(const RequestState &state, const Attempt &attempt) const;
     /// Seeks a replacement whenever the attempt is silent, until it ends.
     boost::asio::awaitable<void> watchForSilence(std::shared_ptr<RequestState> state, std::shared_ptr<Attempt> attempt);
@@ -149,6 +149,8 @@
     boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool timedOut);
     boost::asio::awaitable<void>
     respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
+    /// Removes the headers between instances, and adds those for the instance that forwarded the request, if one did.
+    static void setPeerHeaders(const RequestState &state, std::string_view outcome, http::Response &response);
     boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
     void logCompletion(const RequestState &state, unsigned status, std::string_view outcome);
 
