Rig: one copy of the disruptions, the late arrivals and the delivered share for the tests of crashes

Found on rereading: promptcrashtest and requestcrashtest had the same disruptions and the same counts, and the latter copied two functions of the rig's TrafficSource. They stand in the rig now.

--- a/tests/promptcrashtest.cpp
+++ b/tests/promptcrashtest.cpp
@@ -38,36 +38,14 @@
         tests::TrafficSource traffic(rig, random, WarmUp + CrashingTime);
         traffic.addHarmful("bad0", WarmUp, WarmUp + CrashingTime);
 
-        // Disruptions around the first crashes and later: a kill with a restart, a freeze, the store, and crashes for other reasons.
-        const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
-            return from + std::chrono::milliseconds(random() % static_cast<std::uint32_t>((to - from).count()));
-        };
-        const std::size_t killed = random() % rig.instanceCount();
-        const std::size_t frozen = (killed + 1 + random() % (rig.instanceCount() - 1)) % rig.instanceCount();
-        const std::size_t cut = random() % rig.instanceCount();
-        const auto killAt = randomTime(WarmUp, WarmUp + 6'000ms);
-        rig.schedule(killAt, [&] { rig.kill(killed); });
-        rig.schedule(killAt + 900ms, [&] { rig.start(killed); });
-        rig.schedule(randomTime(WarmUp - 200ms, WarmUp + 1'500ms), [&] { rig.freeze(frozen, 1'500ms); });
-        const auto cutAt = randomTime(WarmUp, WarmUp + 6'000ms);
-        rig.schedule(cutAt, [&] { rig.setStoreCut(cut, true); });
-        rig.schedule(cutAt + 2'000ms, [&] { rig.setStoreCut(cut, false); });
-        for (int i = 0; i < 3; ++i) {
-            const std::size_t upstream = random() % rig.upstreamCount();
-            rig.schedule(randomTime(500ms, WarmUp + 9'000ms), [&rig, upstream] { rig.upstream(upstream).crash(); });
-        }
+        constexpr std::size_t OtherCrashes = 3; // of upstreams, for reasons that are not the requests'
+        tests::scheduleDisruptions(rig, random, WarmUp, OtherCrashes);
         rig.runFor(WarmUp + CrashingTime + 1'000ms);
 
         const std::vector<core::TimePoint> &crashes = rig.partCrashes();
-        std::size_t lateArrivals = 0;
-        std::size_t harmfulArrivals = 0;
-        for (const tests::Arrival &arrival : rig.arrivals()) {
-            if (arrival.hasPart("bad0")) {
-                ++harmfulArrivals;
-                const bool ruleHolds = crashes.size() >= CrashesUntilRuleHolds && arrival.at > crashes[CrashesUntilRuleHolds - 1] + StabilityWindow;
-                lateArrivals += ruleHolds && rig.wasUndisturbed(arrival.sender, arrival.at, StabilityWindow) ? 1 : 0;
-            }
-        }
+        const auto isHarmful = [](const tests::Arrival &arrival) { return arrival.hasPart("bad0"); };
+        const auto harmfulArrivals = std::count_if(rig.arrivals().begin(), rig.arrivals().end(), isHarmful);
+        const std::size_t lateArrivals = tests::countLateArrivals(rig, crashes, CrashesUntilRuleHolds, StabilityWindow, isHarmful);
         const double before = traffic.deliveredShare(0ms, WarmUp);
         const double after = traffic.deliveredShare(WarmUp + 2 * StabilityWindow, WarmUp + CrashingTime);
         std::cout << "seed " << seed << ": crashes by the part " << crashes.size() << ", arrivals with the part " << harmfulArrivals << " of "
--- a/tests/requestcrashtest.cpp
+++ b/tests/requestcrashtest.cpp
@@ -64,26 +64,13 @@
 
     [[nodiscard]] std::size_t pickInstance()
     {
-        std::size_t instance = m_random() % m_rig.instanceCount();
-        while (!m_rig.isRunning(instance)) {
-            instance = (instance + 1) % m_rig.instanceCount();
-        }
-        return instance;
+        return m_rig.pickRunning(m_random);
     }
 
     /// Share of the requests sent between two times since the start that were delivered whole.
     [[nodiscard]] double deliveredShare(core::Duration from, core::Duration to) const
     {
-        double sent = 0;
-        double delivered = 0;
-        for (const std::size_t request : m_sent) {
-            const tests::ClientResult &result = m_rig.result(request);
-            if (result.sentAt >= m_start + from && result.sentAt < m_start + to) {
-                ++sent;
-                delivered += result.status == 200 ? 1 : 0;
-            }
-        }
-        return sent == 0 ? 0 : delivered / sent;
+        return tests::deliveredShare(m_rig, m_sent, m_start + from, m_start + to);
     }
 
 private:
@@ -128,24 +115,8 @@
             });
         }
 
-        // Disruptions around the first crashes and later: a kill with a restart, a freeze, the store, and crashes for other reasons.
-        const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
-            return from + std::chrono::milliseconds(random() % static_cast<std::uint32_t>((to - from).count()));
-        };
-        const std::size_t killed = random() % rig.instanceCount();
-        const std::size_t frozen = (killed + 1 + random() % (rig.instanceCount() - 1)) % rig.instanceCount();
-        const std::size_t cut = random() % rig.instanceCount();
-        const auto killAt = randomTime(WarmUp, WarmUp + 6'000ms);
-        rig.schedule(killAt, [&] { rig.kill(killed); });
-        rig.schedule(killAt + 900ms, [&] { rig.start(killed); });
-        rig.schedule(randomTime(WarmUp - 200ms, WarmUp + 1'500ms), [&] { rig.freeze(frozen, 1'500ms); });
-        const auto cutAt = randomTime(WarmUp, WarmUp + 6'000ms);
-        rig.schedule(cutAt, [&] { rig.setStoreCut(cut, true); });
-        rig.schedule(cutAt + 2'000ms, [&] { rig.setStoreCut(cut, false); });
-        for (int i = 0; i < 6; ++i) {
-            const std::size_t upstream = random() % rig.upstreamCount();
-            rig.schedule(randomTime(500ms, WarmUp + 9'000ms), [&rig, upstream] { rig.upstream(upstream).crash(); });
-        }
+        constexpr std::size_t OtherCrashes = 6; // of upstreams, for reasons that are not the requests'
+        tests::scheduleDisruptions(rig, random, WarmUp, OtherCrashes);
         rig.runFor(WarmUp + CrashingTime + 1'000ms);
 
         const double before = traffic.deliveredShare(0ms, WarmUp);
@@ -153,15 +124,9 @@
         std::cout << "seed " << seed << ": sound requests delivered " << before << " before, " << after << " after" << std::endl;
         for (const RigRequest &request : harmful) {
             const std::vector<core::TimePoint> &crashes = rig.requestCrashes(request);
-            std::size_t arrivals = 0;
-            std::size_t lateArrivals = 0;
-            for (const tests::Arrival &arrival : rig.arrivals()) {
-                if (isRepeatOf(arrival, request)) {
-                    ++arrivals;
-                    const bool ruleHolds = crashes.size() >= CrashesUntilRuleHolds && arrival.at > crashes[CrashesUntilRuleHolds - 1] + StabilityWindow;
-                    lateArrivals += ruleHolds && rig.wasUndisturbed(arrival.sender, arrival.at, StabilityWindow) ? 1 : 0;
-                }
-            }
+            const auto isHarmful = [&](const tests::Arrival &arrival) { return isRepeatOf(arrival, request); };
+            const auto arrivals = std::count_if(rig.arrivals().begin(), rig.arrivals().end(), isHarmful);
+            const std::size_t lateArrivals = tests::countLateArrivals(rig, crashes, CrashesUntilRuleHolds, StabilityWindow, isHarmful);
             std::cout << "  " << request.target << ": crashes " << crashes.size() << ", arrivals " << arrivals << " of " << repeats
                       << " requests, late arrivals " << lateArrivals << std::endl;
             CAPTURE(request.target);
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -298,6 +298,15 @@
     return m_instances[instance]->gateway != nullptr && now() >= m_instances[instance]->frozenUntil;
 }
 
+std::size_t EdgeRig::pickRunning(pcg32 &random) const
+{
+    std::size_t instance = random() % instanceCount();
+    while (!isRunning(instance)) {
+        instance = (instance + 1) % instanceCount();
+    }
+    return instance;
+}
+
 void EdgeRig::freeze(std::size_t instance, std::chrono::milliseconds duration)
 {
     m_instances[instance]->frozenUntil = now() + duration;
@@ -728,20 +737,26 @@
 
 std::size_t TrafficSource::send(const std::string &part)
 {
-    std::size_t instance = m_random() % m_rig.instanceCount();
-    while (!m_rig.isRunning(instance)) {
-        instance = (instance + 1) % m_rig.instanceCount();
-    }
+    const std::size_t instance = m_rig.pickRunning(m_random);
     return m_rig.send(instance, {"a1", part, "c" + std::to_string(m_next++)});
 }
 
 double TrafficSource::deliveredShare(core::Duration from, core::Duration to) const
+{
+    return tests::deliveredShare(m_rig, m_sound, m_start + from, m_start + to);
+}
+
+//-----------------------------------------------------------------------------
+// Counts and disruptions
+//-----------------------------------------------------------------------------
+
+double deliveredShare(const EdgeRig &rig, const std::vector<std::size_t> &requests, core::TimePoint from, core::TimePoint to)
 {
     double sent = 0;
     double delivered = 0;
-    for (const std::size_t request : m_sound) {
-        const ClientResult &result = m_rig.result(request);
-        if (result.sentAt >= m_start + from && result.sentAt < m_start + to) {
+    for (const std::size_t request : requests) {
+        const ClientResult &result = rig.result(request);
+        if (result.sentAt >= from && result.sentAt < to) {
             ++sent;
             delivered += result.status == 200 ? 1 : 0;
         }
@@ -749,6 +764,42 @@
     return sent == 0 ? 0 : delivered / sent;
 }
 
+std::size_t countLateArrivals(const EdgeRig &rig,
+                              const std::vector<core::TimePoint> &crashes,
+                              std::size_t crashCount,
+                              core::Duration window,
+                              const std::function<bool(const Arrival &)> &matches)
+{
+    if (crashes.size() < crashCount) {
+        return 0;
+    }
+    const core::TimePoint begin = crashes[crashCount - 1] + window;
+    return static_cast<std::size_t>(std::count_if(rig.arrivals().begin(), rig.arrivals().end(), [&](const Arrival &arrival) {
+        return arrival.at > begin && matches(arrival) && rig.wasUndisturbed(arrival.sender, arrival.at, window);
+    }));
+}
+
+void scheduleDisruptions(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds start, std::size_t crashes)
+{
+    const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
+        return from + std::chrono::milliseconds(random() % static_cast<std::uint32_t>((to - from).count()));
+    };
+    const std::size_t killed = random() % rig.instanceCount();
+    const std::size_t frozen = (killed + 1 + random() % (rig.instanceCount() - 1)) % rig.instanceCount();
+    const std::size_t cut = random() % rig.instanceCount();
+    const auto killAt = randomTime(start, start + 6'000ms);
+    rig.schedule(killAt, [&rig, killed] { rig.kill(killed); });
+    rig.schedule(killAt + 900ms, [&rig, killed] { rig.start(killed); });
+    rig.schedule(randomTime(start - 200ms, start + 1'500ms), [&rig, frozen] { rig.freeze(frozen, 1'500ms); });
+    const auto cutAt = randomTime(start, start + 6'000ms);
+    rig.schedule(cutAt, [&rig, cut] { rig.setStoreCut(cut, true); });
+    rig.schedule(cutAt + 2'000ms, [&rig, cut] { rig.setStoreCut(cut, false); });
+    for (std::size_t i = 0; i < crashes; ++i) {
+        const std::size_t upstream = random() % rig.upstreamCount();
+        rig.schedule(randomTime(500ms, start + 9'000ms), [&rig, upstream] { rig.upstream(upstream).crash(); });
+    }
+}
+
 std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
 {
     const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -223,6 +223,8 @@
     void kill(std::size_t instance);
     void start(std::size_t instance);
     void setStoreCut(std::size_t instance, bool isCut);
+    /// A random running instance.
+    [[nodiscard]] std::size_t pickRunning(pcg32 &random) const;
     /// Whether the instance has run without a disruption for `duration` before `at`.
     [[nodiscard]] bool wasUndisturbed(const std::string &instance, core::TimePoint at, core::Duration duration) const;
     [[nodiscard]] std::string metricsText(std::size_t instance);
@@ -364,6 +366,19 @@
     std::uint64_t m_next = 0;
 };
 
+/// Share of the requests sent between two times that were delivered whole.
+[[nodiscard]] double deliveredShare(const EdgeRig &rig, const std::vector<std::size_t> &requests, core::TimePoint from, core::TimePoint to);
+
+/// Arrivals that match, later than `window` after crash number `crashCount`, sent by instances without a disruption in the last `window`.
+[[nodiscard]] std::size_t countLateArrivals(const EdgeRig &rig,
+                                            const std::vector<core::TimePoint> &crashes,
+                                            std::size_t crashCount,
+                                            core::Duration window,
+                                            const std::function<bool(const Arrival &)> &matches);
+
+/// Schedules disruptions around `start` and later: a kill with a restart, a freeze, a store cut, and `crashes` of upstreams.
+void scheduleDisruptions(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds start, std::size_t crashes);
+
 /// Value of an environment variable.
 [[nodiscard]] std::uint64_t environmentNumber(const char *name, std::uint64_t fallback);
 
