Events that a request waits for are not dropped by a full queue

Cause: Gateway::post() drops an event if the queue is full, on the ground that its sender repeats it. That holds for datagrams, load reports and instance lists, not for the result of a claim, a configuration entry, a lease, the end of a placement command or the request to drain, all of which took this way. The failure of a claim that did not fit into the platform's queue was posted by the decision thread itself and dropped likewise. The class: what completes something that was accepted competes for room with what may still be refused.

Change: only events that may be dropped count against the capacity. DecisionLoop::post() always accepts; what it takes is bounded by the number of open calls and requests. It replaces the two loops that posted again after a delay, of which the one on the threads of gRPC would not have ended after a stop.

--- a/src/arbutus/core/boundedqueue.h
+++ b/src/arbutus/core/boundedqueue.h
@@ -2,7 +2,11 @@
 //
 // Producers never block: tryPush() fails when the queue is full; a request that does not fit is reported as
 // Outcome::NotRun. The consumer blocks until an element arrives, the timeout expires or the queue is closed. Storage is a
-// fixed boost::circular_buffer.
+// boost::circular_buffer that grows only for push().
+//
+// Q: Which elements may be added by push(), which ignores the capacity?
+// A: Those that something accepted earlier waits for, such as results of calls: dropping one would leave a request without a
+//    response, and their number is bounded by that of the open calls.
 
 #pragma once
 
@@ -21,7 +25,8 @@
 {
 public:
     explicit BoundedQueue(std::size_t capacity)
-        : m_items(capacity)
+        : m_capacity(capacity)
+        , m_items(capacity)
     {
     }
 
@@ -29,7 +34,7 @@
     [[nodiscard]] bool tryPush(T &&item)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_closed || m_items.full()) {
+        if (m_closed || m_items.size() >= m_capacity) {
             return false;
         }
         m_items.push_back(std::move(item));
@@ -37,6 +42,21 @@
         return true;
     }
 
+    /// Adds an element even if the queue is full. Returns false if the queue is closed; `item` is then left unmoved.
+    [[nodiscard]] bool push(T &&item)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closed) {
+            return false;
+        }
+        if (m_items.full()) {
+            m_items.set_capacity(m_items.capacity() * 2 + 1);
+        }
+        m_items.push_back(std::move(item));
+        m_itemAvailable.notify_one();
+        return true;
+    }
+
     /// Removes the oldest element; std::nullopt on timeout, or if the queue is closed and empty.
     [[nodiscard]] std::optional<T> pop(std::chrono::microseconds timeout)
     {
@@ -64,6 +84,7 @@
     }
 
 private:
+    const std::size_t m_capacity; // for tryPush()
     mutable std::mutex m_mutex;
     std::condition_variable m_itemAvailable;
     boost::circular_buffer<T> m_items;
--- a/src/arbutus/gateway/decisionloop.cpp
+++ b/src/arbutus/gateway/decisionloop.cpp
@@ -2,6 +2,8 @@
 
 #include "arbutus/gateway/decisionloop.h"
 
+#include "arbutus/observe/logline.h"
+
 #include <ctime>
 
 namespace arbutus::gateway {
@@ -49,6 +51,14 @@
     return m_queue.tryPush(Item(std::move(event)));
 }
 
+void DecisionLoop::post(node::Event event)
+{
+    const std::size_t type = event.index();
+    if (!m_queue.push(Item(std::move(event)))) {
+        observe::LogLine("event_after_stop").add("type", type).write();
+    }
+}
+
 bool DecisionLoop::tryPostQuery(NodeQuery query)
 {
     return m_queue.tryPush(Item(std::move(query)));
--- a/src/arbutus/gateway/decisionloop.h
+++ b/src/arbutus/gateway/decisionloop.h
@@ -31,6 +31,8 @@
     void stop();
     /// Returns false if the queue is full; the caller then rejects the request or retries.
     [[nodiscard]] bool tryPost(node::Event event);
+    /// Posts an event that the node waits for, such as the result of an action, even if the queue is full.
+    void post(node::Event event);
     [[nodiscard]] bool tryPostQuery(NodeQuery query);
     [[nodiscard]] std::size_t queueLength() const;
     /// CPU time used by the thread, as of its last tick.
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -32,6 +32,14 @@
 constexpr auto TlsReloadInterval = 5s;
 constexpr std::size_t RequestQueueCapacity = 65'536; // actions waiting for the request thread
 
+/// Whether an event may be dropped in an overload: its sender repeats it, or it only carries a measurement. Requests and their
+/// peers wait for the others.
+bool isDroppable(const node::Event &event)
+{
+    return std::holds_alternative<node::DatagramReceived>(event) || std::holds_alternative<node::LoadReportReceived>(event)
+        || std::holds_alternative<node::PlatformListReceived>(event) || std::holds_alternative<node::FirstTokenReceived>(event);
+}
+
 /// Pending replies to calls from other instances, by the key under which the call was posted to the node.
 template<class Reply>
 class ReplyTable
@@ -147,22 +155,15 @@
         return handlers;
     }
 
-    /// Posts an event that may be dropped if the queue is full because its sender repeats it.
     void post(node::Event event)
     {
-        if (!decisionLoop.tryPost(std::move(event))) {
+        if (!isDroppable(event)) {
+            decisionLoop.post(std::move(event));
+        } else if (!decisionLoop.tryPost(std::move(event))) {
             metrics.incrementCounter("arbutus_events_dropped_total");
         }
     }
 
-    /// Posts an event that a request is waiting for; blocks while the queue is full.
-    void postBlocking(const node::Event &event)
-    {
-        while (!decisionLoop.tryPost(event)) {
-            std::this_thread::sleep_for(1ms);
-        }
-    }
-
     void dispatchAction(node::Action &&action)
     {
         std::visit([this](auto &alternative) { execute(std::move(alternative)); }, action);
@@ -202,7 +203,7 @@
         const auto timeout = isIntent ? settings.node.witnessTimeout / 2 : settings.node.witnessTimeout;
         metrics.incrementCounter("arbutus_ledger_calls_total", "way=\"out\"");
         peerClient.callLedger(action.address, action.call, timeout, [this, key = action.key](std::optional<delivery::LedgerResult> result) {
-            postBlocking(node::LedgerResponseReceived{key, std::move(result)});
+            post(node::LedgerResponseReceived{key, std::move(result)});
         });
     }
     void execute(node::ClaimIdempotencyKey &&action)
--- a/src/arbutus/gateway/requesthandler.cpp
+++ b/src/arbutus/gateway/requesthandler.cpp
@@ -18,7 +18,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -44,7 +43,6 @@
 constexpr std::string_view ServicePrefix = "/v1/services/";
 constexpr std::size_t MaxRequestIdBytes = 128;
 constexpr std::size_t DefaultMaxTokens = 256; // assumed for requests without max_tokens
-constexpr auto PostRetryDelay = 5ms;          // delay before an event that must not be lost is posted again
 
 /// Hop-by-hop headers and headers interpreted by the gateway; they are not forwarded to upstreams.
 constexpr std::array NonForwardedHeaders{
@@ -220,15 +218,6 @@
     m_mailboxes.deliver(std::move(action));
 }
 
-// GCC 12 destroys aggregate temporaries in the arguments of a co_await expression twice. Pass named variables instead.
-asio::awaitable<void> RequestHandler::postWithRetry(node::Event event)
-{
-    while (!m_decisionLoop.tryPost(event)) {
-        asio::steady_timer timer(m_attemptContext.executor, PostRetryDelay);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
 void RequestHandler::recordOutcome(const RequestContext &context, std::string_view outcome)
 {
     const std::string labels = "class=\"" + context.head.requestClass.text + "\",outcome=\"" + std::string(outcome) + "\"";
@@ -415,15 +404,13 @@
 {
     const auto read = co_await exchange.readBody();
     if (!read) {
-        node::Event failed = node::RequestBodyFailed{context.key, read.error()};
-        co_await postWithRetry(std::move(failed));
+        m_decisionLoop.post(node::RequestBodyFailed{context.key, read.error()});
         co_return false;
     }
     const http::Request &request = exchange.request();
     auto parsedBody = context.attempt.isServiceCall ? core::Result<node::RequestBody>(node::RequestBody{}) : parseModelRequestBody(request);
     if (!parsedBody) {
-        node::Event failed = node::RequestBodyFailed{context.key, parsedBody.error()};
-        co_await postWithRetry(std::move(failed));
+        m_decisionLoop.post(node::RequestBodyFailed{context.key, parsedBody.error()});
         co_return false;
     }
     node::RequestBody body = std::move(parsedBody.value());
@@ -442,8 +429,7 @@
         }
     }
     attempt.peerHeaders["X-Request-Id"] = context.head.id.text;
-    node::Event arrived = node::RequestBodyReceived{context.key, std::move(body)};
-    co_await postWithRetry(std::move(arrived));
+    m_decisionLoop.post(node::RequestBodyReceived{context.key, std::move(body)});
     co_return true;
 }
 
@@ -460,8 +446,7 @@
             }
             node::AttemptEnded ended = co_await runAttempt(m_attemptContext, context.attempt, *dispatch, exchange);
             const node::AttemptResult result = ended.result;
-            node::Event event = std::move(ended);
-            co_await postWithRetry(std::move(event));
+            m_decisionLoop.post(std::move(ended));
             if (result == node::AttemptResult::Completed || result == node::AttemptResult::ClientDisconnected) {
                 recordOutcome(context, result == node::AttemptResult::Completed ? "answered" : "caller_gone");
                 co_return;
@@ -469,8 +454,7 @@
         } else if (const auto *forward = std::get_if<node::ForwardToOwner>(&action)) {
             node::ForwardToOwnerFinished forwardResult = co_await forwardToTicketOwner(m_attemptContext, context.attempt, *forward, exchange);
             const bool relayed = forwardResult.relayed;
-            node::Event event = forwardResult;
-            co_await postWithRetry(std::move(event));
+            m_decisionLoop.post(forwardResult);
             if (relayed) {
                 recordOutcome(context, "owner_answered");
                 co_return;
