Test that fails: a stop drops requests whose heads wait for the decision thread

Suspected in the postmortem of the silent upstreams: the stop ends the threads without asking whether requests are open. A drain waits only for those that the node knows, and the listener accepts requests until the stop.

The test holds the decision thread, sends requests until one is refused because the event queue is full, and stops the instance: at once, and after a drain as the program does it.

--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -305,3 +305,36 @@
         CHECK(response->status != 0);
     }
 }
+
+TEST_CASE("a stop answers requests whose heads wait for the decision thread", "[instance]")
+{
+    struct Row
+    {
+        http::Request request;
+        bool drainFirst;
+    };
+    const auto row = GENERATE(values<Row>({
+        {workspaceRequest("GET", "/v1/entries?workspace=ws"), false},
+        {workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"), false},
+        {workspaceRequest("GET", "/v1/entries?workspace=ws"), true},
+        {workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"), true},
+    }));
+    CAPTURE(row.request.target, row.drainFirst);
+    InstanceFixture fixture;
+    if (row.drainFirst) {
+        fixture.instance.drain();
+        fixture.runUntil([] { return false; }, SettleTime);
+    }
+    fixture.clock.hold();
+    const auto sent = fixture.fillEventQueue(row.request);
+    REQUIRE_FALSE(sent.empty());
+    std::thread stopping([&fixture] { fixture.instance.stop(); });
+    fixture.runUntil([] { return false; }, 2 * SettleTime);
+    fixture.clock.release();
+    CHECK(fixture.runUntilDone(sent));
+    stopping.join();
+    for (const auto &response : sent) {
+        CAPTURE(response->body);
+        CHECK(response->status != 0);
+    }
+}
