gateway: a stop waits for the requests that have been read

Cause: Gateway::stop() ended the decision thread and then the request thread. Events that still waited were never handled, and responses that the request thread had not written were dropped with it. The drain before it asks only the node, which does not know a request whose head waits in the queue, nor one whose response is still being written; and the listener accepts requests until the stop. The class is that of the faults in http/server: a connection is closed by one that does not know that a request has been read.

Change: the stop asks the one that knows. It lets the node reject what arrives from now on, closes the listener, and waits on the request thread until the server has no open request, as the route gateway does, for at most 5 s, as a client may not read its response. Requests that are left then are counted in a log line. Only then the threads end.

--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/gateway/gateway.h"
 
+#include "arbutus/core/asyncsleep.h"
 #include "arbutus/gateway/adminserver.h"
 #include "arbutus/gateway/decisionlog.h"
 #include "arbutus/gateway/decisionloop.h"
@@ -17,6 +18,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include <map>
 #include <mutex>
@@ -30,6 +32,8 @@
 
 constexpr auto ConfigFetchTimeout = 1'000ms; // for fetching configuration from another instance
 constexpr auto TlsReloadInterval = 5s;
+constexpr auto StopTimeout = 5'000ms; // for responses to requests that have been read; a client may not read its response
+constexpr auto StopPollPeriod = 5ms;
 constexpr std::size_t RequestQueueCapacity = 65'536; // actions waiting for the request thread
 
 /// Whether an event may be dropped in an overload: its sender repeats it, or it only carries a measurement. Requests and their
@@ -285,8 +289,24 @@
         }
     }
 
+    /// Accepts no more connections and waits until the requests that have been read are answered.
+    asio::awaitable<void> closeClientServer()
+    {
+        clientServer.closeAfterResponses();
+        clientServer.stopAccepting();
+        const core::TimePoint deadline = clock.steadyNow() + StopTimeout;
+        do {
+            clientServer.closeIdleConnections();
+            co_await core::asyncSleep(StopPollPeriod);
+        } while (clientServer.hasOpenRequests() && clock.steadyNow() < deadline);
+        if (clientServer.hasOpenRequests()) {
+            observe::LogLine("stopped_with_open_requests").add("open_requests", clientServer.activeExchangeCount()).warn();
+        }
+    }
+
     const core::Clock &clock;
     Settings settings;
+    bool running = false;
     std::function<void()> onDrained;
     observe::Metrics metrics;
     std::shared_ptr<http::ReloadableTlsContext> tls;
@@ -329,6 +349,7 @@
         asio::co_spawn(impl.requestThread.executor(), impl.reloadTls(), asio::detached);
     }
     impl.requestThread.start();
+    impl.running = true;
     impl.adminServer.start();
     observe::LogLine("gateway_started")
         .add("instance", impl.settings.node.self.id)
@@ -352,7 +373,10 @@
 void Gateway::stop()
 {
     Impl &impl = *m_impl;
-    impl.clientServer.stopAccepting();
+    if (std::exchange(impl.running, false)) {
+        drain(); // requests that arrive from now on are rejected
+        asio::co_spawn(impl.requestThread.executor(), impl.closeClientServer(), asio::use_future).wait();
+    }
     impl.peerServer.stop();
     impl.decisionLoop.stop();
     impl.requestThread.stop();
--- a/src/arbutus/gateway/gateway.h
+++ b/src/arbutus/gateway/gateway.h
@@ -34,6 +34,7 @@
     void start();
     /// Starts a graceful shutdown.
     void drain();
+    /// Rejects further requests, waits for the responses to those that have been read and ends the threads.
     void stop();
     /// Port of the client listener, of use if the settings leave its choice to the system.
     [[nodiscard]] std::uint16_t clientPort() const;
