Test that fails: an action is dropped when its queue is full

Each open request has at most one action that waits: the node emits the next one only for an event that follows the previous one. Clients alone can't fill the 65,536 places, as http::ServerLimits admits 8,192 connections. Requests forwarded by other instances are not limited, so the queue is full with more than 57,344 of them and a request thread that is held up; nothing in the design excludes that.

The capacity is now a member of gateway::Settings, without a key in the file.

--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -34,7 +34,6 @@
 constexpr auto TlsReloadInterval = 5s;
 constexpr auto StopTimeout = 5'000ms; // for responses to requests that have been read; a client may not read its response
 constexpr auto StopPollPeriod = 5ms;
-constexpr std::size_t RequestQueueCapacity = 65'536; // actions waiting for the request thread
 
 /// Whether an event may be dropped in an overload: its sender repeats it, or it only carries a measurement. Requests and their
 /// peers wait for the others.
@@ -110,7 +109,8 @@
                                         [this](node::FirstTokenReceived event) { post(event); }},
                          decisionLoop,
                          metrics)
-        , actionQueue(requestThread.executor(), RequestQueueCapacity, [this](RequestAction &&action) { requestHandler.deliverAction(std::move(action)); })
+        , actionQueue(
+              requestThread.executor(), settings.actionQueueCapacity, [this](RequestAction &&action) { requestHandler.deliverAction(std::move(action)); })
         , clientServer(
               requestThread.executor(),
               settings.clientEndpoint,
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -136,7 +136,9 @@
     http::Server m_proxy;
 };
 
-gateway::Settings instanceSettings(const http::Endpoint &platform)
+using AdjustSettings = std::function<void(gateway::Settings &)>;
+
+gateway::Settings instanceSettings(const http::Endpoint &platform, const AdjustSettings &adjust)
 {
     gateway::Settings settings;
     settings.node.self.id = core::InstanceId("gw-1");
@@ -151,6 +153,9 @@
     settings.adminKey = "an admin key of some length";
     settings.clusterKey = "a cluster key of some length";
     settings.eventQueueCapacity = EventQueueCapacity;
+    if (adjust) {
+        adjust(settings);
+    }
     return settings;
 }
 
@@ -203,8 +208,8 @@
     gateway::Gateway instance;
     asio::io_context clients{1};
 
-    InstanceFixture()
-        : instance(clock, instanceSettings(platform.endpoint()), [] {})
+    explicit InstanceFixture(const AdjustSettings &adjust = {})
+        : instance(clock, instanceSettings(platform.endpoint(), adjust), [] {})
     {
         bool written = false;
         auto writeConfiguration = [&]() -> asio::awaitable<void> {
@@ -338,3 +343,22 @@
         CHECK(response->status != 0);
     }
 }
+
+TEST_CASE("every action reaches its request however many wait", "[instance]")
+{
+    const auto request = GENERATE(values<http::Request>({
+        workspaceRequest("GET", "/v1/entries?workspace=ws"),
+        workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"),
+    }));
+    CAPTURE(request.target);
+    InstanceFixture fixture([](gateway::Settings &settings) { settings.actionQueueCapacity = 1; });
+    fixture.clock.hold();
+    const auto sent = fixture.fillEventQueue(request);
+    REQUIRE_FALSE(sent.empty());
+    fixture.clock.release();
+    CHECK(fixture.runUntilDone(sent));
+    for (const auto &response : sent) {
+        CAPTURE(response->body);
+        CHECK(response->status != 0);
+    }
+}
