gateway: no action to a request is dropped

Cause: the queue to the request thread had a limit of its own, though its elements complete requests that were admitted under another one, and its caller ignored the result. The class is that of the claims: what completes something that was accepted is dropped like new work.

Change: actions are posted to the request thread without a limit. Their number is bounded by that of the open requests, each of which holds more memory than its action. The setting of the capacity goes with the queue, so the test runs without it.

--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -109,8 +110,6 @@
                                         [this](node::FirstTokenReceived event) { post(event); }},
                          decisionLoop,
                          metrics)
-        , actionQueue(
-              requestThread.executor(), settings.actionQueueCapacity, [this](RequestAction &&action) { requestHandler.deliverAction(std::move(action)); })
         , clientServer(
               requestThread.executor(),
               settings.clientEndpoint,
@@ -173,29 +172,35 @@
         std::visit([this](auto &alternative) { execute(std::move(alternative)); }, action);
     }
 
+    /// Passes an action to its request. The number of actions that wait is bounded by that of the open requests, so they need no
+    /// limit of their own.
+    void deliver(RequestAction action)
+    {
+        asio::post(requestThread.executor(), [this, action = std::move(action)]() mutable { requestHandler.deliverAction(std::move(action)); });
+    }
     void execute(node::AdmissionDecision &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::Dispatch &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::RejectRequest &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::ReplayResponse &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::ForwardToOwner &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::EntriesResponse &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::LedgerCallResponse &&action)
     {
@@ -318,7 +323,6 @@
     http::ConnectionPool connectionPool;
     DecisionLoop decisionLoop;
     RequestHandler requestHandler;
-    EventLoopQueue<RequestAction> actionQueue;
     http::Server clientServer;
     GossipTransport gossipTransport;
     PlatformClient platformClient;
--- a/src/arbutus/gateway/settings.h
+++ b/src/arbutus/gateway/settings.h
@@ -28,8 +28,7 @@
     std::string adminKey;
     std::string clusterKey;
     http::TlsFiles tls;
-    std::size_t eventQueueCapacity = 65'536;  // events waiting for the decision thread
-    std::size_t actionQueueCapacity = 65'536; // actions waiting for the request thread
+    std::size_t eventQueueCapacity = 65'536; // events waiting for the decision thread
 };
 
 /// Description of one key of the settings file. Keys without a description are rejected as unknown.
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -136,9 +136,7 @@
     http::Server m_proxy;
 };
 
-using AdjustSettings = std::function<void(gateway::Settings &)>;
-
-gateway::Settings instanceSettings(const http::Endpoint &platform, const AdjustSettings &adjust)
+gateway::Settings instanceSettings(const http::Endpoint &platform)
 {
     gateway::Settings settings;
     settings.node.self.id = core::InstanceId("gw-1");
@@ -153,9 +151,6 @@
     settings.adminKey = "an admin key of some length";
     settings.clusterKey = "a cluster key of some length";
     settings.eventQueueCapacity = EventQueueCapacity;
-    if (adjust) {
-        adjust(settings);
-    }
     return settings;
 }
 
@@ -208,8 +203,8 @@
     gateway::Gateway instance;
     asio::io_context clients{1};
 
-    explicit InstanceFixture(const AdjustSettings &adjust = {})
-        : instance(clock, instanceSettings(platform.endpoint(), adjust), [] {})
+    InstanceFixture()
+        : instance(clock, instanceSettings(platform.endpoint()), [] {})
     {
         bool written = false;
         auto writeConfiguration = [&]() -> asio::awaitable<void> {
@@ -351,7 +346,7 @@
         workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"),
     }));
     CAPTURE(request.target);
-    InstanceFixture fixture([](gateway::Settings &settings) { settings.actionQueueCapacity = 1; });
+    InstanceFixture fixture;
     fixture.clock.hold();
     const auto sent = fixture.fillEventQueue(request);
     REQUIRE_FALSE(sent.empty());
