Test that fails: a silent stream is cut though no other attempt can replace it

Suspected in the postmortem of the silent upstreams: a stream is given up after 10 s of silence before a retry is known to be possible.

The pause is now a member of gateway::Settings, without a key in the file, and unchanged in the product; the test shortens it to 250 ms. Upstreams fall silent for 1 s and go on, or hang.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -26,7 +26,6 @@
 namespace {
 
 constexpr auto PeerConnectTimeout = 250ms;          // for connecting to an instance in another failure domain
-constexpr auto StreamIdleTimeout = 10'000ms;        // longest pause between two chunks of a stream
 constexpr std::size_t MaxEventBytes = 1024 * 1024;  // of one event of a stream
 constexpr std::size_t MaxRecordedBytes = 64 * 1024; // larger response bodies are not retained in the ledger
 
@@ -163,7 +162,7 @@
     std::string recordedBody;
     bool clientConnected = true;
     while (!filter.complete()) {
-        auto chunk = co_await call.readSome(remainingTimeout(StreamIdleTimeout, dispatch, startedAt, context.clock));
+        auto chunk = co_await call.readSome(remainingTimeout(context.streamIdleTimeout, dispatch, startedAt, context.clock));
         const bool ended = !chunk || chunk.value().empty();
         const std::string events = ended ? std::string() : filter.feed(chunk.value());
         const bool tooLong = filter.partialEventBytes() > MaxEventBytes;
--- a/src/arbutus/gateway/attempt.h
+++ b/src/arbutus/gateway/attempt.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <functional>
 
 namespace arbutus::gateway {
@@ -27,6 +28,7 @@
     core::InstanceRef self;
     core::RegionId region;
     std::function<void(node::FirstTokenReceived)> onFirstToken;
+    std::chrono::milliseconds streamIdleTimeout{10'000}; // longest pause between two chunks of a stream
 };
 
 /// A request in the form in which attempts send it.
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -107,7 +107,8 @@
                                         connectionPool,
                                         core::InstanceRef{settings.node.self.id, settings.node.self.incarnation},
                                         settings.node.self.region,
-                                        [this](node::FirstTokenReceived event) { post(event); }},
+                                        [this](node::FirstTokenReceived event) { post(event); },
+                                        settings.streamIdleTimeout},
                          decisionLoop,
                          metrics)
         , clientServer(
--- a/src/arbutus/gateway/settings.h
+++ b/src/arbutus/gateway/settings.h
@@ -11,6 +11,7 @@
 #include "arbutus/http/tls.h"
 #include "arbutus/node/settings.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,8 @@
     std::string adminKey;
     std::string clusterKey;
     http::TlsFiles tls;
-    std::size_t eventQueueCapacity = 65'536; // events waiting for the decision thread
+    std::size_t eventQueueCapacity = 65'536;             // events waiting for the decision thread
+    std::chrono::milliseconds streamIdleTimeout{10'000}; // longest pause between two chunks of a stream
 };
 
 /// Description of one key of the settings file. Keys without a description are rejected as unknown.
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t EventQueueCapacity = 8;
 constexpr auto ResponseTimeout = 8s; // of a client
 constexpr auto SettleTime = 300ms;   // for events that the tests cannot observe
+constexpr auto StreamIdleTimeout = 250ms;
+constexpr auto Silence = 4 * StreamIdleTimeout; // of an upstream that goes on
+constexpr auto Hang = 60'000ms;                 // longer than the client waits
 const std::string WorkspaceKey = "a workspace key";
 
 /// System clock that can hold the decision thread: the first thread to read it other than the one that created it.
@@ -136,7 +139,96 @@
     http::Server m_proxy;
 };
 
-gateway::Settings instanceSettings(const http::Endpoint &platform)
+/// Model upstreams whose streams fall silent and go on. They share the list of silences, one for each call.
+class SilentUpstreams
+{
+public:
+    SilentUpstreams(std::size_t count, std::vector<std::chrono::milliseconds> silences)
+        : m_silences(std::move(silences))
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_servers.push_back(std::make_unique<http::Server>(
+                m_thread.executor(),
+                http::Endpoint{"127.0.0.1", 0},
+                http::ServerLimits{},
+                [this](http::Exchange &exchange) { return handle(exchange); },
+                nullptr));
+        }
+        m_thread.start();
+    }
+    SilentUpstreams(const SilentUpstreams &) = delete;
+    SilentUpstreams &operator=(const SilentUpstreams &) = delete;
+    ~SilentUpstreams()
+    {
+        m_thread.stop();
+    }
+
+    /// Body of a call that adds the upstreams to the platform's list.
+    [[nodiscard]] std::string listing() const
+    {
+        json::array instances;
+        for (const auto &server : m_servers) {
+            const std::string port = std::to_string(server->port());
+            instances.push_back(json::object{{"id", "u" + port},
+                                             {"kind", "model"},
+                                             {"region", "r"},
+                                             {"failure_domain", "d"},
+                                             {"address", "127.0.0.1:" + port},
+                                             {"models", json::array{"m"}}});
+        }
+        return json::serialize(json::object{{"instances", std::move(instances)}});
+    }
+    [[nodiscard]] std::size_t callCount() const
+    {
+        return m_callCount;
+    }
+
+    static constexpr std::size_t TokenCount = 8;
+    static constexpr std::size_t TokensBeforeSilence = 2;
+    static std::string tokenText(std::size_t index)
+    {
+        return "token" + std::to_string(index);
+    }
+
+private:
+    asio::awaitable<void> handle(http::Exchange &exchange)
+    {
+        (void)co_await exchange.readBody();
+        const http::Request &request = exchange.request();
+        if (request.method == "GET") {
+            const http::Response report = http::jsonResponse(200, R"({"running":0,"waiting":0,"slots":16,"models":["m"],"events":[]})");
+            co_await exchange.respond(report);
+            co_return;
+        }
+        const bool isCounted = request.body.find("counted") != std::string::npos;
+        const std::size_t call = isCounted ? m_callCount++ : m_silences.size();
+        const std::string attempt = http::headerValue(request.headers, "X-Attempt-Id");
+        http::Response head;
+        head.headers["Content-Type"] = "text/event-stream";
+        head.headers["X-Attempt-Id"] = attempt;
+        co_await exchange.beginResponse(head);
+        const std::size_t first = std::strtoul(http::headerValue(request.headers, "X-Resume-Offset").c_str(), nullptr, 10);
+        for (std::size_t i = first; i < TokenCount; ++i) {
+            if (i == first + TokensBeforeSilence && call < m_silences.size()) {
+                co_await core::asyncSleep(m_silences[call]);
+            }
+            const std::string event = R"(data: {"id":")" + attempt + R"(","choices":[{"finish_reason":null,"delta":{"content":")" + tokenText(i) + "\"}}]}\n\n";
+            co_await exchange.writeChunk(event);
+        }
+        const std::string end = "data: [DONE]\n\n";
+        co_await exchange.writeChunk(end);
+        co_await exchange.endResponse();
+    }
+
+    std::vector<std::chrono::milliseconds> m_silences;
+    std::atomic<std::size_t> m_callCount{0};
+    gateway::EventLoopThread m_thread;
+    std::vector<std::unique_ptr<http::Server>> m_servers;
+};
+
+using AdjustSettings = std::function<void(gateway::Settings &)>;
+
+gateway::Settings instanceSettings(const http::Endpoint &platform, const AdjustSettings &adjust)
 {
     gateway::Settings settings;
     settings.node.self.id = core::InstanceId("gw-1");
@@ -151,6 +243,9 @@
     settings.adminKey = "an admin key of some length";
     settings.clusterKey = "a cluster key of some length";
     settings.eventQueueCapacity = EventQueueCapacity;
+    if (adjust) {
+        adjust(settings);
+    }
     return settings;
 }
 
@@ -203,8 +298,8 @@
     gateway::Gateway instance;
     asio::io_context clients{1};
 
-    InstanceFixture()
-        : instance(clock, instanceSettings(platform.endpoint()), [] {})
+    explicit InstanceFixture(const AdjustSettings &adjust = {})
+        : instance(clock, instanceSettings(platform.endpoint(), adjust), [] {})
     {
         bool written = false;
         auto writeConfiguration = [&]() -> asio::awaitable<void> {
@@ -273,6 +368,24 @@
         std::erase_if(sent, isDone);
         return sent;
     }
+    /// Adds upstreams to the platform's list and returns when the instance uses them.
+    void addUpstreams(const SilentUpstreams &upstreams)
+    {
+        http::Request listing;
+        listing.method = "POST";
+        listing.target = "/list";
+        listing.body = upstreams.listing();
+        const auto listed = send(platform.endpoint(), listing);
+        REQUIRE(runUntil([&] { return listed->done; }));
+        REQUIRE(listed->status == 200);
+        std::shared_ptr<PendingResponse> probe;
+        REQUIRE(runUntil([&] {
+            if (probe == nullptr || (probe->done && probe->status != 200)) {
+                probe = send(workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"probe","stream":true})"));
+            }
+            return probe->status == 200;
+        }));
+    }
     bool runUntilDone(const std::vector<std::shared_ptr<PendingResponse>> &sent)
     {
         return runUntil([&] { return std::all_of(sent.begin(), sent.end(), [](const auto &pending) { return pending->done; }); });
@@ -339,6 +452,46 @@
     }
 }
 
+TEST_CASE("a stream that falls silent is given up only if another attempt can replace it", "[instance]")
+{
+    struct Row
+    {
+        std::size_t upstreams;
+        std::size_t maxAttempts;
+        std::vector<std::chrono::milliseconds> silences;
+        std::size_t expectedCalls;
+    };
+    const auto row = GENERATE(values<Row>({
+        {1, 3, {Silence}, 1},             // no other upstream
+        {2, 1, {Silence}, 1},             // no retry left
+        {2, 3, {Silence, Silence}, 2},    // the replacement falls silent too
+        {2, 3, {Hang}, 2},                //
+        {3, 3, {Hang, Hang}, 3},          //
+        {3, 3, {Hang, Hang, Silence}, 3}, // the last attempt that is allowed
+    }));
+    CAPTURE(row.upstreams, row.maxAttempts, row.silences.size());
+    SilentUpstreams upstreams(row.upstreams, row.silences);
+    InstanceFixture fixture([&row](gateway::Settings &settings) {
+        settings.node.maxAttempts = row.maxAttempts;
+        settings.streamIdleTimeout = StreamIdleTimeout;
+    });
+    fixture.addUpstreams(upstreams);
+    const auto pending = fixture.send(workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"counted","stream":true})"));
+    CHECK(fixture.runUntil([&] { return pending->done; }));
+    CAPTURE(pending->body);
+    CHECK(pending->status == 200);
+    std::size_t position = 0;
+    for (std::size_t i = 0; i < SilentUpstreams::TokenCount; ++i) {
+        const std::size_t found = pending->body.find(SilentUpstreams::tokenText(i));
+        CHECK(found != std::string::npos);
+        CHECK(found >= position);
+        CHECK(pending->body.find(SilentUpstreams::tokenText(i), found + 1) == std::string::npos);
+        position = found;
+    }
+    CHECK(pending->body.ends_with("data: [DONE]\n\n"));
+    CHECK(upstreams.callCount() == row.expectedCalls);
+}
+
 TEST_CASE("every action reaches its request however many wait", "[instance]")
 {
     const auto request = GENERATE(values<http::Request>({
