gateway: a silent stream is given up only for an attempt that is certain to replace it

Cause: the attempt ended itself after 10 s, and only then the node looked for a retry. Without another upstream, an allowed attempt or a retry in the budget nothing was left to answer with.

Change: the attempt reports a silence and goes on. The node cancels it only if the request may be retried, another candidate can meet the deadline and the budget grants the retry, which it then reserves. The attempt ignores a cancellation if data has arrived since; the reservation stays for its next silence. A silence that nothing can replace is reported again after the same time, and the deadline ends it. Streams through another instance are watched by the origin, which alone decides on retries; the other instance no longer cuts them.

Not covered: a replacement that fails to connect ends the request if no retry is left, as the silent attempt is gone by then.

Silences of streams through another instance are not tested.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -74,6 +74,81 @@
     return std::max(1ms, std::min(limit, dispatch.remainingTime - used));
 }
 
+/// Reports the silences of one stream while it is relayed, and cancels the attempt if the node asks for it during one.
+class SilenceMonitor
+{
+public:
+    SilenceMonitor(const AttemptContext &context, const AttemptRequest &request, std::function<void()> cancel)
+        : m_control(request.control)
+        , m_state(std::make_shared<State>(context))
+    {
+        m_state->event.key = request.key;
+        m_state->cancel = std::move(cancel);
+        m_control->cancelIfSilent = [state = m_state] {
+            if (state->silent && !std::exchange(state->cancelled, true)) {
+                state->cancel();
+            }
+        };
+        m_state->wait();
+    }
+    SilenceMonitor(const SilenceMonitor &) = delete;
+    SilenceMonitor &operator=(const SilenceMonitor &) = delete;
+    ~SilenceMonitor()
+    {
+        m_control->cancelIfSilent = {};
+        m_state->active = false;
+        m_state->timer.cancel();
+    }
+
+    /// Ends a silence; the client now has `tokensRelayed` tokens.
+    void recordData(std::size_t tokensRelayed, bool responseStarted)
+    {
+        m_state->silent = false;
+        m_state->event.tokensRelayed = tokensRelayed;
+        m_state->event.responseStarted = responseStarted;
+        m_state->wait();
+    }
+    [[nodiscard]] bool cancelled() const
+    {
+        return m_state->cancelled;
+    }
+
+private:
+    struct State : std::enable_shared_from_this<State>
+    {
+        explicit State(const AttemptContext &attemptContext)
+            : timer(attemptContext.executor)
+            , period(attemptContext.streamIdleTimeout)
+            , onSilence(attemptContext.onSilence)
+        {
+        }
+        void wait()
+        {
+            timer.expires_after(period);
+            timer.async_wait([self = shared_from_this()](const boost::system::error_code &code) {
+                const bool superseded = self->timer.expiry() > asio::steady_timer::clock_type::now(); // data arrived in the same turn
+                if (!code && self->active && !superseded) {
+                    self->silent = true;
+                    self->onSilence(self->event);
+                    self->wait(); // asks again: a retry may become possible later
+                }
+            });
+        }
+
+        asio::steady_timer timer;
+        std::chrono::milliseconds period;
+        std::function<void(node::StreamSilent)> onSilence;
+        std::function<void()> cancel;
+        node::StreamSilent event;
+        bool active = true;
+        bool silent = false;
+        bool cancelled = false;
+    };
+
+    std::shared_ptr<AttemptControl> m_control;
+    std::shared_ptr<State> m_state;
+};
+
 //-----------------------------------------------------------------------------
 // Local
 //-----------------------------------------------------------------------------
@@ -161,14 +236,16 @@
     SseStreamFilter filter(dispatch.attempt, request.clientVisibleId);
     std::string recordedBody;
     bool clientConnected = true;
+    SilenceMonitor silence(context, request, [&call] { call.cancel(); });
     while (!filter.complete()) {
-        auto chunk = co_await call.readSome(remainingTimeout(context.streamIdleTimeout, dispatch, startedAt, context.clock));
+        auto chunk = co_await call.readSome(remainingTimeout(dispatch.remainingTime, dispatch, startedAt, context.clock));
         const bool ended = !chunk || chunk.value().empty();
         const std::string events = ended ? std::string() : filter.feed(chunk.value());
         const bool tooLong = filter.partialEventBytes() > MaxEventBytes;
         const bool tooLate = context.clock.steadyNow() - startedAt >= dispatch.remainingTime;
         if (filter.idMismatch() || ended || tooLong || (tooLate && !filter.complete())) {
-            const std::string message = filter.idMismatch() ? "the stream carries the id of another attempt"
+            const std::string message = silence.cancelled() ? "the stream was silent and another attempt replaces it"
+                : filter.idMismatch()                       ? "the stream carries the id of another attempt"
                 : tooLong                                   ? "an event of the stream exceeds the maximum size"
                 : tooLate                                   ? "the stream did not end before the deadline"
                                                             : "the stream ended before its end marker" + (chunk ? std::string() : ": " + chunk.error().message);
@@ -195,6 +272,7 @@
         if (!clientConnected) {
             co_return makeClientDisconnected(request);
         }
+        silence.recordData(request.previouslyRelayedTokens + filter.tokenCount(), exchange.responseStarted());
     }
     if (!co_await exchange.endResponse()) {
         co_return makeClientDisconnected(request);
@@ -292,11 +370,15 @@
 };
 
 /// Relays a peer's response to the client. With `interceptRejections`, a rejection is returned instead of being relayed.
-asio::awaitable<PeerRelayResult>
-relayPeerResponse(const AttemptContext &context, std::shared_ptr<peer::ForwardStream> stream, bool interceptRejections, http::Exchange &exchange)
+asio::awaitable<PeerRelayResult> relayPeerResponse(const AttemptContext &context,
+                                                   const AttemptRequest &request,
+                                                   std::shared_ptr<peer::ForwardStream> stream,
+                                                   bool interceptRejections,
+                                                   http::Exchange &exchange)
 {
     PeerRelayResult relayed;
     http::Response head;
+    std::optional<SilenceMonitor> silence; // of a stream that has begun
     while (true) {
         ChunkResult chunk = co_await readPeerChunk(context.executor, stream);
         if (!chunk) {
@@ -323,6 +405,10 @@
             if (!relayed.clientConnected) {
                 co_return relayed;
             }
+            if (!silence) {
+                silence.emplace(context, request, [stream] { stream->cancel(); });
+            }
+            silence->recordData(request.previouslyRelayedTokens + relayed.tokens, true);
         }
         if (!streamed || relayed.body.size() <= MaxRecordedBytes) {
             relayed.body += chunk->body;
@@ -359,7 +445,7 @@
     call.request.headers["X-Resume-Offset"] = std::to_string(dispatch.resumeOffset);
     call.request.headers["X-Shown-Id"] = request.clientVisibleId;
     const auto stream = context.peerClient.forward(target.address, call);
-    PeerRelayResult relayed = co_await relayPeerResponse(context, stream, true, exchange);
+    PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, true, exchange);
     if (!relayed.clientConnected) {
         co_return makeClientDisconnected(request);
     }
@@ -408,7 +494,7 @@
     }
     const peer::ForwardCall call = makeForwardCall(context, request, forward.remainingTime);
     const auto stream = context.peerClient.forward(forward.address, call);
-    const PeerRelayResult relayed = co_await relayPeerResponse(context, stream, false, exchange);
+    const PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, false, exchange);
     result.relayed = relayed.complete || !relayed.clientConnected;
     if (!result.relayed && exchange.responseStarted()) {
         // A partial response cannot be retracted. Abort, so that the client does not take it as complete.
--- a/src/arbutus/gateway/attempt.h
+++ b/src/arbutus/gateway/attempt.h
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 
 namespace arbutus::gateway {
 
@@ -28,7 +29,14 @@
     core::InstanceRef self;
     core::RegionId region;
     std::function<void(node::FirstTokenReceived)> onFirstToken;
-    std::chrono::milliseconds streamIdleTimeout{10'000}; // longest pause between two chunks of a stream
+    std::chrono::milliseconds streamIdleTimeout{10'000}; // pause of a stream after which another attempt is sought
+    std::function<void(node::StreamSilent)> onSilence = [](node::StreamSilent) {};
+};
+
+/// Cancels the attempt in progress if its stream is silent; used on the executor only.
+struct AttemptControl
+{
+    std::function<void()> cancelIfSilent; // set while a stream is being relayed
 };
 
 /// A request in the form in which attempts send it.
@@ -44,6 +52,7 @@
     bool isServiceCall = false;
     std::string clientVisibleId;             // id in the streamed events that the client receives; stays the same across attempts
     std::size_t previouslyRelayedTokens = 0; // tokens that earlier attempts relayed to the client
+    std::shared_ptr<AttemptControl> control = std::make_shared<AttemptControl>();
 };
 
 /// Runs one attempt and relays its response to the client.
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -41,7 +41,8 @@
 bool isDroppable(const node::Event &event)
 {
     return std::holds_alternative<node::DatagramReceived>(event) || std::holds_alternative<node::LoadReportReceived>(event)
-        || std::holds_alternative<node::PlatformListReceived>(event) || std::holds_alternative<node::FirstTokenReceived>(event);
+        || std::holds_alternative<node::PlatformListReceived>(event) || std::holds_alternative<node::FirstTokenReceived>(event)
+        || std::holds_alternative<node::StreamSilent>(event);
 }
 
 /// Pending replies to calls from other instances, by the key under which the call was posted to the node.
@@ -108,7 +109,8 @@
                                         core::InstanceRef{settings.node.self.id, settings.node.self.incarnation},
                                         settings.node.self.region,
                                         [this](node::FirstTokenReceived event) { post(event); },
-                                        settings.streamIdleTimeout},
+                                        settings.streamIdleTimeout,
+                                        [this](node::StreamSilent event) { post(event); }},
                          decisionLoop,
                          metrics)
         , clientServer(
@@ -187,6 +189,10 @@
     {
         deliver(std::move(action));
     }
+    void execute(node::CancelAttempt &&action)
+    {
+        deliver(action);
+    }
     void execute(node::RejectRequest &&action)
     {
         deliver(std::move(action));
--- a/src/arbutus/gateway/mailbox.h
+++ b/src/arbutus/gateway/mailbox.h
@@ -15,8 +15,13 @@
 namespace arbutus::gateway {
 
 /// Actions that a request's coroutine handles.
-using RequestAction =
-    std::variant<node::AdmissionDecision, node::Dispatch, node::RejectRequest, node::ReplayResponse, node::ForwardToOwner, node::EntriesResponse>;
+using RequestAction = std::variant<node::AdmissionDecision,
+                                   node::Dispatch,
+                                   node::CancelAttempt,
+                                   node::RejectRequest,
+                                   node::ReplayResponse,
+                                   node::ForwardToOwner,
+                                   node::EntriesResponse>;
 
 /// Returns the key of the request that an action belongs to.
 [[nodiscard]] node::RequestKey requestKeyOf(const RequestAction &action);
--- a/src/arbutus/gateway/requesthandler.cpp
+++ b/src/arbutus/gateway/requesthandler.cpp
@@ -215,6 +215,13 @@
 
 void RequestHandler::deliverAction(RequestAction action)
 {
+    if (const auto *cancellation = std::get_if<node::CancelAttempt>(&action)) {
+        const auto control = m_attemptControls.find(cancellation->key);
+        if (control != m_attemptControls.end() && control->second->cancelIfSilent) {
+            control->second->cancelIfSilent();
+        }
+        return;
+    }
     m_mailboxes.deliver(std::move(action));
 }
 
@@ -391,7 +398,9 @@
         co_return;
     }
     if (co_await readBody(exchange, context)) {
+        m_attemptControls[context.key] = context.attempt.control;
         co_await processActions(exchange, context, *mailbox);
+        m_attemptControls.erase(context.key);
     } else {
         const RequestAction action = co_await mailbox->next();
         recordOutcome(context, "bad_body");
--- a/src/arbutus/gateway/requesthandler.h
+++ b/src/arbutus/gateway/requesthandler.h
@@ -16,6 +16,7 @@
 #include "arbutus/peer/server.h"
 
 #include <functional>
+#include <unordered_map>
 
 namespace arbutus::gateway {
 
@@ -49,6 +50,7 @@
     DecisionLoop &m_decisionLoop;
     observe::Metrics &m_metrics;
     MailboxRegistry m_mailboxes;
+    std::unordered_map<node::RequestKey, std::shared_ptr<AttemptControl>> m_attemptControls; // of requests whose actions are processed
     std::uint64_t m_nextId = 1;
 };
 
--- a/src/arbutus/gateway/settings.h
+++ b/src/arbutus/gateway/settings.h
@@ -30,7 +30,7 @@
     std::string clusterKey;
     http::TlsFiles tls;
     std::size_t eventQueueCapacity = 65'536;             // events waiting for the decision thread
-    std::chrono::milliseconds streamIdleTimeout{10'000}; // longest pause between two chunks of a stream
+    std::chrono::milliseconds streamIdleTimeout{10'000}; // pause of a stream after which another attempt is sought
 };
 
 /// Description of one key of the settings file. Keys without a description are rejected as unknown.
--- a/src/arbutus/node/events.h
+++ b/src/arbutus/node/events.h
@@ -95,6 +95,13 @@
     RequestKey key;
     core::Duration elapsed{};
 };
+/// The attempt's stream has been silent for a while. The attempt goes on unless CancelAttempt follows.
+struct StreamSilent
+{
+    RequestKey key;
+    std::size_t tokensRelayed = 0; // complete tokens that the caller has received
+    bool responseStarted = false;  // the caller has received part of the response
+};
 struct AttemptEnded
 {
     RequestKey key;
@@ -159,6 +166,11 @@
     std::size_t resumeOffset = 0;         // tokens that the caller has already received
     core::Revision configRevision;
 };
+/// Cancels the attempt whose stream is silent, since another attempt is certain to replace it.
+struct CancelAttempt
+{
+    RequestKey key;
+};
 struct RejectRequest
 {
     RequestKey key;
@@ -475,6 +487,7 @@
                            RequestBodyReceived,
                            RequestBodyFailed,
                            FirstTokenReceived,
+                           StreamSilent,
                            AttemptEnded,
                            ForwardToOwnerFinished,
                            EntriesRequested,
@@ -494,6 +507,7 @@
 
 using Action = std::variant<AdmissionDecision,
                             Dispatch,
+                            CancelAttempt,
                             RejectRequest,
                             ReplayResponse,
                             ForwardToOwner,
--- a/src/arbutus/node/node.cpp
+++ b/src/arbutus/node/node.cpp
@@ -47,6 +47,11 @@
     m_requests.handle(event);
 }
 
+void Node::on(const StreamSilent &event)
+{
+    m_requests.handle(event);
+}
+
 void Node::on(const AttemptEnded &event)
 {
     m_requests.handle(event);
--- a/src/arbutus/node/node.h
+++ b/src/arbutus/node/node.h
@@ -60,6 +60,7 @@
     void on(const RequestBodyReceived &event);
     void on(const RequestBodyFailed &event);
     void on(const FirstTokenReceived &event);
+    void on(const StreamSilent &event);
     void on(const AttemptEnded &event);
     void on(const ForwardToOwnerFinished &event);
     void on(const EntriesRequested &event);
--- a/src/arbutus/node/requestcontroller.cpp
+++ b/src/arbutus/node/requestcontroller.cpp
@@ -433,7 +433,7 @@
 // Routing and queueing
 //-----------------------------------------------------------------------------
 
-void RequestController::route(RequestKey key, Request &request, bool mayQueue)
+routing::RoutingRequest RequestController::makeRoutingRequest(const Request &request) const
 {
     routing::RoutingRequest routingRequest;
     routingRequest.model = request.body.model;
@@ -445,7 +445,12 @@
     routingRequest.localOnly = !request.head.via.empty() || request.head.forwarded;
     routingRequest.excludedUpstreams = request.triedUpstreams;
     routingRequest.excludedDomains = request.triedDomains;
-    const auto choice = routing::choose(m_router, routingRequest, m_state.upstreamTable, m_state.now());
+    return routingRequest;
+}
+
+void RequestController::route(RequestKey key, Request &request, bool mayQueue)
+{
+    const auto choice = routing::choose(m_router, makeRoutingRequest(request), m_state.upstreamTable, m_state.now());
     if (!choice) {
         core::Error error = request.mayHaveRun
             ? core::makeUnknownOutcomeError(core::ErrorKind::UpstreamFailed, "every attempted upstream failed before it completed the response")
@@ -639,13 +644,38 @@
     m_state.upstreamTable.recordAttemptEnd(request.attemptTarget->upstream, upstreamHealthy, m_state.now());
 }
 
-bool RequestController::acquireRetry(const Request &request, const AttemptEnded &event)
+bool RequestController::mayRetry(const Request &request, const AttemptEnded &event) const
 {
     const bool safeToRepeat = event.result == AttemptResult::NotRun || request.repeatable;
     const bool responseResumable = !event.responseStarted || (request.repeatable && request.body.stream && event.tokensRelayed > 0);
     const bool isOrigin = request.head.originAttempt.empty(); // otherwise the origin decides
     return safeToRepeat && responseResumable && isOrigin && !m_state.draining && request.attempts < m_state.settings.maxAttempts
-        && m_state.now() < request.deadline && m_retryBudget.tryRetry();
+        && m_state.now() < request.deadline;
+}
+
+void RequestController::handle(const StreamSilent &event)
+{
+    const auto found = m_requests.find(event.key);
+    if (found == m_requests.end() || !found->second.attemptTarget) {
+        return;
+    }
+    Request &request = found->second;
+    if (!request.retryReserved) {
+        AttemptEnded silentAttempt;
+        silentAttempt.tokensRelayed = event.tokensRelayed;
+        silentAttempt.responseStarted = event.responseStarted;
+        routing::RoutingRequest routingRequest = makeRoutingRequest(request);
+        routingRequest.excludedUpstreams.insert(request.attemptTarget->upstream);
+        if (request.attemptTarget->upstream.empty()) {
+            routingRequest.excludedDomains.insert(request.attemptTarget->domain);
+        }
+        const auto choice = routing::choose(m_router, routingRequest, m_state.upstreamTable, m_state.now());
+        if (!choice || checkDeadline(request, choice->chosen) || !mayRetry(request, silentAttempt) || !m_retryBudget.tryRetry()) {
+            return;
+        }
+        request.retryReserved = true;
+    }
+    m_state.emit(CancelAttempt{event.key});
 }
 
 void RequestController::handle(const AttemptEnded &event)
@@ -677,7 +707,8 @@
             request.triedUpstreams.insert(request.attemptTarget->upstream);
         }
     }
-    if (acquireRetry(request, event)) {
+    const bool retryReserved = std::exchange(request.retryReserved, false);
+    if (mayRetry(request, event) && (retryReserved || m_retryBudget.tryRetry())) {
         request.attemptTarget.reset();
         route(event.key, request, false);
         return;
--- a/src/arbutus/node/requestcontroller.h
+++ b/src/arbutus/node/requestcontroller.h
@@ -36,6 +36,7 @@
     void handle(const RequestBodyReceived &event);
     void handle(const RequestBodyFailed &event);
     void handle(const FirstTokenReceived &event);
+    void handle(const StreamSilent &event);
     void handle(const AttemptEnded &event);
     void handle(const ForwardToOwnerFinished &event);
     void handle(const IdempotencyKeyClaimed &event);
@@ -80,6 +81,7 @@
         std::set<core::UpstreamId> triedUpstreams;
         std::set<core::DomainId> triedDomains;
         std::optional<routing::ScoredCandidate> attemptTarget; // of the attempt in progress
+        bool retryReserved = false;                            // for the end of an attempt that CancelAttempt was emitted for
         std::size_t tokensRelayed = 0;
         core::DecisionId decision;
         std::string queueName; // admission queue that holds it; empty = not queued
@@ -102,6 +104,7 @@
     void lookUpHandedOverRecord(RequestKey key, Request &request);
     void respondFromRecord(RequestKey key, Request &request, const delivery::LedgerResult &result);
 
+    [[nodiscard]] routing::RoutingRequest makeRoutingRequest(const Request &request) const;
     void route(RequestKey key, Request &request, bool mayQueue);
     bool tryEnqueue(RequestKey key, Request &request, const routing::RoutingDecision &choice);
     [[nodiscard]] bool hasCapacity(const routing::RoutingDecision &choice);
@@ -109,7 +112,7 @@
     [[nodiscard]] core::TimePoint latestDispatchTime(const Request &request, const routing::ScoredCandidate &scored) const;
     void dispatch(RequestKey key, Request &request, const routing::RoutingDecision &choice, core::Duration delay);
     [[nodiscard]] std::variant<LocalTarget, PeerTarget> makeTarget(const Request &request, const routing::ScoredCandidate &scored);
-    [[nodiscard]] bool acquireRetry(const Request &request, const AttemptEnded &event);
+    [[nodiscard]] bool mayRetry(const Request &request, const AttemptEnded &event) const;
     void recordAttemptEnd(const Request &request, const AttemptEnded &event);
     void recordFinalOutcome(const Request &request, delivery::RecordedOutcome outcome);
     void respondToTicketWaiters(const Request &request);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -341,6 +341,11 @@
     });
 }
 
+void Fleet::execute(std::size_t /*index*/, const node::CancelAttempt & /*action*/)
+{
+    // attempts are never silent here
+}
+
 void Fleet::execute(std::size_t /*index*/, const node::RejectRequest &action)
 {
     finishRequest(action.key.value, true, RequestResult{true, false, false, false, action.error.outcome, action.error.kind, action.replacementTicket});
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -231,6 +231,7 @@
 
     void execute(std::size_t node, const node::AdmissionDecision &action);
     void execute(std::size_t node, const node::Dispatch &action);
+    void execute(std::size_t node, const node::CancelAttempt &action);
     void execute(std::size_t node, const node::RejectRequest &action);
     void execute(std::size_t node, const node::ReplayResponse &action);
     void execute(std::size_t node, const node::ForwardToOwner &action);
