--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/gateway/gateway.h"
 
+#include "arbutus/core/asyncsleep.h"
 #include "arbutus/gateway/adminserver.h"
 #include "arbutus/gateway/decisionlog.h"
 #include "arbutus/gateway/decisionloop.h"
@@ -15,8 +16,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include <map>
 #include <mutex>
@@ -30,7 +33,17 @@
 
 constexpr auto ConfigFetchTimeout = 1'000ms; // for fetching configuration from another instance
 constexpr auto TlsReloadInterval = 5s;
-constexpr std::size_t RequestQueueCapacity = 65'536; // actions waiting for the request thread
+constexpr auto StopTimeout = 5'000ms; // for responses to requests that have been read; a client may not read its response
+constexpr auto StopPollPeriod = 5ms;
+
+/// Whether an event may be dropped in an overload: its sender repeats it, or it only carries a measurement. Requests and their
+/// peers wait for the others.
+bool isDroppable(const node::Event &event)
+{
+    return std::holds_alternative<node::DatagramReceived>(event) || std::holds_alternative<node::LoadReportReceived>(event)
+        || std::holds_alternative<node::PlatformListReceived>(event) || std::holds_alternative<node::FirstTokenReceived>(event)
+        || std::holds_alternative<node::StreamSilent>(event);
+}
 
 /// Pending replies to calls from other instances, by the key under which the call was posted to the node.
 template<class Reply>
@@ -95,10 +108,11 @@
                                         connectionPool,
                                         core::InstanceRef{settings.node.self.id, settings.node.self.incarnation},
                                         settings.node.self.region,
-                                        [this](node::FirstTokenReceived event) { post(event); }},
+                                        [this](node::FirstTokenReceived event) { post(event); },
+                                        settings.streamIdleTimeout,
+                                        [this](node::StreamSilent event) { post(event); }},
                          decisionLoop,
                          metrics)
-        , actionQueue(requestThread.executor(), RequestQueueCapacity, [this](RequestAction &&action) { requestHandler.deliverAction(std::move(action)); })
         , clientServer(
               requestThread.executor(),
               settings.clientEndpoint,
@@ -147,50 +161,53 @@
         return handlers;
     }
 
-    /// Posts an event that may be dropped if the queue is full because its sender repeats it.
     void post(node::Event event)
     {
-        if (!decisionLoop.tryPost(std::move(event))) {
+        if (!isDroppable(event)) {
+            decisionLoop.post(std::move(event));
+        } else if (!decisionLoop.tryPost(std::move(event))) {
             metrics.incrementCounter("arbutus_events_dropped_total");
         }
     }
 
-    /// Posts an event that a request is waiting for; blocks while the queue is full.
-    void postBlocking(const node::Event &event)
-    {
-        while (!decisionLoop.tryPost(event)) {
-            std::this_thread::sleep_for(1ms);
-        }
-    }
-
     void dispatchAction(node::Action &&action)
     {
         std::visit([this](auto &alternative) { execute(std::move(alternative)); }, action);
     }
 
+    /// Passes an action to its request. The number of actions that wait is bounded by that of the open requests, so they need no
+    /// limit of their own.
+    void deliver(RequestAction action)
+    {
+        asio::post(requestThread.executor(), [this, action = std::move(action)]() mutable { requestHandler.deliverAction(std::move(action)); });
+    }
     void execute(node::AdmissionDecision &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::Dispatch &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
+    }
+    void execute(node::CancelAttempt &&action)
+    {
+        deliver(action);
     }
     void execute(node::RejectRequest &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::ReplayResponse &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::ForwardToOwner &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::EntriesResponse &&action)
     {
-        actionQueue.tryPush(std::move(action));
+        deliver(std::move(action));
     }
     void execute(node::LedgerCallResponse &&action)
     {
@@ -202,7 +219,7 @@
         const auto timeout = isIntent ? settings.node.witnessTimeout / 2 : settings.node.witnessTimeout;
         metrics.incrementCounter("arbutus_ledger_calls_total", "way=\"out\"");
         peerClient.callLedger(action.address, action.call, timeout, [this, key = action.key](std::optional<delivery::LedgerResult> result) {
-            postBlocking(node::LedgerResponseReceived{key, std::move(result)});
+            post(node::LedgerResponseReceived{key, std::move(result)});
         });
     }
     void execute(node::ClaimIdempotencyKey &&action)
@@ -284,8 +301,24 @@
         }
     }
 
+    /// Accepts no more connections and waits until the requests that have been read are answered.
+    asio::awaitable<void> closeClientServer()
+    {
+        clientServer.closeAfterResponses();
+        clientServer.stopAccepting();
+        const core::TimePoint deadline = clock.steadyNow() + StopTimeout;
+        do {
+            clientServer.closeIdleConnections();
+            co_await core::asyncSleep(StopPollPeriod);
+        } while (clientServer.hasOpenRequests() && clock.steadyNow() < deadline);
+        if (clientServer.hasOpenRequests()) {
+            observe::LogLine("stopped_with_open_requests").add("open_requests", clientServer.activeExchangeCount()).warn();
+        }
+    }
+
     const core::Clock &clock;
     Settings settings;
+    bool running = false;
     std::function<void()> onDrained;
     observe::Metrics metrics;
     std::shared_ptr<http::ReloadableTlsContext> tls;
@@ -297,7 +330,6 @@
     http::ConnectionPool connectionPool;
     DecisionLoop decisionLoop;
     RequestHandler requestHandler;
-    EventLoopQueue<RequestAction> actionQueue;
     http::Server clientServer;
     GossipTransport gossipTransport;
     PlatformClient platformClient;
@@ -328,6 +360,7 @@
         asio::co_spawn(impl.requestThread.executor(), impl.reloadTls(), asio::detached);
     }
     impl.requestThread.start();
+    impl.running = true;
     impl.adminServer.start();
     observe::LogLine("gateway_started")
         .add("instance", impl.settings.node.self.id)
@@ -343,10 +376,18 @@
     m_impl->post(node::DrainRequested{});
 }
 
+std::uint16_t Gateway::clientPort() const
+{
+    return m_impl->clientServer.port();
+}
+
 void Gateway::stop()
 {
     Impl &impl = *m_impl;
-    impl.clientServer.stopAccepting();
+    if (std::exchange(impl.running, false)) {
+        drain(); // requests that arrive from now on are rejected
+        asio::co_spawn(impl.requestThread.executor(), impl.closeClientServer(), asio::use_future).wait();
+    }
     impl.peerServer.stop();
     impl.decisionLoop.stop();
     impl.requestThread.stop();
--- a/src/arbutus/gateway/gateway.h
+++ b/src/arbutus/gateway/gateway.h
@@ -14,6 +14,7 @@
 
 #include "arbutus/gateway/settings.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -33,7 +34,10 @@
     void start();
     /// Starts a graceful shutdown.
     void drain();
+    /// Rejects further requests, waits for the responses to those that have been read and ends the threads.
     void stop();
+    /// Port of the client listener, of use if the settings leave its choice to the system.
+    [[nodiscard]] std::uint16_t clientPort() const;
 
 private:
     struct Impl;
--- a/src/arbutus/gateway/requesthandler.h
+++ b/src/arbutus/gateway/requesthandler.h
@@ -16,6 +16,7 @@
 #include "arbutus/peer/server.h"
 
 #include <functional>
+#include <unordered_map>
 
 namespace arbutus::gateway {
 
@@ -43,13 +44,13 @@
     boost::asio::awaitable<void> sendEntries(http::Exchange &exchange, bool ticketsOnly);
     boost::asio::awaitable<void> sendModels(http::Exchange &exchange);
     boost::asio::awaitable<void> sendRejection(http::Exchange &exchange, const node::RejectRequest &rejection);
-    boost::asio::awaitable<void> postWithRetry(node::Event event);
     void recordOutcome(const RequestContext &context, std::string_view outcome);
 
     AttemptContext m_attemptContext;
     DecisionLoop &m_decisionLoop;
     observe::Metrics &m_metrics;
     MailboxRegistry m_mailboxes;
+    std::unordered_map<node::RequestKey, std::shared_ptr<AttemptControl>> m_attemptControls; // of requests whose actions are processed
     std::uint64_t m_nextId = 1;
 };
 
