http: tests for timers of the server that are due in the turn of a completed operation

Every timer of the server (idle, header, body, write) against the operations that it guards, with and without an announced stop: the event loop is held up past the timer while the bytes arrive.

--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -84,6 +84,13 @@
         if (exchange.request().path() == "/watch") {
             exchange.onClientDisconnect([] {});
         }
+        if (exchange.request().path() == "/large") { // more than the socket buffers hold
+            constexpr std::size_t LargeBytes = 5 * 1024 * 1024;
+            http::Response response;
+            response.body = std::string(LargeBytes, 'x') + "large end";
+            co_await exchange.respond(response);
+            co_return;
+        }
         http::Response response;
         response.body = exchange.request().method + " " + exchange.request().body;
         co_await exchange.respond(response);
@@ -507,6 +514,150 @@
     CHECK((answered || (notRead && row.sentInTime == 0)));
 }
 
+namespace {
+
+enum class ServerTimer { Idle, Header, Body, Write };
+
+/// An operation that completes while the event loop is held up past a timer, so that both are due in the same turn.
+struct TimerTurn
+{
+    const char *name;
+    std::string inTime;     // received before the event loop is held up
+    std::string completed;  // arrives while it is held up; Write: arrives before, and the client reads meanwhile
+    std::string afterwards; // sent later
+    std::string expected;   // last bytes that the client receives
+};
+
+const std::string WholeRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+const std::string WatchingRequest = "POST /watch HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst";
+const std::string LargeRequest = "POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+const std::string StreamRequest = "POST /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+constexpr std::size_t HalfHeader = 20; // bytes
+
+std::string withoutBody(const std::string &request)
+{
+    return request.substr(0, request.size() - 4);
+}
+
+void checkTimerTurn(ServerTimer timer, const TimerTurn &row, bool stopAnnounced)
+{
+    CAPTURE(row.name, stopAnnounced);
+    constexpr std::chrono::milliseconds Timeout = 100ms;
+    constexpr auto Blocked = 2 * Timeout; // of the event loop
+    http::ServerLimits limits;
+    (timer == ServerTimer::Idle         ? limits.idleTimeout
+         : timer == ServerTimer::Header ? limits.headerTimeout
+         : timer == ServerTimer::Body   ? limits.bodyTimeout
+                                        : limits.writeTimeout) = Timeout;
+    EchoServer server(limits);
+    asio::ip::tcp::socket client(server.context);
+    std::string received;
+    boost::system::error_code code;
+    constexpr int EnoughTurns = 20; // of the event loop, to handle all that has arrived
+    const auto runTurns = [&]() -> asio::awaitable<void> {
+        for (int i = 0; i < EnoughTurns; ++i) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+    };
+    const auto readAvailable = [&] { // without the event loop
+        std::array<char, 65'536> readBuffer{};
+        while (client.available() > 0) {
+            received.append(readBuffer.data(), client.read_some(asio::buffer(readBuffer)));
+        }
+    };
+    auto sendAndReceive = [&]() -> asio::awaitable<bool> {
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        asio::write(client, asio::buffer(row.inTime)); // on loopback, it has arrived when this returns
+        co_await runTurns();
+        if (stopAnnounced) {
+            server.server.closeAfterResponses();
+        }
+        asio::write(client, asio::buffer(row.completed));
+        if (timer == ServerTimer::Write) { // the response fills the socket buffers
+            co_await runTurns();
+            readAvailable();
+        }
+        std::this_thread::sleep_for(Blocked);
+        co_await runTurns();
+        if (!row.afterwards.empty()) {
+            asio::write(client, asio::buffer(row.afterwards), code);
+        }
+        std::vector<char> readBuffer(65'536);
+        while (!code && !received.ends_with(row.expected)) {
+            const std::size_t count = co_await client.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+            received.append(readBuffer.data(), count);
+        }
+        co_return received.ends_with(row.expected);
+    };
+    const bool answered = server.run(sendAndReceive());
+    constexpr std::size_t CapturedBytes = 300;
+    CAPTURE(received.size(), received.substr(0, CapturedBytes), code.message());
+    CHECK(answered);
+}
+
+} // namespace
+
+TEST_CASE("a request that arrives in the turn of the idle timer is answered", "[http]")
+{
+    const bool stopAnnounced = GENERATE(false, true);
+    const auto row = GENERATE(values<TimerTurn>({
+        {"first bytes of a header", "", WholeRequest.substr(0, HalfHeader), WholeRequest.substr(HalfHeader), "POST body"},
+        {"header", "", withoutBody(WholeRequest), "body", "POST body"},
+        {"whole request", "", WholeRequest, "", "POST body"},
+        {"first bytes of a header after a request that watched",
+         WatchingRequest,
+         WholeRequest.substr(0, HalfHeader),
+         WholeRequest.substr(HalfHeader),
+         "POST body"},
+        {"whole request after one that watched", WatchingRequest, WholeRequest, "", "POST body"},
+    }));
+    if (stopAnnounced && !row.inTime.empty()) {
+        checkTimerTurn(ServerTimer::Idle, row, false); // the stop is announced by the response to the second request only
+        return;
+    }
+    checkTimerTurn(ServerTimer::Idle, row, stopAnnounced);
+}
+
+TEST_CASE("a request whose header is complete in the turn of the header timer is answered", "[http]")
+{
+    const bool stopAnnounced = GENERATE(false, true);
+    const auto row = GENERATE(values<TimerTurn>({
+        {"rest of the header", WholeRequest.substr(0, HalfHeader), withoutBody(WholeRequest).substr(HalfHeader), "body", "POST body"},
+        {"rest of the request", WholeRequest.substr(0, HalfHeader), WholeRequest.substr(HalfHeader), "", "POST body"},
+        {"rest of the request, the first part with a request that watched",
+         WatchingRequest + WholeRequest.substr(0, HalfHeader),
+         WholeRequest.substr(HalfHeader),
+         "",
+         "POST body"},
+    }));
+    checkTimerTurn(ServerTimer::Header, row, stopAnnounced && !row.inTime.starts_with("POST /watch"));
+    const std::string nextBegun = WholeRequest + WatchingRequest.substr(0, HalfHeader);
+    checkTimerTurn(ServerTimer::Header, TimerTurn{"next requests", nextBegun, WatchingRequest.substr(HalfHeader) + WholeRequest, "", "POST body"}, false);
+}
+
+TEST_CASE("a request whose body is complete in the turn of the body timer is answered", "[http]")
+{
+    const bool stopAnnounced = GENERATE(false, true);
+    const auto row = GENERATE(values<TimerTurn>({
+        {"last bytes", withoutBody(WholeRequest), "body", "", "POST body"},
+        {"last bytes in two reads", withoutBody(WholeRequest) + "bo", "dy", "", "POST body"},
+        {"last bytes, after a request that watched", WatchingRequest + withoutBody(WholeRequest), "body", "", "POST body"},
+        {"last bytes, large response", withoutBody(LargeRequest), "body", "", "large end"},
+        {"last bytes, stream", withoutBody(StreamRequest), "body", "", "0\r\n\r\n"},
+    }));
+    checkTimerTurn(ServerTimer::Body, row, stopAnnounced);
+    checkTimerTurn(ServerTimer::Body, TimerTurn{"last bytes and the next request", withoutBody(StreamRequest), "body" + WholeRequest, "", "POST body"}, false);
+}
+
+TEST_CASE("a response is delivered whole if its last bytes are written in the turn of the write timer", "[http]")
+{
+    const bool stopAnnounced = GENERATE(false, true);
+    checkTimerTurn(ServerTimer::Write, TimerTurn{"large response", "", LargeRequest, "", "large end"}, stopAnnounced);
+    checkTimerTurn(ServerTimer::Write, TimerTurn{"stream", "", StreamRequest, "", "0\r\n\r\n"}, stopAnnounced);
+    checkTimerTurn(ServerTimer::Write, TimerTurn{"next request", "", LargeRequest, WholeRequest, "POST body"}, false);
+}
+
 TEST_CASE("a request that follows a stream begun before a planned stop is answered or not read", "[http]")
 {
     EchoServer server;
