http: a request whose header is complete when the header timer is due is answered

What callers saw: the connection ends without a byte of an answer to a request that was sent in time. Cause: the header timer was that of the stream. It closes the socket and turns a read that has completed in the same turn into a timeout, if its handler runs first. That is so when the wait for a disconnect of the previous exchange is still on the socket, because the first part of the request came with the previous request. The class is that of the idle timer: a timer ends an operation without knowing that it has completed. Why it works: header and idle timer are now the same ReadTimer. It cancels the read only if nothing has arrived, keeps data that was read, and is inert once the read has ended. The stream's own timeout serves writes and the end of a TLS connection only, which get limits of their own now, since they ran with what the header left. TLS connections have no test.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -32,29 +32,29 @@
 
 namespace {
 
-/// A connection that waits for the first byte of the next request.
-struct IdleConnection : std::enable_shared_from_this<IdleConnection>
+/// Time limit of one read, which may consist of several operations on the socket.
+struct ReadTimer : std::enable_shared_from_this<ReadTimer>
 {
-    explicit IdleConnection(Tcp::socket &theSocket)
+    explicit ReadTimer(Tcp::socket &theSocket)
         : socket(&theSocket)
         , timer(theSocket.get_executor())
     {
     }
 
-    /// Ends the wait after `duration`, and checks again after each further `duration` in case the data was less than a TLS record.
-    void startTimer(std::chrono::milliseconds duration)
+    /// Ends the read after `limit`, and checks again after each further `limit` in case data had arrived.
+    void start(std::chrono::milliseconds limit)
     {
-        idleTimeout = duration;
-        timer.expires_after(duration);
+        duration = limit;
+        timer.expires_after(limit);
         waitForTimer();
     }
 
-    /// Extends the current wait if `duration` is longer than the one it started with.
-    void extendTimer(std::chrono::milliseconds duration)
+    /// Extends the current wait if `limit` is longer than the one it started with.
+    void extend(std::chrono::milliseconds limit)
     {
-        if (duration > idleTimeout) {
-            timer.expires_at(timer.expiry() + (duration - idleTimeout));
-            idleTimeout = duration;
+        if (limit > duration) {
+            timer.expires_at(timer.expiry() + (limit - duration));
+            duration = limit;
             waitForTimer();
         }
     }
@@ -62,16 +62,17 @@
     void waitForTimer()
     {
         timer.async_wait([self = shared_from_this()](const ErrorCode &code) {
-            const bool expired = !code && self->timer.expiry() <= std::chrono::steady_clock::now(); // not extended in the same turn
-            if (expired && self->socket != nullptr) {
+            const bool isDue = !code && self->timer.expiry() <= std::chrono::steady_clock::now(); // not extended in the same turn
+            if (isDue && self->socket != nullptr) {
+                self->expired = true;
                 self->cancelUnlessReceiving();
-                self->startTimer(self->idleTimeout);
+                self->start(self->duration);
             }
         });
     }
 
-    /// Ends the wait unless data has arrived. cancel(), not close(): a read that has completed but whose coroutine has not
-    /// resumed yet keeps its request.
+    /// Ends the read unless data has arrived. cancel(), not close(): a read that has completed but whose coroutine has not
+    /// resumed yet keeps its data.
     void cancelUnlessReceiving() const
     {
         ErrorCode code;
@@ -80,9 +81,36 @@
         }
     }
 
-    Tcp::socket *socket; // null once the wait has ended
+    Tcp::socket *socket; // null once the read has ended
     asio::steady_timer timer;
-    std::chrono::milliseconds idleTimeout{0};
+    std::chrono::milliseconds duration{0};
+    bool expired = false;
+};
+
+/// Runs a ReadTimer for the lifetime of the object.
+class ReadLimit
+{
+public:
+    ReadLimit(Tcp::socket &socket, std::chrono::milliseconds limit)
+        : m_timer(std::make_shared<ReadTimer>(socket))
+    {
+        m_timer->start(limit);
+    }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+    ~ReadLimit()
+    {
+        m_timer->socket = nullptr; // the timer may be due already
+        m_timer->timer.cancel();
+    }
+
+    [[nodiscard]] const std::shared_ptr<ReadTimer> &timer() const
+    {
+        return m_timer;
+    }
+
+private:
+    std::shared_ptr<ReadTimer> m_timer;
 };
 
 } // namespace
@@ -103,9 +131,9 @@
     std::shared_ptr<ReloadableTlsContext> tls;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> exchanges{0};
-    std::atomic<std::size_t> requests{0};           // of which at least the first byte has been read
-    std::atomic<bool> sendConnectionClose{false};   // add `Connection: close` to responses
-    std::set<std::shared_ptr<IdleConnection>> idle; // accessed only on the executor
+    std::atomic<std::size_t> requests{0};         // of which at least the first byte has been read
+    std::atomic<bool> sendConnectionClose{false}; // add `Connection: close` to responses
+    std::set<std::shared_ptr<ReadTimer>> idle;    // waits for the first byte of a request; accessed only on the executor
     std::function<void(const UnansweredRequest &)> onUnanswered;
 };
 
@@ -516,23 +544,20 @@
 public:
     IdleRegistration(Server::State &state, Tcp::socket &socket)
         : m_state(state)
-        , m_connection(std::make_shared<IdleConnection>(socket))
+        , m_limit(socket, state.limits.idleTimeout)
     {
-        m_state.idle.insert(m_connection);
-        m_connection->startTimer(state.limits.idleTimeout);
+        m_state.idle.insert(m_limit.timer());
     }
     IdleRegistration(const IdleRegistration &) = delete;
     IdleRegistration &operator=(const IdleRegistration &) = delete;
     ~IdleRegistration()
     {
-        m_connection->socket = nullptr;
-        m_connection->timer.cancel();
-        m_state.idle.erase(m_connection);
+        m_state.idle.erase(m_limit.timer());
     }
 
 private:
     Server::State &m_state;
-    std::shared_ptr<IdleConnection> m_connection;
+    ReadLimit m_limit;
 };
 
 /// Waits for the first byte of the next request; false if the connection ended or the idle timeout expired.
@@ -543,7 +568,7 @@
         co_return true;
     }
     const IdleRegistration registration(state, beast::get_lowest_layer(stream).socket());
-    beast::get_lowest_layer(stream).expires_never(); // the stream's own timeout drops a read that has completed in the same turn
+    beast::get_lowest_layer(stream).expires_never(); // its timeout drops a read that has completed in the same turn
     ErrorCode code;
     constexpr std::size_t FirstReadBytes = 8192;
     const std::size_t received = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), asio::redirect_error(asio::use_awaitable, code));
@@ -595,16 +620,21 @@
         typename StreamExchange<Stream>::HeaderParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(boost::none);
-        beast::get_lowest_layer(stream).expires_after(limits.headerTimeout);
         ErrorCode code;
-        co_await wire::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+        {
+            const ReadLimit readLimit(beast::get_lowest_layer(stream).socket(), limits.headerTimeout);
+            beast::get_lowest_layer(stream).expires_never(); // its timeout drops a read that has completed in the same turn
+            co_await wire::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+        }
         if (code) {
+            beast::get_lowest_layer(stream).expires_after(limits.writeTimeout);
             co_await rejectHeaders(stream, code);
             co_return ConnectionEnd::WithRequest;
         }
         const std::string_view ambiguity = findAmbiguity(parser.get());
         if (!ambiguity.empty()) {
             std::string reason(ambiguity);
+            beast::get_lowest_layer(stream).expires_after(limits.writeTimeout);
             co_await rejectRequest(stream, std::move(reason));
             co_return ConnectionEnd::WithRequest;
         }
@@ -637,6 +667,7 @@
         co_await stream.async_handshake(asio::ssl::stream_base::server, asio::redirect_error(asio::use_awaitable, code));
         if (!code) {
             co_await serveStream(stream, state);
+            beast::get_lowest_layer(stream).expires_after(LingerTimeout);
             co_await stream.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
         }
     } catch (const std::exception &) {
@@ -734,7 +765,7 @@
 {
     m_state->limits = limits;
     for (const auto &connection : m_state->idle) {
-        connection->extendTimer(limits.idleTimeout);
+        connection->extend(limits.idleTimeout);
     }
 }
 
