http: tests for a body timer that is due in the turn of a read

A body timer that is due in the same turn as the last bytes of a body cancels the wait for a disconnect that follows: the client's end during the request is not noticed. One that is due while a read has completed and the next has not begun is lost: a body that stalls afterwards is waited for without a limit (no status 400 within 20 body timeouts).

--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -28,11 +28,12 @@
 namespace {
 
 /// Server whose handler echoes the request body, or streams three chunks on /stream. On /watch it also watches for a
-/// disconnect of the client.
+/// disconnect of the client, for which it waits on /wait.
 struct EchoServer
 {
     asio::io_context context{1};
     int handled = 0;
+    bool disconnected = false;                                   // the client of a request to /wait
     std::function<asio::awaitable<void>()> beforeStreamEnd = {}; // called before the last chunk
     http::Server server;
 
@@ -84,6 +85,13 @@
         if (exchange.request().path() == "/watch") {
             exchange.onClientDisconnect([] {});
         }
+        if (exchange.request().path() == "/wait") {
+            exchange.onClientDisconnect([this] { disconnected = true; });
+            while (!disconnected) {
+                co_await asio::post(context, asio::use_awaitable);
+            }
+            co_return;
+        }
         if (exchange.request().path() == "/large") { // more than the socket buffers hold
             constexpr std::size_t LargeBytes = 5 * 1024 * 1024;
             http::Response response;
@@ -658,6 +666,77 @@
     checkTimerTurn(ServerTimer::Write, TimerTurn{"next request", "", LargeRequest, WholeRequest, "POST body"}, false);
 }
 
+TEST_CASE("a body of which nothing more arrives ends after the body timer also if the timer was due in the turn of a read", "[http]")
+{
+    http::ServerLimits limits;
+    limits.bodyTimeout = 100ms;
+    constexpr auto Blocked = 200ms; // of the event loop
+    constexpr std::size_t BodyBytes = 1'000'000;
+    constexpr std::size_t ArrivedBytes = 300'000; // several reads
+    EchoServer server(limits);
+    asio::ip::tcp::socket client(server.context);
+    auto stall = [&]() -> asio::awaitable<std::string> {
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        asio::write(client, asio::buffer("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n"));
+        constexpr int EnoughTurns = 20; // of the event loop, to read the header
+        for (int i = 0; i < EnoughTurns; ++i) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        asio::write(client, asio::buffer(std::string(ArrivedBytes, 'x')));
+        std::this_thread::sleep_for(Blocked);
+        asio::steady_timer noResponse(server.context, 20 * limits.bodyTimeout);
+        noResponse.async_wait([&](const boost::system::error_code &code) {
+            if (!code) {
+                client.cancel();
+            }
+        });
+        std::array<char, 2048> readBuffer{};
+        boost::system::error_code code;
+        const std::size_t received = co_await client.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+        co_return std::string(readBuffer.data(), received);
+    };
+    CHECK(server.run(stall()).starts_with("HTTP/1.1 400"));
+}
+
+TEST_CASE("a body timer that is due in the turn of the last bytes leaves the wait for a disconnect in place", "[http]")
+{
+    http::ServerLimits limits;
+    limits.bodyTimeout = 100ms;
+    constexpr auto Blocked = 200ms; // of the event loop
+    EchoServer server(limits);
+    auto disconnectAfterBody = [&]() -> asio::awaitable<bool> {
+        asio::ip::tcp::socket client(server.context);
+        const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.server.port());
+        co_await client.async_connect(target, asio::use_awaitable);
+        constexpr int EnoughTurns = 20; // of the event loop, to read what has arrived
+        const auto sendAndRun = [&](std::string bytes) -> asio::awaitable<void> {
+            asio::write(client, asio::buffer(bytes)); // on loopback, it has arrived when this returns
+            if (bytes == "body") {
+                std::this_thread::sleep_for(Blocked);
+            }
+            for (int i = 0; i < EnoughTurns; ++i) {
+                co_await asio::post(server.context, asio::use_awaitable);
+            }
+        };
+        std::string head = "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+        std::string body = "body";
+        co_await sendAndRun(std::move(head));
+        co_await sendAndRun(std::move(body));
+        client.close();
+        for (int i = 0; i < EnoughTurns && !server.disconnected; ++i) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        const bool noticed = server.disconnected;
+        server.disconnected = true; // ends the handler
+        while (server.server.openConnectionCount() > 0) {
+            co_await asio::post(server.context, asio::use_awaitable);
+        }
+        co_return noticed;
+    };
+    CHECK(server.run(disconnectAfterBody()));
+}
+
 TEST_CASE("a request that follows a stream begun before a planned stop is answered or not read", "[http]")
 {
     EchoServer server;
