http: the body timer ends the read of the body and nothing else

What callers saw: a client that closes its connection after its body arrived late is not noticed, and its request goes on; a body that stalls after the timer was due is waited for without a limit. Cause: the timer cancelled whatever was pending on the socket when its handler ran. After the last bytes that is a later operation; between two reads it is nothing, and no further timer was set. The class is that of the idle and header timers. Why it works: the body has the ReadTimer of the header: inert once the read has ended, it cancels only if nothing has arrived, and it checks again after each further limit.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -187,7 +187,6 @@
         , m_parser(parser)
         , m_limits(limits)
         , m_sendConnectionClose(sendConnectionClose)
-        , m_timer(stream.get_executor())
     {
         const auto &message = m_parser.get();
         m_request.method = std::string(message.method_string());
@@ -226,13 +225,17 @@
         co_await sendContinueIfExpected();
         wire::request_parser<wire::string_body> parser(std::move(m_parser));
         parser.body_limit(m_limits.maxBodyBytes);
-        const auto timedOut = cancelReadAfter(m_limits.bodyTimeout);
         ErrorCode code;
-        co_await wire::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
-        m_timer.cancel();
+        {
+            const ReadLimit readLimit(beast::get_lowest_layer(m_stream).socket(), m_limits.bodyTimeout);
+            co_await wire::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+            if (code == asio::error::operation_aborted && readLimit.timer()->expired) {
+                code = beast::error::timeout;
+            }
+        }
         if (code) {
             m_keepAlive = false;
-            co_return bodyError(*timedOut ? ErrorCode(beast::error::timeout) : code);
+            co_return bodyError(code);
         }
         m_request.body = std::move(parser.get().body());
         co_return core::success();
@@ -410,20 +413,6 @@
         return core::makeError(core::ErrorKind::BadRequest, "the request body is incomplete: " + code.message());
     }
 
-    /// Cancels the pending read after `duration`. Unlike the stream's own timeout, this keeps the connection open for the response.
-    std::shared_ptr<bool> cancelReadAfter(std::chrono::milliseconds duration)
-    {
-        auto timedOut = std::make_shared<bool>(false);
-        m_timer.expires_after(duration);
-        m_timer.async_wait([timedOut, stream = &m_stream](const ErrorCode &code) {
-            if (!code) {
-                *timedOut = true;
-                beast::get_lowest_layer(*stream).cancel();
-            }
-        });
-        return timedOut;
-    }
-
     asio::awaitable<void> sendContinueIfExpected()
     {
         if (!beast::iequals(headerValue(m_request.headers, "Expect"), "100-continue")) {
@@ -439,7 +428,6 @@
     HeaderParser &m_parser;
     const ServerLimits &m_limits;
     const std::atomic<bool> &m_sendConnectionClose; // add `Connection: close` to the response
-    asio::steady_timer m_timer;
     Request m_request;
     unsigned m_version = 11;
     bool m_endsWithConnection = false; // the response has neither a length nor chunks
