Rig: two silences in one answer, a replacement that fails slowly, and a stop beside silences and configurations

Requests of the rig name any number of silences, and the second upstream may answer with status 500 and a slow body. New rows: two silences of each upstream, with and without retries; a failed replacement whose body takes 4 s; a SIGHUP and a configuration in quick succession around a SIGTERM to all instances, while half of the answers have a silence.

--- a/tests/requestcrashtest.cpp
+++ b/tests/requestcrashtest.cpp
@@ -40,10 +40,9 @@
 RigRequest makeRequest(bool isStream, const std::string &name, std::uint64_t subject, std::uint64_t sending)
 {
     if (!isStream) {
-        return RigRequest{.target = "/plain/" + name, .parts = {}, .body = "body of " + name, .silence = {}};
+        return RigRequest{.target = "/plain/" + name, .parts = {}, .body = "body of " + name};
     }
-    return RigRequest{
-        .target = "/chat/" + name, .parts = {"a1", "beef" + std::to_string(subject), "c" + std::to_string(sending)}, .body = "body of " + name, .silence = {}};
+    return RigRequest{.target = "/chat/" + name, .parts = {"a1", "beef" + std::to_string(subject), "c" + std::to_string(sending)}, .body = "body of " + name};
 }
 
 /// Sound requests, 40 a second: of each kind 10 that are repeated every second, and 10 a second that are sent once.
@@ -160,8 +159,8 @@
 TEST_CASE("a request that may run only once is refused after its client's repeats have crashed three upstreams", "[rig]")
 {
     tests::EdgeRig rig(tests::EdgeRigOptions{.plainUpstreamsPerRegion = 4});
-    const RigRequest harmful{.target = "/once/bad", .parts = {}, .body = "body", .silence = {}};
-    const RigRequest sound{.target = "/once/bad", .parts = {}, .body = "other body", .silence = {}};
+    const RigRequest harmful{.target = "/once/bad", .parts = {}, .body = "body"};
+    const RigRequest sound{.target = "/once/bad", .parts = {}, .body = "other body"};
     rig.crashingRequests = {harmful};
     rig.runFor(1'500ms); // membership and configuration
     constexpr std::size_t CrashesUntilRefused = 3;
--- a/tests/silentupstreamtest.cpp
+++ b/tests/silentupstreamtest.cpp
@@ -286,9 +286,9 @@
                 if (std::string(target) == "/chat/x") {
                     parts = {"a1", "c" + std::to_string(rig.requestCount())};
                 }
-                rows.push_back(
-                    Row{std::string(target) + ", " + std::to_string(duration.count()) + " ms " + point.name,
-                        rig.send(tests::RigRequest{.target = target, .parts = parts, .deadline = Deadline, .silence = tests::Silence{point.point, duration}})});
+                rows.push_back(Row{
+                    std::string(target) + ", " + std::to_string(duration.count()) + " ms " + point.name,
+                    rig.send(tests::RigRequest{.target = target, .parts = parts, .deadline = Deadline, .silences = {tests::Silence{point.point, duration}}})});
             }
         }
     }
@@ -306,6 +306,140 @@
     }
 }
 
+TEST_CASE("an answer with two silences of each upstream is delivered whole", "[rig]")
+{
+    using Point = tests::SilencePoint;
+    struct Pair
+    {
+        const char *name;
+        Point first;
+        Point second;
+    };
+    constexpr std::array Pairs = {
+        Pair{"before the head, then before the first event or the body", Point::BeforeHead, Point::BeforeFirstEvent},
+        Pair{"before the head, then within the answer", Point::BeforeHead, Point::BetweenEvents},
+        Pair{"before the first event or the body, then within the answer", Point::BeforeFirstEvent, Point::BetweenEvents},
+        Pair{"within the answer, then before the end", Point::BetweenEvents, Point::BeforeEnd},
+    };
+    constexpr auto LongDeadline = 12'000ms; // three attempts, each with both silences
+    const bool mayRetry = GENERATE(true, false);
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    tests::EdgeRigOptions options = rigOptions(first);
+    options.configuration.routeTimeout = LongDeadline;
+    options.instancesPerRegion = 1;
+    if (!mayRetry) {
+        options.retryRatio = 0;
+        options.minRetries = 0;
+    }
+    tests::EdgeRig rig(options);
+    rig.runFor(StartTime);
+    std::vector<std::pair<std::string, std::size_t>> rows; // name and request
+    for (const Pair &pair : Pairs) {
+        for (const std::chrono::milliseconds duration : {1'000ms, 1'900ms}) {
+            for (const char *target : {"/chat/x", "/plain/x", "/once/x"}) {
+                std::vector<std::string> parts;
+                if (std::string(target) == "/chat/x") {
+                    parts = {"a1", "c" + std::to_string(rig.requestCount())};
+                }
+                tests::RigRequest request{.instance = rows.size() % rig.instanceCount(), .target = target, .parts = parts, .deadline = LongDeadline};
+                request.silences = {{pair.first, duration}, {pair.second, duration}};
+                rows.emplace_back(std::string(target) + ", " + std::to_string(duration.count()) + " ms " + pair.name, rig.send(request));
+            }
+        }
+    }
+    runUntilDone(rig);
+    for (const auto &[name, request] : rows) {
+        const tests::ClientResult &result = rig.result(request);
+        CAPTURE(name, mayRetry, result.status, result.failure);
+        CHECK(result.outcome == tests::ClientOutcome::Complete);
+    }
+}
+
+TEST_CASE("a replacement that fails with a slow body holds up neither the answer nor the next request", "[rig]")
+{
+    constexpr auto SlowBody = 4'000ms;
+    constexpr auto ShortDeadline = 1'500ms; // of the next request
+    const char *target = GENERATE("/chat/x", "/plain/x");
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    tests::EdgeRig rig(rigOptions(first));
+    rig.runFor(StartTime);
+    const std::vector<std::string> parts = std::string(target) == "/chat/x" ? std::vector<std::string>{"a1", "c1"} : std::vector<std::string>{};
+    http::ConnectionPool pool;
+    tests::RigRequest request{.target = target, .parts = parts, .deadline = Deadline, .pool = &pool};
+    request.silences = {{tests::SilencePoint::BeforeHead, MaxSilence}};
+    request.slowFailure = SlowBody;
+    const std::size_t silent = rig.send(request);
+    runUntilDone(rig);
+    request.silences.clear();
+    request.slowFailure.reset();
+    request.deadline = ShortDeadline;
+    const std::size_t next = rig.send(request);
+    runUntilDone(rig);
+    const tests::ClientResult &silentResult = rig.result(silent);
+    const tests::ClientResult &nextResult = rig.result(next);
+    CAPTURE(target, silentResult.failure, silentResult.status, nextResult.failure, nextResult.status, nextResult.connectionReused);
+    CHECK(silentResult.outcome == tests::ClientOutcome::Complete);
+    CHECK(nextResult.connectionReused);
+    CHECK(nextResult.outcome == tests::ClientOutcome::Complete);
+}
+
+TEST_CASE("requests during a silence, a change of the configuration, a SIGHUP and a stop end in an answer or are not read", "[rig]")
+{
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
+        CAPTURE(seed);
+        pcg32 random(seed);
+        tests::EdgeRigOptions options = rigOptions(seed);
+        options.silence.share = 0.5;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        constexpr auto Time = 4'000ms;
+        constexpr auto StopAt = 2'000ms;
+        constexpr auto Interval = 20ms;
+        ConfigurationChanges changes(rig, random);
+        for (const auto offset : {-600ms, -300ms, -50ms, 0ms, 20ms, 200ms}) {
+            rig.schedule(StopAt + offset, [&] {
+                changes.change();
+                REQUIRE(std::raise(SIGHUP) == 0);
+            });
+        }
+        rig.schedule(StopAt, [] { REQUIRE(std::raise(SIGTERM) == 0); }); // all instances stop
+        constexpr std::array Targets = {"/chat/x", "/plain/x", "/once/x"};
+        std::list<http::ConnectionPool> pools(rig.instanceCount());
+        for (auto at = 0ms; at < Time; at += Interval) {
+            rig.schedule(at, [&] {
+                const std::string target = Targets[random() % Targets.size()];
+                std::vector<std::string> parts;
+                if (target.starts_with("/chat/")) {
+                    parts = {"a1", "c" + std::to_string(rig.requestCount())};
+                }
+                const std::size_t instance = random() % rig.instanceCount();
+                http::ConnectionPool *pool = random() % 2 == 0 ? &*std::next(pools.begin(), static_cast<std::ptrdiff_t>(instance)) : nullptr;
+                rig.send(tests::RigRequest{.instance = instance, .target = target, .parts = parts, .deadline = Deadline, .pool = pool});
+            });
+        }
+        rig.runFor(Time);
+        runUntilDone(rig);
+        for (const char *prefix : {"/chat/", "/plain/", "/once/"}) {
+            const Summary summary = summarize(rig, prefix);
+            std::cout << "stop, seed " << seed << " " << prefix << ": " << summary << std::endl;
+            CAPTURE(prefix);
+            CHECK(summary.complete > 0);
+            CHECK(summary.cut == 0);
+            CHECK(summary.unanswered == 0);
+            CHECK(summary.gatewayErrors == 0);
+            CHECK(summary.other == 0);
+        }
+        for (std::size_t i = 0; i < rig.requestCount(); ++i) { // the whole request was sent, and the end of the connection shows that it was not read
+            const tests::ClientResult &result = rig.result(i);
+            if (result.outcome == tests::ClientOutcome::NoResponse) {
+                std::cout << "stop, seed " << seed << " request " << i << " to " << result.target << ": " << result.failure << " after "
+                          << std::chrono::duration_cast<std::chrono::milliseconds>(result.endedAt - result.sentAt).count() << " ms" << std::endl;
+            }
+        }
+    }
+}
+
 TEST_CASE("requests whose route is removed or renamed while they run end in an answer or a refusal", "[rig]")
 {
     const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -501,6 +501,17 @@
             }
             co_return;
         }
+        const RigRequest *special = m_rig.specialRequest(attempt);
+        if (special != nullptr && special->slowFailure) {
+            const auto sends = std::count_if(
+                m_rig.m_arrivals.begin(), m_rig.m_arrivals.end(), [&](const Arrival &item) { return item.attempt == attempt && !item.misdirected; });
+            if (sends == 2) {
+                if (!co_await respondWithSlowFailure(*socket, attempt, *special->slowFailure)) {
+                    co_return;
+                }
+                continue;
+            }
+        }
         if (m_service != "s") {
             if (!co_await respondPlain(*socket, run, attempt)) {
                 co_return;
@@ -514,10 +525,10 @@
     }
 }
 
-std::optional<Silence> RigUpstream::silenceFor(const std::string &attempt) const
+std::vector<Silence> RigUpstream::silencesFor(const std::string &attempt) const
 {
-    if (const auto requested = m_rig.requestedSilence(attempt)) {
-        return requested;
+    if (const RigRequest *request = m_rig.specialRequest(attempt)) {
+        return request->silences;
     }
     const SilenceOptions &options = m_rig.m_options.silence;
     std::uint64_t stream = m_number;
@@ -527,22 +538,35 @@
     pcg32 random(m_rig.m_options.seed, stream);
     constexpr double RandomRange = 4294967296.0; // 2^32
     if (options.points.empty() || static_cast<double>(random()) / RandomRange >= options.share) {
-        return std::nullopt;
+        return {};
     }
     const SilencePoint point = options.points[random() % options.points.size()];
     const auto range = static_cast<std::uint32_t>((options.maxDuration - options.minDuration).count()) + 1;
-    return Silence{point, options.minDuration + std::chrono::milliseconds(random() % range)};
+    return {Silence{point, options.minDuration + std::chrono::milliseconds(random() % range)}};
 }
 
 asio::awaitable<void> RigUpstream::fallSilentAt(SilencePoint point, const std::string &attempt)
 {
-    const auto silence = silenceFor(attempt);
-    if (silence && silence->point == point) {
-        asio::steady_timer timer(m_rig.m_loop, silence->duration);
-        co_await timer.async_wait(asio::use_awaitable);
+    for (const Silence &silence : silencesFor(attempt)) {
+        if (silence.point == point) {
+            asio::steady_timer timer(m_rig.m_loop, silence.duration);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
     }
 }
 
+asio::awaitable<bool> RigUpstream::respondWithSlowFailure(Tcp::socket &socket, const std::string &attempt, std::chrono::milliseconds duration)
+{
+    const std::string head = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\nContent-Length: 2\r\n\r\n{";
+    ErrorCode code;
+    co_await asio::async_write(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, code));
+    asio::steady_timer timer(m_rig.m_loop, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+    const std::string end = "}";
+    co_await asio::async_write(socket, asio::buffer(end), asio::redirect_error(asio::use_awaitable, code));
+    co_return !code;
+}
+
 asio::awaitable<bool> RigUpstream::respondPlain(Tcp::socket &socket, std::uint64_t run, const std::string &attempt)
 {
     const EdgeRigOptions &options = m_rig.m_options;
@@ -631,8 +655,8 @@
 std::size_t EdgeRig::send(const RigRequest &rigRequest)
 {
     const std::size_t number = m_results.size();
-    if (rigRequest.silence) {
-        m_requestedSilences[attemptId(number)] = *rigRequest.silence;
+    if (!rigRequest.silences.empty() || rigRequest.slowFailure) {
+        m_specialRequests[attemptId(number)] = rigRequest;
     }
     m_results.push_back(ClientResult{.request = number, .sentAt = now(), .target = rigRequest.target});
     http::Request request;
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -123,7 +123,9 @@
     std::vector<std::string> parts;
     std::string body = "body"; // requests with the same target and body are the same request
     std::chrono::milliseconds deadline{4'000};
-    std::optional<Silence> silence;       // of every upstream that answers it; none: as EdgeRigOptions::silence says
+    std::vector<Silence> silences = {}; // of every upstream that answers it; none: as EdgeRigOptions::silence says
+    /// The second upstream that it reaches answers with status 500 and a body that takes so long; none: it answers as the others.
+    std::optional<std::chrono::milliseconds> slowFailure = {};
     http::ConnectionPool *pool = nullptr; // connections that the client keeps; null: a new one
 };
 
@@ -179,7 +181,8 @@
     respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes);
     boost::asio::awaitable<bool> respondPlain(Tcp::socket &socket, std::uint64_t run, const std::string &attempt);
     /// Where and how long this upstream is silent in its answer to a request; depends on nothing but the seed and the request.
-    [[nodiscard]] std::optional<Silence> silenceFor(const std::string &attempt) const;
+    [[nodiscard]] std::vector<Silence> silencesFor(const std::string &attempt) const;
+    boost::asio::awaitable<bool> respondWithSlowFailure(Tcp::socket &socket, const std::string &attempt, std::chrono::milliseconds duration);
     boost::asio::awaitable<void> fallSilentAt(SilencePoint point, const std::string &attempt);
     boost::asio::awaitable<void> restartLater(std::string crashedId);
 
@@ -282,11 +285,11 @@
     {
         return "request-" + std::to_string(request);
     }
-    /// Silence that a request asks for.
-    [[nodiscard]] std::optional<Silence> requestedSilence(const std::string &attempt) const
+    /// Request that has this X-Attempt-Id, if it asks for certain answers.
+    [[nodiscard]] const RigRequest *specialRequest(const std::string &attempt) const
     {
-        const auto found = m_requestedSilences.find(attempt);
-        return found == m_requestedSilences.end() ? std::nullopt : std::optional(found->second);
+        const auto found = m_specialRequests.find(attempt);
+        return found == m_specialRequests.end() ? nullptr : &found->second;
     }
     [[nodiscard]] const ClientResult &result(std::size_t request) const
     {
@@ -314,7 +317,7 @@
     std::vector<core::TimePoint> m_partCrashes;
     std::map<std::pair<std::string, std::string>, std::vector<core::TimePoint>> m_requestCrashes; // by target and body
     std::deque<ClientResult> m_results;
-    std::map<std::string, Silence> m_requestedSilences; // by X-Attempt-Id
+    std::map<std::string, RigRequest> m_specialRequests; // by X-Attempt-Id
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
 };
 
