edge: the end of a request does not wait for the rest of a failed replacement

What callers saw: after an answer with a silence, the next request on the same connection gets neither an answer nor a refusal. Cause: when the replacement of a silent attempt fails, its response is read to the end so that its upstream's connection can be kept. The request's handler waits for that also after the silent attempt has delivered the answer, up to the deadline, and the server reads the next request on the connection only then. The wait is the same if the silent attempt fails: the retry begins too late (not tested). Why it works: the request knows the failed replacement whose response is read and cancels it when the silent attempt has ended or the client is gone. The cancelled read is not counted against the upstream.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -104,6 +104,7 @@
     bool isWriting = false;           // an event to the client, which may be slow
     bool delivered = false;           // the client gets the complete response of this attempt
     bool superseded = false;          // another attempt continues the request
+    bool unneeded = false;            // a failed replacement, and the request does not wait for the rest of its response
     bool ended = false;
 
     //--- Result, also for the log
@@ -167,6 +168,7 @@
     core::AsyncEvent changed;                            // an attempt has connected, got its response head or ended
     std::shared_ptr<Attempt> current;                    // the attempt whose response is relayed
     std::shared_ptr<Attempt> replacement;                // takes the place of the current one, which is silent
+    std::shared_ptr<Attempt> failedReplacement;          // whose response is still read; the silent attempt goes on
     std::shared_ptr<CancellationToken> replacementToken; // while a replacement waits for its placement
     bool isSeekingReplacement = false;
 
@@ -182,6 +184,17 @@
     {
         return routing::PlacementId(head.attemptId + "/" + std::to_string(placements));
     }
+    /// Ends what the search for a replacement waits for, if no replacement is open.
+    void stopSeekingReplacement() const
+    {
+        if (replacementToken) {
+            replacementToken->cancel();
+        }
+        if (failedReplacement) {
+            failedReplacement->unneeded = true;
+            failedReplacement->call->cancel();
+        }
+    }
     void cancelAttempts()
     {
         for (const auto &attempt : {current, replacement}) {
@@ -189,9 +202,7 @@
                 attempt->call->cancel();
             }
         }
-        if (replacementToken) {
-            replacementToken->cancel();
-        }
+        stopSeekingReplacement();
         changed.notify();
     }
 };
@@ -748,9 +759,7 @@
 
 asio::awaitable<void> Forwarder::waitForReplacement(RequestState &state)
 {
-    if (state.replacementToken) {
-        state.replacementToken->cancel(); // the request is placed again without an attempt to keep
-    }
+    state.stopSeekingReplacement(); // the request is placed again without an attempt to keep
     while (state.isSeekingReplacement) {
         co_await state.changed.wait();
     }
@@ -792,8 +801,12 @@
         state.replacement = nullptr;
         co_await abandonAttempt(state, replacement);
     } else if (replacement->head && !isAccepted(state, *replacement)) {
-        state.replacement = nullptr;
+        state.failedReplacement = std::exchange(state.replacement, nullptr);
+        if (silent->ended) {
+            state.stopSeekingReplacement();
+        }
         (void)co_await finishAttempt(state, replacement); // it has failed; the silent attempt goes on
+        state.failedReplacement = nullptr;
     } else {
         silent->superseded = true;
         silent->call->cancel();
@@ -904,7 +917,8 @@
     const unsigned status = head.status;
     auto body = co_await attempt.call->readAll(std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now())));
     if (!body) {
-        const auto outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected : routing::SendOutcome::Incomplete;
+        const bool unneeded = state.cancellation->cancelled || attempt.unneeded;
+        const auto outcome = unneeded ? routing::SendOutcome::ClientDisconnected : routing::SendOutcome::Incomplete;
         co_return recordFailedAttempt(state, attempt, outcome, "incomplete response body: " + body.error().message);
     }
     head.body = std::move(body.value());
