Logs name the software version of upstreams and what a client resumes

The logs of the incident cannot tell whether a stream changes the version of its upstreams within a response, when its client takes it up again, or because the version of an upstream is known wrongly. No decision changes.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -91,6 +91,7 @@
     core::InstanceId peer; // instead of an upstream
     core::RegionId region; // of the peer
     std::string address;
+    routing::SoftwareVersion version; // of the upstream
     core::Duration predictedLatency{};
 
     //--- Progress
@@ -501,6 +502,7 @@
     attempt->placement = placementId;
     attempt->upstream = granted.upstream;
     attempt->address = granted.address;
+    attempt->version = entry == nullptr ? routing::SoftwareVersion() : entry->announcement.version;
     attempt->predictedLatency = granted.predictedLatency;
     attempt->request = state.request;
     attempt->request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
@@ -694,6 +696,7 @@
         line.add("peer", attempt.peer).add("region", attempt.region).add("outcome", attempt.peerOutcome).add("reason", attempt.failure);
     } else {
         line.add("upstream", attempt.upstream)
+            .add("software_version", attempt.version)
             .add("outcome", routing::toString(attempt.outcome))
             .add("reason", attempt.failure)
             .add("named_rate", attempt.maxRequestRate)
@@ -1137,6 +1140,8 @@
                            .add("took_ms", core::toMilliseconds(elapsed))
                            .add("placements", state.placements)
                            .add("upstream_sends", state.sendCount)
+                           .add("resumes", state.head.resumedAttemptId)
+                           .add("resumed_after", state.head.lastEventId)
                            .add("first_event_ms", state.firstEventTime == core::TimePoint{} ? 0 : core::toMilliseconds(state.firstEventTime - state.receivedAt))
                            .add("max_event_gap_ms", core::toMilliseconds(state.maxEventGap))
                            .add("events", state.sseRelay ? state.sseRelay->forwardedEventCount() : 0));
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -178,8 +178,10 @@
         m_context.writeLog(observe::LogLine("evacuation").add("domains", domains).add("store_revision", m_metadataCache.storeRevision()).add("source", source));
     }
     for (const routing::RegistryChange &registryChange : update.upstreamChanges) {
+        const routing::RegistryEntry *entry = m_metadataCache.registry().find(registryChange.id);
         m_context.writeLog(observe::LogLine("upstream")
                                .add("upstream", registryChange.id)
+                               .add("software_version", entry == nullptr ? routing::SoftwareVersion() : entry->announcement.version)
                                .add("change", routing::toString(registryChange.kind))
                                .add("store_revision", m_metadataCache.storeRevision())
                                .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(now)))
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -40,6 +40,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t expectedOutputTokens = 0; // the client's estimate if it sent one, but at most its limit
     std::string lastEventId;                // the client resumes a stream after this event
+    std::string resumedAttemptId;           // the client's attempt that brought the first event of that stream
 };
 
 /// Values that the gateway adds to a request for an upstream.
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -25,6 +25,7 @@
 
 namespace arbutus::routing {
 
+using SoftwareVersion = core::StrongId<struct SoftwareVersionTag>;       // of an upstream's software, not of model weights; empty: it states none
 using StartTime = core::StrongNumber<struct StartTimeTag>;               // Unix milliseconds; identifies one run of an upstream process
 using SnapshotRevision = core::StrongNumber<struct SnapshotRevisionTag>; // revision of the store at which a snapshot was read
 
@@ -39,6 +40,7 @@
     core::ServiceId service;
     std::string address; // "10.0.0.1:8080"; may be reused by another upstream after this one was removed
     core::DomainId domain;
+    SoftwareVersion version;
     std::size_t slots = 1;                    // concurrent requests
     bool leaving = false;                     // will soon stop accepting requests
     core::Duration coldRemaining{};           // remaining cold time when the announcement was written
