Rig: upstreams with software versions, failures within streams, and clients that take streams up again

The upstreams of EdgeRig announce a version, and each event names the service and the version that wrote it. A version can be rolled out, drained, ended, and put at the address or under the id of an upstream that crashed. A request can ask for a lost connection, a crash or a silence after an event; EdgeRigOptions::breaks does so for a share of the answers. Clients read a body piecewise and keep the events of a response that was cut off. EdgeRig::sendStream() is a client that takes a stream up again at another instance, with Last-Event-Id and Resumes, and comes back once after a 503 whose Retry-After is at most a third of the time left.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -77,6 +77,31 @@
     return size.str() + "\r\n" + data + "\r\n";
 }
 
+/// Removes the whole events at the begin of the data of a stream and returns them.
+std::vector<StreamEvent> takeEvents(std::string &data)
+{
+    std::vector<StreamEvent> out;
+    constexpr std::string_view Separator = "\n\n";
+    for (std::size_t end = data.find(Separator); end != std::string::npos; end = data.find(Separator)) {
+        StreamEvent event;
+        for (const std::string &line : splitList(data.substr(0, end), '\n')) {
+            std::istringstream in(line);
+            std::string field;
+            in >> field;
+            if (field == "id:") {
+                in >> event.id;
+            } else if (field == "data:") {
+                in >> event.service >> event.version;
+            }
+        }
+        data.erase(0, end + Separator.size());
+        if (event.id > 0) {
+            out.push_back(std::move(event));
+        }
+    }
+    return out;
+}
+
 /// Adds the sender to each request for an upstream.
 class RigAdapter final : public platform::PlatformAdapter
 {
@@ -228,10 +253,13 @@
     , m_store(std::make_unique<Store>())
 {
     for (std::size_t i = 0; i < options.upstreamsPerRegion * RegionCount; ++i) {
-        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, i, regionName(i % RegionCount)));
+        addUpstream(regionName(i % RegionCount), "s", options.versions[i / RegionCount % options.versions.size()]);
+    }
+    for (std::size_t i = 0; i < options.secondServiceUpstreamsPerRegion * RegionCount; ++i) {
+        addUpstream(regionName(i % RegionCount), "s2", options.versions[i / RegionCount % options.versions.size()]);
     }
     for (std::size_t i = 0; i < options.plainUpstreamsPerRegion * RegionCount; ++i) {
-        m_upstreams.push_back(std::make_unique<RigUpstream>(*this, m_upstreams.size(), regionName(i % RegionCount), "p"));
+        addUpstream(regionName(i % RegionCount), "p", options.versions.front());
     }
     writeConfiguration();
     for (std::size_t i = 0; i < options.instancesPerRegion * RegionCount; ++i) {
@@ -270,7 +298,16 @@
     };
     const std::string repeatable = R"("route_type":"safe","max_attempts":3,"service":"p")";
     std::string routes = route("chat" + configuration.nameSuffix, "chat", R"("route_type":"streaming","resumable":true,"max_attempts":3,"service":"s")");
-    std::string services = R"({"name":"s","engine":{"slots":64,"kv_capacity":200000,"stride":5}})";
+    const std::string engine = R"(,"engine":{"slots":64,"kv_capacity":200000,"stride":5}})";
+    std::string services = R"({"name":"s")" + engine;
+    if (m_options.secondServiceUpstreamsPerRegion > 0) {
+        services += R"(,{"name":"s2")" + engine;
+        routes += ","
+            + route("split" + configuration.nameSuffix,
+                    "split",
+                    R"("route_type":"streaming","resumable":true,"max_attempts":3,)"
+                    R"("traffic_split":[{"service":"s","weight":1},{"service":"s2","weight":1}])");
+    }
     if (m_options.plainUpstreamsPerRegion > 0) {
         services += R"(,{"name":"p"})";
         routes += "," + route("plain" + configuration.nameSuffix, "plain", repeatable);
@@ -293,6 +330,11 @@
     return m_instances[instance]->settings.instanceId.text;
 }
 
+std::string EdgeRig::instanceRegion(std::size_t instance) const
+{
+    return m_instances[instance]->settings.region.text;
+}
+
 bool EdgeRig::isRunning(std::size_t instance) const
 {
     return m_instances[instance]->gateway != nullptr && now() >= m_instances[instance]->frozenUntil;
@@ -394,27 +436,57 @@
 // Upstreams
 //-----------------------------------------------------------------------------
 
-RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service)
+RigUpstream &EdgeRig::addUpstream(const std::string &region, const std::string &service, const std::string &version)
+{
+    m_upstreams.push_back(std::make_unique<RigUpstream>(*this, m_upstreams.size(), region, service, version));
+    return *m_upstreams.back();
+}
+
+void EdgeRig::roll(const std::string &service, const std::string &version, std::chrono::milliseconds interval, std::chrono::milliseconds drainTime)
+{
+    auto delay = 0ms;
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->service() == service && upstream->version() != version && upstream->isReady()) {
+            schedule(delay, [this, old = upstream.get(), version, drainTime] {
+                addUpstream(old->region(), old->service(), version);
+                old->drain(drainTime);
+            });
+            delay += interval;
+        }
+    }
+}
+
+std::size_t EdgeRig::readyCount(const std::string &service, const std::string &version) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_upstreams.begin(), m_upstreams.end(), [&](const auto &item) { return item->service() == service && item->version() == version && item->isReady(); }));
+}
+
+RigUpstream::RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service, std::string version)
     : m_rig(rig)
     , m_number(number)
     , m_region(std::move(region))
     , m_service(std::move(service))
+    , m_version(std::move(version))
     , m_port(freePort())
 {
-    start();
+    start(false);
 }
 
 void RigUpstream::announce()
 {
     m_rig.m_store->set("servers/" + m_id,
                        R"({"service":")" + m_service + R"(","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
-                           + R"(","slots":64,"state":"ready","cold_remaining_ms":0,"born":)" + std::to_string(m_run) + R"(,"sequence":1})");
+                           + R"(","slots":64,"state":")" + (m_isDraining ? "draining" : "ready") + R"(","cold_remaining_ms":0,"version":")" + m_version
+                           + R"(","born":)" + std::to_string(m_run) + R"(,"sequence":)" + std::to_string(++m_sequence) + "}");
 }
 
-void RigUpstream::start()
+void RigUpstream::start(bool keepsId)
 {
     ++m_run;
-    m_id = "upstream-" + std::to_string(m_number) + "-" + std::to_string(m_run);
+    if (!keepsId) {
+        m_id = "upstream-" + std::to_string(m_number) + "-" + std::to_string(m_run);
+    }
     m_reservation.reset();
     m_acceptor.emplace(m_rig.m_loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
     announce();
@@ -423,9 +495,37 @@
 
 void RigUpstream::crash()
 {
-    if (!isUp()) {
-        return;
+    crash(RestartOptions{.after = m_rig.m_options.crashDuration, .entryLifetime = m_rig.m_options.entryLifetime, .version = m_version});
+}
+
+void RigUpstream::crash(const RestartOptions &restart)
+{
+    if (isUp()) {
+        close();
+        asio::co_spawn(m_rig.m_loop, restartLater(m_id, restart), asio::detached);
     }
+}
+
+void RigUpstream::drain(std::chrono::milliseconds drainTime)
+{
+    m_isDraining = true;
+    if (isUp()) {
+        announce();
+    }
+    m_rig.schedule(drainTime, [this] { end(); });
+}
+
+void RigUpstream::end()
+{
+    m_hasEnded = true;
+    m_rig.m_store->remove("servers/" + m_id);
+    if (isUp()) {
+        close();
+    }
+}
+
+void RigUpstream::close()
+{
     m_acceptor.reset();
     m_reservation.emplace(m_rig.m_loop, Tcp::v4()); // other processes look for free ports meanwhile
     m_reservation->set_option(asio::socket_base::reuse_address(true));
@@ -438,17 +538,21 @@
         }
     }
     m_sockets.clear();
-    asio::co_spawn(m_rig.m_loop, restartLater(m_id), asio::detached);
 }
 
-asio::awaitable<void> RigUpstream::restartLater(std::string crashedId)
+asio::awaitable<void> RigUpstream::restartLater(std::string crashedId, RestartOptions restart)
 {
-    asio::steady_timer timer(m_rig.m_loop, m_rig.m_options.entryLifetime);
+    asio::steady_timer timer(m_rig.m_loop, restart.entryLifetime);
     co_await timer.async_wait(asio::use_awaitable);
-    m_rig.m_store->remove("servers/" + crashedId);
-    timer.expires_after(m_rig.m_options.crashDuration - m_rig.m_options.entryLifetime);
+    if (!restart.keepsId) {
+        m_rig.m_store->remove("servers/" + crashedId);
+    }
+    timer.expires_after(restart.after - restart.entryLifetime);
     co_await timer.async_wait(asio::use_awaitable);
-    start();
+    if (!m_hasEnded) {
+        m_version = restart.version;
+        start(restart.keepsId);
+    }
 }
 
 asio::awaitable<void> RigUpstream::acceptLoop(std::uint64_t run)
@@ -478,7 +582,8 @@
         }
         const std::string attempt(request["X-Attempt-Id"]);
         const bool misdirected = std::string(request["X-Expect-Instance"]) != m_id;
-        Arrival arrival{m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected, std::string(request.target()), request.body()};
+        Arrival arrival{
+            m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected, std::string(request.target()), request.body(), m_version};
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
@@ -501,7 +606,7 @@
             }
             co_return;
         }
-        if (m_service != "s") {
+        if (m_service == "p") {
             if (!co_await respondPlain(*socket, run, attempt)) {
                 co_return;
             }
@@ -534,6 +639,26 @@
     return Silence{point, options.minDuration + std::chrono::milliseconds(random() % range)};
 }
 
+std::optional<StreamFailure> RigUpstream::failureFor(const std::string &attempt, int firstEvent)
+{
+    if (const auto found = m_rig.m_requestedFailures.find(attempt); found != m_rig.m_requestedFailures.end()) {
+        if (found->second.runs == 0) {
+            return std::nullopt;
+        }
+        --found->second.runs;
+        const StreamFailure failure = found->second;
+        ++found->second.afterEvent;
+        return failure;
+    }
+    const EdgeRigOptions &options = m_rig.m_options;
+    constexpr double RandomRange = 4294967296.0; // 2^32
+    if (options.breaks.share == 0 || firstEvent >= options.eventCount || static_cast<double>(m_rig.m_random()) / RandomRange >= options.breaks.share) {
+        return std::nullopt;
+    }
+    const auto range = static_cast<std::uint32_t>(options.eventCount - firstEvent);
+    return StreamFailure{.afterEvent = firstEvent + static_cast<int>(m_rig.m_random() % range)};
+}
+
 asio::awaitable<void> RigUpstream::fallSilentAt(SilencePoint point, const std::string &attempt)
 {
     const auto silence = silenceFor(attempt);
@@ -580,6 +705,7 @@
 RigUpstream::respond(Tcp::socket &socket, std::uint64_t run, const std::string &attempt, const std::string &sender, int firstEvent, bool crashes)
 {
     const EdgeRigOptions &options = m_rig.m_options;
+    const auto failure = failureFor(attempt, firstEvent);
     asio::steady_timer timer(m_rig.m_loop, options.headDelay);
     co_await timer.async_wait(asio::use_awaitable);
     co_await fallSilentAt(SilencePoint::BeforeHead, attempt);
@@ -602,7 +728,26 @@
         co_return false;
     }
     for (int id = firstEvent; id <= options.eventCount && !code; ++id) {
-        const std::string event = chunk("id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n");
+        if (failure && failure->afterEvent == id - 1) {
+            switch (failure->kind) {
+            case StreamFailureKind::ConnectionLost:
+                socket.set_option(asio::socket_base::linger(true, 0), code); // a reset instead of a regular close
+                socket.close(code);
+                co_return false;
+            case StreamFailureKind::Crash:
+                crash();
+                co_return false;
+            case StreamFailureKind::Silence:
+                timer.expires_after(failure->silence);
+                co_await timer.async_wait(asio::use_awaitable);
+                break;
+            }
+            if (run != m_run || !isUp()) {
+                co_return false;
+            }
+        }
+        const std::string number = std::to_string(id);
+        const std::string event = chunk("id: " + number + "\ndata: " + m_service + " " + m_version + " " + number + "\n\n");
         co_await asio::async_write(socket, asio::buffer(event), asio::redirect_error(asio::use_awaitable, code));
         timer.expires_after(options.eventGap);
         co_await timer.async_wait(asio::use_awaitable);
@@ -634,7 +779,10 @@
     if (rigRequest.silence) {
         m_requestedSilences[attemptId(number)] = *rigRequest.silence;
     }
-    m_results.push_back(ClientResult{.request = number, .sentAt = now(), .target = rigRequest.target});
+    if (rigRequest.failure) {
+        m_requestedFailures[attemptId(number)] = *rigRequest.failure;
+    }
+    m_results.push_back(ClientResult{.request = number, .sentAt = now(), .target = rigRequest.target, .instance = rigRequest.instance});
     http::Request request;
     request.method = "POST";
     request.target = rigRequest.target;
@@ -648,36 +796,231 @@
         request.headers["X-Prompt-Prefix"] = prompt;
         request.headers["X-Token-Count"] = std::to_string(100 * rigRequest.parts.size()) + ",25";
     }
+    if (rigRequest.lastEvent) {
+        request.headers["Last-Event-Id"] = std::to_string(*rigRequest.lastEvent);
+    }
+    if (!rigRequest.resumes.empty()) {
+        request.headers["Resumes"] = rigRequest.resumes;
+    }
     request.body = rigRequest.body;
     constexpr auto Slack = 1s; // after the request's deadline, until the client gives up
     const std::chrono::milliseconds timeout = rigRequest.deadline + Slack;
-    auto operation = [this, number, request, timeout, pool = rigRequest.pool, endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint]()
-        -> asio::awaitable<void> {
+    auto operation =
+        [this, rigRequest, number, request, timeout, endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint]() -> asio::awaitable<void> {
         http::CallOptions options;
-        options.pool = pool;
+        options.pool = rigRequest.pool;
         options.retryOnStaleConnection = false;
         options.maxIdleTime = 1min; // the sender decides how long a connection may be idle
         options.onConnected = [this, number](bool isNewConnection) { m_results[number].connectionReused = !isNewConnection; };
-        const auto response = co_await http::fetch(m_loop.get_executor(), endpoint, request, timeout, options);
         ClientResult &result = m_results[number];
-        result.done = true;
-        result.endedAt = now();
-        if (response) {
-            result.status = response.value().status;
-            result.retryAfter = http::headerValue(response.value().headers, "Retry-After");
-            result.outcome = result.status == 200 ? ClientOutcome::Complete : ClientOutcome::OtherStatus;
+        http::Call call(m_loop.get_executor(), endpoint, options);
+        const auto fail = [&result](const http::CallError &error) {
+            result.failure = error.message;
+            result.outcome = error.stage == http::CallStage::ReadBody ? ClientOutcome::Cut
+                : error.stage == http::CallStage::ReadHeaders         ? ClientOutcome::NoResponse
+                                                                      : ClientOutcome::NotSent;
+        };
+        const auto end = [&] {
+            result.done = true;
+            result.endedAt = now();
+            if (rigRequest.onDone) {
+                rigRequest.onDone();
+            }
+        };
+        const auto head = co_await call.start(request, timeout);
+        if (!head) {
+            fail(head.error());
+            end();
             co_return;
         }
-        result.failure = response.error().message;
-        const http::CallStage stage = response.error().stage;
-        result.outcome = stage == http::CallStage::ReadBody ? ClientOutcome::Cut
-            : stage == http::CallStage::ReadHeaders         ? ClientOutcome::NoResponse
-                                                            : ClientOutcome::NotSent;
+        const bool isStream = http::headerValue(head.value().headers, "Content-Type").starts_with("text/event-stream");
+        const core::TimePoint bodyEnd = now() + timeout;
+        std::string unread; // begin of an event
+        while (true) {
+            const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(bodyEnd - now());
+            const auto data = co_await call.readSome(std::max(timeLeft, 1ms));
+            if (!data) {
+                fail(data.error());
+                break;
+            }
+            if (data.value().empty()) {
+                result.status = head.value().status;
+                result.retryAfter = http::headerValue(head.value().headers, "Retry-After");
+                result.outcome = result.status == 200 ? ClientOutcome::Complete : ClientOutcome::OtherStatus;
+                break;
+            }
+            if (!isStream) {
+                continue;
+            }
+            unread += data.value();
+            bool isDropped = false;
+            for (const StreamEvent &event : takeEvents(unread)) {
+                result.events.push_back(event);
+                if (rigRequest.onEvent) {
+                    rigRequest.onEvent(event);
+                }
+                if (rigRequest.dropAfter && event.id >= *rigRequest.dropAfter) {
+                    isDropped = true;
+                    break;
+                }
+            }
+            if (isDropped) {
+                call.cancel();
+                result.failure = "dropped by the client";
+                result.outcome = ClientOutcome::Cut;
+                break;
+            }
+        }
+        end();
     };
     asio::co_spawn(m_loop, operation, asio::detached);
     return number;
 }
 
+std::size_t EdgeRig::runCount(std::size_t request) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_arrivals.begin(), m_arrivals.end(), [&](const Arrival &arrival) { return arrival.attempt == attemptId(request) && !arrival.misdirected; }));
+}
+
+void EdgeRig::runUntilDone()
+{
+    constexpr auto Step = 20ms;
+    const auto areAllDone = [](const auto &items) { return std::all_of(items.begin(), items.end(), [](const auto &item) { return item.done; }); };
+    while (!areAllDone(m_results) || !areAllDone(m_streams)) {
+        runFor(Step);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Streams that are taken up again
+//-----------------------------------------------------------------------------
+
+std::set<std::string> StreamRecord::versions() const
+{
+    std::set<std::string> out;
+    for (const StreamEvent &event : events) {
+        out.insert(event.version);
+    }
+    return out;
+}
+
+std::set<std::string> StreamRecord::services() const
+{
+    std::set<std::string> out;
+    for (const StreamEvent &event : events) {
+        out.insert(event.service);
+    }
+    return out;
+}
+
+bool StreamRecord::isWhole(int eventCount) const
+{
+    int next = 1;
+    return complete && std::all_of(events.begin(), events.end(), [&](const StreamEvent &event) { return event.id == next++; }) && next == eventCount + 1;
+}
+
+std::size_t EdgeRig::sendStream(StreamOptions options)
+{
+    const std::size_t number = m_streams.size();
+    const std::size_t instance = options.request.instance;
+    m_streams.push_back(StreamRecord{.options = std::move(options)});
+    sendTry(number, instance, false);
+    return number;
+}
+
+void EdgeRig::sendTry(std::size_t number, std::size_t instance, bool isRepetition)
+{
+    StreamRecord &stream = m_streams[number];
+    RigRequest request = stream.options.request;
+    request.instance = instance;
+    if (!stream.requests.empty()) {
+        const core::TimePoint end = result(stream.requests.front()).sentAt + request.deadline;
+        request.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(end - now());
+        if (request.deadline <= 0ms) {
+            if (!stream.resumptions.empty()) {
+                stream.resumptions.back().done = true;
+            }
+            stream.done = true;
+            return;
+        }
+        request.failure.reset();
+    }
+    if (stream.hasBegun()) {
+        request.lastEvent = stream.events.back().id;
+        const auto first = std::find_if(stream.requests.begin(), stream.requests.end(), [&](std::size_t item) { return !result(item).events.empty(); });
+        request.resumes = attemptId(*first);
+    }
+    const std::size_t dropIndex = stream.resumptions.size();
+    if (dropIndex < stream.options.dropsAfter.size()) {
+        request.dropAfter = stream.options.dropsAfter[dropIndex];
+    }
+    request.onDone = [this, number, isRepetition] { finishTry(number, isRepetition); };
+    const std::size_t sent = send(request);
+    stream.requests.push_back(sent);
+    if (!stream.resumptions.empty()) {
+        stream.resumptions.back().requests.push_back(sent);
+    }
+}
+
+void EdgeRig::finishTry(std::size_t number, bool isRepetition)
+{
+    StreamRecord &stream = m_streams[number];
+    const ClientResult &last = result(stream.requests.back());
+    stream.events.insert(stream.events.end(), last.events.begin(), last.events.end());
+    stream.complete = last.outcome == ClientOutcome::Complete;
+    if (!stream.resumptions.empty()) {
+        Resumption &resumption = stream.resumptions.back();
+        constexpr std::size_t MinUpstreams = 2;
+        resumption.wentOn = resumption.wentOn || !last.events.empty();
+        resumption.mayGoOn = resumption.mayGoOn && readyCount(stream.events.front().service, resumption.version) >= MinUpstreams;
+        resumption.done = true;
+    }
+    if (last.status == 503 && !last.retryAfter.empty() && !isRepetition) {
+        constexpr int MaxShareOfTimeLeft = 3; // one third
+        const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(std::stod(last.retryAfter)));
+        const core::TimePoint end = result(stream.requests.front()).sentAt + stream.options.request.deadline;
+        if (delay * MaxShareOfTimeLeft <= end - now()) {
+            if (!stream.resumptions.empty()) {
+                stream.resumptions.back().done = false;
+            }
+            schedule(delay,
+                     [this, number, previous = last.instance] { sendTry(number, pickForResumption(previous, m_streams[number].options.resumeAt), true); });
+            return;
+        }
+    }
+    const bool isCut = last.outcome == ClientOutcome::Cut || last.outcome == ClientOutcome::NoResponse || last.outcome == ClientOutcome::NotSent;
+    if (isCut && stream.hasBegun() && stream.resumptions.size() < stream.options.maxResumptions) {
+        schedule(stream.options.resumeDelay, [this, number] { resumeLater(number); });
+        return;
+    }
+    stream.done = true;
+}
+
+void EdgeRig::resumeLater(std::size_t number)
+{
+    constexpr std::size_t MinUpstreams = 2;
+    StreamRecord &stream = m_streams[number];
+    const StreamEvent &first = stream.events.front();
+    stream.resumptions.push_back(
+        Resumption{.at = now(), .requests = {}, .version = first.version, .mayGoOn = readyCount(first.service, first.version) >= MinUpstreams});
+    sendTry(number, pickForResumption(result(stream.requests.back()).instance, stream.options.resumeAt), false);
+}
+
+std::size_t EdgeRig::pickForResumption(std::size_t previous, ResumeAt where)
+{
+    std::vector<std::size_t> candidates;
+    for (std::size_t i = 0; i < instanceCount(); ++i) {
+        const bool isSameRegion = instanceRegion(i) == instanceRegion(previous);
+        const bool matches = where == ResumeAt::Anywhere || (where == ResumeAt::SameInstance && i == previous)
+            || (where == ResumeAt::OtherInstanceOfRegion && isSameRegion && i != previous) || (where == ResumeAt::OtherRegion && !isSameRegion);
+        if (matches && isRunning(i)) {
+            candidates.push_back(i);
+        }
+    }
+    return candidates.empty() ? pickRunning(m_random) : candidates[m_random() % candidates.size()];
+}
+
 KeptClient::KeptClient(EdgeRig &rig, std::size_t instance, std::string target)
     : m_rig(rig)
     , m_instance(instance)
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -57,8 +57,30 @@
     std::vector<SilencePoint> points{SilencePoint::BeforeHead, SilencePoint::BeforeFirstEvent, SilencePoint::BetweenEvents, SilencePoint::BeforeEnd};
 };
 
+/// What ends or delays an answer of an upstream after some of its events.
+enum class StreamFailureKind {
+    ConnectionLost, // the upstream goes on serving
+    Crash,
+    Silence,
+};
+
+/// A failure of the first upstreams that answer a request.
+struct StreamFailure
+{
+    StreamFailureKind kind = StreamFailureKind::ConnectionLost;
+    int afterEvent = 1;                  // id of the last event before the first failure, one more for each further one; 0: after the response head
+    std::size_t runs = 1;                // number of upstreams that fail
+    std::chrono::milliseconds silence{}; // of StreamFailureKind::Silence
+};
+
+/// Upstreams that lose the connection in the middle of a stream and go on serving.
+struct BreakOptions
+{
+    double share = 0; // of the answers; the position is random
+};
+
 /// What the store's configuration says. The routes /chat/ (resumable stream), /plain/ (buffered, repeatable) and /once/ (buffered, at most
-/// once) are always there.
+/// once) are always there, and /split/ (resumable stream to two services) with upstreams of the second service.
 struct RigConfiguration
 {
     std::chrono::milliseconds idleLimit{15'000};
@@ -84,6 +106,9 @@
     double minRetries = 50;                  // of all instances, regardless of first sends
     std::size_t plainUpstreamsPerRegion = 0; // besides the model engines, of the plain service
     SilenceOptions silence = {};
+    BreakOptions breaks = {};
+    std::vector<std::string> versions{"v1"};         // of the software of the upstreams; assigned in turn within each region
+    std::size_t secondServiceUpstreamsPerRegion = 0; // besides the model engines of the service s, those of the service s2
     RigConfiguration configuration = {};
 };
 
@@ -98,6 +123,7 @@
     bool misdirected = false; // not run, because it was meant for another upstream
     std::string target = {};
     std::string body = {};
+    std::string version = {}; // of the upstream
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -115,6 +141,14 @@
     NotSent,     // no connection, or the request could not be written whole
 };
 
+/// An event of a stream, and who wrote it.
+struct StreamEvent
+{
+    int id = 0;
+    std::string service;
+    std::string version;
+};
+
 /// A request for EdgeRig::send().
 struct RigRequest
 {
@@ -123,7 +157,13 @@
     std::vector<std::string> parts;
     std::string body = "body"; // requests with the same target and body are the same request
     std::chrono::milliseconds deadline{4'000};
-    std::optional<Silence> silence;       // of every upstream that answers it; none: as EdgeRigOptions::silence says
+    std::optional<Silence> silence = {};       // of every upstream that answers it; none: as EdgeRigOptions::silence says
+    std::optional<StreamFailure> failure = {}; // none: as EdgeRigOptions::breaks says
+    std::optional<int> lastEvent = {};         // id of the last event of a stream that is taken up again
+    std::string resumes = {};                  // attempt id of the request that brought the first event of the stream
+    std::optional<int> dropAfter = {};         // id of the event after which the client ends its connection
+    std::function<void(const StreamEvent &)> onEvent = {};
+    std::function<void()> onDone = {};
     http::ConnectionPool *pool = nullptr; // connections that the client keeps; null: a new one
 };
 
@@ -132,14 +172,69 @@
 {
     std::size_t request = 0; // number in the order of sending
     core::TimePoint sentAt{};
-    unsigned status = 0; // 0: no complete response
-    std::string retryAfter;
+    unsigned status = 0;         // 0: no complete response
+    std::string retryAfter = {}; // in seconds
     bool done = false;
-    std::string target;
+    std::string target = {};
     ClientOutcome outcome = ClientOutcome::Pending;
     bool connectionReused = false;
     core::TimePoint endedAt{};
-    std::string failure; // why there is no response
+    std::string failure = {}; // why there is no response
+    std::size_t instance = 0;
+    std::vector<StreamEvent> events = {}; // also of a response that was cut off
+};
+
+/// Where a client takes up a stream again; a running instance is chosen at random.
+enum class ResumeAt { SameInstance, OtherInstanceOfRegion, OtherRegion, Anywhere };
+
+/// A stream whose client takes it up again when it is cut off after its first event.
+struct StreamOptions
+{
+    RigRequest request; // the first one; its deadline is that of the whole stream
+    ResumeAt resumeAt = ResumeAt::Anywhere;
+    std::chrono::milliseconds resumeDelay{50};
+    std::size_t maxResumptions = 3;
+    std::vector<int> dropsAfter; // for the first request and the resumptions: event after which the client ends its connection
+};
+
+/// One resumption: a request and, after a refusal that asks the client to come back soon, a second one.
+struct Resumption
+{
+    core::TimePoint at{};
+    std::vector<std::size_t> requests; // by number
+    std::string version;               // of the stream
+    bool mayGoOn = false;              // two upstreams of the version served at its begin and its end
+    bool wentOn = false;               // it brought a further event
+    bool done = false;
+};
+
+/// What a client saw of a stream.
+struct StreamRecord
+{
+    StreamOptions options;
+    std::vector<std::size_t> requests = {}; // by number
+    std::vector<StreamEvent> events = {};   // of all requests
+    std::vector<Resumption> resumptions = {};
+    bool complete = false;
+    bool done = false;
+
+    [[nodiscard]] bool hasBegun() const
+    {
+        return !events.empty();
+    }
+    [[nodiscard]] std::set<std::string> versions() const;
+    [[nodiscard]] std::set<std::string> services() const;
+    /// Whether it holds each event once and in order.
+    [[nodiscard]] bool isWhole(int eventCount) const;
+};
+
+/// How an upstream starts again after a crash.
+struct RestartOptions
+{
+    std::chrono::milliseconds after{};         // until it is back at the same address
+    std::chrono::milliseconds entryLifetime{}; // of the announcement of the crashed run; not longer than `after`
+    std::string version;
+    bool keepsId = false;
 };
 
 class EdgeRig;
@@ -149,10 +244,15 @@
 class RigUpstream
 {
 public:
-    RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service = "s");
+    RigUpstream(EdgeRig &rig, std::size_t number, std::string region, std::string service, std::string version);
 
     /// Ends all connections, refuses new ones and starts again after EdgeRigOptions::crashDuration.
     void crash();
+    void crash(const RestartOptions &restart);
+    /// Announces that it is leaving, serves on for `drainTime` and ends.
+    void drain(std::chrono::milliseconds drainTime);
+    /// Ends all connections, refuses new ones and withdraws its announcement, for good.
+    void end();
     [[nodiscard]] const std::string &id() const
     {
         return m_id;
@@ -165,14 +265,28 @@
     {
         return m_region;
     }
+    [[nodiscard]] const std::string &service() const
+    {
+        return m_service;
+    }
+    [[nodiscard]] const std::string &version() const
+    {
+        return m_version;
+    }
+    /// Whether it runs and is announced as ready.
+    [[nodiscard]] bool isReady() const
+    {
+        return isUp() && !m_isDraining;
+    }
 
     std::string limit; // value of the limit header of its responses; empty: no header
 
 private:
     using Tcp = boost::asio::ip::tcp;
 
-    void start();
+    void start(bool keepsId);
     void announce();
+    void close();
     boost::asio::awaitable<void> acceptLoop(std::uint64_t run);
     boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
     boost::asio::awaitable<bool>
@@ -181,14 +295,19 @@
     /// Where and how long this upstream is silent in its answer to a request; depends on nothing but the seed and the request.
     [[nodiscard]] std::optional<Silence> silenceFor(const std::string &attempt) const;
     boost::asio::awaitable<void> fallSilentAt(SilencePoint point, const std::string &attempt);
-    boost::asio::awaitable<void> restartLater(std::string crashedId);
+    [[nodiscard]] std::optional<StreamFailure> failureFor(const std::string &attempt, int firstEvent);
+    boost::asio::awaitable<void> restartLater(std::string crashedId, RestartOptions restart);
 
     EdgeRig &m_rig;
     std::size_t m_number;
     std::string m_region;
     std::string m_service;
+    std::string m_version;
     std::string m_id;
-    std::uint64_t m_run = 0; // number of the current or last run
+    bool m_isDraining = false;
+    bool m_hasEnded = false;
+    std::uint64_t m_sequence = 0; // of its announcements
+    std::uint64_t m_run = 0;      // number of the current or last run
     std::uint16_t m_port = 0;
     std::optional<Tcp::acceptor> m_acceptor;         // while it is up
     std::optional<Tcp::socket> m_reservation;        // of the port while it is down; it refuses connections
@@ -218,6 +337,7 @@
         return m_instances.size();
     }
     [[nodiscard]] std::string instanceId(std::size_t instance) const;
+    [[nodiscard]] std::string instanceRegion(std::size_t instance) const;
     [[nodiscard]] bool isRunning(std::size_t instance) const; // neither killed nor frozen
     void freeze(std::size_t instance, std::chrono::milliseconds duration);
     void kill(std::size_t instance);
@@ -238,6 +358,11 @@
     {
         return m_upstreams.size();
     }
+    RigUpstream &addUpstream(const std::string &region, const std::string &service, const std::string &version);
+    /// Replaces the ready upstreams of the service in turn, one per `interval`: a new one with the version starts, and an old one drains.
+    void roll(const std::string &service, const std::string &version, std::chrono::milliseconds interval, std::chrono::milliseconds drainTime);
+    /// Number of upstreams that run and are announced as ready.
+    [[nodiscard]] std::size_t readyCount(const std::string &service, const std::string &version) const;
     [[nodiscard]] const std::vector<Arrival> &arrivals() const
     {
         return m_arrivals;
@@ -292,6 +417,24 @@
     {
         return m_results[request];
     }
+    /// Number of upstreams that ran a request.
+    [[nodiscard]] std::size_t runCount(std::size_t request) const;
+    /// Sends a stream that its client takes up again; returns its number.
+    std::size_t sendStream(StreamOptions options);
+    [[nodiscard]] std::size_t streamCount() const
+    {
+        return m_streams.size();
+    }
+    [[nodiscard]] const StreamRecord &stream(std::size_t number) const
+    {
+        return m_streams[number];
+    }
+    /// Runs until all requests and streams are done.
+    void runUntilDone();
+    [[nodiscard]] int eventCount() const
+    {
+        return m_options.eventCount;
+    }
 
 private:
     friend class RigUpstream;
@@ -299,6 +442,11 @@
     struct StoreView;
     struct Instance;
 
+    void sendTry(std::size_t stream, std::size_t instance, bool isRepetition);
+    void finishTry(std::size_t stream, bool isRepetition);
+    void resumeLater(std::size_t stream);
+    [[nodiscard]] std::size_t pickForResumption(std::size_t previous, ResumeAt where);
+
     void writeConfiguration();
 
     EdgeRigOptions m_options;
@@ -314,7 +462,9 @@
     std::vector<core::TimePoint> m_partCrashes;
     std::map<std::pair<std::string, std::string>, std::vector<core::TimePoint>> m_requestCrashes; // by target and body
     std::deque<ClientResult> m_results;
-    std::map<std::string, Silence> m_requestedSilences; // by X-Attempt-Id
+    std::map<std::string, Silence> m_requestedSilences;       // by X-Attempt-Id
+    std::map<std::string, StreamFailure> m_requestedFailures; // by X-Attempt-Id; `runs` counts down
+    std::deque<StreamRecord> m_streams;
     std::multimap<core::TimePoint, std::function<void()>> m_actions;
 };
 
