--- a/tests/mixedversiontest.cpp
+++ b/tests/mixedversiontest.cpp
@@ -221,3 +221,285 @@
         CHECK(summary.goneOnShare() >= 0.5 * summary.begunShare());
     }
 }
+
+TEST_CASE("a stream whose upstream is replaced before its first event may begin at either version", "[rig]")
+{
+    struct Row
+    {
+        const char *name;
+        tests::StreamFailure failure;
+    };
+    using Kind = tests::StreamFailureKind;
+    const std::array rows = {
+        Row{"connection lost", {.kind = Kind::ConnectionLost, .afterEvent = 0}},
+        Row{"upstream crashes", {.kind = Kind::Crash, .afterEvent = 0}},
+        Row{"silent upstream is replaced", {.kind = Kind::Silence, .afterEvent = 0, .silence = 1'900ms}},
+    };
+    constexpr std::size_t StreamCount = 16;
+    for (const Row &row : rows) {
+        const tests::EdgeRigOptions options = rigOptions(1);
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        const auto interval = row.failure.kind == tests::StreamFailureKind::Crash ? options.crashDuration + 400ms : Interval;
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            tests::RigRequest request = streamRequest(i % rig.instanceCount(), i);
+            request.failure = row.failure;
+            rig.sendStream(tests::StreamOptions{.request = request, .maxResumptions = 0, .dropsAfter = {}});
+            rig.runFor(interval);
+        }
+        rig.runUntilDone();
+        const Summary summary = summarize(rig);
+        std::size_t repeated = 0;
+        std::size_t changedVersion = 0;
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            std::set<std::string> versions;
+            for (const tests::Arrival &arrival : rig.arrivals()) {
+                if (arrival.attempt == tests::EdgeRig::attemptId(i) && !arrival.misdirected) {
+                    versions.insert(arrival.version);
+                }
+            }
+            repeated += rig.runCount(i) > 1 ? 1 : 0;
+            changedVersion += versions.size() > 1 ? 1 : 0;
+        }
+        std::cout << "before the first event, " << row.name << ": " << summary << ", sent again " << repeated << ", of these to both versions "
+                  << changedVersion << std::endl;
+        CAPTURE(row.name);
+        CHECK(summary.mixedVersions == 0);
+        CHECK(summary.whole == StreamCount);
+        CHECK(changedVersion > 0);
+    }
+}
+
+TEST_CASE("a resumed stream whose version is gone is refused at once", "[rig]")
+{
+    enum class Change { Ended, AddressTakenOver, RestartedWithSameId };
+    struct Row
+    {
+        const char *name;
+        Change change;
+    };
+    constexpr std::array Rows = {
+        Row{"upstreams of the other version replace the first ones", Change::Ended},
+        Row{"upstreams of the other version take over the addresses", Change::AddressTakenOver},
+        Row{"the upstreams start again under the same ids as the other version", Change::RestartedWithSameId},
+    };
+    constexpr std::size_t StreamCount = 12;
+    for (const Row &row : Rows) {
+        tests::EdgeRigOptions options = rigOptions(1);
+        options.versions = {"v1"};
+        options.upstreamsPerRegion = 2;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        std::vector<std::size_t> first;
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            tests::RigRequest request = streamRequest(i % rig.instanceCount(), i);
+            request.dropAfter = 2;
+            first.push_back(rig.send(request));
+        }
+        rig.runUntilDone();
+        for (std::size_t i = 0, count = rig.upstreamCount(); i < count; ++i) {
+            if (row.change == Change::Ended) {
+                rig.addUpstream(rig.upstream(i).region(), "s", "v2");
+                rig.upstream(i).end();
+            } else {
+                rig.upstream(i).crash(tests::RestartOptions{.after = options.crashDuration,
+                                                            .entryLifetime = options.entryLifetime,
+                                                            .version = "v2",
+                                                            .keepsId = row.change == Change::RestartedWithSameId});
+            }
+        }
+        rig.runFor(options.crashDuration + StartTime);
+        std::vector<std::size_t> resumed;
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            REQUIRE(rig.result(first[i]).events.size() == 2);
+            tests::RigRequest request = streamRequest((i + i / rig.instanceCount()) % rig.instanceCount(), i); // at the same and at other instances
+            request.lastEvent = 2;
+            request.resumes = tests::EdgeRig::attemptId(first[i]);
+            resumed.push_back(rig.send(request));
+        }
+        const std::size_t fresh = rig.send(streamRequest(0, StreamCount));
+        rig.runUntilDone();
+        std::size_t refused = 0;
+        std::size_t early = 0;
+        std::size_t withoutHope = 0; // Retry-After beyond the deadline
+        std::size_t runs = 0;
+        for (const std::size_t request : resumed) {
+            constexpr int MaxShareOfDeadline = 3; // one third
+            const tests::ClientResult &result = rig.result(request);
+            refused += result.status == 503 ? 1 : 0;
+            early += (result.endedAt - result.sentAt) * MaxShareOfDeadline < Deadline ? 1 : 0;
+            withoutHope += !result.retryAfter.empty() && std::chrono::duration<double>(std::stod(result.retryAfter)) >= Deadline ? 1 : 0;
+            runs += rig.runCount(request);
+        }
+        std::cout << "version gone, " << row.name << ": resumptions " << resumed.size() << ", 503 " << refused << ", ended in a third of the deadline " << early
+                  << ", Retry-After beyond the deadline " << withoutHope << ", run " << runs << std::endl;
+        CAPTURE(row.name);
+        CHECK(runs == 0);
+        CHECK(refused == StreamCount);
+        CHECK(early == StreamCount);
+        CHECK(withoutHope == StreamCount);
+        CHECK(rig.result(fresh).status == 200);
+    }
+}
+
+TEST_CASE("a resumption without a known first attempt is not guessed", "[rig]")
+{
+    struct Row
+    {
+        const char *name;
+        const char *resumes;
+        std::vector<std::string> versions;
+    };
+    const std::array rows = {
+        Row{"unknown attempt and two versions", "unknown", {"v1", "v2"}},
+        Row{"no attempt and two versions", "", {"v1", "v2"}},
+        Row{"unknown attempt and one version", "unknown", {"v1"}},
+        Row{"no attempt and one version", "", {"v1"}},
+    };
+    constexpr std::size_t Count = 12;
+    constexpr int LastEvent = 2;
+    for (const Row &row : rows) {
+        tests::EdgeRigOptions options = rigOptions(1);
+        options.versions = row.versions;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        std::vector<std::size_t> requests;
+        for (std::size_t i = 0; i < Count; ++i) {
+            tests::RigRequest request = streamRequest(i % rig.instanceCount(), i);
+            request.lastEvent = LastEvent;
+            request.resumes = row.resumes;
+            requests.push_back(rig.send(request));
+        }
+        rig.runUntilDone();
+        std::size_t refused = 0;
+        std::size_t wentOn = 0;
+        std::size_t runs = 0;
+        for (const std::size_t request : requests) {
+            const tests::ClientResult &result = rig.result(request);
+            refused += result.status == 503 ? 1 : 0;
+            wentOn += result.outcome == tests::ClientOutcome::Complete && !result.events.empty() && result.events.front().id == LastEvent + 1 ? 1 : 0;
+            runs += rig.runCount(request);
+        }
+        std::cout << "first attempt not known, " << row.name << ": resumptions " << Count << ", 503 " << refused << ", gone on " << wentOn << ", run " << runs
+                  << std::endl;
+        CAPTURE(row.name);
+        if (row.versions.size() > 1) {
+            CHECK(refused == Count);
+            CHECK(runs == 0);
+        } else {
+            CHECK(wentOn == Count);
+        }
+    }
+}
+
+TEST_CASE("a resumed stream stays at the service that began it", "[rig]")
+{
+    struct Row
+    {
+        const char *name;
+        std::vector<std::string> versions;
+        tests::ResumeAt resumeAt;
+    };
+    const std::array rows = {
+        Row{"one version and the same instance", {"v1"}, tests::ResumeAt::SameInstance},
+        Row{"one version and any instance", {"v1"}, tests::ResumeAt::Anywhere},
+        Row{"two versions and any instance", {"v1", "v2"}, tests::ResumeAt::Anywhere},
+    };
+    constexpr std::size_t StreamCount = 40;
+    for (const Row &row : rows) {
+        tests::EdgeRigOptions options = rigOptions(1);
+        options.versions = row.versions;
+        options.secondServiceUpstreamsPerRegion = options.upstreamsPerRegion;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            tests::RigRequest request = streamRequest(i % rig.instanceCount(), i);
+            request.target = "/split/x";
+            rig.sendStream(tests::StreamOptions{.request = request, .resumeAt = row.resumeAt, .dropsAfter = {1, 3}});
+            rig.runFor(Interval);
+        }
+        rig.runUntilDone();
+        std::set<std::string> services;
+        for (std::size_t i = 0; i < rig.streamCount(); ++i) {
+            services.merge(rig.stream(i).services());
+        }
+        const Summary summary = summarize(rig);
+        std::cout << "traffic split, " << row.name << ": " << summary << std::endl;
+        CAPTURE(row.name);
+        CHECK(services.size() == 2);
+        CHECK(summary.resumptions >= 12); // as many as the rule asks for
+        CHECK(summary.mixedServices == 0);
+        CHECK(summary.mixedVersions == 0);
+        CHECK(summary.goneOnShare() >= 0.5 * summary.begunShare());
+    }
+}
+
+TEST_CASE("no stream holds events of two versions and resumed streams go on", "[rig]")
+{
+    constexpr auto TrafficTime = 12'000ms;
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 2); ++seed) {
+        CAPTURE(seed);
+        pcg32 random(seed);
+        const auto randomTime = [&random](std::chrono::milliseconds from, std::chrono::milliseconds to) {
+            return from + std::chrono::milliseconds(random() % static_cast<std::uint32_t>((to - from).count()));
+        };
+        tests::EdgeRigOptions options = rigOptions(seed);
+        options.instancesPerRegion = 3;
+        options.versions = {"v1"};
+        options.crashDuration = 1'500ms;
+        options.entryLifetime = 800ms;
+        options.eventCount = 12;
+        options.eventGap = 40ms;
+        options.breaks.share = 0.2;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+
+        constexpr auto RollInterval = 600ms;
+        constexpr auto DrainTime = 2'000ms;
+        rig.schedule(1'000ms, [&] { rig.roll("s", "v2", RollInterval, DrainTime); });
+        rig.schedule(7'000ms, [&] { rig.roll("s", "v3", RollInterval, DrainTime); });
+        for (const auto at : {randomTime(2'000ms, 5'000ms), randomTime(6'000ms, 10'000ms)}) {
+            const std::size_t killed = random() % rig.instanceCount();
+            rig.schedule(at, [&rig, killed] { rig.kill(killed); });
+            rig.schedule(at + 900ms, [&rig, killed] { rig.start(killed); });
+        }
+        constexpr std::size_t CrashCount = 5;
+        for (std::size_t i = 0; i < CrashCount; ++i) {
+            rig.schedule(randomTime(1'000ms, TrafficTime), [&] { rig.upstream(random() % rig.upstreamCount()).crash(); });
+        }
+        constexpr std::size_t TakeoverCount = 2;
+        for (std::size_t i = 0; i < TakeoverCount; ++i) {
+            rig.schedule(randomTime(1'500ms, 6'000ms), [&] { // an address changes to the other version of the release
+                tests::RigUpstream &upstream = rig.upstream(random() % rig.upstreamCount());
+                upstream.crash(tests::RestartOptions{.after = 300ms, .entryLifetime = 200ms, .version = upstream.version() == "v1" ? "v2" : "v1"});
+            });
+        }
+        constexpr auto StreamInterval = 25ms;
+        for (auto at = 0ms; at < TrafficTime; at += StreamInterval) {
+            rig.schedule(at, [&] {
+                constexpr std::array Places = {
+                    tests::ResumeAt::SameInstance, tests::ResumeAt::OtherInstanceOfRegion, tests::ResumeAt::OtherRegion, tests::ResumeAt::Anywhere};
+                constexpr std::uint32_t MaxDelay = 300; // ms
+                constexpr std::uint32_t DropEvery = 3;  // streams
+                tests::StreamOptions stream;
+                stream.request = streamRequest(rig.pickRunning(random), rig.streamCount());
+                stream.resumeAt = Places[random() % Places.size()];
+                stream.resumeDelay = std::chrono::milliseconds(random() % (MaxDelay + 1));
+                if (random() % DropEvery == 0) {
+                    const int drop = 1 + static_cast<int>(random() % 6);
+                    stream.dropsAfter = {drop, drop + 1 + static_cast<int>(random() % 6)};
+                }
+                rig.sendStream(std::move(stream));
+            });
+        }
+        rig.runFor(TrafficTime);
+        rig.runUntilDone();
+        const Summary summary = summarize(rig);
+        std::cout << "soak, seed " << seed << ": " << summary << ", share begun " << summary.begunShare() << ", share of resumptions gone on "
+                  << summary.goneOnShare() << std::endl;
+        CHECK(summary.mixedVersions == 0);
+        CHECK(summary.countedResumptions >= 12); // as many as the rule asks for
+        CHECK(summary.goneOnShare() >= 0.5 * summary.begunShare());
+    }
+}
