--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -97,6 +97,9 @@
     for (const core::RegionId &region : request.excludedRegions) {
         out.add_excluded_regions(region.text);
     }
+    if (request.requiredVersion) {
+        out.set_required_version(request.requiredVersion->text);
+    }
 }
 
 routing::PlacementRequest fromProto(const fleet::Ask &in, core::InstanceId requester, core::TimePoint now)
@@ -125,6 +128,9 @@
     for (const std::string &region : in.excluded_regions()) {
         request.excludedRegions.insert(core::RegionId(region));
     }
+    if (in.has_required_version()) {
+        request.requiredVersion = routing::SoftwareVersion(in.required_version());
+    }
     return request;
 }
 
@@ -139,6 +145,7 @@
                        out.set_uncached_tokens(granted.uncachedTokens);
                        out.set_predicted_us(toMicroseconds(granted.predictedLatency));
                        out.set_cold(granted.coldUpstream);
+                       out.set_software_version(granted.version.text);
                    },
                    [&](const routing::Queued &queued) {
                        out.set_kind(fleet::Verdict::WAITS);
@@ -153,6 +160,7 @@
                        out.set_kind(fleet::Verdict::REFUSED);
                        out.set_overloaded(refused.reason == routing::RefusalReason::Overloaded);
                        out.set_quarantined(refused.reason == routing::RefusalReason::Quarantined);
+                       out.set_version_gone(refused.reason == routing::RefusalReason::VersionGone);
                        out.set_retry_after_us(toMicroseconds(refused.retryAfter));
                    },
                },
@@ -163,7 +171,12 @@
 {
     switch (in.kind()) {
     case fleet::Verdict::GRANTED:
-        return routing::Granted{core::UpstreamId(in.upstream()), in.address(), in.uncached_tokens(), fromMicroseconds(in.predicted_us()), in.cold()};
+        return routing::Granted{core::UpstreamId(in.upstream()),
+                                in.address(),
+                                in.uncached_tokens(),
+                                fromMicroseconds(in.predicted_us()),
+                                in.cold(),
+                                routing::SoftwareVersion(in.software_version())};
     case fleet::Verdict::WAITS:
         return routing::Queued{fromMicroseconds(in.predicted_us())};
     case fleet::Verdict::ELSEWHERE:
@@ -172,6 +185,7 @@
         break;
     }
     const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
+        : in.version_gone()              ? routing::RefusalReason::VersionGone
         : in.overloaded()                ? routing::RefusalReason::Overloaded
                                          : routing::RefusalReason::NoUpstream;
     return routing::Refused{reason, fromMicroseconds(in.retry_after_us())};
@@ -198,6 +212,21 @@
     return notice;
 }
 
+void toProto(const routing::StreamRecord &record, fleet::StreamRecord &out, core::TimePoint now)
+{
+    out.set_stream(record.stream.text);
+    out.set_service(record.origin.service.text);
+    out.set_software_version(record.origin.version.text);
+    out.set_age_us(toMicroseconds(now - record.beganAt));
+}
+
+routing::StreamRecord fromProto(const fleet::StreamRecord &in, core::TimePoint now)
+{
+    return routing::StreamRecord{routing::StreamId(in.stream()),
+                                 routing::StreamOrigin{core::ServiceId(in.service()), routing::SoftwareVersion(in.software_version())},
+                                 now - fromMicroseconds(in.age_us())};
+}
+
 void toProto(const PlacementReport &report, fleet::Work &out, core::TimePoint now)
 {
     for (const routing::UpstreamNotice &notice : report.notices) {
@@ -210,6 +239,9 @@
         row->set_started(request.timeToFirstEvent.has_value());
         row->set_first_event_after_us(static_cast<std::uint64_t>(request.timeToFirstEvent.value_or(core::Duration::zero()).count()));
         row->set_memory_tokens(request.memoryTokens);
+        if (request.stream) {
+            toProto(*request.stream, *row->mutable_stream(), now);
+        }
     }
     for (const CompletedPlacement &completed : report.completed) {
         auto *row = out.add_ended();
@@ -230,6 +262,9 @@
         if (row.started()) {
             request.timeToFirstEvent = fromMicroseconds(row.first_event_after_us());
         }
+        if (row.has_stream()) {
+            request.stream = fromProto(row.stream(), now);
+        }
         report.inFlight.push_back(std::move(request));
     }
     constexpr auto LastOutcome = static_cast<std::uint32_t>(routing::SendOutcome::NeverSent);
@@ -261,6 +296,12 @@
         entry->set_prefill_share(row.load.prefillUtilization);
         entry->set_read_share(row.load.cacheMissRatio);
         entry->set_service_time_us(toMicroseconds(row.load.serviceTime));
+        for (const routing::VersionLoad &version : row.load.versions) {
+            auto *versionRow = entry->add_versions();
+            versionRow->set_software_version(version.version.text);
+            versionRow->set_usable(version.usableUpstreams);
+            versionRow->set_wait_us(toMicroseconds(version.queueDelay));
+        }
     }
     out.set_belief_revision(state.lastChangeRevision.value);
     out.set_as_of(state.storeRevision.value);
@@ -286,6 +327,10 @@
         load.prefillUtilization = row.prefill_share();
         load.cacheMissRatio = row.read_share();
         load.serviceTime = fromMicroseconds(row.service_time_us());
+        for (const auto &version : row.versions()) {
+            load.versions.push_back(
+                routing::VersionLoad{routing::SoftwareVersion(version.software_version()), version.usable(), fromMicroseconds(version.wait_us())});
+        }
         state.serviceLoads.push_back(RegionServiceLoad{core::RegionId(row.region()), load, fromMicroseconds(row.age_us())});
     }
     state.lastChangeRevision = metadata::StoreRevision(in.belief_revision());
@@ -297,6 +342,32 @@
     return state;
 }
 
+//-----------------------------------------------------------------------------
+// Streams
+//-----------------------------------------------------------------------------
+
+void toProto(const StreamReport &report, fleet::StreamReport &out, core::TimePoint now)
+{
+    for (const routing::StreamRecord &record : report.records) {
+        toProto(record, *out.add_records(), now);
+    }
+    for (const routing::StreamId &stream : report.unknown) {
+        out.add_unknown(stream.text);
+    }
+}
+
+StreamReport fromProto(const fleet::StreamReport &in, core::TimePoint now)
+{
+    StreamReport report;
+    for (const fleet::StreamRecord &record : in.records()) {
+        report.records.push_back(fromProto(record, now));
+    }
+    for (const std::string &stream : in.unknown()) {
+        report.unknown.emplace_back(stream);
+    }
+    return report;
+}
+
 //-----------------------------------------------------------------------------
 // Quarantine
 //-----------------------------------------------------------------------------
@@ -368,6 +439,8 @@
                    [&](const RegionState &state) { toProto(state, *out.mutable_region_state(), now); },
                    [&](const PlacementCancellation &cancellation) { out.mutable_withdraw()->set_id(cancellation.id.text); },
                    [&](const std::vector<routing::CauseRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
+                   [&](const StreamQuery &query) { out.mutable_stream_query()->set_stream(query.stream.text); },
+                   [&](const StreamReport &report) { toProto(report, *out.mutable_stream_report(), now); },
                },
                body);
 }
@@ -435,6 +508,12 @@
     case fleet::Datagram::kQuarantine:
         message.body = fromProto(in.quarantine(), now);
         return message;
+    case fleet::Datagram::kStreamQuery:
+        message.body = StreamQuery{routing::StreamId(in.stream_query().stream())};
+        return message;
+    case fleet::Datagram::kStreamReport:
+        message.body = fromProto(in.stream_report(), now);
+        return message;
     case fleet::Datagram::BODY_NOT_SET:
         break;
     }
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -6,6 +6,7 @@
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
 #include "arbutus/routing/requestquarantine.h"
+#include "arbutus/routing/streamrecords.h"
 #include "arbutus/routing/upstreamnotices.h"
 
 #include <optional>
@@ -64,13 +65,28 @@
     routing::PlacementId id;
 };
 
+/// Asks for the record of a stream that a client resumes.
+struct StreamQuery
+{
+    routing::StreamId stream;
+};
+
+/// Records of streams, and which ones the sender was asked for and does not know.
+struct StreamReport
+{
+    std::vector<routing::StreamRecord> records;
+    std::vector<routing::StreamId> unknown;
+};
+
 using FleetMessageBody = std::variant<membership::Message,
                                       routing::PlacementRequest,
                                       std::vector<PlacementReply>,
                                       PlacementReport,
                                       RegionState,
                                       PlacementCancellation,
-                                      std::vector<routing::CauseRecord>>;
+                                      std::vector<routing::CauseRecord>,
+                                      StreamQuery,
+                                      StreamReport>;
 
 /// One datagram.
 struct FleetMessage
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -34,12 +34,13 @@
 constexpr const char *SendCountHeader = "X-Gateway-Sends";         // upstream sends so far
 constexpr const char *PossibleExecutionsHeader = "X-Gateway-Runs"; // sends after which an upstream may have executed the request
 constexpr const char *ResumeHeader = "X-Gateway-Resume";           // last event id that the client has
+constexpr const char *VersionHeader = "X-Gateway-Version";         // request: required software version; response: that of the upstream
 constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotExecuted = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
 constexpr std::string_view OutcomeQuarantined = "quarantined"; // not run, and no upstream may run it
-constexpr std::array PeerHeaders = {OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, ResumeHeader, OutcomeHeader};
+constexpr std::array PeerHeaders = {OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, ResumeHeader, VersionHeader, OutcomeHeader};
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
 bool impliesNotExecuted(unsigned status)
@@ -91,7 +92,7 @@
     core::InstanceId peer; // instead of an upstream
     core::RegionId region; // of the peer
     std::string address;
-    routing::SoftwareVersion version; // of the upstream
+    routing::SoftwareVersion version; // of the upstream's software; a peer states it in its response head
     core::Duration predictedLatency{};
 
     //--- Progress
@@ -151,12 +152,14 @@
     std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
     std::set<core::RegionId> excludedRegions;
     std::size_t placements = 0;
-    std::size_t fruitlessSearches = 0;             // placements for a replacement that was not sent
-    std::size_t sendCount = 0;                     // requests that reached an upstream
-    std::size_t possibleExecutions = 0;            // sends after which an upstream may have executed the request
-    std::optional<http::Response> upstreamFailure; // error response of an upstream, forwarded if no retry succeeds
-    bool mayHaveExecuted = false;                  // an attempt ended, and its upstream may have executed the request
-    bool responseStarted = false;                  // the stream's response head was sent to the client
+    std::size_t fruitlessSearches = 0;                       // placements for a replacement that was not sent
+    std::size_t sendCount = 0;                               // requests that reached an upstream
+    std::size_t possibleExecutions = 0;                      // sends after which an upstream may have executed the request
+    std::optional<http::Response> upstreamFailure;           // error response of an upstream, forwarded if no retry succeeds
+    bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
+    bool responseStarted = false;                            // the stream's response head was sent to the client
+    std::optional<routing::SoftwareVersion> requiredVersion; // of a stream that has begun, in this or an earlier attempt of the client
+    bool isVersionGone = false;                              // no upstream of the required version is left
     std::optional<SseRelay> sseRelay;
     core::Duration retryAfter{};
     std::optional<routing::CrashCause> quarantinedCause; // because of which the request is refused
@@ -181,6 +184,15 @@
     {
         return route->responseMode == catalog::ResponseMode::Stream;
     }
+    /// Whether the client resumes a stream.
+    [[nodiscard]] bool isResumption() const
+    {
+        return isStreaming() && isRepeatable() && !head.lastEventId.empty();
+    }
+    [[nodiscard]] routing::StreamId streamId() const
+    {
+        return routing::StreamId(head.resumedAttemptId.empty() ? head.attemptId : head.resumedAttemptId);
+    }
     [[nodiscard]] routing::PlacementId placementId() const
     {
         return routing::PlacementId(head.attemptId + "/" + std::to_string(placements));
@@ -213,6 +225,7 @@
                      MetadataCache &metadataCache,
                      PlacementService &placement,
                      QuarantineService &quarantine,
+                     StreamDirectory &streamDirectory,
                      std::uint64_t seed,
                      ForwarderSettings settings)
     : m_context(context)
@@ -220,6 +233,7 @@
     , m_metadataCache(metadataCache)
     , m_placement(placement)
     , m_quarantine(quarantine)
+    , m_streamDirectory(streamDirectory)
     , m_settings(settings)
     , m_retryBudget(limits::SharedRetryBudgetSettings{context.settings.retryRatio, context.settings.minRetries, context.settings.retryWindow})
     , m_random(seed)
@@ -264,6 +278,9 @@
     state.sendCount = parseCount(http::headerValue(state.request.headers, SendCountHeader));
     state.possibleExecutions = parseCount(http::headerValue(state.request.headers, PossibleExecutionsHeader));
     const std::string lastEventId = http::headerValue(state.request.headers, ResumeHeader);
+    if (state.request.headers.contains(VersionHeader)) {
+        state.requiredVersion = routing::SoftwareVersion(http::headerValue(state.request.headers, VersionHeader));
+    }
     for (const char *name : PeerHeaders) {
         state.request.headers.erase(name);
     }
@@ -322,9 +339,54 @@
         state.responseDeadline = std::min(state.completionDeadline, state.receivedAt + abandonmentTime - m_settings.abandonmentMargin);
     }
     state.exchange.onClientDisconnect([cancellation = state.cancellation] { cancellation->cancel(); });
+    if (!state.fromPeer && state.isResumption()) {
+        co_return co_await findOrigin(state);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> Forwarder::findOrigin(RequestState &state)
+{
+    const core::ServiceId service = state.route->serviceFor(state.streamId().text);
+    const routing::StreamId stream(state.head.resumedAttemptId);
+    const FoundOrigin found = co_await m_streamDirectory.find(stream, service, state.route->timeout);
+    m_context.writeLog(observe::LogLine("stream_resumed")
+                           .add("request", state.head.attemptId)
+                           .add("resumes", stream)
+                           .add("after", state.head.lastEventId)
+                           .add("service", found.origin.service)
+                           .add("required_version", found.origin.version)
+                           .add("source", toString(found.source))
+                           .add("age_ms", core::toMilliseconds(found.age))
+                           .add("took_ms", core::toMilliseconds(m_context.now() - state.receivedAt)));
+    if (found.source == OriginSource::Unknown) {
+        countResumption(state, "version_unknown");
+        state.lastFailure = "it is not known at which software version the stream began";
+        const std::string message = "request was not executed: " + state.lastFailure;
+        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionUnknownRetryAfter);
+        co_return false;
+    }
+    const auto &splits = state.route->trafficSplits;
+    const bool isOnRoute = std::any_of(splits.begin(), splits.end(), [&](const catalog::TrafficSplit &split) { return split.service == found.origin.service; });
+    if (!isOnRoute) {
+        countResumption(state, "service_moved");
+        state.lastFailure = "the route no longer leads to the service at which the stream began";
+        const std::string message = "request was not executed: " + state.lastFailure;
+        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionGoneRetryAfter);
+        co_return false;
+    }
+    state.service = found.origin.service;
+    state.requiredVersion = found.origin.version;
     co_return true;
 }
 
+void Forwarder::countResumption(const RequestState &state, std::string_view outcome)
+{
+    if (state.isResumption() && !state.fromPeer) {
+        m_context.metrics.incrementCounter("arbutus_resumed_streams_total", "outcome=\"" + std::string(outcome) + "\"");
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Placement
 //-----------------------------------------------------------------------------
@@ -347,6 +409,7 @@
     placementRequest.allowedRegions = state.route->homeRegions;
     placementRequest.excludedUpstreams = state.excludedUpstreams;
     placementRequest.excludedRegions = state.excludedRegions;
+    placementRequest.requiredVersion = state.requiredVersion;
     return placementRequest;
 }
 
@@ -394,6 +457,10 @@
                     state.quarantinedCause = state.fingerprint;
                     state.lastFailure = "the dispatcher reports a quarantined request or prompt part";
                 }
+                if (refused->reason == routing::RefusalReason::VersionGone) {
+                    state.isVersionGone = true;
+                    state.lastFailure = "no upstream of software version " + state.requiredVersion.value_or(routing::SoftwareVersion()).text + " is left";
+                }
                 break;
             }
             state.current = openAttempt(state, decision);
@@ -478,6 +545,17 @@
             observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
         return nullptr;
     }
+    const bool isVersionStated = entry == nullptr || !granted.version.empty(); // not by a dispatcher of an older release of the gateway
+    const routing::SoftwareVersion version = isVersionStated ? granted.version : entry->announcement.version;
+    const bool isVersionStale = entry != nullptr && entry->announcement.version != version;
+    if (isVersionStale || (state.requiredVersion && version != *state.requiredVersion)) { // the stream has begun since it was placed
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+        state.excludedUpstreams.insert(granted.upstream);
+        state.lastFailure = "placed at an upstream of software version " + version.text;
+        m_context.writeLog(
+            observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
+        return nullptr;
+    }
     if (isQuarantined(state)) { // since the request was placed
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
         return nullptr;
@@ -502,7 +580,7 @@
     attempt->placement = placementId;
     attempt->upstream = granted.upstream;
     attempt->address = granted.address;
-    attempt->version = entry == nullptr ? routing::SoftwareVersion() : entry->announcement.version;
+    attempt->version = version;
     attempt->predictedLatency = granted.predictedLatency;
     attempt->request = state.request;
     attempt->request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
@@ -559,6 +637,10 @@
     if (state.sseRelay && !state.sseRelay->lastEventId().empty()) {
         headers[ResumeHeader] = state.sseRelay->lastEventId();
     }
+    if (state.requiredVersion) {
+        headers[VersionHeader] = state.requiredVersion->text;
+        attempt->version = *state.requiredVersion;
+    }
     http::CallOptions options;
     options.pool = &m_peerConnections;
     options.retryOnStaleConnection = false;
@@ -594,6 +676,9 @@
         } catch (const std::exception &error) {
             head = http::CallError{http::CallStage::SendRequest, error.what()};
         }
+        if (attempt->isToPeer() && head) {
+            attempt->version = routing::SoftwareVersion(http::headerValue(head.value().headers, VersionHeader));
+        }
         attempt->head.emplace(std::move(head));
         attempt->lastProgressAt = std::max(attempt->lastProgressAt, owner->clock.steadyNow());
         owner->changed.notify();
@@ -800,7 +885,7 @@
         }
         co_await state.changed.wait(maxOverlap - overlap);
     }
-    if (silent->delivered || state.cancellation->cancelled) {
+    if (silent->delivered || state.cancellation->cancelled || !fitsStream(state, *replacement)) { // the silent attempt may have begun the stream
         state.replacement = nullptr;
         co_await abandonAttempt(state, replacement);
     } else if (replacement->head && !isAccepted(state, *replacement)) {
@@ -945,8 +1030,20 @@
     co_return result;
 }
 
-asio::awaitable<void> Forwarder::beginStream(RequestState &state, const http::Response &head)
+bool Forwarder::fitsStream(const RequestState &state, const Attempt &attempt)
 {
+    return !state.requiredVersion || *state.requiredVersion == attempt.version;
+}
+
+bool Forwarder::mayHaveChangedVersion(const Attempt &attempt) const
+{
+    const routing::RegistryEntry *entry = attempt.isToPeer() ? nullptr : m_metadataCache.registry().find(attempt.upstream);
+    return entry != nullptr && entry->announcement.version != attempt.version;
+}
+
+asio::awaitable<void> Forwarder::beginStream(RequestState &state, const Attempt &attempt)
+{
+    const http::Response &head = attempt.head->value();
     if (!state.sseRelay) {
         state.sseRelay.emplace(state.head.lastEventId);
     } else {
@@ -958,6 +1055,9 @@
     http::Response response;
     response.status = head.status;
     response.headers = m_context.adapter.clientHeaders(head.headers);
+    if (state.fromPeer && !state.requiredVersion) {
+        state.requiredVersion = attempt.version; // the other instance learns it from this response head
+    }
     setPeerHeaders(state, OutcomeAnswered, response);
     if (!co_await state.exchange.beginResponse(response)) {
         state.cancellation->cancel();
@@ -976,7 +1076,17 @@
     }
     if (attempt.firstEventAt == core::TimePoint{}) {
         attempt.firstEventAt = now;
-        m_placement.recordFirstEvent(attempt.placement);
+        if (!state.requiredVersion) {
+            state.requiredVersion = attempt.version;
+        }
+        std::optional<routing::StreamRecord> record;
+        if (state.isRepeatable()) {
+            record = routing::StreamRecord{state.streamId(), routing::StreamOrigin{state.service, *state.requiredVersion}, now};
+        }
+        m_placement.recordFirstEvent(attempt.placement, std::move(record));
+        if (state.firstEventTime == core::TimePoint{}) {
+            countResumption(state, "continued");
+        }
         if (!attempt.isToPeer()) {
             m_quarantine.recordFirstEvent(state.head.prompt);
         }
@@ -989,7 +1099,7 @@
 {
     const unsigned status = attempt.head->value().status;
     attempt.isWriting = true;
-    co_await beginStream(state, attempt.head->value());
+    co_await beginStream(state, attempt);
     attempt.isWriting = false;
     attempt.lastProgressAt = m_context.now();
     while (true) {
@@ -1015,6 +1125,11 @@
             std::string reason = "stream interrupted after event " + state.sseRelay->lastEventId() + ": " + chunk.error().message;
             co_return recordFailedAttempt(state, attempt, outcome, std::move(reason));
         }
+        if (!fitsStream(state, attempt) || (attempt.firstEventAt == core::TimePoint{} && mayHaveChangedVersion(attempt))) {
+            std::string reason = "response of software version " + attempt.version.text + " does not continue the stream after event ";
+            reason += state.sseRelay->lastEventId();
+            co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Unreachable, std::move(reason));
+        }
         const bool complete = chunk.value().empty();
         const std::string output = complete ? state.sseRelay->finish(attempt.call->bodyEnd()) : state.sseRelay->feed(chunk.value());
         if (!output.empty()) {
@@ -1057,6 +1172,9 @@
         response.headers[OutcomeHeader] = std::string(outcome);
         response.headers[SendCountHeader] = std::to_string(state.sendCount);
         response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
+        if (state.requiredVersion) {
+            response.headers[VersionHeader] = state.requiredVersion->text;
+        }
     }
 }
 
@@ -1088,6 +1206,12 @@
         co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
         co_return;
     }
+    countResumption(state, state.isVersionGone ? "version_gone" : state.mayHaveExecuted ? "failed" : "no_room");
+    if (!state.mayHaveExecuted && state.isVersionGone) {
+        const std::string message = "request was not executed: " + state.lastFailure;
+        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionGoneRetryAfter);
+        co_return;
+    }
     if (!state.mayHaveExecuted) {
         std::string message = "request was not executed: no upstream is available in time";
         if (!state.lastFailure.empty()) { // not a conditional expression in the call: GCC 12 destroys temporaries of one in a co_await twice
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -13,6 +13,11 @@
 // upstream if the route allows it; otherwise the client's connection is aborted, so that the client can see that the stream
 // is incomplete.
 //
+// Q: Upstreams of several software versions serve a route. May a stream change its upstream?
+// A: Only to one of the version that wrote its first event. The version is known from the placement, or from the peer that relays the
+//    stream, and each further placement requires it. When a client resumes a stream, StreamDirectory finds out at which service and
+//    version it began. If that is unknown, or no upstream of the version is left, the request is refused at once.
+//
 // Q: What if an upstream is silent?
 // A: It may go on at any time, so its attempt is kept. If the request may be repeated, a replacement is sought meanwhile: a
 //    placement at another upstream, within the retry budget. The silent attempt is cancelled only after the replacement has accepted
@@ -22,6 +27,7 @@
 
 #include "arbutus/edge/placementservice.h"
 #include "arbutus/edge/quarantineservice.h"
+#include "arbutus/edge/streamdirectory.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 #include "arbutus/limits/sharedretrybudget.h"
@@ -37,21 +43,23 @@
     std::chrono::milliseconds atMostOnceMaxIdleTime{700};  // pooled connections idle for longer are not used for at-most-once requests
     std::chrono::milliseconds repeatableMaxIdleTime{3'000};
     std::chrono::milliseconds peerMaxIdleTime{3'000};
-    std::chrono::milliseconds minFirstByteTimeout{700};   // without a response head, an attempt of a repeatable request is silent after this time
-    double firstByteTimeoutFactor = 3;                    // the time is this many times the predicted latency, if that is longer
-    std::chrono::milliseconds streamIdleTimeout{1'600};   // without an event, an attempt of a resumable stream is silent after this time
-    std::chrono::milliseconds peerSilenceMargin{1'000};   // added for a peer, which looks for a replacement itself first
-    std::chrono::milliseconds replacementInterval{300};   // between two searches for a replacement of the same attempt
-    std::chrono::milliseconds maxOverlap{150};            // time for which two upstreams may run the same request
-    std::chrono::milliseconds maxPeerOverlap{300};        // the same if the second one is in another region; includes the way there and back
-    std::chrono::milliseconds crossRegionOverhead{130};   // round trip to another region; half of it is subtracted from the deadline sent to the peer
-    std::chrono::milliseconds noCatalogRetryAfter{500};   // Retry-After while no configuration is loaded
-    std::chrono::seconds quarantineRetryAfter{60};        // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
-    std::chrono::milliseconds deadlineMargin{30};         // the response is due this long before the client's own deadline
-    std::size_t maxCrashedUpstreams = 2;                  // under one request; it is not sent to a further one
-    std::size_t maxPlacements = 6;                        // per request, including rejected ones
-    std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024; // of a response that is not streamed; many may be in memory at once
-    std::size_t maxEventBytes = 1024 * 1024;              // of one event of a stream
+    std::chrono::milliseconds minFirstByteTimeout{700};      // without a response head, an attempt of a repeatable request is silent after this time
+    double firstByteTimeoutFactor = 3;                       // the time is this many times the predicted latency, if that is longer
+    std::chrono::milliseconds streamIdleTimeout{1'600};      // without an event, an attempt of a resumable stream is silent after this time
+    std::chrono::milliseconds peerSilenceMargin{1'000};      // added for a peer, which looks for a replacement itself first
+    std::chrono::milliseconds replacementInterval{300};      // between two searches for a replacement of the same attempt
+    std::chrono::milliseconds maxOverlap{150};               // time for which two upstreams may run the same request
+    std::chrono::milliseconds maxPeerOverlap{300};           // the same if the second one is in another region; includes the way there and back
+    std::chrono::milliseconds crossRegionOverhead{130};      // round trip to another region; half of it is subtracted from the deadline sent to the peer
+    std::chrono::milliseconds noCatalogRetryAfter{500};      // Retry-After while no configuration is loaded
+    std::chrono::seconds quarantineRetryAfter{60};           // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
+    std::chrono::seconds versionGoneRetryAfter{60};          // Retry-After for a stream that no upstream can continue; longer than clients wait
+    std::chrono::milliseconds versionUnknownRetryAfter{500}; // Retry-After for a stream whose record may still be found
+    std::chrono::milliseconds deadlineMargin{30};            // the response is due this long before the client's own deadline
+    std::size_t maxCrashedUpstreams = 2;                     // under one request; it is not sent to a further one
+    std::size_t maxPlacements = 6;                           // per request, including rejected ones
+    std::uint64_t maxBufferedBodyBytes = 8 * 1024 * 1024;    // of a response that is not streamed; many may be in memory at once
+    std::size_t maxEventBytes = 1024 * 1024;                 // of one event of a stream
 
     // Clients abandon a stream if its first event does not arrive within the longest of these times.
     double abandonmentGapFactor = 8;                     // times the route's maximum event gap
@@ -68,6 +76,7 @@
               MetadataCache &metadataCache,
               PlacementService &placement,
               QuarantineService &quarantine,
+              StreamDirectory &streamDirectory,
               std::uint64_t seed,
               ForwarderSettings settings = {});
 
@@ -93,6 +102,8 @@
     };
 
     boost::asio::awaitable<bool> acceptRequest(RequestState &state);
+    /// Finds out what the stream that the client resumes can go on at; answers the request and returns false if that is not known.
+    boost::asio::awaitable<bool> findOrigin(RequestState &state);
 
     //--- Placement
     boost::asio::awaitable<void> placeAndSend(RequestState &state);
@@ -142,8 +153,13 @@
     boost::asio::awaitable<SendResult> relayBuffered(RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> relayStream(RequestState &state, Attempt &attempt);
     /// Sends the response head, unless an earlier attempt did.
-    boost::asio::awaitable<void> beginStream(RequestState &state, const http::Response &head);
+    boost::asio::awaitable<void> beginStream(RequestState &state, const Attempt &attempt);
     void recordOutput(RequestState &state, Attempt &attempt);
+    /// Whether the attempt's upstream has the software version at which the stream began, if it has begun.
+    [[nodiscard]] static bool fitsStream(const RequestState &state, const Attempt &attempt);
+    /// Whether the upstream was started again with another software version since the request was placed.
+    [[nodiscard]] bool mayHaveChangedVersion(const Attempt &attempt) const;
+    void countResumption(const RequestState &state, std::string_view outcome);
 
     //--- Responses
     boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool timedOut);
@@ -159,6 +175,7 @@
     MetadataCache &m_metadataCache;
     PlacementService &m_placement;
     QuarantineService &m_quarantine;
+    StreamDirectory &m_streamDirectory;
     ForwarderSettings m_settings;
     limits::SharedRetryBudget m_retryBudget;
     http::ConnectionPool m_upstreamConnections;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -26,7 +26,8 @@
     return std::visit(core::Overloaded{
                           [](const routing::Granted &granted) {
                               return "granted upstream=" + granted.upstream.text + " uncached=" + std::to_string(granted.uncachedTokens)
-                                  + " predicted_ms=" + std::to_string(core::toMilliseconds(granted.predictedLatency)) + (granted.coldUpstream ? " cold=1" : "");
+                                  + " predicted_ms=" + std::to_string(core::toMilliseconds(granted.predictedLatency)) + (granted.coldUpstream ? " cold=1" : "")
+                                  + (granted.version.empty() ? "" : " software_version=" + granted.version.text);
                           },
                           [](const routing::Queued &queued) { return "waits predicted_ms=" + std::to_string(core::toMilliseconds(queued.predictedWait)); },
                           [](const routing::Redirected &redirected) {
@@ -36,6 +37,7 @@
                           [](const routing::Refused &refused) {
                               const std::string reason = refused.reason == routing::RefusalReason::Overloaded ? "overloaded"
                                   : refused.reason == routing::RefusalReason::Quarantined                     ? "quarantined"
+                                  : refused.reason == routing::RefusalReason::VersionGone                     ? "version_gone"
                                                                                                               : "no_upstream";
                               return "refused reason=" + reason + " retry_after_ms=" + std::to_string(core::toMilliseconds(refused.retryAfter));
                           },
@@ -193,6 +195,7 @@
                            .add("service", request.service)
                            .add("priority", request.priority)
                            .add("tokens", request.promptTokens)
+                           .add("required_version", request.requiredVersion ? request.requiredVersion->text : "")
                            .add("wait_ms", core::toMilliseconds(elapsed))
                            .add("decided_by", decidedBy)
                            .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(m_context.now())))
@@ -217,13 +220,16 @@
 void PlacementService::recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted)
 {
     const std::uint32_t memoryTokens = request.unsharedTokens();
-    m_inFlight[request.id] = InFlightPlacement{granted.upstream, m_context.now(), std::nullopt, memoryTokens};
+    m_inFlight[request.id] = InFlightPlacement{granted.upstream, m_context.now(), std::nullopt, memoryTokens, std::nullopt};
     m_dispatcher.recordInFlight(
-        m_context.settings.instanceId, {routing::ReportedRequest{request.id, granted.upstream, std::nullopt, memoryTokens}}, m_context.now());
+        m_context.settings.instanceId, {routing::ReportedRequest{request.id, granted.upstream, std::nullopt, memoryTokens, std::nullopt}}, m_context.now());
 }
 
-void PlacementService::recordFirstEvent(const routing::PlacementId &id)
+void PlacementService::recordFirstEvent(const routing::PlacementId &id, std::optional<routing::StreamRecord> stream)
 {
+    if (stream && onStreamBegan) {
+        onStreamBegan(*stream);
+    }
     const auto found = m_inFlight.find(id);
     if (found == m_inFlight.end() || found->second.timeToFirstEvent) {
         return;
@@ -231,6 +237,7 @@
     const core::TimePoint now = m_context.now();
     const auto timeToFirstEvent = now - found->second.sentAt;
     found->second.timeToFirstEvent = timeToFirstEvent;
+    found->second.stream = std::move(stream);
     m_dispatcher.recordFirstEvent(id, found->second.upstream, timeToFirstEvent, now);
     m_unreportedFirstEvents.insert(id);
     scheduleReport();
@@ -259,7 +266,7 @@
         PlacementReport report;
         for (const routing::PlacementId &id : std::exchange(m_unreportedFirstEvents, {})) {
             const InFlightPlacement &placement = m_inFlight[id];
-            report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens});
+            report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens, placement.stream});
         }
         report.completed = std::exchange(m_unreportedCompletions, {});
         if (std::exchange(m_hasUnreportedNotice, false)) {
@@ -338,7 +345,7 @@
             report.notices.clear();
         }
         for (const auto &[id, placement] : m_inFlight) {
-            report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens});
+            report.inFlight.push_back(routing::ReportedRequest{id, placement.upstream, placement.timeToFirstEvent, placement.memoryTokens, placement.stream});
             if (report.inFlight.size() >= m_settings.maxInFlightPerDatagram) {
                 m_dispatcher.recordInFlight(m_context.settings.instanceId, report.inFlight, m_context.now());
                 sendReport(report);
@@ -431,6 +438,8 @@
                    [&](const RegionState &state) { handleRegionState(state, message.sender.id); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
                    [](const std::vector<routing::CauseRecord> &) {}, // handled by the quarantine service
+                   [](const StreamQuery &) {},                       // handled by the stream directory
+                   [](const StreamReport &) {},
                },
                message.body);
 }
@@ -466,6 +475,11 @@
     const core::TimePoint now = m_context.now();
     mergeNotices(report.notices, sender);
     m_dispatcher.recordInFlight(sender, report.inFlight, now);
+    for (const routing::ReportedRequest &request : report.inFlight) {
+        if (request.stream && onStreamBegan) {
+            onStreamBegan(*request.stream);
+        }
+    }
     for (const CompletedPlacement &completed : report.completed) {
         m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now);
     }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -53,7 +53,8 @@
     void start();
     /// Returns a granted placement, a redirect to another region or a refusal. Cancelling the token ends the wait with a refusal.
     boost::asio::awaitable<routing::PlacementDecision> place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token);
-    void recordFirstEvent(const routing::PlacementId &id);
+    /// `stream` is the record of a stream that may be resumed.
+    void recordFirstEvent(const routing::PlacementId &id, std::optional<routing::StreamRecord> stream);
     void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
     /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
     void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
@@ -87,6 +88,7 @@
         core::TimePoint sentAt{};
         std::optional<core::Duration> timeToFirstEvent;
         std::uint32_t memoryTokens = 0;
+        std::optional<routing::StreamRecord> stream; // see ReportedRequest
     };
 
     boost::asio::awaitable<void> dispatchLoop();
@@ -139,6 +141,8 @@
 public:
     /// Returns whether a request, or a part of its prompt, is quarantined.
     std::function<bool(const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint)> isQuarantined;
+    /// Called for each stream that began in this region and may be resumed.
+    std::function<void(const routing::StreamRecord &record)> onStreamBegan;
     /// Returns whether this instance reads the store in place of the instances that usually report to others.
     std::function<bool()> isSubstituteReader;
     /// Called when a peer has newer metadata.
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -6,6 +6,7 @@
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/edge/metadatasync.h"
 #include "arbutus/edge/quarantineservice.h"
+#include "arbutus/edge/streamdirectory.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -73,7 +74,8 @@
         , placement(context, fleet, metadataCache)
         , metadataSync(context, fleet, metadataCache, seed)
         , quarantine(context, fleet, metadataCache, seed)
-        , forwarder(context, fleet, metadataCache, placement, quarantine, seed)
+        , streamDirectory(context, fleet, metadataCache)
+        , forwarder(context, fleet, metadataCache, placement, quarantine, streamDirectory, seed)
         , reloadSettings(std::move(theReloadSettings))
         , clientServer(
               context.executor, settings.clientEndpoint, {}, [this](http::Exchange &exchange) { return forwarder.handleRequest(exchange); }, nullptr)
@@ -102,6 +104,7 @@
     PlacementService placement;
     MetadataSync metadataSync;
     QuarantineService quarantine;
+    StreamDirectory streamDirectory;
     Forwarder forwarder;
     std::function<core::Result<Settings>()> reloadSettings;
     http::Server clientServer;
@@ -364,15 +367,25 @@
     impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint) {
         return impl.quarantine.findQuarantined(prompt, fingerprint).has_value();
     };
+    impl.placement.onStreamBegan = [&impl](const routing::StreamRecord &record) { impl.streamDirectory.record(record); };
     impl.quarantine.onQuarantined = [&impl] { impl.placement.refuseQuarantined(); };
     impl.fleet.start([&impl](const FleetMessage &message, const std::string &from) {
         if (const auto *records = std::get_if<std::vector<routing::CauseRecord>>(&message.body)) {
             impl.quarantine.handleRecords(*records, message.sender.id);
             return;
         }
+        if (const auto *query = std::get_if<StreamQuery>(&message.body)) {
+            impl.streamDirectory.handleQuery(*query, from);
+            return;
+        }
+        if (const auto *report = std::get_if<StreamReport>(&message.body)) {
+            impl.streamDirectory.handleReport(*report, message.sender.id);
+            return;
+        }
         impl.placement.handleMessage(message, from);
     });
     impl.quarantine.start();
+    impl.streamDirectory.start();
     impl.placement.start();
     impl.metadataSync.start([&impl](const MetadataUpdate &update) { impl.onMetadataChanged(update); });
     asio::co_spawn(impl.context.executor, impl.flushLoop(), asio::detached);
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+bool mayServe(const PlacementRequest &request, const Announcement &announcement)
+{
+    return !request.requiredVersion || *request.requiredVersion == announcement.version;
+}
+
 core::Duration scaled(core::Duration duration, double factor)
 {
     return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -88,10 +93,19 @@
     }
     const auto &upstreams = localUpstreamsOf(request.service);
     return std::any_of(upstreams.begin(), upstreams.end(), [&](const LocalUpstream &upstream) {
-        return !request.excludedUpstreams.contains(upstream.entry->announcement.id);
+        return !request.excludedUpstreams.contains(upstream.entry->announcement.id) && mayServe(request, upstream.entry->announcement);
     });
 }
 
+bool Dispatcher::isVersionGone(const PlacementRequest &request) const
+{
+    const auto &entries = m_view.registry.entries();
+    return request.requiredVersion && std::none_of(entries.begin(), entries.end(), [&](const auto &item) {
+               const Announcement &announcement = item.second.announcement;
+               return announcement.service == request.service && mayServe(request, announcement) && m_view.registry.isEligible(item.second);
+           });
+}
+
 bool Dispatcher::mayStillDiscoverUpstream(const PlacementRequest &request, core::TimePoint now)
 {
     if (now - m_startedAt >= m_settings.discoveryPeriod) {
@@ -100,7 +114,10 @@
     const auto isUnknown = [&](const core::RegionId &region) {
         const bool allowed = (request.allowedRegions.empty() || request.allowedRegions.contains(region)) && !request.excludedRegions.contains(region);
         if (region == m_view.region) {
-            return allowed && localUpstreamsOf(request.service).empty();
+            const auto &upstreams = localUpstreamsOf(request.service);
+            return allowed && std::none_of(upstreams.begin(), upstreams.end(), [&](const LocalUpstream &upstream) {
+                       return mayServe(request, upstream.entry->announcement);
+                   });
         }
         return allowed && request.allowOtherRegions && !m_remoteRegions.contains(region);
     };
@@ -110,7 +127,8 @@
 std::optional<Dispatcher::Candidate> Dispatcher::evaluateCandidate(const PlacementRequest &request, LocalUpstream &upstream, core::TimePoint now) const
 {
     const UpstreamEstimator &estimator = *upstream.estimator;
-    if ((!request.excludedUpstreams.empty() && request.excludedUpstreams.contains(upstream.entry->announcement.id)) || !estimator.acceptsRequests(now)) {
+    if (!mayServe(request, upstream.entry->announcement)
+        || (!request.excludedUpstreams.empty() && request.excludedUpstreams.contains(upstream.entry->announcement.id)) || !estimator.acceptsRequests(now)) {
         return std::nullopt;
     }
     core::Duration rateWait{};
@@ -260,6 +278,9 @@
 {
     QueuedRequest queued{request, now, request.promptTokens, core::Duration::max()};
     for (const LocalUpstream &upstream : localUpstreamsOf(request.service)) {
+        if (!mayServe(request, upstream.entry->announcement)) {
+            continue;
+        }
         const std::uint32_t uncached = upstream.estimator->countUncached(request.prompt, request.promptTokens);
         queued.minUncachedTokens = std::min(queued.minUncachedTokens, uncached);
         queued.minLatency = std::min(queued.minLatency, upstream.estimator->unloadedLatency(uncached));
@@ -290,7 +311,17 @@
         if (now - remote.updatedAt > m_settings.maxRemoteLoadAge || remote.load.usableUpstreams == 0) {
             continue;
         }
-        core::Duration predictedLatency = m_settings.regionRoundTrip + remote.load.queueDelay;
+        core::Duration queueDelay = remote.load.queueDelay;
+        if (request.requiredVersion) {
+            const auto &versions = remote.load.versions;
+            const auto version =
+                std::find_if(versions.begin(), versions.end(), [&](const VersionLoad &row) { return row.version == *request.requiredVersion; });
+            if (version == versions.end()) {
+                continue;
+            }
+            queueDelay = version->queueDelay;
+        }
+        core::Duration predictedLatency = m_settings.regionRoundTrip + queueDelay;
         core::Duration streamTime{};
         if (remote.load.prefillTokensPerMs > 0) {
             const double prefillRate = remote.load.prefillTokensPerMs / remote.load.usableUpstreams;
@@ -342,7 +373,16 @@
             load.prefillTokensPerMs += estimator.isEngine() ? workCapacity(upstream, m_placementRates[id].meanWork) : 0;
             utilizations.push_back(estimator.prefillUtilization(now));
             const core::Duration rateWait = upstream.rateLimit == nullptr ? core::Duration::zero() : upstream.rateLimit->timeUntilNextToken(now);
-            leastBacklog = std::min(leastBacklog.value_or(core::Duration::max()), estimator.backlog(now) + rateWait);
+            const core::Duration upstreamDelay = estimator.backlog(now) + rateWait;
+            leastBacklog = std::min(leastBacklog.value_or(core::Duration::max()), upstreamDelay);
+            const SoftwareVersion &version = upstream.entry->announcement.version;
+            const auto isSameVersion = [&](const VersionLoad &row) { return row.version == version; };
+            auto row = std::find_if(load.versions.begin(), load.versions.end(), isSameVersion);
+            if (row == load.versions.end()) {
+                row = load.versions.insert(row, VersionLoad{version, 0, upstreamDelay});
+            }
+            ++row->usableUpstreams;
+            row->queueDelay = std::min(row->queueDelay, upstreamDelay);
         }
         if (load.usableUpstreams == 0) {
             continue;
@@ -385,7 +425,8 @@
     if (candidate.upstream->rateLimit != nullptr) {
         (void)candidate.upstream->rateLimit->tryAcquire(now); // an admissible candidate has a token
     }
-    Granted granted{entry.announcement.id, entry.announcement.address, candidate.uncachedTokens, candidate.predictedLatency, entry.isCold(now)};
+    Granted granted{
+        entry.announcement.id, entry.announcement.address, candidate.uncachedTokens, candidate.predictedLatency, entry.isCold(now), entry.announcement.version};
     if (granted.coldUpstream) {
         const catalog::Service *service = m_view.catalog ? m_view.catalog->findService(request.service) : nullptr;
         if (service != nullptr && service->maxColdRequestsPerSecond > 0) {
@@ -416,7 +457,8 @@
             return PlacementAttempt{redirect(request, *remote), nullptr, 0};
         }
         if (!hasPotentialUpstream(request) && !mayStillDiscoverUpstream(request, now)) {
-            return PlacementAttempt{refuse(request, RefusalReason::NoUpstream, core::Duration::zero(), now), nullptr, 0};
+            const RefusalReason reason = isVersionGone(request) ? RefusalReason::VersionGone : RefusalReason::NoUpstream;
+            return PlacementAttempt{refuse(request, reason, core::Duration::zero(), now), nullptr, 0};
         }
         return PlacementAttempt{};
     }
@@ -441,6 +483,9 @@
 
 bool Dispatcher::hasPrecedence(const QueuedRequest &left, const QueuedRequest &right, core::TimePoint now) const
 {
+    if (left.request.requiredVersion.has_value() != right.request.requiredVersion.has_value()) {
+        return left.request.requiredVersion.has_value(); // streams that have begun go on first: work is lost with them
+    }
     const bool leftMissesDeadline = now + left.minLatency > left.request.latencyDeadline;
     const bool rightMissesDeadline = now + right.minLatency > right.request.latencyDeadline;
     if (leftMissesDeadline != rightMissesDeadline) {
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -39,6 +39,7 @@
 #include "arbutus/catalog/catalog.h"
 #include "arbutus/limits/tokenbucket.h"
 #include "arbutus/routing/crashcause.h"
+#include "arbutus/routing/streamrecords.h"
 #include "arbutus/routing/upstreamregistry.h"
 
 #include <deque>
@@ -69,6 +70,7 @@
     std::set<core::RegionId> allowedRegions;      // regions that may serve it; empty = all
     std::set<core::UpstreamId> excludedUpstreams; // already tried
     std::set<core::RegionId> excludedRegions;
+    std::optional<SoftwareVersion> requiredVersion; // of a stream that has begun: no upstream of another version may serve it
 
     /// Memory needed beyond prompt parts shared with other requests, in tokens.
     [[nodiscard]] std::uint32_t unsharedTokens() const
@@ -84,6 +86,7 @@
     std::uint32_t uncachedTokens = 0;
     core::Duration predictedLatency{}; // to the first event, or to the whole response of a plain upstream
     bool coldUpstream = false;
+    SoftwareVersion version; // of the upstream's software
 };
 struct Queued
 {
@@ -99,6 +102,7 @@
     NoUpstream,  // no reachable upstream may serve it
     Overloaded,  // would not be served in time
     Quarantined, // the request, or a part of its prompt, crashes upstreams
+    VersionGone, // no region has an upstream of the required version left
 };
 struct Refused
 {
@@ -122,12 +126,23 @@
     core::UpstreamId upstream;
     std::optional<core::Duration> timeToFirstEvent; // since it was sent, by the node's clock; empty until it has arrived
     std::uint32_t memoryTokens = 0;
+    std::optional<StreamRecord> stream; // that has begun, if it may be resumed
 };
 
 //-----------------------------------------------------------------------------
 // Region load
 //-----------------------------------------------------------------------------
 
+/// Usable upstreams of one software version.
+struct VersionLoad
+{
+    SoftwareVersion version;
+    std::uint32_t usableUpstreams = 0;
+    core::Duration queueDelay{}; // as in ServiceLoad
+
+    bool operator==(const VersionLoad &) const = default;
+};
+
 /// Load of a service in one region, as reported to the other regions.
 struct ServiceLoad
 {
@@ -139,6 +154,7 @@
     core::Duration serviceTime{};  // of a plain service
     double prefillUtilization = 0; // share of engine time spent on prefill, mean over the least busy half
     double cacheMissRatio = 1;     // recent share of long prompts' tokens that were not cached
+    std::vector<VersionLoad> versions;
 };
 
 //-----------------------------------------------------------------------------
@@ -300,6 +316,8 @@
     [[nodiscard]] std::optional<Candidate> bestLocal(const PlacementRequest &request, core::TimePoint now);
     /// Whether any upstream of this region could serve the request, now or after it has recovered.
     [[nodiscard]] bool hasPotentialUpstream(const PlacementRequest &request);
+    /// Whether any region has an upstream of the required version that may get requests.
+    [[nodiscard]] bool isVersionGone(const PlacementRequest &request) const;
     /// Whether discovery is still under way, so that it is too early to refuse the request for lack of an upstream.
     [[nodiscard]] bool mayStillDiscoverUpstream(const PlacementRequest &request, core::TimePoint now);
     [[nodiscard]] std::optional<Candidate> evaluateCandidate(const PlacementRequest &request, LocalUpstream &upstream, core::TimePoint now) const;
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -602,6 +602,164 @@
     REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.requestPlacement(fixture.makePromptRequest("x", 1, Start + 2s), Start + 2s)));
 }
 
+TEST_CASE("a stream that has begun is placed only at upstreams of its software version", "[dispatcher]")
+{
+    const routing::SoftwareVersion old("v1");
+    const routing::SoftwareVersion recent("v2");
+    enum class Decision { Here, There, Queued, NoUpstream, Gone };
+    struct Row
+    {
+        const char *name;
+        std::vector<routing::SoftwareVersion> here; // versions of the upstreams of this region
+        bool isHereExcluded;
+        std::vector<routing::SoftwareVersion> there; // versions of the other region's upstreams
+        bool isThereReported;                        // the other region has reported its load
+        bool isHereBusy;
+        Decision expected;
+    };
+    const auto row = GENERATE_COPY(values<Row>({
+        {"one of many", {recent, old, recent, recent}, false, {}, false, false, Decision::Here},
+        {"one that is busy, others are free", {recent, old, recent}, false, {}, false, true, Decision::Queued},
+        {"none here", {recent, recent}, false, {recent, old}, true, false, Decision::There},
+        {"only the one that failed here", {recent, old}, true, {old}, true, false, Decision::There},
+        {"the other region has others", {recent, old}, true, {recent}, true, false, Decision::NoUpstream},
+        {"the other region has one and is silent", {recent}, false, {old}, false, false, Decision::NoUpstream},
+        {"none left", {recent, recent}, false, {recent}, true, false, Decision::Gone},
+    }));
+    CAPTURE(row.name);
+    std::vector<routing::Announcement> announcements;
+    const auto announce = [&](const std::string &prefix, const std::vector<routing::SoftwareVersion> &versions, const std::string &domain) {
+        for (std::size_t i = 0; i < versions.size(); ++i) {
+            announcements.push_back(makeAnnouncement(prefix + std::to_string(i), Model, domain));
+            announcements.back().version = versions[i];
+        }
+    };
+    announce("h", row.here, "here-a");
+    announce("t", row.there, "there-a");
+    Fixture fixture(announcements);
+    if (row.isThereReported) {
+        routing::ServiceLoad load = makeServiceLoad(Model, 0ms, 120);
+        for (const routing::SoftwareVersion &version : row.there) {
+            load.versions.push_back(routing::VersionLoad{version, 1, 0ms});
+        }
+        fixture.dispatcher.updateRemoteLoad(core::RegionId("there"), load, Start);
+    }
+    if (row.isHereBusy) {
+        routing::PlacementRequest running = fixture.makePromptRequest("running", 7, Start);
+        running.requiredVersion = old;
+        REQUIRE(grantedUpstream(fixture.dispatcher.requestPlacement(running, Start)) == "h1");
+    }
+    routing::PlacementRequest request = fixture.makePromptRequest("w", 1, Start);
+    request.requiredVersion = old;
+    if (row.isHereExcluded) {
+        request.excludedUpstreams = {core::UpstreamId("h1")};
+    }
+    const Decision decision = std::visit(
+        core::Overloaded{
+            [&](const routing::Granted &granted) {
+                CHECK(granted.version == old);
+                return Decision::Here;
+            },
+            [](const routing::Queued &) { return Decision::Queued; },
+            [](const routing::Redirected &) { return Decision::There; },
+            [](const routing::Refused &refused) { return refused.reason == routing::RefusalReason::VersionGone ? Decision::Gone : Decision::NoUpstream; },
+        },
+        fixture.dispatcher.requestPlacement(request, Start));
+    CHECK(decision == row.expected);
+}
+
+TEST_CASE("a stream that has begun goes before new ones in the queue", "[dispatcher]")
+{
+    Fixture fixture({makeAnnouncement("a", Model)});
+    REQUIRE_FALSE(grantedUpstream(fixture.dispatcher.requestPlacement(fixture.makePromptRequest("running", 1, Start), Start)).empty());
+    const routing::PlacementRequest fresh = fixture.makePromptRequest("fresh", 1, Start); // its prompt is cached, and it can still be on time
+    routing::PlacementRequest resumed = fixture.makePromptRequest("resumed", 50, Start);
+    resumed.latencyDeadline = Start;
+    resumed.requiredVersion = routing::SoftwareVersion();
+    REQUIRE(std::holds_alternative<routing::Queued>(fixture.dispatcher.requestPlacement(fresh, Start)));
+    REQUIRE(std::holds_alternative<routing::Queued>(fixture.dispatcher.requestPlacement(resumed, Start)));
+    const core::TimePoint now = Start + 200ms;
+    fixture.dispatcher.recordFirstEvent(routing::PlacementId("running"), core::UpstreamId("a"), 200ms, now);
+    fixture.dispatcher.recordCompletion(routing::PlacementId("running"), core::UpstreamId("a"), routing::SendOutcome::Completed, now);
+    const auto deferred = fixture.dispatcher.processQueue(now + 40ms);
+    REQUIRE(deferred.size() == 1);
+    CHECK(deferred.front().id.text == "resumed");
+}
+
+TEST_CASE("a dispatcher reports the usable upstreams of each software version", "[dispatcher]")
+{
+    std::vector<routing::Announcement> announcements;
+    for (const char *version : {"v1", "v2", "v1"}) {
+        announcements.push_back(makeAnnouncement("u" + std::to_string(announcements.size()), Model));
+        announcements.back().version = routing::SoftwareVersion(version);
+    }
+    Fixture fixture(announcements);
+    const auto loads = fixture.dispatcher.serviceLoads(Start);
+    REQUIRE(loads.size() == 1);
+    CHECK(loads.front().versions
+          == std::vector{routing::VersionLoad{routing::SoftwareVersion("v1"), 2, 0ms}, routing::VersionLoad{routing::SoftwareVersion("v2"), 1, 0ms}});
+}
+
+//-----------------------------------------------------------------------------
+// Records of streams
+//-----------------------------------------------------------------------------
+
+TEST_CASE("the first record of a stream stays until it expires or too many follow", "[streams]")
+{
+    routing::StreamRecords records(routing::StreamRecordsSettings{10s, 3});
+    const auto makeRecord = [](const std::string &id, const std::string &version) {
+        return routing::StreamRecord{routing::StreamId(id), routing::StreamOrigin{Model, routing::SoftwareVersion(version)}, Start};
+    };
+    CHECK(records.add(makeRecord("a", "v1"), Start));
+    CHECK_FALSE(records.add(makeRecord("a", "v2"), Start + 1s));
+    CHECK_FALSE(records.add(makeRecord("", "v1"), Start));
+    REQUIRE(records.find(routing::StreamId("a")) != nullptr);
+    CHECK(records.find(routing::StreamId("a"))->origin.version == routing::SoftwareVersion("v1"));
+    CHECK(records.find(routing::StreamId("b")) == nullptr);
+    for (const char *id : {"b", "c", "d"}) {
+        CHECK(records.add(makeRecord(id, "v1"), Start + 2s));
+    }
+    CHECK(records.size() == 3);
+    CHECK(records.find(routing::StreamId("a")) == nullptr);
+    records.expire(Start + 12s + 1ms);
+    CHECK(records.size() == 0);
+}
+
+TEST_CASE("a service has one version only if all of its upstreams had it, those that are gone included", "[streams]")
+{
+    struct Row
+    {
+        std::vector<std::string> removed;
+        std::vector<std::string> present;
+        std::optional<std::string> sole;
+    };
+    const auto row = GENERATE(values<Row>({
+        {{}, {}, std::nullopt},
+        {{}, {"v1", "v1"}, "v1"},
+        {{}, {"v1", "v2"}, std::nullopt},
+        {{"v1"}, {"v2", "v2"}, std::nullopt},
+        {{"v1"}, {"v1"}, "v1"},
+        {{}, {"", ""}, ""},
+    }));
+    routing::UpstreamRegistry registry;
+    std::vector<routing::Announcement> announcements;
+    const auto announce = [&](const std::vector<std::string> &versions, const std::string &prefix) {
+        for (std::size_t i = 0; i < versions.size(); ++i) {
+            announcements.push_back(makeAnnouncement(prefix + std::to_string(i), Model));
+            announcements.back().version = routing::SoftwareVersion(versions[i]);
+        }
+    };
+    announce(row.removed, "r");
+    registry.applySnapshot(routing::SnapshotRevision(1), announcements, false, Start);
+    announcements = {makeAnnouncement("other", PlainService)};
+    announcements.back().version = routing::SoftwareVersion("v9");
+    announce(row.present, "p");
+    registry.applySnapshot(routing::SnapshotRevision(2), announcements, false, Start + 1s);
+    const auto sole = routing::soleVersion(registry, Model);
+    CHECK(sole.has_value() == row.sole.has_value());
+    CHECK((!sole || sole->text == *row.sole));
+}
+
 //-----------------------------------------------------------------------------
 // Load patterns
 //-----------------------------------------------------------------------------
