gateway: a client that reads slowly does not make its stream silent

What callers saw: a second execution of a sound stream whose client reads slowly. Cause: the pause after which another attempt is sought was measured from the last write to the client, so it went on while a write waited for the client.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -100,10 +100,17 @@
         m_state->timer.cancel();
     }
 
+    /// Ends a silence, and begins none until recordData(): a client that reads slowly does not make its upstream silent.
+    void pause()
+    {
+        m_state->silent = false;
+        m_state->paused = true;
+    }
     /// Ends a silence; the client now has `tokensRelayed` tokens.
     void recordData(std::size_t tokensRelayed, bool responseStarted)
     {
         m_state->silent = false;
+        m_state->paused = false;
         m_state->event.tokensRelayed = tokensRelayed;
         m_state->event.responseStarted = responseStarted;
         m_state->wait();
@@ -127,7 +134,7 @@
             timer.expires_after(period);
             timer.async_wait([self = shared_from_this()](const boost::system::error_code &code) {
                 const bool superseded = self->timer.expiry() > asio::steady_timer::clock_type::now(); // data arrived in the same turn
-                if (!code && self->active && !superseded) {
+                if (!code && self->active && !superseded && !self->paused) {
                     self->silent = true;
                     self->onSilence(self->event);
                     self->wait(); // asks again: a retry may become possible later
@@ -142,6 +149,7 @@
         node::StreamSilent event;
         bool active = true;
         bool silent = false;
+        bool paused = false;
         bool cancelled = false;
     };
 
@@ -257,6 +265,7 @@
         if (events.empty()) {
             continue;
         }
+        silence.pause();
         if (!exchange.responseStarted()) {
             http::Response response;
             response.status = head.status;
@@ -394,6 +403,9 @@
         }
         const bool streamed = relayed.contentType.starts_with("text/event-stream") && !relayed.rejected;
         if (streamed && !chunk->body.empty()) {
+            if (silence) {
+                silence->pause();
+            }
             if (!exchange.responseStarted()) {
                 relayed.clientConnected = co_await exchange.beginResponse(head);
             }
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -14,6 +14,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -183,6 +186,9 @@
         return m_callCount;
     }
 
+    std::atomic<bool> failsAfterFirst{false}; // breaks off each counted call but the first before it responds
+    std::atomic<std::size_t> paddingBytes{0}; // of each token of a counted call
+
     static constexpr std::size_t TokenCount = 8;
     static constexpr std::size_t TokensBeforeSilence = 2;
     static std::string tokenText(std::size_t index)
@@ -202,6 +208,10 @@
         }
         const bool isCounted = request.body.find("counted") != std::string::npos;
         const std::size_t call = isCounted ? m_callCount++ : m_silences.size();
+        if (failsAfterFirst && isCounted && call > 0) {
+            exchange.abort();
+            co_return;
+        }
         const std::string attempt = http::headerValue(request.headers, "X-Attempt-Id");
         http::Response head;
         head.headers["Content-Type"] = "text/event-stream";
@@ -212,7 +222,8 @@
             if (i == first + TokensBeforeSilence && call < m_silences.size()) {
                 co_await core::asyncSleep(m_silences[call]);
             }
-            const std::string event = R"(data: {"id":")" + attempt + R"(","choices":[{"finish_reason":null,"delta":{"content":")" + tokenText(i) + "\"}}]}\n\n";
+            const std::string event = R"(data: {"id":")" + attempt + R"(","choices":[{"finish_reason":null,"delta":{"content":")" + tokenText(i)
+                + std::string(isCounted ? paddingBytes.load() : 0, 'x') + "\"}}]}\n\n";
             co_await exchange.writeChunk(event);
         }
         const std::string end = "data: [DONE]\n\n";
@@ -510,3 +521,52 @@
         CHECK(response->status != 0);
     }
 }
+
+TEST_CASE("a silent stream goes on if the attempt that is to replace it fails", "[instance]")
+{
+    struct Row
+    {
+        const char *name;
+        bool drainDuringSilence;
+    };
+    const auto row = GENERATE(values<Row>({{"replacement breaks off before it responds", false}, {"the instance begins to drain", true}}));
+    CAPTURE(row.name);
+    SilentUpstreams upstreams(2, {Silence});
+    upstreams.failsAfterFirst = !row.drainDuringSilence;
+    InstanceFixture fixture([](gateway::Settings &settings) {
+        settings.node.maxAttempts = 2;
+        settings.streamIdleTimeout = StreamIdleTimeout;
+    });
+    fixture.addUpstreams(upstreams);
+    const auto pending = fixture.send(workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"counted","stream":true})"));
+    if (row.drainDuringSilence) {
+        REQUIRE(fixture.runUntil([&] { return upstreams.callCount() == 1; }));
+        fixture.runUntil([] { return false; }, StreamIdleTimeout / 2);
+        fixture.instance.drain();
+    }
+    CHECK(fixture.runUntil([&] { return pending->done; }));
+    CAPTURE(pending->body, upstreams.callCount());
+    CHECK(pending->status == 200);
+    CHECK(pending->body.ends_with("data: [DONE]\n\n"));
+}
+
+TEST_CASE("a client that reads slowly does not make its stream silent", "[instance]")
+{
+    SilentUpstreams upstreams(2, {});
+    upstreams.paddingBytes = 900'000; // the stream is larger than the socket buffers
+    InstanceFixture fixture([](gateway::Settings &settings) { settings.streamIdleTimeout = StreamIdleTimeout; });
+    fixture.addUpstreams(upstreams);
+    asio::ip::tcp::socket client(fixture.clients);
+    client.connect({asio::ip::make_address("127.0.0.1"), fixture.instance.clientPort()});
+    const std::string body = R"({"model":"m","prompt":"counted","stream":true})";
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Workspace: ws\r\nAuthorization: Bearer " + WorkspaceKey
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    asio::write(client, asio::buffer(head + body));
+    std::this_thread::sleep_for(Silence);
+    std::string received;
+    boost::system::error_code code;
+    asio::read(client, asio::dynamic_buffer(received), code);
+    CAPTURE(received.size(), received.substr(0, 300), code.message());
+    CHECK(received.find("data: [DONE]") != std::string::npos);
+    CHECK(upstreams.callCount() == 1);
+}
