--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -867,3 +867,46 @@
     CAPTURE(response, code.message(), closedBefore);
     CHECK((response.ends_with("POST body") || code == asio::error::connection_reset || (closedBefore && server.handled == 1)));
 }
+
+TEST_CASE("a stop that waits for open requests does not destroy the response to one that was rejected before its body was read", "[http]")
+{
+    auto server = std::make_unique<EchoServer>();
+    asio::io_context clientContext{1};
+    asio::ip::tcp::socket client(clientContext);
+    client.connect({asio::ip::make_address("127.0.0.1"), server->server.port()});
+    constexpr std::size_t BodyBytes = 400'000;
+    asio::write(client, asio::buffer("POST /refuse HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n"));
+    while (server->handled == 0) {
+        server->context.run_one();
+    }
+    asio::write(client, asio::buffer(std::string(BodyBytes / 2, 'x')));
+    server->server.closeAfterResponses();
+    server->server.stopAccepting();
+    do { // as the instances do when they stop
+        server->server.closeIdleConnections();
+        server->context.run_one();
+    } while (server->server.hasOpenRequests());
+    server.reset();
+    std::array<char, 2048> readBuffer{};
+    boost::system::error_code code;
+    const std::size_t received = client.read_some(asio::buffer(readBuffer), code);
+    CAPTURE(code.message());
+    CHECK(std::string(readBuffer.data(), received).starts_with("HTTP/1.1 403"));
+}
+
+TEST_CASE("a request on a connection that waits to be accepted is answered by a server that stops accepting", "[http]")
+{
+    EchoServer server;
+    asio::io_context clientContext{1};
+    asio::ip::tcp::socket client(clientContext);
+    client.connect({asio::ip::make_address("127.0.0.1"), server.server.port()});
+    asio::write(client, asio::buffer(WholeRequest));
+    server.server.stopAccepting();
+    server.context.run_for(200ms);
+    std::array<char, 2048> readBuffer{};
+    boost::system::error_code code;
+    client.non_blocking(true);
+    const std::size_t received = client.read_some(asio::buffer(readBuffer), code);
+    CAPTURE(code.message());
+    CHECK(std::string(readBuffer.data(), received).starts_with("HTTP/1.1 200"));
+}
