http: a server that stops accepting serves the connections that wait to be accepted

What callers saw: a reset without an answer for a request sent on a new connection while an instance stops. Cause: closing the listener resets connections that are established and not accepted yet, with what was sent on them. They are accepted before the listener is closed and get their response with Connection: close.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -729,6 +729,14 @@
 {
     m_state->sendConnectionClose = true;
     ErrorCode code;
+    m_state->acceptor.non_blocking(true, code);
+    while (!code) { // closing resets connections that are established and wait to be accepted
+        Tcp::socket socket(m_state->acceptor.get_executor());
+        m_state->acceptor.accept(socket, code);
+        if (!code && m_state->connections < m_state->limits.maxConnections) {
+            asio::co_spawn(m_state->acceptor.get_executor(), serveConnection(std::move(socket), m_state), asio::detached);
+        }
+    }
     m_state->acceptor.close(code);
 }
 
