--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -362,8 +362,7 @@
     if (found.source == OriginSource::Unknown) {
         countResumption(state, "version_unknown");
         state.lastFailure = "it is not known at which software version the stream began";
-        const std::string message = "request was not executed: " + state.lastFailure;
-        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionUnknownRetryAfter);
+        co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionUnknownRetryAfter);
         co_return false;
     }
     const auto &splits = state.route->trafficSplits;
@@ -371,8 +370,7 @@
     if (!isOnRoute) {
         countResumption(state, "service_moved");
         state.lastFailure = "the route no longer leads to the service at which the stream began";
-        const std::string message = "request was not executed: " + state.lastFailure;
-        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionGoneRetryAfter);
+        co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionGoneRetryAfter);
         co_return false;
     }
     state.service = found.origin.service;
@@ -531,6 +529,15 @@
     return nullptr;
 }
 
+void Forwarder::rejectPlacement(RequestState &state, const routing::Granted &granted, std::string reason)
+{
+    const routing::PlacementId placementId = state.placementId();
+    m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+    state.excludedUpstreams.insert(granted.upstream);
+    state.lastFailure = std::move(reason);
+    m_context.writeLog(observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
+}
+
 std::shared_ptr<Forwarder::Attempt> Forwarder::openUpstreamAttempt(RequestState &state, const routing::Granted &granted)
 {
     const core::TimePoint now = m_context.now();
@@ -538,22 +545,14 @@
     state.lastUpstream = granted.upstream;
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
     if (entry != nullptr && !entry->isUsable()) { // a dispatcher that was suspended may know less than this instance
-        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
-        state.excludedUpstreams.insert(granted.upstream);
-        state.lastFailure = "placed at an upstream that is leaving or gone";
-        m_context.writeLog(
-            observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
+        rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
     const bool isVersionStated = entry == nullptr || !granted.version.empty(); // not by a dispatcher of an older release of the gateway
     const routing::SoftwareVersion version = isVersionStated ? granted.version : entry->announcement.version;
     const bool isVersionStale = entry != nullptr && entry->announcement.version != version;
     if (isVersionStale || (state.requiredVersion && version != *state.requiredVersion)) { // the stream has begun since it was placed
-        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
-        state.excludedUpstreams.insert(granted.upstream);
-        state.lastFailure = "placed at an upstream of software version " + version.text;
-        m_context.writeLog(
-            observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
+        rejectPlacement(state, granted, "placed at an upstream of software version " + version.text);
         return nullptr;
     }
     if (isQuarantined(state)) { // since the request was placed
@@ -1203,13 +1202,12 @@
         m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
     }
     if (!state.mayHaveExecuted && state.quarantinedCause) {
-        co_await respondWithError(state, 503, core::ErrorKind::Quarantined, "request was not executed: " + state.lastFailure, m_settings.quarantineRetryAfter);
+        co_await refuseNotExecuted(state, core::ErrorKind::Quarantined, m_settings.quarantineRetryAfter);
         co_return;
     }
     countResumption(state, state.isVersionGone ? "version_gone" : state.mayHaveExecuted ? "failed" : "no_room");
     if (!state.mayHaveExecuted && state.isVersionGone) {
-        const std::string message = "request was not executed: " + state.lastFailure;
-        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, m_settings.versionGoneRetryAfter);
+        co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionGoneRetryAfter);
         co_return;
     }
     if (!state.mayHaveExecuted) {
@@ -1227,6 +1225,12 @@
     co_await respondWithError(state, 502, core::ErrorKind::UpstreamFailed, "no complete response from the upstream; the request may have been executed", {});
 }
 
+asio::awaitable<void> Forwarder::refuseNotExecuted(RequestState &state, core::ErrorKind kind, core::Duration retryAfter)
+{
+    const std::string message = "request was not executed: " + state.lastFailure;
+    co_await respondWithError(state, 503, kind, message, retryAfter);
+}
+
 asio::awaitable<void>
 Forwarder::respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter)
 {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -116,6 +116,8 @@
     /// Sends the request; null if it must not be sent, or if there is nowhere to send it.
     [[nodiscard]] std::shared_ptr<Attempt> openAttempt(RequestState &state, const routing::PlacementDecision &decision);
     [[nodiscard]] std::shared_ptr<Attempt> openUpstreamAttempt(RequestState &state, const routing::Granted &granted);
+    /// Returns a placement that must not be used; the upstream is not used for this request again.
+    void rejectPlacement(RequestState &state, const routing::Granted &granted, std::string reason);
     [[nodiscard]] std::shared_ptr<Attempt> openPeerAttempt(RequestState &state, const core::RegionId &region);
     void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
     /// Waits for the response and relays it.
@@ -163,6 +165,8 @@
 
     //--- Responses
     boost::asio::awaitable<void> respondWithFailure(RequestState &state, bool timedOut);
+    /// Responds with status 503 and the last failure as the reason.
+    boost::asio::awaitable<void> refuseNotExecuted(RequestState &state, core::ErrorKind kind, core::Duration retryAfter);
     boost::asio::awaitable<void>
     respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter);
     /// Removes the headers between instances, and adds those for the instance that forwarded the request, if one did.
--- a/src/arbutus/edge/streamdirectory.cpp
+++ b/src/arbutus/edge/streamdirectory.cpp
@@ -74,13 +74,14 @@
         if (records.empty() || !isDispatcher || routing::knownVersions(m_metadataCache.registry(), service).size() < 2) {
             continue;
         }
+        const std::vector<membership::Member> receivers = membersToAsk(false);
         for (std::size_t i = 0; i < m_settings.maxDatagramsPerCopy && !records.empty(); ++i) {
             StreamReport report;
             while (!records.empty() && report.records.size() < m_settings.maxRecordsPerDatagram) { // the newest ones last longest
                 report.records.push_back(std::move(records.back()));
                 records.pop_back();
             }
-            for (const membership::Member &member : membersToAsk(false)) {
+            for (const membership::Member &member : receivers) {
                 m_fleet.send(member.gossipAddress, report);
             }
         }
