Logs name the ejected upstream and the instance on whose report it is ejected

The record of the instances that lost their upstreams cannot tell whether the upstreams were ejected, for how long and on whose word: dispatch_state left out upstreams without requests. upstream_ejected and arbutus_upstream_ejections_total say so; dispatch_state has a line for each upstream that gets no requests. No change of logic.

--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -249,13 +249,37 @@
     if (found == m_inFlight.end()) {
         return;
     }
-    m_dispatcher.recordCompletion(id, found->second.upstream, outcome, m_context.now());
-    m_unreportedCompletions.push_back(CompletedPlacement{id, found->second.upstream, outcome});
+    const CompletedPlacement completed{id, found->second.upstream, outcome};
+    recordOutcome(completed, m_context.settings.instanceId);
+    m_unreportedCompletions.push_back(completed);
     m_unreportedFirstEvents.erase(id);
     m_inFlight.erase(found);
     scheduleReport();
 }
 
+void PlacementService::recordOutcome(const CompletedPlacement &completed, const core::InstanceId &reporter)
+{
+    const core::TimePoint now = m_context.now();
+    const auto endOfEjection = [&] {
+        const auto estimator = m_dispatcher.estimators().find(completed.upstream);
+        return estimator == m_dispatcher.estimators().end() ? core::TimePoint{} : estimator->second.ejectedUntil();
+    };
+    const core::TimePoint before = endOfEjection();
+    m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now);
+    const core::TimePoint after = endOfEjection();
+    if (after == before) {
+        return;
+    }
+    m_context.metrics.incrementCounter("arbutus_upstream_ejections_total", "outcome=\"" + std::string(routing::toString(completed.outcome)) + "\"");
+    m_context.writeLog(observe::LogLine("upstream_ejected")
+                           .add("upstream", completed.upstream)
+                           .add("reporter", reporter)
+                           .add("request", completed.id)
+                           .add("outcome", routing::toString(completed.outcome))
+                           .add("for_ms", core::toMilliseconds(after - now))
+                           .add("has_dispatcher_role", m_isDispatcher));
+}
+
 void PlacementService::scheduleReport()
 {
     if (std::exchange(m_reportScheduled, true)) {
@@ -388,7 +412,7 @@
 {
     const core::TimePoint now = m_context.now();
     for (const auto &[id, estimator] : m_dispatcher.estimators()) {
-        if (estimator.inFlight().empty()) {
+        if (estimator.inFlight().empty() && estimator.acceptsRequests(now)) {
             continue;
         }
         m_context.writeLog(observe::LogLine("dispatch_state")
@@ -481,7 +505,7 @@
         }
     }
     for (const CompletedPlacement &completed : report.completed) {
-        m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now);
+        recordOutcome(completed, sender);
     }
     if (m_dispatcher.queueLength() > 0) {
         deliverDecisions(m_dispatcher.processQueue(now));
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -102,6 +102,8 @@
     /// Skips the dispatcher for a while. Requests that are pending there are sent to the next one at once.
     void skipUnresponsive(const core::InstanceId &id);
     void recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted);
+    /// Tells the dispatcher how a request ended at an upstream, and logs it if the upstream is ejected for that.
+    void recordOutcome(const CompletedPlacement &completed, const core::InstanceId &reporter);
     void scheduleReport();
     void sendReport(const PlacementReport &report);
     [[nodiscard]] std::vector<routing::UpstreamNotice> notices() const;
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -155,6 +155,11 @@
     {
         return m_failureRate;
     }
+    /// End of the last ejection.
+    [[nodiscard]] core::TimePoint ejectedUntil() const
+    {
+        return m_ejectedUntil;
+    }
 
 private:
     void recomputeBacklog(core::TimePoint now);
