--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -286,6 +286,9 @@
     , m_random(options.seed)
     , m_store(std::make_unique<Store>())
 {
+    if (options.allowsPathCuts) {
+        m_pathCuts = std::make_unique<PathCuts>(m_loop);
+    }
     for (std::size_t i = 0; i < options.upstreamsPerRegion * RegionCount; ++i) {
         addUpstream(regionName(i % RegionCount), "s", options.versions[i / RegionCount % options.versions.size()]);
     }
@@ -413,6 +416,16 @@
     m_instances[instance]->disruptions.emplace_back(now(), now());
 }
 
+void EdgeRig::cutPaths(std::size_t instance, PathFailure failure)
+{
+    m_pathCuts->cut(instance, failure);
+}
+
+void EdgeRig::healPaths(std::size_t instance)
+{
+    m_pathCuts->heal(instance);
+}
+
 bool EdgeRig::wasUndisturbed(const std::string &instance, core::TimePoint at, core::Duration duration) const
 {
     const auto found = std::find_if(m_instances.begin(), m_instances.end(), [&](const auto &item) { return item->settings.instanceId.text == instance; });
@@ -457,6 +470,10 @@
         std::size_t handled = m_loop.poll();
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
             if (isRunning(i)) {
+                std::optional<PathCuts::Scope> scope;
+                if (m_pathCuts) {
+                    scope.emplace(*m_pathCuts, i);
+                }
                 handled += m_instances[i]->loop->poll();
             }
         }
@@ -504,6 +521,9 @@
     , m_version(std::move(version))
     , m_port(freePort())
 {
+    if (m_rig.m_pathCuts) {
+        m_rig.m_pathCuts->addUpstream(m_port);
+    }
     start(false);
 }
 
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -16,6 +16,7 @@
 #include "arbutus/edge/routegateway.h"
 #include "arbutus/http/client.h"
 #include "platform/platformadapter.h"
+#include "support/pathcuts.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -110,6 +111,7 @@
     std::vector<std::string> versions{"v1"};         // of the software of the upstreams; assigned in turn within each region
     std::size_t secondServiceUpstreamsPerRegion = 0; // besides the model engines of the service s, those of the service s2
     RigConfiguration configuration = {};
+    bool allowsPathCuts = false; // between instances and upstreams; their connections go through a proxy
 };
 
 /// A request that reached an upstream.
@@ -346,6 +348,9 @@
     void kill(std::size_t instance);
     void start(std::size_t instance);
     void setStoreCut(std::size_t instance, bool isCut);
+    /// Cuts the paths from an instance to all upstreams; needs EdgeRigOptions::allowsPathCuts. It counts as undisturbed meanwhile.
+    void cutPaths(std::size_t instance, PathFailure failure);
+    void healPaths(std::size_t instance);
     /// A random running instance.
     [[nodiscard]] std::size_t pickRunning(pcg32 &random) const;
     /// Whether the instance has run without a disruption for `duration` before `at`.
@@ -458,6 +463,7 @@
     pcg32 m_random;
     std::unique_ptr<Store> m_store;
     boost::asio::io_context m_loop{1}; // of upstreams and clients
+    std::unique_ptr<PathCuts> m_pathCuts;
     std::vector<std::unique_ptr<RigUpstream>> m_upstreams;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<Arrival> m_arrivals;
