A silent peer's executions count: the origin grants them and counts them as made until they are reported

An origin whose peer was silent placed the request again and told the next peer, and itself, only of the executions that were reported; the silent peer replaced its own silent attempts meanwhile, up to the whole number that the route allows.

The hop now carries a number that the peer must not exceed. The origin grants half of what is left, rounded up, and counts it as made until the peer has reported; the peer of a stream may go on at other upstreams, so its grant counts to the end. What an instance of an older release sends or ignores is as before. Sends, which decide whether a further one needs the retry budget, are counted the same way.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -33,6 +33,7 @@
 constexpr const char *ServiceHeader = "X-Gateway-Service";         // service chosen by that instance
 constexpr const char *SendCountHeader = "X-Gateway-Sends";         // upstream sends so far
 constexpr const char *PossibleExecutionsHeader = "X-Gateway-Runs"; // sends after which an upstream may have executed the request
+constexpr const char *MaxExecutionsHeader = "X-Gateway-Max-Runs";  // value of PossibleExecutionsHeader that the peer must not exceed
 constexpr const char *ResumeHeader = "X-Gateway-Resume";           // last event id that the client has
 constexpr const char *VersionHeader = "X-Gateway-Version";         // request: required software version; response: that of the upstream
 constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
@@ -40,7 +41,8 @@
 constexpr std::string_view OutcomeNotExecuted = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
 constexpr std::string_view OutcomeQuarantined = "quarantined"; // not run, and no upstream may run it
-constexpr std::array PeerHeaders = {OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, ResumeHeader, VersionHeader, OutcomeHeader};
+constexpr std::array PeerHeaders = {
+    OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, MaxExecutionsHeader, ResumeHeader, VersionHeader, OutcomeHeader};
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
 bool impliesNotExecuted(unsigned status)
@@ -94,6 +96,9 @@
     std::string address;
     routing::SoftwareVersion version; // of the upstream's software; a peer states it in its response head
     core::Duration predictedLatency{};
+    std::size_t executionsBefore = 0;  // of a peer's attempt: possible executions by others that the peer was told of
+    std::size_t grantedExecutions = 0; // further ones that the peer may make, until it has reported how many it made
+    std::size_t sendsBefore = 0;       // sends that the peer was told of
 
     //--- Progress
     http::Request request;
@@ -155,6 +160,8 @@
     std::size_t fruitlessSearches = 0;                       // placements for a replacement that was not sent
     std::size_t sendCount = 0;                               // requests that reached an upstream
     std::size_t possibleExecutions = 0;                      // sends after which an upstream may have executed the request
+    std::size_t grantedExecutions = 0;                       // that peers may make, and have not reported
+    std::size_t maxExecutions = 0;                           // that the route allows, or the origin grants
     std::optional<http::Response> upstreamFailure;           // error response of an upstream, forwarded if no retry succeeds
     bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
     bool responseStarted = false;                            // the stream's response head was sent to the client
@@ -193,6 +200,22 @@
     {
         return routing::StreamId(head.resumedAttemptId.empty() ? head.attemptId : head.resumedAttemptId);
     }
+    /// Executions by upstreams so far, with those that peers may have made.
+    [[nodiscard]] std::size_t usedExecutions() const
+    {
+        return possibleExecutions + grantedExecutions;
+    }
+    [[nodiscard]] bool hasBeenSent() const
+    {
+        return sendCount > 0 || grantedExecutions > 0;
+    }
+    /// Ends a peer's grant: of the executions that it allowed, `used` count as made.
+    void settleGrant(Attempt &attempt, std::size_t used)
+    {
+        grantedExecutions -= attempt.grantedExecutions;
+        possibleExecutions += used;
+        attempt.grantedExecutions = 0;
+    }
     [[nodiscard]] routing::PlacementId placementId() const
     {
         return routing::PlacementId(head.attemptId + "/" + std::to_string(placements));
@@ -277,6 +300,7 @@
     state.service = core::ServiceId(http::headerValue(state.request.headers, ServiceHeader));
     state.sendCount = parseCount(http::headerValue(state.request.headers, SendCountHeader));
     state.possibleExecutions = parseCount(http::headerValue(state.request.headers, PossibleExecutionsHeader));
+    const std::size_t maxExecutions = parseCount(http::headerValue(state.request.headers, MaxExecutionsHeader));
     const std::string lastEventId = http::headerValue(state.request.headers, ResumeHeader);
     if (state.request.headers.contains(VersionHeader)) {
         state.requiredVersion = routing::SoftwareVersion(http::headerValue(state.request.headers, VersionHeader));
@@ -288,6 +312,9 @@
         state.sseRelay.emplace(lastEventId);
     }
     if (co_await acceptRequest(state)) {
+        if (maxExecutions > 0) { // not stated by an origin of an older release
+            state.maxExecutions = std::min(state.maxExecutions, maxExecutions);
+        }
         co_await placeAndSend(state);
     }
 }
@@ -317,6 +344,7 @@
     if (state.service.empty()) {
         state.service = state.route->serviceFor(state.head.attemptId);
     }
+    state.maxExecutions = state.route->maxUpstreamsPerAttempt;
     const auto bodyRead = co_await state.exchange.readBody();
     if (!bodyRead) {
         co_await respondWithError(state, core::httpStatus(bodyRead.error().kind), bodyRead.error().kind, bodyRead.error().message, {});
@@ -418,12 +446,10 @@
         || now >= (state.responseStarted ? state.completionDeadline : state.responseDeadline)) {
         return false;
     }
-    const bool isPeerPending = state.current && state.current->isToPeer() && !state.current->head; // it has not reported its executions yet
-    if (state.possibleExecutions + (isPeerPending ? 1 : 0) >= state.route->maxUpstreamsPerAttempt
-        || m_quarantine.countCrashed(state.brokenUpstreams) >= m_settings.maxCrashedUpstreams) {
+    if (state.usedExecutions() >= state.maxExecutions || m_quarantine.countCrashed(state.brokenUpstreams) >= m_settings.maxCrashedUpstreams) {
         return false;
     }
-    return state.sendCount == 0 || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
+    return !state.hasBeenSent() || m_retryBudget.remaining(state.service, m_fleet.knownMemberCount(), now) >= 1;
 }
 
 bool Forwarder::isQuarantined(RequestState &state)
@@ -559,7 +585,7 @@
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
         return nullptr;
     }
-    if (state.sendCount == 0) {
+    if (!state.hasBeenSent()) {
         m_retryBudget.recordFirstSend(state.service, now);
     } else if (!m_retryBudget.tryRetry(state.service, m_fleet.knownMemberCount(), now)) {
         m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
@@ -612,6 +638,13 @@
     return members.empty() ? std::nullopt : std::optional(members.back());
 }
 
+std::size_t Forwarder::executionsForPeer(const RequestState &state)
+{
+    const std::size_t used = state.usedExecutions();
+    const std::size_t left = state.maxExecutions > used ? state.maxExecutions - used : 1; // the route allows at least one
+    return left - left / 2;                                                               // the others are for a replacement, should the peer fall silent
+}
+
 std::shared_ptr<Forwarder::Attempt> Forwarder::openPeerAttempt(RequestState &state, const core::RegionId &region)
 {
     const auto peer = pickPeer(region);
@@ -631,8 +664,13 @@
     headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - m_settings.crossRegionOverhead / 2));
     headers[OriginHeader] = m_context.settings.instanceId.text;
     headers[ServiceHeader] = state.service.text;
-    headers[SendCountHeader] = std::to_string(state.sendCount);
-    headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
+    attempt->sendsBefore = std::max<std::size_t>(state.sendCount, state.hasBeenSent() ? 1 : 0);
+    attempt->executionsBefore = state.usedExecutions();
+    attempt->grantedExecutions = executionsForPeer(state);
+    state.grantedExecutions += attempt->grantedExecutions;
+    headers[SendCountHeader] = std::to_string(attempt->sendsBefore);
+    headers[PossibleExecutionsHeader] = std::to_string(attempt->executionsBefore);
+    headers[MaxExecutionsHeader] = std::to_string(attempt->executionsBefore + attempt->grantedExecutions);
     if (state.sseRelay && !state.sseRelay->lastEventId().empty()) {
         headers[ResumeHeader] = state.sseRelay->lastEventId();
     }
@@ -727,10 +765,8 @@
     }
     if (attempt.isToPeer()) {
         exclude(state, attempt);
-        if (connected) { // the peer may have forwarded it
-            ++state.possibleExecutions;
-            ++state.sendCount;
-        }
+        state.sendCount += connected ? 1 : 0; // the peer may have forwarded it
+        state.settleGrant(attempt, connected ? attempt.grantedExecutions : 0);
         return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
     const bool staleConnection = connected && error.connectionReused && !error.timedOut && !attempt.superseded;
@@ -913,6 +949,7 @@
     if (!attempt->isToPeer()) {
         m_placement.recordCompletion(attempt->placement, attempt->outcome);
     }
+    state.settleGrant(*attempt, attempt->grantedExecutions);
     logAttempt(state, *attempt);
 }
 
@@ -937,8 +974,15 @@
 {
     const http::Headers &headers = attempt.head->value().headers;
     attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
-    state.sendCount = std::max(state.sendCount, parseCount(http::headerValue(headers, SendCountHeader)));
-    state.possibleExecutions = std::max(state.possibleExecutions, parseCount(http::headerValue(headers, PossibleExecutionsHeader)));
+    const auto countSince = [&](const char *header, std::size_t before) {
+        const std::size_t count = parseCount(http::headerValue(headers, header));
+        return count > before ? count - before : 0;
+    };
+    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore);
+    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore);
+    // The peer of a stream may go on at further upstreams after it has reported.
+    const bool isFinal = !state.isStreaming() || attempt.peerOutcome != OutcomeAnswered;
+    state.settleGrant(attempt, isFinal ? reported : std::max(reported, attempt.grantedExecutions));
     if (attempt.peerOutcome == OutcomeQuarantined) {
         state.quarantinedCause = state.fingerprint;
         attempt.failure = "peer " + attempt.peer.text + " reports a quarantined request or prompt part";
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -18,6 +18,9 @@
 //    stream, and each further placement requires it. When a client resumes a stream, StreamDirectory finds out at which service and
 //    version it began. If that is unknown, or no upstream of the version is left, the request is refused at once.
 //
+// Q: How is the number of upstreams that may run a request kept, if an origin and its peers all send it?
+// A: The origin grants each peer a number of executions, and counts them as made until the peer has reported how many it made.
+//
 // Q: What if an upstream is silent?
 // A: It may go on at any time, so its attempt is kept. If the request may be repeated, a replacement is sought meanwhile: a
 //    placement at another upstream, within the retry budget. The silent attempt is cancelled only after the replacement has accepted
@@ -118,6 +121,8 @@
     [[nodiscard]] std::shared_ptr<Attempt> openUpstreamAttempt(RequestState &state, const routing::Granted &granted);
     /// Returns a placement that must not be used; the upstream is not used for this request again.
     void rejectPlacement(RequestState &state, const routing::Granted &granted, std::string reason);
+    /// Executions that the next peer may make of those that are left.
+    [[nodiscard]] static std::size_t executionsForPeer(const RequestState &state);
     [[nodiscard]] std::shared_ptr<Attempt> openPeerAttempt(RequestState &state, const core::RegionId &region);
     void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
     /// Waits for the response and relays it.
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -113,6 +113,7 @@
     std::vector<std::string> executedAttempts;  // ids of the attempts that it started to execute
     std::vector<std::string> executedBodies;    // request bodies of these attempts
     std::vector<std::string> expectedInstances; // X-Expect-Instance header of every received request
+    std::vector<std::string> maxExecutions;     // X-Gateway-Max-Runs header of every received request
     int connections = 0;
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
@@ -200,6 +201,7 @@
                 co_return;
             }
             expectedInstances.emplace_back(parser.get()["X-Expect-Instance"]);
+            maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
             const std::string behavior = behaviorOf(parser.get());
             const std::string attempt(parser.get()["X-Attempt-Id"]);
             if (behavior == "early-response") { // responds before reading the body
@@ -410,6 +412,7 @@
     void configure()
     {
         const std::string routes = routeJson("once", "unsafe", "s", R"("max_attempts":1)") + "," + routeJson("again", "safe", "s", R"("max_attempts":2)") + ","
+            + routeJson("single", "safe", "s", R"("max_attempts":1)") + "," + routeJson("thrice", "safe", "s", R"("max_attempts":3)") + ","
             + routeJson("stream", "streaming", "s", R"("max_attempts":1,"resumable":false)") + ","
             + routeJson("resume", "streaming", "s", R"("max_attempts":2,"resumable":true)") + ","
             + routeJson("away", "safe", "s", R"("max_attempts":2,"home_regions":["y"])") + "," + routeJson("none", "safe", "nothing", R"("max_attempts":2)");
@@ -765,6 +768,54 @@
     CHECK(peerServer.executedAttempts.size() == 1);
 }
 
+TEST_CASE("a silent peer and the replacements of its attempt run a request at no more upstreams than its route allows", "[edge]")
+{
+    struct Row
+    {
+        const char *route;
+        std::size_t maxUpstreams;
+        std::size_t maxOwnExecutions; // of this instance; the peer may have used the others
+    };
+    const auto row = GENERATE(values<Row>({{"single", 1, 0}, {"again", 2, 1}, {"thrice", 3, 1}}));
+    CAPTURE(row.route);
+    Fixture fixture;
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const auto decide = [&fixture](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (request.excludedRegions.empty()) {
+            return routing::Redirected{core::RegionId("y"), 10ms};
+        }
+        const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address(), 0, 10ms, false, {}};
+    };
+    const FakePeer peer(fixture, "p", "y", 1, peerPort, refuse);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    (void)fixture.sendRequest(row.route, "p=hang,a=error,b=error");
+    REQUIRE(peerServer.maxExecutions.size() == 1);
+    const std::string &granted = peerServer.maxExecutions.front();
+    const std::size_t peerExecutions = granted.empty() ? row.maxUpstreams : std::stoul(granted); // as a peer may use all upstreams of the route
+    CHECK(fixture.executionCount() == row.maxOwnExecutions);
+    CHECK(peerExecutions + fixture.executionCount() <= row.maxUpstreams);
+}
+
+TEST_CASE("an instance sends a forwarded request to no more upstreams than the origin grants", "[edge]")
+{
+    const auto granted = GENERATE(1, 2);
+    Fixture fixture;
+    http::Request request;
+    request.method = "POST";
+    request.target = "/thrice/x";
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}, {"X-Behave", "a=error,b=error"}};
+    request.headers["X-Gateway-Origin"] = "other";
+    request.headers["X-Gateway-Service"] = "s";
+    request.headers["X-Gateway-Max-Runs"] = std::to_string(granted);
+    request.body = "body";
+    (void)fixture.call(fixture.settings.peersEndpoint, request);
+    CHECK(fixture.executionCount() == static_cast<std::size_t>(granted));
+}
+
 TEST_CASE("a client disconnect cancels the upstream request", "[edge]")
 {
     const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream");
