--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -100,6 +100,12 @@
     if (request.requiredVersion) {
         out.set_required_version(request.requiredVersion->text);
     }
+    for (const core::UpstreamId &upstream : request.unreachableUpstreams) {
+        out.add_unreachable(upstream.text);
+    }
+    for (const core::InstanceId &relay : request.excludedRelays) {
+        out.add_excluded_relays(relay.text);
+    }
 }
 
 routing::PlacementRequest fromProto(const fleet::Ask &in, core::InstanceId requester, core::TimePoint now)
@@ -128,6 +134,12 @@
     for (const std::string &region : in.excluded_regions()) {
         request.excludedRegions.insert(core::RegionId(region));
     }
+    for (const std::string &upstream : in.unreachable()) {
+        request.unreachableUpstreams.insert(core::UpstreamId(upstream));
+    }
+    for (const std::string &relay : in.excluded_relays()) {
+        request.excludedRelays.insert(core::InstanceId(relay));
+    }
     if (in.has_required_version()) {
         request.requiredVersion = routing::SoftwareVersion(in.required_version());
     }
@@ -154,6 +166,7 @@
                    [&](const routing::Redirected &redirected) {
                        out.set_kind(fleet::Verdict::ELSEWHERE);
                        out.set_region(redirected.region.text);
+                       out.set_relay(redirected.relay.text);
                        out.set_predicted_us(toMicroseconds(redirected.predictedLatency));
                    },
                    [&](const routing::Refused &refused) {
@@ -180,7 +193,7 @@
     case fleet::Verdict::WAITS:
         return routing::Queued{fromMicroseconds(in.predicted_us())};
     case fleet::Verdict::ELSEWHERE:
-        return routing::Redirected{core::RegionId(in.region()), fromMicroseconds(in.predicted_us()), core::Duration::zero()};
+        return routing::Redirected{core::RegionId(in.region()), fromMicroseconds(in.predicted_us()), core::Duration::zero(), core::InstanceId(in.relay())};
     default:
         break;
     }
@@ -243,6 +256,9 @@
             toProto(*request.stream, *row->mutable_stream(), now);
         }
     }
+    for (const core::UpstreamId &upstream : report.unreachableUpstreams) {
+        out.add_unreachable(upstream.text);
+    }
     for (const CompletedPlacement &completed : report.completed) {
         auto *row = out.add_ended();
         row->set_id(completed.id.text);
@@ -257,6 +273,9 @@
     for (const fleet::Notice &notice : in.notices()) {
         report.notices.push_back(fromProto(notice, now));
     }
+    for (const std::string &upstream : in.unreachable()) {
+        report.unreachableUpstreams.insert(core::UpstreamId(upstream));
+    }
     for (const auto &row : in.holdings()) {
         routing::ReportedRequest request{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), std::nullopt, row.memory_tokens()};
         if (row.started()) {
@@ -267,7 +286,7 @@
         }
         report.inFlight.push_back(std::move(request));
     }
-    constexpr auto LastOutcome = static_cast<std::uint32_t>(routing::SendOutcome::NeverSent);
+    constexpr auto LastOutcome = static_cast<std::uint32_t>(routing::SendOutcome::NoPath);
     for (const auto &row : in.ended()) {
         const auto outcome = static_cast<routing::SendOutcome>(std::min(row.ending(), LastOutcome));
         report.completed.push_back(CompletedPlacement{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), outcome});
@@ -284,6 +303,9 @@
     for (const routing::UpstreamNotice &notice : state.notices) {
         toProto(notice, *out.add_notices(), now);
     }
+    for (const core::UpstreamId &upstream : state.unreachableUpstreams) {
+        out.add_unreachable(upstream.text);
+    }
     for (const RegionServiceLoad &row : state.serviceLoads) {
         auto *entry = out.add_outlooks();
         entry->set_region(row.region.text);
@@ -317,6 +339,9 @@
     for (const fleet::Notice &notice : in.notices()) {
         state.notices.push_back(fromProto(notice, now));
     }
+    for (const std::string &upstream : in.unreachable()) {
+        state.unreachableUpstreams.insert(core::UpstreamId(upstream));
+    }
     for (const auto &row : in.outlooks()) {
         routing::ServiceLoad load;
         load.service = core::ServiceId(row.service());
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -33,6 +33,7 @@
     std::vector<routing::ReportedRequest> inFlight;
     std::vector<CompletedPlacement> completed;
     std::vector<routing::UpstreamNotice> notices;
+    std::set<core::UpstreamId> unreachableUpstreams; // that the instance has no path to
 };
 
 /// Load of a service in a region, as known to the sender.
@@ -50,8 +51,9 @@
     metadata::StoreRevision lastChangeRevision;
     metadata::StoreRevision storeRevision;
     core::Duration metadataStaleness{};
-    std::vector<core::UpstreamId> leavingUpstreams; // observed by an instance, not read from the store
-    std::vector<routing::UpstreamNotice> notices;   // of upstreams of the sender's region
+    std::vector<core::UpstreamId> leavingUpstreams;  // observed by an instance, not read from the store
+    std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
+    std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
 };
 
 struct PlacementReply
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -91,8 +91,9 @@
     //--- Target
     routing::PlacementId placement;
     core::UpstreamId upstream;
-    core::InstanceId peer; // instead of an upstream
-    core::RegionId region; // of the peer
+    core::InstanceId peer;  // instead of an upstream
+    core::RegionId region;  // of the peer
+    bool isToRelay = false; // the peer is of this region
     std::string address;
     routing::SoftwareVersion version; // of the upstream's software; a peer states it in its response head
     core::Duration predictedLatency{};
@@ -156,6 +157,7 @@
     std::set<core::UpstreamId> excludedUpstreams;
     std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
     std::set<core::RegionId> excludedRegions;
+    std::set<core::InstanceId> excludedRelays;
     std::size_t placements = 0;
     std::size_t fruitlessSearches = 0;                       // placements for a replacement that was not sent
     std::size_t sendCount = 0;                               // requests that reached an upstream
@@ -247,6 +249,7 @@
                      Fleet &fleet,
                      MetadataCache &metadataCache,
                      PlacementService &placement,
+                     PathMonitor &paths,
                      QuarantineService &quarantine,
                      StreamDirectory &streamDirectory,
                      std::uint64_t seed,
@@ -255,6 +258,7 @@
     , m_fleet(fleet)
     , m_metadataCache(metadataCache)
     , m_placement(placement)
+    , m_paths(paths)
     , m_quarantine(quarantine)
     , m_streamDirectory(streamDirectory)
     , m_settings(settings)
@@ -435,6 +439,7 @@
     placementRequest.allowedRegions = state.route->homeRegions;
     placementRequest.excludedUpstreams = state.excludedUpstreams;
     placementRequest.excludedRegions = state.excludedRegions;
+    placementRequest.excludedRelays = state.excludedRelays;
     placementRequest.requiredVersion = state.requiredVersion;
     return placementRequest;
 }
@@ -537,7 +542,9 @@
 
 void Forwarder::exclude(RequestState &state, const Attempt &attempt)
 {
-    if (attempt.isToPeer()) {
+    if (attempt.isToRelay) {
+        state.excludedRelays.insert(attempt.peer);
+    } else if (attempt.isToPeer()) {
         state.excludedRegions.insert(attempt.region);
     } else {
         state.excludedUpstreams.insert(attempt.upstream);
@@ -550,7 +557,7 @@
         return openUpstreamAttempt(state, *granted);
     }
     if (const auto *redirected = std::get_if<routing::Redirected>(&decision)) {
-        return openPeerAttempt(state, redirected->region);
+        return openPeerAttempt(state, *redirected);
     }
     return nullptr;
 }
@@ -574,6 +581,11 @@
         rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
+    if (m_paths.isLost(granted.upstream)) { // since the request was placed; the next placement knows
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NoPath);
+        state.lastFailure = "the path to the upstream was lost";
+        return nullptr;
+    }
     const bool isVersionStated = entry == nullptr || !granted.version.empty(); // not by a dispatcher of an older release of the gateway
     const routing::SoftwareVersion version = isVersionStated ? granted.version : entry->announcement.version;
     const bool isVersionStale = entry != nullptr && entry->announcement.version != version;
@@ -621,9 +633,13 @@
     return attempt;
 }
 
-std::optional<membership::Member> Forwarder::pickPeer(const core::RegionId &region)
+std::optional<membership::Member> Forwarder::pickPeer(const routing::Redirected &redirected)
 {
-    const auto &members = m_fleet.dispatcherRanking(region);
+    if (!redirected.relay.empty()) {
+        const membership::Member *relay = m_fleet.findMember(redirected.relay);
+        return relay == nullptr ? std::nullopt : std::optional(*relay);
+    }
+    const auto &members = m_fleet.dispatcherRanking(redirected.region);
     double total = 0;
     for (const membership::Member &member : members) {
         total += member.capacity;
@@ -645,23 +661,30 @@
     return left - left / 2;                                                               // the others are for a replacement, should the peer fall silent
 }
 
-std::shared_ptr<Forwarder::Attempt> Forwarder::openPeerAttempt(RequestState &state, const core::RegionId &region)
+std::shared_ptr<Forwarder::Attempt> Forwarder::openPeerAttempt(RequestState &state, const routing::Redirected &redirected)
 {
-    const auto peer = pickPeer(region);
+    const bool isToRelay = !redirected.relay.empty();
+    const auto peer = pickPeer(redirected);
     if (!peer) {
-        state.excludedRegions.insert(region);
-        state.lastFailure = "no instance in region " + region.text;
+        if (isToRelay) {
+            state.excludedRelays.insert(redirected.relay);
+        } else {
+            state.excludedRegions.insert(redirected.region);
+        }
+        state.lastFailure = isToRelay ? "relay " + redirected.relay.text + " is not known" : "no instance in region " + redirected.region.text;
         return nullptr;
     }
     auto attempt = std::make_shared<Attempt>();
     attempt->placement = state.placementId();
     attempt->peer = peer->id;
-    attempt->region = region;
+    attempt->region = redirected.region;
+    attempt->isToRelay = isToRelay;
     attempt->address = peer->peerAddress;
     attempt->request = state.request;
     const auto remaining = std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now());
     http::Headers &headers = attempt->request.headers;
-    headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - m_settings.crossRegionOverhead / 2));
+    const milliseconds overhead = isToRelay ? m_settings.relayOverhead : m_settings.crossRegionOverhead;
+    headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - overhead / 2));
     headers[OriginHeader] = m_context.settings.instanceId.text;
     headers[ServiceHeader] = state.service.text;
     attempt->sendsBefore = std::max<std::size_t>(state.sendCount, state.hasBeenSent() ? 1 : 0);
@@ -700,6 +723,9 @@
         if (!attempt->isToPeer()) { // a peer reports its own counts
             ++state.sendCount;
             ++state.possibleExecutions;
+            if (isNewConnection) {
+                m_paths.recordConnected(attempt->upstream);
+            }
             m_context.metrics.incrementCounter("arbutus_upstream_sends_total", isNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
         }
         state.changed.notify();
@@ -747,8 +773,12 @@
         state.lastFailure = attempt->failure;
     }
     if (!attempt->isToPeer()) {
+        recordPath(*attempt);
         m_placement.recordCompletion(attempt->placement, attempt->outcome);
         recordEvidence(state, *attempt);
+    } else if (attempt->isToRelay) {
+        const std::string outcome = attempt->peerOutcome.empty() ? "failed" : attempt->peerOutcome;
+        m_context.metrics.incrementCounter("arbutus_relayed_requests_total", "outcome=\"" + outcome + "\"");
     }
     logAttempt(state, *attempt);
     co_return result;
@@ -769,6 +799,11 @@
         state.settleGrant(attempt, connected ? attempt.grantedExecutions : 0);
         return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
+    if (!connected && error.stage == http::CallStage::Connect && !attempt.superseded && !attempt.unneeded) {
+        attempt.outcome = routing::SendOutcome::NoPath;
+        m_paths.recordFailure(attempt.upstream, error.message);
+        return SendResult::NotExecuted;
+    }
     const bool staleConnection = connected && error.connectionReused && !error.timedOut && !attempt.superseded;
     if (connected) {
         attempt.outcome = staleConnection ? routing::SendOutcome::NeverSent // a stale pooled connection is not counted against the upstream
@@ -783,6 +818,16 @@
     return connected ? failedSendResult(state) : SendResult::NotExecuted;
 }
 
+void Forwarder::recordPath(Attempt &attempt)
+{
+    const bool isWithoutEnd = attempt.outcome == routing::SendOutcome::Incomplete || attempt.outcome == routing::SendOutcome::TimedOut;
+    if (isWithoutEnd && m_paths.isLost(attempt.upstream)) {
+        attempt.outcome = routing::SendOutcome::NoPath; // says nothing about the upstream
+    } else if (isWithoutEnd || (attempt.head && !*attempt.head)) {
+        m_paths.doubt(attempt.upstream);
+    }
+}
+
 bool Forwarder::isBroken(const Attempt &attempt)
 {
     const bool connectionEnded = attempt.connectedAt && attempt.head && !*attempt.head && !attempt.head->error().timedOut;
@@ -865,6 +910,9 @@
             co_await state->changed.wait(*remaining);
             continue;
         }
+        if (!attempt->isToPeer()) {
+            m_paths.doubt(attempt->upstream);
+        }
         state->isSeekingReplacement = true;
         try {
             co_await seekReplacement(*state, attempt);
@@ -1006,6 +1054,9 @@
     http::Response &head = attempt.head->value();
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
     attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
+    if (!attempt.isToPeer()) {
+        m_paths.recordResponse(attempt.upstream);
+    }
     const bool isFromUpstream = parsed.kind != ResponseKind::Misdirected && parsed.kind != ResponseKind::Unverified;
     if (!attempt.isToPeer() && isFromUpstream && parsed.invalidMaxRequestRate.empty()) {
         m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -2,6 +2,7 @@
 //
 //   client -> this instance -> upstream in this region
 //   client -> this instance -> instance in another region -> upstream in that region     (at most one hop)
+//   client -> this instance -> relay in this region -> upstream in this region           if this instance has no path to the upstream
 //
 // The handling of a failure depends on how far the request got:
 //   nothing sent, or the upstream states that it did not execute the request   retry at another upstream, or 503
@@ -54,6 +55,7 @@
     std::chrono::milliseconds maxOverlap{150};               // time for which two upstreams may run the same request
     std::chrono::milliseconds maxPeerOverlap{300};           // the same if the second one is in another region; includes the way there and back
     std::chrono::milliseconds crossRegionOverhead{130};      // round trip to another region; half of it is subtracted from the deadline sent to the peer
+    std::chrono::milliseconds relayOverhead{4};              // the same within the region
     std::chrono::milliseconds noCatalogRetryAfter{500};      // Retry-After while no configuration is loaded
     std::chrono::seconds quarantineRetryAfter{60};           // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
     std::chrono::seconds versionGoneRetryAfter{60};          // Retry-After for a stream that no upstream can continue; longer than clients wait
@@ -78,6 +80,7 @@
               Fleet &fleet,
               MetadataCache &metadataCache,
               PlacementService &placement,
+              PathMonitor &paths,
               QuarantineService &quarantine,
               StreamDirectory &streamDirectory,
               std::uint64_t seed,
@@ -123,14 +126,14 @@
     void rejectPlacement(RequestState &state, const routing::Granted &granted, std::string reason);
     /// Executions that the next peer may make of those that are left.
     [[nodiscard]] static std::size_t executionsForPeer(const RequestState &state);
-    [[nodiscard]] std::shared_ptr<Attempt> openPeerAttempt(RequestState &state, const core::RegionId &region);
+    [[nodiscard]] std::shared_ptr<Attempt> openPeerAttempt(RequestState &state, const routing::Redirected &redirected);
     void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
     /// Waits for the response and relays it.
     boost::asio::awaitable<SendResult> finishAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
     /// Cancels an attempt that is not needed any more.
     boost::asio::awaitable<void> abandonAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
     [[nodiscard]] SendResult handleFailedStart(RequestState &state, Attempt &attempt);
-    [[nodiscard]] std::optional<membership::Member> pickPeer(const core::RegionId &region);
+    [[nodiscard]] std::optional<membership::Member> pickPeer(const routing::Redirected &redirected);
     [[nodiscard]] SendResult failedSendResult(const RequestState &state) const;
     /// Ends an attempt whose response is not whole, not the upstream's, or a failure.
     [[nodiscard]] SendResult recordFailedAttempt(RequestState &state, Attempt &attempt, routing::SendOutcome outcome, std::string reason) const;
@@ -138,6 +141,8 @@
     static void exclude(RequestState &state, const Attempt &attempt);
     /// Whether the upstream's connection ended before the response was complete.
     [[nodiscard]] static bool isBroken(const Attempt &attempt);
+    /// Has the path to the upstream probed if the attempt ended without a whole response. One on a lost path does not count against the upstream.
+    void recordPath(Attempt &attempt);
     /// Tells the quarantine how the attempt ended, and counts breaks.
     void recordEvidence(RequestState &state, const Attempt &attempt);
     void logAttempt(const RequestState &state, const Attempt &attempt);
@@ -183,6 +188,7 @@
     Fleet &m_fleet;
     MetadataCache &m_metadataCache;
     PlacementService &m_placement;
+    PathMonitor &m_paths;
     QuarantineService &m_quarantine;
     StreamDirectory &m_streamDirectory;
     ForwarderSettings m_settings;
--- /dev/null
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -0,0 +1,125 @@
+// Probes, and log lines for paths that are lost and found.
+
+#include "arbutus/edge/pathmonitor.h"
+#include "arbutus/core/asyncsleep.h"
+#include "arbutus/http/message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace arbutus::edge {
+
+namespace asio = boost::asio;
+
+PathMonitor::PathMonitor(InstanceContext &context, const MetadataCache &metadataCache, std::uint64_t seed, PathMonitorSettings settings)
+    : m_context(context)
+    , m_metadataCache(metadataCache)
+    , m_settings(settings)
+    , m_paths(seed, settings.paths)
+{
+}
+
+void PathMonitor::start()
+{
+    asio::co_spawn(m_context.executor, probeLoop(), asio::detached);
+}
+
+std::set<core::UpstreamId> PathMonitor::upstreamsOfRegion() const
+{
+    std::set<core::UpstreamId> out;
+    for (const auto &[id, entry] : m_metadataCache.registry().entries()) {
+        const auto region = m_context.settings.regionByDomain.find(entry.announcement.domain);
+        if (entry.isUsable() && region != m_context.settings.regionByDomain.end() && region->second == m_context.settings.region) {
+            out.insert(id);
+        }
+    }
+    return out;
+}
+
+void PathMonitor::logChange(const core::UpstreamId &upstream, std::string_view evidence, core::Duration lostFor)
+{
+    const bool isLost = m_paths.isLost(upstream);
+    m_context.metrics.incrementCounter("arbutus_upstream_path_changes_total", isLost ? "change=\"lost\"" : "change=\"found\"");
+    m_context.writeLog(observe::LogLine(isLost ? "path_lost" : "path_found")
+                           .add("upstream", upstream)
+                           .add("evidence", evidence)
+                           .add("lost_for_ms", core::toMilliseconds(lostFor))
+                           .add("lost_paths", m_paths.lost().size()));
+    if (onChanged) {
+        onChanged(upstream, isLost);
+    }
+}
+
+void PathMonitor::recordConnected(const core::UpstreamId &upstream)
+{
+    const core::TimePoint now = m_context.now();
+    const core::Duration lostFor = m_paths.lostFor(upstream, now);
+    if (m_paths.recordConnected(upstream, now)) {
+        logChange(upstream, "request", lostFor);
+    }
+}
+
+void PathMonitor::recordFailure(const core::UpstreamId &upstream, const std::string &reason)
+{
+    if (m_paths.recordFailure(upstream, m_context.now())) {
+        logChange(upstream, "request: " + reason, core::Duration::zero());
+    }
+}
+
+void PathMonitor::recordResponse(const core::UpstreamId &upstream)
+{
+    m_paths.recordResponse(upstream, m_context.now());
+}
+
+void PathMonitor::doubt(const core::UpstreamId &upstream)
+{
+    m_paths.doubt(upstream, m_context.now());
+}
+
+void PathMonitor::doubtUnlessFresh(const core::UpstreamId &upstream)
+{
+    m_paths.doubtUnlessFresh(upstream, m_context.now());
+}
+
+asio::awaitable<void> PathMonitor::probeLoop()
+{
+    std::set<core::UpstreamId> upstreams;
+    std::optional<std::uint64_t> registryVersion;
+    while (true) {
+        co_await core::asyncSleep(m_settings.checkInterval);
+        if (registryVersion != m_metadataCache.registry().version()) {
+            registryVersion = m_metadataCache.registry().version();
+            upstreams = upstreamsOfRegion();
+        }
+        for (const core::UpstreamId &upstream : m_paths.takeDueProbes(upstreams, m_context.now())) {
+            const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+            if (entry != nullptr) {
+                asio::co_spawn(m_context.executor, probe(upstream, entry->announcement.address), asio::detached);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> PathMonitor::probe(core::UpstreamId upstream, std::string address)
+{
+    const http::Endpoint endpoint = http::parseEndpoint(address);
+    boost::system::error_code code;
+    const auto hostAddress = asio::ip::make_address(endpoint.host, code);
+    if (!code) {
+        boost::beast::tcp_stream stream(m_context.executor);
+        stream.expires_after(m_settings.connectTimeout);
+        const asio::ip::tcp::endpoint target(hostAddress, endpoint.port);
+        co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, code));
+    }
+    m_context.metrics.incrementCounter("arbutus_upstream_path_probes_total", code ? "result=\"failed\"" : "result=\"reached\"");
+    const core::TimePoint now = m_context.now();
+    const core::Duration lostFor = m_paths.lostFor(upstream, now);
+    if (m_paths.recordProbe(upstream, !code, now)) {
+        logChange(upstream, code ? "probe: " + code.message() : "probe", lostFor);
+    }
+}
+
+} // namespace arbutus::edge
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -31,7 +31,7 @@
                           },
                           [](const routing::Queued &queued) { return "waits predicted_ms=" + std::to_string(core::toMilliseconds(queued.predictedWait)); },
                           [](const routing::Redirected &redirected) {
-                              return "elsewhere region=" + redirected.region.text
+                              return "elsewhere region=" + redirected.region.text + (redirected.relay.empty() ? "" : " relay=" + redirected.relay.text)
                                   + " predicted_ms=" + std::to_string(core::toMilliseconds(redirected.predictedLatency));
                           },
                           [](const routing::Refused &refused) {
@@ -58,12 +58,13 @@
 
 } // namespace
 
-PlacementService::PlacementService(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PlacementServiceSettings settings)
+PlacementService::PlacementService(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PathMonitor &paths, PlacementServiceSettings settings)
     : m_context(context)
     , m_fleet(fleet)
     , m_metadataCache(metadataCache)
     , m_settings(settings)
     , m_dispatcher(context.settings.dispatcher, makeDispatcherView(context, metadataCache), context.now())
+    , m_paths(paths)
 {
 }
 
@@ -138,6 +139,7 @@
         }
         const auto dispatcher = remoteDispatcher();
         pending->decision.reset();
+        request.unreachableUpstreams = m_paths.lost();
         if (!dispatcher) {
             decidedBy = m_context.settings.instanceId;
             decision = m_dispatcher.requestPlacement(request, m_context.now());
@@ -151,7 +153,7 @@
                 unansweredRequests = 0;
             }
             if (std::exchange(m_lastDispatcher, dispatcher->id) != dispatcher->id && !m_notices.entries().empty()) {
-                m_fleet.send(dispatcher->gossipAddress, PlacementReport{{}, {}, notices()}); // a new dispatcher needs them to decide
+                m_fleet.send(dispatcher->gossipAddress, PlacementReport{{}, {}, notices(), m_paths.lost()}); // a new dispatcher needs them to decide
             }
             pending->requestedFrom = dispatcher->id;
             m_fleet.send(dispatcher->gossipAddress, request);
@@ -296,8 +298,9 @@
         if (std::exchange(m_hasUnreportedNotice, false)) {
             report.notices = notices();
         }
-        if (!report.inFlight.empty() || !report.completed.empty() || !report.notices.empty()) {
-            sendReport(report);
+        const bool hasUnreportedPaths = std::exchange(m_hasUnreportedPaths, false);
+        if (!report.inFlight.empty() || !report.completed.empty() || !report.notices.empty() || hasUnreportedPaths) {
+            sendReport(std::move(report));
         }
         deliverDecisions(m_dispatcher.processQueue(m_context.now()));
     });
@@ -348,8 +351,16 @@
                            .add("source", source));
 }
 
-void PlacementService::sendReport(const PlacementReport &report)
+void PlacementService::onPathsChanged()
+{
+    m_dispatcher.recordUnreachable(m_context.settings.instanceId, m_paths.lost(), m_context.now());
+    m_hasUnreportedPaths = true;
+    scheduleReport();
+}
+
+void PlacementService::sendReport(PlacementReport report)
 {
+    report.unreachableUpstreams = m_paths.lost();
     const auto &ranking = m_fleet.dispatcherRanking(m_context.settings.region);
     for (std::size_t i = 0; i < ranking.size() && i < m_settings.notifiedDispatchersPerRegion; ++i) {
         if (ranking[i].id != m_context.settings.instanceId) {
@@ -376,7 +387,8 @@
                 report.inFlight.clear();
             }
         }
-        if (!report.inFlight.empty()) {
+        m_dispatcher.recordUnreachable(m_context.settings.instanceId, m_paths.lost(), m_context.now());
+        if (!report.inFlight.empty() || !m_paths.lost().empty()) {
             m_dispatcher.recordInFlight(m_context.settings.instanceId, report.inFlight, m_context.now());
             sendReport(report);
         }
@@ -450,6 +462,12 @@
                                .add("known", m_fleet.knownMemberCountInRegion()));
     }
     m_dispatcher.setDispatcherRole(isDispatcher, reachableShare, m_context.now());
+    std::vector<routing::RelayCandidate> instances;
+    instances.reserve(ranking.size());
+    for (const membership::Member &member : ranking) {
+        instances.push_back(routing::RelayCandidate{member.id, member.domain, member.capacity});
+    }
+    m_dispatcher.setInstances(std::move(instances));
 }
 
 void PlacementService::handleMessage(const FleetMessage &message, const std::string &from)
@@ -498,6 +516,7 @@
 {
     const core::TimePoint now = m_context.now();
     mergeNotices(report.notices, sender);
+    m_dispatcher.recordUnreachable(sender, report.unreachableUpstreams, now);
     m_dispatcher.recordInFlight(sender, report.inFlight, now);
     for (const routing::ReportedRequest &request : report.inFlight) {
         if (request.stream && onStreamBegan) {
@@ -533,6 +552,7 @@
         state.leavingUpstreams.push_back(id);
     }
     state.notices = notices();
+    state.unreachableUpstreams = m_dispatcher.unreachableUpstreams(now);
     return state;
 }
 
@@ -553,6 +573,7 @@
     }
     std::erase_if(state.serviceLoads, [&](const RegionServiceLoad &row) { return row.region != m_context.settings.region || !isDispatcher; });
     state.notices.clear(); // an upstream accepts connections from its own region only
+    state.unreachableUpstreams.clear();
     std::set<core::RegionId> regions;
     for (const auto &[domain, region] : m_context.settings.regionByDomain) {
         regions.insert(region);
@@ -592,6 +613,9 @@
 {
     const core::TimePoint now = m_context.now();
     mergeNotices(state.notices, sender);
+    for (const core::UpstreamId &upstream : state.unreachableUpstreams) {
+        m_paths.doubtUnlessFresh(upstream);
+    }
     for (const RegionServiceLoad &row : state.serviceLoads) {
         if (row.region == m_context.settings.region) {
             continue;
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -11,6 +11,7 @@
 
 #include "arbutus/edge/fleet.h"
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/edge/pathmonitor.h"
 #include "arbutus/routing/upstreamnotices.h"
 
 #include <memory>
@@ -48,7 +49,7 @@
 class PlacementService
 {
 public:
-    PlacementService(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PlacementServiceSettings settings = {});
+    PlacementService(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PathMonitor &paths, PlacementServiceSettings settings = {});
 
     void start();
     /// Returns a granted placement, a redirect to another region or a refusal. Cancelling the token ends the wait with a refusal.
@@ -62,6 +63,8 @@
     void handleMessage(const FleetMessage &message, const std::string &from);
     /// Sends the region state to other instances and processes the queue after a metadata change.
     void onMetadataChanged();
+    /// Tells dispatchers which upstreams this instance has no path to, after a change.
+    void onPathsChanged();
     /// Refuses requests that wait for a placement and were quarantined meanwhile.
     void refuseQuarantined();
     [[nodiscard]] const routing::Dispatcher &dispatcher() const
@@ -105,7 +108,8 @@
     /// Tells the dispatcher how a request ended at an upstream, and logs it if the upstream is ejected for that.
     void recordOutcome(const CompletedPlacement &completed, const core::InstanceId &reporter);
     void scheduleReport();
-    void sendReport(const PlacementReport &report);
+    /// Sends the report with the lost paths, which it replaces at the dispatchers.
+    void sendReport(PlacementReport report);
     [[nodiscard]] std::vector<routing::UpstreamNotice> notices() const;
     void mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender);
     /// Applies and logs a changed notice.
@@ -126,12 +130,14 @@
     MetadataCache &m_metadataCache;
     PlacementServiceSettings m_settings;
     routing::Dispatcher m_dispatcher;
+    PathMonitor &m_paths;
     std::map<routing::PlacementId, std::shared_ptr<PendingPlacement>> m_pending;
     std::map<routing::PlacementId, InFlightPlacement> m_inFlight;
     std::set<routing::PlacementId> m_unreportedFirstEvents;
     std::vector<CompletedPlacement> m_unreportedCompletions;
     routing::UpstreamNotices m_notices;
     bool m_hasUnreportedNotice = false;
+    bool m_hasUnreportedPaths = false;
     core::InstanceId m_lastDispatcher; // that this instance requested a placement from
     bool m_reportScheduled = false;
     bool m_isDispatcher = false;
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -71,11 +71,12 @@
         , random(seed)
         , metadataCache(adapter)
         , fleet(context, generateIncarnation(clock, seed), seed)
-        , placement(context, fleet, metadataCache)
+        , paths(context, metadataCache, seed)
+        , placement(context, fleet, metadataCache, paths)
         , metadataSync(context, fleet, metadataCache, seed)
         , quarantine(context, fleet, metadataCache, seed)
         , streamDirectory(context, fleet, metadataCache)
-        , forwarder(context, fleet, metadataCache, placement, quarantine, streamDirectory, seed)
+        , forwarder(context, fleet, metadataCache, placement, paths, quarantine, streamDirectory, seed)
         , reloadSettings(std::move(theReloadSettings))
         , clientServer(
               context.executor, settings.clientEndpoint, {}, [this](http::Exchange &exchange) { return forwarder.handleRequest(exchange); }, nullptr)
@@ -101,6 +102,7 @@
     pcg32 random;
     MetadataCache metadataCache;
     Fleet fleet;
+    PathMonitor paths;
     PlacementService placement;
     MetadataSync metadataSync;
     QuarantineService quarantine;
@@ -214,6 +216,7 @@
         metrics.setGauge("arbutus_log_lines_dropped", "", static_cast<double>(context.log.droppedLines()));
         metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(quarantine.quarantinedPartCount()));
         metrics.setGauge("arbutus_quarantined_requests", "", static_cast<double>(quarantine.quarantinedRequestCount()));
+        metrics.setGauge("arbutus_lost_upstream_paths", "", static_cast<double>(paths.lost().size()));
         metrics.setGauge("arbutus_ready", "", ready() ? 1 : 0);
         http::Response response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
@@ -245,6 +248,15 @@
         placement.onMetadataChanged();
     }
 
+    void onPathChanged(const core::UpstreamId &id, bool isLost)
+    {
+        const routing::RegistryEntry *entry = metadataCache.registry().find(id);
+        if (isLost && entry != nullptr) {
+            forwarder.closeIdleConnections(entry->announcement.address); // a request would hang on them
+        }
+        placement.onPathsChanged();
+    }
+
     void markUpstreamLeaving(const core::UpstreamId &id)
     {
         const MetadataUpdate update = metadataCache.markLeaving(id, context.now());
@@ -384,6 +396,8 @@
         }
         impl.placement.handleMessage(message, from);
     });
+    impl.paths.onChanged = [&impl](const core::UpstreamId &upstream, bool isLost) { impl.onPathChanged(upstream, isLost); };
+    impl.paths.start();
     impl.quarantine.start();
     impl.streamDirectory.start();
     impl.placement.start();
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -86,14 +86,95 @@
     return m_localUpstreams[service];
 }
 
-bool Dispatcher::hasPotentialUpstream(const PlacementRequest &request)
+bool Dispatcher::hasPath(const core::InstanceId &instance, const core::UpstreamId &upstream, core::TimePoint now) const
+{
+    const auto found = m_unreachable.find(instance);
+    return found == m_unreachable.end() || now - found->second.at > m_settings.pathReportTimeout || !found->second.upstreams.contains(upstream);
+}
+
+bool Dispatcher::isReachable(const core::UpstreamId &upstream, core::TimePoint now) const
+{
+    return m_unreachable.empty() || m_instances.empty()
+        || std::any_of(m_instances.begin(), m_instances.end(), [&](const RelayCandidate &instance) { return hasPath(instance.id, upstream, now); });
+}
+
+bool Dispatcher::isReachable(const PlacementRequest &request, const core::UpstreamId &upstream, Way way, core::TimePoint now) const
+{
+    const bool hasOwnPath = !request.unreachableUpstreams.contains(upstream);
+    if (way == Way::Direct) {
+        return hasOwnPath;
+    }
+    return !hasOwnPath
+        && std::any_of(m_instances.begin(), m_instances.end(), [&](const RelayCandidate &instance) { return mayRelay(instance, request, upstream, now); });
+}
+
+bool Dispatcher::mayRelay(const RelayCandidate &instance, const PlacementRequest &request, const core::UpstreamId &upstream, core::TimePoint now) const
+{
+    return request.allowOtherRegions && instance.id != request.requester && !request.excludedRelays.contains(instance.id)
+        && hasPath(instance.id, upstream, now);
+}
+
+const RelayCandidate *Dispatcher::pickRelay(const PlacementRequest &request, const core::UpstreamId &upstream, core::TimePoint now) const
+{
+    const auto requester =
+        std::find_if(m_instances.begin(), m_instances.end(), [&](const RelayCandidate &instance) { return instance.id == request.requester; });
+    std::map<core::InstanceId, double> load;
+    for (const auto &[id, estimator] : m_estimators) {
+        for (const auto &[placement, inFlight] : estimator.inFlight()) {
+            ++load[inFlight.sender];
+        }
+    }
+    const RelayCandidate *best = nullptr;
+    std::pair<bool, double> bestRank;
+    for (const RelayCandidate &instance : m_instances) {
+        if (!mayRelay(instance, request, upstream, now)) {
+            continue;
+        }
+        const bool isFar = requester != m_instances.end() && instance.domain != requester->domain;
+        const std::pair rank(isFar, load[instance.id] / std::max(instance.capacity, 1e-6));
+        if (best == nullptr || rank < bestRank) {
+            best = &instance;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void Dispatcher::setInstances(std::vector<RelayCandidate> instances)
+{
+    m_instances = std::move(instances);
+}
+
+void Dispatcher::recordUnreachable(const core::InstanceId &instance, const std::set<core::UpstreamId> &upstreams, core::TimePoint now)
+{
+    if (upstreams.empty()) {
+        m_unreachable.erase(instance);
+    } else {
+        m_unreachable[instance] = UnreachableReport{upstreams, now};
+    }
+}
+
+std::set<core::UpstreamId> Dispatcher::unreachableUpstreams(core::TimePoint now) const
+{
+    std::set<core::UpstreamId> out;
+    for (const auto &[instance, report] : m_unreachable) {
+        if (now - report.at <= m_settings.pathReportTimeout) {
+            out.insert(report.upstreams.begin(), report.upstreams.end());
+        }
+    }
+    return out;
+}
+
+bool Dispatcher::hasPotentialUpstream(const PlacementRequest &request, core::TimePoint now)
 {
     if ((!request.allowedRegions.empty() && !request.allowedRegions.contains(m_view.region)) || request.excludedRegions.contains(m_view.region)) {
         return false;
     }
     const auto &upstreams = localUpstreamsOf(request.service);
     return std::any_of(upstreams.begin(), upstreams.end(), [&](const LocalUpstream &upstream) {
-        return !request.excludedUpstreams.contains(upstream.entry->announcement.id) && mayServe(request, upstream.entry->announcement);
+        const core::UpstreamId &id = upstream.entry->announcement.id;
+        return !request.excludedUpstreams.contains(id) && mayServe(request, upstream.entry->announcement)
+            && (isReachable(request, id, Way::Direct, now) || isReachable(request, id, Way::ViaRelay, now));
     });
 }
 
@@ -171,7 +252,7 @@
     return now >= m_nextColdGrant[entry.announcement.id];
 }
 
-std::optional<Dispatcher::Candidate> Dispatcher::bestLocal(const PlacementRequest &request, core::TimePoint now)
+std::optional<Dispatcher::Candidate> Dispatcher::bestLocal(const PlacementRequest &request, Way way, core::TimePoint now)
 {
     const auto better = [](const Candidate &left, const std::optional<Candidate> &right) {
         return !right || (left.meetsCompletionDeadline != right->meetsCompletionDeadline ? left.meetsCompletionDeadline : left.score < right->score);
@@ -184,7 +265,7 @@
         request.prompt.size() < 2 ? 0 : request.prompt[request.prompt.size() - 2].prefixHash; // the last part is unique to the request
     for (LocalUpstream &upstream : localUpstreamsOf(request.service)) {
         const bool cold = upstream.entry->isCold(now);
-        if (cold && !mayUseColdUpstream(*upstream.entry, now)) {
+        if (!isReachable(request, upstream.entry->announcement.id, way, now) || (cold && !mayUseColdUpstream(*upstream.entry, now))) {
             continue;
         }
         const auto candidate = evaluateCandidate(request, upstream, now);
@@ -242,7 +323,7 @@
     const PlacementRate &rate = m_placementRates[service];
     double capacity = 0;
     for (const LocalUpstream &upstream : localUpstreamsOf(service)) {
-        if (upstream.estimator->acceptsRequests(now)) {
+        if (upstream.estimator->acceptsRequests(now) && isReachable(upstream.entry->announcement.id, now)) {
             capacity += workCapacity(upstream, rate.meanWork);
         }
     }
@@ -364,7 +445,7 @@
         std::vector<double> utilizations;
         for (const LocalUpstream &upstream : upstreams) {
             const UpstreamEstimator &estimator = *upstream.estimator;
-            if (upstream.entry->isCold(now) || !estimator.acceptsRequests(now)) {
+            if (upstream.entry->isCold(now) || !estimator.acceptsRequests(now) || !isReachable(upstream.entry->announcement.id, now)) {
                 continue;
             }
             ++load.usableUpstreams;
@@ -450,13 +531,21 @@
 {
     const bool localAllowed =
         (request.allowedRegions.empty() || request.allowedRegions.contains(m_view.region)) && !request.excludedRegions.contains(m_view.region);
-    const std::optional<Candidate> candidate = localAllowed ? bestLocal(request, now) : std::nullopt;
+    std::optional<Candidate> candidate = localAllowed ? bestLocal(request, Way::Direct, now) : std::nullopt;
+    if (localAllowed && !request.unreachableUpstreams.empty() && (!candidate || !candidate->admissible)) {
+        const std::optional<Candidate> viaRelay = bestLocal(request, Way::ViaRelay, now);
+        if (viaRelay && (!candidate || viaRelay->admissible)) {
+            candidate = viaRelay;
+            candidate->relay = pickRelay(request, viaRelay->upstream->entry->announcement.id, now);
+            candidate->predictedLatency += m_settings.relayOverhead;
+        }
+    }
     const std::optional<Redirected> remote = bestRemoteRegion(request, now);
     if (!candidate) {
         if (remote) {
             return PlacementAttempt{redirect(request, *remote), nullptr, 0};
         }
-        if (!hasPotentialUpstream(request) && !mayStillDiscoverUpstream(request, now)) {
+        if (!hasPotentialUpstream(request, now) && !mayStillDiscoverUpstream(request, now)) {
             const RefusalReason reason = isVersionGone(request) ? RefusalReason::VersionGone : RefusalReason::NoUpstream;
             return PlacementAttempt{refuse(request, reason, core::Duration::zero(), now), nullptr, 0};
         }
@@ -475,7 +564,9 @@
         }
     }
     PlacementAttempt attempt{std::nullopt, candidate->upstream, candidate->uncachedTokens};
-    if (candidate->admissible) {
+    if (candidate->admissible && candidate->relay != nullptr) { // the relay requests the placement for it
+        attempt.decision = Redirected{m_view.region, candidate->predictedLatency, candidate->score, candidate->relay->id};
+    } else if (candidate->admissible) {
         attempt.decision = grant(request, *candidate, now);
     }
     return attempt;
@@ -602,9 +693,11 @@
     if (auto granted = findGrant(request.id)) {
         return *granted;
     }
+    recordUnreachable(request.requester, request.unreachableUpstreams, now);
     const auto existing = m_queue.find(request.id);
     if (existing != m_queue.end()) {
         existing->second.lastRequestedAt = now;
+        existing->second.request.unreachableUpstreams = request.unreachableUpstreams;
     } else {
         if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
             return *decision;
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -22,6 +22,11 @@
 //   Region load              load reports exchanged between regions
 //   Dispatcher               queue and placement
 //
+// Q: What if an instance has lost its path to an upstream?
+// A: It names the upstream in its placement requests, and in its reports. It gets another upstream, or is redirected to a relay: an
+//    instance of the region that has a path. An upstream that no instance of the region reaches is not used, and not told to other
+//    regions. Failed connections say nothing about the upstream's health.
+//
 // Q: What happens to the knowledge about caches when the dispatcher fails?
 // A: It is lost. A shared prompt prefix that is not known to be cached anywhere therefore goes to an engine picked by
 //    rendezvous hashing. Every dispatcher picks the same one, so the prefix is most likely cached there already.
@@ -66,11 +71,13 @@
     RequestFingerprint fingerprint;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;               // expected
-    bool allowOtherRegions = true;                // may be redirected to another region
+    bool allowOtherRegions = true;                // may be redirected to another region or to a relay
     std::set<core::RegionId> allowedRegions;      // regions that may serve it; empty = all
     std::set<core::UpstreamId> excludedUpstreams; // already tried
     std::set<core::RegionId> excludedRegions;
-    std::optional<SoftwareVersion> requiredVersion; // of a stream that has begun: no upstream of another version may serve it
+    std::set<core::UpstreamId> unreachableUpstreams; // that the requester has no path to
+    std::set<core::InstanceId> excludedRelays;       // that did not execute the request
+    std::optional<SoftwareVersion> requiredVersion;  // of a stream that has begun: no upstream of another version may serve it
 
     /// Memory needed beyond prompt parts shared with other requests, in tokens.
     [[nodiscard]] std::uint32_t unsharedTokens() const
@@ -96,7 +103,8 @@
 {
     core::RegionId region;
     core::Duration predictedLatency{};
-    core::Duration score{}; // predicted latency plus the cost of a slow stream; not sent to the requester
+    core::Duration score{};      // predicted latency plus the cost of a slow stream; not sent to the requester
+    core::InstanceId relay = {}; // instance of the requester's own region that sends the request; empty: any of another region
 };
 enum class RefusalReason {
     NoUpstream,  // no reachable upstream may serve it
@@ -129,6 +137,14 @@
     std::optional<StreamRecord> stream; // that has begun, if it may be resumed
 };
 
+/// An instance of the region that may send requests for others.
+struct RelayCandidate
+{
+    core::InstanceId id;
+    core::DomainId domain;
+    double capacity = 1;
+};
+
 //-----------------------------------------------------------------------------
 // Region load
 //-----------------------------------------------------------------------------
@@ -193,6 +209,10 @@
     core::Duration maxRemoteLoadAge = std::chrono::milliseconds(1'500);  // older load reports are ignored
     double cacheMissRatioWeight = 0.02;                                  // weight of one prompt in ServiceLoad::cacheMissRatio
 
+    //--- Relays
+    core::Duration relayOverhead = std::chrono::milliseconds(4);         // of the way through another instance of the region
+    core::Duration pathReportTimeout = std::chrono::milliseconds(1'200); // lost paths that are not reported again count as found
+
     //--- Queue order
     core::Duration minQueueScanInterval = std::chrono::milliseconds(8); // between scans of the queue
     std::size_t queueScanLimit = 48;                                    // queued requests considered for placement per scan
@@ -242,6 +262,13 @@
         return m_queue.size();
     }
 
+    /// Sets the live instances of the region, including this one.
+    void setInstances(std::vector<RelayCandidate> instances);
+    /// Takes an instance's report of all upstreams that it has no path to.
+    void recordUnreachable(const core::InstanceId &instance, const std::set<core::UpstreamId> &upstreams, core::TimePoint now);
+    /// Upstreams that some instance of the region has no path to.
+    [[nodiscard]] std::set<core::UpstreamId> unreachableUpstreams(core::TimePoint now) const;
+
     [[nodiscard]] std::vector<ServiceLoad> serviceLoads(core::TimePoint now);
     void updateRemoteLoad(const core::RegionId &region, const ServiceLoad &load, core::TimePoint now);
     /// Sets the rate of requests, per second, that an upstream takes from all nodes together; empty: no limit.
@@ -268,9 +295,10 @@
         LocalUpstream *upstream = nullptr;
         std::uint32_t uncachedTokens = 0;
         core::Duration predictedLatency{};
-        core::Duration score{};              // predicted latency plus the cost to other requests
-        bool admissible = false;             // backlog, slots and memory allow one more, and no request of higher precedence waits for it
-        bool meetsCompletionDeadline = true; // the last event would arrive before the completion deadline
+        core::Duration score{};                // predicted latency plus the cost to other requests
+        bool admissible = false;               // backlog, slots and memory allow one more, and no request of higher precedence waits for it
+        bool meetsCompletionDeadline = true;   // the last event would arrive before the completion deadline
+        const RelayCandidate *relay = nullptr; // sends the request; null: the requester does
     };
     struct RemoteRegion
     {
@@ -312,10 +340,22 @@
     /// Eligible upstreams of a service in this region; the list is rebuilt when the registry or the catalog has changed.
     [[nodiscard]] std::vector<LocalUpstream> &localUpstreamsOf(const core::ServiceId &service);
     void refreshLocalUpstreams();
+    /// Which upstreams are considered for a request.
+    enum class Way {
+        Direct,   // the requester has a path to the upstream
+        ViaRelay, // it has none, but another instance of the region has one
+    };
     /// Best upstream of this region; a cold one only if no warm one is admissible.
-    [[nodiscard]] std::optional<Candidate> bestLocal(const PlacementRequest &request, core::TimePoint now);
+    [[nodiscard]] std::optional<Candidate> bestLocal(const PlacementRequest &request, Way way, core::TimePoint now);
+    [[nodiscard]] bool hasPath(const core::InstanceId &instance, const core::UpstreamId &upstream, core::TimePoint now) const;
+    /// Whether any live instance of the region has a path to the upstream.
+    [[nodiscard]] bool isReachable(const core::UpstreamId &upstream, core::TimePoint now) const;
+    [[nodiscard]] bool isReachable(const PlacementRequest &request, const core::UpstreamId &upstream, Way way, core::TimePoint now) const;
+    [[nodiscard]] bool mayRelay(const RelayCandidate &instance, const PlacementRequest &request, const core::UpstreamId &upstream, core::TimePoint now) const;
+    /// The least busy instance that has a path to the upstream, in the requester's failure domain if there is one.
+    [[nodiscard]] const RelayCandidate *pickRelay(const PlacementRequest &request, const core::UpstreamId &upstream, core::TimePoint now) const;
     /// Whether any upstream of this region could serve the request, now or after it has recovered.
-    [[nodiscard]] bool hasPotentialUpstream(const PlacementRequest &request);
+    [[nodiscard]] bool hasPotentialUpstream(const PlacementRequest &request, core::TimePoint now);
     /// Whether any region has an upstream of the required version that may get requests.
     [[nodiscard]] bool isVersionGone(const PlacementRequest &request) const;
     /// Whether discovery is still under way, so that it is too early to refuse the request for lack of an upstream.
@@ -372,6 +412,13 @@
     };
     std::map<core::UpstreamId, RateLimit> m_rateLimits;
     std::map<core::UpstreamId, core::TimePoint> m_nextColdGrant; // earliest time of the next grant to a cold upstream
+    struct UnreachableReport
+    {
+        std::set<core::UpstreamId> upstreams;
+        core::TimePoint at{};
+    };
+    std::map<core::InstanceId, UnreachableReport> m_unreachable; // by instance; without those that reach all
+    std::vector<RelayCandidate> m_instances;                     // live ones of the region
     bool m_hasDispatcherRole = false;
     double m_reachableRatio = 1;
     core::TimePoint m_dispatcherRoleSince{};
--- a/src/arbutus/routing/upstreamestimator.cpp
+++ b/src/arbutus/routing/upstreamestimator.cpp
@@ -38,6 +38,8 @@
         return "timed_out";
     case SendOutcome::ServerError:
         return "server_error";
+    case SendOutcome::NoPath:
+        return "no_path";
     case SendOutcome::NeverSent:
         break;
     }
@@ -278,6 +280,7 @@
     switch (outcome) {
     case SendOutcome::ClientDisconnected:
     case SendOutcome::NeverSent:
+    case SendOutcome::NoPath:
         return; // independent of the upstream's health
     case SendOutcome::Completed:
         m_consecutiveFailures = 0;
@@ -293,7 +296,7 @@
     }
     m_failureRate += m_settings.failureRateWeight * (1 - m_failureRate);
     ++m_consecutiveFailures;
-    const bool unreachable = outcome == SendOutcome::Unreachable; // no connection: eject at once
+    const bool unreachable = outcome == SendOutcome::Unreachable; // another upstream has its address: eject at once
     if (unreachable || m_consecutiveFailures >= m_settings.consecutiveFailuresToEject) {
         const core::Duration ejectionTime = m_settings.baseEjectionTime * (1 << std::min(m_consecutiveEjections, 8));
         m_ejectedUntil = now + std::min(ejectionTime, m_settings.maxEjectionTime);
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -67,11 +67,12 @@
     Completed,          // complete response or finished stream
     ClientDisconnected, // cancelled because the client is gone
     Rejected,           // the upstream states that it did not run the request
-    Unreachable,        // connection failed
+    Unreachable,        // the upstream is not where it was expected
     Incomplete,         // sent, but the response was cut short
     TimedOut,           // sent, but no response in time
     ServerError,        // the upstream answered with an error
     NeverSent,          // the sender gave up before sending it
+    NoPath,             // the sender cannot open a connection to the upstream; others may
 };
 
 [[nodiscard]] std::string_view toString(SendOutcome outcome);
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -520,6 +520,81 @@
     CHECK(failures <= 6); // three consecutive failures, then an ejection of half a second
 }
 
+TEST_CASE("a request whose requester has lost paths goes to an upstream that it reaches, or through a relay that reaches one", "[dispatcher][paths]")
+{
+    struct Row
+    {
+        const char *name;
+        std::set<core::UpstreamId> ownLosses;
+        std::map<std::string, std::set<core::UpstreamId>> otherLosses; // by instance
+        bool mayRelay;
+        std::string decision;
+    };
+    const core::UpstreamId a("a");
+    const core::UpstreamId b("b");
+    const auto row = GENERATE_COPY(values<Row>({
+        {"no losses", {}, {}, true, "granted"},
+        {"one of two lost", {a}, {}, true, "granted b"},
+        {"all lost", {a, b}, {}, true, "relay near"},
+        {"all lost, the near instance too", {a, b}, {{"near", {a, b}}}, true, "relay far"},
+        {"all lost, the near instance has lost the best one", {a, b}, {{"near", {a}}}, true, "relay far"},
+        {"all lost everywhere", {a, b}, {{"near", {a, b}}, {"far", {a, b}}}, true, "refused"},
+        {"a request of a relay that has lost all itself", {a, b}, {}, false, "refused"},
+        {"others have lost all, the requester nothing", {}, {{"near", {a, b}}, {"far", {a, b}}}, true, "granted"},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture({makeAnnouncement("a", PlainService), makeAnnouncement("b", PlainService)});
+    fixture.dispatcher.setInstances({{core::InstanceId("n"), core::DomainId("here-a"), 1},
+                                     {core::InstanceId("near"), core::DomainId("here-a"), 1},
+                                     {core::InstanceId("far"), core::DomainId("here-b"), 1}});
+    for (const auto &[instance, losses] : row.otherLosses) {
+        fixture.dispatcher.recordUnreachable(core::InstanceId(instance), losses, Start);
+    }
+    routing::PlacementRequest request = fixture.makeRequest("r", PlainService, Start);
+    request.unreachableUpstreams = row.ownLosses;
+    request.allowOtherRegions = row.mayRelay;
+    const std::string decision =
+        std::visit(core::Overloaded{
+                       [&](const routing::Granted &granted) { return row.decision == "granted" ? std::string("granted") : "granted " + granted.upstream.text; },
+                       [](const routing::Redirected &redirected) { return "relay " + redirected.relay.text; },
+                       [](const routing::Queued &) { return std::string("queued"); },
+                       [](const routing::Refused &) { return std::string("refused"); },
+                   },
+                   fixture.dispatcher.requestPlacement(request, Start));
+    CHECK(decision == row.decision);
+    const auto loads = fixture.dispatcher.serviceLoads(Start);
+    const std::uint32_t usable = loads.empty() ? 0 : loads.front().usableUpstreams;
+    CHECK(usable == (row.decision == "refused" && row.mayRelay ? 0 : 2));
+}
+
+TEST_CASE("instances without paths keep no upstream from those that have one", "[dispatcher][paths]")
+{
+    const auto cutCount = GENERATE(1, 5, 30);
+    Fixture fixture({makeAnnouncement("a", PlainService)});
+    core::TimePoint now = Start;
+    for (int i = 0; i < 20; ++i) {
+        now += 50ms;
+        for (int instance = 0; instance < cutCount; ++instance) {
+            const std::string id = std::to_string(i) + "-" + std::to_string(instance);
+            fixture.dispatcher.recordCompletion(routing::PlacementId(id), core::UpstreamId("a"), routing::SendOutcome::NoPath, now);
+            fixture.dispatcher.recordUnreachable(core::InstanceId("cut-" + std::to_string(instance)), {core::UpstreamId("a")}, now);
+        }
+        const routing::PlacementId sound("sound-" + std::to_string(i));
+        REQUIRE(grantedUpstream(fixture.dispatcher.requestPlacement(fixture.makeRequest(sound.text, PlainService, now), now)) == "a");
+        fixture.dispatcher.recordCompletion(sound, core::UpstreamId("a"), routing::SendOutcome::Completed, now + 10ms);
+    }
+}
+
+TEST_CASE("a loss that is not reported again counts as found", "[dispatcher][paths]")
+{
+    Fixture fixture({makeAnnouncement("a", PlainService)});
+    const routing::DispatcherSettings settings;
+    fixture.dispatcher.setInstances({{core::InstanceId("n"), core::DomainId("here-a"), 1}});
+    fixture.dispatcher.recordUnreachable(core::InstanceId("n"), {core::UpstreamId("a")}, Start);
+    CHECK(fixture.dispatcher.serviceLoads(Start + settings.pathReportTimeout).empty());
+    CHECK(fixture.dispatcher.serviceLoads(Start + settings.pathReportTimeout + 1ms).front().usableUpstreams == 1);
+}
+
 TEST_CASE("requests in flight that are no longer reported expire", "[dispatcher]")
 {
     Fixture fixture({makeAnnouncement("a", PlainService, "here-a", 1)});
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -4,6 +4,7 @@
 #include "support/schedules.h"
 
 #include "arbutus/routing/upstreamnotices.h"
+#include "arbutus/routing/upstreampaths.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -385,3 +386,98 @@
     CHECK(notices.eraseEnded(registry) == std::vector{announcement.id});
     CHECK_FALSE(notices.maxRequestRate(announcement.id));
 }
+
+TEST_CASE("a path is lost with a failed connection and found with a new one", "[paths]")
+{
+    enum class Step { Connected, Failed, Responded, Doubted, DoubtedUnlessFresh, ProbeFailed, ProbeReached };
+    struct Row
+    {
+        const char *name;
+        std::vector<Step> steps; // 10 ms apart, after a connection 2 s ago
+        bool isLost;
+        bool isProbed; // within the next 300 ms
+    };
+    const auto row = GENERATE(values<Row>({
+        {"a connection fails", {Step::Failed}, true, true},
+        {"a new connection after that", {Step::Failed, Step::Connected}, false, false},
+        {"a response on a kept connection after that", {Step::Failed, Step::Responded}, true, true},
+        {"a request is silent", {Step::Doubted}, false, true},
+        {"a request is silent and the probe reaches the upstream", {Step::Doubted, Step::ProbeReached}, false, false},
+        {"a request is silent and the probe fails", {Step::Doubted, Step::ProbeFailed}, true, true},
+        {"lost, and a probe reaches the upstream", {Step::Failed, Step::ProbeReached}, false, false},
+        {"another instance has lost its path", {Step::DoubtedUnlessFresh}, false, true},
+        {"another instance has lost its path, and this one was used", {Step::Responded, Step::DoubtedUnlessFresh}, false, false},
+        {"a doubt about a path that is lost", {Step::Failed, Step::ProbeFailed, Step::Doubted}, true, false},
+    }));
+    CAPTURE(row.name);
+    const core::UpstreamId upstream("u");
+    core::TimePoint now(1000s);
+    routing::UpstreamPaths paths(1);
+    (void)paths.takeDueProbes({upstream}, now);
+    (void)paths.recordConnected(upstream, now);
+    now += 2s;
+    for (const Step step : row.steps) {
+        now += 10ms;
+        switch (step) {
+        case Step::Connected:
+            (void)paths.recordConnected(upstream, now);
+            break;
+        case Step::Failed:
+            (void)paths.recordFailure(upstream, now);
+            break;
+        case Step::Responded:
+            paths.recordResponse(upstream, now);
+            break;
+        case Step::Doubted:
+            paths.doubt(upstream, now);
+            break;
+        case Step::DoubtedUnlessFresh:
+            paths.doubtUnlessFresh(upstream, now);
+            break;
+        case Step::ProbeFailed:
+        case Step::ProbeReached:
+            (void)paths.takeDueProbes({upstream}, now + 250ms);
+            (void)paths.recordProbe(upstream, step == Step::ProbeReached, now);
+            break;
+        }
+    }
+    CHECK(paths.isLost(upstream) == row.isLost);
+    CHECK(!paths.takeDueProbes({upstream}, now + 300ms).empty() == row.isProbed);
+}
+
+TEST_CASE("two lost paths put those in doubt that were not used a moment ago", "[paths]")
+{
+    const std::set<core::UpstreamId> upstreams{core::UpstreamId("a"), core::UpstreamId("b"), core::UpstreamId("c"), core::UpstreamId("d")};
+    core::TimePoint now(1000s);
+    routing::UpstreamPaths paths(1);
+    CHECK(paths.takeDueProbes(upstreams, now).empty()); // none without a loss
+    now += 5s;
+    paths.recordResponse(core::UpstreamId("d"), now);
+    CHECK(paths.recordFailure(core::UpstreamId("a"), now));
+    CHECK(paths.takeDueProbes(upstreams, now).empty()); // it may be the upstream
+    CHECK(paths.recordFailure(core::UpstreamId("b"), now));
+    CHECK(paths.takeDueProbes(upstreams, now) == std::vector{core::UpstreamId("c")});
+}
+
+TEST_CASE("probes of a lost path become rarer, within bounds, and end with the upstream", "[paths]")
+{
+    const core::UpstreamId upstream("u");
+    core::TimePoint now(1000s);
+    routing::UpstreamPaths paths(1);
+    const routing::UpstreamPathsSettings settings;
+    (void)paths.takeDueProbes({upstream}, now);
+    (void)paths.recordFailure(upstream, now);
+    core::Duration expected = settings.minProbeInterval;
+    for (int i = 0; i < 8; ++i) {
+        const core::TimePoint failedAt = now;
+        while (paths.takeDueProbes({upstream}, now).empty()) {
+            now += 1ms;
+        }
+        CHECK(now - failedAt >= std::chrono::duration_cast<core::Duration>(expected * (1 - settings.probeJitter)));
+        CHECK(now - failedAt <= std::chrono::duration_cast<core::Duration>(expected * (1 + settings.probeJitter)) + 1ms);
+        CHECK_FALSE(paths.recordProbe(upstream, false, now));
+        expected = std::min(expected * 2, settings.maxProbeInterval);
+    }
+    CHECK(paths.takeDueProbes({}, now + 10s).empty());
+    CHECK(paths.lost().empty());
+}
