Logs say for how long an upstream that rejects a request wants no more

The record of upstreams whose rest was ignored cannot tell whether Retry-After was sent, read or lost: no line has its value. The adapter decodes it from 503 responses (seconds, fractions too, at most 600; anything else is reported as received), and upstream_attempt_finished has it as rest_ms. No change of logic.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -120,6 +120,7 @@
     std::string peerOutcome; // OutcomeHeader
     std::string failure;
     std::string maxRequestRate;        // that the response named
+    std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
     std::string bodyEnd;               // how the response marked the end of its body
     std::size_t partialEventBytes = 0; // received after the last complete event
 
@@ -865,6 +866,7 @@
             .add("outcome", routing::toString(attempt.outcome))
             .add("reason", attempt.failure)
             .add("named_rate", attempt.maxRequestRate)
+            .add("rest_ms", attempt.rest)
             .add("prompt_parts", attempt.outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
             .add("fingerprint", isBroken(attempt) ? routing::toString(state.fingerprint) : "")
             .add("first_event_ms", hasEvent ? core::toMilliseconds(attempt.firstEventAt - attempt.sentAt) : 0)
@@ -1062,6 +1064,7 @@
         m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
     }
     attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
+    attempt.rest = parsed.rest ? std::to_string(core::toMilliseconds(*parsed.rest)) : parsed.invalidRest;
     m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + attempt.bodyEnd + "\"");
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -603,6 +603,38 @@
     CHECK(head.invalidMaxRequestRate == row.invalid);
 }
 
+TEST_CASE("the time for which an upstream wants no requests is decoded, and an unusable one is reported", "[adapter]")
+{
+    struct Row
+    {
+        const char *text;
+        unsigned status;
+        std::optional<core::Duration> rest;
+        const char *invalid;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"3", 503, 3s, ""},
+        {" 0.25 ", 503, 250ms, ""},
+        {"0", 503, 0s, ""},
+        {"1e9", 503, 600s, ""},
+        {"-1", 503, std::nullopt, "-1"},
+        {"nan", 503, std::nullopt, "nan"},
+        {"inf", 503, std::nullopt, "inf"},
+        {"soon", 503, std::nullopt, "soon"},
+        {"Fri, 31 Dec 1999 23:59:59 GMT", 503, std::nullopt, "Fri, 31 Dec 1999 23:59:59 GMT"},
+        {"", 503, std::nullopt, ""},
+        {"3", 200, std::nullopt, ""},
+        {"3", 500, std::nullopt, ""},
+    }));
+    CAPTURE(row.text, row.status);
+    http::Response response;
+    response.status = row.status;
+    response.headers = {{"Retry-After", row.text}, {"X-Not-Executed", "1"}};
+    const edge::ResponseHead head = platform::PlatformAdapter().parseResponse(response, "attempt");
+    CHECK(head.rest == row.rest);
+    CHECK(head.invalidRest == row.invalid);
+}
+
 //-----------------------------------------------------------------------------
 // Directory
 //-----------------------------------------------------------------------------
