Failing test: an upstream gets requests from an instance that it asked for a rest

Upstreams of the rig reject a share of their requests with 503 and Retry-After, with another upstream beside them, beside broken streams and silent upstreams, and all of a service at once.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -660,6 +660,18 @@
             }
             co_return;
         }
+        constexpr double RandomRange = 4294967296.0; // 2^32
+        if (shedShare > 0 && static_cast<double>(m_rig.m_random()) / RandomRange < shedShare) {
+            std::string response = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n";
+            if (rest > 0ms) {
+                response += "Retry-After: " + std::to_string(std::chrono::duration<double>(rest).count()) + "\r\n";
+                m_rig.m_restRequests.push_back(RestRequest{m_id, arrival.sender, m_rig.now(), m_rig.now() + rest});
+            }
+            response += "\r\n";
+            m_rig.m_arrivals.back().wasShed = true;
+            co_await asio::async_write(*socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
         const RigRequest *special = m_rig.specialRequest(attempt);
         if (special != nullptr && special->slowFailure) {
             const auto sends = std::count_if(
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -126,6 +126,7 @@
     std::string target = {};
     std::string body = {};
     std::string version = {}; // of the upstream
+    bool wasShed = false;     // not run, because the upstream rejected it
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -133,6 +134,15 @@
     }
 };
 
+/// An upstream's wish for no more requests from an instance.
+struct RestRequest
+{
+    std::string upstream;
+    std::string instance;
+    core::TimePoint at{};
+    core::TimePoint end{};
+};
+
 /// How a request ended for its client.
 enum class ClientOutcome {
     Pending,
@@ -283,7 +293,9 @@
         return isUp() && !m_isDraining;
     }
 
-    std::string limit; // value of the limit header of its responses; empty: no header
+    std::string limit;                // value of the limit header of its responses; empty: no header
+    double shedShare = 0;             // of the requests that it rejects with status 503
+    std::chrono::milliseconds rest{}; // that these rejections ask for; zero: they name none
 
 private:
     using Tcp = boost::asio::ip::tcp;
@@ -381,6 +393,11 @@
         const auto found = m_toldLimitAt.find({upstream, instance});
         return found == m_toldLimitAt.end() ? std::nullopt : std::optional(found->second);
     }
+    /// Rejections of upstreams that asked for a rest.
+    [[nodiscard]] const std::vector<RestRequest> &restRequests() const
+    {
+        return m_restRequests;
+    }
     /// Times of crashes that a part in `crashingParts` caused.
     [[nodiscard]] const std::vector<core::TimePoint> &partCrashes() const
     {
@@ -468,6 +485,7 @@
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<Arrival> m_arrivals;
     std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
+    std::vector<RestRequest> m_restRequests;
     std::vector<core::TimePoint> m_partCrashes;
     std::map<std::pair<std::string, std::string>, std::vector<core::TimePoint>> m_requestCrashes; // by target and body
     std::deque<ClientResult> m_results;
