An upstream that asks an instance for a rest gets no requests from it until the rest is over

Cause: nothing read Retry-After of an upstream. A rejection counted as one of three failures in a row, for an ejection of 500 ms.

Change: UpstreamRests keeps what each run of an upstream asked of this instance. Every placement excludes those upstreams, whatever it is for: first sends, retries, replacements of silent attempts, resumed streams and requests relayed for others all go through the same place; a placement that crossed the answer is returned. A rest is not got round through a relay: the same load would come back. If all upstreams of a service rest, the request is refused at once with the shortest rest as Retry-After.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -582,6 +582,10 @@
         rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
+    if (m_placement.isResting(granted.upstream)) { // since the request was placed
+        rejectPlacement(state, granted, "placed at an upstream that asked for a rest");
+        return nullptr;
+    }
     if (m_paths.isLost(granted.upstream)) { // since the request was placed; the next placement knows
         m_placement.recordCompletion(placementId, routing::SendOutcome::NoPath);
         state.lastFailure = "the path to the upstream was lost";
@@ -1064,6 +1068,9 @@
         m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
     }
     attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
+    if (!attempt.isToPeer() && isFromUpstream && parsed.rest) {
+        m_placement.recordRest(attempt.upstream, *parsed.rest);
+    }
     attempt.rest = parsed.rest ? std::to_string(core::toMilliseconds(*parsed.rest)) : parsed.invalidRest;
     m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + attempt.bodyEnd + "\"");
     switch (parsed.kind) {
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -140,6 +140,7 @@
         const auto dispatcher = remoteDispatcher();
         pending->decision.reset();
         request.unreachableUpstreams = m_paths.lost();
+        excludeResting(request);
         if (!dispatcher) {
             decidedBy = m_context.settings.instanceId;
             decision = m_dispatcher.requestPlacement(request, m_context.now());
@@ -190,6 +191,9 @@
     if (const auto *granted = std::get_if<routing::Granted>(&decision)) {
         recordGrant(request, *granted);
     }
+    if (auto *refused = std::get_if<routing::Refused>(&decision); refused != nullptr && refused->reason == routing::RefusalReason::NoUpstream) {
+        refused->retryAfter = shortestRest(request.service).value_or(refused->retryAfter);
+    }
     const auto elapsed = m_context.now() - requestedAt;
     m_context.metrics.observeDuration("arbutus_placement_seconds", "", elapsed);
     m_context.writeLog(observe::LogLine("placement_decided")
@@ -205,6 +209,42 @@
     co_return decision;
 }
 
+void PlacementService::recordRest(const core::UpstreamId &upstream, core::Duration rest)
+{
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (entry == nullptr || rest <= core::Duration::zero()) {
+        return;
+    }
+    m_rests.record(upstream, entry->announcement.startTime, rest, m_context.now());
+    m_context.metrics.incrementCounter("arbutus_upstream_rests_total");
+    m_context.writeLog(observe::LogLine("upstream_rests").add("upstream", upstream).add("for_ms", core::toMilliseconds(rest)));
+}
+
+bool PlacementService::isResting(const core::UpstreamId &upstream) const
+{
+    return m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now()) > core::Duration::zero();
+}
+
+void PlacementService::excludeResting(routing::PlacementRequest &request)
+{
+    m_rests.eraseEnded(m_metadataCache.registry(), m_context.now());
+    for (const auto &[upstream, rest] : m_rests.entries()) {
+        request.excludedUpstreams.insert(upstream);
+    }
+}
+
+std::optional<core::Duration> PlacementService::shortestRest(const core::ServiceId &service) const
+{
+    std::optional<core::Duration> shortest;
+    for (const auto &[upstream, rest] : m_rests.entries()) {
+        const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+        if (entry != nullptr && entry->announcement.service == service) {
+            shortest = std::min(shortest.value_or(core::Duration::max()), m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now()));
+        }
+    }
+    return shortest;
+}
+
 void PlacementService::refuseQuarantined()
 {
     for (const auto &[id, pending] : m_pending) {
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -13,6 +13,7 @@
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/edge/pathmonitor.h"
 #include "arbutus/routing/upstreamnotices.h"
+#include "arbutus/routing/upstreamrests.h"
 
 #include <memory>
 
@@ -59,6 +60,10 @@
     void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
     /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
     void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
+    /// Records that an upstream wants no requests from this instance for a time.
+    void recordRest(const core::UpstreamId &upstream, core::Duration rest);
+    /// Whether the upstream wants no requests from this instance now.
+    [[nodiscard]] bool isResting(const core::UpstreamId &upstream) const;
     /// Handles a datagram about placements or region state.
     void handleMessage(const FleetMessage &message, const std::string &from);
     /// Sends the region state to other instances and processes the queue after a metadata change.
@@ -104,6 +109,10 @@
     [[nodiscard]] bool isSkipped(const core::InstanceId &id) const;
     /// Skips the dispatcher for a while. Requests that are pending there are sent to the next one at once.
     void skipUnresponsive(const core::InstanceId &id);
+    /// Excludes the upstreams that rest for this instance from the placement.
+    void excludeResting(routing::PlacementRequest &request);
+    /// Shortest rest that is left of the upstreams of a service; nothing if none rests.
+    [[nodiscard]] std::optional<core::Duration> shortestRest(const core::ServiceId &service) const;
     void recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted);
     /// Tells the dispatcher how a request ended at an upstream, and logs it if the upstream is ejected for that.
     void recordOutcome(const CompletedPlacement &completed, const core::InstanceId &reporter);
@@ -136,6 +145,7 @@
     std::set<routing::PlacementId> m_unreportedFirstEvents;
     std::vector<CompletedPlacement> m_unreportedCompletions;
     routing::UpstreamNotices m_notices;
+    routing::UpstreamRests m_rests;
     bool m_hasUnreportedNotice = false;
     bool m_hasUnreportedPaths = false;
     core::InstanceId m_lastDispatcher; // that this instance requested a placement from
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -698,6 +698,7 @@
     if (existing != m_queue.end()) {
         existing->second.lastRequestedAt = now;
         existing->second.request.unreachableUpstreams = request.unreachableUpstreams;
+        existing->second.request.excludedUpstreams = request.excludedUpstreams;
     } else {
         if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
             return *decision;
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -5,6 +5,7 @@
 
 #include "arbutus/routing/upstreamnotices.h"
 #include "arbutus/routing/upstreampaths.h"
+#include "arbutus/routing/upstreamrests.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -481,3 +482,38 @@
     CHECK(paths.takeDueProbes({}, now + 10s).empty());
     CHECK(paths.lost().empty());
 }
+
+TEST_CASE("a rest ends with its time or with the run of the upstream", "[rests]")
+{
+    struct Row
+    {
+        const char *name;
+        std::vector<std::pair<core::Duration, core::Duration>> rests; // time since the start, and length
+        std::uint64_t startTime;                                      // of the run that is announced, at last
+        core::Duration at;
+        core::Duration remaining;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"none", {}, 1, 1s, 0s},
+        {"it goes on", {{0s, 3s}}, 1, 1s, 2s},
+        {"it is over", {{0s, 3s}}, 1, 3s, 0s},
+        {"a later answer makes it longer", {{0s, 3s}, {1s, 3s}}, 1, 2s, 2s},
+        {"a later answer does not make it shorter", {{0s, 3s}, {1s, 500ms}}, 1, 2s, 1s},
+        {"the upstream has started again", {{0s, 3s}}, 2, 1s, 0s},
+    }));
+    CAPTURE(row.name);
+    const core::TimePoint start(1000s);
+    routing::Announcement announcement;
+    announcement.id = core::UpstreamId("u");
+    announcement.startTime = routing::StartTime(row.startTime);
+    announcement.sequence = 1;
+    routing::UpstreamRegistry registry;
+    registry.applySnapshot(routing::SnapshotRevision(1), {announcement}, false, start);
+    routing::UpstreamRests rests;
+    for (const auto &[at, rest] : row.rests) {
+        rests.record(announcement.id, routing::StartTime(1), rest, start + at);
+    }
+    CHECK(rests.remaining(announcement.id, registry, start + row.at) == row.remaining);
+    rests.eraseEnded(registry, start + row.at);
+    CHECK(rests.entries().empty() == (row.remaining == 0s));
+}
