A resumed stream from before all instances were killed does not go on at the only version that is left

Reported from a system like ours: all instances are killed while the upstreams of an old software version have just left; clients take their streams up again, and the text is joined from two versions.

It can happen here. A restarted instance has no records, and knows no upstreams that left before it started; the guard against that, its own age, was compared with the timeout of the route in the present configuration. With a shorter timeout than the one the stream began under, or a client that takes a stream up several times, the only version that was left was taken for that of the stream. The guard is now also the time for which records are kept, which is longer than clients go on trying. Until an instance has run for so long, a stream without a record is refused; its client is told to come back.

Test: mixedversiontest, all instances killed with v1 just gone; before, with the timeout shortened to 1 s, 16 of 16 streams held events of two versions, and 0 with the same timeout; after, 0 in all rows.

--- a/src/arbutus/edge/streamdirectory.cpp
+++ b/src/arbutus/edge/streamdirectory.cpp
@@ -128,7 +128,10 @@
 std::optional<routing::SoftwareVersion> StreamDirectory::inferVersion(const core::ServiceId &service, core::Duration maxAge) const
 {
     const core::TimePoint now = m_context.now();
-    if (m_metadataCache.staleness(now) > m_settings.maxInferenceStaleness || now - m_startedAt < maxAge) {
+    // A stream may have begun before this instance started, at a version that was gone by then, and under an earlier configuration. A
+    // client goes on trying for less time than records are kept.
+    const core::Duration longestStream = std::max(maxAge, m_settings.records.retention);
+    if (m_metadataCache.staleness(now) > m_settings.maxInferenceStaleness || now - m_startedAt < longestStream) {
         return std::nullopt;
     }
     return routing::soleVersion(m_metadataCache.registry(), service);
--- a/src/arbutus/edge/streamdirectory.h
+++ b/src/arbutus/edge/streamdirectory.h
@@ -62,7 +62,7 @@
     /// Keeps the record of a stream that began in this region.
     void record(const routing::StreamRecord &record);
     /// Finds where a stream began. `service` is the one that new requests of the stream's first attempt go to, and `maxAge` the longest time
-    /// for which a stream can last.
+    /// for which one request can last; clients take streams up again for up to StreamRecordsSettings::retention.
     boost::asio::awaitable<FoundOrigin> find(routing::StreamId stream, core::ServiceId service, core::Duration maxAge);
 
     void handleQuery(const StreamQuery &query, const std::string &from);
--- a/tests/mixedversiontest.cpp
+++ b/tests/mixedversiontest.cpp
@@ -397,6 +397,57 @@
     }
 }
 
+TEST_CASE("a stream from before all instances were killed does not go on at the only version that is left", "[rig]")
+{
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds timeoutAfterwards; // of the route
+        std::chrono::milliseconds resumeDelay;
+    };
+    const std::array rows = {
+        Row{"same timeout, at once", 8'000ms, 400ms},
+        Row{"same timeout", 8'000ms, 2'600ms},
+        Row{"the timeout is shorter now", 1'000ms, 2'600ms},
+    };
+    constexpr std::size_t StreamCount = 16;
+    constexpr auto StreamDeadline = 8'000ms;
+    for (const Row &row : rows) {
+        tests::EdgeRigOptions options = rigOptions(1);
+        options.versions = {"v1"};
+        options.eventCount = 20;
+        options.eventGap = 200ms;
+        options.configuration.routeTimeout = StreamDeadline;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            tests::RigRequest request = streamRequest(i % rig.instanceCount(), i);
+            request.deadline = StreamDeadline;
+            rig.sendStream(tests::StreamOptions{.request = request, .resumeDelay = row.resumeDelay, .dropsAfter = {}});
+            rig.runFor(Interval);
+        }
+        rig.runFor(500ms);
+        const std::size_t oldCount = rig.upstreamCount();
+        for (std::size_t i = 0; i < oldCount; ++i) {
+            rig.addUpstream(rig.upstream(i).region(), rig.upstream(i).service(), "v2");
+            rig.upstream(i).end();
+        }
+        tests::RigConfiguration configuration = rig.configuration();
+        configuration.routeTimeout = row.timeoutAfterwards;
+        rig.configure(configuration);
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) {
+            rig.kill(i);
+            rig.start(i);
+        }
+        rig.runUntilDone();
+        const Summary summary = summarize(rig);
+        std::cout << "all instances killed, " << row.name << ": " << summary << std::endl;
+        CAPTURE(row.name);
+        CHECK(summary.resumptions > 0);
+        CHECK(summary.mixedVersions == 0);
+    }
+}
+
 TEST_CASE("a resumed stream stays at the service that began it", "[rig]")
 {
     struct Row
