mixedversiontest: a resumption of an unknown stream waits for as long as clients go on trying

The two rows with one version expected the resumption to go on once the instances had run for the route's timeout. They now wait for the time for which records are kept, and a further row checks that the route's timeout alone is not enough.

--- a/tests/mixedversiontest.cpp
+++ b/tests/mixedversiontest.cpp
@@ -350,16 +350,17 @@
         const char *name;
         const char *resumes;
         std::vector<std::string> versions;
-        std::chrono::milliseconds uptime; // of the instances; only one as long as a stream can last shows which versions there were
+        std::chrono::milliseconds uptime; // of the instances; only one as long as a client goes on trying shows which versions there were
         bool goesOn;
     };
-    const auto known = Deadline + StartTime;
+    const auto known = std::chrono::duration_cast<std::chrono::milliseconds>(routing::StreamRecordsSettings{}.retention) + StartTime;
     const std::array rows = {
         Row{"unknown attempt and two versions", "unknown", {"v1", "v2"}, known, false},
         Row{"no attempt and two versions", "", {"v1", "v2"}, known, false},
         Row{"unknown attempt and one version", "unknown", {"v1"}, known, true},
         Row{"no attempt and one version", "", {"v1"}, known, true},
         Row{"unknown attempt and one version, just started", "unknown", {"v1"}, StartTime, false},
+        Row{"unknown attempt and one version, as long as a route's timeout", "unknown", {"v1"}, Deadline + StartTime, false},
     };
     constexpr std::size_t Count = 12;
     constexpr int LastEvent = 2;
