An upstream that says in a response that it is leaving gets nothing more in that run

Nothing read that header.

It is a notice of one run of the upstream now, like its limit: recorded from the response, reported to the dispatchers at once and every 300 ms, spread in region states, merged by run, and ended with it. Idle connections are closed, and requests that were placed there are placed again, as when the store says so.

The list of leaving upstreams in region states named no run, so peers that had not heard of a restart yet would have marked the new run; nothing filled it so far. The notices replace it.

Test: upstreamresttest, three upstreams that state it only in responses, one instance cut off from the store, one upstream started again under its id: no arrival later than 3 s after the first response to the same instance, and requests for the new run. On the code before, the header was ignored; that was not run.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -208,6 +208,7 @@
 {
     out.set_upstream(notice.upstream.text);
     out.set_start_time(notice.startTime.value);
+    out.set_leaving(notice.isLeaving);
     out.set_limited(notice.maxRequestRate.has_value());
     out.set_max_request_rate(notice.maxRequestRate.value_or(0));
     out.set_age_us(toMicroseconds(now - notice.at));
@@ -221,6 +222,7 @@
     if (in.limited()) {
         notice.maxRequestRate = in.max_request_rate();
     }
+    notice.isLeaving = in.leaving();
     notice.at = now - fromMicroseconds(in.age_us());
     return notice;
 }
@@ -328,9 +330,6 @@
     out.set_belief_revision(state.lastChangeRevision.value);
     out.set_as_of(state.storeRevision.value);
     out.set_evidence_age_us(toMicroseconds(state.metadataStaleness));
-    for (const core::UpstreamId &id : state.leavingUpstreams) {
-        out.add_leaving(id.text);
-    }
 }
 
 RegionState fromProto(const fleet::RegionState &in, core::TimePoint now)
@@ -361,9 +360,6 @@
     state.lastChangeRevision = metadata::StoreRevision(in.belief_revision());
     state.storeRevision = metadata::StoreRevision(in.as_of());
     state.metadataStaleness = fromMicroseconds(in.evidence_age_us());
-    for (const std::string &id : in.leaving()) {
-        state.leavingUpstreams.emplace_back(id);
-    }
     return state;
 }
 
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -51,7 +51,6 @@
     metadata::StoreRevision lastChangeRevision;
     metadata::StoreRevision storeRevision;
     core::Duration metadataStaleness{};
-    std::vector<core::UpstreamId> leavingUpstreams;  // observed by an instance, not read from the store
     std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
     std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
 };
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1068,6 +1068,9 @@
         m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
     }
     attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
+    if (!attempt.isToPeer() && isFromUpstream && parsed.isLeaving) {
+        m_placement.recordLeaving(attempt.upstream);
+    }
     if (!attempt.isToPeer() && isFromUpstream && parsed.rest) {
         m_placement.recordRest(attempt.upstream, *parsed.rest);
     }
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -153,9 +153,6 @@
 {
     MetadataUpdate update;
     update.upstreamChanges = m_registry.markLeaving(id, now);
-    if (!update.upstreamChanges.empty()) {
-        m_observedLeaving.insert(id);
-    }
     return update;
 }
 
@@ -163,7 +160,6 @@
 {
     MetadataUpdate update;
     update.upstreamChanges = m_registry.expireEntries(now);
-    std::erase_if(m_observedLeaving, [&](const core::UpstreamId &id) { return m_registry.find(id) == nullptr; });
     return update;
 }
 
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -90,10 +90,6 @@
     }
     /// Time since the cache was last known to match the store; 24 hours before the first read.
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
-    [[nodiscard]] const std::set<core::UpstreamId> &observedLeaving() const
-    {
-        return m_observedLeaving; // by this instance or a peer, not through the store
-    }
 
 private:
     void applyCatalog(const std::string &value, MetadataUpdate &update);
@@ -107,7 +103,6 @@
     std::map<std::string, std::string> m_upstreamEntries; // values by key, as in the store
     std::map<std::string, std::string> m_invalidEntries;  // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_evacuatedDomains;
-    std::set<core::UpstreamId> m_observedLeaving;
     metadata::StoreRevision m_lastChangeRevision;
     metadata::StoreRevision m_storeRevision;
     core::TimePoint m_lastConfirmedAt{};
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -368,6 +368,16 @@
     }
 }
 
+void PlacementService::recordLeaving(const core::UpstreamId &upstream)
+{
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (entry != nullptr && m_notices.recordLeaving(upstream, entry->announcement.startTime, m_context.now())) {
+        applyNotice(upstream, "response");
+        m_hasUnreportedNotice = true;
+        scheduleReport();
+    }
+}
+
 void PlacementService::mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender)
 {
     for (const routing::UpstreamNotice &notice : notices) {
@@ -387,8 +397,13 @@
     m_context.writeLog(observe::LogLine("upstream_limit_changed")
                            .add("upstream", upstream)
                            .add("max_request_rate", notice.maxRequestRate ? std::to_string(*notice.maxRequestRate) : "none")
+                           .add("leaving", notice.isLeaving)
                            .add("age_ms", core::toMilliseconds(now - notice.at))
                            .add("source", source));
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (notice.isLeaving && entry != nullptr && entry->announcement.startTime == notice.startTime && onUpstreamLeaving) {
+        onUpstreamLeaving(upstream);
+    }
 }
 
 void PlacementService::onPathsChanged()
@@ -588,9 +603,6 @@
     state.lastChangeRevision = m_metadataCache.lastChangeRevision();
     state.storeRevision = m_metadataCache.storeRevision();
     state.metadataStaleness = m_metadataCache.staleness(now);
-    for (const core::UpstreamId &id : m_metadataCache.observedLeaving()) {
-        state.leavingUpstreams.push_back(id);
-    }
     state.notices = notices();
     state.unreachableUpstreams = m_dispatcher.unreachableUpstreams(now);
     return state;
@@ -671,11 +683,6 @@
     if (state.lastChangeRevision > m_metadataCache.lastChangeRevision() && onNewerMetadata) {
         onNewerMetadata(sender);
     }
-    for (const core::UpstreamId &id : state.leavingUpstreams) {
-        if (onUpstreamLeaving) {
-            onUpstreamLeaving(id);
-        }
-    }
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -60,6 +60,8 @@
     void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
     /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
     void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
+    /// Records that a response says that its upstream is leaving.
+    void recordLeaving(const core::UpstreamId &upstream);
     /// Records that an upstream wants no requests from this instance for a time.
     void recordRest(const core::UpstreamId &upstream, core::Duration rest);
     /// Whether the upstream wants no requests from this instance now.
@@ -165,7 +167,7 @@
     std::function<bool()> isSubstituteReader;
     /// Called when a peer has newer metadata.
     std::function<void(const core::InstanceId &peer)> onNewerMetadata;
-    /// Called for an upstream that a peer has observed to be leaving.
+    /// Called for an upstream that this instance or a peer has observed to be leaving.
     std::function<void(const core::UpstreamId &upstream)> onUpstreamLeaving;
 };
 
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -72,6 +72,7 @@
     bool closesConnection = false;        // "Connection: close", sent by draining upstreams, and occasionally by others
     std::optional<double> maxRequestRate; // that the upstream takes from all instances together, in requests per second
     std::string invalidMaxRequestRate;    // text of a rate that is not a finite, non-negative number; for the log
+    bool isLeaving = false;               // the upstream will soon stop accepting requests
     std::optional<core::Duration> rest;   // time for which an upstream that rejects the request wants none from this instance
     std::string invalidRest;              // text of a time that is not a finite, non-negative number of seconds; for the log
 };
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -261,7 +261,7 @@
     {
         const MetadataUpdate update = metadataCache.markLeaving(id, context.now());
         if (update.hasChanges()) {
-            context.writeLog(observe::LogLine("upstream").add("upstream", id).add("change", "leaving").add("source", "peer"));
+            context.writeLog(observe::LogLine("upstream").add("upstream", id).add("change", "leaving").add("source", "response"));
             onMetadataChanged(update);
         }
     }
--- a/src/arbutus/routing/upstreamnotices.cpp
+++ b/src/arbutus/routing/upstreamnotices.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/routing/upstreamnotices.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutus::routing {
 
@@ -38,22 +39,40 @@
     }
     const double rate = std::clamp(*maxRequestRate, MinRequestRate, MaxRequestRate);
     const bool changed = !isKnownRun || found->second.maxRequestRate != rate;
-    m_entries[upstream] = UpstreamNotice{upstream, startTime, rate, now};
+    const bool isLeaving = isKnownRun && found->second.isLeaving;
+    m_entries[upstream] = UpstreamNotice{upstream, startTime, rate, now, isLeaving};
     return changed;
 }
 
+bool UpstreamNotices::recordLeaving(const core::UpstreamId &upstream, StartTime startTime, core::TimePoint now)
+{
+    const auto [found, added] = m_entries.try_emplace(upstream, UpstreamNotice{upstream, startTime, std::nullopt, now, true});
+    if (!added && found->second.startTime != startTime) {
+        found->second = UpstreamNotice{upstream, startTime, std::nullopt, now, true};
+        return true;
+    }
+    return !std::exchange(found->second.isLeaving, true) || added;
+}
+
 bool UpstreamNotices::merge(const UpstreamNotice &notice)
 {
     const auto [found, added] = m_entries.try_emplace(notice.upstream, notice);
     if (added) {
-        return notice.maxRequestRate.has_value();
+        return notice.maxRequestRate.has_value() || notice.isLeaving;
     }
     UpstreamNotice &known = found->second;
+    const bool isSameRun = notice.startTime == known.startTime;
+    if (isSameRun && notice.isLeaving && !known.isLeaving) {
+        known.isLeaving = true;
+        return true;
+    }
     if (notice.startTime < known.startTime || (notice.startTime == known.startTime && notice.at - known.at < MinNewerBy)) {
         return false;
     }
-    const bool changed = known.maxRequestRate != notice.maxRequestRate;
+    const bool changed = known.maxRequestRate != notice.maxRequestRate || (!isSameRun && notice.isLeaving);
+    const bool isLeaving = notice.isLeaving || (isSameRun && known.isLeaving);
     known = notice;
+    known.isLeaving = isLeaving;
     return changed;
 }
 
--- a/src/arbutus/routing/upstreamnotices.h
+++ b/src/arbutus/routing/upstreamnotices.h
@@ -1,7 +1,8 @@
 // What upstreams say about themselves in their responses, as opposed to what they announce in the metadata store.
 //
 // Each instance has its own object. It records the responses that it receives and merges the notices of other instances; the
-// newest one of a run of an upstream applies. A notice ends with a response that no longer has it, and with that run.
+// newest one of a run of an upstream applies. A limit ends with a response that no longer has it, and with that run; an upstream that
+// is leaving is so until its run ends.
 //
 // No sockets or clock: the caller passes in responses and the current time.
 //
@@ -21,6 +22,7 @@
     StartTime startTime;                  // identifies the run
     std::optional<double> maxRequestRate; // requests per second that it takes from all instances together; empty: no limit
     core::TimePoint at{};                 // arrival of the response; if the limit has ended, sending of that response's request
+    bool isLeaving = false;               // will soon stop accepting requests
 };
 
 class UpstreamNotices
@@ -29,7 +31,9 @@
     /// Records a response; returns whether the limit has changed.
     bool recordResponse(
         const core::UpstreamId &upstream, StartTime startTime, std::optional<double> maxRequestRate, core::TimePoint requestSentAt, core::TimePoint now);
-    /// Takes a notice of another instance; returns whether the limit has changed.
+    /// Records a response that says that the upstream is leaving; returns whether that is new.
+    bool recordLeaving(const core::UpstreamId &upstream, StartTime startTime, core::TimePoint now);
+    /// Takes a notice of another instance; returns whether anything has changed.
     bool merge(const UpstreamNotice &notice);
     /// Drops the notices of runs that have ended and returns their upstreams.
     std::vector<core::UpstreamId> eraseEnded(const UpstreamRegistry &registry);
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -663,6 +663,7 @@
         constexpr double RandomRange = 4294967296.0; // 2^32
         if (shedShare > 0 && static_cast<double>(m_rig.m_random()) / RandomRange < shedShare) {
             std::string response = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n";
+            response += statesLeaving ? "Server-Leaving: 1\r\n" : "";
             if (rest > 0ms) {
                 response += "Retry-After: " + std::to_string(std::chrono::duration<double>(rest).count()) + "\r\n";
                 m_rig.m_restRequests.push_back(RestRequest{m_id, arrival.sender, m_rig.now(), m_rig.now() + rest});
@@ -762,8 +763,8 @@
 {
     const EdgeRigOptions &options = m_rig.m_options;
     const std::string body = "answer to " + attempt;
-    const std::string head =
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\n" + (statesLeaving ? "Server-Leaving: 1\r\n" : "")
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     struct Part
     {
         SilencePoint silenceBefore;
@@ -801,7 +802,8 @@
     co_await fallSilentAt(SilencePoint::BeforeHead, attempt);
     ErrorCode code;
     const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Stamp: stamp\r\n"
-        + (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        + (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + (statesLeaving ? "Server-Leaving: 1\r\n" : "")
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     co_await asio::async_write(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, code));
     if (!limit.empty()) {
         m_rig.m_toldLimitAt.try_emplace({m_id, sender}, m_rig.now());
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -294,6 +294,7 @@
     }
 
     std::string limit;                // value of the limit header of its responses; empty: no header
+    bool statesLeaving = false;       // in its responses, not in its announcement
     double shedShare = 0;             // of the requests that it rejects with status 503
     std::chrono::milliseconds rest{}; // that these rejections ask for; zero: they name none
 
--- a/tests/upstreamresttest.cpp
+++ b/tests/upstreamresttest.cpp
@@ -1,4 +1,5 @@
-// Upstreams that reject some requests and ask the instance for a rest, in a deployment of several instances in two regions over loopback.
+// Upstreams that ask for fewer requests in their responses, for a while or because they are leaving, in a deployment of several
+// instances in two regions over loopback.
 //
 // ARBUTUS_RIG_SEEDS is the number of seeds to run, ARBUTUS_RIG_FIRST_SEED the first one.
 
@@ -19,6 +20,24 @@
 constexpr auto Grace = 500ms;                // requests may cross the rejection
 constexpr std::size_t MaxRequestsInRest = 2; // that reach the upstream from the instance between the grace and the end of a rest
 
+/// Sends streams, buffered requests and at-most-once requests to all instances in turn.
+void scheduleTraffic(tests::EdgeRig &rig)
+{
+    std::size_t number = 0;
+    for (auto at = 0ms; at < TrafficTime; at += RequestInterval) {
+        rig.schedule(at, [&rig, number] {
+            constexpr std::array Targets = {"/chat/x", "/plain/x", "/once/x"};
+            tests::RigRequest request{.instance = number % rig.instanceCount(), .target = Targets[number / rig.instanceCount() % Targets.size()]};
+            if (request.target == "/chat/x") {
+                request.parts = {"a" + std::to_string(number % 7), "b" + std::to_string(number)}; // shared parts choose upstreams
+            }
+            request.body = std::to_string(number);
+            rig.send(request);
+        });
+        ++number;
+    }
+}
+
 /// Largest number of requests that reached an upstream from an instance in a rest that it had asked of it.
 std::size_t maxRequestsInRest(const tests::EdgeRig &rig)
 {
@@ -70,19 +89,7 @@
                     rig.upstream(i).rest = row.rest;
                 }
             }
-            std::size_t number = 0;
-            for (auto at = 0ms; at < TrafficTime; at += RequestInterval) {
-                rig.schedule(at, [&rig, number] {
-                    constexpr std::array Targets = {"/chat/x", "/plain/x", "/once/x"};
-                    tests::RigRequest request{.instance = number % rig.instanceCount(), .target = Targets[number / rig.instanceCount() % Targets.size()]};
-                    if (request.target == "/chat/x") {
-                        request.parts = {"a1", "b" + std::to_string(number)};
-                    }
-                    request.body = std::to_string(number);
-                    rig.send(request);
-                });
-                ++number;
-            }
+            scheduleTraffic(rig);
             rig.runFor(TrafficTime);
             rig.runUntilDone();
 
@@ -105,3 +112,59 @@
         }
     }
 }
+
+TEST_CASE("an upstream that says it is leaving gets no more requests in this run")
+{
+    constexpr auto DrainTime = 3'000ms;    // from the first response that says so until no request may arrive from the same instance
+    constexpr auto AnswerTime = 200ms;     // of the longest response
+    constexpr auto RestartDelay = 4'500ms; // from then on the upstream runs again, under the same id, and stays
+    tests::EdgeRigOptions options;
+    options.upstreamsPerRegion = 2;
+    options.plainUpstreamsPerRegion = 2;
+    tests::EdgeRig rig(options);
+    rig.runFor(StartTime);
+    rig.setStoreCut(0, true); // it learns nothing from the store
+    constexpr std::array Leaving = {std::size_t{0}, std::size_t{1}, std::size_t{4}};
+    std::map<std::string, core::TimePoint> restartedAt;
+    for (const std::size_t upstream : Leaving) {
+        rig.upstream(upstream).statesLeaving = true;
+    }
+    rig.schedule(RestartDelay, [&] {
+        rig.setStoreCut(0, false);
+        tests::RigUpstream &upstream = rig.upstream(Leaving.front());
+        upstream.statesLeaving = false;
+        upstream.crash(tests::RestartOptions{.after = 100ms, .entryLifetime = 50ms, .version = upstream.version(), .keepsId = true});
+        restartedAt[upstream.id()] = rig.now();
+    });
+    scheduleTraffic(rig);
+    rig.runFor(TrafficTime);
+    rig.runUntilDone();
+
+    for (const std::size_t index : Leaving) {
+        const std::string &id = rig.upstream(index).id();
+        const core::TimePoint end = restartedAt.contains(id) ? restartedAt.at(id) : core::TimePoint::max();
+        std::map<std::string, core::TimePoint> toldAt; // by instance
+        std::size_t late = 0;
+        std::size_t afterRestart = 0;
+        for (const tests::Arrival &arrival : rig.arrivals()) {
+            if (arrival.upstream != id) {
+                continue;
+            }
+            if (arrival.at >= end) {
+                ++afterRestart;
+                continue;
+            }
+            const core::TimePoint told = toldAt.try_emplace(arrival.sender, arrival.at + AnswerTime).first->second;
+            late += arrival.at > told + DrainTime ? 1 : 0;
+        }
+        CAPTURE(id);
+        CHECK(!toldAt.empty());
+        CHECK(late == 0);
+        CHECK((afterRestart > 0 || end == core::TimePoint::max()));
+    }
+    std::size_t failed = 0;
+    for (std::size_t i = 0; i < rig.requestCount(); ++i) {
+        failed += rig.result(i).outcome == tests::ClientOutcome::Complete ? 0 : 1;
+    }
+    CHECK(failed <= rig.requestCount() / 100); // the other upstreams have room for all
+}
