A refused connection is evidence of a crash only at an instance that reaches other upstreams

At an instance whose paths are cut a refused connection says nothing, and the requests that were broken off there would be suspected of crashing upstreams.

A refused connection now counts if the instance has opened a connection to another upstream since the request broke; the others are probed to find out. Otherwise the end of the upstream's run in the metadata decides, as with connections that hang. With no other upstream in the region it counts as before.

Test: upstreampathtest, no instance counts a crash, since none happens.

--- a/src/arbutus/edge/pathmonitor.cpp
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -84,6 +84,17 @@
     m_paths.doubtUnlessFresh(upstream, m_context.now());
 }
 
+asio::awaitable<bool> PathMonitor::reachesOthers(core::UpstreamId upstream, core::TimePoint since)
+{
+    const core::TimePoint end = m_context.now() + m_settings.checkInterval + m_settings.connectTimeout;
+    m_paths.doubtOthers(upstream, since, m_context.now());
+    while (!m_paths.hasConnectedToOther(upstream, since) && m_context.now() < end) {
+        constexpr auto PollInterval = std::chrono::milliseconds(5);
+        co_await core::asyncSleep(PollInterval);
+    }
+    co_return m_paths.hasConnectedToOther(upstream, since);
+}
+
 asio::awaitable<void> PathMonitor::probeLoop()
 {
     std::set<core::UpstreamId> upstreams;
--- a/src/arbutus/edge/pathmonitor.h
+++ b/src/arbutus/edge/pathmonitor.h
@@ -37,6 +37,8 @@
     void doubt(const core::UpstreamId &upstream);
     /// Has the path probed unless it was used a moment ago, because another instance has lost its own.
     void doubtUnlessFresh(const core::UpstreamId &upstream);
+    /// Whether this instance opens connections to another upstream than this one since then; probes the others to find out.
+    boost::asio::awaitable<bool> reachesOthers(core::UpstreamId upstream, core::TimePoint since);
     [[nodiscard]] bool isLost(const core::UpstreamId &upstream) const
     {
         return m_paths.isLost(upstream);
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -39,10 +39,11 @@
 } // namespace
 
 QuarantineService::QuarantineService(
-    InstanceContext &context, Fleet &fleet, const MetadataCache &metadataCache, std::uint64_t seed, QuarantineServiceSettings settings)
+    InstanceContext &context, Fleet &fleet, const MetadataCache &metadataCache, PathMonitor &paths, std::uint64_t seed, QuarantineServiceSettings settings)
     : m_context(context)
     , m_fleet(fleet)
     , m_metadataCache(metadataCache)
+    , m_paths(paths)
     , m_settings(settings)
     , m_quarantine(settings.quarantine)
     , m_random(seed)
@@ -107,7 +108,11 @@
 
 asio::awaitable<void> QuarantineService::confirmCrash(core::UpstreamId upstream, std::string address, routing::StartTime startTime)
 {
+    const core::TimePoint brokenAt = m_context.now();
     std::string evidence = co_await refusesConnections(address) ? "connection_refused" : "";
+    if (!evidence.empty() && !co_await m_paths.reachesOthers(upstream, brokenAt)) {
+        evidence.clear(); // this instance may have lost its paths
+    }
     m_connecting.erase(upstream);
     for (int i = 0; i < m_settings.removalChecks && evidence.empty(); ++i) {
         co_await core::asyncSleep(m_settings.removalCheckInterval);
--- a/src/arbutus/edge/quarantineservice.h
+++ b/src/arbutus/edge/quarantineservice.h
@@ -19,6 +19,7 @@
 
 #include "arbutus/edge/fleet.h"
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/edge/pathmonitor.h"
 #include "arbutus/http/message.h"
 
 #include <pcg_random.hpp>
@@ -53,7 +54,12 @@
 class QuarantineService
 {
 public:
-    QuarantineService(InstanceContext &context, Fleet &fleet, const MetadataCache &metadataCache, std::uint64_t seed, QuarantineServiceSettings settings = {});
+    QuarantineService(InstanceContext &context,
+                      Fleet &fleet,
+                      const MetadataCache &metadataCache,
+                      PathMonitor &paths,
+                      std::uint64_t seed,
+                      QuarantineServiceSettings settings = {});
 
     void start();
     /// The first quarantined cause in a request, if any.
@@ -103,6 +109,7 @@
     InstanceContext &m_context;
     Fleet &m_fleet;
     const MetadataCache &m_metadataCache;
+    PathMonitor &m_paths;
     QuarantineServiceSettings m_settings;
     routing::RequestQuarantine m_quarantine;
     pcg32 m_random;
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -74,7 +74,7 @@
         , paths(context, metadataCache, seed)
         , placement(context, fleet, metadataCache, paths)
         , metadataSync(context, fleet, metadataCache, seed)
-        , quarantine(context, fleet, metadataCache, seed)
+        , quarantine(context, fleet, metadataCache, paths, seed)
         , streamDirectory(context, fleet, metadataCache)
         , forwarder(context, fleet, metadataCache, placement, paths, quarantine, streamDirectory, seed)
         , reloadSettings(std::move(theReloadSettings))
--- a/src/arbutus/routing/upstreampaths.cpp
+++ b/src/arbutus/routing/upstreampaths.cpp
@@ -16,6 +16,7 @@
 {
     Path &path = m_paths[upstream];
     path.lastUsedAt = now;
+    path.lastConnectedAt = now;
     path.probeInterval = core::Duration::zero();
     path.probeAt = core::TimePoint::max();
     return m_lost.erase(upstream) > 0;
@@ -71,6 +72,22 @@
     }
 }
 
+void UpstreamPaths::doubtOthers(const core::UpstreamId &upstream, core::TimePoint since, core::TimePoint now)
+{
+    for (const auto &[other, path] : m_paths) {
+        if (other != upstream && path.lastConnectedAt < since) {
+            doubt(other, now);
+        }
+    }
+}
+
+bool UpstreamPaths::hasConnectedToOther(const core::UpstreamId &upstream, core::TimePoint since) const
+{
+    const bool hasOther = std::any_of(m_paths.begin(), m_paths.end(), [&](const auto &item) { return item.first != upstream; });
+    return !hasOther
+        || std::any_of(m_paths.begin(), m_paths.end(), [&](const auto &item) { return item.first != upstream && item.second.lastConnectedAt >= since; });
+}
+
 core::Duration UpstreamPaths::lostFor(const core::UpstreamId &upstream, core::TimePoint now) const
 {
     return isLost(upstream) ? now - m_paths.at(upstream).lostAt : core::Duration::zero();
--- a/src/arbutus/routing/upstreampaths.h
+++ b/src/arbutus/routing/upstreampaths.h
@@ -58,6 +58,10 @@
     /// Has the path probed unless it was used a moment ago, because another path to the upstream was lost.
     void doubtUnlessFresh(const core::UpstreamId &upstream, core::TimePoint now);
 
+    /// Has the paths to all other upstreams probed that opened no connection since then.
+    void doubtOthers(const core::UpstreamId &upstream, core::TimePoint since, core::TimePoint now);
+    /// Whether a connection to another upstream was opened since then, or there is no other.
+    [[nodiscard]] bool hasConnectedToOther(const core::UpstreamId &upstream, core::TimePoint since) const;
     [[nodiscard]] bool isLost(const core::UpstreamId &upstream) const
     {
         return m_lost.contains(upstream);
@@ -74,7 +78,8 @@
 private:
     struct Path
     {
-        core::TimePoint lastUsedAt{}; // last connection or response
+        core::TimePoint lastUsedAt{};      // last new connection or response
+        core::TimePoint lastConnectedAt{}; // last new connection
         core::TimePoint lostAt{};
         core::TimePoint probeAt = core::TimePoint::max(); // none is due
         core::Duration probeInterval{};
--- a/tests/upstreampathtest.cpp
+++ b/tests/upstreampathtest.cpp
@@ -161,6 +161,9 @@
             }
             CHECK(doubled == 0);
             CHECK(viaPeers == 0);
+            for (std::size_t instance = 0; instance < rig.instanceCount(); ++instance) { // no upstream has crashed
+                CHECK(rig.metricsText(instance).find("arbutus_upstream_crashes_total") == std::string::npos);
+            }
         }
     }
 }
