--- a/tests/upstreampathtest.cpp
+++ b/tests/upstreampathtest.cpp
@@ -99,7 +99,7 @@
 TEST_CASE("instances that have lost their paths to all upstreams serve as well as the others")
 {
     using tests::PathFailure;
-    static const std::vector<Row> Rows = {
+    static const std::vector<Row> rows = {
         {"hang, one", PathFailure::Hang, {2}, false},
         {"hang, most", PathFailure::Hang, {0, 2, 4, 1, 3}, true},
         {"hang, others", PathFailure::Hang, {2, 4, 6, 3, 5}, false},
@@ -116,7 +116,7 @@
     const std::uint64_t firstSeed = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
     const std::uint64_t seedCount = std::max<std::uint64_t>(tests::environmentNumber("ARBUTUS_RIG_SEEDS", 1), 1);
     for (std::uint64_t seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
-        for (const Row &row : Rows) {
+        for (const Row &row : rows) {
             if (!row.inCi && !isByHand) {
                 continue;
             }
