A rest is named as Retry-After only if all usable upstreams of the service in the region rest

A request that no upstream of the region may serve is not always refused because of a rest: another upstream may have been tried already.

--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -236,11 +236,17 @@
 std::optional<core::Duration> PlacementService::shortestRest(const core::ServiceId &service) const
 {
     std::optional<core::Duration> shortest;
-    for (const auto &[upstream, rest] : m_rests.entries()) {
-        const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-        if (entry != nullptr && entry->announcement.service == service) {
-            shortest = std::min(shortest.value_or(core::Duration::max()), m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now()));
+    for (const auto &[upstream, entry] : m_metadataCache.registry().entries()) {
+        const auto region = m_context.settings.regionByDomain.find(entry.announcement.domain);
+        const bool isOfRegion = region != m_context.settings.regionByDomain.end() && region->second == m_context.settings.region;
+        if (!isOfRegion || entry.announcement.service != service || !m_metadataCache.registry().isEligible(entry)) {
+            continue;
+        }
+        const core::Duration remaining = m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now());
+        if (remaining == core::Duration::zero()) {
+            return std::nullopt;
         }
+        shortest = std::min(shortest.value_or(core::Duration::max()), remaining);
     }
     return shortest;
 }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -113,7 +113,7 @@
     void skipUnresponsive(const core::InstanceId &id);
     /// Excludes the upstreams that rest for this instance from the placement.
     void excludeResting(routing::PlacementRequest &request);
-    /// Shortest rest that is left of the upstreams of a service; nothing if none rests.
+    /// Shortest rest that is left of the usable upstreams of a service; nothing if one of them does not rest, or if there are none.
     [[nodiscard]] std::optional<core::Duration> shortestRest(const core::ServiceId &service) const;
     void recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted);
     /// Tells the dispatcher how a request ended at an upstream, and logs it if the upstream is ejected for that.
