One probe of a connection, and one test of whether a failure domain is in the own region

PathMonitor opened a connection to an upstream in the same lines as the quarantine's examination of a crash; both call http::probeConnection now. The region of a failure domain was looked up in the same way in two places of the edge; Settings::isInRegion does it. No change of behaviour.

--- a/src/arbutus/edge/pathmonitor.cpp
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -2,13 +2,10 @@
 
 #include "arbutus/edge/pathmonitor.h"
 #include "arbutus/core/asyncsleep.h"
-#include "arbutus/http/message.h"
+#include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 namespace arbutus::edge {
 
@@ -31,8 +28,7 @@
 {
     std::set<core::UpstreamId> out;
     for (const auto &[id, entry] : m_metadataCache.registry().entries()) {
-        const auto region = m_context.settings.regionByDomain.find(entry.announcement.domain);
-        if (entry.isUsable() && region != m_context.settings.regionByDomain.end() && region->second == m_context.settings.region) {
+        if (entry.isUsable() && m_context.settings.isInRegion(entry.announcement.domain)) {
             out.insert(id);
         }
     }
@@ -117,14 +113,7 @@
 asio::awaitable<void> PathMonitor::probe(core::UpstreamId upstream, std::string address)
 {
     const http::Endpoint endpoint = http::parseEndpoint(address);
-    boost::system::error_code code;
-    const auto hostAddress = asio::ip::make_address(endpoint.host, code);
-    if (!code) {
-        boost::beast::tcp_stream stream(m_context.executor);
-        stream.expires_after(m_settings.connectTimeout);
-        const asio::ip::tcp::endpoint target(hostAddress, endpoint.port);
-        co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, code));
-    }
+    const auto code = co_await http::probeConnection(m_context.executor, endpoint, m_settings.connectTimeout);
     m_context.metrics.incrementCounter("arbutus_upstream_path_probes_total", code ? "result=\"failed\"" : "result=\"reached\"");
     const core::TimePoint now = m_context.now();
     const core::Duration lostFor = m_paths.lostFor(upstream, now);
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -237,9 +237,8 @@
 {
     std::optional<core::Duration> shortest;
     for (const auto &[upstream, entry] : m_metadataCache.registry().entries()) {
-        const auto region = m_context.settings.regionByDomain.find(entry.announcement.domain);
-        const bool isOfRegion = region != m_context.settings.regionByDomain.end() && region->second == m_context.settings.region;
-        if (!isOfRegion || entry.announcement.service != service || !m_metadataCache.registry().isEligible(entry)) {
+        if (!m_context.settings.isInRegion(entry.announcement.domain) || entry.announcement.service != service
+            || !m_metadataCache.registry().isEligible(entry)) {
             continue;
         }
         const core::Duration remaining = m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now());
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -2,12 +2,12 @@
 
 #include "arbutus/edge/quarantineservice.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -94,15 +94,7 @@
 asio::awaitable<bool> QuarantineService::refusesConnections(const std::string &address) const
 {
     const http::Endpoint endpoint = http::parseEndpoint(address);
-    boost::beast::tcp_stream stream(m_context.executor);
-    stream.expires_after(m_settings.connectTimeout);
-    boost::system::error_code code;
-    const auto hostAddress = asio::ip::make_address(endpoint.host, code);
-    if (code) {
-        co_return false;
-    }
-    const asio::ip::tcp::endpoint target(hostAddress, endpoint.port);
-    co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, code));
+    const auto code = co_await http::probeConnection(m_context.executor, endpoint, m_settings.connectTimeout);
     co_return code == asio::error::connection_refused || code == asio::error::connection_reset;
 }
 
--- a/src/arbutus/edge/settings.h
+++ b/src/arbutus/edge/settings.h
@@ -24,6 +24,12 @@
     core::RegionId region;
     double capacity = 1;                                     // in processor cores
     std::map<core::DomainId, core::RegionId> regionByDomain; // for all failure domains
+    /// Whether the failure domain is in this instance's region.
+    [[nodiscard]] bool isInRegion(const core::DomainId &domain) const
+    {
+        const auto found = regionByDomain.find(domain);
+        return found != regionByDomain.end() && found->second == region;
+    }
 
     //--- Listeners
     http::Endpoint clientEndpoint;
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -402,4 +402,17 @@
     return fetch(std::move(executor), std::move(endpoint), std::move(request), timeout, CallOptions());
 }
 
+asio::awaitable<ErrorCode> probeConnection(asio::any_io_executor executor, Endpoint endpoint, std::chrono::milliseconds timeout)
+{
+    ErrorCode code;
+    const auto address = asio::ip::make_address(endpoint.host, code);
+    if (!code) {
+        beast::tcp_stream stream(executor);
+        stream.expires_after(timeout);
+        const Tcp::endpoint target(address, endpoint.port);
+        co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, code));
+    }
+    co_return code;
+}
+
 } // namespace arbutus::http
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -126,4 +126,7 @@
 boost::asio::awaitable<CallResult<Response>>
 fetch(boost::asio::any_io_executor executor, Endpoint endpoint, Request request, std::chrono::milliseconds timeout);
 
+/// Opens a connection and closes it without sending anything. Returns why that failed; no error if the server accepted it.
+boost::asio::awaitable<boost::system::error_code> probeConnection(boost::asio::any_io_executor executor, Endpoint endpoint, std::chrono::milliseconds timeout);
+
 } // namespace arbutus::http
