--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -47,6 +47,12 @@
     }
     /// Live members that are neither leaving nor suspect, including this instance unless it is leaving.
     [[nodiscard]] const std::vector<membership::Member> &liveMembers();
+    /// Changes with the live members and the rankings.
+    [[nodiscard]] std::uint64_t membersVersion()
+    {
+        refreshMembers();
+        return m_membersVersion;
+    }
     /// Live members of a region by priority for the dispatcher role; valid until the next iteration of the event loop.
     [[nodiscard]] const std::vector<membership::Member> &dispatcherRanking(const core::RegionId &region);
     /// This instance's rank among the live members for watching the store; 0 is the watcher.
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -522,12 +522,14 @@
                                .add("known", m_fleet.knownMemberCountInRegion()));
     }
     m_dispatcher.setDispatcherRole(isDispatcher, reachableShare, m_context.now());
-    std::vector<routing::RelayCandidate> instances;
-    instances.reserve(ranking.size());
-    for (const membership::Member &member : ranking) {
-        instances.push_back(routing::RelayCandidate{member.id, member.domain, member.capacity});
+    if (std::exchange(m_relayMembersVersion, m_fleet.membersVersion()) != m_fleet.membersVersion()) {
+        std::vector<routing::RelayCandidate> instances;
+        instances.reserve(ranking.size());
+        for (const membership::Member &member : ranking) {
+            instances.push_back(routing::RelayCandidate{member.id, member.domain, member.capacity});
+        }
+        m_dispatcher.setInstances(std::move(instances));
     }
-    m_dispatcher.setInstances(std::move(instances));
 }
 
 void PlacementService::handleMessage(const FleetMessage &message, const std::string &from)
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -153,6 +153,7 @@
     core::InstanceId m_lastDispatcher; // that this instance requested a placement from
     bool m_reportScheduled = false;
     bool m_isDispatcher = false;
+    std::optional<std::uint64_t> m_relayMembersVersion; // of the members that the dispatcher knows as relays
     core::TimePoint m_stateLoggedAt{};
     std::map<core::InstanceId, core::TimePoint> m_skippedUntil;
     std::map<core::InstanceId, std::string> m_requesterAddresses; // to which decisions on queued requests are sent
