Rig: one source of mixed traffic for upstreampathtest and upstreamresttest

Both tests sent the same kinds of requests to all instances in turn, with a loop of their own. MixedTraffic states what differs: duration, interval, targets, shared parts, deadline. All assertions and bounds are as they were; the traffic is the same but for the name of the one shared part in upstreampathtest.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -1181,6 +1181,24 @@
     return tests::deliveredShare(m_rig, m_sound, m_start + from, m_start + to);
 }
 
+void scheduleTraffic(EdgeRig &rig, const MixedTraffic &traffic)
+{
+    std::size_t number = 0;
+    for (auto at = 0ms; at < traffic.duration; at += traffic.interval) {
+        rig.schedule(at, [&rig, traffic, number] {
+            const std::size_t round = number / rig.instanceCount();
+            RigRequest request{
+                .instance = number % rig.instanceCount(), .target = traffic.targets[round % traffic.targets.size()], .deadline = traffic.deadline};
+            if (request.target == "/chat/x") {
+                request.parts = {"a" + std::to_string(number % traffic.sharedParts), "b" + std::to_string(number)};
+            }
+            request.body = std::to_string(number);
+            rig.send(request);
+        });
+        ++number;
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Counts and disruptions
 //-----------------------------------------------------------------------------
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -544,6 +544,17 @@
     std::uint64_t m_next = 0;
 };
 
+/// Streams, buffered requests and at-most-once requests to all instances in turn, each request with a body of its own.
+struct MixedTraffic
+{
+    std::chrono::milliseconds duration{};
+    std::chrono::milliseconds interval{};
+    std::vector<std::string> targets;
+    std::size_t sharedParts = 1; // number of different first parts of prompts, which choose upstreams
+    std::chrono::milliseconds deadline = RigRequest().deadline;
+};
+void scheduleTraffic(EdgeRig &rig, const MixedTraffic &traffic);
+
 /// Share of the requests sent between two times that were delivered whole.
 [[nodiscard]] double deliveredShare(const EdgeRig &rig, const std::vector<std::size_t> &requests, core::TimePoint from, core::TimePoint to);
 
--- a/tests/upstreampathtest.cpp
+++ b/tests/upstreampathtest.cpp
@@ -64,25 +64,6 @@
     return out;
 }
 
-/// Sends streams, buffered requests and at-most-once requests to all instances in turn.
-void scheduleTraffic(tests::EdgeRig &rig, std::chrono::milliseconds duration)
-{
-    std::size_t number = 0;
-    for (auto at = 0ms; at < duration; at += RequestInterval) {
-        rig.schedule(at, [&rig, number] {
-            constexpr std::array Targets = {"/chat/x", "/plain/x", "/chat/x", "/once/x"};
-            const std::size_t round = number / rig.instanceCount();
-            tests::RigRequest request{.instance = number % rig.instanceCount(), .target = Targets[round % Targets.size()], .deadline = Deadline};
-            if (request.target == "/chat/x") {
-                request.parts = {"a1", "b" + std::to_string(number)};
-            }
-            request.body = std::to_string(number);
-            rig.send(request);
-        });
-        ++number;
-    }
-}
-
 tests::EdgeRigOptions rigOptions(std::uint64_t seed)
 {
     tests::EdgeRigOptions options;
@@ -130,9 +111,11 @@
                 rig.schedule(CutDelay, [&rig, instance, &row] { rig.cutPaths(instance, row.failure); });
                 rig.schedule(CutDelay + CutTime, [&rig, instance] { rig.healPaths(instance); });
             }
-            scheduleTraffic(rig, CutDelay + CutTime + StabilityWindow + 1'000ms);
+            constexpr auto TrafficTime = CutDelay + CutTime + StabilityWindow + 1'000ms;
+            tests::scheduleTraffic(
+                rig, {.duration = TrafficTime, .interval = RequestInterval, .targets = {"/chat/x", "/plain/x", "/chat/x", "/once/x"}, .deadline = Deadline});
             const core::TimePoint cutAt = rig.now() + CutDelay;
-            rig.runFor(CutDelay + CutTime + StabilityWindow + 1'000ms);
+            rig.runFor(TrafficTime);
             rig.runUntilDone();
 
             const core::TimePoint from = cutAt + StabilityWindow;
--- a/tests/upstreamresttest.cpp
+++ b/tests/upstreamresttest.cpp
@@ -20,22 +20,9 @@
 constexpr auto Grace = 500ms;                // requests may cross the rejection
 constexpr std::size_t MaxRequestsInRest = 2; // that reach the upstream from the instance between the grace and the end of a rest
 
-/// Sends streams, buffered requests and at-most-once requests to all instances in turn.
-void scheduleTraffic(tests::EdgeRig &rig)
+tests::MixedTraffic mixedTraffic()
 {
-    std::size_t number = 0;
-    for (auto at = 0ms; at < TrafficTime; at += RequestInterval) {
-        rig.schedule(at, [&rig, number] {
-            constexpr std::array Targets = {"/chat/x", "/plain/x", "/once/x"};
-            tests::RigRequest request{.instance = number % rig.instanceCount(), .target = Targets[number / rig.instanceCount() % Targets.size()]};
-            if (request.target == "/chat/x") {
-                request.parts = {"a" + std::to_string(number % 7), "b" + std::to_string(number)}; // shared parts choose upstreams
-            }
-            request.body = std::to_string(number);
-            rig.send(request);
-        });
-        ++number;
-    }
+    return {.duration = TrafficTime, .interval = RequestInterval, .targets = {"/chat/x", "/plain/x", "/once/x"}, .sharedParts = 7};
 }
 
 /// Largest number of requests that reached an upstream from an instance in a rest that it had asked of it.
@@ -89,7 +76,7 @@
                     rig.upstream(i).rest = row.rest;
                 }
             }
-            scheduleTraffic(rig);
+            tests::scheduleTraffic(rig, mixedTraffic());
             rig.runFor(TrafficTime);
             rig.runUntilDone();
 
@@ -136,7 +123,7 @@
         upstream.crash(tests::RestartOptions{.after = 100ms, .entryLifetime = 50ms, .version = upstream.version(), .keepsId = true});
         restartedAt[upstream.id()] = rig.now();
     });
-    scheduleTraffic(rig);
+    tests::scheduleTraffic(rig, mixedTraffic());
     rig.runFor(TrafficTime);
     rig.runUntilDone();
 
