Executions that a peer does not state count as made, up to what it was granted

A response of a peer without the count of executions was read as none made. The origin then placed the request again as if the peer had not run it, and with three allowed it ran at all of them after the two that the peer may have made. Absent is not none: the whole grant counts, and one send for the retry budget.

Test, on the code before: the row "thrice", peer-without-counts, has 3 own executions; 1 is allowed. All six rows pass now.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1030,12 +1030,15 @@
 {
     const http::Headers &headers = attempt.head->value().headers;
     attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
-    const auto countSince = [&](const char *header, std::size_t before) {
+    const auto countSince = [&](const char *header, std::size_t before, std::size_t ifNotStated) {
+        if (!headers.contains(header)) {
+            return ifNotStated;
+        }
         const std::size_t count = parseCount(http::headerValue(headers, header));
         return count > before ? count - before : 0;
     };
-    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore);
-    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore);
+    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore, 1);
+    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore, attempt.grantedExecutions);
     // The peer of a stream may go on at further upstreams after it has reported.
     const bool isFinal = !state.isStreaming() || attempt.peerOutcome != OutcomeAnswered;
     state.settleGrant(attempt, isFinal ? reported : std::max(reported, attempt.grantedExecutions));
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -312,6 +312,11 @@
                 out = responseHead("500 Internal Server Error", attempt, "Content-Length: 5\r\n") + "error";
             } else if (behavior == "busy") { // without X-Not-Executed, so the request may have been executed
                 out = responseHead("503 Service Unavailable", attempt, "Content-Length: 4\r\n") + "busy";
+            } else if (behavior == "peer-executed-once") { // and does not know with what outcome
+                out = "HTTP/1.1 502 Bad Gateway\r\nX-Gateway-Outcome: unknown\r\nX-Gateway-Sends: 1\r\nX-Gateway-Runs: "
+                    + std::to_string(std::stoul(executionsBefore.back()) + 1) + "\r\nContent-Length: 0\r\n\r\n";
+            } else if (behavior == "peer-without-counts") {
+                out = "HTTP/1.1 502 Bad Gateway\r\nX-Gateway-Outcome: unknown\r\nContent-Length: 0\r\n\r\n";
             } else if (behavior == "hang") {
                 char byte = 0;
                 ErrorCode code;
@@ -826,6 +831,27 @@
     CHECK(peerExecutions + fixture.executionCount() <= row.maxUpstreams);
 }
 
+TEST_CASE("executions that a peer reports or does not state count at the origin", "[edge]")
+{
+    struct Row
+    {
+        const char *route;
+        const char *behavior;
+        std::size_t maxOwnExecutions;
+    };
+    const auto row = GENERATE(values<Row>({{"single", "peer-executed-once", 0},
+                                           {"again", "peer-executed-once", 1},
+                                           {"thrice", "peer-executed-once", 2},
+                                           {"single", "peer-without-counts", 0},
+                                           {"again", "peer-without-counts", 1},
+                                           {"thrice", "peer-without-counts", 1}})); // it may have made the two that it was granted
+    CAPTURE(row.route, row.behavior);
+    PeerFixture fixture;
+    (void)fixture.sendRequest(row.route, std::string("p=") + row.behavior + ",a=error,b=error");
+    REQUIRE(fixture.peerServer.executedAttempts.size() == 1);
+    CHECK(fixture.executionCount() == row.maxOwnExecutions);
+}
+
 TEST_CASE("an instance sends a forwarded request to no more upstreams than the origin grants", "[edge]")
 {
     const auto granted = GENERATE(1, 2);
