A request gets past a dispatcher that does not read which paths are lost

A dispatcher of a build before the lost paths ignores the upstreams that a placement request states to be unreachable, and grants the same one again. The requester did not send the request there and asked again, until its six placements were used up: 503, though another upstream of the region was free. An upstream that was granted though it was stated to be unreachable is excluded now, with all that were stated, as older builds read that list.

Test, on the code before: 503 "the path to the upstream was lost" on an at-most-once and on a repeatable route; 200 from the other upstream now.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -445,6 +445,14 @@
     return placementRequest;
 }
 
+void Forwarder::excludeUnreachable(RequestState &state, const routing::PlacementRequest &request, const routing::PlacementDecision &decision)
+{
+    const auto *granted = std::get_if<routing::Granted>(&decision);
+    if (granted != nullptr && request.unreachableUpstreams.contains(granted->upstream)) {
+        state.excludedUpstreams.insert(request.unreachableUpstreams.begin(), request.unreachableUpstreams.end());
+    }
+}
+
 bool Forwarder::canRetry(RequestState &state)
 {
     const core::TimePoint now = m_context.now();
@@ -477,6 +485,7 @@
         if (!state.current) {
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
+            excludeUnreachable(state, placementRequest, decision);
             if (state.cancellation->cancelled) {
                 logCompletion(state, 0, "client_disconnected");
                 co_return;
@@ -953,6 +962,7 @@
     state.replacementToken = std::make_shared<CancellationToken>();
     routing::PlacementRequest placementRequest = makePlacementRequest(state);
     const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.replacementToken);
+    excludeUnreachable(state, placementRequest, decision);
     state.replacementToken = nullptr;
     if (silent->ended || state.cancellation->cancelled || !isSilent(state, *silent)) {
         if (std::holds_alternative<routing::Granted>(decision)) {
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -951,6 +951,30 @@
     CHECK(fixture.a.executedAttempts.size() == executedByA);
 }
 
+TEST_CASE("a dispatcher that does not read which paths are lost gets the request placed at another upstream", "[edge]")
+{
+    Fixture fixture;
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision { // as in an older release
+        const bool excluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(excluded ? "b" : "a"), excluded ? fixture.b.address() : refusingAddress};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    std::string &entry = fixture.store.keys["servers/a"];
+    entry.replace(entry.find(fixture.a.address()), fixture.a.address().size(), refusingAddress);
+    std::string &configuration = fixture.store.keys["op/config"];
+    configuration.replace(configuration.find("\"version\":1"), std::string("\"version\":1").size(), "\"version\":2"); // read together with the entry
+    ++fixture.store.revision;
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_configuration_version 2"); });
+    for (const char *routeName : {"once", "again"}) {
+        CAPTURE(routeName);
+        const http::Response response = fixture.sendRequest(routeName, "ok", "body", routeName);
+        CHECK(response.status == 200);
+        CHECK(response.body == std::string("from b to ") + routeName);
+    }
+}
+
 TEST_CASE("an instance that reads the store because no other one reports to it reports to the others", "[edge]")
 {
     Fixture fixture;
