Messages of older builds keep their meaning, and what only newer builds know is ignored and counted

Values of newer builds were taken for others: an unknown condition of a member as dead, an unknown decision on a placement as a refusal, a crash cause without a known kind as the prompt part 0, an unknown outcome as the last known one. They are ignored and counted in arbutus_datagram_parts_ignored_total; an unknown outcome ends its send and says nothing about the upstream.

Test, on the codec before: the four sections for unknown values fail, the recorded messages pass (what differs between the builds was decoded correctly). All pass now.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -38,12 +38,16 @@
     out.set_capacity(member.capacity);
 }
 
-membership::Member fromProto(const fleet::Member &in)
+std::optional<membership::Member> fromProto(const fleet::Member &in)
 {
+    constexpr auto LastCondition = static_cast<std::uint32_t>(membership::MemberCondition::Dead);
+    if (in.condition() > LastCondition) {
+        return std::nullopt;
+    }
     membership::Member member;
     member.id = core::InstanceId(in.id());
     member.incarnation = core::Incarnation(in.incarnation());
-    member.condition = static_cast<membership::MemberCondition>(std::min<std::uint32_t>(in.condition(), 2));
+    member.condition = static_cast<membership::MemberCondition>(in.condition());
     member.leaving = in.leaving();
     member.refutation = in.refutation();
     member.domain = core::DomainId(in.domain());
@@ -180,8 +184,12 @@
                reply.decision);
 }
 
-routing::PlacementDecision decisionFromProto(const fleet::Verdict &in)
+std::optional<routing::PlacementDecision> decisionFromProto(const fleet::Verdict &in)
 {
+    const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
+        : in.version_gone()              ? routing::RefusalReason::VersionGone
+        : in.overloaded()                ? routing::RefusalReason::Overloaded
+                                         : routing::RefusalReason::NoUpstream;
     switch (in.kind()) {
     case fleet::Verdict::GRANTED:
         return routing::Granted{core::UpstreamId(in.upstream()),
@@ -194,14 +202,12 @@
         return routing::Queued{fromMicroseconds(in.predicted_us())};
     case fleet::Verdict::ELSEWHERE:
         return routing::Redirected{core::RegionId(in.region()), fromMicroseconds(in.predicted_us()), core::Duration::zero(), core::InstanceId(in.relay())};
+    case fleet::Verdict::REFUSED:
+        return routing::Refused{reason, fromMicroseconds(in.retry_after_us())};
     default:
         break;
     }
-    const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
-        : in.version_gone()              ? routing::RefusalReason::VersionGone
-        : in.overloaded()                ? routing::RefusalReason::Overloaded
-                                         : routing::RefusalReason::NoUpstream;
-    return routing::Refused{reason, fromMicroseconds(in.retry_after_us())};
+    return std::nullopt; // the requester asks again
 }
 
 void toProto(const routing::UpstreamNotice &notice, fleet::Notice &out, core::TimePoint now)
@@ -269,7 +275,7 @@
     }
 }
 
-PlacementReport fromProto(const fleet::Work &in, core::TimePoint now)
+PlacementReport fromProto(const fleet::Work &in, core::TimePoint now, std::size_t &ignoredParts)
 {
     PlacementReport report;
     for (const fleet::Notice &notice : in.notices()) {
@@ -290,7 +296,9 @@
     }
     constexpr auto LastOutcome = static_cast<std::uint32_t>(routing::SendOutcome::NoPath);
     for (const auto &row : in.ended()) {
-        const auto outcome = static_cast<routing::SendOutcome>(std::min(row.ending(), LastOutcome));
+        const bool isKnown = row.ending() <= LastOutcome;
+        ignoredParts += isKnown ? 0 : 1;
+        const auto outcome = isKnown ? static_cast<routing::SendOutcome>(row.ending()) : routing::SendOutcome::NeverSent;
         report.completed.push_back(CompletedPlacement{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), outcome});
     }
     return report;
@@ -413,10 +421,14 @@
     }
 }
 
-std::vector<routing::CauseRecord> fromProto(const fleet::QuarantineRecords &in, core::TimePoint now)
+std::vector<routing::CauseRecord> fromProto(const fleet::QuarantineRecords &in, core::TimePoint now, std::size_t &ignoredParts)
 {
     std::vector<routing::CauseRecord> records;
     for (const auto &row : in.records()) {
+        if (row.cause_case() == fleet::QuarantineRecords::Record::CAUSE_NOT_SET) {
+            ++ignoredParts;
+            continue;
+        }
         routing::CauseRecord record;
         record.cause = routing::PromptPartId(row.part());
         if (row.has_request()) {
@@ -491,7 +503,11 @@
     membership::Message gossip;
     gossip.sender = message.sender;
     for (const fleet::Member &member : in.members()) {
-        gossip.updates.push_back(fromProto(member));
+        if (auto update = fromProto(member)) {
+            gossip.updates.push_back(std::move(*update));
+        } else {
+            ++message.ignoredParts;
+        }
     }
     switch (in.body_case()) {
     case fleet::Datagram::kPing:
@@ -512,13 +528,17 @@
     case fleet::Datagram::kVerdicts: {
         std::vector<PlacementReply> replies;
         for (const fleet::Verdict &row : in.verdicts().verdicts()) {
-            replies.push_back(PlacementReply{routing::PlacementId(row.id()), decisionFromProto(row)});
+            if (auto decision = decisionFromProto(row)) {
+                replies.push_back(PlacementReply{routing::PlacementId(row.id()), std::move(*decision)});
+            } else {
+                ++message.ignoredParts;
+            }
         }
         message.body = std::move(replies);
         return message;
     }
     case fleet::Datagram::kWork:
-        message.body = fromProto(in.work(), now);
+        message.body = fromProto(in.work(), now, message.ignoredParts);
         return message;
     case fleet::Datagram::kRegionState:
         message.body = fromProto(in.region_state(), now);
@@ -527,7 +547,7 @@
         message.body = PlacementCancellation{routing::PlacementId(in.withdraw().id())};
         return message;
     case fleet::Datagram::kQuarantine:
-        message.body = fromProto(in.quarantine(), now);
+        message.body = fromProto(in.quarantine(), now, message.ignoredParts);
         return message;
     case fleet::Datagram::kStreamQuery:
         message.body = StreamQuery{routing::StreamId(in.stream_query().stream())};
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -95,6 +95,7 @@
     core::InstanceRef sender;
     core::RegionId region;
     FleetMessageBody body;
+    std::size_t ignoredParts = 0; // with values that only a newer release knows
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -126,6 +126,9 @@
         m_context.metrics.incrementCounter("arbutus_datagrams_refused_total");
         return;
     }
+    if (message->ignoredParts > 0) {
+        m_context.metrics.incrementCounter("arbutus_datagram_parts_ignored_total", "", static_cast<double>(message->ignoredParts));
+    }
     if (auto *membershipMessage = std::get_if<membership::Message>(&message->body)) {
         sendAll(m_view.receive(*membershipMessage, from, m_context.now()));
         refreshMembers();
