--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -97,7 +97,7 @@
     std::string address;
     routing::SoftwareVersion version; // of the upstream's software; a peer states it in its response head
     core::Duration predictedLatency{};
-    std::size_t executionsBefore = 0;  // of a peer's attempt: possible executions by others that the peer was told of
+    std::size_t executionsBefore = 0;  // of a peer's attempt: executions that the peer was told of; it goes on counting from there
     std::size_t grantedExecutions = 0; // further ones that the peer may make, until it has reported how many it made
     std::size_t sendsBefore = 0;       // sends that the peer was told of
 
@@ -445,6 +445,14 @@
     return placementRequest;
 }
 
+void Forwarder::excludeUnreachable(RequestState &state, const routing::PlacementRequest &request, const routing::PlacementDecision &decision)
+{
+    const auto *granted = std::get_if<routing::Granted>(&decision);
+    if (granted != nullptr && request.unreachableUpstreams.contains(granted->upstream)) {
+        state.excludedUpstreams.insert(request.unreachableUpstreams.begin(), request.unreachableUpstreams.end());
+    }
+}
+
 bool Forwarder::canRetry(RequestState &state)
 {
     const core::TimePoint now = m_context.now();
@@ -477,6 +485,7 @@
         if (!state.current) {
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
+            excludeUnreachable(state, placementRequest, decision);
             if (state.cancellation->cancelled) {
                 logCompletion(state, 0, "client_disconnected");
                 co_return;
@@ -693,9 +702,11 @@
     headers[OriginHeader] = m_context.settings.instanceId.text;
     headers[ServiceHeader] = state.service.text;
     attempt->sendsBefore = std::max<std::size_t>(state.sendCount, state.hasBeenSent() ? 1 : 0);
-    attempt->executionsBefore = state.usedExecutions();
-    attempt->grantedExecutions = executionsForPeer(state);
-    state.grantedExecutions += attempt->grantedExecutions;
+    const std::size_t granted = executionsForPeer(state);
+    // Executions that are not granted count as made: a peer of an older release knows no grants and goes on up to the route's number.
+    attempt->executionsBefore = std::max(state.usedExecutions(), state.maxExecutions - std::min(granted, state.maxExecutions));
+    attempt->grantedExecutions = granted;
+    state.grantedExecutions += granted;
     headers[SendCountHeader] = std::to_string(attempt->sendsBefore);
     headers[PossibleExecutionsHeader] = std::to_string(attempt->executionsBefore);
     headers[MaxExecutionsHeader] = std::to_string(attempt->executionsBefore + attempt->grantedExecutions);
@@ -951,6 +962,7 @@
     state.replacementToken = std::make_shared<CancellationToken>();
     routing::PlacementRequest placementRequest = makePlacementRequest(state);
     const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.replacementToken);
+    excludeUnreachable(state, placementRequest, decision);
     state.replacementToken = nullptr;
     if (silent->ended || state.cancellation->cancelled || !isSilent(state, *silent)) {
         if (std::holds_alternative<routing::Granted>(decision)) {
@@ -1028,12 +1040,15 @@
 {
     const http::Headers &headers = attempt.head->value().headers;
     attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
-    const auto countSince = [&](const char *header, std::size_t before) {
+    const auto countSince = [&](const char *header, std::size_t before, std::size_t ifNotStated) {
+        if (!headers.contains(header)) {
+            return ifNotStated;
+        }
         const std::size_t count = parseCount(http::headerValue(headers, header));
         return count > before ? count - before : 0;
     };
-    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore);
-    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore);
+    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore, 1);
+    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore, attempt.grantedExecutions);
     // The peer of a stream may go on at further upstreams after it has reported.
     const bool isFinal = !state.isStreaming() || attempt.peerOutcome != OutcomeAnswered;
     state.settleGrant(attempt, isFinal ? reported : std::max(reported, attempt.grantedExecutions));
