A run that was leaving is not used if it is listed again after its entry was erased

An entry is erased 30 s after its removal, and what was acknowledged of its run with it: the same run, listed again as ready (a store restored from a copy, a late write), was used. The registry keeps start times of erased runs that were leaving for 10 min (leftRetention); a listed run that is not later than the remembered one is leaving from the start. A later run is not affected.

The new table of metadatacachetest failed before in four of ten rows: listed again after 31 s by a newer or an older announcement, an earlier run, and after 9 min. The rows within 30 s, also with a lower or the same sequence, and the later run passed before.

--- a/src/arbutus/routing/upstreamregistry.cpp
+++ b/src/arbutus/routing/upstreamregistry.cpp
@@ -42,10 +42,11 @@
         entry.announcement = announcement;
         entry.updatedAt = now;
         entry.coldUntil = now + announcement.coldRemaining;
-        entry.leaving = announcement.leaving;
+        entry.leaving = announcement.leaving || hasLeft(announcement.id, announcement.startTime);
+        const bool leaving = entry.leaving;
         m_entries[announcement.id] = std::move(entry);
         changes.push_back({announcement.id, known ? RegistryChange::Kind::Restarted : RegistryChange::Kind::Added});
-        if (announcement.leaving) {
+        if (leaving) {
             changes.push_back({announcement.id, RegistryChange::Kind::Leaving});
         }
         return;
@@ -147,12 +148,25 @@
             changes.push_back({id, RegistryChange::Kind::Removed});
         }
     }
-    const auto erased =
-        std::erase_if(m_entries, [&](const auto &item) { return item.second.removed && now - item.second.updatedAt > m_settings.removedRetention; });
+    const auto erased = std::erase_if(m_entries, [&](const auto &item) {
+        const RegistryEntry &entry = item.second;
+        const bool isOver = entry.removed && now - entry.updatedAt > m_settings.removedRetention;
+        if (isOver && entry.leaving) {
+            m_leftRuns[item.first] = LeftRun{entry.announcement.startTime, now};
+        }
+        return isOver;
+    });
+    std::erase_if(m_leftRuns, [&](const auto &item) { return now - item.second.erasedAt > m_settings.leftRetention; });
     m_version += changes.empty() && erased == 0 ? 0 : 1;
     return changes;
 }
 
+bool UpstreamRegistry::hasLeft(const core::UpstreamId &id, StartTime startTime) const
+{
+    const auto found = m_leftRuns.find(id);
+    return found != m_leftRuns.end() && startTime <= found->second.startTime;
+}
+
 bool UpstreamRegistry::hasRunEnded(const core::UpstreamId &id, StartTime startTime) const
 {
     const RegistryEntry *entry = find(id);
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -2,7 +2,8 @@
 //
 // Each node has its own registry. It is filled from snapshots of the metadata store; a snapshot with an older store revision
 // than the last one is ignored. Rules:
-//   - an upstream that has announced it is leaving stays in that state until it restarts, whatever an older message says;
+//   - an upstream that has announced it is leaving stays in that state until it restarts, whatever an older message says; after its entry
+//     has been erased, the run is remembered for `leftRetention`, so that it is not used if it is listed again;
 //   - an upstream whose entry has disappeared counts as removed. If the store was unreachable, it is kept for
 //     `missingGracePeriod` after the store has recovered, and removed if it has not announced itself again by then;
 //   - a later start time under a known id is a restart: nothing known about the previous run applies any more;
@@ -61,6 +62,7 @@
     core::Duration coldAfterEvacuation =
         std::chrono::milliseconds(1'500);                       // after an evacuation an upstream counts as cold for this long unless it announces otherwise
     core::Duration removedRetention = std::chrono::seconds(30); // removed upstreams are kept this long, so that late messages do not revive them
+    core::Duration leftRetention = std::chrono::minutes(10);    // erased runs that left are remembered this long
 };
 
 /// Current state of one upstream.
@@ -139,10 +141,19 @@
     }
 
 private:
+    struct LeftRun
+    {
+        StartTime startTime;
+        core::TimePoint erasedAt{};
+    };
+
     void applyAnnouncement(const Announcement &announcement, core::TimePoint now, std::vector<RegistryChange> &changes);
+    /// Whether the run, whose entry has been erased, was leaving.
+    [[nodiscard]] bool hasLeft(const core::UpstreamId &id, StartTime startTime) const;
 
     UpstreamRegistrySettings m_settings;
     std::map<core::UpstreamId, RegistryEntry> m_entries;
+    std::map<core::UpstreamId, LeftRun> m_leftRuns; // of erased entries
     std::set<core::DomainId> m_evacuatedDomains;
     SnapshotRevision m_revision;
     std::uint64_t m_version = 0;
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -108,6 +108,40 @@
     CHECK(fixture.cache.registry().find(A)->announcement.startTime == routing::StartTime(20));
 }
 
+TEST_CASE("a run that was leaving when its entry went is not used if it is listed again", "[metadata]")
+{
+    struct Row
+    {
+        const char *name;
+        core::Duration goneFor;
+        std::uint64_t sequence;
+        std::uint64_t born;
+        bool isUsable;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"at once, by an older announcement", 0s, 1, 10, false},
+        {"at once, by the same announcement", 0s, 2, 10, false},
+        {"at once, by a newer announcement", 0s, 3, 10, false},
+        {"before its entry is erased", 29s, 3, 10, false},
+        {"after its entry was erased", 31s, 3, 10, false},
+        {"after its entry was erased, by an older announcement", 31s, 1, 10, false},
+        {"an earlier run", 31s, 3, 9, false},
+        {"a later run", 31s, 1, 11, true},
+        {"minutes later", 9min, 3, 10, false},
+        {"after the time for which it is remembered", 11min, 3, 10, true},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.applyRange({item("servers/i-a", entry())}, 5);
+    fixture.applyChanges({change("servers/i-a", entry("draining", 2))}, 6);
+    fixture.applyRange({}, 7);
+    for (core::Duration passed = 0s; passed <= row.goneFor; passed += 1s) {
+        (void)fixture.cache.expireEntries(Start + passed);
+    }
+    fixture.applyRange({item("servers/i-a", entry("ready", row.sequence, row.born))}, 8, false, Start + row.goneFor);
+    CHECK(isEligible(fixture.cache) == row.isUsable);
+}
+
 TEST_CASE("a removed entry is dropped at once, or after a grace period if the store had an outage", "[metadata]")
 {
     const bool recentStoreOutage = GENERATE(false, true);
