A leaving that an upstream states in a response does not depend on its entry in the registry

recordLeaving() took the run from the registry at the time of the response and kept the leaving as part of the notice of that run. So it was lost if the upstream was not listed yet (the dispatcher knew it first), also when a peer reported it; it was booked on the earlier run if the upstream had been started again unseen, and was gone when the later run was listed; it was erased with the entry. The last check before a request is sent knew only the registry.

UpstreamNotices now keeps leavings apart from limits and from the registry. The run that was known when the request was sent, to the sender or to the dispatcher (a grant states it, Verdict.start_time), and any earlier run get nothing more. A later run may have been the one that responded: this instance does not use it until the store lists the upstream in data from 5 s (announcementTime) after the response, since by then an upstream that is leaving has announced it or its entry has expired. The check before each send asks the notices, with or without an entry, and placements exclude what only this instance knows. Leavings are reported for 30 s, or as long as the run is listed, and remembered for 10 min after the upstream was last listed; start times of 0 in a grant and notices of runs that are not listed keep the meaning that they had for an older release: not known, ignored. New log lines upstream_leaving and upstream_leaving_ended, counter arbutus_upstream_leavings_total.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -158,6 +158,7 @@
                        out.set_predicted_us(toMicroseconds(granted.predictedLatency));
                        out.set_cold(granted.coldUpstream);
                        out.set_software_version(granted.version.text);
+                       out.set_start_time(granted.startTime.value_or(routing::StartTime()).value);
                    },
                    [&](const routing::Queued &queued) {
                        out.set_kind(fleet::Verdict::WAITS);
@@ -189,7 +190,8 @@
                                 in.uncached_tokens(),
                                 fromMicroseconds(in.predicted_us()),
                                 in.cold(),
-                                routing::SoftwareVersion(in.software_version())};
+                                routing::SoftwareVersion(in.software_version()),
+                                in.start_time() == 0 ? std::nullopt : std::optional(routing::StartTime(in.start_time()))};
     case fleet::Verdict::WAITS:
         return routing::Queued{fromMicroseconds(in.predicted_us())};
     case fleet::Verdict::ELSEWHERE:
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -95,7 +95,8 @@
     core::RegionId region;  // of the peer
     bool isToRelay = false; // the peer is of this region
     std::string address;
-    routing::SoftwareVersion version; // of the upstream's software; a peer states it in its response head
+    routing::SoftwareVersion version;           // of the upstream's software; a peer states it in its response head
+    std::optional<routing::StartTime> knownRun; // of the upstream, when the request was sent; it may have been started again since
     core::Duration predictedLatency{};
     std::size_t executionsBefore = 0;  // of a peer's attempt: possible executions by others that the peer was told of
     std::size_t grantedExecutions = 0; // further ones that the peer may make, until it has reported how many it made
@@ -578,7 +579,12 @@
     const routing::PlacementId placementId = state.placementId();
     state.lastUpstream = granted.upstream;
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
-    if (entry != nullptr && !entry->isUsable()) { // a dispatcher that was suspended may know less than this instance
+    std::optional<routing::StartTime> run = granted.startTime;
+    if (entry != nullptr) {
+        run = std::max(run, std::optional(entry->announcement.startTime));
+    }
+    if ((entry != nullptr && !entry->isUsable())
+        || m_placement.isLeaving(granted.upstream, run)) { // a dispatcher that was suspended may know less than this instance
         rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
@@ -623,6 +629,7 @@
     attempt->upstream = granted.upstream;
     attempt->address = granted.address;
     attempt->version = version;
+    attempt->knownRun = run;
     attempt->predictedLatency = granted.predictedLatency;
     attempt->request = state.request;
     attempt->request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
@@ -1069,7 +1076,7 @@
     }
     attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
     if (!attempt.isToPeer() && isFromUpstream && parsed.isLeaving) {
-        m_placement.recordLeaving(attempt.upstream);
+        m_placement.recordLeaving(attempt.upstream, attempt.knownRun, "response");
     }
     if (!attempt.isToPeer() && isFromUpstream && parsed.rest) {
         m_placement.recordRest(attempt.upstream, *parsed.rest);
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -140,7 +140,7 @@
         const auto dispatcher = remoteDispatcher();
         pending->decision.reset();
         request.unreachableUpstreams = m_paths.lost();
-        excludeResting(request);
+        excludeWithheld(request);
         if (!dispatcher) {
             decidedBy = m_context.settings.instanceId;
             decision = m_dispatcher.requestPlacement(request, m_context.now());
@@ -153,7 +153,7 @@
                 m_dispatcher.cancel(request.id);
                 unansweredRequests = 0;
             }
-            if (std::exchange(m_lastDispatcher, dispatcher->id) != dispatcher->id && !m_notices.entries().empty()) {
+            if (std::exchange(m_lastDispatcher, dispatcher->id) != dispatcher->id && !notices().empty()) {
                 m_fleet.send(dispatcher->gossipAddress, PlacementReport{{}, {}, notices(), m_paths.lost()}); // a new dispatcher needs them to decide
             }
             pending->requestedFrom = dispatcher->id;
@@ -225,8 +225,9 @@
     return m_rests.remaining(upstream, m_metadataCache.registry(), m_context.now()) > core::Duration::zero();
 }
 
-void PlacementService::excludeResting(routing::PlacementRequest &request)
+void PlacementService::excludeWithheld(routing::PlacementRequest &request)
 {
+    request.excludedUpstreams.merge(m_notices.withheld(m_metadataCache.registry(), m_context.now()));
     m_rests.eraseEnded(m_metadataCache.registry(), m_context.now());
     for (const auto &[upstream, rest] : m_rests.entries()) {
         request.excludedUpstreams.insert(upstream);
@@ -353,11 +354,7 @@
 
 std::vector<routing::UpstreamNotice> PlacementService::notices() const
 {
-    std::vector<routing::UpstreamNotice> out;
-    for (const auto &[upstream, notice] : m_notices.entries()) {
-        out.push_back(notice);
-    }
-    return out;
+    return m_notices.notices(m_metadataCache.registry(), m_context.now());
 }
 
 void PlacementService::recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt)
@@ -367,17 +364,16 @@
         return;
     }
     if (m_notices.recordResponse(upstream, entry->announcement.startTime, maxRequestRate, requestSentAt, m_context.now())) {
-        applyNotice(upstream, "response");
+        applyLimit(upstream, "response");
         m_hasUnreportedNotice = true;
         scheduleReport();
     }
 }
 
-void PlacementService::recordLeaving(const core::UpstreamId &upstream)
+void PlacementService::recordLeaving(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun, std::string_view source)
 {
-    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    if (entry != nullptr && m_notices.recordLeaving(upstream, entry->announcement.startTime, m_context.now())) {
-        applyNotice(upstream, "response");
+    if (m_notices.recordLeaving(upstream, knownRun, m_context.now())) {
+        applyLeaving(upstream, source);
         m_hasUnreportedNotice = true;
         scheduleReport();
     }
@@ -386,14 +382,17 @@
 void PlacementService::mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender)
 {
     for (const routing::UpstreamNotice &notice : notices) {
+        if (m_notices.mergeLeaving(notice)) { // also of a run that this instance does not know yet
+            applyLeaving(notice.upstream, sender.text);
+        }
         const bool hasEnded = m_metadataCache.registry().hasRunEnded(notice.upstream, notice.startTime);
         if (!hasEnded && m_notices.merge(notice)) { // the sender may not know yet that the run has ended
-            applyNotice(notice.upstream, sender.text);
+            applyLimit(notice.upstream, sender.text);
         }
     }
 }
 
-void PlacementService::applyNotice(const core::UpstreamId &upstream, std::string_view source)
+void PlacementService::applyLimit(const core::UpstreamId &upstream, std::string_view source)
 {
     const core::TimePoint now = m_context.now();
     const routing::UpstreamNotice &notice = m_notices.entries().at(upstream);
@@ -402,15 +401,42 @@
     m_context.writeLog(observe::LogLine("upstream_limit_changed")
                            .add("upstream", upstream)
                            .add("max_request_rate", notice.maxRequestRate ? std::to_string(*notice.maxRequestRate) : "none")
-                           .add("leaving", notice.isLeaving)
                            .add("age_ms", core::toMilliseconds(now - notice.at))
                            .add("source", source));
+}
+
+void PlacementService::applyLeaving(const core::UpstreamId &upstream, std::string_view source)
+{
+    const routing::UpstreamLeaving &leaving = m_notices.leavings().at(upstream);
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    if (notice.isLeaving && entry != nullptr && entry->announcement.startTime == notice.startTime && onUpstreamLeaving) {
+    m_context.metrics.incrementCounter("arbutus_upstream_leavings_total", source == "response" ? "source=\"response\"" : "source=\"peer\"");
+    m_context.writeLog(observe::LogLine("upstream_leaving")
+                           .add("upstream", upstream)
+                           .add("last_run", leaving.lastRun ? std::to_string(leaving.lastRun->value) : "unknown")
+                           .add("listed_run", entry != nullptr ? std::to_string(entry->announcement.startTime.value) : "none")
+                           .add("may_be_later_run", leaving.mayBeLaterRun)
+                           .add("age_ms", core::toMilliseconds(m_context.now() - leaving.at))
+                           .add("source", source));
+    markIfLeaving(upstream);
+}
+
+void PlacementService::markIfLeaving(const core::UpstreamId &upstream)
+{
+    const routing::UpstreamLeaving &leaving = m_notices.leavings().at(upstream);
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    if (entry != nullptr && entry->announcement.startTime <= leaving.lastRun && onUpstreamLeaving) {
         onUpstreamLeaving(upstream);
     }
 }
 
+void PlacementService::expireLeavings()
+{
+    const core::TimePoint now = m_context.now();
+    for (const routing::EndedLeaving &ended : m_notices.expireLeavings(m_metadataCache.registry(), now - m_metadataCache.staleness(now), now)) {
+        m_context.writeLog(observe::LogLine("upstream_leaving_ended").add("upstream", ended.upstream).add("reason", routing::toString(ended.reason)));
+    }
+}
+
 void PlacementService::onPathsChanged()
 {
     m_dispatcher.recordUnreachable(m_context.settings.instanceId, m_paths.lost(), m_context.now());
@@ -433,6 +459,7 @@
 {
     while (true) {
         co_await core::asyncSleep(m_settings.placementReportInterval);
+        expireLeavings();
         PlacementReport report;
         report.notices = notices();
         if (!report.notices.empty()) {
@@ -664,6 +691,12 @@
         m_dispatcher.setMaxRequestRate(upstream, std::nullopt, m_context.now());
         m_context.writeLog(observe::LogLine("upstream_limit_changed").add("upstream", upstream).add("max_request_rate", "none").add("source", "run_ended"));
     }
+    for (const auto &[upstream, leaving] : m_notices.leavings()) {
+        const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+        if (entry != nullptr && !entry->leaving) { // it may be listed for the first time, or again
+            markIfLeaving(upstream);
+        }
+    }
     sendRegionState();
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -60,8 +60,14 @@
     void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
     /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
     void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
-    /// Records that a response says that its upstream is leaving.
-    void recordLeaving(const core::UpstreamId &upstream);
+    /// Records that a response says that its upstream is leaving. `knownRun` is the run that was known when the request was sent, `source`
+    /// is "response", or the peer that passed the response on.
+    void recordLeaving(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun, std::string_view source);
+    /// Whether a run of an upstream, or the upstream if its run is not known, must get no requests from this instance.
+    [[nodiscard]] bool isLeaving(const core::UpstreamId &upstream, std::optional<routing::StartTime> run) const
+    {
+        return m_notices.isLeaving(upstream, run);
+    }
     /// Records that an upstream wants no requests from this instance for a time.
     void recordRest(const core::UpstreamId &upstream, core::Duration rest);
     /// Whether the upstream wants no requests from this instance now.
@@ -111,8 +117,8 @@
     [[nodiscard]] bool isSkipped(const core::InstanceId &id) const;
     /// Skips the dispatcher for a while. Requests that are pending there are sent to the next one at once.
     void skipUnresponsive(const core::InstanceId &id);
-    /// Excludes the upstreams that rest for this instance from the placement.
-    void excludeResting(routing::PlacementRequest &request);
+    /// Excludes the upstreams that rest for this instance, or that only it knows to be leaving, from the placement.
+    void excludeWithheld(routing::PlacementRequest &request);
     /// Shortest rest that is left of the usable upstreams of a service; nothing if one of them does not rest, or if there are none.
     [[nodiscard]] std::optional<core::Duration> shortestRest(const core::ServiceId &service) const;
     void recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted);
@@ -123,8 +129,13 @@
     void sendReport(PlacementReport report);
     [[nodiscard]] std::vector<routing::UpstreamNotice> notices() const;
     void mergeNotices(const std::vector<routing::UpstreamNotice> &notices, const core::InstanceId &sender);
-    /// Applies and logs a changed notice.
-    void applyNotice(const core::UpstreamId &upstream, std::string_view source);
+    /// Applies and logs a changed limit.
+    void applyLimit(const core::UpstreamId &upstream, std::string_view source);
+    /// Logs a new leaving and applies it.
+    void applyLeaving(const core::UpstreamId &upstream, std::string_view source);
+    /// Marks the run that the registry has as leaving if it is.
+    void markIfLeaving(const core::UpstreamId &upstream);
+    void expireLeavings();
     void deliverDecisions(std::vector<routing::DeferredDecision> decisions);
     void sendRegionState();
     void updateDispatcherRole();
@@ -168,7 +179,7 @@
     std::function<bool()> isSubstituteReader;
     /// Called when a peer has newer metadata.
     std::function<void(const core::InstanceId &peer)> onNewerMetadata;
-    /// Called for an upstream that this instance or a peer has observed to be leaving.
+    /// Called for an upstream whose run in the registry this instance or a peer has observed to be leaving.
     std::function<void(const core::UpstreamId &upstream)> onUpstreamLeaving;
 };
 
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -506,8 +506,14 @@
     if (candidate.upstream->rateLimit != nullptr) {
         (void)candidate.upstream->rateLimit->tryAcquire(now); // an admissible candidate has a token
     }
-    Granted granted{
-        entry.announcement.id, entry.announcement.address, candidate.uncachedTokens, candidate.predictedLatency, entry.isCold(now), entry.announcement.version};
+    const Announcement &announcement = entry.announcement;
+    Granted granted{announcement.id,
+                    announcement.address,
+                    candidate.uncachedTokens,
+                    candidate.predictedLatency,
+                    entry.isCold(now),
+                    announcement.version,
+                    announcement.startTime};
     if (granted.coldUpstream) {
         const catalog::Service *service = m_view.catalog ? m_view.catalog->findService(request.service) : nullptr;
         if (service != nullptr && service->maxColdRequestsPerSecond > 0) {
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -93,7 +93,8 @@
     std::uint32_t uncachedTokens = 0;
     core::Duration predictedLatency{}; // to the first event, or to the whole response of a plain upstream
     bool coldUpstream = false;
-    SoftwareVersion version; // of the upstream's software
+    SoftwareVersion version;                 // of the upstream's software
+    std::optional<StartTime> startTime = {}; // of the upstream's run; empty: not known
 };
 struct Queued
 {
--- a/src/arbutus/routing/upstreamnotices.cpp
+++ b/src/arbutus/routing/upstreamnotices.cpp
@@ -1,4 +1,4 @@
-// Order of notices by age.
+// Order of limits by age, and of leavings by run.
 
 #include "arbutus/routing/upstreamnotices.h"
 
@@ -18,6 +18,26 @@
 
 } // namespace
 
+std::string_view toString(EndedLeaving::Reason reason)
+{
+    switch (reason) {
+    case EndedLeaving::Reason::ListedAsReady:
+        return "listed_as_ready";
+    case EndedLeaving::Reason::Forgotten:
+        break;
+    }
+    return "forgotten";
+}
+
+UpstreamNotices::UpstreamNotices(UpstreamNoticesSettings settings)
+    : m_settings(settings)
+{
+}
+
+//-----------------------------------------------------------------------------
+// Limits
+//-----------------------------------------------------------------------------
+
 std::optional<double> UpstreamNotices::maxRequestRate(const core::UpstreamId &upstream) const
 {
     const auto found = m_entries.find(upstream);
@@ -39,40 +59,27 @@
     }
     const double rate = std::clamp(*maxRequestRate, MinRequestRate, MaxRequestRate);
     const bool changed = !isKnownRun || found->second.maxRequestRate != rate;
-    const bool isLeaving = isKnownRun && found->second.isLeaving;
-    m_entries[upstream] = UpstreamNotice{upstream, startTime, rate, now, isLeaving};
+    m_entries[upstream] = UpstreamNotice{upstream, startTime, rate, now};
     return changed;
 }
 
-bool UpstreamNotices::recordLeaving(const core::UpstreamId &upstream, StartTime startTime, core::TimePoint now)
-{
-    const auto [found, added] = m_entries.try_emplace(upstream, UpstreamNotice{upstream, startTime, std::nullopt, now, true});
-    if (!added && found->second.startTime != startTime) {
-        found->second = UpstreamNotice{upstream, startTime, std::nullopt, now, true};
-        return true;
-    }
-    return !std::exchange(found->second.isLeaving, true) || added;
-}
-
 bool UpstreamNotices::merge(const UpstreamNotice &notice)
 {
-    const auto [found, added] = m_entries.try_emplace(notice.upstream, notice);
-    if (added) {
-        return notice.maxRequestRate.has_value() || notice.isLeaving;
+    if (notice.isLeaving && !notice.maxRequestRate) { // says nothing about a limit
+        return false;
     }
+    const auto [found, added] = m_entries.try_emplace(notice.upstream, notice);
     UpstreamNotice &known = found->second;
-    const bool isSameRun = notice.startTime == known.startTime;
-    if (isSameRun && notice.isLeaving && !known.isLeaving) {
-        known.isLeaving = true;
-        return true;
+    known.isLeaving = false; // see m_leavings
+    if (added) {
+        return notice.maxRequestRate.has_value();
     }
     if (notice.startTime < known.startTime || (notice.startTime == known.startTime && notice.at - known.at < MinNewerBy)) {
         return false;
     }
-    const bool changed = known.maxRequestRate != notice.maxRequestRate || (!isSameRun && notice.isLeaving);
-    const bool isLeaving = notice.isLeaving || (isSameRun && known.isLeaving);
+    const bool changed = known.maxRequestRate != notice.maxRequestRate;
     known = notice;
-    known.isLeaving = isLeaving;
+    known.isLeaving = false;
     return changed;
 }
 
@@ -89,4 +96,90 @@
     return ended;
 }
 
+//-----------------------------------------------------------------------------
+// Leavings
+//-----------------------------------------------------------------------------
+
+bool UpstreamNotices::addLeaving(const core::UpstreamId &upstream, const UpstreamLeaving &leaving)
+{
+    const auto [found, added] = m_leavings.try_emplace(upstream, leaving);
+    if (added) {
+        return true;
+    }
+    UpstreamLeaving &known = found->second;
+    const bool isNewRun = leaving.lastRun > known.lastRun; // an empty one is less than any
+    const bool changed = isNewRun || (leaving.mayBeLaterRun && !known.mayBeLaterRun);
+    known.lastRun = std::max(known.lastRun, leaving.lastRun);
+    known.at = std::max(known.at, leaving.at);
+    known.mayBeLaterRun = known.mayBeLaterRun || leaving.mayBeLaterRun;
+    return changed;
+}
+
+bool UpstreamNotices::recordLeaving(const core::UpstreamId &upstream, std::optional<StartTime> knownRun, core::TimePoint now)
+{
+    return addLeaving(upstream, UpstreamLeaving{knownRun, now, true});
+}
+
+bool UpstreamNotices::mergeLeaving(const UpstreamNotice &notice)
+{
+    return notice.isLeaving && addLeaving(notice.upstream, UpstreamLeaving{notice.startTime, notice.at, false});
+}
+
+bool UpstreamNotices::isLeaving(const core::UpstreamId &upstream, std::optional<StartTime> run) const
+{
+    const auto found = m_leavings.find(upstream);
+    return found != m_leavings.end() && (!run || run <= found->second.lastRun || found->second.mayBeLaterRun);
+}
+
+std::vector<EndedLeaving> UpstreamNotices::expireLeavings(const UpstreamRegistry &registry, core::TimePoint confirmedAt, core::TimePoint now)
+{
+    std::vector<EndedLeaving> ended;
+    for (auto item = m_leavings.begin(); item != m_leavings.end();) {
+        UpstreamLeaving &leaving = item->second;
+        const RegistryEntry *entry = registry.find(item->first);
+        const bool isListed = entry != nullptr && !entry->removed && !entry->missingSince;
+        bool isOver = entry == nullptr && now - leaving.at > m_settings.retention;
+        if (isOver) {
+            ended.push_back({item->first, EndedLeaving::Reason::Forgotten});
+        } else if (leaving.mayBeLaterRun && isListed && confirmedAt >= leaving.at + m_settings.announcementTime) {
+            leaving.mayBeLaterRun = false; // the entry is that of the run that said so, or of another one, which would have announced it
+            isOver = !leaving.lastRun;
+            if (entry->announcement.startTime > leaving.lastRun && !entry->leaving) {
+                ended.push_back({item->first, EndedLeaving::Reason::ListedAsReady});
+            }
+        }
+        item = isOver ? m_leavings.erase(item) : std::next(item);
+    }
+    return ended;
+}
+
+std::set<core::UpstreamId> UpstreamNotices::withheld(const UpstreamRegistry &registry, core::TimePoint now) const
+{
+    std::set<core::UpstreamId> out;
+    for (const auto &[upstream, leaving] : m_leavings) {
+        const RegistryEntry *entry = registry.find(upstream);
+        const bool isRecent = now - leaving.at < m_settings.reportTime;
+        if (entry == nullptr ? isRecent : entry->isUsable() && isLeaving(upstream, entry->announcement.startTime)) {
+            out.insert(upstream);
+        }
+    }
+    return out;
+}
+
+std::vector<UpstreamNotice> UpstreamNotices::notices(const UpstreamRegistry &registry, core::TimePoint now) const
+{
+    std::vector<UpstreamNotice> out;
+    out.reserve(m_entries.size() + m_leavings.size());
+    for (const auto &[upstream, notice] : m_entries) {
+        out.push_back(notice);
+    }
+    for (const auto &[upstream, leaving] : m_leavings) {
+        const bool isCurrent = now - leaving.at < m_settings.reportTime || (leaving.lastRun && !registry.hasRunEnded(upstream, *leaving.lastRun));
+        if (leaving.lastRun && isCurrent) {
+            out.push_back(UpstreamNotice{upstream, *leaving.lastRun, std::nullopt, leaving.at, true});
+        }
+    }
+    return out;
+}
+
 } // namespace arbutus::routing
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -347,10 +347,12 @@
     CHECK(answer.records.front().origin == record.origin);
     CHECK(answer.unknown == std::vector{routing::StreamId("a9")});
     const auto replies = std::get<std::vector<edge::PlacementReply>>(roundTrip(std::vector{
-        edge::PlacementReply{routing::PlacementId("a"), routing::Granted{core::UpstreamId("u"), "1.2.3.4:5", 0, 0ms, false, routing::SoftwareVersion("v2")}},
+        edge::PlacementReply{routing::PlacementId("a"),
+                             routing::Granted{core::UpstreamId("u"), "1.2.3.4:5", 0, 0ms, false, routing::SoftwareVersion("v2"), routing::StartTime(7)}},
         edge::PlacementReply{routing::PlacementId("b"), routing::Refused{routing::RefusalReason::VersionGone, 0ms}}}));
     REQUIRE(replies.size() == 2);
     CHECK(std::get<routing::Granted>(replies[0].decision).version == routing::SoftwareVersion("v2"));
+    CHECK(std::get<routing::Granted>(replies[0].decision).startTime == routing::StartTime(7));
     CHECK(std::get<routing::Refused>(replies[1].decision).reason == routing::RefusalReason::VersionGone);
     routing::ServiceLoad load;
     load.service = core::ServiceId("s");
@@ -363,7 +365,7 @@
 TEST_CASE("notices of upstreams keep their ages between instances", "[codec]")
 {
     const routing::UpstreamNotice limited{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start - 200ms};
-    const routing::UpstreamNotice ended{core::UpstreamId("v"), routing::StartTime(8), std::nullopt, Start - 1s};
+    const routing::UpstreamNotice ended{core::UpstreamId("v"), routing::StartTime(8), std::nullopt, Start - 1s, true};
     const edge::PlacementReport report{{}, {}, {limited, ended}};
     const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), report};
     const auto decoded = edge::decodeFleetMessage(edge::encode(message, Start), Start + 1h);
@@ -373,7 +375,9 @@
     CHECK(notices[0].maxRequestRate == 0.5);
     CHECK(notices[0].startTime == routing::StartTime(7));
     CHECK(notices[0].at == Start + 1h - 200ms);
+    CHECK_FALSE(notices[0].isLeaving);
     CHECK_FALSE(notices[1].maxRequestRate);
+    CHECK(notices[1].isLeaving);
 }
 
 TEST_CASE("an instance whose clock went back before a restart refutes the death of its earlier incarnation", "[membership]")
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -245,7 +245,11 @@
     {
         std::string out;
         bool keepOpen = true;
-        if (behavior == "not-executed") {
+        if (behavior == "not-executed-leaving") {
+            out = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+        } else if (behavior == "misdirected-leaving") {
+            out = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: another\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+        } else if (behavior == "not-executed") {
             out = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         } else if (behavior == "misdirected") {
             out = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: another\r\nContent-Length: 0\r\n\r\n";
@@ -304,6 +308,15 @@
                 out = completeResponse("somebody-else") + completeResponse(attempt);
             } else if (behavior == "no-stamp") {
                 out = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nContent-Length: 2\r\n\r\nno";
+            } else if (behavior == "no-stamp-leaving") {
+                out = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nno";
+            } else if (behavior == "leaving") {
+                out = responseHead("200 OK", attempt, "Server-Leaving: 1\r\nContent-Length: 2\r\n") + "ok";
+            } else if (behavior == "error-leaving") {
+                out = responseHead("500 Internal Server Error", attempt, "Server-Leaving: 1\r\nContent-Length: 5\r\n") + "error";
+            } else if (behavior == "leaving-in-trailer") {
+                out = responseHead("200 OK", attempt, "Trailer: Server-Leaving\r\nTransfer-Encoding: chunked\r\n") + chunk("ok")
+                    + "0\r\nServer-Leaving: 1\r\n\r\n";
             } else if (behavior == "gzip") {
                 out = responseHead("200 OK", attempt, "Content-Encoding: gzip\r\nContent-Length: 2\r\n") + "no";
             } else if (behavior == "error") {
@@ -419,12 +432,43 @@
         store.keys["op/config"] = R"({"version":1,"routes":[)" + routes + R"(],"services":[{"name":"s"},{"name":"nothing"}],)"
             + R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
         for (const auto &[name, upstream] : {std::pair{"a", &a}, std::pair{"b", &b}}) {
-            store.keys["servers/" + std::string(name)] = R"({"service":"s","address":")" + upstream->address()
-                + R"(","zone":"z","slots":6,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1})";
+            store.keys["servers/" + std::string(name)] = announcement(*upstream, 1);
         }
         ++store.revision;
     }
 
+    /// Configures a gateway that was started without a configuration; the upstream a is listed only if `listsA`.
+    void configureLater(bool listsA)
+    {
+        configure();
+        if (!listsA) {
+            store.keys.erase("servers/a");
+        }
+        runUntil([this] { return get(settings.readinessEndpoint, "/-/readiness").status == 200; });
+    }
+
+    [[nodiscard]] static std::string announcement(const FakeUpstream &upstream, int born)
+    {
+        return R"({"service":"s","address":")" + upstream.address() + R"(","zone":"z","slots":6,"state":"ready","cold_remaining_ms":0,"born":)"
+            + std::to_string(born) + R"(,"sequence":1})";
+    }
+
+    /// Writes the entry of an upstream, or removes it, and waits until the gateway has read that.
+    void setAnnouncement(const std::string &upstream, const std::optional<std::string> &announcement)
+    {
+        if (announcement) {
+            store.keys["servers/" + upstream] = *announcement;
+        } else {
+            store.keys.erase("servers/" + upstream);
+        }
+        const auto version = [](int number) { return "\"version\":" + std::to_string(number); };
+        std::string &configuration = store.keys["op/config"]; // read together with the entry
+        configuration.replace(configuration.find(version(m_version)), version(m_version).size(), version(m_version + 1));
+        ++m_version;
+        ++store.revision;
+        runUntil([this] { return hasMetric("arbutus_configuration_version " + std::to_string(m_version)); });
+    }
+
     template<class T>
     T run(asio::awaitable<T> operation)
     {
@@ -495,6 +539,9 @@
     {
         return a.executedAttempts.size() + b.executedAttempts.size();
     }
+
+private:
+    int m_version = 1; // of the configuration in the store
 };
 
 /// Another instance of the fleet, whose placement decisions the test makes.
@@ -520,9 +567,18 @@
         membership::Member gateway;
         gateway.id = fixture.settings.instanceId;
         gateway.gossipAddress = http::toString(fixture.settings.peersEndpoint);
+        m_gatewayAddress = gateway.gossipAddress;
         m_fleet.addContact(gateway);
     }
 
+    /// Sends the gateway what upstreams said to this instance.
+    void report(std::vector<routing::UpstreamNotice> notices)
+    {
+        edge::RegionState state;
+        state.notices = std::move(notices);
+        m_fleet.send(m_gatewayAddress, state);
+    }
+
 private:
     static edge::Settings makeSettings(const std::string &id, const std::string &region, double capacity, std::uint16_t port)
     {
@@ -540,6 +596,7 @@
     observe::Metrics m_metrics;
     edge::InstanceContext m_context;
     edge::Fleet m_fleet;
+    std::string m_gatewayAddress;
 };
 
 constexpr double DispatcherCapacity = 8; // the largest capacity is preferred for the dispatcher role
@@ -899,6 +956,112 @@
     CHECK(fixture.a.executedAttempts.size() == executedByA);
 }
 
+namespace {
+
+/// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
+std::size_t countArrivalsAtA(Fixture &fixture)
+{
+    constexpr int Requests = 5;
+    const std::size_t before = fixture.a.expectedInstances.size();
+    for (int i = 0; i < Requests; ++i) {
+        CHECK(fixture.sendRequest("again", "ok", "body", "later-" + std::to_string(i)).status == 200);
+    }
+    return fixture.a.expectedInstances.size() - before;
+}
+
+} // namespace
+
+TEST_CASE("an upstream that says in a response that it is leaving gets nothing more in that run", "[edge][leaving]")
+{
+    struct Row
+    {
+        const char *name;
+        bool isListed;                           // when it responds, in its run 1
+        std::optional<std::uint64_t> grantedRun; // empty: the dispatcher is of an older release
+        std::string behavior;
+        std::vector<std::optional<int>> laterRuns; // that are listed later, in order
+        bool isUsed;
+        std::string usedId = "a"; // the upstream that the dispatcher chooses afterwards at the address
+        bool reloads = false;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"listed", true, 1, "leaving", {}, false},
+        {"in an error response", true, 1, "error-leaving", {}, false},
+        {"in a rejection", true, 1, "not-executed-leaving", {}, false},
+        {"the settings are read again", true, 1, "leaving", {}, false, "a", true},
+        {"known to the dispatcher only", false, 1, "leaving", {}, false},
+        {"known to the dispatcher only, then listed", false, 1, "leaving", {1}, false},
+        {"known to the dispatcher only, which is of an older release", false, std::nullopt, "leaving", {}, false},
+        {"known to the dispatcher only, which is of an older release, then listed", false, std::nullopt, "leaving", {1}, false},
+        {"listed again after its removal", true, 1, "leaving", {std::nullopt, 1}, false},
+        {"started again unseen before it responded, then listed", true, 1, "leaving", {2}, false},
+        {"started again before it responded, as the dispatcher knew, then listed", true, 2, "leaving", {2}, false},
+        {"another upstream at its address says so", true, 1, "misdirected-leaving", {}, true},
+        {"not verified as a response of the upstream", true, 1, "no-stamp-leaving", {}, true},
+        {"in a trailer", true, 1, "leaving-in-trailer", {}, true}, // the client did not get it
+        {"a connection that is closed proves nothing", true, 1, "unframed", {}, true},
+        {"another upstream takes over its address", true, 1, "leaving", {std::nullopt}, true, "c"},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture(false);
+    fixture.configureLater(row.isListed);
+    std::string upstreamId = "a";
+    std::optional<std::uint64_t> grantedRun = row.grantedRun;
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const core::UpstreamId wanted(upstreamId);
+        const bool isFirst = request.id.text.ends_with("/1"); // as if it had been placed before the upstream was excluded
+        if (!isFirst && request.excludedUpstreams.contains(wanted)) {
+            return routing::Granted{core::UpstreamId("b"), fixture.b.address()};
+        }
+        routing::Granted granted{wanted, fixture.a.address()};
+        if (grantedRun) {
+            granted.startTime = routing::StartTime(*grantedRun);
+        }
+        return granted;
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    CHECK(fixture.sendRequest("again", "a=" + row.behavior).status == 200);
+    REQUIRE(fixture.a.expectedInstances.size() == 1);
+    if (row.reloads) {
+        REQUIRE(std::raise(SIGHUP) == 0);
+        CHECK(fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200);
+    }
+    for (const std::optional<int> &run : row.laterRuns) {
+        fixture.setAnnouncement("a", run ? std::optional(Fixture::announcement(fixture.a, *run)) : std::nullopt);
+    }
+    if (row.usedId != "a") {
+        fixture.setAnnouncement(row.usedId, Fixture::announcement(fixture.a, 3));
+        upstreamId = row.usedId;
+        grantedRun = 3;
+    }
+    CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
+}
+
+TEST_CASE("an upstream that a peer has heard to be leaving is not used, whether it is listed yet or not", "[edge][leaving]")
+{
+    const auto isListed = GENERATE(true, false);
+    const auto isListedLater = GENERATE(false, true);
+    CAPTURE(isListed, isListedLater);
+    Fixture fixture(false);
+    fixture.configureLater(isListed);
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (request.service != core::ServiceId("s")) {
+            return routing::Refused{};
+        }
+        const bool isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(isExcluded ? "b" : "a"), isExcluded ? fixture.b.address() : fixture.a.address()};
+    };
+    FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    dispatcher.report({routing::UpstreamNotice{core::UpstreamId("a"), routing::StartTime(1), std::nullopt, fixture.clock.steadyNow(), true}});
+    CHECK(fixture.sendRequest("none", "ok").status == 503); // its refusal follows the report
+    if (isListedLater) {
+        fixture.setAnnouncement("a", Fixture::announcement(fixture.a, 1));
+    }
+    CHECK(countArrivalsAtA(fixture) == 0);
+}
+
 TEST_CASE("an instance that reads the store because no other one reports to it reports to the others", "[edge]")
 {
     Fixture fixture;
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -388,6 +388,135 @@
     CHECK_FALSE(notices.maxRequestRate(announcement.id));
 }
 
+TEST_CASE("a leaving applies to the runs that may have given the response", "[notices]")
+{
+    struct Listing
+    {
+        core::Duration at;                // since the response that says so
+        std::optional<std::uint64_t> run; // that the store lists as ready from then on; empty: none
+    };
+    struct Row
+    {
+        const char *name;
+        std::optional<std::uint64_t> knownRun; // when the request was sent
+        std::vector<Listing> listings;
+        core::Duration askedAt;
+        std::optional<std::uint64_t> askedRun;
+        bool isLeaving;
+        std::optional<core::Duration> inTouchUntil = {}; // empty: always
+    };
+    const auto row = GENERATE(values<Row>({
+        {"the run that was known", 1, {{0s, 1}}, 1s, 1, true},
+        {"the same, for as long as it is listed", 1, {{0s, 1}}, 20min, 1, true},
+        {"known to the dispatcher only", 1, {}, 1s, 1, true},
+        {"known to the dispatcher only, listed later", 1, {{2s, 1}}, 3s, 1, true},
+        {"known to the dispatcher only, listed much later", 1, {{20s, 1}}, 40s, 1, true},
+        {"not known, and asked for any run", std::nullopt, {}, 1s, std::nullopt, true},
+        {"not known, listed later", std::nullopt, {{2s, 1}}, 4s, 1, true},
+        {"not known, and not announced by the upstream in time", std::nullopt, {{2s, 1}}, 6s, 1, false},
+        {"not known, and not listed", std::nullopt, {}, 9min, 1, true},
+        {"not known, and not listed for too long", std::nullopt, {}, 11min, 1, false},
+        {"removed and listed again", 1, {{0s, 1}, {1s, std::nullopt}, {2s, 1}}, 3s, 1, true},
+        {"removed and listed again after its entry was erased", 1, {{0s, 1}, {1s, std::nullopt}, {40s, 1}}, 41s, 1, true},
+        {"removed and not listed for too long", 1, {{0s, 1}, {1s, std::nullopt}}, 11min, 1, false},
+        {"an earlier run", 2, {{0s, 2}}, 1s, 1, true},
+        {"started again unseen, then listed", 1, {{0s, 1}, {2s, 2}}, 3s, 2, true},
+        {"started again unseen, and not announced by the upstream in time", 1, {{0s, 1}, {2s, 2}}, 6s, 2, false},
+        {"started again unseen, out of touch with the store", 1, {{0s, 1}, {2s, 2}}, 1min, 2, true, 4s},
+        {"a response of the earlier run, for a while", 1, {{0s, 2}}, 4s, 2, true},
+        {"a response of the earlier run, not for good", 1, {{0s, 2}}, 6s, 2, false},
+        {"started again after the run that left was listed", 1, {{0s, 1}, {8s, 2}}, 8s, 2, false},
+        {"removed, then started again", 1, {{0s, 1}, {1s, std::nullopt}, {8s, 2}}, 8s, 2, false},
+    }));
+    CAPTURE(row.name);
+    const core::TimePoint start{100s};
+    const core::UpstreamId id("u");
+    const auto toRun = [](std::optional<std::uint64_t> number) { return number ? std::optional(routing::StartTime(*number)) : std::nullopt; };
+    routing::UpstreamRegistry registry;
+    routing::UpstreamNotices notices;
+    CHECK(notices.recordLeaving(id, toRun(row.knownRun), start));
+    CHECK_FALSE(notices.recordLeaving(id, toRun(row.knownRun), start));
+    for (core::Duration passed = 0s; passed <= row.askedAt; passed += 1s) {
+        const core::TimePoint now = start + passed;
+        for (const Listing &listing : row.listings) {
+            if (listing.at == passed) {
+                std::vector<routing::Announcement> announcements;
+                if (listing.run) {
+                    announcements.emplace_back();
+                    announcements.back().id = id;
+                    announcements.back().startTime = routing::StartTime(*listing.run);
+                }
+                registry.applySnapshot(routing::SnapshotRevision(static_cast<std::uint64_t>(passed.count()) + 1), announcements, false, now);
+            }
+        }
+        (void)registry.expireEntries(now);
+        (void)notices.expireLeavings(registry, start + std::min(passed, row.inTouchUntil.value_or(passed)), now);
+    }
+    CHECK(notices.isLeaving(id, toRun(row.askedRun)) == row.isLeaving);
+    const routing::RegistryEntry *entry = registry.find(id);
+    if (entry != nullptr && !entry->removed) {
+        CHECK(notices.withheld(registry, start + row.askedAt).contains(id) == row.isLeaving);
+    }
+    CHECK_FALSE(notices.isLeaving(core::UpstreamId("another one at its address"), toRun(row.askedRun)));
+}
+
+TEST_CASE("a leaving of one run and the limit of a later one apply in whatever order they arrive", "[notices]")
+{
+    const core::TimePoint start{100s};
+    const core::UpstreamId id("u");
+    const std::vector<routing::UpstreamNotice> sent = {
+        {id, routing::StartTime(1), 1.0, start},
+        {id, routing::StartTime(1), std::nullopt, start + 1s, true},
+        {id, routing::StartTime(2), 5.0, start + 500ms},
+        {id, routing::StartTime(1), 3.0, start + 2s, true},
+    };
+    std::vector<std::size_t> order = {0, 1, 2, 3};
+    do {
+        routing::UpstreamNotices notices;
+        for (const std::size_t index : order) {
+            (void)notices.mergeLeaving(sent[index]);
+            (void)notices.merge(sent[index]);
+        }
+        CHECK(notices.maxRequestRate(id) == 5.0);
+        CHECK(notices.isLeaving(id, routing::StartTime(1)));
+        CHECK_FALSE(notices.isLeaving(id, routing::StartTime(2)));
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("a leaving is reported while it is recent or the upstream is listed", "[notices]")
+{
+    struct Row
+    {
+        const char *name;
+        std::optional<std::uint64_t> knownRun;
+        std::optional<std::uint64_t> listedRun;
+        core::Duration age;
+        bool isReported;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"recent", 1, 1, 1s, true},
+        {"recent, not listed", 1, std::nullopt, 29s, true},
+        {"recent, its run is not known", std::nullopt, std::nullopt, 1s, false}, // another instance could not tell what it applies to
+        {"older, listed", 1, 1, 31s, true},
+        {"older, not listed", 1, std::nullopt, 31s, false},
+        {"older, started again", 1, 2, 31s, false},
+    }));
+    CAPTURE(row.name);
+    const core::TimePoint start{100s};
+    routing::UpstreamRegistry registry;
+    if (row.listedRun) {
+        routing::Announcement announcement;
+        announcement.id = core::UpstreamId("u");
+        announcement.startTime = routing::StartTime(*row.listedRun);
+        registry.applySnapshot(routing::SnapshotRevision(1), {announcement}, false, start);
+    }
+    routing::UpstreamNotices notices;
+    (void)notices.recordLeaving(core::UpstreamId("u"), row.knownRun ? std::optional(routing::StartTime(*row.knownRun)) : std::nullopt, start);
+    const auto reported = notices.notices(registry, start + row.age);
+    CHECK(reported.size() == (row.isReported ? 1 : 0));
+    CHECK(std::all_of(reported.begin(), reported.end(), [](const auto &notice) { return notice.isLeaving && notice.startTime == routing::StartTime(1); }));
+}
+
 TEST_CASE("a path is lost with a failed connection and found with a new one", "[paths]")
 {
     enum class Step { Connected, Failed, Responded, Doubted, DoubtedUnlessFresh, ProbeFailed, ProbeReached };
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -569,6 +569,15 @@
     m_rig.schedule(drainTime, [this] { end(); });
 }
 
+void RigUpstream::setListed(bool isListed)
+{
+    if (isListed) {
+        announce();
+    } else {
+        m_rig.m_store->remove("servers/" + m_id);
+    }
+}
+
 void RigUpstream::end()
 {
     m_hasEnded = true;
@@ -638,6 +647,8 @@
         const bool misdirected = std::string(request["X-Expect-Instance"]) != m_id;
         Arrival arrival{
             m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected, std::string(request.target()), request.body(), m_version};
+        arrival.run = run;
+        arrival.saysLeaving = statesLeaving;
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -127,6 +127,8 @@
     std::string body = {};
     std::string version = {}; // of the upstream
     bool wasShed = false;     // not run, because the upstream rejected it
+    std::uint64_t run = 0;    // of the upstream
+    bool saysLeaving = false; // the upstream said in its response that it was leaving
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -265,6 +267,8 @@
     void crash(const RestartOptions &restart);
     /// Announces that it is leaving, serves on for `drainTime` and ends.
     void drain(std::chrono::milliseconds drainTime);
+    /// Withdraws its announcement, or announces itself again; it serves on.
+    void setListed(bool isListed);
     /// Ends all connections, refuses new ones and withdraws its announcement, for good.
     void end();
     [[nodiscard]] const std::string &id() const
@@ -439,6 +443,11 @@
         const auto found = m_specialRequests.find(attempt);
         return found == m_specialRequests.end() ? nullptr : &found->second;
     }
+    /// Number of the request that has this X-Attempt-Id.
+    [[nodiscard]] static std::size_t requestNumber(const std::string &attempt)
+    {
+        return std::stoul(attempt.substr(attempt.find('-') + 1));
+    }
     [[nodiscard]] const ClientResult &result(std::size_t request) const
     {
         return m_results[request];
--- a/tests/upstreamresttest.cpp
+++ b/tests/upstreamresttest.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <iostream>
+#include <tuple>
 
 using namespace arbutus;
 using namespace std::chrono_literals;
@@ -39,6 +40,30 @@
     return out;
 }
 
+constexpr auto DrainTime = 3'000ms; // from the passing on of a response that says so until requests of clients may no longer reach the upstream
+
+/// Requests that reached a run of an upstream from an instance that had passed on, DrainTime before, that it was leaving.
+std::size_t countAfterLeaving(const tests::EdgeRig &rig)
+{
+    const auto resultOf = [&](const tests::Arrival &arrival) -> const tests::ClientResult & {
+        return rig.result(tests::EdgeRig::requestNumber(arrival.attempt));
+    };
+    std::map<std::tuple<std::string, std::string, std::uint64_t>, core::TimePoint> passedOnAt; // by instance, upstream and run
+    for (const tests::Arrival &arrival : rig.arrivals()) {
+        const tests::ClientResult &result = resultOf(arrival);
+        if (arrival.saysLeaving && !arrival.misdirected && !arrival.wasShed && result.outcome == tests::ClientOutcome::Complete) {
+            for (const std::string &instance : {arrival.sender, rig.instanceId(result.instance)}) { // a relay, and the origin
+                core::TimePoint &at = passedOnAt.try_emplace({instance, arrival.upstream, arrival.run}, result.endedAt).first->second;
+                at = std::min(at, result.endedAt);
+            }
+        }
+    }
+    return static_cast<std::size_t>(std::count_if(rig.arrivals().begin(), rig.arrivals().end(), [&](const tests::Arrival &arrival) {
+        const auto found = passedOnAt.find({arrival.sender, arrival.upstream, arrival.run});
+        return found != passedOnAt.end() && !arrival.misdirected && resultOf(arrival).sentAt > found->second + DrainTime;
+    }));
+}
+
 } // namespace
 
 TEST_CASE("an upstream gets no requests from an instance that it asked for a rest")
@@ -102,7 +127,6 @@
 
 TEST_CASE("an upstream that says it is leaving gets no more requests in this run")
 {
-    constexpr auto DrainTime = 3'000ms;    // from the first response that says so until no request may arrive from the same instance
     constexpr auto AnswerTime = 200ms;     // of the longest response
     constexpr auto RestartDelay = 4'500ms; // from then on the upstream runs again, under the same id, and stays
     tests::EdgeRigOptions options;
@@ -155,3 +179,74 @@
     }
     CHECK(failed <= rig.requestCount() / 100); // the other upstreams have room for all
 }
+
+TEST_CASE("an upstream that says it is leaving gets no more requests in this run, whatever the store says of it")
+{
+    enum class Event {
+        AnnouncedLate, // as leaving
+        ListedAgain,   // its entry is removed and comes back as ready
+        RestartUnseen, // it starts again under its id, and its new run is leaving; the instances learn of that run late
+        PathBack,      // an instance had no path to it, and gets one
+    };
+    const auto [name, event] = GENERATE(table<const char *, Event>({
+        {"announced late", Event::AnnouncedLate},
+        {"listed again after its removal", Event::ListedAgain},
+        {"started again unseen", Event::RestartUnseen},
+        {"reached through a relay, then directly", Event::PathBack},
+    }));
+    CAPTURE(name);
+    constexpr auto LeavesAt = 500ms;
+    constexpr auto LateEventAt = LeavesAt + DrainTime + 500ms;
+    constexpr auto AnnouncedAt = LateEventAt + 1'000ms; // sooner than it may be believed that the new run is not leaving
+    constexpr auto Duration = AnnouncedAt + 500ms;
+    constexpr std::size_t CutOff = 2; // instance in the region of the first upstream
+    tests::EdgeRigOptions options;
+    options.upstreamsPerRegion = 2;
+    options.plainUpstreamsPerRegion = 2;
+    options.headDelay = 300ms; // so that many instances wait for a response when the upstreams begin to say so
+    options.allowsPathCuts = event == Event::PathBack;
+    tests::EdgeRig rig(options);
+    rig.runFor(StartTime);
+    tests::RigUpstream &engine = rig.upstream(0);
+    tests::RigUpstream &plain = rig.upstream(4);
+    const auto forBoth = [&](std::chrono::milliseconds delay, const std::function<void(tests::RigUpstream & upstream)> &action) {
+        rig.schedule(delay, [&, action] {
+            action(engine);
+            action(plain);
+        });
+    };
+    const auto cutAllFromStore = [&](bool isCut) {
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) {
+            rig.setStoreCut(i, isCut);
+        }
+    };
+    forBoth(LeavesAt, [](tests::RigUpstream &upstream) { upstream.statesLeaving = true; });
+    switch (event) {
+    case Event::AnnouncedLate:
+        break;
+    case Event::ListedAgain:
+        forBoth(LeavesAt + 1'000ms, [](tests::RigUpstream &upstream) { upstream.setListed(false); });
+        forBoth(LateEventAt, [](tests::RigUpstream &upstream) { upstream.setListed(true); });
+        break;
+    case Event::RestartUnseen:
+        cutAllFromStore(true);
+        forBoth(0ms, [](tests::RigUpstream &upstream) {
+            upstream.crash(tests::RestartOptions{.after = 100ms, .entryLifetime = 50ms, .version = upstream.version(), .keepsId = true});
+        });
+        rig.schedule(LateEventAt, [&] { cutAllFromStore(false); });
+        break;
+    case Event::PathBack:
+        rig.cutPaths(CutOff, tests::PathFailure::Reset);
+        rig.schedule(LateEventAt, [&] { rig.healPaths(CutOff); });
+        break;
+    }
+    forBoth(AnnouncedAt, [](tests::RigUpstream &upstream) { upstream.drain(1min); });
+    tests::scheduleTraffic(rig, {.duration = Duration, .interval = RequestInterval / 3, .targets = {"/chat/x", "/plain/x", "/once/x"}, .sharedParts = 7});
+    rig.runFor(Duration);
+    rig.runUntilDone();
+
+    const auto told = std::count_if(rig.arrivals().begin(), rig.arrivals().end(), [](const tests::Arrival &arrival) { return arrival.saysLeaving; });
+    std::cout << name << ": requests " << rig.requestCount() << ", responses that say so " << told << std::endl;
+    CHECK(told > 0);
+    CHECK(countAfterLeaving(rig) == 0);
+}
