An instance that passes on through a peer that an upstream is leaving learns it from the response

An origin that gets a response through an instance of another region, or through a relay of its own, passes the leaving on to its client, but recorded it only for its own sends. It heard of it by reports of its region, or never, and could send to the upstream itself once its path was back. Responses between instances now state the upstream that responded (X-Gateway-Upstream) and the run that was known when it got the request (X-Gateway-Start-Time), and the origin records the leaving like one of its own. A peer of an older release states neither: nothing is known, as before. The headers never reach clients or upstreams.

Failed before, on a copy of the old code: routegatewaytest "an instance that passes on through a peer ..." in its four rows with a peer that states the upstream (requests reached it), and "an instance tells the origin ..." for forwarded requests. The row of an older peer passed before.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -36,13 +36,23 @@
 constexpr const char *MaxExecutionsHeader = "X-Gateway-Max-Runs";  // value of PossibleExecutionsHeader that the peer must not exceed
 constexpr const char *ResumeHeader = "X-Gateway-Resume";           // last event id that the client has
 constexpr const char *VersionHeader = "X-Gateway-Version";         // request: required software version; response: that of the upstream
+constexpr const char *UpstreamHeader = "X-Gateway-Upstream";       // response: upstream whose response is passed on
+constexpr const char *StartTimeHeader = "X-Gateway-Start-Time";    // response: run of it that was known when it got the request
 constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotExecuted = "not_run";
 constexpr std::string_view OutcomeUnknown = "unknown";
 constexpr std::string_view OutcomeQuarantined = "quarantined"; // not run, and no upstream may run it
-constexpr std::array PeerHeaders = {
-    OriginHeader, ServiceHeader, SendCountHeader, PossibleExecutionsHeader, MaxExecutionsHeader, ResumeHeader, VersionHeader, OutcomeHeader};
+constexpr std::array PeerHeaders = {OriginHeader,
+                                    ServiceHeader,
+                                    SendCountHeader,
+                                    PossibleExecutionsHeader,
+                                    MaxExecutionsHeader,
+                                    ResumeHeader,
+                                    VersionHeader,
+                                    UpstreamHeader,
+                                    StartTimeHeader,
+                                    OutcomeHeader};
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
 bool impliesNotExecuted(unsigned status)
@@ -72,6 +82,13 @@
     return value;
 }
 
+std::optional<routing::StartTime> parseStartTime(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional(routing::StartTime(value)) : std::nullopt;
+}
+
 std::string formatSeconds(core::Duration duration)
 {
     char text[32];
@@ -90,10 +107,10 @@
 {
     //--- Target
     routing::PlacementId placement;
-    core::UpstreamId upstream;
-    core::InstanceId peer;  // instead of an upstream
-    core::RegionId region;  // of the peer
-    bool isToRelay = false; // the peer is of this region
+    core::UpstreamId upstream; // of a peer's attempt: the one whose response the peer passes on, once it is known
+    core::InstanceId peer;     // to which the request is sent instead
+    core::RegionId region;     // of the peer
+    bool isToRelay = false;    // the peer is of this region
     std::string address;
     routing::SoftwareVersion version;           // of the upstream's software; a peer states it in its response head
     std::optional<routing::StartTime> knownRun; // of the upstream, when the request was sent; it may have been started again since
@@ -122,6 +139,7 @@
     std::string failure;
     std::string maxRequestRate;        // that the response named
     std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
+    bool saysLeaving = false;          // the response said that its upstream is leaving
     std::string bodyEnd;               // how the response marked the end of its body
     std::size_t partialEventBytes = 0; // received after the last complete event
 
@@ -870,7 +888,11 @@
     observe::LogLine line(attempt.isToPeer() ? "peer_attempt_finished" : "upstream_attempt_finished");
     line.add("request", attempt.placement);
     if (attempt.isToPeer()) {
-        line.add("peer", attempt.peer).add("region", attempt.region).add("outcome", attempt.peerOutcome).add("reason", attempt.failure);
+        line.add("peer", attempt.peer)
+            .add("region", attempt.region)
+            .add("upstream", attempt.upstream)
+            .add("outcome", attempt.peerOutcome)
+            .add("reason", attempt.failure);
     } else {
         line.add("upstream", attempt.upstream)
             .add("software_version", attempt.version)
@@ -885,7 +907,10 @@
             .add("upstream_sends", state.sendCount)
             .add("runs", state.possibleExecutions);
     }
-    line.add("body_end", attempt.bodyEnd).add("partial_event_bytes", attempt.partialEventBytes).add("took_ms", core::toMilliseconds(now - attempt.sentAt));
+    line.add("says_leaving", attempt.saysLeaving)
+        .add("body_end", attempt.bodyEnd)
+        .add("partial_event_bytes", attempt.partialEventBytes)
+        .add("took_ms", core::toMilliseconds(now - attempt.sentAt));
     m_context.writeLog(line);
 }
 
@@ -1062,6 +1087,21 @@
     co_return co_await handleResponse(state, attempt);
 }
 
+void Forwarder::recordUpstream(Attempt &attempt)
+{
+    http::Headers &headers = attempt.head->value().headers;
+    if (attempt.isToPeer()) {
+        attempt.upstream = core::UpstreamId(http::headerValue(headers, UpstreamHeader)); // a peer of an older release states none
+        attempt.knownRun = parseStartTime(http::headerValue(headers, StartTimeHeader));
+        return;
+    }
+    headers[UpstreamHeader] = attempt.upstream.text;
+    headers.erase(StartTimeHeader);
+    if (attempt.knownRun) {
+        headers[StartTimeHeader] = std::to_string(attempt.knownRun->value);
+    }
+}
+
 asio::awaitable<Forwarder::SendResult> Forwarder::handleResponse(RequestState &state, Attempt &attempt)
 {
     http::Response &head = attempt.head->value();
@@ -1075,8 +1115,10 @@
         m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
     }
     attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
-    if (!attempt.isToPeer() && isFromUpstream && parsed.isLeaving) {
-        m_placement.recordLeaving(attempt.upstream, attempt.knownRun, "response");
+    recordUpstream(attempt);
+    attempt.saysLeaving = parsed.isLeaving;
+    if (isFromUpstream && parsed.isLeaving && !attempt.upstream.empty()) {
+        m_placement.recordLeaving(attempt.upstream, attempt.knownRun, attempt.isToPeer() ? attempt.peer.text : "response");
     }
     if (!attempt.isToPeer() && isFromUpstream && parsed.rest) {
         m_placement.recordRest(attempt.upstream, *parsed.rest);
@@ -1279,10 +1321,18 @@
 
 void Forwarder::setPeerHeaders(const RequestState &state, std::string_view outcome, http::Response &response)
 {
+    const std::string upstream = http::headerValue(response.headers, UpstreamHeader);
+    const std::string upstreamRun = http::headerValue(response.headers, StartTimeHeader);
     for (const char *name : PeerHeaders) {
         response.headers.erase(name);
     }
     if (state.fromPeer) {
+        if (!upstream.empty()) {
+            response.headers[UpstreamHeader] = upstream;
+        }
+        if (!upstreamRun.empty()) {
+            response.headers[StartTimeHeader] = upstreamRun;
+        }
         response.headers[OutcomeHeader] = std::string(outcome);
         response.headers[SendCountHeader] = std::to_string(state.sendCount);
         response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -22,6 +22,10 @@
 // Q: How is the number of upstreams that may run a request kept, if an origin and its peers all send it?
 // A: The origin grants each peer a number of executions, and counts them as made until the peer has reported how many it made.
 //
+// Q: An upstream says in a response that it is leaving. Which instances stop sending to it?
+// A: Each one that passed the response on, from that moment, whether it is in touch with others or not: the one that sent the request,
+//    and the origin, which the peer tells the upstream and its run. The dispatchers and instances of the region learn it by reports.
+//
 // Q: What if an upstream is silent?
 // A: It may go on at any time, so its attempt is kept. If the request may be repeated, a replacement is sought meanwhile: a
 //    placement at another upstream, within the retry budget. The silent attempt is cancelled only after the replacement has accepted
@@ -161,6 +165,8 @@
 
     //--- Relay
     boost::asio::awaitable<SendResult> handlePeerResponse(RequestState &state, Attempt &attempt);
+    /// Notes in the response head which run of which upstream responded, for the instance that forwarded the request; learns that from a peer's.
+    static void recordUpstream(Attempt &attempt);
     boost::asio::awaitable<SendResult> handleResponse(RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> relayBuffered(RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> relayStream(RequestState &state, Attempt &attempt);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -312,6 +312,9 @@
                 out = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nno";
             } else if (behavior == "leaving") {
                 out = responseHead("200 OK", attempt, "Server-Leaving: 1\r\nContent-Length: 2\r\n") + "ok";
+            } else if (behavior == "leaving-by-peer" || behavior == "leaving-by-old-peer") {
+                const std::string statement = behavior == "leaving-by-peer" ? "X-Gateway-Upstream: a\r\nX-Gateway-Start-Time: 1\r\n" : "";
+                out = responseHead("200 OK", attempt, "Server-Leaving: 1\r\nX-Gateway-Outcome: answered\r\n" + statement + "Content-Length: 2\r\n") + "ok";
             } else if (behavior == "error-leaving") {
                 out = responseHead("500 Internal Server Error", attempt, "Server-Leaving: 1\r\nContent-Length: 5\r\n") + "error";
             } else if (behavior == "leaving-in-trailer") {
@@ -1062,6 +1065,71 @@
     CHECK(countArrivalsAtA(fixture) == 0);
 }
 
+TEST_CASE("an instance that passes on through a peer that an upstream is leaving sends it nothing more", "[edge][leaving]")
+{
+    struct Row
+    {
+        const char *name;
+        std::string peerRegion;
+        bool isListed;
+        std::string behavior;
+        bool isUsed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"an instance of another region", "y", true, "leaving-by-peer", false},
+        {"an instance of another region, before the upstream is listed", "y", false, "leaving-by-peer", false},
+        {"a relay", "x", true, "leaving-by-peer", false},
+        {"a relay, before the upstream is listed", "x", false, "leaving-by-peer", false},
+        {"a relay of an older release, which does not state the upstream", "x", true, "leaving-by-old-peer", true},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture(false);
+    fixture.configureLater(row.isListed);
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const FakePeer peer(fixture, "p", row.peerRegion, 1, peerPort, refuse);
+    bool hasRedirected = false;
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (!std::exchange(hasRedirected, true)) {
+            const bool isRelay = row.peerRegion == "x";
+            return routing::Redirected{core::RegionId(row.peerRegion), 10ms, 0ms, core::InstanceId(isRelay ? "p" : "")};
+        }
+        const bool isFirst = request.id.text.ends_with("/1"); // as if it had been placed before the upstream was excluded
+        const bool isExcluded = !isFirst && request.excludedUpstreams.contains(core::UpstreamId("a"));
+        routing::Granted granted{core::UpstreamId(isExcluded ? "b" : "a"), isExcluded ? fixture.b.address() : fixture.a.address()};
+        granted.startTime = routing::StartTime(1);
+        return granted;
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    const http::Response response = fixture.sendRequest("again", "p=" + row.behavior);
+    CHECK(response.status == 200);
+    CHECK_FALSE(response.headers.contains("X-Gateway-Upstream"));
+    REQUIRE(peerServer.expectedInstances.size() == 1);
+    CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
+}
+
+TEST_CASE("an instance tells the origin of a request which run of which upstream responded", "[edge][leaving]")
+{
+    const auto behavior = GENERATE(as<std::string>{}, "ok", "error", "stream");
+    const auto isForwarded = GENERATE(true, false);
+    CAPTURE(behavior, isForwarded);
+    Fixture fixture;
+    http::Request request;
+    request.method = "POST";
+    request.target = behavior == "stream" ? "/stream/x" : "/once/x";
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}, {"X-Behave", "a=" + behavior + ",b=" + behavior}};
+    if (isForwarded) {
+        request.headers["X-Gateway-Origin"] = "other";
+        request.headers["X-Gateway-Service"] = "s";
+    }
+    const http::Response response = fixture.call(isForwarded ? fixture.settings.peersEndpoint : fixture.settings.clientEndpoint, request);
+    const std::string executor = fixture.a.executedAttempts.empty() ? "b" : "a";
+    CHECK(http::headerValue(response.headers, "X-Gateway-Upstream") == (isForwarded ? executor : ""));
+    CHECK(http::headerValue(response.headers, "X-Gateway-Start-Time") == (isForwarded ? "1" : ""));
+}
+
 TEST_CASE("an instance that reads the store because no other one reports to it reports to the others", "[edge]")
 {
     Fixture fixture;
