What an upstream says in the head of a response that is not needed any more is heard

A replacement whose response had begun, but could not continue the stream (another software version) or was not needed, was abandoned without reading what its head says: a leaving, a rest and a limit were lost. abandonAttempt() now records them as handleResponse() does.

Failed before, on a copy of the old code: routegatewaytest "what an upstream says in the head of a response that is not needed any more is heard".

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1030,6 +1030,10 @@
         co_await state.changed.wait();
     }
     attempt->ended = true;
+    const bool hasHead = attempt->head->has_value();
+    if (hasHead && (!attempt->isToPeer() || http::headerValue(attempt->head->value().headers, OutcomeHeader) == OutcomeAnswered)) {
+        (void)recordStatements(state, *attempt);
+    }
     attempt->outcome = routing::SendOutcome::ClientDisconnected;
     attempt->failure = "not needed any more";
     if (!attempt->isToPeer()) {
@@ -1102,28 +1106,36 @@
     }
 }
 
-asio::awaitable<Forwarder::SendResult> Forwarder::handleResponse(RequestState &state, Attempt &attempt)
+ResponseHead Forwarder::recordStatements(const RequestState &state, Attempt &attempt)
 {
-    http::Response &head = attempt.head->value();
-    const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
-    attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
-    if (!attempt.isToPeer()) {
-        m_paths.recordResponse(attempt.upstream);
-    }
+    ResponseHead parsed = m_context.adapter.parseResponse(attempt.head->value(), state.head.attemptId);
     const bool isFromUpstream = parsed.kind != ResponseKind::Misdirected && parsed.kind != ResponseKind::Unverified;
-    if (!attempt.isToPeer() && isFromUpstream && parsed.invalidMaxRequestRate.empty()) {
-        m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
-    }
-    attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
     recordUpstream(attempt);
+    attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
     attempt.saysLeaving = parsed.isLeaving;
+    attempt.rest = parsed.rest ? std::to_string(core::toMilliseconds(*parsed.rest)) : parsed.invalidRest;
     if (isFromUpstream && parsed.isLeaving && !attempt.upstream.empty()) {
         m_placement.recordLeaving(attempt.upstream, attempt.knownRun, attempt.isToPeer() ? attempt.peer.text : "response");
     }
-    if (!attempt.isToPeer() && isFromUpstream && parsed.rest) {
-        m_placement.recordRest(attempt.upstream, *parsed.rest);
+    if (!attempt.isToPeer() && isFromUpstream) {
+        if (parsed.invalidMaxRequestRate.empty()) {
+            m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
+        }
+        if (parsed.rest) {
+            m_placement.recordRest(attempt.upstream, *parsed.rest);
+        }
+    }
+    return parsed;
+}
+
+asio::awaitable<Forwarder::SendResult> Forwarder::handleResponse(RequestState &state, Attempt &attempt)
+{
+    http::Response &head = attempt.head->value();
+    const ResponseHead parsed = recordStatements(state, attempt);
+    attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
+    if (!attempt.isToPeer()) {
+        m_paths.recordResponse(attempt.upstream);
     }
-    attempt.rest = parsed.rest ? std::to_string(core::toMilliseconds(*parsed.rest)) : parsed.invalidRest;
     m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + attempt.bodyEnd + "\"");
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -167,6 +167,8 @@
     boost::asio::awaitable<SendResult> handlePeerResponse(RequestState &state, Attempt &attempt);
     /// Notes in the response head which run of which upstream responded, for the instance that forwarded the request; learns that from a peer's.
     static void recordUpstream(Attempt &attempt);
+    /// Records what a response head says about its upstream.
+    ResponseHead recordStatements(const RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> handleResponse(RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> relayBuffered(RequestState &state, Attempt &attempt);
     boost::asio::awaitable<SendResult> relayStream(RequestState &state, Attempt &attempt);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -117,6 +117,8 @@
     int connections = 0;
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
+    bool hasSentEvent = false;    // by "stream-beside-other"
+    FakeUpstream *other = nullptr;
 
     static constexpr int LastEvent = 6;
 
@@ -228,6 +230,15 @@
         socket.close();
     }
 
+    asio::awaitable<void> waitUntil(std::function<bool()> condition)
+    {
+        asio::steady_timer timer(m_loop);
+        while (!condition()) {
+            timer.expires_after(1ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
     /// Sends `begin`, then `repeated` until the gateway closes the connection, or until far more than it may accept.
     asio::awaitable<void> sendWithoutEnd(Tcp::socket &socket, std::string begin, std::string repeated)
     {
@@ -259,6 +270,33 @@
             const std::string chunked = responseHead("200 OK", attempt, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
             const std::string lastEventId(request["Last-Event-ID"]);
             const int firstEvent = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1;
+            if (behavior == "stream-beside-other") { // its first event is sent while the other one has the request, too
+                const std::function<bool()> otherHasRequest = [this] { return !other->expectedInstances.empty(); };
+                const std::function<bool()> otherIsAborted = [this] { return other->abortedConnections > 0; };
+                co_await waitUntil(otherHasRequest);
+                const std::string begin = chunked + eventChunks(firstEvent, firstEvent);
+                ErrorCode code;
+                co_await asio::async_write(socket, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+                hasSentEvent = true;
+                co_await waitUntil(otherIsAborted);
+                const std::string rest = eventChunks(firstEvent + 1, LastEvent) + "0\r\n\r\n";
+                co_await asio::async_write(socket, asio::buffer(rest), asio::redirect_error(asio::use_awaitable, code));
+                co_return !code;
+            }
+            if (behavior == "leaving-after-event-of-other") {
+                const std::function<bool()> otherHasSentEvent = [this] { return other->hasSentEvent; };
+                co_await waitUntil(otherHasSentEvent);
+                asio::steady_timer timer(m_loop, 20ms); // lets the event arrive first
+                ErrorCode code;
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+                const std::string head =
+                    responseHead("200 OK", attempt, "Server-Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+                co_await asio::async_write(socket, asio::buffer(head), asio::redirect_error(asio::use_awaitable, code));
+                char byte = 0;
+                co_await socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, code));
+                ++abortedConnections;
+                co_return false;
+            }
             if (behavior == "endless-head") {
                 co_await sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(16'384, 'x'));
                 co_return false;
@@ -450,10 +488,10 @@
         runUntil([this] { return get(settings.readinessEndpoint, "/-/readiness").status == 200; });
     }
 
-    [[nodiscard]] static std::string announcement(const FakeUpstream &upstream, int born)
+    [[nodiscard]] static std::string announcement(const FakeUpstream &upstream, int born, const std::string &version = "")
     {
         return R"({"service":"s","address":")" + upstream.address() + R"(","zone":"z","slots":6,"state":"ready","cold_remaining_ms":0,"born":)"
-            + std::to_string(born) + R"(,"sequence":1})";
+            + std::to_string(born) + R"(,"version":")" + version + R"(","sequence":1})";
     }
 
     /// Writes the entry of an upstream, or removes it, and waits until the gateway has read that.
@@ -1110,6 +1148,28 @@
     CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
 }
 
+TEST_CASE("what an upstream says in the head of a response that is not needed any more is heard", "[edge][leaving]")
+{
+    Fixture fixture;
+    fixture.a.other = &fixture.b;
+    fixture.b.other = &fixture.a;
+    fixture.setAnnouncement("a", Fixture::announcement(fixture.a, 1, "v1"));
+    fixture.setAnnouncement("b", Fixture::announcement(fixture.b, 1, "v2"));
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const bool usesB = request.id == routing::PlacementId("silent/2") || (request.id.text.starts_with("later") && request.id.text.ends_with("/1"));
+        return usesB ? routing::Granted{core::UpstreamId("b"), fixture.b.address(), 0, 0ms, false, routing::SoftwareVersion("v2")}
+                     : routing::Granted{core::UpstreamId("a"), fixture.a.address(), 0, 0ms, false, routing::SoftwareVersion("v1")};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    // b replaces a, which is silent; a goes on before b has responded, and b's response of another version cannot continue the stream.
+    const http::Response response = fixture.sendRequest("resume", "a=stream-beside-other,b=leaving-after-event-of-other", "body", "silent");
+    CHECK(response.body == FakeUpstream::events(1, FakeUpstream::LastEvent));
+    REQUIRE(fixture.b.expectedInstances.size() == 1);
+    CHECK(fixture.sendRequest("again", "ok", "body", "later").status == 200);
+    CHECK(fixture.b.expectedInstances.size() == 1);
+}
+
 TEST_CASE("an instance tells the origin of a request which run of which upstream responded", "[edge][leaving]")
 {
     const auto behavior = GENERATE(as<std::string>{}, "ok", "error", "stream");
