--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -108,6 +108,40 @@
     CHECK(fixture.cache.registry().find(A)->announcement.startTime == routing::StartTime(20));
 }
 
+TEST_CASE("a run that was leaving when its entry went is not used if it is listed again", "[metadata]")
+{
+    struct Row
+    {
+        const char *name;
+        core::Duration goneFor;
+        std::uint64_t sequence;
+        std::uint64_t born;
+        bool isUsable;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"at once, by an older announcement", 0s, 1, 10, false},
+        {"at once, by the same announcement", 0s, 2, 10, false},
+        {"at once, by a newer announcement", 0s, 3, 10, false},
+        {"before its entry is erased", 29s, 3, 10, false},
+        {"after its entry was erased", 31s, 3, 10, false},
+        {"after its entry was erased, by an older announcement", 31s, 1, 10, false},
+        {"an earlier run", 31s, 3, 9, false},
+        {"a later run", 31s, 1, 11, true},
+        {"minutes later", 9min, 3, 10, false},
+        {"after the time for which it is remembered", 11min, 3, 10, true},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture;
+    fixture.applyRange({item("servers/i-a", entry())}, 5);
+    fixture.applyChanges({change("servers/i-a", entry("draining", 2))}, 6);
+    fixture.applyRange({}, 7);
+    for (core::Duration passed = 0s; passed <= row.goneFor; passed += 1s) {
+        (void)fixture.cache.expireEntries(Start + passed);
+    }
+    fixture.applyRange({item("servers/i-a", entry("ready", row.sequence, row.born))}, 8, false, Start + row.goneFor);
+    CHECK(isEligible(fixture.cache) == row.isUsable);
+}
+
 TEST_CASE("a removed entry is dropped at once, or after a grace period if the store had an outage", "[metadata]")
 {
     const bool recentStoreOutage = GENERATE(false, true);
@@ -313,10 +347,12 @@
     CHECK(answer.records.front().origin == record.origin);
     CHECK(answer.unknown == std::vector{routing::StreamId("a9")});
     const auto replies = std::get<std::vector<edge::PlacementReply>>(roundTrip(std::vector{
-        edge::PlacementReply{routing::PlacementId("a"), routing::Granted{core::UpstreamId("u"), "1.2.3.4:5", 0, 0ms, false, routing::SoftwareVersion("v2")}},
+        edge::PlacementReply{routing::PlacementId("a"),
+                             routing::Granted{core::UpstreamId("u"), "1.2.3.4:5", 0, 0ms, false, routing::SoftwareVersion("v2"), routing::StartTime(7)}},
         edge::PlacementReply{routing::PlacementId("b"), routing::Refused{routing::RefusalReason::VersionGone, 0ms}}}));
     REQUIRE(replies.size() == 2);
     CHECK(std::get<routing::Granted>(replies[0].decision).version == routing::SoftwareVersion("v2"));
+    CHECK(std::get<routing::Granted>(replies[0].decision).startTime == routing::StartTime(7));
     CHECK(std::get<routing::Refused>(replies[1].decision).reason == routing::RefusalReason::VersionGone);
     routing::ServiceLoad load;
     load.service = core::ServiceId("s");
@@ -329,7 +365,7 @@
 TEST_CASE("notices of upstreams keep their ages between instances", "[codec]")
 {
     const routing::UpstreamNotice limited{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start - 200ms};
-    const routing::UpstreamNotice ended{core::UpstreamId("v"), routing::StartTime(8), std::nullopt, Start - 1s};
+    const routing::UpstreamNotice ended{core::UpstreamId("v"), routing::StartTime(8), std::nullopt, Start - 1s, true};
     const edge::PlacementReport report{{}, {}, {limited, ended}};
     const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), report};
     const auto decoded = edge::decodeFleetMessage(edge::encode(message, Start), Start + 1h);
@@ -339,7 +375,9 @@
     CHECK(notices[0].maxRequestRate == 0.5);
     CHECK(notices[0].startTime == routing::StartTime(7));
     CHECK(notices[0].at == Start + 1h - 200ms);
+    CHECK_FALSE(notices[0].isLeaving);
     CHECK_FALSE(notices[1].maxRequestRate);
+    CHECK(notices[1].isLeaving);
 }
 
 TEST_CASE("an instance whose clock went back before a restart refutes the death of its earlier incarnation", "[membership]")
