A leaving gets older although instances report it to each other

The time of a reported leaving is derived from its age, so each report made it newer by the latency of its message, and so on in turns. A report moves the time now only if it is of a later run; only own responses renew it.

Failed before: routingtest "a leaving gets older although instances report it to each other" (two instances, 100 ms latency, a report every 300 ms; both still reported it after 30.4 s).

--- a/src/arbutus/routing/upstreamnotices.cpp
+++ b/src/arbutus/routing/upstreamnotices.cpp
@@ -110,7 +110,9 @@
     const bool isNewRun = leaving.lastRun > known.lastRun; // an empty one is less than any
     const bool changed = isNewRun || (leaving.mayBeLaterRun && !known.mayBeLaterRun);
     known.lastRun = std::max(known.lastRun, leaving.lastRun);
-    known.at = std::max(known.at, leaving.at);
+    if (isNewRun || leaving.mayBeLaterRun) { // a repeated report seems newer by the latency of its message
+        known.at = std::max(known.at, leaving.at);
+    }
     known.mayBeLaterRun = known.mayBeLaterRun || leaving.mayBeLaterRun;
     return changed;
 }
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -8,6 +8,8 @@
 #include "arbutus/routing/upstreamrests.h"
 
 #include <catch2/catch.hpp>
+
+#include <array>
 #include <rapidcheck.h>
 
 using namespace arbutus;
@@ -517,6 +519,31 @@
     CHECK(std::all_of(reported.begin(), reported.end(), [](const auto &notice) { return notice.isLeaving && notice.startTime == routing::StartTime(1); }));
 }
 
+TEST_CASE("a leaving gets older although instances report it to each other", "[notices]")
+{
+    constexpr core::Duration Latency = 100ms; // of a report; the receiver derives the time from the age
+    constexpr core::Duration ReportInterval = 300ms;
+    const core::TimePoint start{100s};
+    const routing::UpstreamRegistry registry;
+    std::array<routing::UpstreamNotices, 2> instances;
+    (void)instances.front().recordLeaving(core::UpstreamId("u"), routing::StartTime(1), start);
+    const auto report = [&](const routing::UpstreamNotices &from, routing::UpstreamNotices &to, core::TimePoint now) {
+        for (routing::UpstreamNotice notice : from.notices(registry, now)) {
+            notice.at += Latency;
+            (void)to.mergeLeaving(notice);
+        }
+    };
+    const core::TimePoint end = start + routing::UpstreamNoticesSettings().reportTime + Latency + ReportInterval;
+    for (core::TimePoint now = start; now < end; now += ReportInterval) {
+        report(instances.front(), instances.back(), now);
+        report(instances.back(), instances.front(), now);
+    }
+    for (const routing::UpstreamNotices &instance : instances) {
+        CHECK(instance.notices(registry, end).empty());
+        CHECK(instance.isLeaving(core::UpstreamId("u"), routing::StartTime(1)));
+    }
+}
+
 TEST_CASE("a path is lost with a failed connection and found with a new one", "[paths]")
 {
     enum class Step { Connected, Failed, Responded, Doubted, DoubtedUnlessFresh, ProbeFailed, ProbeReached };
