A begun stream waits for an upstream that has just appeared in another region

The dispatcher refused with no_upstream at once, and the stream was cut with seconds left.

Cause: the registry and the load reports of the regions are two sources of one fact, and the refusal takes the older one. A request that requires the version of a stream now waits in the queue while an upstream of its service and version, warm and in an allowed region, has appeared less than maxRemoteLoadAge ago; the next report decides. Other requests are refused at once as before.

Test: a row of the dispatcher's table of versions, 1.4 s after the upstream appeared; NoUpstream on the code before, Queued now.

--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -187,8 +187,24 @@
            });
 }
 
+bool Dispatcher::hasAppearedElsewhere(const PlacementRequest &request, core::TimePoint now) const
+{
+    const auto &entries = m_view.registry.entries();
+    return request.requiredVersion && request.allowOtherRegions && std::any_of(entries.begin(), entries.end(), [&](const auto &item) {
+               const RegistryEntry &entry = item.second;
+               const Announcement &announcement = entry.announcement;
+               const auto region = m_view.regionByDomain.find(announcement.domain);
+               return announcement.service == request.service && mayServe(request, announcement) && m_view.registry.isEligible(entry) && !entry.isCold(now)
+                   && now - entry.updatedAt < m_settings.maxRemoteLoadAge && region != m_view.regionByDomain.end() && region->second != m_view.region
+                   && (request.allowedRegions.empty() || request.allowedRegions.contains(region->second)) && !request.excludedRegions.contains(region->second);
+           });
+}
+
 bool Dispatcher::mayStillDiscoverUpstream(const PlacementRequest &request, core::TimePoint now)
 {
+    if (hasAppearedElsewhere(request, now)) {
+        return true;
+    }
     if (now - m_startedAt >= m_settings.discoveryPeriod) {
         return false;
     }
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -358,6 +358,9 @@
     [[nodiscard]] bool hasPotentialUpstream(const PlacementRequest &request, core::TimePoint now);
     /// Whether any region has an upstream of the required version that may get requests.
     [[nodiscard]] bool isVersionGone(const PlacementRequest &request) const;
+    /// Whether an upstream that could continue the request's stream has appeared in another region so recently that the region's load
+    /// report may lack it. Other requests are refused: their clients come back, while a refused stream is cut.
+    [[nodiscard]] bool hasAppearedElsewhere(const PlacementRequest &request, core::TimePoint now) const;
     /// Whether discovery is still under way, so that it is too early to refuse the request for lack of an upstream.
     [[nodiscard]] bool mayStillDiscoverUpstream(const PlacementRequest &request, core::TimePoint now);
     [[nodiscard]] std::optional<Candidate> evaluateCandidate(const PlacementRequest &request, LocalUpstream &upstream, core::TimePoint now) const;
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -691,6 +691,7 @@
         bool isThereReported;                        // the other region has reported its load
         bool isHereBusy;
         Decision expected;
+        core::Duration knownFor = 2s; // the upstreams; the load of the other region is reported again
     };
     const auto row = GENERATE_COPY(values<Row>({
         {"one of many", {recent, old, recent, recent}, false, {}, false, false, Decision::Here},
@@ -699,6 +700,7 @@
         {"only the one that failed here", {recent, old}, true, {old}, true, false, Decision::There},
         {"the other region has others", {recent, old}, true, {recent}, true, false, Decision::NoUpstream},
         {"the other region has one and is silent", {recent}, false, {old}, false, false, Decision::NoUpstream},
+        {"the other region has one that its report may lack yet", {recent}, false, {old}, false, false, Decision::Queued, 1400ms},
         {"none left", {recent, recent}, false, {recent}, true, false, Decision::Gone},
     }));
     CAPTURE(row.name);
@@ -712,19 +714,20 @@
     announce("h", row.here, "here-a");
     announce("t", row.there, "there-a");
     Fixture fixture(announcements);
+    const core::TimePoint now = Start + row.knownFor;
     if (row.isThereReported) {
         routing::ServiceLoad load = makeServiceLoad(Model, 0ms, 120);
         for (const routing::SoftwareVersion &version : row.there) {
             load.versions.push_back(routing::VersionLoad{version, 1, 0ms});
         }
-        fixture.dispatcher.updateRemoteLoad(core::RegionId("there"), load, Start);
+        fixture.dispatcher.updateRemoteLoad(core::RegionId("there"), load, now);
     }
     if (row.isHereBusy) {
-        routing::PlacementRequest running = fixture.makePromptRequest("running", 7, Start);
+        routing::PlacementRequest running = fixture.makePromptRequest("running", 7, now);
         running.requiredVersion = old;
-        REQUIRE(grantedUpstream(fixture.dispatcher.requestPlacement(running, Start)) == "h1");
+        REQUIRE(grantedUpstream(fixture.dispatcher.requestPlacement(running, now)) == "h1");
     }
-    routing::PlacementRequest request = fixture.makePromptRequest("w", 1, Start);
+    routing::PlacementRequest request = fixture.makePromptRequest("w", 1, now);
     request.requiredVersion = old;
     if (row.isHereExcluded) {
         request.excludedUpstreams = {core::UpstreamId("h1")};
@@ -739,7 +742,7 @@
             [](const routing::Redirected &) { return Decision::There; },
             [](const routing::Refused &refused) { return refused.reason == routing::RefusalReason::VersionGone ? Decision::Gone : Decision::NoUpstream; },
         },
-        fixture.dispatcher.requestPlacement(request, Start));
+        fixture.dispatcher.requestPlacement(request, now));
     CHECK(decision == row.expected);
 }
 
