storeclienttest: the function object of a call's coroutine lives as long as the coroutine

Fixture::run started a coroutine of a lambda with a capture and let the lambda end with the statement. The coroutine then read its capture from a dead stack slot. It went unnoticed until tests were added to the file; then all tests of the program ended with SIGSEGV (gdb: in the lambda, at the write of the result). The checks are unchanged.

--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -105,13 +105,11 @@
     T run(asio::awaitable<T> operation)
     {
         std::optional<T> result;
-        asio::co_spawn(
-            loop,
-            [&result](asio::awaitable<T> awaited) -> asio::awaitable<void> {
-                auto value = co_await std::move(awaited);
-                result.emplace(std::move(value));
-            }(std::move(operation)),
-            asio::detached);
+        auto await = [&]() -> asio::awaitable<void> { // lives until the result is there
+            auto value = co_await std::move(operation);
+            result.emplace(std::move(value));
+        };
+        asio::co_spawn(loop, await, asio::detached);
         while (!result) {
             loop.run_one();
         }
