Upstream entries with numbers out of range name no upstream

An entry of another writer with 10^19 slots was believed, so that its upstream would have taken all requests of its service; cold times of 1e300 were converted to an integer, which is undefined; negative ones were accepted; a start time or sequence number far in the future made all later, valid entries of the same upstream look like those of an earlier run, for as long as it was listed.

Every number of an entry is bounded with its unit: slots 1 to 10,000, times 0 to 30 days, sequence to 2^53, start time to the year 2100. An entry outside is refused with a reason that names the field; it takes the place of a valid entry of the same upstream, which is not used until it is written again, and a leaving that was announced before holds. A start time that is only some time in the future, within the bound, still ranks before the real ones.

--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -94,6 +94,85 @@
     CHECK(fixture.applyChanges({change("servers/i-a", entry("ready", 2))}, 6).parseErrors.empty()); // reported once
 }
 
+TEST_CASE("an upstream entry with a number out of range names no upstream, and the log names the field", "[metadata]")
+{
+    struct Row
+    {
+        std::string field;
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"slots", "0"},
+        {"slots", "-1"},
+        {"slots", "1.5"},
+        {"slots", "10001"},
+        {"slots", "10000000000000000000"},
+        {"slots", "1e30"},
+        {"slots", "1e400"},
+        {"slots", "null"},
+        {"cold_remaining_ms", "-1"},
+        {"cold_remaining_ms", "1e300"},
+        {"cold_remaining_ms", "-1e300"},
+        {"cold_remaining_ms", "1e400"},
+        {"cold_remaining_ms", "10000000000000000000000000000000"},
+        {"cold_remaining_ms", "\"NaN\""},
+        {"cold_remaining_ms", "[1]"},
+        {"remaining_ms", "-1"},
+        {"remaining_ms", "1e300"},
+        {"remaining_ms", "true"},
+        {"sequence", "-1"},
+        {"sequence", "1e300"},
+        {"sequence", "18446744073709551615"},
+        {"sequence", "{}"},
+        {"born", "-1"},
+        {"born", "0.5"},
+        {"born", "1e300"},
+        {"born", "4102444800001"},
+        {"born", "18446744073709551615"},
+    }));
+    CAPTURE(row.field, row.number);
+    Fixture fixture;
+    const std::string invalid =
+        R"({"service":"s","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"state":"ready",)" // the last of equal fields holds
+        + std::string("\"") + row.field + "\":" + row.number + "}";
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    REQUIRE(update.parseErrors.size() == 1);
+    CHECK(update.parseErrors.front().find(row.field) != std::string::npos);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().find(core::UpstreamId("i-b")) == nullptr);
+}
+
+TEST_CASE("an upstream entry whose numbers are at the ends of their ranges is used", "[metadata]")
+{
+    const auto fields = GENERATE(as<std::string>{},
+                                 R"("slots":1,"cold_remaining_ms":0,"remaining_ms":0,"sequence":0,"born":0)",
+                                 R"("slots":10000,"cold_remaining_ms":2592000000,"sequence":9007199254740992,"born":4102444800000)",
+                                 R"("slots":6.0,"cold_remaining_ms":12.75,"remaining_ms":null,"version":null,"born":1.7e12)");
+    CAPTURE(fields);
+    Fixture fixture;
+    CHECK(fixture.applyRange({item("servers/i-a", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)" + fields + "}")}, 5)
+              .parseErrors.empty());
+    CHECK(isEligible(fixture.cache));
+}
+
+TEST_CASE("an invalid entry takes the place of a valid one of the same upstream until it is written again", "[metadata]")
+{
+    const auto invalid = GENERATE(
+        as<std::string>{}, "", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","sequence":2,"born":18446744073709551615})");
+    CAPTURE(invalid);
+    Fixture fixture;
+    fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", entry())}, 5);
+    fixture.applyChanges({change("servers/i-a", invalid)}, 6);
+    CHECK_FALSE(isEligible(fixture.cache));
+    CHECK(isEligible(fixture.cache, core::UpstreamId("i-b")));
+    fixture.applyChanges({change("servers/i-a", entry("ready", 3))}, 7);
+    CHECK(isEligible(fixture.cache));
+    fixture.applyChanges({change("servers/i-a", entry("draining", 4))}, 8);
+    fixture.applyChanges({change("servers/i-a", invalid)}, 9);
+    fixture.applyChanges({change("servers/i-a", entry("ready", 5))}, 10);
+    CHECK_FALSE(isEligible(fixture.cache)); // it has said that it is leaving
+}
+
 TEST_CASE("an upstream that is leaving stays so until it restarts", "[metadata]")
 {
     Fixture fixture;
