Upstream entries without the address of a machine, or with unusable names, name no upstream

Host names, empty hosts and 0.0.0.0 (which is the instance's own machine) were accepted as addresses, and so were names of any length and ids with line ends, which are sent to upstreams in a header.

An address must be an IP address, not unspecified or multicast, with a port of 1 to 65535 and nothing else; names have at most 200 bytes and no control characters; an id has visible ASCII characters only. The reason of a refusal is short.

Deep nesting, invalid UTF-8 and truncated JSON were refused before and are now in the table.

--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -142,6 +142,84 @@
     CHECK(fixture.cache.registry().find(core::UpstreamId("i-b")) == nullptr);
 }
 
+TEST_CASE("an upstream entry without a usable address or name names no upstream, and the log names the field", "[metadata]")
+{
+    struct Row
+    {
+        std::string field;
+        std::string text; // as in JSON
+    };
+    const auto row = GENERATE(values<Row>({
+        {"address", ""},
+        {"address", ":80"},
+        {"address", "10.0.0.2"},
+        {"address", "10.0.0.2:"},
+        {"address", "10.0.0.2:0"},
+        {"address", "10.0.0.2:-1"},
+        {"address", "10.0.0.2:65536"},
+        {"address", "10.0.0.2:70000"},
+        {"address", "10.0.0.2:80 "},
+        {"address", "10.0.0.256:80"},
+        {"address", "0.0.0.0:80"},
+        {"address", "224.0.0.1:80"},
+        {"address", "::1:80"},
+        {"address", "[::]:80"},
+        {"address", "localhost:80"},
+        {"address", "http://10.0.0.2:80/"},
+        {"address", "10.0.0.2:80\\r\\n"},
+        {"service", ""},
+        {"service", std::string(201, 's')},
+        {"service", "s\\u0000"},
+        {"zone", ""},
+        {"zone", std::string(100'000, 'z')},
+        {"version", "v\\n1"},
+        {"version", std::string(201, 'v')},
+        {"state", ""},
+        {"state", std::string(100'000, 'r')},
+    }));
+    CAPTURE(row.field, row.text.substr(0, 30));
+    Fixture fixture;
+    const std::string invalid =
+        R"({"service":"s","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"state":"ready",)" // the last of equal fields holds
+        + std::string("\"") + row.field + "\":\"" + row.text + "\"}";
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    REQUIRE(update.parseErrors.size() == 1);
+    CHECK(update.parseErrors.front().find(row.field) != std::string::npos);
+    CHECK(update.parseErrors.front().size() < 400);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().find(core::UpstreamId("i-b")) == nullptr);
+}
+
+TEST_CASE("an upstream entry whose key has no id that fits into a header names no upstream", "[metadata]")
+{
+    const auto id = GENERATE(as<std::string>{}, "", "i b", "i-b\r\nX-Hold: 1", std::string("i\0b", 3), "i\xffz", std::string(201, 'i'));
+    CAPTURE(id);
+    Fixture fixture;
+    CHECK(fixture.applyRange({item("servers/i-a", entry()), item("servers/" + id, entry())}, 5).parseErrors.size() == 1);
+    CHECK(fixture.cache.registry().entries().size() == 1);
+    CHECK(isEligible(fixture.cache));
+}
+
+TEST_CASE("an upstream entry that cannot be read as JSON names no upstream", "[metadata]")
+{
+    constexpr std::size_t Levels = 100'000;
+    const auto invalid = GENERATE(as<std::string>{},
+                                  std::string(Levels, '['),
+                                  std::string(Levels, '[') + std::string(Levels, ']'),
+                                  R"({"service":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":6,"state":"ready","x":)" + std::string(Levels, '[')
+                                      + std::string(Levels, ']') + "}",
+                                  "{\"service\":\"\xff\xfe\"}",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":NaN,"state":"ready"})",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":6,"state":"ready"} {})",
+                                  std::string(1'000'000, ' '));
+    Fixture fixture;
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    CHECK(update.parseErrors.size() == 1);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().entries().size() == 1);
+}
+
 TEST_CASE("an upstream entry whose numbers are at the ends of their ranges is used", "[metadata]")
 {
     const auto fields = GENERATE(as<std::string>{},
