A configuration with numbers out of range is refused as a whole

Negative and huge limits, times, weights, priorities and capacities were converted to unsigned or narrower integers, which gave limits of 2^64 bytes, header limits of 0, or undefined results.

Each number has a wide bound; the error names the field and the configuration before stays in force. A number that cannot matter, such as 0 attempts (taken as 1) or a weight of 0, is accepted as before.

--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -329,6 +329,97 @@
     CHECK(fixture.cache.catalog()->matchRoute("h.example", "/a/x") != nullptr);
 }
 
+TEST_CASE("a configuration with a number out of range is refused with the name of the field, and the one before holds", "[metadata]")
+{
+    struct Row
+    {
+        std::string field; // as in config()
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"("version":8)", R"("version":0)"},
+        {R"("version":8)", R"("version":-8)"},
+        {R"("version":8)", R"("version":8.5)"},
+        {R"("version":8)", R"("version":1e300)"},
+        {R"("version":8)", R"("version":18446744073709551615)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":-1)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1e300)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1e400)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":"1500")"},
+        {R"("target_latency_ms":300)", R"("target_latency_ms":-300)"},
+        {R"("target_latency_ms":300)", R"("target_latency_ms":1e30)"},
+        {R"("priority":2)", R"("target_gap_ms":1e19)"},
+        {R"("priority":2)", R"("priority":4294967296)"},
+        {R"("priority":2)", R"("priority":-4294967296)"},
+        {R"("priority":2)", R"("priority":1e300)"},
+        {R"("max_attempts":2)", R"("max_attempts":-2)"},
+        {R"("max_attempts":2)", R"("max_attempts":1e18)"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":-1}])"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":1e300}])"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":-1.5)"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":1e300)"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":1e18})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"kv_capacity":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"stride":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"stride":1e15})"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":0)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":-1000)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":4294967296)"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":-1)"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":1e300)"},
+        {R"("header_timeout_ms":3000)", R"("header_timeout_ms":0)"},
+        {R"("header_timeout_ms":3000)", R"("header_timeout_ms":1e300)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":0.5)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":-4000)"},
+    }));
+    CAPTURE(row.number);
+    Fixture fixture;
+    fixture.applyRange({item("op/config", config(7))}, 5);
+    std::string invalid = config(8, "/b/");
+    REQUIRE(invalid.find(row.field) != std::string::npos);
+    invalid.replace(invalid.find(row.field), row.field.size(), row.number);
+    const edge::MetadataUpdate update = fixture.applyChanges({change("op/config", invalid)}, 6);
+    REQUIRE(update.parseErrors.size() == 1);
+    const std::size_t colon = row.number.rfind(':');
+    const std::size_t quote = row.number.rfind('"', row.number.rfind('"', colon) - 1); // of the innermost field's name
+    CHECK(update.parseErrors.front().find(row.number.substr(quote + 1, row.number.rfind('"', colon) - quote - 1)) != std::string::npos);
+    CHECK(fixture.cache.catalog()->version() == catalog::CatalogVersion(7));
+    CHECK(fixture.applyChanges({change("op/config", config(9))}, 7).catalogChanged);
+}
+
+TEST_CASE("a configuration whose numbers are at the ends of their ranges is applied", "[metadata]")
+{
+    struct Row
+    {
+        std::string field; // as in config()
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"("version":8)", R"("version":9007199254740992)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":0)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":2592000000)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1500.5)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":null)"},
+        {R"("max_attempts":2)", R"("max_attempts":0)"},
+        {R"("max_attempts":2)", R"("max_attempts":2.0)"},
+        {R"("max_attempts":2)", R"("max_attempts":1000000)"},
+        {R"("priority":2)", R"("priority":-1)"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":0},{"service":"t","weight":1e9}])"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":0)"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":1000,"kv_capacity":90000000,"stride":0})"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":0)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":1)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":1)"},
+    }));
+    CAPTURE(row.number);
+    Fixture fixture;
+    std::string valid = config(8);
+    REQUIRE(valid.find(row.field) != std::string::npos);
+    valid.replace(valid.find(row.field), row.field.size(), row.number);
+    CHECK(fixture.applyRange({item("op/config", valid)}, 5).catalogChanged);
+}
+
 TEST_CASE("removing the configuration keeps the current one in effect", "[metadata]")
 {
     Fixture fixture;
