One item of the store that cannot be read does not fail the whole read

A full read failed as malformed if a single item had no key, a revision that is not a positive integer, or a value that is not a string; it failed again with each retry, so the instance stopped following the store.

An item without a key is left out of a range; any other part that cannot be read is left empty, so that the parser of the value rejects it and a key that states something by itself (an evacuation) still does. Both are logged once for each reason (store_item_invalid). A change without a key still fails the watch: something has changed that cannot be told, and the full read that follows tells what. The envelope (revision of the store, list, has_more) fails the call as before.

--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -109,6 +109,7 @@
             co_return false;
         }
         m_fullReadNeeded = false;
+        reportInvalidItems(range.value().invalidItems);
         for (const metadata::StoreItem &item : range.value().items) {
             // Learns of the other instances without waiting for the member refresh.
             if (item.key.starts_with(m_context.adapter.storeKeyPrefixes().memberPrefix)) {
@@ -130,6 +131,7 @@
         m_fullReadNeeded = true; // changes may have been missed
         co_return false;
     }
+    reportInvalidItems(changes.value().invalidItems);
     const MetadataUpdate update =
         m_metadataCache.applyChanges(changes.value().changes, changes.value().revision, recentStoreOutage(m_context.now()), m_context.now());
     reportUpdate(update, "store_watch");
@@ -157,6 +159,19 @@
     }
 }
 
+void MetadataSync::reportInvalidItems(const std::vector<std::string> &reasons)
+{
+    constexpr std::size_t MaxReported = 1'000; // reasons remembered
+    for (const std::string &reason : reasons) {
+        if (m_reportedInvalidItems.size() >= MaxReported) {
+            m_reportedInvalidItems.clear();
+        }
+        if (m_reportedInvalidItems.insert(reason).second) {
+            m_context.writeLog(observe::LogLine("store_item_invalid").add("reason", reason));
+        }
+    }
+}
+
 void MetadataSync::reportUpdate(const MetadataUpdate &update, std::string_view source)
 {
     const core::TimePoint now = m_context.now();
@@ -284,6 +299,7 @@
     if (!range) {
         co_return false;
     }
+    reportInvalidItems(range.value().invalidItems);
     for (const metadata::StoreItem &item : range.value().items) {
         addContact(item);
     }
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -69,6 +69,8 @@
     [[nodiscard]] bool recentStoreOutage(core::TimePoint now) const;
     void recordStoreResult(bool succeeded, const std::string &reason);
     void reportUpdate(const MetadataUpdate &update, std::string_view source);
+    /// Logs each reason once.
+    void reportInvalidItems(const std::vector<std::string> &reasons);
     [[nodiscard]] std::string registrationValue() const;
 
     InstanceContext &m_context;
@@ -84,6 +86,7 @@
     core::TimePoint m_lastResponseAt{}; // last response of the store
     core::TimePoint m_outageEndedAt{};  // end of the last outage
     bool m_hadOutage = false;
+    std::set<std::string> m_reportedInvalidItems;
     bool m_fetching = false;
     metadata::LeaseId m_lease;
     bool m_deregistering = false;
--- a/src/arbutus/metadata/metadatastore.h
+++ b/src/arbutus/metadata/metadatastore.h
@@ -3,6 +3,10 @@
 // It declares the operations that an instance needs, independent of the store's protocol. Implementations only translate
 // calls to that protocol; callers decide when and how often to call and how to handle failures.
 //
+// Q: What if one item of a response cannot be read?
+// A: It does not fail the call. A value that cannot be read is empty. In a range, an item without a key is left out; a change
+//    without a key fails the watch, because a full read then tells what has changed.
+//
 // Q: What does a failed write mean?
 // A: See `writeEffect`. None: it did not and will not take effect. Unknown: it may have or still may; read back.
 
@@ -42,14 +46,16 @@
 struct StoreRange
 {
     std::vector<StoreItem> items;
-    StoreRevision revision; // of the store when the first page was read
+    StoreRevision revision;                // of the store when the first page was read
+    std::vector<std::string> invalidItems; // what could not be read, for the log
 };
 
 /// Result of a watch; no changes means that its wait has expired.
 struct StoreChanges
 {
     std::vector<StoreChange> changes;
-    StoreRevision revision; // pass it as `after` to the next watch()
+    StoreRevision revision;                // pass it as `after` to the next watch()
+    std::vector<std::string> invalidItems; // what could not be read, for the log
 };
 
 enum class StoreErrorKind {
--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -173,6 +173,74 @@
     CHECK(changes.value().changes[2].item.value.empty()); // rejected later by the parser of the value, which knows the key
 }
 
+TEST_CASE("an item that cannot be read leaves the other items of a range in place", "[store]")
+{
+    struct Row
+    {
+        std::string item;
+        bool kept; // without what cannot be read
+        std::string reason;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"value":"YQ==","revision":3})", false, "without a key"},
+        {R"({"key":7,"value":"YQ==","revision":3})", false, "without a key"},
+        {R"({"key":null,"value":"YQ==","revision":3})", false, "without a key"},
+        {R"([])", false, "without a key"},
+        {R"(7)", false, "without a key"},
+        {R"({"key":"k/b","value":"YQ=="})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":-3})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":"3"})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":1e300})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"%%","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":7,"revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":null,"revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":{"a":[]},"revision":3})", true, "k/b: the value"},
+    }));
+    CAPTURE(row.item);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200,
+                                             R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3},)" + row.item
+                                                 + R"(,{"key":"k/c","value":"Yw==","revision":3}],"has_more":false})")};
+    const auto range = fixture.run(fixture.client.range("k/", metadata::ReadConsistency::Linearizable));
+    REQUIRE(range.has_value());
+    const auto &items = range.value().items;
+    REQUIRE(items.size() == (row.kept ? 3 : 2));
+    CHECK(items.front().value == "a");
+    CHECK(items.back().value == "c");
+    CHECK((!row.kept || items[1].value.empty() || items[1].value == "a"));
+    REQUIRE(range.value().invalidItems.size() == 1);
+    CHECK(range.value().invalidItems.front().find(row.reason) != std::string::npos);
+}
+
+TEST_CASE("a change that cannot be read leaves the other changes in place", "[store]")
+{
+    struct Row
+    {
+        std::string change;
+        std::size_t invalidParts;
+        bool removed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"key":"b","value":7,"revision":8})", 1, false},
+        {R"({"key":"b","value":"YQ","revision":8})", 1, false},
+        {R"({"key":"b","value":"YQ==","revision":-8})", 1, false},
+        {R"({"key":"b","revision":8})", 1, false},
+        {R"({"key":"b","revision":8,"deleted":"true"})", 1, false},
+        {R"({"key":"b","revision":8,"deleted":1})", 1, false},
+        {R"({"key":"b","revision":"8","deleted":[]})", 2, false},
+        {R"({"key":"b","revision":"8","deleted":true})", 1, true},
+    }));
+    CAPTURE(row.change);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"store_revision":9,"events":[)" + row.change + R"(,{"key":"c","value":"Yw==","revision":9}]})")};
+    const auto changes = fixture.run(fixture.client.watch("", metadata::StoreRevision(6), 100ms));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes.value().changes.size() == 2);
+    CHECK(changes.value().changes.front().removed == row.removed);
+    CHECK(changes.value().changes.back().item.value == "c");
+    CHECK(changes.value().invalidItems.size() == row.invalidParts);
+}
+
 TEST_CASE("a paged range has the revision of its first page", "[store]")
 {
     Fixture fixture;
