A range whose pages do not advance fails instead of being read for ever or returned as complete

A page with more to come and without items, or with the items of the page before, was asked for again without end; a first page of this kind was returned as a complete, empty range, which removes all upstreams.

A page with has_more must end behind the page before, or the call fails as malformed.

--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -241,6 +241,37 @@
     CHECK(changes.value().invalidItems.size() == row.invalidParts);
 }
 
+TEST_CASE("a range whose pages do not go on fails, and one with an item without a key at the end of a page goes on", "[store]")
+{
+    struct Row
+    {
+        std::string secondPage;
+        std::size_t requests;
+        std::optional<std::size_t> items; // nothing: the call fails
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"store_revision":5,"items":[],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3}],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"value":"YQ==","revision":3}],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"key":"k/b","value":"YQ==","revision":3},{"value":"YQ=="}],"has_more":true})", 3, 3},
+        {R"({"store_revision":5,"items":[],"has_more":7})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":{},"has_more":false})", 2, std::nullopt},
+    }));
+    CAPTURE(row.secondPage);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3}],"has_more":true})"),
+                                httpResponse(200, row.secondPage),
+                                httpResponse(200, R"({"store_revision":6,"items":[{"key":"k/c","value":"YQ==","revision":6}],"has_more":false})")};
+    const auto range = fixture.run(fixture.client.range("k/", metadata::ReadConsistency::Linearizable));
+    REQUIRE(range.has_value() == row.items.has_value());
+    CHECK(fixture.server.requests.size() == row.requests);
+    if (row.items) {
+        CHECK(range.value().items.size() == *row.items);
+    } else {
+        CHECK(range.error().kind == StoreErrorKind::Malformed);
+    }
+}
+
 TEST_CASE("a paged range has the revision of its first page", "[store]")
 {
     Fixture fixture;
