Revisions and leases of the store are bounded

A store revision of 2^64-1 made every later read look older, and a lease of 0 registers an instance under no lease, for ever.

--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -272,6 +272,21 @@
     }
 }
 
+TEST_CASE("numbers out of range in a response of the store fail the call", "[store]")
+{
+    const auto revision = GENERATE(as<std::string>{}, "-1", "\"7\"", "7.5", "1e300", "18446744073709551615", "null");
+    CAPTURE(revision);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"events":[],"store_revision":)" + revision + "}")};
+    const auto changes = fixture.run(fixture.client.watch("", metadata::StoreRevision(6), 100ms));
+    REQUIRE_FALSE(changes.has_value());
+    CHECK(changes.error().kind == StoreErrorKind::Malformed);
+    fixture.server.responses = {httpResponse(200, R"({"ttl_ms":5000,"lease":)" + (revision == "18446744073709551615" ? "0" : revision) + "}")};
+    const auto lease = fixture.run(fixture.client.grantLease(5s));
+    REQUIRE_FALSE(lease.has_value());
+    CHECK(lease.error().kind == StoreErrorKind::Malformed);
+}
+
 TEST_CASE("a paged range has the revision of its first page", "[store]")
 {
     Fixture fixture;
