Base64 with white space, or with padding inside, is refused

EVP_DecodeBlock skips white space and takes padding anywhere as zero bits, so "Y=Q=" and "====" were decoded to other bytes than were written.

--- a/src/arbutus/core/base64.cpp
+++ b/src/arbutus/core/base64.cpp
@@ -17,7 +17,10 @@
 
 std::optional<std::string> base64Decode(std::string_view text)
 {
-    if (text.size() % 4 != 0) {
+    constexpr std::string_view Alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
+    // EVP_DecodeBlock skips white space and accepts padding anywhere.
+    if (text.size() % 4 != 0 || text.substr(0, text.size() - padding).find_first_not_of(Alphabet) != std::string_view::npos) {
         return std::nullopt;
     }
     std::string out(text.size() / 4 * 3 + 1, '\0');
@@ -27,7 +30,6 @@
         return std::nullopt;
     }
     // EVP_DecodeBlock counts padding characters as decoded bytes.
-    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
     out.resize(static_cast<std::size_t>(size) - padding);
     return out;
 }
