Registrations of instances with an invalid part name no contact

Any text was taken as the address of another instance: it was probed without end, and handed to clients as an entry point once the instance counted as live. Id, failure domain, region and both addresses are checked; an invalid registration is logged once, with its reason.

--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -2,13 +2,16 @@
 
 #include "arbutus/edge/metadatasync.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/core/json.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace arbutus::edge {
@@ -268,28 +271,56 @@
     return json::serialize(out);
 }
 
-void MetadataSync::addContact(const metadata::StoreItem &item)
+core::Result<membership::Member> parseRegistration(const core::InstanceId &id, const std::string &value)
 {
-    const std::string &prefix = m_context.adapter.storeKeyPrefixes().memberPrefix;
-    boost::system::error_code code;
-    const json::value value = json::parse(item.value, code);
-    const json::object *fields = code ? nullptr : value.if_object();
-    const auto stringField = [&](std::string_view name) {
-        const json::value *field = fields == nullptr ? nullptr : fields->if_contains(name);
-        return field != nullptr && field->is_string() ? std::string(field->get_string()) : std::string();
+    constexpr std::size_t MaxNameBytes = 200;
+    const auto invalid = [](std::string_view name) { return core::makeError(core::ErrorKind::BadRequest, std::string(name) + " is missing or invalid"); };
+    const auto isName = [](const std::string &text) {
+        const auto isControl = [](unsigned char c) { return c < ' ' || c == 0x7f; };
+        return !text.empty() && text.size() <= MaxNameBytes && std::none_of(text.begin(), text.end(), isControl);
     };
+    const auto isAddress = [](const std::string &text) {
+        const http::Endpoint endpoint = http::parseEndpoint(text);
+        boost::system::error_code code;
+        const auto address = asio::ip::make_address(endpoint.host, code);
+        return !code && endpoint.port != 0 && http::toString(endpoint) == text && !address.is_unspecified() && !address.is_multicast();
+    };
+    BOOST_OUTCOME_TRY(const json::object fields, core::parseJsonObject(value));
     membership::Member contact;
-    contact.id = core::InstanceId(item.key.substr(prefix.size()));
-    contact.domain = core::DomainId(stringField("domain"));
-    contact.region = core::RegionId(stringField("region"));
-    contact.gossipAddress = stringField("peer");
-    contact.peerAddress = contact.gossipAddress;
-    contact.clientUrl = stringField("callers");
-    if (contact.gossipAddress.empty()) {
-        m_context.writeLog(observe::LogLine("registration_invalid").add("key", item.key));
-        return;
+    contact.id = id;
+    contact.domain = core::DomainId(core::jsonString(fields, "domain"));
+    contact.region = core::RegionId(core::jsonString(fields, "region"));
+    contact.peerAddress = core::jsonString(fields, "peer");
+    contact.gossipAddress = contact.peerAddress;
+    contact.clientUrl = core::jsonString(fields, "callers");
+    if (!isName(id.text)) {
+        return invalid("the id");
+    }
+    if (!isName(contact.domain.text)) {
+        return invalid("domain");
+    }
+    if (!isName(contact.region.text)) {
+        return invalid("region");
+    }
+    if (!isAddress(contact.peerAddress)) {
+        return invalid("peer");
+    }
+    if (!isAddress(contact.clientUrl)) {
+        return invalid("callers");
+    }
+    return contact;
+}
+
+void MetadataSync::addContact(const metadata::StoreItem &item)
+{
+    const std::string &prefix = m_context.adapter.storeKeyPrefixes().memberPrefix;
+    const auto contact = parseRegistration(core::InstanceId(item.key.substr(prefix.size())), item.value);
+    if (contact) {
+        m_invalidRegistrations.erase(item.key);
+        m_fleet.addContact(contact.value());
+    } else if (std::exchange(m_invalidRegistrations[item.key], contact.error().message) != contact.error().message) {
+        m_context.writeLog(observe::LogLine("registration_invalid").add("key", item.key).add("reason", contact.error().message));
     }
-    m_fleet.addContact(contact);
 }
 
 asio::awaitable<bool> MetadataSync::readMembers(metadata::ReadConsistency consistency)
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -87,11 +87,15 @@
     core::TimePoint m_outageEndedAt{};  // end of the last outage
     bool m_hadOutage = false;
     std::set<std::string> m_reportedInvalidItems;
+    std::map<std::string, std::string> m_invalidRegistrations; // reasons by key, so that each is reported once
     bool m_fetching = false;
     metadata::LeaseId m_lease;
     bool m_deregistering = false;
 };
 
+/// Decodes another instance's registration; the error names the field that is missing or invalid.
+[[nodiscard]] core::Result<membership::Member> parseRegistration(const core::InstanceId &id, const std::string &value);
+
 /// Response to GET /beliefs on the peer listener.
 [[nodiscard]] http::Response metadataSnapshotResponse(const MetadataCache &metadataCache, const http::Request &request, core::TimePoint now);
 
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -4,6 +4,7 @@
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/edge/directory.h"
+#include "arbutus/edge/metadatasync.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/membership/membershipview.h"
 #include "platform/platformadapter.h"
@@ -620,6 +621,52 @@
     CHECK(other.members().at(core::InstanceId("n")).isAvailable());
 }
 
+TEST_CASE("a registration of an instance names no contact if a part of it is invalid", "[membership]")
+{
+    struct Row
+    {
+        std::string id;
+        std::string value;
+        std::string reason; // empty: valid
+    };
+    const std::string valid = R"({"domain":"x-a","region":"x","peer":"10.0.0.1:9000","callers":"10.0.0.1:80","capacity":0.25})";
+    const auto with = [&](const std::string &found, const std::string &replacement) {
+        std::string value = valid;
+        return value.replace(value.find(found), found.size(), replacement);
+    };
+    const auto row = GENERATE_COPY(values<Row>({
+        {"n", valid, ""},
+        {"n", with("\"capacity\":0.25", "\"other\":1e300"), ""},
+        {"n", with("10.0.0.1:9000", "[::1]:9000"), ""},
+        {"", valid, "the id"},
+        {std::string(201, 'n'), valid, "the id"},
+        {"n\n", valid, "the id"},
+        {"n", "", "JSON"},
+        {"n", "\xff", "JSON"},
+        {"n", "[]", "JSON"},
+        {"n", std::string(100'000, '['), "JSON"},
+        {"n", with("\"x-a\"", "7"), "domain"},
+        {"n", with("\"x-a\"", "\"\""), "domain"},
+        {"n", with("\"x\"", "null"), "region"},
+        {"n", with("\"x\"", "\"" + std::string(100'000, 'x') + "\""), "region"},
+        {"n", with("10.0.0.1:9000", ""), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1"), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1:0"), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1:70000"), "peer"},
+        {"n", with("10.0.0.1:9000", "host.example:9000"), "peer"},
+        {"n", with("10.0.0.1:80", ""), "callers"},
+        {"n", with("10.0.0.1:80", "10.0.0.1:-1"), "callers"},
+        {"n", with("10.0.0.1:80", "0.0.0.0:80"), "callers"},
+        {"n", with("\"10.0.0.1:80\"", "[\"10.0.0.1:80\"]"), "callers"},
+    }));
+    CAPTURE(row.id.substr(0, 10), row.value.substr(0, 200));
+    const auto contact = edge::parseRegistration(core::InstanceId(row.id), row.value);
+    REQUIRE(contact.has_value() == row.reason.empty());
+    if (!contact) {
+        CHECK(contact.error().message.find(row.reason) != std::string::npos);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Streams
 //-----------------------------------------------------------------------------
