Ages and times in messages of other instances are bounded

Ages are unsigned 64-bit microseconds and were converted to signed ones: a damaged datagram could name a load or a notice of the future, which no later one replaces, and sums with large waits overflowed. Ages and waits are cut at 365 days, remaining times at 365 days either way.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -5,6 +5,8 @@
 
 #include "fleet.pb.h"
 
+#include <algorithm>
+
 namespace arbutus::edge {
 
 namespace {
@@ -14,9 +16,16 @@
     return static_cast<std::uint64_t>(std::max<core::Duration::rep>(duration.count(), 0));
 }
 
+constexpr core::Duration MaxDuration = std::chrono::days(365); // longer ones are cut: no age or wait that matters is longer
+
 core::Duration fromMicroseconds(std::uint64_t microseconds)
 {
-    return core::Duration(static_cast<core::Duration::rep>(microseconds));
+    return core::Duration(static_cast<core::Duration::rep>(std::min(microseconds, static_cast<std::uint64_t>(MaxDuration.count()))));
+}
+
+core::Duration fromSignedMicroseconds(std::int64_t microseconds)
+{
+    return std::clamp(core::Duration(microseconds), -MaxDuration, MaxDuration);
 }
 
 //-----------------------------------------------------------------------------
@@ -115,9 +124,9 @@
     request.requester = std::move(requester);
     request.service = core::ServiceId(in.service());
     request.priority = in.priority();
-    request.latencyDeadline = now + core::Duration(in.on_time_left_us());
-    request.responseDeadline = now + core::Duration(in.useful_left_us());
-    request.completionDeadline = now + core::Duration(in.ends_left_us());
+    request.latencyDeadline = now + fromSignedMicroseconds(in.on_time_left_us());
+    request.responseDeadline = now + fromSignedMicroseconds(in.useful_left_us());
+    request.completionDeadline = now + fromSignedMicroseconds(in.ends_left_us());
     request.fingerprint = fromProto(in.fingerprint());
     for (const fleet::PromptPart &part : in.prompt()) {
         request.prompt.push_back(routing::PromptPart{part.chain(), part.tokens(), routing::PromptPartId(part.id())});
@@ -252,7 +261,7 @@
         row->set_id(request.id.text);
         row->set_upstream(request.upstream.text);
         row->set_started(request.timeToFirstEvent.has_value());
-        row->set_first_event_after_us(static_cast<std::uint64_t>(request.timeToFirstEvent.value_or(core::Duration::zero()).count()));
+        row->set_first_event_after_us(toMicroseconds(request.timeToFirstEvent.value_or(core::Duration::zero())));
         row->set_memory_tokens(request.memoryTokens);
         if (request.stream) {
             toProto(*request.stream, *row->mutable_stream(), now);
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -9,8 +9,13 @@
 #include "arbutus/membership/membershipview.h"
 #include "platform/platformadapter.h"
 
+#include "fleet.pb.h"
+
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <limits>
+
 using namespace arbutus;
 using namespace std::chrono_literals;
 
@@ -537,6 +542,98 @@
     CHECK_FALSE(edge::decodeFleetMessage("", Start));
 }
 
+namespace {
+
+/// Encodes a message as an instance would, with changes to the Protobuf message.
+std::string encodeChanged(edge::FleetMessageBody body, const std::function<void(fleet::Datagram &)> &change)
+{
+    const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), std::move(body)};
+    fleet::Datagram datagram;
+    REQUIRE(datagram.ParseFromString(edge::encode(message, Start)));
+    change(datagram);
+    return datagram.SerializeAsString();
+}
+
+} // namespace
+
+TEST_CASE("ages and times of other instances are cut, so that none lies in the future or overflows", "[codec]")
+{
+    const auto number = GENERATE(as<std::uint64_t>{}, std::uint64_t(1) << 63U, ~std::uint64_t(0), std::uint64_t(1) << 62U);
+    const auto signedNumber = static_cast<std::int64_t>(number);
+    CAPTURE(number);
+    const routing::StreamRecord record{routing::StreamId("a1"), routing::StreamOrigin{core::ServiceId("s"), routing::SoftwareVersion("v1")}, Start};
+    const routing::UpstreamNotice notice{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start};
+    constexpr core::Duration Longest = std::chrono::days(366);
+
+    edge::RegionState state;
+    state.serviceLoads = {edge::RegionServiceLoad{core::RegionId("x"), routing::ServiceLoad{}, 0ms}};
+    state.serviceLoads.front().load.versions = {routing::VersionLoad{}};
+    state.notices = {notice};
+    auto decoded = edge::decodeFleetMessage(encodeChanged(state,
+                                                          [&](fleet::Datagram &datagram) {
+                                                              fleet::RegionState &out = *datagram.mutable_region_state();
+                                                              out.set_evidence_age_us(number);
+                                                              out.mutable_notices(0)->set_age_us(number);
+                                                              out.mutable_outlooks(0)->set_age_us(number);
+                                                              out.mutable_outlooks(0)->set_wait_us(number);
+                                                              out.mutable_outlooks(0)->set_service_time_us(number);
+                                                              out.mutable_outlooks(0)->mutable_versions(0)->set_wait_us(number);
+                                                          }),
+                                            Start);
+    REQUIRE(decoded);
+    const auto &received = std::get<edge::RegionState>(decoded->body);
+    const edge::RegionServiceLoad &load = received.serviceLoads.front();
+    for (const core::Duration duration : {received.metadataStaleness,
+                                          Start - received.notices.front().at,
+                                          load.age,
+                                          load.load.queueDelay,
+                                          load.load.serviceTime,
+                                          load.load.versions.front().queueDelay}) {
+        CHECK(duration >= 0ms);
+        CHECK(duration < Longest);
+    }
+
+    decoded = edge::decodeFleetMessage(encodeChanged(routing::PlacementRequest{},
+                                                     [&](fleet::Datagram &datagram) {
+                                                         fleet::Ask &out = *datagram.mutable_ask();
+                                                         out.set_on_time_left_us(signedNumber);
+                                                         out.set_useful_left_us(signedNumber);
+                                                         out.set_ends_left_us(signedNumber);
+                                                     }),
+                                       Start);
+    REQUIRE(decoded);
+    const auto &request = std::get<routing::PlacementRequest>(decoded->body);
+    for (const core::TimePoint deadline : {request.latencyDeadline, request.responseDeadline, request.completionDeadline}) {
+        CHECK(deadline - Start < Longest);
+        CHECK(Start - deadline < Longest);
+        CHECK((deadline < Start) == (signedNumber < 0));
+    }
+
+    edge::PlacementReport report;
+    report.inFlight = {routing::ReportedRequest{routing::PlacementId("a1/1"), core::UpstreamId("u"), 40ms, 7, record}};
+    decoded = edge::decodeFleetMessage(encodeChanged(report,
+                                                     [&](fleet::Datagram &datagram) {
+                                                         auto &row = *datagram.mutable_work()->mutable_holdings(0);
+                                                         row.set_first_event_after_us(number);
+                                                         row.mutable_stream()->set_age_us(number);
+                                                     }),
+                                       Start);
+    REQUIRE(decoded);
+    const routing::ReportedRequest &inFlight = std::get<edge::PlacementReport>(decoded->body).inFlight.front();
+    CHECK(*inFlight.timeToFirstEvent >= 0ms);
+    CHECK(*inFlight.timeToFirstEvent < Longest);
+    CHECK(inFlight.stream->beganAt <= Start);
+
+    decoded = edge::decodeFleetMessage(
+        encodeChanged(std::vector{edge::PlacementReply{routing::PlacementId("a"), routing::Refused{}}},
+                      [&](fleet::Datagram &datagram) { datagram.mutable_verdicts()->mutable_verdicts(0)->set_retry_after_us(number); }),
+        Start);
+    REQUIRE(decoded);
+    const auto refused = std::get<routing::Refused>(std::get<std::vector<edge::PlacementReply>>(decoded->body).front().decision);
+    CHECK(refused.retryAfter >= 0ms);
+    CHECK(refused.retryAfter < Longest);
+}
+
 TEST_CASE("software versions and records of streams round-trip through the codec", "[codec]")
 {
     const auto roundTrip = [](edge::FleetMessageBody body) {
