A message of another instance with an amount that is negative or not a number is malformed

Capacities, rates and shares were taken as they were; a NaN or infinite capacity or rate decides rankings and placements without an error. Such a datagram, and one about a member without an id, is dropped and counted (arbutus_datagrams_refused_total) like any other malformed one.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -6,6 +6,8 @@
 #include "fleet.pb.h"
 
 #include <algorithm>
+#include <cmath>
+#include <stdexcept>
 
 namespace arbutus::edge {
 
@@ -28,6 +30,22 @@
     return std::clamp(core::Duration(microseconds), -MaxDuration, MaxDuration);
 }
 
+/// A message that is malformed although Protobuf can parse it.
+class MalformedMessage : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Returns a number that states an amount; throws MalformedMessage if it is negative, infinite or not a number.
+double amount(double value)
+{
+    if (!(value >= 0) || !std::isfinite(value)) {
+        throw MalformedMessage("an amount is negative or not finite");
+    }
+    return value;
+}
+
 //-----------------------------------------------------------------------------
 // Membership
 //-----------------------------------------------------------------------------
@@ -49,6 +67,9 @@
 
 membership::Member fromProto(const fleet::Member &in)
 {
+    if (in.id().empty()) {
+        throw MalformedMessage("a member has no id");
+    }
     membership::Member member;
     member.id = core::InstanceId(in.id());
     member.incarnation = core::Incarnation(in.incarnation());
@@ -60,7 +81,7 @@
     member.gossipAddress = in.gossip_address();
     member.peerAddress = in.peer_address();
     member.clientUrl = in.url();
-    member.capacity = in.capacity();
+    member.capacity = amount(in.capacity());
     return member;
 }
 
@@ -229,7 +250,7 @@
     notice.upstream = core::UpstreamId(in.upstream());
     notice.startTime = routing::StartTime(in.start_time());
     if (in.limited()) {
-        notice.maxRequestRate = in.max_request_rate();
+        notice.maxRequestRate = amount(in.max_request_rate());
     }
     notice.isLeaving = in.leaving();
     notice.at = now - fromMicroseconds(in.age_us());
@@ -354,11 +375,11 @@
         routing::ServiceLoad load;
         load.service = core::ServiceId(row.service());
         load.queueDelay = fromMicroseconds(row.wait_us());
-        load.prefillTokensPerMs = row.tokens_per_ms();
+        load.prefillTokensPerMs = amount(row.tokens_per_ms());
         load.freeSlots = row.free_slots();
         load.usableUpstreams = row.usable();
-        load.prefillUtilization = row.prefill_share();
-        load.cacheMissRatio = row.read_share();
+        load.prefillUtilization = amount(row.prefill_share());
+        load.cacheMissRatio = amount(row.read_share());
         load.serviceTime = fromMicroseconds(row.service_time_us());
         for (const auto &version : row.versions()) {
             load.versions.push_back(
@@ -475,25 +496,9 @@
                body);
 }
 
-} // namespace
-
-std::string encode(const FleetMessage &message, core::TimePoint now)
-{
-    fleet::Datagram out;
-    out.set_version(FleetProtocolVersion);
-    out.set_sender(message.sender.id.text);
-    out.set_incarnation(message.sender.incarnation.value);
-    out.set_region(message.region.text);
-    bodyToProto(message.body, out, now);
-    return out.SerializeAsString();
-}
-
-std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes, core::TimePoint now)
+/// Returns nothing if the message has no body that this version knows. Throws MalformedMessage.
+std::optional<FleetMessage> fromProto(const fleet::Datagram &in, core::TimePoint now)
 {
-    fleet::Datagram in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.version() != FleetProtocolVersion || in.sender().empty()) {
-        return std::nullopt;
-    }
     FleetMessage message;
     message.sender = core::InstanceRef{core::InstanceId(in.sender()), core::Incarnation(in.incarnation())};
     message.region = core::RegionId(in.region());
@@ -550,6 +555,32 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::string encode(const FleetMessage &message, core::TimePoint now)
+{
+    fleet::Datagram out;
+    out.set_version(FleetProtocolVersion);
+    out.set_sender(message.sender.id.text);
+    out.set_incarnation(message.sender.incarnation.value);
+    out.set_region(message.region.text);
+    bodyToProto(message.body, out, now);
+    return out.SerializeAsString();
+}
+
+std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes, core::TimePoint now)
+{
+    fleet::Datagram in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.version() != FleetProtocolVersion || in.sender().empty()) {
+        return std::nullopt;
+    }
+    try {
+        return fromProto(in, now);
+    } catch (const MalformedMessage &) {
+        return std::nullopt; // the caller counts it
+    }
+}
+
 std::string encode(const MetadataSnapshot &snapshot)
 {
     fleet::Beliefs out;
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -634,6 +634,30 @@
     CHECK(refused.retryAfter < Longest);
 }
 
+TEST_CASE("a message with an amount that is negative or not a number is malformed", "[codec]")
+{
+    const auto number = GENERATE(as<double>{}, -1, -1e300, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN());
+    CAPTURE(number);
+    membership::Member member;
+    member.id = core::InstanceId("m");
+    const membership::Message gossip{{}, membership::Ping{1}, {member}};
+    edge::RegionState state;
+    state.serviceLoads = {edge::RegionServiceLoad{core::RegionId("x"), routing::ServiceLoad{}, 0ms}};
+    state.notices = {routing::UpstreamNotice{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start}};
+    const std::vector<std::pair<edge::FleetMessageBody, std::function<void(fleet::Datagram &)>>> changes{
+        {gossip, [&](fleet::Datagram &datagram) { datagram.mutable_members(0)->set_capacity(number); }},
+        {gossip, [&](fleet::Datagram &datagram) { datagram.mutable_members(0)->clear_id(); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_notices(0)->set_max_request_rate(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_tokens_per_ms(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_prefill_share(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_read_share(number); }},
+    };
+    for (const auto &[body, change] : changes) {
+        CHECK(edge::decodeFleetMessage(encodeChanged(body, [](fleet::Datagram &) {}), Start));
+        CHECK_FALSE(edge::decodeFleetMessage(encodeChanged(body, change), Start));
+    }
+}
+
 TEST_CASE("software versions and records of streams round-trip through the codec", "[codec]")
 {
     const auto roundTrip = [](edge::FleetMessageBody body) {
