Idle timeouts that servers announce are bounded

The seconds of Keep-Alive were converted to nanoseconds without a bound; from the sum with the present time overflowed, and the connection was never reused. The timeout is cut at one hour, as if none were announced, and negative ones count as 0.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -30,12 +31,13 @@
 
 namespace {
 
-constexpr std::size_t MaxChunkBytes = 16 * 1024;          // largest body chunk returned by one read
-constexpr std::size_t MaxIdlePerEndpoint = 16;            // idle connections kept per endpoint
-constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024; // limit for the status line and headers
-constexpr std::size_t MaxBufferedBytes = 128 * 1024;      // received and not yet parsed; also bounds chunk extensions and trailers
-constexpr int MaxMismatchedResponses = 3;                 // responses to other requests discarded before the call fails
-constexpr auto KeepAliveMargin = std::chrono::seconds(1); // subtracted from the idle timeout announced by the server
+constexpr std::size_t MaxChunkBytes = 16 * 1024;                       // largest body chunk returned by one read
+constexpr std::size_t MaxIdlePerEndpoint = 16;                         // idle connections kept per endpoint
+constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024;              // limit for the status line and headers
+constexpr std::size_t MaxBufferedBytes = 128 * 1024;                   // received and not yet parsed; also bounds chunk extensions and trailers
+constexpr int MaxMismatchedResponses = 3;                              // responses to other requests discarded before the call fails
+constexpr std::chrono::seconds MaxIdleTimeout = std::chrono::hours(1); // of pooled connections; longer announced ones are cut
+constexpr auto KeepAliveMargin = std::chrono::seconds(1);              // subtracted from the idle timeout announced by the server
 
 using IdleClock = std::chrono::steady_clock;
 
@@ -140,19 +142,20 @@
         }
     }
 
-    /// Idle timeout announced by the server in Keep-Alive, less a margin; one hour if none was announced.
+    /// Idle timeout announced by the server in Keep-Alive, less a margin; MaxIdleTimeout if none was announced.
     [[nodiscard]] IdleClock::duration announcedIdleTimeout() const
     {
         constexpr std::string_view Parameter = "timeout=";
         const auto value = parser->get()["Keep-Alive"];
         const auto at = value.find(Parameter);
         if (at == std::string_view::npos) {
-            return std::chrono::hours(1);
+            return MaxIdleTimeout;
         }
-        long seconds = 0;
+        std::chrono::seconds::rep seconds = 0; // not a number: not kept
         const char *digits = value.data() + at + Parameter.size();
-        std::from_chars(digits, value.data() + value.size(), seconds);
-        return std::chrono::seconds(seconds) - KeepAliveMargin;
+        const auto parsed = std::from_chars(digits, value.data() + value.size(), seconds);
+        const bool isTooLarge = parsed.ec == std::errc::result_out_of_range && *digits != '-';
+        return std::clamp(std::chrono::seconds(isTooLarge ? MaxIdleTimeout.count() : seconds), std::chrono::seconds(0), MaxIdleTimeout) - KeepAliveMargin;
     }
 
     asio::awaitable<CallResult<void>> connect(std::chrono::milliseconds timeout)
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -340,6 +340,63 @@
     }
 }
 
+TEST_CASE("a connection is reused for the idle timeout that the server announces, whatever the number", "[http]")
+{
+    struct Row
+    {
+        std::string keepAlive;
+        bool reused;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"timeout=60", true},
+        {"max=9, timeout=60", true},
+        {"timeout=9223372036", true}, // in nanoseconds just within 64 bits
+        {"timeout=9223372037", true},
+        {"timeout=9223372036854775807", true},
+        {"timeout=99999999999999999999", true},
+        {"timeout=1", false}, // as long as the margin
+        {"timeout=0", false},
+        {"timeout=-1", false},
+        {"timeout=-9223372036854775808", false},
+        {"timeout=-99999999999999999999", false},
+        {"timeout=", false},
+        {"timeout=soon", false},
+    }));
+    CAPTURE(row.keepAlive);
+    EchoServer server;
+    asio::ip::tcp::acceptor acceptor(server.context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    int connections = 0;
+    auto serve = [&](asio::ip::tcp::socket socket) -> asio::awaitable<void> {
+        boost::system::error_code code;
+        while (true) {
+            std::array<char, 4096> readBuffer{};
+            co_await socket.async_read_some(asio::buffer(readBuffer), asio::redirect_error(asio::use_awaitable, code));
+            if (code) {
+                co_return;
+            }
+            const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: " + row.keepAlive + "\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+        }
+    };
+    auto acceptLoop = [&]() -> asio::awaitable<void> {
+        while (true) {
+            asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            ++connections;
+            asio::co_spawn(server.context, serve(std::move(socket)), asio::detached);
+        }
+    };
+    asio::co_spawn(server.context, acceptLoop, asio::detached);
+    http::ConnectionPool pool;
+    const http::Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    for (int i = 0; i < 2; ++i) {
+        http::Call call(server.context.get_executor(), endpoint, &pool);
+        http::Request request;
+        REQUIRE(server.run(call.start(request, 2s)).has_value());
+        REQUIRE(server.run(call.readAll(2s)).has_value());
+    }
+    CHECK(connections == (row.reused ? 1 : 2));
+}
+
 TEST_CASE("Via headers are formatted and parsed", "[http]")
 {
     REQUIRE(http::formatVia({"a", "b"}) == "1.1 arbutus-a, 1.1 arbutus-b");
