An answer of the key-value service that cannot be read does not end the watch of the configuration

A watch event, or a result of a transaction, that is not an object threw in a detached coroutine. The coroutine ended without a word: the instance followed the configuration no more, or the call never returned. A transaction without a result was taken as a key that exists with an empty value.

An event or message that cannot be read ends the watch with an error, and its caller reads the range again; a transaction without a result is read back, as after a lost response.

On the old code 7 checks of the first rows failed, and at the row with a number as the result the call never returned: the program was ended after 100 s, so the rows after it and the test of watch messages were not reached. All pass now (storeclienttest).

--- a/src/arbutus/metadata/kvclient.cpp
+++ b/src/arbutus/metadata/kvclient.cpp
@@ -69,16 +69,24 @@
                         {"failure", json::array{json::object{{"request_range", std::move(read)}}}}};
 }
 
-KvCreateResult toCreateResult(const json::object &response)
+/// Returns nothing if the response tells neither that the key was created nor which value it has.
+std::optional<KvCreateResult> toCreateResult(const json::object &response)
 {
     KvCreateResult result;
     result.created = core::jsonBool(response, "succeeded");
     result.revision = core::jsonInteger(core::jsonObject(response, "header"), "revision");
+    if (result.created) {
+        return result;
+    }
     const json::array &responses = core::jsonArray(response, "responses");
-    if (!result.created && !responses.empty()) {
-        const KvRange range = toKvRange(core::jsonObject(responses.front().as_object(), "response_range"));
-        result.existingValue = range.pairs.empty() ? "" : range.pairs.front().value;
+    if (responses.empty() || !responses.front().is_object()) {
+        return std::nullopt;
+    }
+    const KvRange range = toKvRange(core::jsonObject(responses.front().as_object(), "response_range"));
+    if (range.pairs.empty()) {
+        return std::nullopt;
     }
+    result.existingValue = range.pairs.front().value;
     return result;
 }
 
@@ -95,18 +103,23 @@
     return error;
 }
 
-void processWatchLine(std::string_view line, const std::function<void(KvPair)> &onPut)
+/// Returns false if the line or one of its events cannot be read, so that a change may have been missed.
+bool processWatchLine(std::string_view line, const std::function<void(KvPair)> &onPut)
 {
     const auto parsed = core::parseJsonObject(line);
     if (!parsed) {
-        return;
+        return false;
     }
     for (const json::value &event : core::jsonArray(core::jsonObject(parsed.value(), "result"), "events")) {
+        if (!event.is_object()) {
+            return false;
+        }
         const json::object &fields = event.as_object();
         if (core::jsonString(fields, "type", "PUT") == "PUT") {
             onPut(toKvPair(core::jsonObject(fields, "kv")));
         }
     }
+    return true;
 }
 
 } // namespace
@@ -174,18 +187,19 @@
 {
     json::object request = createRequest(key, value, lease);
     auto response = co_await post("/v3/kv/txn", std::move(request));
+    core::Error error = core::makeUnknownOutcomeError(core::ErrorKind::PlatformDown, "the platform's service returned no result of the transaction");
     if (response) {
-        KvCreateResult result = toCreateResult(response.value());
-        if (!result.created && result.existingValue == value) { // our own value, written by an earlier attempt
-            result.created = true;
+        if (auto result = toCreateResult(response.value())) {
+            result->created = result->created || result->existingValue == value; // our own value, written by an earlier attempt
+            co_return std::move(*result);
         }
-        co_return result;
+    } else {
+        error = response.error();
     }
-    core::Error error = response.error();
     if (error.outcome == core::Outcome::NotRun) {
         co_return error;
     }
-    for (int i = 0; i < MaxReadBackAttempts; ++i) { // the response was lost: read back the stored value
+    for (int i = 0; i < MaxReadBackAttempts; ++i) { // the response was lost or cannot be read: read back the stored value
         auto readBack = co_await range(key, {});
         if (readBack && !readBack.value().pairs.empty()) {
             KvCreateResult result;
@@ -256,7 +270,9 @@
         pending += chunk.value();
         std::size_t end = 0;
         while ((end = pending.find('\n')) != std::string::npos) {
-            processWatchLine(std::string_view(pending).substr(0, end), onPut);
+            if (!processWatchLine(std::string_view(pending).substr(0, end), onPut)) {
+                co_return core::makeError(core::ErrorKind::PlatformDown, "the platform's service sent a message that cannot be read");
+            }
             pending.erase(0, end + 1);
         }
     }
--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -1,6 +1,8 @@
-// Tests of the platform's store client against a fake server with valid, invalid and missing responses.
+// Tests of the platform's store client, and of the client of the key-value service, against a fake server with valid, invalid and
+// missing responses.
 
 #include "platform/storeclient.h"
+#include "arbutus/metadata/kvclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -355,6 +357,63 @@
     CHECK(fixture.run(fixture.client.keepLeaseAlive(metadata::LeaseId("4"))).has_value() == row.confirmed);
 }
 
+TEST_CASE("the key-value service's answer to a transaction is read back if it tells no result", "[kv]")
+{
+    const auto answer = GENERATE(as<std::string>{},
+                                 "{}",
+                                 R"({"succeeded":false})",
+                                 R"({"succeeded":false,"responses":[]})",
+                                 R"({"succeeded":false,"responses":[7]})",
+                                 R"({"succeeded":false,"responses":[[]]})",
+                                 R"({"succeeded":false,"responses":[null]})",
+                                 R"({"succeeded":false,"responses":[{"response_range":7}]})",
+                                 R"({"succeeded":false,"responses":[{"response_range":{"kvs":[7]}}]})",
+                                 R"({"succeeded":"true","responses":{}})");
+    CAPTURE(answer);
+    Fixture fixture;
+    fixture.server.closeAfterEach = true;
+    fixture.server.responses = {httpResponse(200, answer),
+                                httpResponse(200, R"({"header":{"revision":"4"},"kvs":[{"key":"aw==","value":"b3RoZXI=","mod_revision":"3"}]})")};
+    metadata::KvClient client(fixture.loop.get_executor(), {fixture.server.endpoint()}, "d");
+    const auto created = fixture.run(client.create("k", "v"));
+    REQUIRE(created.has_value());
+    CHECK_FALSE(created.value().created);
+    CHECK(created.value().existingValue == "other");
+    CHECK(fixture.server.requests.size() == 2);
+}
+
+TEST_CASE("a message of the key-value service that cannot be read ends the watch with an error", "[kv]")
+{
+    struct Row
+    {
+        std::string line;
+        bool failed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"result":{"events":[]}})", false},
+        {R"({"result":{}})", false},
+        {R"({"result":{"events":[{"type":"DELETE","kv":{"key":"aw=="}}]}})", false},
+        {R"({"result":{"events":[7]}})", true},
+        {R"({"result":{"events":[[]]}})", true},
+        {R"({"result":{"events":[null]}})", true},
+        {"[]", true},
+        {"\xff", true},
+        {std::string(100'000, '['), true},
+    }));
+    CAPTURE(row.line.substr(0, 60));
+    Fixture fixture;
+    fixture.server.closeAfterEach = true;
+    const std::string put = R"({"result":{"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"3"}}]}})"
+                            "\n";
+    fixture.server.responses = {httpResponse(200, put + row.line + "\n" + put)};
+    metadata::KvClient client(fixture.loop.get_executor(), {fixture.server.endpoint()}, "d");
+    std::vector<std::string> values;
+    const auto watched = fixture.run(client.watch(
+        "k", "l", 1, [&](const metadata::KvPair &pair) { values.push_back(pair.value); }, [] { return false; }));
+    CHECK(watched.has_value() == !row.failed);
+    CHECK(values == std::vector<std::string>(row.failed ? 1 : 2, "v"));
+}
+
 TEST_CASE("errors for an expired lease and an unreachable store", "[store]")
 {
     Fixture fixture;
