Entries of the platform's list that cannot be used are left out

Negative slots became four billion, negative or huge prices were taken, and entries without id or address became upstreams and members. Slots must be 1 to 10,000, prices 0 to 10^6, ids and addresses must be there; other entries are logged once (list_entry_invalid).

The decoding was not reachable for a test before, so the table (21 rows, gatewaytest) could not be built against the old code.

--- a/src/arbutus/gateway/platformclient.cpp
+++ b/src/arbutus/gateway/platformclient.cpp
@@ -11,6 +11,7 @@
 #include "arbutus/core/asyncsleep.h"
 
 #include "arbutus/core/json.h"
+#include "arbutus/observe/logline.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace arbutus::gateway {
 
 namespace asio = boost::asio;
@@ -59,7 +62,18 @@
     return out;
 }
 
-routing::UpstreamDescriptor parseUpstream(const json::object &object)
+constexpr std::int64_t DefaultSlots = 16;
+constexpr std::int64_t MaxSlots = 10'000; // of one upstream
+constexpr double MaxPrice = 1e6;
+
+bool isAddress(const std::string &text)
+{
+    const http::Endpoint endpoint = http::parseEndpoint(text);
+    return !endpoint.host.empty() && endpoint.port != 0;
+}
+
+/// Returns nothing if the entry names no upstream that could be used.
+std::optional<routing::UpstreamDescriptor> parseUpstream(const json::object &object)
 {
     routing::UpstreamDescriptor out;
     out.id = core::UpstreamId(core::jsonString(object, "id"));
@@ -69,13 +83,16 @@
     out.address = core::jsonString(object, "address");
     out.models = parseIds<core::ModelId>(core::jsonArray(object, "models"));
     out.service = core::ServiceId(core::jsonString(object, "service"));
-    out.slots = static_cast<std::uint32_t>(core::jsonInteger(object, "slots", 16));
+    const std::int64_t slots = core::jsonInteger(object, "slots", DefaultSlots);
+    out.slots = static_cast<std::uint32_t>(std::clamp<std::int64_t>(slots, 0, MaxSlots));
     out.price = core::jsonNumber(object, "price", 1.0);
     out.leaving = core::jsonString(object, "state") == "leaving";
-    return out;
+    const bool valid = !out.id.empty() && isAddress(out.address) && slots > 0 && slots <= MaxSlots && out.price >= 0 && out.price <= MaxPrice;
+    return valid ? std::optional(std::move(out)) : std::nullopt;
 }
 
-membership::Member parseMember(const json::object &object)
+/// Returns nothing if the entry names no instance that could be reached.
+std::optional<membership::Member> parseMember(const json::object &object)
 {
     membership::Member out;
     out.id = core::InstanceId(core::jsonString(object, "id"));
@@ -84,43 +101,56 @@
     out.gossipAddress = core::jsonString(object, "gossip");
     out.peerAddress = core::jsonString(object, "peers");
     out.clientUrl = core::jsonString(object, "url");
-    return out;
+    const bool valid = !out.id.empty() && !out.region.empty() && !out.domain.empty() && isAddress(out.gossipAddress) && isAddress(out.peerAddress);
+    return valid ? std::optional(std::move(out)) : std::nullopt;
 }
 
-node::PlatformListReceived parsePlatformList(const json::object &response, const core::DomainId &domain)
+std::string directoryBody(const node::WriteDirectory &command, const core::DomainId &domain, const core::RegionId &region)
+{
+    json::array entries;
+    for (const node::EntryPoint &entry : command.entries) {
+        entries.push_back(json::object{{"id", entry.id.text}, {"url", entry.url}});
+    }
+    return json::serialize(json::object{{"failure_domain", domain.text}, {"region", region.text}, {"entries", std::move(entries)}});
+}
+
+} // namespace
+
+PlatformList parsePlatformList(const json::object &response, const core::DomainId &domain)
 {
-    node::PlatformListReceived received;
+    PlatformList list;
     std::map<core::RegionId, std::set<core::DomainId>> domains;
     for (const json::value &value : core::jsonArray(response, "instances")) {
         if (!value.is_object()) {
+            list.invalidEntries.emplace_back("(not an object)");
             continue;
         }
         const json::object &object = value.as_object();
+        bool valid = true;
         if (core::jsonString(object, "kind") == "gateway") {
-            membership::Member member = parseMember(object);
-            domains[member.region].insert(member.domain);
-            received.instances.push_back(std::move(member));
+            if (auto member = parseMember(object)) {
+                domains[member->region].insert(member->domain);
+                list.received.instances.push_back(std::move(*member));
+            } else {
+                valid = false;
+            }
         } else if (core::jsonString(object, "failure_domain") == domain.text) {
-            received.upstreams.push_back(parseUpstream(object));
+            if (auto upstream = parseUpstream(object)) {
+                list.received.upstreams.push_back(std::move(*upstream));
+            } else {
+                valid = false;
+            }
+        }
+        if (!valid) {
+            list.invalidEntries.push_back(core::jsonString(object, "id", "(without id)"));
         }
     }
     for (const auto &[region, domainIds] : domains) {
-        received.domainCountByRegion[region] = static_cast<std::uint32_t>(domainIds.size());
+        list.received.domainCountByRegion[region] = static_cast<std::uint32_t>(domainIds.size());
     }
-    return received;
+    return list;
 }
 
-std::string directoryBody(const node::WriteDirectory &command, const core::DomainId &domain, const core::RegionId &region)
-{
-    json::array entries;
-    for (const node::EntryPoint &entry : command.entries) {
-        entries.push_back(json::object{{"id", entry.id.text}, {"url", entry.url}});
-    }
-    return json::serialize(json::object{{"failure_domain", domain.text}, {"region", region.text}, {"entries", std::move(entries)}});
-}
-
-} // namespace
-
 //-----------------------------------------------------------------------------
 // Commands
 //-----------------------------------------------------------------------------
@@ -387,7 +417,14 @@
     auto response = co_await m_client.call("GET", "/list?domain=" + m_domain.text, {});
     recordCall("list", static_cast<bool>(response));
     if (response) {
-        m_post(parsePlatformList(response.value(), m_domain));
+        PlatformList list = parsePlatformList(response.value(), m_domain);
+        for (const std::string &entry : list.invalidEntries) {
+            if (!m_invalidEntries.contains(entry)) {
+                observe::LogLine("list_entry_invalid").add("entry", entry).warn();
+            }
+        }
+        m_invalidEntries = std::set<std::string>(list.invalidEntries.begin(), list.invalidEntries.end());
+        m_post(std::move(list.received));
     }
 }
 
--- a/src/arbutus/gateway/platformclient.h
+++ b/src/arbutus/gateway/platformclient.h
@@ -11,6 +11,9 @@
 
 #include <atomic>
 #include <functional>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace arbutus::gateway {
 
@@ -18,6 +21,16 @@
 using PlatformCommand =
     std::variant<node::WatchConfig, node::WriteSnapshot, node::ClaimIdempotencyKey, node::FetchPlatformList, node::WriteDirectory, node::MaintainLease>;
 
+/// The platform's list of instances. Entries that name nothing that could be used are left out and named by their ids.
+struct PlatformList
+{
+    node::PlatformListReceived received;
+    std::vector<std::string> invalidEntries;
+};
+
+/// Decodes the list of instances; upstreams of domains other than `domain` are left out.
+[[nodiscard]] PlatformList parsePlatformList(const boost::json::object &response, const core::DomainId &domain);
+
 /// Executes platform commands on its own thread and posts the results as events.
 class PlatformClient
 {
@@ -67,7 +80,8 @@
     std::uint64_t m_leaseGeneration = 0;
     std::uint64_t m_nonce = 0; // distinguishes lease attempts of the same incarnation
     bool m_watching = false;
-    core::Revision m_lastReadRevision; // revision of the last log entry read
+    core::Revision m_lastReadRevision;      // revision of the last log entry read
+    std::set<std::string> m_invalidEntries; // of the last list, so that each is reported once
     std::int64_t m_storeRevision = 0;
     std::int64_t m_claimLease = 0; // store lease that new claims are attached to
     std::int64_t m_claimsUnderLease = 0;
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -2,6 +2,7 @@
 // simulated engine.
 
 #include "arbutus/core/prefixblocks.h"
+#include "arbutus/gateway/platformclient.h"
 #include "arbutus/gateway/settings.h"
 #include "arbutus/gateway/ssestreamfilter.h"
 #include "arbutus/observe/logline.h"
@@ -121,6 +122,53 @@
     REQUIRE(settings.error().kind == core::ErrorKind::SettingsInvalid);
 }
 
+TEST_CASE("an entry of the platform's list that cannot be used is left out, and the others stay", "[platform]")
+{
+    struct Row
+    {
+        std::string found;
+        std::string replacement;
+        bool valid;
+    };
+    const std::string upstream =
+        R"({"id":"u1","kind":"model","region":"r","failure_domain":"d","address":"127.0.0.1:7100","models":["m"],"slots":16,"price":1.5})";
+    const std::string instance =
+        R"({"id":"n1","kind":"gateway","region":"r","failure_domain":"d","gossip":"127.0.0.1:1","peers":"127.0.0.1:2","url":"http://127.0.0.1:3"})";
+    const auto row = GENERATE(values<Row>({
+        {"16", "1", true},
+        {"16", "10000", true},
+        {"\"slots\":16,", "", true},
+        {"1.5", "0", true},
+        {"16", "0", false},
+        {"16", "-1", false},
+        {"16", "10001", false},
+        {"16", "4294967297", false},
+        {"1.5", "-0.1", false},
+        {"1.5", "1e300", false},
+        {"1.5", "1e400", false},
+        {"u1", "", false},
+        {"\"u1\"", "7", false},
+        {"127.0.0.1:7100", "", false},
+        {"127.0.0.1:7100", "127.0.0.1:0", false},
+        {"127.0.0.1:7100", "127.0.0.1:70000", false},
+        {"127.0.0.1:7100", ":7100", false},
+        {"127.0.0.1:1", "127.0.0.1:-1", false},
+        {"127.0.0.1:2", "", false},
+        {"n1", "", false},
+        {"\"region\":\"r\",\"failure_domain\":\"d\",\"gossip\"", "\"gossip\"", false},
+    }));
+    CAPTURE(row.found, row.replacement);
+    const std::string rest = upstream + "," + instance;
+    std::string odd = rest;
+    odd.replace(odd.find(row.found), row.found.size(), row.replacement);
+    const auto object = boost::json::parse(R"({"instances":[7,)" + odd + "," + rest + "]}");
+    const gateway::PlatformList list = gateway::parsePlatformList(object.as_object(), core::DomainId("d"));
+    CHECK(list.received.upstreams.size() + list.received.instances.size() == (row.valid ? 4 : 3));
+    CHECK(list.invalidEntries.size() == (row.valid ? 1 : 2)); // one is not an object
+    CHECK_FALSE(list.received.upstreams.empty());
+    CHECK(list.received.domainCountByRegion.at(core::RegionId("r")) == 1);
+}
+
 TEST_CASE("datagrams round-trip through the codec and tampered ones are rejected", "[peer]")
 {
     const peer::DatagramCodec codec("a cluster key of some length");
