--- a/src/arbutus/config/configlog.cpp
+++ b/src/arbutus/config/configlog.cpp
@@ -5,6 +5,7 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/core/json.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -98,13 +99,13 @@
 {
     BOOST_OUTCOME_TRY(const json::object object, core::parseJsonObject(text));
     LogEntry entry;
-    entry.revision = core::Revision(static_cast<std::uint64_t>(core::jsonInteger(object, "revision")));
+    entry.revision = core::Revision(static_cast<std::uint64_t>(std::max<std::int64_t>(core::jsonInteger(object, "revision"), 0)));
     entry.editId = core::jsonString(object, "edit_id");
     entry.previousHash = core::jsonString(object, "previous_hash");
     entry.author = core::jsonString(object, "author");
     entry.editedAtMs = core::jsonInteger(object, "at_ms");
     if (entry.revision.value == 0 || entry.editId.empty()) {
-        return malformedEntry("\"revision\" or \"edit_id\" is missing");
+        return malformedEntry("\"revision\" or \"edit_id\" is missing or invalid");
     }
     BOOST_OUTCOME_TRYV(parsePuts(object, entry));
     BOOST_OUTCOME_TRYV(parseRemovals(object, entry));
@@ -170,7 +171,7 @@
         return false;
     }
     const json::object &object = parsed.value();
-    const core::Revision revision(static_cast<std::uint64_t>(core::jsonInteger(object, "revision")));
+    const core::Revision revision(static_cast<std::uint64_t>(std::max<std::int64_t>(core::jsonInteger(object, "revision"), 0)));
     const json::value *rows = object.if_contains("documents");
     if (revision <= m_head.revision || rows == nullptr || !rows->is_array()) {
         return false;
--- a/src/arbutus/gateway/platformclient.cpp
+++ b/src/arbutus/gateway/platformclient.cpp
@@ -41,6 +41,8 @@
 constexpr auto LeaseRenewalInterval = 3'000ms;
 constexpr auto LeaseRetryDelay = 2'000ms;           // delay before the next attempt to acquire a lease
 constexpr std::size_t SnapshotChunkBytes = 700'000; // the store limits values to 1 MB
+constexpr std::int64_t MaxSnapshotChunks = 10'000;
+constexpr std::size_t MaxLoggedBytes = 200;
 constexpr std::string_view LogPrefix = "config/log/";
 constexpr std::string_view LogRangeEnd = "config/log0"; // first key after all keys with the prefix
 constexpr std::string_view SnapshotHeadKey = "config/snapshot/head";
@@ -265,10 +267,14 @@
             co_return false;
         }
         m_storeRevision = range.value().revision;
+        const core::Revision before = m_lastReadRevision;
         postConfigEntries(range.value().pairs);
         if (range.value().pairs.size() < static_cast<std::size_t>(EntriesPerRead)) {
             co_return true;
         }
+        if (m_lastReadRevision == before) { // no entry can be read: the same read would be made for ever
+            co_return false;
+        }
     }
 }
 
@@ -277,7 +283,8 @@
     node::ConfigEntriesReceived received;
     for (const metadata::KvPair &pair : pairs) {
         auto entry = config::parseLogEntry(pair.value);
-        if (entry) {
+        // An entry that states a later revision than its key would hide all entries up to that revision.
+        if (entry && pair.key == config::logEntryKey(entry.value().revision)) {
             m_lastReadRevision = std::max(m_lastReadRevision, entry.value().revision);
             received.entries.push_back(std::move(entry.value()));
         }
@@ -300,6 +307,10 @@
     }
     const core::Revision revision(static_cast<std::uint64_t>(core::jsonInteger(parsed.value(), "revision")));
     const std::int64_t chunks = core::jsonInteger(parsed.value(), "chunks");
+    if (core::jsonInteger(parsed.value(), "revision") <= 0 || chunks <= 0 || chunks > MaxSnapshotChunks) {
+        observe::LogLine("snapshot_head_invalid").add("value", head.value().pairs.front().value.substr(0, MaxLoggedBytes)).warn();
+        co_return;
+    }
     std::string text;
     for (std::int64_t i = 0; i < chunks; ++i) {
         auto chunk = co_await m_client.range(chunkKey(revision, static_cast<std::size_t>(i)), {});
--- a/tests/configtest.cpp
+++ b/tests/configtest.cpp
@@ -132,6 +132,8 @@
     REQUIRE(config::parseLogEntry(entry.serialize()).value().serialize() == entry.serialize());
     REQUIRE_FALSE(config::parseLogEntry("{}"));
     REQUIRE_FALSE(config::parseLogEntry("nonsense"));
+    REQUIRE_FALSE(config::parseLogEntry(R"({"revision":-3,"edit_id":"e","previous_hash":"","author":"a","at_ms":0,"puts":[],"removals":[]})"));
+    REQUIRE_FALSE(config::ConfigState().installSnapshot(R"({"revision":-3,"hash":"","documents":[]})"));
 
     config::ConfigState fresh;
     REQUIRE(fresh.installSnapshot(state.serializeSnapshot()));
