Numbers in request headers that are too large count as the largest

Token counts above 2^32 became 0 without a word, and the sum of two large ones wrapped to a small one; a deadline above 2^63 was answered with 400. They are cut at 10^9 tokens and 30 days.

--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -932,6 +932,29 @@
     CHECK_FALSE(adapter.parseRequest(request));
 }
 
+TEST_CASE("numbers in request headers that are too large count as the largest", "[adapter]")
+{
+    const auto number = GENERATE(as<std::string>{}, "4294967295", "4294967296", "9223372036854775807", "18446744073709551615", "99999999999999999999999");
+    CAPTURE(number);
+    http::Request request;
+    request.headers = {{"X-Attempt-Id", "a1"},
+                       {"X-Deadline-Ms", number},
+                       {"X-Token-Count", number + "," + number},
+                       {"X-Length-Hint", number},
+                       {"X-Prompt-Prefix", "5c1e07a2:" + number}};
+    const auto parsed = platform::PlatformAdapter().parseRequest(request);
+    REQUIRE(parsed);
+    CHECK(parsed.value().timeout == std::chrono::days(30));
+    CHECK(parsed.value().promptTokens == 1'000'000'000);
+    CHECK(parsed.value().expectedOutputTokens == 1'000'000'000);
+    REQUIRE(parsed.value().prompt.size() == 1);
+    CHECK(parsed.value().prompt.front().tokens == 1'000'000'000);
+    routing::PlacementRequest placement;
+    placement.prompt = parsed.value().prompt;
+    placement.outputTokens = parsed.value().expectedOutputTokens;
+    CHECK(placement.unsharedTokens() == 2'000'000'000);
+}
+
 TEST_CASE("headers reserved for the gateway are not forwarded from a client to an upstream", "[adapter]")
 {
     const platform::PlatformAdapter adapter;
