JSON documents with infinite numbers are refused

Boost.JSON parses 1e400 as infinity and writes it as a text that it cannot parse. Found by fuzztest; the row in configtest failed on the old code.

--- a/src/arbutus/core/json.cpp
+++ b/src/arbutus/core/json.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/core/json.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <limits>
@@ -66,6 +67,22 @@
     return value != nullptr && value->is_array() ? value->as_array() : empty;
 }
 
+namespace {
+
+/// Whether all numbers are finite. A number such as 1e400 is parsed as infinity, which cannot be written as JSON again.
+bool hasFiniteNumbers(const json::value &value)
+{
+    if (const json::array *array = value.if_array()) {
+        return std::all_of(array->begin(), array->end(), hasFiniteNumbers);
+    }
+    if (const json::object *object = value.if_object()) {
+        return std::all_of(object->begin(), object->end(), [](const auto &field) { return hasFiniteNumbers(field.value()); });
+    }
+    return !value.is_double() || std::isfinite(value.get_double());
+}
+
+} // namespace
+
 Result<json::object> parseJsonObject(std::string_view text)
 {
     boost::system::error_code error;
@@ -76,6 +93,9 @@
     if (!value.is_object()) {
         return makeError(ErrorKind::BadRequest, "the top-level JSON value is not an object");
     }
+    if (!hasFiniteNumbers(value)) {
+        return makeError(ErrorKind::BadRequest, "invalid JSON: a number is out of range");
+    }
     return std::move(value.as_object());
 }
 
--- a/tests/configtest.cpp
+++ b/tests/configtest.cpp
@@ -132,6 +132,8 @@
     REQUIRE(config::parseLogEntry(entry.serialize()).value().serialize() == entry.serialize());
     REQUIRE_FALSE(config::parseLogEntry("{}"));
     REQUIRE_FALSE(config::parseLogEntry("nonsense"));
+    REQUIRE_FALSE(config::ConfigState().installSnapshot(
+        R"({"revision":3,"hash":"h","documents":[{"document":{"kind":"workspace","id":"w","parameters":{"rate":[{"a":1e400}]}},"written_at":2}]})"));
     REQUIRE_FALSE(config::parseLogEntry(R"({"revision":-3,"edit_id":"e","previous_hash":"","author":"a","at_ms":0,"puts":[],"removals":[]})"));
     REQUIRE_FALSE(config::ConfigState().installSnapshot(R"({"revision":-3,"hash":"","documents":[]})"));
 
