Datagrams with an empty list are not malformed

A load update without reports, or a placement message without replies, was sent without a body, which the receiver counts as malformed. Found by fuzztest; both new tests (gatewaytest, metadatacachetest) failed on the old code.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -482,6 +482,7 @@
                    },
                    [&](const routing::PlacementRequest &request) { toProto(request, *out.mutable_ask(), now); },
                    [&](const std::vector<PlacementReply> &replies) {
+                       (void)out.mutable_verdicts(); // a datagram without a body is malformed
                        for (const PlacementReply &reply : replies) {
                            toProto(reply, *out.mutable_verdicts()->add_verdicts());
                        }
--- a/src/arbutus/peer/codec.cpp
+++ b/src/arbutus/peer/codec.cpp
@@ -273,6 +273,7 @@
         [&](const membership::Message &message) { bodyToWire(message, out); },
         [&](const node::Digest &digest) { toWire(digest, *out.mutable_digest()); },
         [&](const node::LoadUpdate &update) {
+            (void)out.mutable_load(); // a datagram without a body is malformed
             for (const routing::LoadReport &report : update.reports) {
                 toWire(report, *out.mutable_load()->add_upstreams());
             }
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -202,6 +202,15 @@
     REQUIRE(codec.decode("short").error == peer::DatagramError::Malformed);
 }
 
+TEST_CASE("a load update without reports is not malformed", "[peer]")
+{
+    const peer::DatagramCodec codec("a cluster key of some length");
+    node::Datagram datagram;
+    datagram.sender = core::InstanceRef{core::InstanceId("n1"), core::Incarnation(5)};
+    datagram.body = node::LoadUpdate{};
+    CHECK(codec.decode(codec.encode(datagram)).datagram);
+}
+
 TEST_CASE("the current and the previous protocol version are supported, a newer one is not", "[peer]")
 {
     REQUIRE(peer::isVersionSupported(peer::ProtocolVersion));
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -658,6 +658,12 @@
     }
 }
 
+TEST_CASE("a message without replies is not malformed", "[codec]")
+{
+    const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), std::vector<edge::PlacementReply>()};
+    CHECK(edge::decodeFleetMessage(edge::encode(message, Start), Start));
+}
+
 TEST_CASE("software versions and records of streams round-trip through the codec", "[codec]")
 {
     const auto roundTrip = [](edge::FleetMessageBody body) {
