--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -5,6 +5,10 @@
 
 #include "fleet.pb.h"
 
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
 namespace arbutus::edge {
 
 namespace {
@@ -14,9 +18,32 @@
     return static_cast<std::uint64_t>(std::max<core::Duration::rep>(duration.count(), 0));
 }
 
+constexpr core::Duration MaxDuration = std::chrono::days(365); // longer ones are cut: no age or wait that matters is longer
+
 core::Duration fromMicroseconds(std::uint64_t microseconds)
 {
-    return core::Duration(static_cast<core::Duration::rep>(microseconds));
+    return core::Duration(static_cast<core::Duration::rep>(std::min(microseconds, static_cast<std::uint64_t>(MaxDuration.count()))));
+}
+
+core::Duration fromSignedMicroseconds(std::int64_t microseconds)
+{
+    return std::clamp(core::Duration(microseconds), -MaxDuration, MaxDuration);
+}
+
+/// A message that is malformed although Protobuf can parse it.
+class MalformedMessage : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Returns a number that states an amount; throws MalformedMessage if it is negative, infinite or not a number.
+double amount(double value)
+{
+    if (!(value >= 0) || !std::isfinite(value)) {
+        throw MalformedMessage("an amount is negative or not finite");
+    }
+    return value;
 }
 
 //-----------------------------------------------------------------------------
@@ -40,6 +67,9 @@
 
 std::optional<membership::Member> fromProto(const fleet::Member &in)
 {
+    if (in.id().empty()) {
+        throw MalformedMessage("a member has no id");
+    }
     constexpr auto LastCondition = static_cast<std::uint32_t>(membership::MemberCondition::Dead);
     if (in.condition() > LastCondition) {
         return std::nullopt;
@@ -55,7 +85,7 @@
     member.gossipAddress = in.gossip_address();
     member.peerAddress = in.peer_address();
     member.clientUrl = in.url();
-    member.capacity = in.capacity();
+    member.capacity = amount(in.capacity());
     return member;
 }
 
@@ -119,9 +149,9 @@
     request.requester = std::move(requester);
     request.service = core::ServiceId(in.service());
     request.priority = in.priority();
-    request.latencyDeadline = now + core::Duration(in.on_time_left_us());
-    request.responseDeadline = now + core::Duration(in.useful_left_us());
-    request.completionDeadline = now + core::Duration(in.ends_left_us());
+    request.latencyDeadline = now + fromSignedMicroseconds(in.on_time_left_us());
+    request.responseDeadline = now + fromSignedMicroseconds(in.useful_left_us());
+    request.completionDeadline = now + fromSignedMicroseconds(in.ends_left_us());
     request.fingerprint = fromProto(in.fingerprint());
     for (const fleet::PromptPart &part : in.prompt()) {
         request.prompt.push_back(routing::PromptPart{part.chain(), part.tokens(), routing::PromptPartId(part.id())});
@@ -228,7 +258,7 @@
     notice.upstream = core::UpstreamId(in.upstream());
     notice.startTime = routing::StartTime(in.start_time());
     if (in.limited()) {
-        notice.maxRequestRate = in.max_request_rate();
+        notice.maxRequestRate = amount(in.max_request_rate());
     }
     notice.isLeaving = in.leaving();
     notice.at = now - fromMicroseconds(in.age_us());
@@ -260,7 +290,7 @@
         row->set_id(request.id.text);
         row->set_upstream(request.upstream.text);
         row->set_started(request.timeToFirstEvent.has_value());
-        row->set_first_event_after_us(static_cast<std::uint64_t>(request.timeToFirstEvent.value_or(core::Duration::zero()).count()));
+        row->set_first_event_after_us(toMicroseconds(request.timeToFirstEvent.value_or(core::Duration::zero())));
         row->set_memory_tokens(request.memoryTokens);
         if (request.stream) {
             toProto(*request.stream, *row->mutable_stream(), now);
@@ -355,11 +385,11 @@
         routing::ServiceLoad load;
         load.service = core::ServiceId(row.service());
         load.queueDelay = fromMicroseconds(row.wait_us());
-        load.prefillTokensPerMs = row.tokens_per_ms();
+        load.prefillTokensPerMs = amount(row.tokens_per_ms());
         load.freeSlots = row.free_slots();
         load.usableUpstreams = row.usable();
-        load.prefillUtilization = row.prefill_share();
-        load.cacheMissRatio = row.read_share();
+        load.prefillUtilization = amount(row.prefill_share());
+        load.cacheMissRatio = amount(row.read_share());
         load.serviceTime = fromMicroseconds(row.service_time_us());
         for (const auto &version : row.versions()) {
             load.versions.push_back(
@@ -466,6 +496,7 @@
                    },
                    [&](const routing::PlacementRequest &request) { toProto(request, *out.mutable_ask(), now); },
                    [&](const std::vector<PlacementReply> &replies) {
+                       (void)out.mutable_verdicts(); // a datagram without a body is malformed
                        for (const PlacementReply &reply : replies) {
                            toProto(reply, *out.mutable_verdicts()->add_verdicts());
                        }
@@ -480,25 +511,9 @@
                body);
 }
 
-} // namespace
-
-std::string encode(const FleetMessage &message, core::TimePoint now)
-{
-    fleet::Datagram out;
-    out.set_version(FleetProtocolVersion);
-    out.set_sender(message.sender.id.text);
-    out.set_incarnation(message.sender.incarnation.value);
-    out.set_region(message.region.text);
-    bodyToProto(message.body, out, now);
-    return out.SerializeAsString();
-}
-
-std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes, core::TimePoint now)
+/// Returns nothing if the message has no body that this version knows. Throws MalformedMessage.
+std::optional<FleetMessage> fromProto(const fleet::Datagram &in, core::TimePoint now)
 {
-    fleet::Datagram in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.version() != FleetProtocolVersion || in.sender().empty()) {
-        return std::nullopt;
-    }
     FleetMessage message;
     message.sender = core::InstanceRef{core::InstanceId(in.sender()), core::Incarnation(in.incarnation())};
     message.region = core::RegionId(in.region());
@@ -563,6 +578,32 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::string encode(const FleetMessage &message, core::TimePoint now)
+{
+    fleet::Datagram out;
+    out.set_version(FleetProtocolVersion);
+    out.set_sender(message.sender.id.text);
+    out.set_incarnation(message.sender.incarnation.value);
+    out.set_region(message.region.text);
+    bodyToProto(message.body, out, now);
+    return out.SerializeAsString();
+}
+
+std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes, core::TimePoint now)
+{
+    fleet::Datagram in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.version() != FleetProtocolVersion || in.sender().empty()) {
+        return std::nullopt;
+    }
+    try {
+        return fromProto(in, now);
+    } catch (const MalformedMessage &) {
+        return std::nullopt; // the caller counts it
+    }
+}
+
 std::string encode(const MetadataSnapshot &snapshot)
 {
     fleet::Beliefs out;
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -4,12 +4,18 @@
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/edge/directory.h"
+#include "arbutus/edge/metadatasync.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/membership/membershipview.h"
 #include "platform/platformadapter.h"
 
+#include "fleet.pb.h"
+
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <limits>
+
 using namespace arbutus;
 using namespace std::chrono_literals;
 
@@ -94,6 +100,163 @@
     CHECK(fixture.applyChanges({change("servers/i-a", entry("ready", 2))}, 6).parseErrors.empty()); // reported once
 }
 
+TEST_CASE("an upstream entry with a number out of range names no upstream, and the log names the field", "[metadata]")
+{
+    struct Row
+    {
+        std::string field;
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"slots", "0"},
+        {"slots", "-1"},
+        {"slots", "1.5"},
+        {"slots", "10001"},
+        {"slots", "10000000000000000000"},
+        {"slots", "1e30"},
+        {"slots", "1e400"},
+        {"slots", "null"},
+        {"cold_remaining_ms", "-1"},
+        {"cold_remaining_ms", "1e300"},
+        {"cold_remaining_ms", "-1e300"},
+        {"cold_remaining_ms", "1e400"},
+        {"cold_remaining_ms", "10000000000000000000000000000000"},
+        {"cold_remaining_ms", "\"NaN\""},
+        {"cold_remaining_ms", "[1]"},
+        {"remaining_ms", "-1"},
+        {"remaining_ms", "1e300"},
+        {"remaining_ms", "true"},
+        {"sequence", "-1"},
+        {"sequence", "1e300"},
+        {"sequence", "18446744073709551615"},
+        {"sequence", "{}"},
+        {"born", "-1"},
+        {"born", "0.5"},
+        {"born", "1e300"},
+        {"born", "4102444800001"},
+        {"born", "18446744073709551615"},
+    }));
+    CAPTURE(row.field, row.number);
+    Fixture fixture;
+    const std::string invalid =
+        R"({"service":"s","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"state":"ready",)" // the last of equal fields holds
+        + std::string("\"") + row.field + "\":" + row.number + "}";
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    REQUIRE(update.parseErrors.size() == 1);
+    CHECK(update.parseErrors.front().find(row.field) != std::string::npos);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().find(core::UpstreamId("i-b")) == nullptr);
+}
+
+TEST_CASE("an upstream entry without a usable address or name names no upstream, and the log names the field", "[metadata]")
+{
+    struct Row
+    {
+        std::string field;
+        std::string text; // as in JSON
+    };
+    const auto row = GENERATE(values<Row>({
+        {"address", ""},
+        {"address", ":80"},
+        {"address", "10.0.0.2"},
+        {"address", "10.0.0.2:"},
+        {"address", "10.0.0.2:0"},
+        {"address", "10.0.0.2:-1"},
+        {"address", "10.0.0.2:65536"},
+        {"address", "10.0.0.2:70000"},
+        {"address", "10.0.0.2:80 "},
+        {"address", "10.0.0.256:80"},
+        {"address", "0.0.0.0:80"},
+        {"address", "224.0.0.1:80"},
+        {"address", "::1:80"},
+        {"address", "[::]:80"},
+        {"address", "localhost:80"},
+        {"address", "http://10.0.0.2:80/"},
+        {"address", "10.0.0.2:80\\r\\n"},
+        {"service", ""},
+        {"service", std::string(201, 's')},
+        {"service", "s\\u0000"},
+        {"zone", ""},
+        {"zone", std::string(100'000, 'z')},
+        {"version", "v\\n1"},
+        {"version", std::string(201, 'v')},
+        {"state", ""},
+        {"state", std::string(100'000, 'r')},
+    }));
+    CAPTURE(row.field, row.text.substr(0, 30));
+    Fixture fixture;
+    const std::string invalid =
+        R"({"service":"s","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"state":"ready",)" // the last of equal fields holds
+        + std::string("\"") + row.field + "\":\"" + row.text + "\"}";
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    REQUIRE(update.parseErrors.size() == 1);
+    CHECK(update.parseErrors.front().find(row.field) != std::string::npos);
+    CHECK(update.parseErrors.front().size() < 400);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().find(core::UpstreamId("i-b")) == nullptr);
+}
+
+TEST_CASE("an upstream entry whose key has no id that fits into a header names no upstream", "[metadata]")
+{
+    const auto id = GENERATE(as<std::string>{}, "", "i b", "i-b\r\nX-Hold: 1", std::string("i\0b", 3), "i\xffz", std::string(201, 'i'));
+    CAPTURE(id);
+    Fixture fixture;
+    CHECK(fixture.applyRange({item("servers/i-a", entry()), item("servers/" + id, entry())}, 5).parseErrors.size() == 1);
+    CHECK(fixture.cache.registry().entries().size() == 1);
+    CHECK(isEligible(fixture.cache));
+}
+
+TEST_CASE("an upstream entry that cannot be read as JSON names no upstream", "[metadata]")
+{
+    constexpr std::size_t Levels = 100'000;
+    const auto invalid = GENERATE(as<std::string>{},
+                                  std::string(Levels, '['),
+                                  std::string(Levels, '[') + std::string(Levels, ']'),
+                                  R"({"service":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":6,"state":"ready","x":)" + std::string(Levels, '[')
+                                      + std::string(Levels, ']') + "}",
+                                  "{\"service\":\"\xff\xfe\"}",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":NaN,"state":"ready"})",
+                                  R"({"service":"s","address":"10.0.0.2:80","zone":"z","slots":6,"state":"ready"} {})",
+                                  std::string(1'000'000, ' '));
+    Fixture fixture;
+    const edge::MetadataUpdate update = fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", invalid)}, 5);
+    CHECK(update.parseErrors.size() == 1);
+    CHECK(isEligible(fixture.cache));
+    CHECK(fixture.cache.registry().entries().size() == 1);
+}
+
+TEST_CASE("an upstream entry whose numbers are at the ends of their ranges is used", "[metadata]")
+{
+    const auto fields = GENERATE(as<std::string>{},
+                                 R"("slots":1,"cold_remaining_ms":0,"remaining_ms":0,"sequence":0,"born":0)",
+                                 R"("slots":10000,"cold_remaining_ms":2592000000,"sequence":9007199254740992,"born":4102444800000)",
+                                 R"("slots":6.0,"cold_remaining_ms":12.75,"remaining_ms":null,"version":null,"born":1.7e12)");
+    CAPTURE(fields);
+    Fixture fixture;
+    CHECK(fixture.applyRange({item("servers/i-a", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)" + fields + "}")}, 5)
+              .parseErrors.empty());
+    CHECK(isEligible(fixture.cache));
+}
+
+TEST_CASE("an invalid entry takes the place of a valid one of the same upstream until it is written again", "[metadata]")
+{
+    const auto invalid = GENERATE(
+        as<std::string>{}, "", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","sequence":2,"born":18446744073709551615})");
+    CAPTURE(invalid);
+    Fixture fixture;
+    fixture.applyRange({item("servers/i-a", entry()), item("servers/i-b", entry())}, 5);
+    fixture.applyChanges({change("servers/i-a", invalid)}, 6);
+    CHECK_FALSE(isEligible(fixture.cache));
+    CHECK(isEligible(fixture.cache, core::UpstreamId("i-b")));
+    fixture.applyChanges({change("servers/i-a", entry("ready", 3))}, 7);
+    CHECK(isEligible(fixture.cache));
+    fixture.applyChanges({change("servers/i-a", entry("draining", 4))}, 8);
+    fixture.applyChanges({change("servers/i-a", invalid)}, 9);
+    fixture.applyChanges({change("servers/i-a", entry("ready", 5))}, 10);
+    CHECK_FALSE(isEligible(fixture.cache)); // it has said that it is leaving
+}
+
 TEST_CASE("an upstream that is leaving stays so until it restarts", "[metadata]")
 {
     Fixture fixture;
@@ -206,6 +369,97 @@
     CHECK(fixture.cache.catalog()->matchRoute("h.example", "/a/x") != nullptr);
 }
 
+TEST_CASE("a configuration with a number out of range is refused with the name of the field, and the one before holds", "[metadata]")
+{
+    struct Row
+    {
+        std::string field; // as in config()
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"("version":8)", R"("version":0)"},
+        {R"("version":8)", R"("version":-8)"},
+        {R"("version":8)", R"("version":8.5)"},
+        {R"("version":8)", R"("version":1e300)"},
+        {R"("version":8)", R"("version":18446744073709551615)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":-1)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1e300)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1e400)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":"1500")"},
+        {R"("target_latency_ms":300)", R"("target_latency_ms":-300)"},
+        {R"("target_latency_ms":300)", R"("target_latency_ms":1e30)"},
+        {R"("priority":2)", R"("target_gap_ms":1e19)"},
+        {R"("priority":2)", R"("priority":4294967296)"},
+        {R"("priority":2)", R"("priority":-4294967296)"},
+        {R"("priority":2)", R"("priority":1e300)"},
+        {R"("max_attempts":2)", R"("max_attempts":-2)"},
+        {R"("max_attempts":2)", R"("max_attempts":1e18)"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":-1}])"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":1e300}])"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":-1.5)"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":1e300)"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":1e18})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"kv_capacity":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"stride":-1})"},
+        {R"("cold_per_s":1.5)", R"("engine":{"stride":1e15})"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":0)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":-1000)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":4294967296)"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":-1)"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":1e300)"},
+        {R"("header_timeout_ms":3000)", R"("header_timeout_ms":0)"},
+        {R"("header_timeout_ms":3000)", R"("header_timeout_ms":1e300)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":0.5)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":-4000)"},
+    }));
+    CAPTURE(row.number);
+    Fixture fixture;
+    fixture.applyRange({item("op/config", config(7))}, 5);
+    std::string invalid = config(8, "/b/");
+    REQUIRE(invalid.find(row.field) != std::string::npos);
+    invalid.replace(invalid.find(row.field), row.field.size(), row.number);
+    const edge::MetadataUpdate update = fixture.applyChanges({change("op/config", invalid)}, 6);
+    REQUIRE(update.parseErrors.size() == 1);
+    const std::size_t colon = row.number.rfind(':');
+    const std::size_t quote = row.number.rfind('"', row.number.rfind('"', colon) - 1); // of the innermost field's name
+    CHECK(update.parseErrors.front().find(row.number.substr(quote + 1, row.number.rfind('"', colon) - quote - 1)) != std::string::npos);
+    CHECK(fixture.cache.catalog()->version() == catalog::CatalogVersion(7));
+    CHECK(fixture.applyChanges({change("op/config", config(9))}, 7).catalogChanged);
+}
+
+TEST_CASE("a configuration whose numbers are at the ends of their ranges is applied", "[metadata]")
+{
+    struct Row
+    {
+        std::string field; // as in config()
+        std::string number;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"("version":8)", R"("version":9007199254740992)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":0)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":2592000000)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":1500.5)"},
+        {R"("timeout_ms":1500)", R"("timeout_ms":null)"},
+        {R"("max_attempts":2)", R"("max_attempts":0)"},
+        {R"("max_attempts":2)", R"("max_attempts":2.0)"},
+        {R"("max_attempts":2)", R"("max_attempts":1000000)"},
+        {R"("priority":2)", R"("priority":-1)"},
+        {R"("service":"s")", R"("traffic_split":[{"service":"s","weight":0},{"service":"t","weight":1e9}])"},
+        {R"("cold_per_s":1.5)", R"("cold_per_s":0)"},
+        {R"("cold_per_s":1.5)", R"("engine":{"slots":1000,"kv_capacity":90000000,"stride":0})"},
+        {R"("max_body_bytes":2000)", R"("max_body_bytes":0)"},
+        {R"("max_header_bytes":1000)", R"("max_header_bytes":1)"},
+        {R"("idle_timeout_ms":4000)", R"("idle_timeout_ms":1)"},
+    }));
+    CAPTURE(row.number);
+    Fixture fixture;
+    std::string valid = config(8);
+    REQUIRE(valid.find(row.field) != std::string::npos);
+    valid.replace(valid.find(row.field), row.field.size(), row.number);
+    CHECK(fixture.applyRange({item("op/config", valid)}, 5).catalogChanged);
+}
+
 TEST_CASE("removing the configuration keeps the current one in effect", "[metadata]")
 {
     Fixture fixture;
@@ -322,6 +576,128 @@
     CHECK_FALSE(edge::decodeFleetMessage("", Start));
 }
 
+namespace {
+
+/// Encodes a message as an instance would, with changes to the Protobuf message.
+std::string encodeChanged(edge::FleetMessageBody body, const std::function<void(fleet::Datagram &)> &change)
+{
+    const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), std::move(body)};
+    fleet::Datagram datagram;
+    REQUIRE(datagram.ParseFromString(edge::encode(message, Start)));
+    change(datagram);
+    return datagram.SerializeAsString();
+}
+
+} // namespace
+
+TEST_CASE("ages and times of other instances are cut, so that none lies in the future or overflows", "[codec]")
+{
+    const auto number = GENERATE(as<std::uint64_t>{}, std::uint64_t(1) << 63U, ~std::uint64_t(0), std::uint64_t(1) << 62U);
+    const auto signedNumber = static_cast<std::int64_t>(number);
+    CAPTURE(number);
+    const routing::StreamRecord record{routing::StreamId("a1"), routing::StreamOrigin{core::ServiceId("s"), routing::SoftwareVersion("v1")}, Start};
+    const routing::UpstreamNotice notice{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start};
+    constexpr core::Duration Longest = std::chrono::days(366);
+
+    edge::RegionState state;
+    state.serviceLoads = {edge::RegionServiceLoad{core::RegionId("x"), routing::ServiceLoad{}, 0ms}};
+    state.serviceLoads.front().load.versions = {routing::VersionLoad{}};
+    state.notices = {notice};
+    auto decoded = edge::decodeFleetMessage(encodeChanged(state,
+                                                          [&](fleet::Datagram &datagram) {
+                                                              fleet::RegionState &out = *datagram.mutable_region_state();
+                                                              out.set_evidence_age_us(number);
+                                                              out.mutable_notices(0)->set_age_us(number);
+                                                              out.mutable_outlooks(0)->set_age_us(number);
+                                                              out.mutable_outlooks(0)->set_wait_us(number);
+                                                              out.mutable_outlooks(0)->set_service_time_us(number);
+                                                              out.mutable_outlooks(0)->mutable_versions(0)->set_wait_us(number);
+                                                          }),
+                                            Start);
+    REQUIRE(decoded);
+    const auto &received = std::get<edge::RegionState>(decoded->body);
+    const edge::RegionServiceLoad &load = received.serviceLoads.front();
+    for (const core::Duration duration : {received.metadataStaleness,
+                                          Start - received.notices.front().at,
+                                          load.age,
+                                          load.load.queueDelay,
+                                          load.load.serviceTime,
+                                          load.load.versions.front().queueDelay}) {
+        CHECK(duration >= 0ms);
+        CHECK(duration < Longest);
+    }
+
+    decoded = edge::decodeFleetMessage(encodeChanged(routing::PlacementRequest{},
+                                                     [&](fleet::Datagram &datagram) {
+                                                         fleet::Ask &out = *datagram.mutable_ask();
+                                                         out.set_on_time_left_us(signedNumber);
+                                                         out.set_useful_left_us(signedNumber);
+                                                         out.set_ends_left_us(signedNumber);
+                                                     }),
+                                       Start);
+    REQUIRE(decoded);
+    const auto &request = std::get<routing::PlacementRequest>(decoded->body);
+    for (const core::TimePoint deadline : {request.latencyDeadline, request.responseDeadline, request.completionDeadline}) {
+        CHECK(deadline - Start < Longest);
+        CHECK(Start - deadline < Longest);
+        CHECK((deadline < Start) == (signedNumber < 0));
+    }
+
+    edge::PlacementReport report;
+    report.inFlight = {routing::ReportedRequest{routing::PlacementId("a1/1"), core::UpstreamId("u"), 40ms, 7, record}};
+    decoded = edge::decodeFleetMessage(encodeChanged(report,
+                                                     [&](fleet::Datagram &datagram) {
+                                                         auto &row = *datagram.mutable_work()->mutable_holdings(0);
+                                                         row.set_first_event_after_us(number);
+                                                         row.mutable_stream()->set_age_us(number);
+                                                     }),
+                                       Start);
+    REQUIRE(decoded);
+    const routing::ReportedRequest &inFlight = std::get<edge::PlacementReport>(decoded->body).inFlight.front();
+    CHECK(*inFlight.timeToFirstEvent >= 0ms);
+    CHECK(*inFlight.timeToFirstEvent < Longest);
+    CHECK(inFlight.stream->beganAt <= Start);
+
+    decoded = edge::decodeFleetMessage(
+        encodeChanged(std::vector{edge::PlacementReply{routing::PlacementId("a"), routing::Refused{}}},
+                      [&](fleet::Datagram &datagram) { datagram.mutable_verdicts()->mutable_verdicts(0)->set_retry_after_us(number); }),
+        Start);
+    REQUIRE(decoded);
+    const auto refused = std::get<routing::Refused>(std::get<std::vector<edge::PlacementReply>>(decoded->body).front().decision);
+    CHECK(refused.retryAfter >= 0ms);
+    CHECK(refused.retryAfter < Longest);
+}
+
+TEST_CASE("a message with an amount that is negative or not a number is malformed", "[codec]")
+{
+    const auto number = GENERATE(as<double>{}, -1, -1e300, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN());
+    CAPTURE(number);
+    membership::Member member;
+    member.id = core::InstanceId("m");
+    const membership::Message gossip{{}, membership::Ping{1}, {member}};
+    edge::RegionState state;
+    state.serviceLoads = {edge::RegionServiceLoad{core::RegionId("x"), routing::ServiceLoad{}, 0ms}};
+    state.notices = {routing::UpstreamNotice{core::UpstreamId("u"), routing::StartTime(7), 0.5, Start}};
+    const std::vector<std::pair<edge::FleetMessageBody, std::function<void(fleet::Datagram &)>>> changes{
+        {gossip, [&](fleet::Datagram &datagram) { datagram.mutable_members(0)->set_capacity(number); }},
+        {gossip, [&](fleet::Datagram &datagram) { datagram.mutable_members(0)->clear_id(); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_notices(0)->set_max_request_rate(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_tokens_per_ms(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_prefill_share(number); }},
+        {state, [&](fleet::Datagram &datagram) { datagram.mutable_region_state()->mutable_outlooks(0)->set_read_share(number); }},
+    };
+    for (const auto &[body, change] : changes) {
+        CHECK(edge::decodeFleetMessage(encodeChanged(body, [](fleet::Datagram &) {}), Start));
+        CHECK_FALSE(edge::decodeFleetMessage(encodeChanged(body, change), Start));
+    }
+}
+
+TEST_CASE("a message without replies is not malformed", "[codec]")
+{
+    const edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), std::vector<edge::PlacementReply>()};
+    CHECK(edge::decodeFleetMessage(edge::encode(message, Start), Start));
+}
+
 TEST_CASE("software versions and records of streams round-trip through the codec", "[codec]")
 {
     const auto roundTrip = [](edge::FleetMessageBody body) {
@@ -410,6 +786,52 @@
     CHECK(other.members().at(core::InstanceId("n")).isAvailable());
 }
 
+TEST_CASE("a registration of an instance names no contact if a part of it is invalid", "[membership]")
+{
+    struct Row
+    {
+        std::string id;
+        std::string value;
+        std::string reason; // empty: valid
+    };
+    const std::string valid = R"({"domain":"x-a","region":"x","peer":"10.0.0.1:9000","callers":"10.0.0.1:80","capacity":0.25})";
+    const auto with = [&](const std::string &found, const std::string &replacement) {
+        std::string value = valid;
+        return value.replace(value.find(found), found.size(), replacement);
+    };
+    const auto row = GENERATE_COPY(values<Row>({
+        {"n", valid, ""},
+        {"n", with("\"capacity\":0.25", "\"other\":1e300"), ""},
+        {"n", with("10.0.0.1:9000", "[::1]:9000"), ""},
+        {"", valid, "the id"},
+        {std::string(201, 'n'), valid, "the id"},
+        {"n\n", valid, "the id"},
+        {"n", "", "JSON"},
+        {"n", "\xff", "JSON"},
+        {"n", "[]", "JSON"},
+        {"n", std::string(100'000, '['), "JSON"},
+        {"n", with("\"x-a\"", "7"), "domain"},
+        {"n", with("\"x-a\"", "\"\""), "domain"},
+        {"n", with("\"x\"", "null"), "region"},
+        {"n", with("\"x\"", "\"" + std::string(100'000, 'x') + "\""), "region"},
+        {"n", with("10.0.0.1:9000", ""), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1"), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1:0"), "peer"},
+        {"n", with("10.0.0.1:9000", "10.0.0.1:70000"), "peer"},
+        {"n", with("10.0.0.1:9000", "host.example:9000"), "peer"},
+        {"n", with("10.0.0.1:80", ""), "callers"},
+        {"n", with("10.0.0.1:80", "10.0.0.1:-1"), "callers"},
+        {"n", with("10.0.0.1:80", "0.0.0.0:80"), "callers"},
+        {"n", with("\"10.0.0.1:80\"", "[\"10.0.0.1:80\"]"), "callers"},
+    }));
+    CAPTURE(row.id.substr(0, 10), row.value.substr(0, 200));
+    const auto contact = edge::parseRegistration(core::InstanceId(row.id), row.value);
+    REQUIRE(contact.has_value() == row.reason.empty());
+    if (!contact) {
+        CHECK(contact.error().message.find(row.reason) != std::string::npos);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Streams
 //-----------------------------------------------------------------------------
@@ -554,6 +976,29 @@
     CHECK_FALSE(adapter.parseRequest(request));
 }
 
+TEST_CASE("numbers in request headers that are too large count as the largest", "[adapter]")
+{
+    const auto number = GENERATE(as<std::string>{}, "4294967295", "4294967296", "9223372036854775807", "18446744073709551615", "99999999999999999999999");
+    CAPTURE(number);
+    http::Request request;
+    request.headers = {{"X-Attempt-Id", "a1"},
+                       {"X-Deadline-Ms", number},
+                       {"X-Token-Count", number + "," + number},
+                       {"X-Length-Hint", number},
+                       {"X-Prompt-Prefix", "5c1e07a2:" + number}};
+    const auto parsed = platform::PlatformAdapter().parseRequest(request);
+    REQUIRE(parsed);
+    CHECK(parsed.value().timeout == std::chrono::days(30));
+    CHECK(parsed.value().promptTokens == 1'000'000'000);
+    CHECK(parsed.value().expectedOutputTokens == 1'000'000'000);
+    REQUIRE(parsed.value().prompt.size() == 1);
+    CHECK(parsed.value().prompt.front().tokens == 1'000'000'000);
+    routing::PlacementRequest placement;
+    placement.prompt = parsed.value().prompt;
+    placement.outputTokens = parsed.value().expectedOutputTokens;
+    CHECK(placement.unsharedTokens() == 2'000'000'000);
+}
+
 TEST_CASE("headers reserved for the gateway are not forwarded from a client to an upstream", "[adapter]")
 {
     const platform::PlatformAdapter adapter;
--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -1,6 +1,8 @@
-// Tests of the platform's store client against a fake server with valid, invalid and missing responses.
+// Tests of the platform's store client, and of the client of the key-value service, against a fake server with valid, invalid and
+// missing responses.
 
 #include "platform/storeclient.h"
+#include "arbutus/metadata/kvclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -173,6 +175,125 @@
     CHECK(changes.value().changes[2].item.value.empty()); // rejected later by the parser of the value, which knows the key
 }
 
+TEST_CASE("an item that cannot be read leaves the other items of a range in place", "[store]")
+{
+    struct Row
+    {
+        std::string item;
+        bool kept; // without what cannot be read
+        std::string reason;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"value":"YQ==","revision":3})", false, "without a key"},
+        {R"({"key":7,"value":"YQ==","revision":3})", false, "without a key"},
+        {R"({"key":null,"value":"YQ==","revision":3})", false, "without a key"},
+        {R"([])", false, "without a key"},
+        {R"(7)", false, "without a key"},
+        {R"({"key":"k/b","value":"YQ=="})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":-3})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":"3"})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"YQ==","revision":1e300})", true, "k/b: the revision"},
+        {R"({"key":"k/b","value":"%%","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":"Y=Q=","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":"====","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":"    ","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":"  YQ==  ","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":"\u0000Q==","revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":7,"revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":null,"revision":3})", true, "k/b: the value"},
+        {R"({"key":"k/b","value":{"a":[]},"revision":3})", true, "k/b: the value"},
+    }));
+    CAPTURE(row.item);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200,
+                                             R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3},)" + row.item
+                                                 + R"(,{"key":"k/c","value":"Yw==","revision":3}],"has_more":false})")};
+    const auto range = fixture.run(fixture.client.range("k/", metadata::ReadConsistency::Linearizable));
+    REQUIRE(range.has_value());
+    const auto &items = range.value().items;
+    REQUIRE(items.size() == (row.kept ? 3 : 2));
+    CHECK(items.front().value == "a");
+    CHECK(items.back().value == "c");
+    CHECK((!row.kept || items[1].value.empty() || items[1].value == "a"));
+    REQUIRE(range.value().invalidItems.size() == 1);
+    CHECK(range.value().invalidItems.front().find(row.reason) != std::string::npos);
+}
+
+TEST_CASE("a change that cannot be read leaves the other changes in place", "[store]")
+{
+    struct Row
+    {
+        std::string change;
+        std::size_t invalidParts;
+        bool removed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"key":"b","value":7,"revision":8})", 1, false},
+        {R"({"key":"b","value":"YQ","revision":8})", 1, false},
+        {R"({"key":"b","value":"YQ==","revision":-8})", 1, false},
+        {R"({"key":"b","revision":8})", 1, false},
+        {R"({"key":"b","revision":8,"deleted":"true"})", 1, false},
+        {R"({"key":"b","revision":8,"deleted":1})", 1, false},
+        {R"({"key":"b","revision":"8","deleted":[]})", 2, false},
+        {R"({"key":"b","revision":"8","deleted":true})", 1, true},
+    }));
+    CAPTURE(row.change);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"store_revision":9,"events":[)" + row.change + R"(,{"key":"c","value":"Yw==","revision":9}]})")};
+    const auto changes = fixture.run(fixture.client.watch("", metadata::StoreRevision(6), 100ms));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes.value().changes.size() == 2);
+    CHECK(changes.value().changes.front().removed == row.removed);
+    CHECK(changes.value().changes.back().item.value == "c");
+    CHECK(changes.value().invalidItems.size() == row.invalidParts);
+}
+
+TEST_CASE("a range whose pages do not go on fails, and one with an item without a key at the end of a page goes on", "[store]")
+{
+    struct Row
+    {
+        std::string secondPage;
+        std::size_t requests;
+        std::optional<std::size_t> items; // nothing: the call fails
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"store_revision":5,"items":[],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3}],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"value":"YQ==","revision":3}],"has_more":true})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":[{"key":"k/b","value":"YQ==","revision":3},{"value":"YQ=="}],"has_more":true})", 3, 3},
+        {R"({"store_revision":5,"items":[],"has_more":7})", 2, std::nullopt},
+        {R"({"store_revision":5,"items":{},"has_more":false})", 2, std::nullopt},
+    }));
+    CAPTURE(row.secondPage);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"store_revision":5,"items":[{"key":"k/a","value":"YQ==","revision":3}],"has_more":true})"),
+                                httpResponse(200, row.secondPage),
+                                httpResponse(200, R"({"store_revision":6,"items":[{"key":"k/c","value":"YQ==","revision":6}],"has_more":false})")};
+    const auto range = fixture.run(fixture.client.range("k/", metadata::ReadConsistency::Linearizable));
+    REQUIRE(range.has_value() == row.items.has_value());
+    CHECK(fixture.server.requests.size() == row.requests);
+    if (row.items) {
+        CHECK(range.value().items.size() == *row.items);
+    } else {
+        CHECK(range.error().kind == StoreErrorKind::Malformed);
+    }
+}
+
+TEST_CASE("numbers out of range in a response of the store fail the call", "[store]")
+{
+    const auto revision = GENERATE(as<std::string>{}, "-1", "\"7\"", "7.5", "1e300", "18446744073709551615", "null");
+    CAPTURE(revision);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(200, R"({"events":[],"store_revision":)" + revision + "}")};
+    const auto changes = fixture.run(fixture.client.watch("", metadata::StoreRevision(6), 100ms));
+    REQUIRE_FALSE(changes.has_value());
+    CHECK(changes.error().kind == StoreErrorKind::Malformed);
+    fixture.server.responses = {httpResponse(200, R"({"ttl_ms":5000,"lease":)" + (revision == "18446744073709551615" ? "0" : revision) + "}")};
+    const auto lease = fixture.run(fixture.client.grantLease(5s));
+    REQUIRE_FALSE(lease.has_value());
+    CHECK(lease.error().kind == StoreErrorKind::Malformed);
+}
+
 TEST_CASE("a paged range has the revision of its first page", "[store]")
 {
     Fixture fixture;
@@ -236,6 +357,63 @@
     CHECK(fixture.run(fixture.client.keepLeaseAlive(metadata::LeaseId("4"))).has_value() == row.confirmed);
 }
 
+TEST_CASE("the key-value service's answer to a transaction is read back if it tells no result", "[kv]")
+{
+    const auto answer = GENERATE(as<std::string>{},
+                                 "{}",
+                                 R"({"succeeded":false})",
+                                 R"({"succeeded":false,"responses":[]})",
+                                 R"({"succeeded":false,"responses":[7]})",
+                                 R"({"succeeded":false,"responses":[[]]})",
+                                 R"({"succeeded":false,"responses":[null]})",
+                                 R"({"succeeded":false,"responses":[{"response_range":7}]})",
+                                 R"({"succeeded":false,"responses":[{"response_range":{"kvs":[7]}}]})",
+                                 R"({"succeeded":"true","responses":{}})");
+    CAPTURE(answer);
+    Fixture fixture;
+    fixture.server.closeAfterEach = true;
+    fixture.server.responses = {httpResponse(200, answer),
+                                httpResponse(200, R"({"header":{"revision":"4"},"kvs":[{"key":"aw==","value":"b3RoZXI=","mod_revision":"3"}]})")};
+    metadata::KvClient client(fixture.loop.get_executor(), {fixture.server.endpoint()}, "d");
+    const auto created = fixture.run(client.create("k", "v"));
+    REQUIRE(created.has_value());
+    CHECK_FALSE(created.value().created);
+    CHECK(created.value().existingValue == "other");
+    CHECK(fixture.server.requests.size() == 2);
+}
+
+TEST_CASE("a message of the key-value service that cannot be read ends the watch with an error", "[kv]")
+{
+    struct Row
+    {
+        std::string line;
+        bool failed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"result":{"events":[]}})", false},
+        {R"({"result":{}})", false},
+        {R"({"result":{"events":[{"type":"DELETE","kv":{"key":"aw=="}}]}})", false},
+        {R"({"result":{"events":[7]}})", true},
+        {R"({"result":{"events":[[]]}})", true},
+        {R"({"result":{"events":[null]}})", true},
+        {"[]", true},
+        {"\xff", true},
+        {std::string(100'000, '['), true},
+    }));
+    CAPTURE(row.line.substr(0, 60));
+    Fixture fixture;
+    fixture.server.closeAfterEach = true;
+    const std::string put = R"({"result":{"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"3"}}]}})"
+                            "\n";
+    fixture.server.responses = {httpResponse(200, put + row.line + "\n" + put)};
+    metadata::KvClient client(fixture.loop.get_executor(), {fixture.server.endpoint()}, "d");
+    std::vector<std::string> values;
+    const auto watched = fixture.run(client.watch(
+        "k", "l", 1, [&](const metadata::KvPair &pair) { values.push_back(pair.value); }, [] { return false; }));
+    CHECK(watched.has_value() == !row.failed);
+    CHECK(values == std::vector<std::string>(row.failed ? 1 : 2, "v"));
+}
+
 TEST_CASE("errors for an expired lease and an unreachable store", "[store]")
 {
     Fixture fixture;
