storeclienttest: the coroutine of a call outlives its function object

The fixture invoked a closure with a capture in place and handed its coroutine to co_spawn: the closure was gone before the coroutine resumed. On x86-64 its storage happened to be intact.

--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -105,13 +105,12 @@
     T run(asio::awaitable<T> operation)
     {
         std::optional<T> result;
-        asio::co_spawn(
-            loop,
-            [&result](asio::awaitable<T> awaited) -> asio::awaitable<void> {
-                auto value = co_await std::move(awaited);
-                result.emplace(std::move(value));
-            }(std::move(operation)),
-            asio::detached);
+        // Without captures, because the coroutine outlives the function object.
+        const auto keepResult = [](asio::awaitable<T> awaited, std::optional<T> &out) -> asio::awaitable<void> {
+            auto value = co_await std::move(awaited);
+            out.emplace(std::move(value));
+        };
+        asio::co_spawn(loop, keepResult(std::move(operation), result), asio::detached);
         while (!result) {
             loop.run_one();
         }
