Reads of the store tell its generation, and logs show when it changes

A store may be restored from an older copy; it then gives revisions out again and states a higher generation in the header of all its answers. Logs could not tell a restored store from one whose changes were missed.

Only revisions are compared, as before. New log lines store_generation_changed, store_generation_lower and metadata_update_obsolete, and two counters.

storeclienttest: the generation in every kind of answer, odd headers, pages of two generations (written with the change; not run without it). storeclienttest and metadatacachetest pass.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -327,8 +327,9 @@
             versionRow->set_wait_us(toMicroseconds(version.queueDelay));
         }
     }
-    out.set_belief_revision(state.lastChangeRevision.value);
-    out.set_as_of(state.storeRevision.value);
+    out.set_belief_revision(state.lastChange.revision.value);
+    out.set_as_of(state.storePosition.revision.value);
+    out.set_store_generation(state.storePosition.generation.value);
     out.set_evidence_age_us(toMicroseconds(state.metadataStaleness));
 }
 
@@ -357,8 +358,9 @@
         }
         state.serviceLoads.push_back(RegionServiceLoad{core::RegionId(row.region()), load, fromMicroseconds(row.age_us())});
     }
-    state.lastChangeRevision = metadata::StoreRevision(in.belief_revision());
-    state.storeRevision = metadata::StoreRevision(in.as_of());
+    const metadata::StoreGeneration generation(in.store_generation());
+    state.lastChange = metadata::StorePosition{generation, metadata::StoreRevision(in.belief_revision())};
+    state.storePosition = metadata::StorePosition{generation, metadata::StoreRevision(in.as_of())};
     state.metadataStaleness = fromMicroseconds(in.evidence_age_us());
     return state;
 }
@@ -544,8 +546,9 @@
 std::string encode(const MetadataSnapshot &snapshot)
 {
     fleet::Beliefs out;
-    out.set_belief_revision(snapshot.lastChangeRevision.value);
-    out.set_as_of(snapshot.storeRevision.value);
+    out.set_belief_revision(snapshot.lastChange.revision.value);
+    out.set_as_of(snapshot.storePosition.revision.value);
+    out.set_store_generation(snapshot.storePosition.generation.value);
     out.set_evidence_age_us(toMicroseconds(snapshot.staleness));
     out.set_catalog(snapshot.catalogValue);
     for (const auto &[key, value] : snapshot.upstreamEntries) {
@@ -567,8 +570,9 @@
         return std::nullopt;
     }
     MetadataSnapshot out;
-    out.lastChangeRevision = metadata::StoreRevision(in.belief_revision());
-    out.storeRevision = metadata::StoreRevision(in.as_of());
+    const metadata::StoreGeneration generation(in.store_generation());
+    out.lastChange = metadata::StorePosition{generation, metadata::StoreRevision(in.belief_revision())};
+    out.storePosition = metadata::StorePosition{generation, metadata::StoreRevision(in.as_of())};
     out.staleness = fromMicroseconds(in.evidence_age_us());
     out.catalogValue = in.catalog();
     for (const auto &row : in.upstreams()) {
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -44,12 +44,12 @@
     core::Duration age{};
 };
 
-/// Loads known to an instance, and the revision and staleness of its cached metadata.
+/// Loads known to an instance, and the position and staleness of its cached metadata.
 struct RegionState
 {
     std::vector<RegionServiceLoad> serviceLoads;
-    metadata::StoreRevision lastChangeRevision;
-    metadata::StoreRevision storeRevision;
+    metadata::StorePosition lastChange;
+    metadata::StorePosition storePosition;
     core::Duration metadataStaleness{};
     std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
     std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -41,27 +41,28 @@
             update.parseErrors.push_back(key + ": " + announcement.error().message);
         }
     }
-    auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storeRevision.value), announcements, recentStoreOutage, now);
+    auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, recentStoreOutage, now);
     update.upstreamChanges.insert(update.upstreamChanges.end(), changes.begin(), changes.end());
 }
 
-void MetadataCache::commitUpdate(MetadataUpdate &update, metadata::StoreRevision revision, core::TimePoint readAt)
+void MetadataCache::commitUpdate(MetadataUpdate &update, metadata::StorePosition position, core::TimePoint readAt)
 {
     m_lastConfirmedAt = m_initialized ? std::max(m_lastConfirmedAt, readAt) : readAt;
     m_initialized = true;
     if (update.hasChanges()) {
-        m_lastChangeRevision = std::max(m_lastChangeRevision, revision);
+        m_lastChange = position.revision > m_lastChange.revision ? position : m_lastChange;
     }
 }
 
 MetadataUpdate
-MetadataCache::applyRange(const std::vector<metadata::StoreItem> &items, metadata::StoreRevision revision, bool recentStoreOutage, core::TimePoint readAt)
+MetadataCache::applyRange(const std::vector<metadata::StoreItem> &items, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt)
 {
     MetadataUpdate update;
-    if (revision < m_storeRevision) {
+    if (position.revision < m_storePosition.revision) {
+        update.isObsolete = true;
         return update;
     }
-    m_storeRevision = revision;
+    m_storePosition = position;
     m_recentStoreOutage = recentStoreOutage;
     m_upstreamEntries.clear();
     std::set<core::DomainId> evacuated;
@@ -78,18 +79,19 @@
     m_evacuatedDomains = std::move(evacuated);
     update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, readAt);
     applyUpstreams(recentStoreOutage, readAt, update);
-    commitUpdate(update, revision, readAt);
+    commitUpdate(update, position, readAt);
     return update;
 }
 
 MetadataUpdate
-MetadataCache::applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StoreRevision revision, bool recentStoreOutage, core::TimePoint readAt)
+MetadataCache::applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt)
 {
     MetadataUpdate update;
-    if (revision < m_storeRevision) {
+    if (position.revision < m_storePosition.revision) {
+        update.isObsolete = true;
         return update;
     }
-    m_storeRevision = revision;
+    m_storePosition = position;
     m_recentStoreOutage = recentStoreOutage;
     const std::string prefix = m_adapter.storeKeyPrefixes().upstreamPrefix;
     for (const metadata::StoreChange &change : changes) {
@@ -111,17 +113,18 @@
     }
     update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, readAt);
     applyUpstreams(recentStoreOutage, readAt, update);
-    commitUpdate(update, revision, readAt);
+    commitUpdate(update, position, readAt);
     return update;
 }
 
 MetadataUpdate MetadataCache::applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now)
 {
     MetadataUpdate update;
-    if (snapshot.storeRevision < m_storeRevision) {
+    if (snapshot.storePosition.revision < m_storePosition.revision) {
+        update.isObsolete = true;
         return update;
     }
-    m_storeRevision = snapshot.storeRevision;
+    m_storePosition = snapshot.storePosition;
     m_recentStoreOutage = snapshot.recentStoreOutage;
     if (!snapshot.catalogValue.empty()) {
         applyCatalog(snapshot.catalogValue, update);
@@ -130,22 +133,21 @@
     m_evacuatedDomains = snapshot.evacuatedDomains;
     update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, now);
     applyUpstreams(snapshot.recentStoreOutage, now, update);
-    commitUpdate(update, snapshot.lastChangeRevision, now - snapshot.staleness);
-    m_lastChangeRevision = std::max(m_lastChangeRevision, snapshot.lastChangeRevision);
+    commitUpdate(update, snapshot.lastChange, now - snapshot.staleness);
+    if (snapshot.lastChange.revision > m_lastChange.revision) {
+        m_lastChange = snapshot.lastChange;
+    }
     return update;
 }
 
-void MetadataCache::confirmCurrent(metadata::StoreRevision lastChangeRevision,
-                                   metadata::StoreRevision storeRevision,
-                                   core::Duration staleness,
-                                   core::TimePoint now)
+void MetadataCache::confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now)
 {
-    if (!m_initialized || lastChangeRevision > m_lastChangeRevision) {
+    if (!m_initialized || lastChange.revision > m_lastChange.revision) {
         return; // the peer has a newer change, so it does not confirm this data
     }
-    if (storeRevision >= m_storeRevision) {
+    if (storePosition.revision >= m_storePosition.revision) {
         m_lastConfirmedAt = std::max(m_lastConfirmedAt, now - staleness);
-        m_storeRevision = storeRevision;
+        m_storePosition.revision = storePosition.revision;
     }
 }
 
@@ -171,8 +173,8 @@
 MetadataSnapshot MetadataCache::snapshot(catalog::CatalogVersion knownVersion, core::TimePoint now) const
 {
     MetadataSnapshot out;
-    out.lastChangeRevision = m_lastChangeRevision;
-    out.storeRevision = m_storeRevision;
+    out.lastChange = m_lastChange;
+    out.storePosition = m_storePosition;
     out.staleness = staleness(now);
     if (m_catalog && knownVersion < m_catalog->version()) {
         out.catalogValue = m_catalogValue;
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -9,9 +9,9 @@
 //   MetadataSnapshot   the form in which instances exchange the cache
 //   MetadataCache      the state
 //
-// Q: What is lastChangeRevision for?
-// A: Announcements of upstreams change the store a few times a second without any effect on routing. lastChangeRevision is
-//    the store's revision at the last change that had one; peers compare it to decide whether to fetch a snapshot.
+// Q: What is lastChange for?
+// A: Announcements of upstreams change the store a few times a second without any effect on routing. lastChange is
+//    the store's position at the last change that had one; peers compare it to decide whether to fetch a snapshot.
 
 #pragma once
 
@@ -31,6 +31,7 @@
     bool evacuationChanged = false; // the set of evacuated failure domains changed
     std::vector<routing::RegistryChange> upstreamChanges;
     std::vector<std::string> parseErrors; // entries that could not be parsed, with the reason
+    bool isObsolete = false;              // older than the cache, so it had no effect
 
     [[nodiscard]] bool hasChanges() const
     {
@@ -41,8 +42,8 @@
 /// Contents of a cache as sent to a peer; keys and values are those of the store.
 struct MetadataSnapshot
 {
-    metadata::StoreRevision lastChangeRevision;
-    metadata::StoreRevision storeRevision;
+    metadata::StorePosition lastChange;
+    metadata::StorePosition storePosition;
     core::Duration staleness{};
     std::string catalogValue; // empty if the receiver already has this version
     std::map<std::string, std::string> upstreamEntries;
@@ -56,15 +57,15 @@
 public:
     explicit MetadataCache(const ProtocolAdapter &adapter, routing::UpstreamRegistrySettings settings = {});
 
-    /// Applies a full read: all keys of the store as of `revision`.
-    MetadataUpdate applyRange(const std::vector<metadata::StoreItem> &items, metadata::StoreRevision revision, bool recentStoreOutage, core::TimePoint readAt);
-    /// Applies the changes after storeRevision(); `revision` is the store's revision after them.
+    /// Applies a full read: all keys of the store as of `position`.
+    MetadataUpdate applyRange(const std::vector<metadata::StoreItem> &items, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt);
+    /// Applies the changes after storePosition(); `position` is the store's position after them.
     MetadataUpdate
-    applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StoreRevision revision, bool recentStoreOutage, core::TimePoint readAt);
+    applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt);
     /// Applies a peer's snapshot; one that is older than the cache has no effect.
     MetadataUpdate applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now);
-    /// Updates the staleness after a peer reported the revision of its own cache.
-    void confirmCurrent(metadata::StoreRevision lastChangeRevision, metadata::StoreRevision storeRevision, core::Duration staleness, core::TimePoint now);
+    /// Updates the staleness after a peer reported the position of its own cache.
+    void confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now);
     /// Marks an upstream that this instance or a peer has observed to be leaving.
     MetadataUpdate markLeaving(const core::UpstreamId &id, core::TimePoint now);
     MetadataUpdate expireEntries(core::TimePoint now);
@@ -72,6 +73,11 @@
     void addSuspendedTime(core::Duration duration);
 
     [[nodiscard]] MetadataSnapshot snapshot(catalog::CatalogVersion knownVersion, core::TimePoint now) const;
+    /// What to tell a peer that is asked for a snapshot.
+    [[nodiscard]] catalog::CatalogVersion knownCatalog() const
+    {
+        return m_catalog ? m_catalog->version() : catalog::CatalogVersion();
+    }
     [[nodiscard]] const catalog::CatalogPointer &catalog() const
     {
         return m_catalog;
@@ -80,13 +86,13 @@
     {
         return m_registry;
     }
-    [[nodiscard]] metadata::StoreRevision lastChangeRevision() const
+    [[nodiscard]] metadata::StorePosition lastChange() const
     {
-        return m_lastChangeRevision;
+        return m_lastChange;
     }
-    [[nodiscard]] metadata::StoreRevision storeRevision() const
+    [[nodiscard]] metadata::StorePosition storePosition() const
     {
-        return m_storeRevision;
+        return m_storePosition;
     }
     /// Time since the cache was last known to match the store; 24 hours before the first read.
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
@@ -94,7 +100,7 @@
 private:
     void applyCatalog(const std::string &value, MetadataUpdate &update);
     void applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update);
-    void commitUpdate(MetadataUpdate &update, metadata::StoreRevision revision, core::TimePoint readAt);
+    void commitUpdate(MetadataUpdate &update, metadata::StorePosition position, core::TimePoint readAt);
 
     const ProtocolAdapter &m_adapter;
     routing::UpstreamRegistry m_registry;
@@ -103,8 +109,8 @@
     std::map<std::string, std::string> m_upstreamEntries; // values by key, as in the store
     std::map<std::string, std::string> m_invalidEntries;  // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_evacuatedDomains;
-    metadata::StoreRevision m_lastChangeRevision;
-    metadata::StoreRevision m_storeRevision;
+    metadata::StorePosition m_lastChange;
+    metadata::StorePosition m_storePosition;
     core::TimePoint m_lastConfirmedAt{};
     bool m_initialized = false; // after the first read or snapshot
     bool m_recentStoreOutage = false;
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -98,6 +98,31 @@
     }
 }
 
+void MetadataSync::observeGeneration(metadata::StoreGeneration stated, std::string_view call)
+{
+    if (stated.value == 0) {
+        return; // no response, or none stated
+    }
+    if (stated < m_statedGeneration) {
+        if (m_lowerGeneration != stated) {
+            m_lowerGeneration = stated;
+            m_context.writeLog(
+                observe::LogLine("store_generation_lower").add("generation", stated).add("known_generation", m_statedGeneration).add("call", call));
+        }
+        return;
+    }
+    m_lowerGeneration.reset();
+    if (stated > m_statedGeneration && m_statedGeneration.value != 0) {
+        m_context.metrics.incrementCounter("arbutus_store_generation_changes_total");
+        m_context.writeLog(observe::LogLine("store_generation_changed")
+                               .add("old_generation", m_statedGeneration)
+                               .add("new_generation", stated)
+                               .add("store_revision", m_metadataCache.storePosition().revision)
+                               .add("call", call));
+    }
+    m_statedGeneration = stated;
+}
+
 asio::awaitable<bool> MetadataSync::readOnce()
 {
     const core::TimePoint startedAt = m_context.now();
@@ -105,6 +130,7 @@
     if (m_fullReadNeeded) {
         auto range = co_await m_context.store.range(AllKeysPrefix, metadata::ReadConsistency::Linearizable);
         recordStoreResult(range.has_value(), range ? "" : range.error().message);
+        observeGeneration(range ? range.value().position.generation : range.error().generation, "range");
         if (!range) {
             co_return false;
         }
@@ -115,13 +141,15 @@
                 addContact(item);
             }
         }
-        const MetadataUpdate update = m_metadataCache.applyRange(range.value().items, range.value().revision, recentStoreOutage(m_context.now()), startedAt);
-        reportUpdate(update, "store_range");
+        const metadata::StorePosition position = range.value().position;
+        const MetadataUpdate update = m_metadataCache.applyRange(range.value().items, position, recentStoreOutage(m_context.now()), startedAt);
+        reportUpdate(update, position, "store_range");
         co_return true;
     }
-    auto changes = co_await m_context.store.watch(AllKeysPrefix, m_metadataCache.storeRevision(), m_settings.watchTimeout);
+    auto changes = co_await m_context.store.watch(AllKeysPrefix, m_metadataCache.storePosition().revision, m_settings.watchTimeout);
+    observeGeneration(changes ? changes.value().position.generation : changes.error().generation, "watch");
     if (!changes && changes.error().kind == metadata::StoreErrorKind::HistoryCompacted) {
-        m_context.writeLog(observe::LogLine("store_history_compacted").add("store_revision", m_metadataCache.storeRevision()));
+        m_context.writeLog(observe::LogLine("store_history_compacted").add("store_revision", m_metadataCache.storePosition().revision));
         m_fullReadNeeded = true;
         co_return true;
     }
@@ -130,9 +158,9 @@
         m_fullReadNeeded = true; // changes may have been missed
         co_return false;
     }
-    const MetadataUpdate update =
-        m_metadataCache.applyChanges(changes.value().changes, changes.value().revision, recentStoreOutage(m_context.now()), m_context.now());
-    reportUpdate(update, "store_watch");
+    const metadata::StorePosition position = changes.value().position;
+    const MetadataUpdate update = m_metadataCache.applyChanges(changes.value().changes, position, recentStoreOutage(m_context.now()), m_context.now());
+    reportUpdate(update, position, "store_watch");
     co_return true;
 }
 
@@ -157,9 +185,19 @@
     }
 }
 
-void MetadataSync::reportUpdate(const MetadataUpdate &update, std::string_view source)
+void MetadataSync::reportUpdate(const MetadataUpdate &update, metadata::StorePosition position, std::string_view source)
 {
     const core::TimePoint now = m_context.now();
+    const metadata::StorePosition cached = m_metadataCache.storePosition();
+    if (update.isObsolete) {
+        m_context.metrics.incrementCounter("arbutus_obsolete_metadata_updates_total");
+        m_context.writeLog(observe::LogLine("metadata_update_obsolete")
+                               .add("store_generation", position.generation)
+                               .add("store_revision", position.revision)
+                               .add("known_generation", cached.generation)
+                               .add("known_revision", cached.revision)
+                               .add("source", source));
+    }
     for (const std::string &error : update.parseErrors) {
         m_context.writeLog(observe::LogLine("store_entry_invalid").add("reason", error).add("source", source));
     }
@@ -167,7 +205,8 @@
         m_context.writeLog(observe::LogLine("configuration_applied")
                                .add("version", m_metadataCache.catalog()->version())
                                .add("routes", m_metadataCache.catalog()->routes().size())
-                               .add("store_revision", m_metadataCache.storeRevision())
+                               .add("store_generation", cached.generation)
+                               .add("store_revision", cached.revision)
                                .add("source", source));
     }
     if (update.evacuationChanged) {
@@ -175,7 +214,11 @@
         for (const core::DomainId &domain : m_metadataCache.registry().evacuatedDomains()) {
             domains += (domains.empty() ? "" : ",") + domain.text;
         }
-        m_context.writeLog(observe::LogLine("evacuation").add("domains", domains).add("store_revision", m_metadataCache.storeRevision()).add("source", source));
+        m_context.writeLog(observe::LogLine("evacuation")
+                               .add("domains", domains)
+                               .add("store_generation", cached.generation)
+                               .add("store_revision", cached.revision)
+                               .add("source", source));
     }
     for (const routing::RegistryChange &registryChange : update.upstreamChanges) {
         const routing::RegistryEntry *entry = m_metadataCache.registry().find(registryChange.id);
@@ -183,7 +226,8 @@
                                .add("upstream", registryChange.id)
                                .add("software_version", entry == nullptr ? routing::SoftwareVersion() : entry->announcement.version)
                                .add("change", routing::toString(registryChange.kind))
-                               .add("store_revision", m_metadataCache.storeRevision())
+                               .add("store_generation", cached.generation)
+                               .add("store_revision", cached.revision)
                                .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(now)))
                                .add("source", source));
     }
@@ -208,8 +252,7 @@
 asio::awaitable<void> MetadataSync::fetchSnapshot(membership::Member peer)
 {
     http::Request request;
-    const auto knownVersion = m_metadataCache.catalog() ? m_metadataCache.catalog()->version() : catalog::CatalogVersion();
-    request.target = "/beliefs?catalog=" + std::to_string(knownVersion.value);
+    request.target = "/beliefs?catalog=" + std::to_string(m_metadataCache.knownCatalog().value);
     http::Endpoint endpoint = http::parseEndpoint(peer.peerAddress);
     auto response = co_await http::fetch(m_context.executor, endpoint, request, m_settings.peerFetchTimeout);
     m_fetching = false;
@@ -223,7 +266,7 @@
         co_return;
     }
     const MetadataUpdate update = m_metadataCache.applySnapshot(*snapshot, m_context.now());
-    reportUpdate(update, "peer");
+    reportUpdate(update, snapshot->storePosition, "peer");
 }
 
 http::Response metadataSnapshotResponse(const MetadataCache &metadataCache, const http::Request &request, core::TimePoint now)
@@ -281,6 +324,10 @@
 {
     m_context.metrics.incrementCounter("arbutus_store_calls_total", "call=\"members\"");
     auto range = co_await m_context.store.range(m_context.adapter.storeKeyPrefixes().memberPrefix, consistency);
+    // A serializable read may be from before a restore that is already known.
+    if (!range || consistency == metadata::ReadConsistency::Linearizable) {
+        observeGeneration(range ? range.value().position.generation : range.error().generation, "members");
+    }
     if (!range) {
         co_return false;
     }
@@ -295,19 +342,23 @@
     const std::string key = m_context.adapter.storeKeyPrefixes().memberPrefix + m_context.settings.instanceId.text;
     while (!m_deregistering) {
         if (m_lease.empty()) {
-            auto lease = co_await m_context.store.grantLease(m_settings.leaseTtl);
-            if (lease) {
+            auto grant = co_await m_context.store.grantLease(m_settings.leaseTtl);
+            observeGeneration(grant ? grant.value().generation : grant.error().generation, "lease_grant");
+            if (grant) {
                 const std::string value = registrationValue();
-                auto registration = co_await m_context.store.put(key, value, lease.value());
+                auto registration = co_await m_context.store.put(key, value, grant.value().lease);
+                observeGeneration(registration ? registration.value().generation : registration.error().generation, "registration");
                 if (registration) {
-                    m_lease = lease.value();
-                    m_context.writeLog(observe::LogLine("registered").add("key", key).add("lease", m_lease));
+                    m_lease = grant.value().lease;
+                    m_context.writeLog(
+                        observe::LogLine("registered").add("key", key).add("lease", m_lease).add("store_generation", registration.value().generation));
                 } else {
                     m_context.writeLog(observe::LogLine("registration_failed").add("reason", registration.error().message));
                 }
             }
         } else {
             auto renewal = co_await m_context.store.keepLeaseAlive(m_lease);
+            observeGeneration(renewal ? renewal.value() : renewal.error().generation, "lease_renewal");
             if (!renewal && renewal.error().kind == metadata::StoreErrorKind::LeaseNotFound) {
                 m_context.writeLog(observe::LogLine("registration_expired").add("lease", m_lease));
                 m_lease = metadata::LeaseId();
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -68,7 +68,10 @@
     [[nodiscard]] core::Duration readThreshold();
     [[nodiscard]] bool recentStoreOutage(core::TimePoint now) const;
     void recordStoreResult(bool succeeded, const std::string &reason);
-    void reportUpdate(const MetadataUpdate &update, std::string_view source);
+    /// Logs a change of the generation that the store states; `call` is the call that showed it.
+    void observeGeneration(metadata::StoreGeneration stated, std::string_view call);
+    /// Reports and logs the effect of an update that leads to `position`.
+    void reportUpdate(const MetadataUpdate &update, metadata::StorePosition position, std::string_view source);
     [[nodiscard]] std::string registrationValue() const;
 
     InstanceContext &m_context;
@@ -81,8 +84,10 @@
     bool m_storeUnreachable = false;  // the last call failed
     bool m_readsAsSubstitute = false; // the current read is not the watcher's or this instance's first
     std::optional<core::TimePoint> m_lastSubstituteReadAt;
-    core::TimePoint m_lastResponseAt{}; // last response of the store
-    core::TimePoint m_outageEndedAt{};  // end of the last outage
+    core::TimePoint m_lastResponseAt{};                         // last response of the store
+    metadata::StoreGeneration m_statedGeneration;               // highest one in a response of the store
+    std::optional<metadata::StoreGeneration> m_lowerGeneration; // in the last response, if that is lower
+    core::TimePoint m_outageEndedAt{};                          // end of the last outage
     bool m_hadOutage = false;
     bool m_fetching = false;
     metadata::LeaseId m_lease;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -607,8 +607,8 @@
     for (const auto &[key, row] : m_remoteLoads) {
         state.serviceLoads.push_back(RegionServiceLoad{key.first, row.first, now - row.second});
     }
-    state.lastChangeRevision = m_metadataCache.lastChangeRevision();
-    state.storeRevision = m_metadataCache.storeRevision();
+    state.lastChange = m_metadataCache.lastChange();
+    state.storePosition = m_metadataCache.storePosition();
     state.metadataStaleness = m_metadataCache.staleness(now);
     state.notices = notices();
     state.unreachableUpstreams = m_dispatcher.unreachableUpstreams(now);
@@ -686,8 +686,8 @@
             m_dispatcher.updateRemoteLoad(row.region, row.load, at);
         }
     }
-    m_metadataCache.confirmCurrent(state.lastChangeRevision, state.storeRevision, state.metadataStaleness, now);
-    if (state.lastChangeRevision > m_metadataCache.lastChangeRevision() && onNewerMetadata) {
+    m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, now);
+    if (state.lastChange.revision > m_metadataCache.lastChange().revision && onNewerMetadata) {
         onNewerMetadata(sender);
     }
 }
--- a/src/arbutus/metadata/metadatastore.h
+++ b/src/arbutus/metadata/metadatastore.h
@@ -3,8 +3,15 @@
 // It declares the operations that an instance needs, independent of the store's protocol. Implementations only translate
 // calls to that protocol; callers decide when and how often to call and how to handle failures.
 //
+// A store may be restored from an older copy. It then lacks its last changes and gives their revisions out again, so a revision
+// identifies contents only together with the generation of the store, which increases with each restore. Every response tells
+// the generation, also those to failed calls.
+//
 // Q: What does a failed write mean?
 // A: See `writeEffect`. None: it did not and will not take effect. Unknown: it may have or still may; read back.
+//
+// Q: What does generation 0 mean?
+// A: The response states none. Callers treat it as one of the generation that they know.
 
 #pragma once
 
@@ -20,9 +27,23 @@
 
 namespace arbutus::metadata {
 
-using StoreRevision = core::StrongNumber<struct StoreRevisionTag>; // of the whole store; increases with each change
+using StoreRevision = core::StrongNumber<struct StoreRevisionTag>;     // of the whole store; increases with each change
+using StoreGeneration = core::StrongNumber<struct StoreGenerationTag>; // increases when the store is restored from a copy; 0 = not stated
 using LeaseId = core::StrongId<struct LeaseTag>;
 
+/// A point in the history of a store. Positions are ordered by generation first.
+struct StorePosition
+{
+    StoreGeneration generation;
+    StoreRevision revision;
+
+    auto operator<=>(const StorePosition &) const = default;
+    friend std::ostream &operator<<(std::ostream &out, const StorePosition &position)
+    {
+        return out << position.generation << '/' << position.revision;
+    }
+};
+
 /// A key with its current value.
 struct StoreItem
 {
@@ -42,14 +63,21 @@
 struct StoreRange
 {
     std::vector<StoreItem> items;
-    StoreRevision revision; // of the store when the first page was read
+    StorePosition position; // of the store when the first page was read
 };
 
 /// Result of a watch; no changes means that its wait has expired.
 struct StoreChanges
 {
     std::vector<StoreChange> changes;
-    StoreRevision revision; // pass it as `after` to the next watch()
+    StorePosition position; // pass its revision as `after` to the next watch()
+};
+
+/// A new lease.
+struct LeaseGrant
+{
+    LeaseId lease;
+    StoreGeneration generation;
 };
 
 enum class StoreErrorKind {
@@ -67,6 +95,7 @@
     StoreErrorKind kind = StoreErrorKind::Unreachable;
     std::string message;
     enum class WriteEffect { None, Unknown } writeEffect = WriteEffect::None; // for writes
+    StoreGeneration generation;                                               // 0 also if there is no response
 };
 
 [[nodiscard]] constexpr const char *toString(StoreErrorKind kind)
@@ -106,14 +135,14 @@
     MetadataStore &operator=(const MetadataStore &) = delete;
     virtual ~MetadataStore() = default;
 
-    /// All keys that begin with `prefix`.
+    /// All keys that begin with `prefix`, all from the same generation.
     virtual boost::asio::awaitable<StoreResult<StoreRange>> range(std::string prefix, ReadConsistency consistency) = 0;
     /// Returns the changes below `prefix` after revision `after` once there are any, or none when `wait` expires.
     virtual boost::asio::awaitable<StoreResult<StoreChanges>> watch(std::string prefix, StoreRevision after, std::chrono::milliseconds wait) = 0;
     /// Writes a key and binds it to `lease` unless that is empty.
-    virtual boost::asio::awaitable<StoreResult<StoreRevision>> put(std::string key, std::string value, LeaseId lease) = 0;
-    virtual boost::asio::awaitable<StoreResult<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) = 0;
-    virtual boost::asio::awaitable<StoreResult<void>> keepLeaseAlive(LeaseId lease) = 0;
+    virtual boost::asio::awaitable<StoreResult<StorePosition>> put(std::string key, std::string value, LeaseId lease) = 0;
+    virtual boost::asio::awaitable<StoreResult<LeaseGrant>> grantLease(std::chrono::milliseconds timeToLive) = 0;
+    virtual boost::asio::awaitable<StoreResult<StoreGeneration>> keepLeaseAlive(LeaseId lease) = 0;
     /// Ends a lease and removes its keys.
     virtual boost::asio::awaitable<StoreResult<void>> revokeLease(LeaseId lease) = 0;
 };
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -36,6 +36,11 @@
     return metadata::StoreItem{key, value, metadata::StoreRevision(revision)};
 }
 
+metadata::StorePosition position(std::uint64_t revision)
+{
+    return metadata::StorePosition{{}, metadata::StoreRevision(revision)};
+}
+
 metadata::StoreChange change(const std::string &key, const std::string &value, bool removed = false)
 {
     return metadata::StoreChange{item(key, value), removed};
@@ -56,12 +61,12 @@
 
     edge::MetadataUpdate applyRange(std::vector<metadata::StoreItem> items, std::uint64_t revision, bool recentStoreOutage = false, core::TimePoint at = Start)
     {
-        return cache.applyRange(items, metadata::StoreRevision(revision), recentStoreOutage, at);
+        return cache.applyRange(items, position(revision), recentStoreOutage, at);
     }
     edge::MetadataUpdate
     applyChanges(std::vector<metadata::StoreChange> changes, std::uint64_t revision, bool recentStoreOutage = false, core::TimePoint at = Start)
     {
-        return cache.applyChanges(changes, metadata::StoreRevision(revision), recentStoreOutage, at);
+        return cache.applyChanges(changes, position(revision), recentStoreOutage, at);
     }
 };
 
@@ -165,7 +170,7 @@
     CAPTURE(older);
     CHECK_FALSE(fixture.applyChanges({change("op/config", older)}, 6).catalogChanged);
     edge::MetadataSnapshot snapshot = fixture.cache.snapshot(catalog::CatalogVersion(), Start);
-    snapshot.storeRevision = metadata::StoreRevision(8);
+    snapshot.storePosition = position(8);
     snapshot.catalogValue = older;
     CHECK_FALSE(fixture.cache.applySnapshot(snapshot, Start).catalogChanged);
     CHECK(fixture.cache.catalog()->version() == catalog::CatalogVersion(7));
@@ -240,7 +245,7 @@
     CHECK(change.catalogChanged);
     CHECK(change.evacuationChanged);
     CHECK_FALSE(isEligible(target.cache));
-    CHECK(target.cache.storeRevision() == metadata::StoreRevision(9));
+    CHECK(target.cache.storePosition() == position(9));
     CHECK(target.cache.staleness(Start + 1s) == 400ms);
     CHECK(source.cache.snapshot(catalog::CatalogVersion(7), Start).catalogValue.empty()); // the receiver already has this version
 }
@@ -249,11 +254,11 @@
 {
     Fixture fixture;
     fixture.applyRange({item("servers/i-a", entry())}, 9);
-    fixture.cache.confirmCurrent(metadata::StoreRevision(12), metadata::StoreRevision(12), 0ms, Start + 5s); // the peer has a newer change
+    fixture.cache.confirmCurrent(position(12), position(12), 0ms, Start + 5s); // the peer has a newer change
     CHECK(fixture.cache.staleness(Start + 5s) == 5s);
-    fixture.cache.confirmCurrent(metadata::StoreRevision(9), metadata::StoreRevision(11), 100ms, Start + 5s);
+    fixture.cache.confirmCurrent(position(9), position(11), 100ms, Start + 5s);
     CHECK(fixture.cache.staleness(Start + 5s) == 100ms);
-    fixture.cache.confirmCurrent(metadata::StoreRevision(9), metadata::StoreRevision(10), 0ms, Start + 6s); // older than the cached store revision
+    fixture.cache.confirmCurrent(position(9), position(10), 0ms, Start + 6s); // older than the cached store revision
     CHECK(fixture.cache.staleness(Start + 6s) == 1'100ms);
     fixture.cache.addSuspendedTime(3s);
     CHECK(fixture.cache.staleness(Start + 6s) == 4'100ms);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -53,10 +53,10 @@
             co_return failure();
         }
         metadata::StoreRange out;
-        out.revision = metadata::StoreRevision(revision);
+        out.position.revision = metadata::StoreRevision(revision);
         for (const auto &[key, value] : keys) {
             if (key.starts_with(prefix)) {
-                out.items.push_back(metadata::StoreItem{key, value, out.revision});
+                out.items.push_back(metadata::StoreItem{key, value, out.position.revision});
             }
         }
         co_return out;
@@ -71,20 +71,20 @@
             co_return metadata::StoreError{metadata::StoreErrorKind::HistoryCompacted, "no history is kept"};
         }
         metadata::StoreChanges out;
-        out.revision = metadata::StoreRevision(revision);
+        out.position.revision = metadata::StoreRevision(revision);
         co_return out;
     }
-    asio::awaitable<metadata::StoreResult<metadata::StoreRevision>> put(std::string, std::string, metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string, std::string, metadata::LeaseId) override
     {
-        co_return metadata::StoreRevision(revision);
+        co_return metadata::StorePosition{{}, metadata::StoreRevision(revision)};
     }
-    asio::awaitable<metadata::StoreResult<metadata::LeaseId>> grantLease(std::chrono::milliseconds) override
+    asio::awaitable<metadata::StoreResult<metadata::LeaseGrant>> grantLease(std::chrono::milliseconds) override
     {
-        co_return metadata::LeaseId("1");
+        co_return metadata::LeaseGrant{metadata::LeaseId("1"), {}};
     }
-    asio::awaitable<metadata::StoreResult<void>> keepLeaseAlive(metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StoreGeneration>> keepLeaseAlive(metadata::LeaseId) override
     {
-        co_return boost::outcome_v2::success();
+        co_return metadata::StoreGeneration();
     }
     asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId) override
     {
@@ -915,7 +915,7 @@
     fixture.runUntil([&] { return fixture.store.reads > readsBefore; }); // by then the reports have arrived
     for (const FakePeer *peer : {&watcher, &remoteDispatcher}) {
         const auto &states = peer->receivedStates;
-        CHECK(std::any_of(states.begin(), states.end(), [&](const edge::RegionState &state) { return state.lastChangeRevision.value == newRevision; }));
+        CHECK(std::any_of(states.begin(), states.end(), [&](const edge::RegionState &state) { return state.lastChange.revision.value == newRevision; }));
     }
 }
 
--- a/tests/storeclienttest.cpp
+++ b/tests/storeclienttest.cpp
@@ -26,9 +26,9 @@
 
 namespace {
 
-std::string httpResponse(int status, const std::string &body)
+std::string httpResponse(int status, const std::string &body, const std::string &header = "")
 {
-    return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\n" + header + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// Sends the next scripted response for each request. An empty response means that the server does not respond; a truncated
@@ -156,7 +156,7 @@
         CHECK(changes.error().kind == *row.errorKind);
         CHECK_FALSE(changes.error().message.empty());
     } else {
-        CHECK(changes.value().revision.value == 7);
+        CHECK(changes.value().position.revision.value == 7);
     }
 }
 
@@ -182,12 +182,85 @@
     const auto range = fixture.run(fixture.client.range("k/", metadata::ReadConsistency::Serializable));
     REQUIRE(range.has_value());
     CHECK(range.value().items.size() == 2);
-    CHECK(range.value().revision.value == 5);
+    CHECK(range.value().position.revision.value == 5);
     REQUIRE(fixture.server.requests.size() == 2);
     CHECK(fixture.server.requests[0].find("serializable=1") != std::string::npos);
     CHECK(fixture.server.requests[1].find("after=k%2Fa%20b") != std::string::npos);
 }
 
+TEST_CASE("the generation of the store is taken from every response", "[store]")
+{
+    struct Row
+    {
+        const char *name;
+        int status;
+        std::string header;
+        std::uint64_t generation;
+        std::optional<StoreErrorKind> errorKind;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"stated", 200, "Store-Era: 3\r\n", 3, std::nullopt},
+        {"not stated", 200, "", 0, std::nullopt},
+        {"in an error", 410, "Store-Era: 3\r\n", 3, StoreErrorKind::HistoryCompacted},
+        {"not in an error", 410, "", 0, StoreErrorKind::HistoryCompacted},
+        {"no number, in an error", 410, "Store-Era: x\r\n", 0, StoreErrorKind::HistoryCompacted},
+        {"no number", 200, "Store-Era: third\r\n", 0, StoreErrorKind::Malformed},
+        {"empty", 200, "Store-Era: \r\n", 0, StoreErrorKind::Malformed},
+        {"zero", 200, "Store-Era: 0\r\n", 0, StoreErrorKind::Malformed},
+        {"negative", 200, "Store-Era: -3\r\n", 0, StoreErrorKind::Malformed},
+        {"too large", 200, "Store-Era: 18446744073709551616\r\n", 0, StoreErrorKind::Malformed},
+        {"a number and more", 200, "Store-Era: 3, 4\r\n", 0, StoreErrorKind::Malformed},
+    }));
+    CAPTURE(row.name);
+    const metadata::StoreGeneration generation(row.generation);
+    Fixture fixture;
+    fixture.server.responses = {httpResponse(row.status, R"({"store_revision":7,"events":[]})", row.header),
+                                httpResponse(row.status, R"({"store_revision":7,"items":[],"has_more":false})", row.header),
+                                httpResponse(row.status, R"({"revision":7})", row.header),
+                                httpResponse(row.status, R"({"lease":4})", row.header),
+                                httpResponse(row.status, "{}", row.header)};
+    const auto check = [&](const auto &result, auto generationOf) {
+        REQUIRE(result.has_value() == !row.errorKind.has_value());
+        if (row.errorKind) {
+            CHECK(result.error().kind == *row.errorKind);
+            CHECK(result.error().generation == generation);
+        } else {
+            CHECK(generationOf(result.value()) == generation);
+        }
+    };
+    const auto ofPosition = [](const auto &result) { return result.position.generation; };
+    check(fixture.run(fixture.client.watch("", metadata::StoreRevision(6), 100ms)), ofPosition);
+    check(fixture.run(fixture.client.range("", metadata::ReadConsistency::Linearizable)), ofPosition);
+    check(fixture.run(fixture.client.put("k", "v", metadata::LeaseId("4"))), [](const metadata::StorePosition &at) { return at.generation; });
+    check(fixture.run(fixture.client.grantLease(5s)), [](const metadata::LeaseGrant &grant) { return grant.generation; });
+    check(fixture.run(fixture.client.keepLeaseAlive(metadata::LeaseId("4"))), [](metadata::StoreGeneration stated) { return stated; });
+}
+
+TEST_CASE("a range whose pages come from two generations is read again from its begin", "[store]")
+{
+    const std::string first = R"({"store_revision":5,"items":[{"key":"a","value":"YQ==","revision":3}],"has_more":true})";
+    const std::string second = R"({"store_revision":8,"items":[{"key":"b","value":"Yg==","revision":7}],"has_more":false})";
+    const auto page = [](const std::string &body, int generation) { return httpResponse(200, body, "Store-Era: " + std::to_string(generation) + "\r\n"); };
+    Fixture fixture;
+    SECTION("once")
+    {
+        fixture.server.responses = {page(first, 1), page(second, 2), page(first, 2), page(second, 2)};
+        const auto range = fixture.run(fixture.client.range("", metadata::ReadConsistency::Linearizable));
+        REQUIRE(range.has_value());
+        CHECK(range.value().position.generation == metadata::StoreGeneration(2));
+        CHECK(range.value().items.size() == 2);
+    }
+    SECTION("again and again")
+    {
+        for (int generation = 1; generation < 20; generation += 2) {
+            fixture.server.responses.push_back(page(first, generation));
+            fixture.server.responses.push_back(page(second, generation + 1));
+        }
+        CHECK_FALSE(fixture.run(fixture.client.range("", metadata::ReadConsistency::Linearizable)).has_value());
+        CHECK(fixture.server.requests.size() <= 6); // MaxRangeReads, two pages each
+    }
+}
+
 TEST_CASE("a failed write reports whether it may have been applied and is not retried", "[store]")
 {
     struct Row
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -201,10 +201,10 @@
             co_return unreachable();
         }
         metadata::StoreRange out;
-        out.revision = metadata::StoreRevision(store.revision);
+        out.position.revision = metadata::StoreRevision(store.revision);
         for (const auto &[key, value] : store.keys) {
             if (key.starts_with(prefix)) {
-                out.items.push_back(metadata::StoreItem{key, value, out.revision});
+                out.items.push_back(metadata::StoreItem{key, value, out.position.revision});
             }
         }
         co_return out;
@@ -218,20 +218,20 @@
             co_return metadata::StoreError{metadata::StoreErrorKind::HistoryCompacted, "no history is kept"};
         }
         metadata::StoreChanges out;
-        out.revision = metadata::StoreRevision(store.revision);
+        out.position.revision = metadata::StoreRevision(store.revision);
         co_return out;
     }
-    asio::awaitable<metadata::StoreResult<metadata::StoreRevision>> put(std::string, std::string, metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string, std::string, metadata::LeaseId) override
     {
-        co_return metadata::StoreRevision(store.revision);
+        co_return metadata::StorePosition{{}, metadata::StoreRevision(store.revision)};
     }
-    asio::awaitable<metadata::StoreResult<metadata::LeaseId>> grantLease(std::chrono::milliseconds) override
+    asio::awaitable<metadata::StoreResult<metadata::LeaseGrant>> grantLease(std::chrono::milliseconds) override
     {
-        co_return metadata::LeaseId("1");
+        co_return metadata::LeaseGrant{metadata::LeaseId("1"), {}};
     }
-    asio::awaitable<metadata::StoreResult<void>> keepLeaseAlive(metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StoreGeneration>> keepLeaseAlive(metadata::LeaseId) override
     {
-        co_return boost::outcome_v2::success();
+        co_return metadata::StoreGeneration();
     }
     asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId) override
     {
