A store restored from an older copy: data are ordered by generation and revision, and what the copy lacks is not revoked

Callers were served by a configuration that its operator had replaced, and requests reached upstreams that had said they were leaving: after a restore the store's revisions go back, and the cache dropped everything at lower revisions until the new history had passed the old revision; it then skipped what had been written below it. Where the copy was taken at its word, acknowledged removals, leavings and evacuations were lost.

A position is ordered by generation first. Any answer of a higher generation leads to a full read at once by the instances that watch the store, and the watch goes on from there; the others learn of it from peers, whose confirmations count within one generation only. A watch that began in another generation than its answer continues nothing. Late answers of a lower generation are dropped with a log line; a generation that stays low for 30 s is accepted. Until written again: configuration versions never go back (another content of the version from a later generation replaces it, since only a write after the restore can have brought it), leavings hold for the run, removed upstreams come back with a later announcement only, also after their retention if the store still lists the older entry, evacuations hold for 10 s, missing upstreams are kept as after an outage. Peers of builds that state no generation are believed until the generation has changed. Each instance registers again at a random time, 10 ms per known instance.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -4,15 +4,102 @@
 
 namespace arbutus::edge {
 
-MetadataCache::MetadataCache(const ProtocolAdapter &adapter, routing::UpstreamRegistrySettings settings)
+MetadataCache::MetadataCache(const ProtocolAdapter &adapter, MetadataCacheSettings settings)
     : m_adapter(adapter)
-    , m_registry(settings)
+    , m_settings(settings)
+    , m_registry(settings.registry)
 {
 }
 
-void MetadataCache::applyCatalog(const std::string &value, MetadataUpdate &update)
+//-----------------------------------------------------------------------------
+// Generations
+//-----------------------------------------------------------------------------
+
+void MetadataCache::noteGeneration(metadata::StoreGeneration generation)
+{
+    m_knownGeneration = std::max(m_knownGeneration, generation);
+}
+
+void MetadataCache::acceptLowerGeneration(metadata::StoreGeneration generation)
+{
+    m_fallenGeneration = std::max(m_fallenGeneration.value_or(metadata::StoreGeneration()), m_knownGeneration);
+    m_knownGeneration = generation;
+    m_catalogGeneration = metadata::StoreGeneration();
+    m_hasGenerationChanged = true;
+    m_isRestoreExpected = true;
+}
+
+MetadataCache::Order MetadataCache::orderOf(metadata::StorePosition position) const
+{
+    if (!m_initialized) {
+        return Order::Continuing;
+    }
+    if (m_isRestoreExpected) {
+        return position.generation == m_knownGeneration ? Order::Restored : Order::Older;
+    }
+    if (position.generation == m_storePosition.generation) {
+        return position.revision < m_storePosition.revision ? Order::Older : Order::Continuing;
+    }
+    if (position.generation < m_storePosition.generation) {
+        return Order::Older;
+    }
+    const bool isFirstStated = m_storePosition.generation.value == 0 && position.revision >= m_storePosition.revision;
+    return isFirstStated ? Order::Continuing : Order::Restored;
+}
+
+std::optional<metadata::StorePosition> MetadataCache::resolvePeerPosition(metadata::StorePosition position) const
+{
+    if (position.generation.value == 0) {
+        if (m_hasGenerationChanged) {
+            return std::nullopt;
+        }
+        position.generation = m_storePosition.generation;
+    }
+    if (m_fallenGeneration && position.generation > m_knownGeneration && position.generation <= *m_fallenGeneration) {
+        return std::nullopt;
+    }
+    return position;
+}
+
+bool MetadataCache::isNewer(metadata::StorePosition lastChange) const
+{
+    const auto resolved = resolvePeerPosition(lastChange);
+    return resolved && *resolved > m_lastChange;
+}
+
+//-----------------------------------------------------------------------------
+// Updates
+//-----------------------------------------------------------------------------
+
+bool MetadataCache::beginUpdate(metadata::StorePosition position, core::TimePoint now, MetadataUpdate &update)
+{
+    const Order order = orderOf(position);
+    if (order == Order::Older) {
+        update.isObsolete = true;
+        return false;
+    }
+    noteGeneration(position.generation);
+    if (order == Order::Restored) {
+        update.positionBefore = m_storePosition;
+        for (const core::DomainId &domain : m_registry.evacuatedDomains()) {
+            m_keptEvacuations[domain] = now + m_settings.evacuationGrace;
+        }
+        m_registry.beginRestoredHistory();
+        m_lastChange = metadata::StorePosition{position.generation, metadata::StoreRevision()};
+        m_hasGenerationChanged = true;
+        m_isRestoreExpected = false;
+    } else if (m_storePosition.generation != position.generation) { // the first one that is stated
+        m_lastChange.generation = position.generation;
+        m_catalogGeneration = position.generation;
+    }
+    m_storePosition = position;
+    return true;
+}
+
+void MetadataCache::applyCatalog(const std::string &value, metadata::StoreGeneration generation, MetadataUpdate &update)
 {
     if (value == m_catalogValue) {
+        m_catalogGeneration = std::max(m_catalogGeneration, generation);
         return;
     }
     auto parsed = m_adapter.parseCatalog(value);
@@ -20,14 +107,43 @@
         update.parseErrors.push_back("configuration: " + parsed.error().message);
         return;
     }
-    if (m_catalog && parsed.value()->version() <= m_catalog->version()) {
-        return; // an older version never replaces a newer one
+    if (m_catalog) {
+        const catalog::CatalogVersion version = parsed.value()->version();
+        const bool isOtherContent = version == m_catalog->version() && generation > m_catalogGeneration;
+        if (version < m_catalog->version() || (version == m_catalog->version() && !isOtherContent)) {
+            return; // an older version never replaces a newer one
+        }
+        if (isOtherContent) {
+            update.replacedCatalog = version;
+        }
     }
     m_catalog = std::move(parsed.value());
     m_catalogValue = value;
+    m_catalogGeneration = generation;
     update.catalogChanged = true;
 }
 
+void MetadataCache::setEvacuatedDomains(core::TimePoint now, MetadataUpdate &update)
+{
+    std::set<core::DomainId> evacuated = m_storedEvacuations;
+    for (const auto &[domain, end] : m_keptEvacuations) {
+        evacuated.insert(domain);
+    }
+    update.evacuationChanged = m_registry.setEvacuatedDomains(std::move(evacuated), now) || update.evacuationChanged;
+}
+
+void MetadataCache::applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update)
+{
+    m_storedEvacuations = std::move(evacuated);
+    std::erase_if(m_keptEvacuations, [&](const auto &kept) { return m_storedEvacuations.contains(kept.first); });
+    setEvacuatedDomains(now, update);
+    if (update.positionBefore) {
+        for (const auto &[domain, end] : m_keptEvacuations) {
+            update.keptEvacuations.insert(domain);
+        }
+    }
+}
+
 void MetadataCache::applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update)
 {
     std::vector<routing::Announcement> announcements;
@@ -41,28 +157,31 @@
             update.parseErrors.push_back(key + ": " + announcement.error().message);
         }
     }
-    auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, recentStoreOutage, now);
+    // What a restored store lacks may be missing for the same reason as after an outage.
+    const bool mayReturn = recentStoreOutage || update.positionBefore.has_value();
+    auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, mayReturn, now);
     update.upstreamChanges.insert(update.upstreamChanges.end(), changes.begin(), changes.end());
 }
 
-void MetadataCache::commitUpdate(MetadataUpdate &update, metadata::StorePosition position, core::TimePoint readAt)
+void MetadataCache::commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt)
 {
-    m_lastConfirmedAt = m_initialized ? std::max(m_lastConfirmedAt, readAt) : readAt;
-    m_initialized = true;
-    if (update.hasChanges()) {
-        m_lastChange = position.revision > m_lastChange.revision ? position : m_lastChange;
+    m_lastConfirmedAt = m_initialized && !update.positionBefore ? std::max(m_lastConfirmedAt, readAt) : readAt;
+    if (update.hasChanges() || !m_initialized) {
+        m_lastChange = std::max(m_lastChange, lastChange);
     }
+    m_initialized = true;
 }
 
 MetadataUpdate
 MetadataCache::applyRange(const std::vector<metadata::StoreItem> &items, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt)
 {
     MetadataUpdate update;
-    if (position.revision < m_storePosition.revision) {
-        update.isObsolete = true;
+    if (position.generation.value == 0) {
+        position.generation = m_storePosition.generation;
+    }
+    if (!beginUpdate(position, readAt, update)) {
         return update;
     }
-    m_storePosition = position;
     m_recentStoreOutage = recentStoreOutage;
     m_upstreamEntries.clear();
     std::set<core::DomainId> evacuated;
@@ -71,28 +190,38 @@
         if (item.key.starts_with(prefix)) {
             m_upstreamEntries[item.key] = item.value;
         } else if (m_adapter.isCatalogKey(item.key)) {
-            applyCatalog(item.value, update);
+            applyCatalog(item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(item.key); !domain.empty()) {
             evacuated.insert(domain);
         }
     }
-    m_evacuatedDomains = std::move(evacuated);
-    update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, readAt);
+    applyEvacuations(std::move(evacuated), readAt, update);
     applyUpstreams(recentStoreOutage, readAt, update);
     commitUpdate(update, position, readAt);
     return update;
 }
 
-MetadataUpdate
-MetadataCache::applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt)
+MetadataUpdate MetadataCache::applyChanges(const std::vector<metadata::StoreChange> &changes,
+                                           metadata::StorePosition after,
+                                           metadata::StorePosition position,
+                                           bool recentStoreOutage,
+                                           core::TimePoint readAt)
 {
     MetadataUpdate update;
-    if (position.revision < m_storePosition.revision) {
-        update.isObsolete = true;
+    if (position.generation.value == 0) {
+        position.generation = after.generation;
+    }
+    const bool isOfOneHistory = after.generation == position.generation && position.generation == m_storePosition.generation;
+    if (orderOf(position) != Order::Older && (!isOfOneHistory || m_isRestoreExpected)) {
+        noteGeneration(position.generation);
+        update.isFullReadNeeded = true;
+        return update;
+    }
+    if (!beginUpdate(position, readAt, update)) {
         return update;
     }
-    m_storePosition = position;
     m_recentStoreOutage = recentStoreOutage;
+    std::set<core::DomainId> evacuated = m_storedEvacuations;
     const std::string prefix = m_adapter.storeKeyPrefixes().upstreamPrefix;
     for (const metadata::StoreChange &change : changes) {
         if (change.item.key.starts_with(prefix)) {
@@ -102,16 +231,17 @@
                 m_upstreamEntries[change.item.key] = change.item.value;
             }
         } else if (m_adapter.isCatalogKey(change.item.key) && !change.removed) {
-            applyCatalog(change.item.value, update);
+            applyCatalog(change.item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(change.item.key); !domain.empty()) {
             if (change.removed) {
-                m_evacuatedDomains.erase(domain);
+                evacuated.erase(domain);
+                m_keptEvacuations.erase(domain);
             } else {
-                m_evacuatedDomains.insert(domain);
+                evacuated.insert(domain);
             }
         }
     }
-    update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, readAt);
+    applyEvacuations(std::move(evacuated), readAt, update);
     applyUpstreams(recentStoreOutage, readAt, update);
     commitUpdate(update, position, readAt);
     return update;
@@ -120,34 +250,39 @@
 MetadataUpdate MetadataCache::applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now)
 {
     MetadataUpdate update;
-    if (snapshot.storePosition.revision < m_storePosition.revision) {
+    const auto position = resolvePeerPosition(snapshot.storePosition);
+    if (!position || !beginUpdate(*position, now, update)) {
         update.isObsolete = true;
         return update;
     }
-    m_storePosition = snapshot.storePosition;
     m_recentStoreOutage = snapshot.recentStoreOutage;
     if (!snapshot.catalogValue.empty()) {
-        applyCatalog(snapshot.catalogValue, update);
+        const bool isGenerationStated = snapshot.catalogGeneration.value != 0;
+        applyCatalog(snapshot.catalogValue, isGenerationStated ? snapshot.catalogGeneration : m_catalogGeneration, update);
     }
     m_upstreamEntries = snapshot.upstreamEntries;
-    m_evacuatedDomains = snapshot.evacuatedDomains;
-    update.evacuationChanged = m_registry.setEvacuatedDomains(m_evacuatedDomains, now);
+    applyEvacuations(snapshot.evacuatedDomains, now, update);
     applyUpstreams(snapshot.recentStoreOutage, now, update);
-    commitUpdate(update, snapshot.lastChange, now - snapshot.staleness);
-    if (snapshot.lastChange.revision > m_lastChange.revision) {
-        m_lastChange = snapshot.lastChange;
-    }
+    const metadata::StorePosition lastChange{position->generation, snapshot.lastChange.revision};
+    commitUpdate(update, lastChange, now - snapshot.staleness);
+    m_lastChange = std::max(m_lastChange, lastChange);
     return update;
 }
 
 void MetadataCache::confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now)
 {
-    if (!m_initialized || lastChange.revision > m_lastChange.revision) {
-        return; // the peer has a newer change, so it does not confirm this data
+    const auto resolved = resolvePeerPosition(storePosition);
+    if (!resolved) {
+        return;
+    }
+    noteGeneration(resolved->generation);
+    const bool isSameHistory = resolved->generation == m_storePosition.generation && resolved->generation == m_knownGeneration && !m_isRestoreExpected;
+    if (!m_initialized || !isSameHistory || lastChange.revision > m_lastChange.revision) {
+        return; // of another generation, or the peer has a newer change: it does not confirm this data
     }
-    if (storePosition.revision >= m_storePosition.revision) {
+    if (*resolved >= m_storePosition) {
         m_lastConfirmedAt = std::max(m_lastConfirmedAt, now - staleness);
-        m_storePosition.revision = storePosition.revision;
+        m_storePosition = *resolved;
     }
 }
 
@@ -162,6 +297,15 @@
 {
     MetadataUpdate update;
     update.upstreamChanges = m_registry.expireEntries(now);
+    for (const auto &[domain, end] : m_keptEvacuations) {
+        if (now >= end) {
+            update.endedEvacuations.insert(domain);
+        }
+    }
+    if (!update.endedEvacuations.empty()) {
+        std::erase_if(m_keptEvacuations, [&](const auto &kept) { return update.endedEvacuations.contains(kept.first); });
+        setEvacuatedDomains(now, update);
+    }
     return update;
 }
 
@@ -170,17 +314,18 @@
     m_lastConfirmedAt -= duration;
 }
 
-MetadataSnapshot MetadataCache::snapshot(catalog::CatalogVersion knownVersion, core::TimePoint now) const
+MetadataSnapshot MetadataCache::snapshot(KnownCatalog known, core::TimePoint now) const
 {
     MetadataSnapshot out;
     out.lastChange = m_lastChange;
     out.storePosition = m_storePosition;
     out.staleness = staleness(now);
-    if (m_catalog && knownVersion < m_catalog->version()) {
+    if (m_catalog && known < knownCatalog()) {
         out.catalogValue = m_catalogValue;
     }
+    out.catalogGeneration = m_catalogGeneration;
     out.upstreamEntries = m_upstreamEntries;
-    out.evacuatedDomains = m_evacuatedDomains;
+    out.evacuatedDomains = m_storedEvacuations;
     out.recentStoreOutage = m_recentStoreOutage;
     return out;
 }
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -1,9 +1,17 @@
 // Cached configuration, evacuations and upstreams, with the staleness of the cached data.
 //
 // The data come from the metadata store, read by this instance or by a peer that passes on a snapshot. Updates are ordered by
-// the store's revision, so the cache only moves forward, whatever the source. Staleness is tracked separately: a peer that
+// the store's position, so the cache only moves forward, whatever the source. Staleness is tracked separately: a peer that
 // confirms the same data reduces the staleness without changing the data.
 //
+// A store that was restored from an older copy has a higher generation and lacks its last changes. The first update of that
+// generation replaces the data, but what the cache has acknowledged before holds until it is written again:
+//   - a configuration version never goes back. Another content of the same version replaces the earlier one if it comes from a
+//     later generation: versions rise within a history, so it was written after the restore;
+//   - a leaving holds for that run of the upstream; an upstream that was removed comes back with a later announcement only;
+//   - an evacuation that the store lacks holds for `evacuationGrace`;
+//   - an upstream that the store lacks is kept for a grace period, as after an outage (routing::UpstreamRegistry).
+//
 // Sections:
 //   MetadataUpdate     the effect of an update
 //   MetadataSnapshot   the form in which instances exchange the cache
@@ -12,6 +20,15 @@
 // Q: What is lastChange for?
 // A: Announcements of upstreams change the store a few times a second without any effect on routing. lastChange is
 //    the store's position at the last change that had one; peers compare it to decide whether to fetch a snapshot.
+//
+// Q: What if a peer states no generation?
+// A: It runs a build of before generations, or its store states none. It is taken to mean this cache's generation. Once the
+//    generation has changed, that may be wrong, and its snapshots and confirmations have no effect any more.
+//
+// Q: What if the store's generation falls?
+// A: Updates of a lower generation have no effect. A caller that is sure that the store is another one calls
+//    acceptLowerGeneration(); the next full read is then taken as that of a restored store, and peers that state a generation
+//    between the two are not believed.
 
 #pragma once
 
@@ -19,33 +36,55 @@
 #include "arbutus/routing/upstreamregistry.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace arbutus::edge {
 
+struct MetadataCacheSettings
+{
+    routing::UpstreamRegistrySettings registry;
+    core::Duration evacuationGrace = std::chrono::seconds(10); // for an evacuation that a restored store lacks to be written again
+};
+
 /// The effect of an update, for logging and for components that keep state for each upstream.
 struct MetadataUpdate
 {
-    bool catalogChanged = false;    // a new version is in effect
+    bool catalogChanged = false;    // a new version, or a new content of the version, is in effect
     bool evacuationChanged = false; // the set of evacuated failure domains changed
     std::vector<routing::RegistryChange> upstreamChanges;
-    std::vector<std::string> parseErrors; // entries that could not be parsed, with the reason
-    bool isObsolete = false;              // older than the cache, so it had no effect
+    std::vector<std::string> parseErrors;                   // entries that could not be parsed, with the reason
+    bool isObsolete = false;                                // older than the cache, so it had no effect
+    bool isFullReadNeeded = false;                          // changes that do not continue the cached data, so they had no effect
+    std::optional<metadata::StorePosition> positionBefore;  // if this is the first update from a restored store
+    std::optional<catalog::CatalogVersion> replacedCatalog; // the version whose content was replaced by another one
+    std::set<core::DomainId> keptEvacuations;               // that a restored store lacks
+    std::set<core::DomainId> endedEvacuations;              // that were kept and have not been written again in time
 
     [[nodiscard]] bool hasChanges() const
     {
-        return catalogChanged || evacuationChanged || !upstreamChanges.empty();
+        return catalogChanged || evacuationChanged || positionBefore || !upstreamChanges.empty();
     }
 };
 
+/// The configuration that an instance has: its version, and the latest generation in which the store had this content.
+struct KnownCatalog
+{
+    catalog::CatalogVersion version;
+    metadata::StoreGeneration generation;
+
+    auto operator<=>(const KnownCatalog &) const = default;
+};
+
 /// Contents of a cache as sent to a peer; keys and values are those of the store.
 struct MetadataSnapshot
 {
     metadata::StorePosition lastChange;
     metadata::StorePosition storePosition;
     core::Duration staleness{};
-    std::string catalogValue; // empty if the receiver already has this version
+    std::string catalogValue; // empty if the receiver already has it
+    metadata::StoreGeneration catalogGeneration;
     std::map<std::string, std::string> upstreamEntries;
     std::set<core::DomainId> evacuatedDomains;
     bool recentStoreOutage = false;
@@ -55,28 +94,45 @@
 class MetadataCache
 {
 public:
-    explicit MetadataCache(const ProtocolAdapter &adapter, routing::UpstreamRegistrySettings settings = {});
+    explicit MetadataCache(const ProtocolAdapter &adapter, MetadataCacheSettings settings = {});
 
+    //--- Updates
     /// Applies a full read: all keys of the store as of `position`.
     MetadataUpdate applyRange(const std::vector<metadata::StoreItem> &items, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt);
-    /// Applies the changes after storePosition(); `position` is the store's position after them.
-    MetadataUpdate
-    applyChanges(const std::vector<metadata::StoreChange> &changes, metadata::StorePosition position, bool recentStoreOutage, core::TimePoint readAt);
+    /// Applies the changes after `after`, which was storePosition() when they were asked for; `position` is the store's after them.
+    MetadataUpdate applyChanges(const std::vector<metadata::StoreChange> &changes,
+                                metadata::StorePosition after,
+                                metadata::StorePosition position,
+                                bool recentStoreOutage,
+                                core::TimePoint readAt);
     /// Applies a peer's snapshot; one that is older than the cache has no effect.
     MetadataUpdate applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now);
     /// Updates the staleness after a peer reported the position of its own cache.
     void confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now);
     /// Marks an upstream that this instance or a peer has observed to be leaving.
     MetadataUpdate markLeaving(const core::UpstreamId &id, core::TimePoint now);
+    /// Ends grace periods that are over.
     MetadataUpdate expireEntries(core::TimePoint now);
     /// Accounts for a suspension of the machine, which the steady clock does not include in the staleness.
     void addSuspendedTime(core::Duration duration);
 
-    [[nodiscard]] MetadataSnapshot snapshot(catalog::CatalogVersion knownVersion, core::TimePoint now) const;
-    /// What to tell a peer that is asked for a snapshot.
-    [[nodiscard]] catalog::CatalogVersion knownCatalog() const
+    //--- Generations
+    /// Records a generation that the store or a peer states. Confirmations of earlier ones have no effect from then on.
+    void noteGeneration(metadata::StoreGeneration generation);
+    /// Accepts that the store has a lower generation than before. The next full read replaces the data.
+    void acceptLowerGeneration(metadata::StoreGeneration generation);
+    [[nodiscard]] metadata::StoreGeneration knownGeneration() const
+    {
+        return m_knownGeneration;
+    }
+
+    //--- State
+    /// Whether a peer whose last change is this one has newer data.
+    [[nodiscard]] bool isNewer(metadata::StorePosition lastChange) const;
+    [[nodiscard]] MetadataSnapshot snapshot(KnownCatalog known, core::TimePoint now) const;
+    [[nodiscard]] KnownCatalog knownCatalog() const
     {
-        return m_catalog ? m_catalog->version() : catalog::CatalogVersion();
+        return m_catalog ? KnownCatalog{m_catalog->version(), m_catalogGeneration} : KnownCatalog{};
     }
     [[nodiscard]] const catalog::CatalogPointer &catalog() const
     {
@@ -98,21 +154,41 @@
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
 
 private:
-    void applyCatalog(const std::string &value, MetadataUpdate &update);
+    /// Where an update stands relative to the cached data.
+    enum class Order {
+        Older,
+        Continuing,
+        Restored, // of a later generation
+    };
+    [[nodiscard]] Order orderOf(metadata::StorePosition position) const;
+    /// The position with the generation that is meant; nothing if that is unknown or not to be believed.
+    [[nodiscard]] std::optional<metadata::StorePosition> resolvePeerPosition(metadata::StorePosition position) const;
+    /// Prepares for an update at `position`; returns false if the update is older than the cache.
+    bool beginUpdate(metadata::StorePosition position, core::TimePoint now, MetadataUpdate &update);
+    void applyCatalog(const std::string &value, metadata::StoreGeneration generation, MetadataUpdate &update);
+    void applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update);
+    void setEvacuatedDomains(core::TimePoint now, MetadataUpdate &update);
     void applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update);
-    void commitUpdate(MetadataUpdate &update, metadata::StorePosition position, core::TimePoint readAt);
+    void commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt);
 
     const ProtocolAdapter &m_adapter;
+    MetadataCacheSettings m_settings;
     routing::UpstreamRegistry m_registry;
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
+    metadata::StoreGeneration m_catalogGeneration;        // latest one in which the store had this value
     std::map<std::string, std::string> m_upstreamEntries; // values by key, as in the store
     std::map<std::string, std::string> m_invalidEntries;  // rejected values by key, so that each is reported once
-    std::set<core::DomainId> m_evacuatedDomains;
+    std::set<core::DomainId> m_storedEvacuations;
+    std::map<core::DomainId, core::TimePoint> m_keptEvacuations; // that a restored store lacks, with the end of their grace
     metadata::StorePosition m_lastChange;
     metadata::StorePosition m_storePosition;
+    metadata::StoreGeneration m_knownGeneration;                 // highest one that the store or a peer has stated
+    std::optional<metadata::StoreGeneration> m_fallenGeneration; // from which the store has fallen to a lower one
     core::TimePoint m_lastConfirmedAt{};
-    bool m_initialized = false; // after the first read or snapshot
+    bool m_initialized = false;          // after the first read or snapshot
+    bool m_hasGenerationChanged = false; // since this instance's start
+    bool m_isRestoreExpected = false;    // the next update replaces the data, whatever its revision
     bool m_recentStoreOutage = false;
 };
 
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -7,9 +7,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace arbutus::edge {
 
@@ -30,6 +34,7 @@
     , m_settings(settings)
     , m_random(seed)
     , m_lastResponseAt(context.now())
+    , m_registrationTimer(context.executor)
 {
 }
 
@@ -98,29 +103,78 @@
     }
 }
 
-void MetadataSync::observeGeneration(metadata::StoreGeneration stated, std::string_view call)
+bool MetadataSync::observeGeneration(metadata::StoreGeneration stated, std::string_view call)
 {
     if (stated.value == 0) {
-        return; // no response, or none stated
+        return true; // no response, or none stated
     }
-    if (stated < m_statedGeneration) {
-        if (m_lowerGeneration != stated) {
-            m_lowerGeneration = stated;
-            m_context.writeLog(
-                observe::LogLine("store_generation_lower").add("generation", stated).add("known_generation", m_statedGeneration).add("call", call));
+    const metadata::StoreGeneration known = m_metadataCache.knownGeneration();
+    if (stated < known) {
+        if (!m_lowerGeneration || m_lowerGeneration->first != stated) {
+            m_lowerGeneration = {stated, m_context.now()};
+            m_context.writeLog(observe::LogLine("store_generation_lower").add("generation", stated).add("known_generation", known).add("call", call));
+        } else if (m_context.now() - m_lowerGeneration->second >= m_settings.lowerGenerationTimeout) {
+            m_lowerGeneration.reset();
+            m_context.writeLog(observe::LogLine("store_generation_fell").add("old_generation", known).add("new_generation", stated).add("call", call));
+            m_metadataCache.acceptLowerGeneration(stated);
+            m_storeGeneration = metadata::StoreGeneration();
+            onStoreRestored();
+            return true;
         }
-        return;
+        return false;
     }
     m_lowerGeneration.reset();
-    if (stated > m_statedGeneration && m_statedGeneration.value != 0) {
-        m_context.metrics.incrementCounter("arbutus_store_generation_changes_total");
+    m_metadataCache.noteGeneration(stated);
+    if (m_storeGeneration.value == 0) {
+        m_storeGeneration = stated;
+    } else if (stated > m_storeGeneration) {
         m_context.writeLog(observe::LogLine("store_generation_changed")
-                               .add("old_generation", m_statedGeneration)
+                               .add("old_generation", m_storeGeneration)
                                .add("new_generation", stated)
                                .add("store_revision", m_metadataCache.storePosition().revision)
                                .add("call", call));
+        onStoreRestored();
     }
-    m_statedGeneration = stated;
+    return true;
+}
+
+void MetadataSync::onStoreRestored()
+{
+    const metadata::StoreGeneration generation = m_metadataCache.knownGeneration();
+    if (generation == m_storeGeneration) {
+        return; // done
+    }
+    m_storeGeneration = generation;
+    m_context.metrics.incrementCounter("arbutus_store_generation_changes_total");
+    m_fullReadNeeded = true;
+    m_readsAtOnce = true;
+    // Entries that upstreams wrote may expire before they write them again, as after an outage.
+    m_hadOutage = true;
+    m_outageEndedAt = m_context.now();
+    m_lease = metadata::LeaseId(); // the store may have given its id to another instance
+    m_isRegistrationLost = true;
+    m_registrationTimer.cancel();
+}
+
+void MetadataSync::logRestore(const MetadataUpdate &update, std::string_view source)
+{
+    const metadata::StorePosition position = m_metadataCache.storePosition();
+    std::string kept;
+    for (const core::DomainId &domain : update.keptEvacuations) {
+        kept += (kept.empty() ? "" : ",") + domain.text;
+    }
+    const auto missing = std::count_if(update.upstreamChanges.begin(), update.upstreamChanges.end(), [](const routing::RegistryChange &change) {
+        return change.kind == routing::RegistryChange::Kind::Missing;
+    });
+    m_context.writeLog(observe::LogLine("store_restored")
+                           .add("old_generation", update.positionBefore->generation)
+                           .add("old_revision", update.positionBefore->revision)
+                           .add("new_generation", position.generation)
+                           .add("new_revision", position.revision)
+                           .add("configuration", m_metadataCache.knownCatalog().version)
+                           .add("kept_evacuations", kept)
+                           .add("missing_upstreams", missing)
+                           .add("source", source));
 }
 
 asio::awaitable<bool> MetadataSync::readOnce()
@@ -130,8 +184,8 @@
     if (m_fullReadNeeded) {
         auto range = co_await m_context.store.range(AllKeysPrefix, metadata::ReadConsistency::Linearizable);
         recordStoreResult(range.has_value(), range ? "" : range.error().message);
-        observeGeneration(range ? range.value().position.generation : range.error().generation, "range");
-        if (!range) {
+        const bool isUsable = observeGeneration(range ? range.value().position.generation : range.error().generation, "range");
+        if (!range || !isUsable) {
             co_return false;
         }
         m_fullReadNeeded = false;
@@ -146,21 +200,26 @@
         reportUpdate(update, position, "store_range");
         co_return true;
     }
-    auto changes = co_await m_context.store.watch(AllKeysPrefix, m_metadataCache.storePosition().revision, m_settings.watchTimeout);
-    observeGeneration(changes ? changes.value().position.generation : changes.error().generation, "watch");
+    const metadata::StorePosition after = m_metadataCache.storePosition(); // may change meanwhile
+    auto changes = co_await m_context.store.watch(AllKeysPrefix, after.revision, m_settings.watchTimeout);
+    const bool isUsable = observeGeneration(changes ? changes.value().position.generation : changes.error().generation, "watch");
     if (!changes && changes.error().kind == metadata::StoreErrorKind::HistoryCompacted) {
-        m_context.writeLog(observe::LogLine("store_history_compacted").add("store_revision", m_metadataCache.storePosition().revision));
+        m_context.writeLog(observe::LogLine("store_history_compacted").add("store_revision", after.revision));
         m_fullReadNeeded = true;
         co_return true;
     }
     recordStoreResult(changes.has_value(), changes ? "" : changes.error().message);
-    if (!changes) {
+    if (!changes || !isUsable) {
         m_fullReadNeeded = true; // changes may have been missed
         co_return false;
     }
     const metadata::StorePosition position = changes.value().position;
-    const MetadataUpdate update = m_metadataCache.applyChanges(changes.value().changes, position, recentStoreOutage(m_context.now()), m_context.now());
+    const MetadataUpdate update = m_metadataCache.applyChanges(changes.value().changes, after, position, recentStoreOutage(m_context.now()), m_context.now());
     reportUpdate(update, position, "store_watch");
+    if (update.isFullReadNeeded) {
+        m_fullReadNeeded = true;
+        m_readsAtOnce = true;
+    }
     co_return true;
 }
 
@@ -176,7 +235,11 @@
         m_readsAsSubstitute = threshold > core::Duration::zero();
         if (co_await readOnce()) {
             retryDelay = m_settings.initialRetryDelay;
-            co_await core::asyncSleep(m_settings.watchPause);
+            if (!std::exchange(m_readsAtOnce, false)) {
+                co_await core::asyncSleep(m_settings.watchPause);
+            } else if (m_readsAsSubstitute) { // as others may do now
+                co_await core::asyncSleep(milliseconds(m_random(static_cast<std::uint32_t>(m_settings.substituteReadJitter.count()))));
+            }
             continue;
         }
         const auto jitter = milliseconds(m_random(static_cast<std::uint32_t>(retryDelay.count())));
@@ -201,6 +264,17 @@
     for (const std::string &error : update.parseErrors) {
         m_context.writeLog(observe::LogLine("store_entry_invalid").add("reason", error).add("source", source));
     }
+    if (update.positionBefore) {
+        logRestore(update, source);
+        onStoreRestored();
+    }
+    if (update.replacedCatalog) {
+        m_context.writeLog(observe::LogLine("configuration_content_replaced")
+                               .add("version", *update.replacedCatalog)
+                               .add("store_generation", cached.generation)
+                               .add("store_revision", cached.revision)
+                               .add("source", source));
+    }
     if (update.catalogChanged) {
         m_context.writeLog(observe::LogLine("configuration_applied")
                                .add("version", m_metadataCache.catalog()->version())
@@ -252,7 +326,8 @@
 asio::awaitable<void> MetadataSync::fetchSnapshot(membership::Member peer)
 {
     http::Request request;
-    request.target = "/beliefs?catalog=" + std::to_string(m_metadataCache.knownCatalog().value);
+    const KnownCatalog known = m_metadataCache.knownCatalog();
+    request.target = "/beliefs?catalog=" + std::to_string(known.version.value) + "&generation=" + std::to_string(known.generation.value);
     http::Endpoint endpoint = http::parseEndpoint(peer.peerAddress);
     auto response = co_await http::fetch(m_context.executor, endpoint, request, m_settings.peerFetchTimeout);
     m_fetching = false;
@@ -271,12 +346,17 @@
 
 http::Response metadataSnapshotResponse(const MetadataCache &metadataCache, const http::Request &request, core::TimePoint now)
 {
-    const std::string text = request.queryParameter("catalog");
-    std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
+    const auto numberParameter = [&request](std::string_view name, std::uint64_t fallback) {
+        const std::string text = request.queryParameter(name);
+        std::from_chars(text.data(), text.data() + text.size(), fallback);
+        return fallback;
+    };
+    const catalog::CatalogVersion version(numberParameter("catalog", 0));
+    // A peer that states no generation of its configuration can't replace the content of a version.
+    const metadata::StoreGeneration generation(numberParameter("generation", std::numeric_limits<std::uint64_t>::max()));
     http::Response response;
     response.headers["Content-Type"] = "application/x-protobuf";
-    response.body = encode(metadataCache.snapshot(catalog::CatalogVersion(version), now));
+    response.body = encode(metadataCache.snapshot(KnownCatalog{version, generation}, now));
     return response;
 }
 
@@ -324,9 +404,11 @@
 {
     m_context.metrics.incrementCounter("arbutus_store_calls_total", "call=\"members\"");
     auto range = co_await m_context.store.range(m_context.adapter.storeKeyPrefixes().memberPrefix, consistency);
+    const metadata::StoreGeneration stated = range ? range.value().position.generation : range.error().generation;
     // A serializable read may be from before a restore that is already known.
-    if (!range || consistency == metadata::ReadConsistency::Linearizable) {
-        observeGeneration(range ? range.value().position.generation : range.error().generation, "members");
+    const bool mayBeOld = consistency == metadata::ReadConsistency::Serializable;
+    if (stated >= m_metadataCache.knownGeneration() || !mayBeOld) {
+        observeGeneration(stated, "members");
     }
     if (!range) {
         co_return false;
@@ -337,10 +419,24 @@
     co_return true;
 }
 
+core::Duration registrationDelay(std::size_t instanceCount, int registrationsPerSecond, pcg32 &random)
+{
+    const core::Duration spread = core::Duration(std::chrono::seconds(instanceCount)) / registrationsPerSecond;
+    return core::Duration(random(static_cast<std::uint32_t>(std::max<core::Duration::rep>(spread.count(), 1))));
+}
+
 asio::awaitable<void> MetadataSync::registerLoop()
 {
     const std::string key = m_context.adapter.storeKeyPrefixes().memberPrefix + m_context.settings.instanceId.text;
     while (!m_deregistering) {
+        if (std::exchange(m_isRegistrationLost, false)) {
+            const core::Duration delay = registrationDelay(m_fleet.knownMemberCount(), m_settings.registrationsPerSecond, m_random);
+            co_await core::asyncSleep(delay);
+            if (m_leaseGeneration != m_storeGeneration) { // not if it was granted after the restore
+                m_lease = metadata::LeaseId();
+            }
+            continue;
+        }
         if (m_lease.empty()) {
             auto grant = co_await m_context.store.grantLease(m_settings.leaseTtl);
             observeGeneration(grant ? grant.value().generation : grant.error().generation, "lease_grant");
@@ -348,8 +444,11 @@
                 const std::string value = registrationValue();
                 auto registration = co_await m_context.store.put(key, value, grant.value().lease);
                 observeGeneration(registration ? registration.value().generation : registration.error().generation, "registration");
-                if (registration) {
+                if (registration && registration.value().generation != grant.value().generation) {
+                    m_context.writeLog(observe::LogLine("registration_failed").add("reason", "the store was restored meanwhile"));
+                } else if (registration) {
                     m_lease = grant.value().lease;
+                    m_leaseGeneration = grant.value().generation;
                     m_context.writeLog(
                         observe::LogLine("registered").add("key", key).add("lease", m_lease).add("store_generation", registration.value().generation));
                 } else {
@@ -357,15 +456,21 @@
                 }
             }
         } else {
-            auto renewal = co_await m_context.store.keepLeaseAlive(m_lease);
+            const metadata::LeaseId lease = m_lease; // a restore of the store resets it
+            auto renewal = co_await m_context.store.keepLeaseAlive(lease);
             observeGeneration(renewal ? renewal.value() : renewal.error().generation, "lease_renewal");
             if (!renewal && renewal.error().kind == metadata::StoreErrorKind::LeaseNotFound) {
-                m_context.writeLog(observe::LogLine("registration_expired").add("lease", m_lease));
+                m_context.writeLog(observe::LogLine("registration_expired").add("lease", lease));
                 m_lease = metadata::LeaseId();
                 continue;
             }
         }
-        co_await core::asyncSleep(m_lease.empty() ? m_settings.maxRetryDelay : m_settings.leaseRenewalInterval);
+        if (!m_isRegistrationLost) {
+            const milliseconds pause = m_lease.empty() ? m_settings.maxRetryDelay : m_settings.leaseRenewalInterval;
+            m_registrationTimer.expires_after(pause);
+            boost::system::error_code code;
+            co_await m_registrationTimer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+        }
     }
 }
 
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -687,7 +687,7 @@
         }
     }
     m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, now);
-    if (state.lastChange.revision > m_metadataCache.lastChange().revision && onNewerMetadata) {
+    if (m_metadataCache.isNewer(state.lastChange) && onNewerMetadata) {
         onNewerMetadata(sender);
     }
 }
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -297,6 +297,9 @@
                                      .add("change", routing::toString(upstreamChange.kind))
                                      .add("source", "tick"));
             }
+            for (const core::DomainId &domain : update.endedEvacuations) {
+                context.writeLog(observe::LogLine("evacuation_expired").add("domain", domain).add("reason", "not written again after the store was restored"));
+            }
             if (update.hasChanges()) {
                 onMetadataChanged(update);
             }
--- a/src/arbutus/routing/upstreamregistry.cpp
+++ b/src/arbutus/routing/upstreamregistry.cpp
@@ -30,10 +30,26 @@
 {
 }
 
+void UpstreamRegistry::beginRestoredHistory()
+{
+    m_revision = SnapshotRevision();
+    for (auto &[id, entry] : m_entries) {
+        entry.lastRestoredSequence = std::max(entry.lastRestoredSequence.value_or(0), entry.announcement.sequence);
+        entry.removedBeforeRestore = entry.removed;
+        entry.hasRestoredEntry = false;
+    }
+}
+
+bool UpstreamRegistry::isFromRestoredCopy(const RegistryEntry &entry, const Announcement &announcement)
+{
+    return entry.lastRestoredSequence && announcement.sequence <= *entry.lastRestoredSequence;
+}
+
 void UpstreamRegistry::applyAnnouncement(const Announcement &announcement, core::TimePoint now, std::vector<RegistryChange> &changes)
 {
     auto found = m_entries.find(announcement.id);
     if (found != m_entries.end() && announcement.startTime < found->second.announcement.startTime) {
+        found->second.hasRestoredEntry = found->second.removed;
         return; // entry of an earlier run
     }
     if (found == m_entries.end() || announcement.startTime > found->second.announcement.startTime) {
@@ -55,12 +71,21 @@
         entry.leaving = true; // holds until the upstream restarts
         changes.push_back({announcement.id, RegistryChange::Kind::Leaving});
     }
+    const bool isFromCopy = isFromRestoredCopy(entry, announcement);
+    if (isFromCopy && entry.removedBeforeRestore) {
+        entry.hasRestoredEntry = true;
+        return;
+    }
+    if (!isFromCopy) {
+        entry.lastRestoredSequence.reset();
+        entry.removedBeforeRestore = false;
+    }
     if (entry.removed || entry.missingSince) {
         entry.removed = false;
         entry.missingSince.reset();
         changes.push_back({announcement.id, RegistryChange::Kind::Returned});
     }
-    if (announcement == entry.announcement) {
+    if (announcement == entry.announcement || (isFromCopy && announcement.sequence < entry.announcement.sequence)) {
         return;
     }
     ++m_version;
@@ -92,6 +117,7 @@
         applyAnnouncement(announcement, now, changes);
     }
     for (auto &[id, entry] : m_entries) {
+        entry.hasRestoredEntry = entry.hasRestoredEntry && listed.contains(id);
         if (listed.contains(id) || entry.removed || entry.missingSince) {
             continue;
         }
@@ -147,8 +173,9 @@
             changes.push_back({id, RegistryChange::Kind::Removed});
         }
     }
-    const auto erased =
-        std::erase_if(m_entries, [&](const auto &item) { return item.second.removed && now - item.second.updatedAt > m_settings.removedRetention; });
+    const auto erased = std::erase_if(m_entries, [&](const auto &item) {
+        return item.second.removed && !item.second.hasRestoredEntry && now - item.second.updatedAt > m_settings.removedRetention;
+    });
     m_version += changes.empty() && erased == 0 ? 0 : 1;
     return changes;
 }
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -6,6 +6,8 @@
 //   - an upstream whose entry has disappeared counts as removed. If the store was unreachable, it is kept for
 //     `missingGracePeriod` after the store has recovered, and removed if it has not announced itself again by then;
 //   - a later start time under a known id is a restart: nothing known about the previous run applies any more;
+//   - if the store was restored from an older copy, its entries may be older than what is known: an upstream that was removed
+//     before comes back only with a later sequence or start time, and an older announcement changes nothing;
 //   - an upstream that has not yet announced that it is warm counts as cold.
 //
 // Sections:
@@ -71,7 +73,10 @@
     core::TimePoint coldUntil{};
     bool leaving = false;
     bool removed = false;
-    std::optional<core::TimePoint> missingSince; // missing from the store since it recovered
+    std::optional<core::TimePoint> missingSince;       // missing from the store since it recovered
+    std::optional<std::uint64_t> lastRestoredSequence; // entries up to this one may be older than what is known, since the store was restored
+    bool removedBeforeRestore = false;                 // until a later entry arrives
+    bool hasRestoredEntry = false;                     // the store has such an entry of this removed upstream
 
     [[nodiscard]] bool isUsable() const
     {
@@ -98,6 +103,8 @@
 public:
     explicit UpstreamRegistry(UpstreamRegistrySettings settings = {});
 
+    /// The store was restored from an older copy: revisions begin again, and entries may be older than what is known.
+    void beginRestoredHistory();
     /// Applies all entries of the store as of `revision`; a revision older than the last one is ignored.
     std::vector<RegistryChange>
     applySnapshot(SnapshotRevision revision, const std::vector<Announcement> &announcements, bool storeWasUnreachable, core::TimePoint now);
@@ -139,6 +146,7 @@
     }
 
 private:
+    [[nodiscard]] static bool isFromRestoredCopy(const RegistryEntry &entry, const Announcement &announcement);
     void applyAnnouncement(const Announcement &announcement, core::TimePoint now, std::vector<RegistryChange> &changes);
 
     UpstreamRegistrySettings m_settings;
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -66,7 +66,7 @@
     edge::MetadataUpdate
     applyChanges(std::vector<metadata::StoreChange> changes, std::uint64_t revision, bool recentStoreOutage = false, core::TimePoint at = Start)
     {
-        return cache.applyChanges(changes, position(revision), recentStoreOutage, at);
+        return cache.applyChanges(changes, cache.storePosition(), position(revision), recentStoreOutage, at);
     }
 };
 
@@ -169,7 +169,7 @@
     const auto older = GENERATE(as<std::string>{}, config(7, "/b/"), config(3, "/b/"), "{\"version\":9", "");
     CAPTURE(older);
     CHECK_FALSE(fixture.applyChanges({change("op/config", older)}, 6).catalogChanged);
-    edge::MetadataSnapshot snapshot = fixture.cache.snapshot(catalog::CatalogVersion(), Start);
+    edge::MetadataSnapshot snapshot = fixture.cache.snapshot({}, Start);
     snapshot.storePosition = position(8);
     snapshot.catalogValue = older;
     CHECK_FALSE(fixture.cache.applySnapshot(snapshot, Start).catalogChanged);
@@ -239,7 +239,7 @@
     Fixture source;
     source.applyRange({item("op/config", config(7)), item("servers/i-a", entry("draining")), item("servers/i-b", "\xff"), item("op/evacuate/z", "{}")}, 9);
     Fixture target;
-    const auto snapshot = edge::decodeMetadataSnapshot(edge::encode(source.cache.snapshot(catalog::CatalogVersion(), Start + 400ms)));
+    const auto snapshot = edge::decodeMetadataSnapshot(edge::encode(source.cache.snapshot({}, Start + 400ms)));
     REQUIRE(snapshot);
     const edge::MetadataUpdate change = target.cache.applySnapshot(*snapshot, Start + 1s);
     CHECK(change.catalogChanged);
@@ -247,7 +247,7 @@
     CHECK_FALSE(isEligible(target.cache));
     CHECK(target.cache.storePosition() == position(9));
     CHECK(target.cache.staleness(Start + 1s) == 400ms);
-    CHECK(source.cache.snapshot(catalog::CatalogVersion(7), Start).catalogValue.empty()); // the receiver already has this version
+    CHECK(source.cache.snapshot({catalog::CatalogVersion(7), {}}, Start).catalogValue.empty()); // the receiver already has this version
 }
 
 TEST_CASE("a peer reduces staleness only by confirming the same metadata", "[metadata]")
--- a/tests/metadatarestoretest.cpp
+++ b/tests/metadatarestoretest.cpp
@@ -3,9 +3,13 @@
 
 #include "arbutus/edge/codec.h"
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/edge/metadatasync.h"
 #include "platform/platformadapter.h"
 
 #include <catch2/catch.hpp>
+#include <pcg_random.hpp>
+
+#include <algorithm>
 
 using namespace arbutus;
 using namespace std::chrono_literals;
@@ -56,11 +60,11 @@
         for (const auto &[key, value] : written) {
             changes.push_back(metadata::StoreChange{metadata::StoreItem{key, value, at.revision}, false});
         }
-        return cache.applyChanges(changes, at, false, now);
+        return cache.applyChanges(changes, cache.storePosition(), at, false, now);
     }
     edge::MetadataUpdate applyRemoval(const std::string &key, metadata::StorePosition at, core::TimePoint now = Start)
     {
-        return cache.applyChanges({metadata::StoreChange{metadata::StoreItem{key, "", at.revision}, true}}, at, false, now);
+        return cache.applyChanges({metadata::StoreChange{metadata::StoreItem{key, "", at.revision}, true}}, cache.storePosition(), at, false, now);
     }
     /// Applies the contents of the store, as read by this instance or by a peer that passes them on.
     void learn(Source source, const Items &items, metadata::StorePosition at, core::TimePoint now = Start)
@@ -133,6 +137,17 @@
     CHECK(fixture.cache.storePosition() == position(2, 111));
 }
 
+TEST_CASE("a watch that began before the cache went over to a restored store does not continue it", "[restore]")
+{
+    Fixture fixture;
+    fixture.applyRange({{"servers/i-a", entry()}}, position(1, 100));
+    const metadata::StorePosition after = fixture.cache.storePosition();
+    fixture.learn(Source::Snapshot, {{"servers/i-a", entry()}}, position(2, 90));                              // while the watch waits
+    const edge::MetadataUpdate update = fixture.cache.applyChanges({}, after, position(2, 110), false, Start); // lacks revisions 91 to 100
+    CHECK(update.isFullReadNeeded);
+    CHECK(fixture.cache.storePosition() == position(2, 90));
+}
+
 TEST_CASE("an answer of before a restore that arrives after one of the restored store is dropped", "[restore]")
 {
     struct Row
@@ -390,3 +405,61 @@
     CHECK(fixture.cache.storePosition() == position(3, 105));
     CHECK_FALSE(fixture.isEligible()); // the store was not restored, so the entry was removed
 }
+
+//-----------------------------------------------------------------------------
+// A generation that falls
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a store whose generation has fallen is read like a restored one once that is accepted", "[restore]")
+{
+    Fixture fixture;
+    fixture.applyRange({{"op/config", config(5)}, {"servers/i-a", entry("draining")}, {"servers/i-b", entry()}}, position(5, 100));
+    const Items contents{{"op/config", config(4)}, {"servers/i-a", entry()}, {"servers/i-c", entry()}};
+    CHECK(fixture.applyRange(contents, position(3, 200)).isObsolete);
+    CHECK(fixture.cache.storePosition() == position(5, 100));
+    fixture.cache.acceptLowerGeneration(metadata::StoreGeneration(3));
+    CHECK(fixture.applyChanges({}, position(3, 201)).isFullReadNeeded);
+    fixture.applyRange(contents, position(3, 201));
+    CHECK(fixture.cache.storePosition() == position(3, 201));
+    CHECK(fixture.version() == 5);
+    CHECK_FALSE(fixture.isEligible());
+    CHECK(fixture.isEligible(core::UpstreamId("i-b"))); // missing
+    CHECK(fixture.isEligible(core::UpstreamId("i-c")));
+    SECTION("peers that have not accepted it yet are not believed")
+    {
+        fixture.learn(Source::Snapshot, {{"servers/i-d", entry()}}, position(5, 101));
+        CHECK_FALSE(fixture.isEligible(core::UpstreamId("i-d")));
+        CHECK_FALSE(fixture.cache.isNewer(position(5, 101)));
+        CHECK(fixture.cache.storePosition() == position(3, 201));
+    }
+    SECTION("the store is restored again")
+    {
+        fixture.applyRange({{"servers/i-c", entry("draining", 2)}}, position(4, 150));
+        CHECK(fixture.cache.storePosition() == position(4, 150));
+        CHECK_FALSE(fixture.isEligible(core::UpstreamId("i-c")));
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Registrations
+//-----------------------------------------------------------------------------
+
+TEST_CASE("all instances register again after a restore within the calls that the store takes", "[restore]")
+{
+    constexpr int WritesPerSecond = 400; // of the store, for all instances together
+    constexpr int WritesPerRegistration = 2;
+    const auto instanceCount = GENERATE(std::size_t(9), std::size_t(30), std::size_t(300));
+    const auto seed = GENERATE(range(1, 21));
+    CAPTURE(instanceCount, seed);
+    pcg32 random(static_cast<std::uint64_t>(seed));
+    std::vector<core::Duration> times;
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        times.push_back(edge::registrationDelay(instanceCount, edge::MetadataSyncSettings().registrationsPerSecond, random));
+    }
+    std::sort(times.begin(), times.end());
+    CHECK(times.back() <= 3s);
+    for (std::size_t i = 0; i < times.size(); ++i) {
+        const auto end = std::upper_bound(times.begin(), times.end(), times[i] + 1s);
+        CHECK((end - times.begin() - static_cast<std::ptrdiff_t>(i)) * WritesPerRegistration <= WritesPerSecond);
+    }
+}
