The last change of a cache follows from the store's contents, not from what this instance knew already

An instance that had learned of a leaving from an upstream's response found no change in the store's entry that says so. Its last change stayed where it was, so its region states confirmed peers beyond that entry: their next watch began after it, and they never saw the leaving. The same held for every change without an effect at the instance that reports.

What matters for routing is now compared between the store's contents before and after an update: the configuration, the evacuations, and the announcements without sequence and remaining times. Such a change moves the last change and is told to peers at once.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -4,6 +4,30 @@
 
 namespace arbutus::edge {
 
+namespace {
+
+/// Whether a change of an announcement matters for routing. Its sequence and remaining times change with each announcement.
+bool isRelevantChange(const routing::Announcement &before, const routing::Announcement &after)
+{
+    const auto withoutProgress = [](routing::Announcement announcement) {
+        announcement.sequence = 0;
+        announcement.coldRemaining = core::Duration::zero();
+        announcement.shutdownIn = announcement.shutdownIn ? std::optional(core::Duration::zero()) : std::nullopt;
+        return announcement;
+    };
+    const bool becameCold = after.coldRemaining > core::Duration::zero() && before.coldRemaining == core::Duration::zero();
+    return becameCold || withoutProgress(before) != withoutProgress(after);
+}
+
+bool hasRelevantChange(const std::map<core::UpstreamId, routing::Announcement> &before, const std::map<core::UpstreamId, routing::Announcement> &after)
+{
+    return !std::equal(before.begin(), before.end(), after.begin(), after.end(), [](const auto &left, const auto &right) {
+        return left.first == right.first && !isRelevantChange(left.second, right.second);
+    });
+}
+
+} // namespace
+
 MetadataCache::MetadataCache(const ProtocolAdapter &adapter, MetadataCacheSettings settings)
     : m_adapter(adapter)
     , m_settings(settings)
@@ -81,6 +105,7 @@
     noteGeneration(position.generation);
     if (order == Order::Restored) {
         update.positionBefore = m_storePosition;
+        update.contentsChanged = true;
         for (const core::DomainId &domain : m_registry.evacuatedDomains()) {
             m_keptEvacuations[domain] = now + m_settings.evacuationGrace;
         }
@@ -134,6 +159,7 @@
 
 void MetadataCache::applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update)
 {
+    update.contentsChanged = update.contentsChanged || evacuated != m_storedEvacuations;
     m_storedEvacuations = std::move(evacuated);
     std::erase_if(m_keptEvacuations, [&](const auto &kept) { return m_storedEvacuations.contains(kept.first); });
     setEvacuatedDomains(now, update);
@@ -147,16 +173,20 @@
 void MetadataCache::applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update)
 {
     std::vector<routing::Announcement> announcements;
+    std::map<core::UpstreamId, routing::Announcement> stored;
     for (const auto &[key, value] : m_upstreamEntries) {
         auto announcement = m_adapter.parseAnnouncement(key, value);
         if (announcement) {
             m_invalidEntries.erase(key);
+            stored[announcement.value().id] = announcement.value();
             announcements.push_back(std::move(announcement.value()));
         } else if (const auto previous = m_invalidEntries.find(key); previous == m_invalidEntries.end() || previous->second != value) {
             m_invalidEntries[key] = value;
             update.parseErrors.push_back(key + ": " + announcement.error().message);
         }
     }
+    update.contentsChanged = update.contentsChanged || hasRelevantChange(m_storedAnnouncements, stored);
+    m_storedAnnouncements = std::move(stored);
     // What a restored store lacks may be missing for the same reason as after an outage.
     const bool mayReturn = recentStoreOutage || update.positionBefore.has_value();
     auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, mayReturn, now);
@@ -166,7 +196,7 @@
 void MetadataCache::commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt)
 {
     m_lastConfirmedAt = m_initialized && !update.positionBefore ? std::max(m_lastConfirmedAt, readAt) : readAt;
-    if (update.hasChanges() || !m_initialized) {
+    if (update.contentsChanged || !m_initialized) {
         m_lastChange = std::max(m_lastChange, lastChange);
     }
     m_initialized = true;
@@ -179,22 +209,27 @@
     if (position.generation.value == 0) {
         position.generation = m_storePosition.generation;
     }
+    const metadata::StorePosition before = m_storePosition;
     if (!beginUpdate(position, readAt, update)) {
         return update;
     }
     m_recentStoreOutage = recentStoreOutage;
     m_upstreamEntries.clear();
     std::set<core::DomainId> evacuated;
+    std::string storedCatalogValue;
     const std::string prefix = m_adapter.storeKeyPrefixes().upstreamPrefix;
     for (const metadata::StoreItem &item : items) {
         if (item.key.starts_with(prefix)) {
             m_upstreamEntries[item.key] = item.value;
         } else if (m_adapter.isCatalogKey(item.key)) {
+            storedCatalogValue = item.value;
+            update.contentsChanged = update.contentsChanged || item.value != m_storedCatalogValue || item.revision > before.revision;
             applyCatalog(item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(item.key); !domain.empty()) {
             evacuated.insert(domain);
         }
     }
+    m_storedCatalogValue = std::move(storedCatalogValue);
     applyEvacuations(std::move(evacuated), readAt, update);
     applyUpstreams(recentStoreOutage, readAt, update);
     commitUpdate(update, position, readAt);
@@ -231,6 +266,8 @@
                 m_upstreamEntries[change.item.key] = change.item.value;
             }
         } else if (m_adapter.isCatalogKey(change.item.key) && !change.removed) {
+            update.contentsChanged = true; // also the same value: after a restore others may have an older one
+            m_storedCatalogValue = change.item.value;
             applyCatalog(change.item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(change.item.key); !domain.empty()) {
             if (change.removed) {
@@ -260,12 +297,12 @@
         const bool isGenerationStated = snapshot.catalogGeneration.value != 0;
         applyCatalog(snapshot.catalogValue, isGenerationStated ? snapshot.catalogGeneration : m_catalogGeneration, update);
     }
+    m_storedCatalogValue = m_catalogValue;
     m_upstreamEntries = snapshot.upstreamEntries;
     applyEvacuations(snapshot.evacuatedDomains, now, update);
     applyUpstreams(snapshot.recentStoreOutage, now, update);
-    const metadata::StorePosition lastChange{position->generation, snapshot.lastChange.revision};
-    commitUpdate(update, lastChange, now - snapshot.staleness);
-    m_lastChange = std::max(m_lastChange, lastChange);
+    update.contentsChanged = update.contentsChanged || snapshot.lastChange.revision > m_lastChange.revision;
+    commitUpdate(update, metadata::StorePosition{position->generation, snapshot.lastChange.revision}, now - snapshot.staleness);
     return update;
 }
 
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -19,7 +19,8 @@
 //
 // Q: What is lastChange for?
 // A: Announcements of upstreams change the store a few times a second without any effect on routing. lastChange is
-//    the store's position at the last change that had one; peers compare it to decide whether to fetch a snapshot.
+//    the store's position at the last change that matters for routing; peers compare it to decide whether to fetch a snapshot. It
+//    follows from the store's contents alone: a change counts even if this instance knew of it in another way.
 //
 // Q: What if a peer states no generation?
 // A: It runs a build of before generations, or its store states none. It is taken to mean this cache's generation. Once the
@@ -53,6 +54,7 @@
 {
     bool catalogChanged = false;    // a new version, or a new content of the version, is in effect
     bool evacuationChanged = false; // the set of evacuated failure domains changed
+    bool contentsChanged = false;   // the store changed in a way that matters for routing, whether or not that was known here
     std::vector<routing::RegistryChange> upstreamChanges;
     std::vector<std::string> parseErrors;                   // entries that could not be parsed, with the reason
     bool isObsolete = false;                                // older than the cache, so it had no effect
@@ -64,7 +66,7 @@
 
     [[nodiscard]] bool hasChanges() const
     {
-        return catalogChanged || evacuationChanged || positionBefore || !upstreamChanges.empty();
+        return catalogChanged || evacuationChanged || contentsChanged || !upstreamChanges.empty();
     }
 };
 
@@ -176,9 +178,11 @@
     routing::UpstreamRegistry m_registry;
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
-    metadata::StoreGeneration m_catalogGeneration;        // latest one in which the store had this value
-    std::map<std::string, std::string> m_upstreamEntries; // values by key, as in the store
-    std::map<std::string, std::string> m_invalidEntries;  // rejected values by key, so that each is reported once
+    metadata::StoreGeneration m_catalogGeneration;                           // latest one in which the store had this value
+    std::string m_storedCatalogValue;                                        // differs from m_catalogValue if it is older or invalid
+    std::map<std::string, std::string> m_upstreamEntries;                    // values by key, as in the store
+    std::map<core::UpstreamId, routing::Announcement> m_storedAnnouncements; // the valid ones
+    std::map<std::string, std::string> m_invalidEntries;                     // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_storedEvacuations;
     std::map<core::DomainId, core::TimePoint> m_keptEvacuations; // that a restored store lacks, with the end of their grace
     metadata::StorePosition m_lastChange;
