--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -161,80 +161,171 @@
 // Store
 //-----------------------------------------------------------------------------
 
-/// The platform's store, without a history of changes: a watch from an old revision has to read everything again.
+/// The platform's store, with a history of its changes. It can be restored from a copy that is some time old.
 struct EdgeRig::Store
 {
-    std::map<std::string, std::string> keys;
-    std::uint64_t revision = 1;
+    explicit Store(const core::Clock &theClock)
+        : clock(theClock)
+    {
+    }
+
+    struct Record
+    {
+        core::TimePoint at{};
+        metadata::StoreChange change;
+    };
+    struct Lease
+    {
+        core::TimePoint grantedAt{};
+        std::set<std::string> keys;
+    };
+
+    const core::Clock &clock;
+    metadata::StorePosition position{metadata::StoreGeneration(1), metadata::StoreRevision(1)};
+    std::map<std::string, metadata::StoreItem> items;
+    std::vector<Record> history;
+    std::map<std::string, Lease> leases; // by id; they do not expire by themselves
+    std::uint64_t nextLease = 1;
+    std::vector<core::TimePoint> writes; // calls of instances
+    std::vector<core::TimePoint> reads;
 
     void set(const std::string &key, const std::string &value)
     {
-        keys[key] = value;
-        ++revision;
+        ++position.revision.value;
+        items[key] = metadata::StoreItem{key, value, position.revision};
+        history.push_back(Record{clock.steadyNow(), metadata::StoreChange{items[key], false}});
     }
     void remove(const std::string &key)
     {
-        keys.erase(key);
-        ++revision;
+        ++position.revision.value;
+        items.erase(key);
+        history.push_back(Record{clock.steadyNow(), metadata::StoreChange{metadata::StoreItem{key, "", position.revision}, true}});
+    }
+    void restore(core::Duration age)
+    {
+        const core::TimePoint copiedAt = clock.steadyNow() - age;
+        while (!history.empty() && history.back().at > copiedAt) {
+            history.pop_back();
+        }
+        std::erase_if(leases, [&](const auto &lease) { return lease.second.grantedAt > copiedAt; });
+        ++position.generation.value;
+        position.revision = history.empty() ? metadata::StoreRevision(1) : history.back().change.item.revision;
+        items.clear();
+        for (const Record &record : history) {
+            if (record.change.removed) {
+                items.erase(record.change.item.key);
+            } else {
+                items[record.change.item.key] = record.change.item;
+            }
+        }
     }
 };
 
 /// One instance's connection to the store.
 struct EdgeRig::StoreView final : metadata::MetadataStore
 {
-    explicit StoreView(Store &theStore)
+    StoreView(Store &theStore, bool keepsTheRegistrations)
         : store(theStore)
+        , keepsRegistrations(keepsTheRegistrations)
     {
     }
 
     Store &store;
+    bool keepsRegistrations;
     bool isCut = false;
 
     [[nodiscard]] static metadata::StoreError unreachable()
     {
         return metadata::StoreError{metadata::StoreErrorKind::Unreachable, "cut off"};
     }
+    [[nodiscard]] metadata::StoreError error(metadata::StoreErrorKind kind, const std::string &message) const
+    {
+        return metadata::StoreError{kind, message, metadata::StoreError::WriteEffect::None, store.position.generation};
+    }
 
     asio::awaitable<metadata::StoreResult<metadata::StoreRange>> range(std::string prefix, metadata::ReadConsistency) override
     {
         if (isCut) {
             co_return unreachable();
         }
+        store.reads.push_back(store.clock.steadyNow());
         metadata::StoreRange out;
-        out.position.revision = metadata::StoreRevision(store.revision);
-        for (const auto &[key, value] : store.keys) {
+        out.position = store.position;
+        for (const auto &[key, item] : store.items) {
             if (key.starts_with(prefix)) {
-                out.items.push_back(metadata::StoreItem{key, value, out.position.revision});
+                out.items.push_back(item);
             }
         }
         co_return out;
     }
+    /// Does not wait for changes.
     asio::awaitable<metadata::StoreResult<metadata::StoreChanges>> watch(std::string, metadata::StoreRevision after, std::chrono::milliseconds) override
     {
         if (isCut) {
             co_return unreachable();
         }
-        if (after.value < store.revision) {
-            co_return metadata::StoreError{metadata::StoreErrorKind::HistoryCompacted, "no history is kept"};
+        store.reads.push_back(store.clock.steadyNow());
+        if (after > store.position.revision) {
+            co_return error(metadata::StoreErrorKind::HistoryCompacted, "no such revision");
         }
         metadata::StoreChanges out;
-        out.position.revision = metadata::StoreRevision(store.revision);
+        out.position = store.position;
+        for (const Store::Record &record : store.history) {
+            if (record.change.item.revision > after) {
+                out.changes.push_back(record.change);
+            }
+        }
         co_return out;
     }
-    asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string, std::string, metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string key, std::string value, metadata::LeaseId lease) override
     {
-        co_return metadata::StorePosition{{}, metadata::StoreRevision(store.revision)};
+        if (isCut) {
+            co_return unreachable();
+        }
+        store.writes.push_back(store.clock.steadyNow());
+        if (!keepsRegistrations) {
+            co_return store.position;
+        }
+        const auto found = store.leases.find(lease.text);
+        if (found == store.leases.end()) {
+            co_return error(metadata::StoreErrorKind::LeaseNotFound, "no such lease");
+        }
+        found->second.keys.insert(key);
+        store.set(key, value);
+        co_return store.position;
     }
     asio::awaitable<metadata::StoreResult<metadata::LeaseGrant>> grantLease(std::chrono::milliseconds) override
     {
-        co_return metadata::LeaseGrant{metadata::LeaseId("1"), {}};
+        if (isCut) {
+            co_return unreachable();
+        }
+        store.writes.push_back(store.clock.steadyNow());
+        const metadata::LeaseId lease(std::to_string(store.nextLease++));
+        store.leases[lease.text].grantedAt = store.clock.steadyNow();
+        co_return metadata::LeaseGrant{lease, store.position.generation};
     }
-    asio::awaitable<metadata::StoreResult<metadata::StoreGeneration>> keepLeaseAlive(metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<metadata::StoreGeneration>> keepLeaseAlive(metadata::LeaseId lease) override
     {
-        co_return metadata::StoreGeneration();
+        if (isCut) {
+            co_return unreachable();
+        }
+        store.reads.push_back(store.clock.steadyNow());
+        if (!store.leases.contains(lease.text)) {
+            co_return error(metadata::StoreErrorKind::LeaseNotFound, "no such lease");
+        }
+        co_return store.position.generation;
     }
-    asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId) override
+    asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId lease) override
     {
+        if (isCut) {
+            co_return unreachable();
+        }
+        if (const auto found = store.leases.find(lease.text); found != store.leases.end()) {
+            for (const std::string &key : found->second.keys) {
+                store.remove(key);
+            }
+            store.leases.erase(found);
+        }
         co_return boost::outcome_v2::success();
     }
 };
@@ -246,7 +337,7 @@
 struct EdgeRig::Instance
 {
     Instance(EdgeRig &rig, std::size_t number)
-        : store(*rig.m_store)
+        : store(*rig.m_store, rig.m_options.keepsRegistrations)
         , adapter("gateway-" + std::to_string(number))
         , log(rig.m_clock, ::open(logPath(number).c_str(), O_WRONLY | O_CLOEXEC | O_CREAT | O_APPEND, 0600))
     {
@@ -284,7 +375,7 @@
 EdgeRig::EdgeRig(EdgeRigOptions options)
     : m_options(options)
     , m_random(options.seed)
-    , m_store(std::make_unique<Store>())
+    , m_store(std::make_unique<Store>(m_clock))
 {
     if (options.allowsPathCuts) {
         m_pathCuts = std::make_unique<PathCuts>(m_loop);
@@ -311,6 +402,19 @@
         start(i);
         m_instances[i]->disruptions.clear(); // its first start
     }
+    if (options.announcementInterval > 0ms) {
+        schedule(options.announcementInterval, [this] { announceAgain(); });
+    }
+}
+
+void EdgeRig::announceAgain()
+{
+    for (const auto &upstream : m_upstreams) {
+        if (upstream->isUp()) {
+            upstream->announce();
+        }
+    }
+    schedule(m_options.announcementInterval, [this] { announceAgain(); });
 }
 
 EdgeRig::~EdgeRig()
@@ -326,6 +430,38 @@
     writeConfiguration();
 }
 
+void EdgeRig::configureAgain()
+{
+    --m_configurationVersion;
+    writeConfiguration();
+}
+
+void EdgeRig::restoreStore(std::chrono::milliseconds age)
+{
+    m_store->restore(age);
+}
+
+std::size_t EdgeRig::registrationCount() const
+{
+    const std::string prefix = platform::PlatformAdapter().storeKeyPrefixes().memberPrefix;
+    return static_cast<std::size_t>(
+        std::count_if(m_store->items.begin(), m_store->items.end(), [&](const auto &item) { return item.first.starts_with(prefix); }));
+}
+
+std::size_t EdgeRig::storeWriteCount(core::TimePoint from, core::TimePoint to) const
+{
+    const auto isWithin = [&](core::TimePoint at) { return at >= from && at < to; };
+    return static_cast<std::size_t>(std::count_if(m_store->writes.begin(), m_store->writes.end(), isWithin));
+}
+
+std::uint64_t EdgeRig::appliedConfiguration(std::size_t instance)
+{
+    const std::string name = "\narbutus_configuration_version ";
+    const std::string text = "\n" + metricsText(instance);
+    const std::size_t begin = text.find(name);
+    return begin == std::string::npos ? 0 : static_cast<std::uint64_t>(std::stod(text.substr(begin + name.size())));
+}
+
 void EdgeRig::writeConfiguration()
 {
     const RigConfiguration &configuration = m_options.configuration;
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -111,7 +111,9 @@
     std::vector<std::string> versions{"v1"};         // of the software of the upstreams; assigned in turn within each region
     std::size_t secondServiceUpstreamsPerRegion = 0; // besides the model engines of the service s, those of the service s2
     RigConfiguration configuration = {};
-    bool allowsPathCuts = false; // between instances and upstreams; their connections go through a proxy
+    std::chrono::milliseconds announcementInterval{}; // at which upstreams announce themselves again; zero: only on changes
+    bool keepsRegistrations = false;                  // of instances, in the store
+    bool allowsPathCuts = false;                      // between instances and upstreams; their connections go through a proxy
 };
 
 /// A request that reached an upstream.
@@ -263,6 +265,8 @@
     /// Ends all connections, refuses new ones and starts again after EdgeRigOptions::crashDuration.
     void crash();
     void crash(const RestartOptions &restart);
+    /// Writes its announcement, with the next sequence.
+    void announce();
     /// Announces that it is leaving, serves on for `drainTime` and ends.
     void drain(std::chrono::milliseconds drainTime);
     /// Ends all connections, refuses new ones and withdraws its announcement, for good.
@@ -302,7 +306,6 @@
     using Tcp = boost::asio::ip::tcp;
 
     void start(bool keepsId);
-    void announce();
     void close();
     boost::asio::awaitable<void> acceptLoop(std::uint64_t run);
     boost::asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket, std::uint64_t run);
@@ -419,6 +422,21 @@
     }
     /// Writes another configuration, with the next version.
     void configure(RigConfiguration configuration);
+    /// Writes the last configuration once more, with the same version.
+    void configureAgain();
+    [[nodiscard]] std::uint64_t configurationVersion() const
+    {
+        return m_configurationVersion;
+    }
+    /// The version that an instance has applied.
+    [[nodiscard]] std::uint64_t appliedConfiguration(std::size_t instance);
+
+    //--- Store
+    /// Replaces the store by a copy that is `age` old.
+    void restoreStore(std::chrono::milliseconds age);
+    [[nodiscard]] std::size_t registrationCount() const;
+    /// Number of writing calls of instances.
+    [[nodiscard]] std::size_t storeWriteCount(core::TimePoint from, core::TimePoint to) const;
 
     //--- Clients
     /// Sends a streaming request whose prompt consists of `parts` to an instance; the result is complete later.
@@ -474,6 +492,7 @@
     [[nodiscard]] std::size_t pickForResumption(std::size_t previous, ResumeAt where);
 
     void writeConfiguration();
+    void announceAgain();
 
     EdgeRigOptions m_options;
     std::uint64_t m_configurationVersion = 0;
