A connection that has carried a response without an attempt id, or one to another attempt, is not used again

An upstream that writes an earlier refusal once more on a kept connection could have it taken for the answer to the next request there, if the refusal names no attempt: the look for pending input comes before the request is sent, and the copy may arrive just after. The client was told 503, "not run", while the upstream ran the request, or the request ran at a second upstream as well.

CallOptions::matchResponse now tells three cases apart: the response names this attempt, another one, or none. A connection on which one of the last two arrived is closed after the call. A copy that names an earlier attempt is discarded as before, and the answer after it is read. Cost: one new connection after each response that names no attempt and after each late response to another attempt; refusals that name their attempt cost nothing. Counted by arbutus_unnamed_responses_total; `unnamed` and `connection` in upstream_attempt_finished.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -106,6 +106,7 @@
     std::optional<http::Call> call;
     core::TimePoint sentAt{};
     std::optional<core::TimePoint> connectedAt;
+    bool isOnNewConnection = false;
     std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
     core::TimePoint firstEventAt{};
     core::TimePoint lastProgressAt{}; // response head or last complete event
@@ -122,6 +123,7 @@
     std::string maxRequestRate;        // that the response named
     std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
     std::string bodyEnd;               // how the response marked the end of its body
+    bool isUnnamed = false;            // the response names no attempt
     std::size_t partialEventBytes = 0; // received after the last complete event
 
     [[nodiscard]] bool isToPeer() const
@@ -633,7 +635,7 @@
     options.acceptConnectionClose = true;
     options.maxIdleTime = state.isRepeatable() ? m_settings.repeatableMaxIdleTime : m_settings.atMostOnceMaxIdleTime;
     options.connectTimeout = m_settings.upstreamConnectTimeout;
-    options.matchesResponse = [this, id = state.head.attemptId](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, id); };
+    options.matchResponse = [this, id = state.head.attemptId](const http::Headers &headers) { return m_context.adapter.matchResponse(headers, id); };
     startAttempt(state, attempt, std::move(options));
     return attempt;
 }
@@ -725,6 +727,7 @@
     }
     options.onConnected = [this, &state, attempt = attempt.get()](bool isNewConnection) {
         attempt->connectedAt = m_context.now();
+        attempt->isOnNewConnection = isNewConnection;
         if (!attempt->isToPeer()) { // a peer reports its own counts
             ++state.sendCount;
             ++state.possibleExecutions;
@@ -871,6 +874,8 @@
             .add("reason", attempt.failure)
             .add("named_rate", attempt.maxRequestRate)
             .add("rest_ms", attempt.rest)
+            .add("connection", attempt.isOnNewConnection ? "new" : "kept")
+            .add("unnamed", attempt.isUnnamed)
             .add("prompt_parts", attempt.outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
             .add("fingerprint", isBroken(attempt) ? routing::toString(state.fingerprint) : "")
             .add("first_event_ms", hasEvent ? core::toMilliseconds(attempt.firstEventAt - attempt.sentAt) : 0)
@@ -1060,6 +1065,10 @@
     http::Response &head = attempt.head->value();
     const ResponseHead parsed = m_context.adapter.parseResponse(head, state.head.attemptId);
     attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
+    attempt.isUnnamed = m_context.adapter.matchResponse(head.headers, state.head.attemptId) == http::ResponseMatch::NoRequest;
+    if (!attempt.isToPeer() && attempt.isUnnamed) {
+        m_context.metrics.incrementCounter("arbutus_unnamed_responses_total", attempt.isOnNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
+    }
     if (!attempt.isToPeer()) {
         m_paths.recordResponse(attempt.upstream);
     }
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -14,7 +14,7 @@
 
 #include "arbutus/catalog/catalog.h"
 #include "arbutus/core/error.h"
-#include "arbutus/http/message.h"
+#include "arbutus/http/client.h"
 #include "arbutus/metadata/metadatastore.h"
 #include "arbutus/routing/upstreamestimator.h"
 #include "arbutus/routing/upstreamregistry.h"
@@ -119,8 +119,8 @@
     [[nodiscard]] virtual http::Headers peerHeaders(const http::Request &request, std::chrono::milliseconds timeout) const = 0;
 
     //--- Responses
-    /// False if the headers name another attempt.
-    [[nodiscard]] virtual bool isResponseTo(const http::Headers &headers, const std::string &attemptId) const = 0;
+    /// Which attempt the headers name.
+    [[nodiscard]] virtual http::ResponseMatch matchResponse(const http::Headers &headers, const std::string &attemptId) const = 0;
     [[nodiscard]] virtual ResponseHead parseResponse(const http::Response &response, const std::string &attemptId) const = 0;
     /// Headers for the client: the upstream's headers without hop-by-hop headers.
     [[nodiscard]] virtual http::Headers clientHeaders(const http::Headers &response) const = 0;
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -105,6 +105,7 @@
     bool reused = false;
     bool cancelled = false;
     bool requestWritten = false; // the complete request has been written to the socket
+    bool mayRepeat = false;      // further copies of earlier responses may follow
 
     bool takeIdleConnection()
     {
@@ -127,7 +128,7 @@
 
     void returnToPool()
     {
-        const bool reusable = parser->is_done() && parser->get().keep_alive() && requestWritten && buffer.size() == 0;
+        const bool reusable = parser->is_done() && parser->get().keep_alive() && requestWritten && buffer.size() == 0 && !mayRepeat;
         if (options.pool == nullptr || cancelled || !reusable || !stream->socket().is_open()) {
             return;
         }
@@ -207,14 +208,16 @@
             }
             ErrorCode code;
             co_await wire::async_read_header(*stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, code));
-            if (code || !options.matchesResponse) {
+            if (code || !options.matchResponse) {
                 co_return code;
             }
             Headers headers;
             for (const auto &field : parser->get()) {
                 headers[std::string(field.name_string())] = std::string(field.value());
             }
-            if (options.matchesResponse(headers)) {
+            const ResponseMatch match = options.matchResponse(headers);
+            mayRepeat = mayRepeat || match != ResponseMatch::ThisRequest;
+            if (match != ResponseMatch::OtherRequest) {
                 co_return code;
             }
             mismatched = true;
@@ -246,6 +249,7 @@
     asio::awaitable<CallResult<void>> attempt(bool mayReuse, std::chrono::milliseconds timeout)
     {
         reused = false;
+        mayRepeat = false;
         if (!mayReuse || !takeIdleConnection()) {
             auto connected = co_await connect(timeout);
             if (!connected) {
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -9,8 +9,12 @@
 //   auto chunk = co_await call.readSome(timeout);         // next body chunk; empty at the end of the body
 //
 // Q: What happens to a late response to an earlier request on a reused connection?
-// A: CallOptions::matchesResponse checks the headers; a response that belongs to another request is read to its end and
-//    discarded.
+// A: CallOptions::matchResponse checks the headers; a response that names another request is read to its end and discarded.
+//    The connection is not reused after this call: more of them may follow.
+//
+// Q: And if the late response names no request?
+// A: It cannot be told from the response to this request. A server may write such a response twice, so the connection on which one
+//    arrived is not reused.
 //
 // Q: How does a caller know that a body is complete?
 // A: By its length or its last chunk. A response with neither, or with a transfer coding other than chunked, fails unless
@@ -56,6 +60,9 @@
 template<class T>
 using CallResult = boost::outcome_v2::basic_result<T, CallError, boost::outcome_v2::policy::all_narrow>;
 
+/// Which request a response names in its headers.
+enum class ResponseMatch { ThisRequest, OtherRequest, NoRequest };
+
 /// Idle connections for reuse by later calls. Not thread-safe: use one pool per executor thread.
 class ConnectionPool
 {
@@ -81,14 +88,14 @@
 /// How a call uses connections.
 struct CallOptions
 {
-    ConnectionPool *pool = nullptr;                            // idle connections to reuse; null: a new connection for each call
-    bool retryOnStaleConnection = true;                        // resend the request once if a reused connection fails
-    bool acceptConnectionClose = false;                        // accept a body that ends with its connection, without length or chunks
-    std::uint64_t maxBodyBytes = 64 * 1024 * 1024;             // a longer response body is an error
-    std::chrono::milliseconds maxIdleTime{4'000};              // pooled connections idle for longer are closed
-    std::chrono::milliseconds connectTimeout{1'000};           // limit for opening a new connection
-    std::function<bool(const Headers &)> matchesResponse = {}; // whether response headers belong to this call; unset: always
-    std::function<void(bool opened)> onConnected = {};         // called once connected; opened: it is a new connection
+    ConnectionPool *pool = nullptr;                                   // idle connections to reuse; null: a new connection for each call
+    bool retryOnStaleConnection = true;                               // resend the request once if a reused connection fails
+    bool acceptConnectionClose = false;                               // accept a body that ends with its connection, without length or chunks
+    std::uint64_t maxBodyBytes = 64 * 1024 * 1024;                    // a longer response body is an error
+    std::chrono::milliseconds maxIdleTime{4'000};                     // pooled connections idle for longer are closed
+    std::chrono::milliseconds connectTimeout{1'000};                  // limit for opening a new connection
+    std::function<ResponseMatch(const Headers &)> matchResponse = {}; // which request response headers name; unset: always this one
+    std::function<void(bool opened)> onConnected = {};                // called once connected; opened: it is a new connection
 };
 
 /// One request and its response.
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -134,6 +134,11 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    static std::string errorEvent()
+    {
+        return "event: error\ndata: failure of the upstream\n\n";
+    }
+
 private:
     using Request = beast::http::request<beast::http::string_body>;
 
@@ -190,9 +195,79 @@
             + (ending == "chunked-last" ? "0\r\n\r\n" : "");
     }
 
+    /// Responses that do not continue a stream, in the pieces in which they are written; empty for other behaviors.
+    static std::vector<std::string> failurePieces(const std::string &behavior, const std::string &attempt)
+    {
+        const std::string text = "failure of the upstream\n\n";
+        const std::string event = errorEvent();
+        const auto withLength = [&](const std::string &status, const std::string &headers, const std::string &body) {
+            return responseHead(status, attempt, headers + "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+        };
+        const std::string failed = "500 Internal Server Error";
+        const std::string inPieces = withLength(failed, "Content-Type: text/plain\r\n", text);
+        const std::map<std::string, std::vector<std::string>> responses = {
+            {"failure-text", {inPieces}},
+            {"failure-json", {withLength(failed, "Content-Type: application/json\r\n", R"({"error":"failure"})")}},
+            {"failure-events", {withLength(failed, "Content-Type: text/event-stream\r\n", event)}},
+            {"failure-in-pieces", {inPieces.substr(0, 5), inPieces.substr(5, 30), inPieces.substr(35)}},
+            {"failure-unframed", {responseHead(failed, attempt, "Connection: close\r\n") + text}},
+            {"failure-503", {withLength("503 Service Unavailable", "", text)}}, // without a statement that it did not execute the request
+            {"failure-unknown", {withLength("502 Bad Gateway", "X-Gateway-Outcome: unknown\r\n", text)}}, // of another instance
+            {"success-text", {withLength("200 OK", "Content-Type: text/plain\r\n", text)}},
+            {"success-untyped", {withLength("200 OK", "", text)}},
+            {"success-unframed", {responseHead("200 OK", attempt, "Connection: close\r\n") + text}},
+            {"success-events", {withLength("200 OK", "Content-Type: text/event-stream\r\n", event)}},
+            {"success-stampless",
+             {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + attempt + "\r\nContent-Length: 9\r\n\r\nfailure\n\n"}},
+            {"no-http", {"failure of the upstream\r\n\r\n"}},
+            {"no-http-events", {event}},
+        };
+        const auto found = responses.find(behavior);
+        return found == responses.end() ? std::vector<std::string>() : found->second;
+    }
+
+    /// Refusal with `status`, as an upstream and another instance state it; an empty `attempt`: it names none.
+    static std::string refusal(const std::string &status, const std::string &attempt)
+    {
+        return "HTTP/1.1 " + status + " Refused\r\n" + (attempt.empty() ? "" : "X-Attempt-Id: " + attempt + "\r\n")
+            + "X-Not-Executed: 1\r\nX-Gateway-Outcome: not_run\r\nContent-Length: 4\r\n\r\nfull";
+    }
+
+    asio::awaitable<void> wait(std::chrono::milliseconds duration)
+    {
+        asio::steady_timer timer(m_loop, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    /// Executes a request beside which it writes `copy`, an earlier refusal, once more on the connection; empty: there was none.
+    asio::awaitable<void> executeBesideCopy(Tcp::socket &socket, std::string behavior, std::string copy, std::string attempt, Request request)
+    {
+        executedAttempts.push_back(attempt);
+        ErrorCode code;
+        if (behavior == "copy-late") {
+            co_await wait(5ms);
+        }
+        if (behavior == "copy-split") {
+            const std::string begin = copy.substr(0, copy.size() / 2);
+            co_await asio::async_write(socket, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+            co_await wait(5ms);
+            copy.erase(0, begin.size());
+        }
+        if (behavior != "copy-early" && behavior != "copy-idle") {
+            co_await asio::async_write(socket, asio::buffer(copy), asio::redirect_error(asio::use_awaitable, code));
+            co_await wait(5ms);
+        }
+        const bool isStream = request.target().starts_with("/stream/") || request.target().starts_with("/resume/");
+        const std::string response = isStream
+            ? responseHead("200 OK", attempt, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + eventChunks(1, LastEvent) + "0\r\n\r\n"
+            : completeResponse(attempt);
+        co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+    }
+
     asio::awaitable<void> serve(Tcp::socket socket)
     {
         beast::flat_buffer buffer;
+        std::string lastRefusal; // on this connection
         while (true) {
             beast::http::request_parser<beast::http::string_body> parser;
             ErrorCode code;
@@ -208,6 +283,10 @@
                 const std::string response = responseHead("500 Internal Server Error", attempt, "Content-Length: 0\r\n");
                 co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
             }
+            if (behavior == "copy-early") {
+                co_await asio::async_write(socket, asio::buffer(lastRefusal), asio::redirect_error(asio::use_awaitable, code));
+                co_await wait(5ms);
+            }
             co_await beast::http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
             if (code) {
                 co_return;
@@ -215,6 +294,56 @@
             if (behavior == "early-response") {
                 continue;
             }
+            if (behavior == "refuse-then-copy" && !lastRefusal.empty()) {
+                co_await executeBesideCopy(socket, "copy", lastRefusal, attempt, parser.get());
+                continue;
+            }
+            if (behavior == "refuse-then-copy") {
+                lastRefusal = refusal("503", attempt);
+                co_await asio::async_write(socket, asio::buffer(lastRefusal), asio::redirect_error(asio::use_awaitable, code));
+                continue;
+            }
+            if (behavior.starts_with("refuse-")) { // for example "refuse-503", "refuse-503-named", "refuse-503-named-twice"
+                constexpr std::size_t StatusAt = 7;
+                constexpr std::size_t StatusLength = 3;
+                m_lastRefusal = lastRefusal = refusal(behavior.substr(StatusAt, StatusLength), behavior.find("-named") == std::string::npos ? "" : attempt);
+                co_await asio::async_write(socket, asio::buffer(lastRefusal), asio::redirect_error(asio::use_awaitable, code));
+                if (behavior.ends_with("-twice")) {
+                    co_await wait(5ms);
+                    co_await asio::async_write(socket, asio::buffer(lastRefusal), asio::redirect_error(asio::use_awaitable, code));
+                }
+                continue;
+            }
+            if (const auto pieces = failurePieces(behavior, attempt); !pieces.empty()) {
+                executedAttempts.push_back(attempt);
+                for (const std::string &piece : pieces) {
+                    co_await asio::async_write(socket, asio::buffer(piece), asio::redirect_error(asio::use_awaitable, code));
+                    co_await wait(2ms);
+                }
+                if (behavior.ends_with("-unframed") || behavior.starts_with("no-http")) {
+                    co_return;
+                }
+                continue;
+            }
+            if (behavior == "stream-from-begin" || behavior == "stream-skips" || behavior == "stream-other-version") {
+                executedAttempts.push_back(attempt);
+                const bool isFromPeer = parser.get().count("X-Gateway-Origin") > 0;
+                const std::string last(parser.get()[isFromPeer ? "X-Gateway-Resume" : "Last-Event-ID"]);
+                const int first = behavior == "stream-from-begin" || last.empty() ? 1 : std::stoi(last) + (behavior == "stream-skips" ? 2 : 1);
+                const std::string version = behavior == "stream-other-version" ? "X-Gateway-Version: v2\r\n" : "";
+                const std::string stream = responseHead("200 OK", attempt, version + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+                    + eventChunks(first, LastEvent) + "0\r\n\r\n";
+                co_await asio::async_write(socket, asio::buffer(stream), asio::redirect_error(asio::use_awaitable, code));
+                continue;
+            }
+            if (behavior == "copy-elsewhere") {
+                co_await executeBesideCopy(socket, "copy", m_lastRefusal, attempt, parser.get());
+                continue;
+            }
+            if (behavior.starts_with("copy")) {
+                co_await executeBesideCopy(socket, behavior, lastRefusal, attempt, parser.get());
+                continue;
+            }
             if (!co_await respond(socket, behavior, attempt, parser.get())) {
                 co_return;
             }
@@ -342,6 +471,7 @@
 
     asio::io_context &m_loop;
     std::string m_name;
+    std::string m_lastRefusal; // on any connection
     Tcp::acceptor m_acceptor;
 };
 
@@ -388,8 +518,9 @@
     std::optional<edge::RouteGateway> gateway;
     bool hasStopped = false;
 
-    explicit Fixture(bool configured = true, std::chrono::milliseconds shutdownGracePeriod = 8s)
+    explicit Fixture(bool configured = true, std::chrono::milliseconds shutdownGracePeriod = 8s, double minRetries = 50)
     {
+        settings.minRetries = minRetries;
         settings.shutdownGracePeriod = shutdownGracePeriod;
         settings.instanceId = core::InstanceId("n");
         settings.failureDomain = core::DomainId("z");
@@ -495,6 +626,11 @@
     {
         return a.executedAttempts.size() + b.executedAttempts.size();
     }
+    [[nodiscard]] std::ptrdiff_t executionCount(const std::string &attempt) const
+    {
+        return std::count(a.executedAttempts.begin(), a.executedAttempts.end(), attempt)
+            + std::count(b.executedAttempts.begin(), b.executedAttempts.end(), attempt);
+    }
 };
 
 /// Another instance of the fleet, whose placement decisions the test makes.
@@ -1011,6 +1147,66 @@
     CHECK(fixture.a.executedAttempts.size() + fixture.b.executedAttempts.size() == (row.status == 200 ? 1 : 0));
 }
 
+//-----------------------------------------------------------------------------
+// Refusals that are written twice
+//-----------------------------------------------------------------------------
+
+namespace {
+
+constexpr auto CopyTime = 20ms; // in which a copy of a refusal arrives
+
+void wait(Fixture &fixture, std::chrono::milliseconds duration)
+{
+    auto operation = [&]() -> asio::awaitable<bool> {
+        asio::steady_timer timer(fixture.loop, duration);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return true;
+    };
+    (void)fixture.run(operation());
+}
+
+} // namespace
+
+TEST_CASE("a refusal that an upstream writes twice is not taken for the answer to another request", "[edge][refusal]")
+{
+    const auto refusal = GENERATE(as<std::string>{}, "refuse-503", "refuse-429", "refuse-421", "refuse-503-named", "refuse-429-named");
+    const auto copy = GENERATE(as<std::string>{}, "copy", "copy-early", "copy-late", "copy-split", "copy-idle");
+    const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream", "resume");
+    const bool hasAnswerBetween = GENERATE(false, true);
+    CAPTURE(refusal, copy, routeName, hasAnswerBetween);
+    Fixture fixture;
+    const auto grantOnce = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (!request.excludedUpstreams.empty()) {
+            return routing::Refused{};
+        }
+        return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantOnce);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    REQUIRE(fixture.sendRequest("once", "a=" + refusal + (copy == "copy-idle" ? "-twice" : ""), "body", "first").status == 503);
+    wait(fixture, CopyTime);
+    if (hasAnswerBetween) {
+        REQUIRE(fixture.sendRequest("once", "ok", "body", "between").status == 200);
+    }
+    const std::string body(copy == "copy-early" ? 90'000 : 4, 'x'); // the copy arrives before the body has been sent
+    const http::Response response = fixture.sendRequest(routeName, "a=" + copy, body, "second");
+    CHECK(response.status == 200);
+    const bool isStream = routeName == "stream" || routeName == "resume";
+    CHECK((isStream ? response.body == FakeUpstream::events(1, FakeUpstream::LastEvent) : response.body.ends_with(" to second")));
+    CHECK(fixture.executionCount("second") == 1);
+}
+
+TEST_CASE("a connection that has carried a response to another request is not used again", "[edge][refusal]")
+{
+    constexpr int RequestCount = 6;
+    Fixture fixture;
+    for (int i = 0; i < RequestCount; ++i) {
+        const std::string attempt = "attempt-" + std::to_string(i);
+        CHECK(fixture.sendRequest("once", "a=late-response,b=late-response", "body", attempt).status == 200);
+    }
+    CHECK(fixture.a.connections + fixture.b.connections == RequestCount);
+}
+
 //-----------------------------------------------------------------------------
 // Planned stop
 //-----------------------------------------------------------------------------
