A request is not sent again to an upstream that has failed or rejected it

The dispatcher leaves out the upstreams that a request names, but the instance did not check its answer. Sent twice over one connection, the copy of the first refusal bears the right attempt id and cannot be told from the second answer: the client got 503 and the upstream ran the request. Such a placement is rejected now, like one at an upstream that is leaving. No cost: our dispatchers never grant it.

Before, routegatewaytest "a request is not sent again to an upstream that has rejected it" counted 1 execution beside status 503 on all four routes; it passes.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -584,6 +584,10 @@
         rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
+    if (state.excludedUpstreams.contains(granted.upstream)) { // a copy of its first response could not be told from its second one
+        rejectPlacement(state, granted, "placed again at an upstream that has failed or rejected the request");
+        return nullptr;
+    }
     if (m_placement.isResting(granted.upstream)) { // since the request was placed
         rejectPlacement(state, granted, "placed at an upstream that asked for a rest");
         return nullptr;
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1207,6 +1207,25 @@
     CHECK(fixture.a.connections + fixture.b.connections == RequestCount);
 }
 
+TEST_CASE("a request is not sent again to an upstream that has rejected it", "[edge][refusal]")
+{
+    const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream", "resume");
+    CAPTURE(routeName);
+    Fixture fixture;
+    int placements = 0;
+    const auto grantTwice = [&](const routing::PlacementRequest &) -> routing::PlacementDecision {
+        constexpr int MaxPlacements = 2;
+        if (++placements > MaxPlacements) {
+            return routing::Refused{};
+        }
+        return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantTwice);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    CHECK(fixture.sendRequest(routeName, "a=refuse-then-copy").status == 503);
+    CHECK(fixture.executionCount() == 0);
+}
+
 //-----------------------------------------------------------------------------
 // Planned stop
 //-----------------------------------------------------------------------------
