Test: refusals that another instance writes twice

The hop checks no ids, but an instance that is told "not run" or "outcome unknown" does not read the rest of that response, so the connection is closed and carries no second request. The test writes the copy with and without an id, at once, late, early, split and unprompted, for another region and for a relay.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1226,6 +1226,37 @@
     CHECK(fixture.executionCount() == 0);
 }
 
+TEST_CASE("a refusal that another instance writes twice is not taken for the answer to another request", "[edge][refusal]")
+{
+    const auto relay = GENERATE(as<std::string>{}, "", "p"); // empty: an instance of another region
+    const auto refusal = GENERATE(as<std::string>{}, "refuse-503", "refuse-503-named");
+    const auto copy = GENERATE(as<std::string>{}, "copy", "copy-early", "copy-late", "copy-split", "copy-idle");
+    const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream", "resume");
+    CAPTURE(relay, refusal, copy, routeName);
+    Fixture fixture;
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const auto redirect = [&relay](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (!request.excludedRegions.empty() || !request.excludedRelays.empty()) {
+            return routing::Refused{};
+        }
+        return routing::Redirected{core::RegionId(relay.empty() ? "y" : "x"), 10ms, {}, core::InstanceId(relay)};
+    };
+    const FakePeer peer(fixture, "p", relay.empty() ? "y" : "x", 1, peerPort, refuse);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    REQUIRE(fixture.sendRequest("once", "p=" + refusal + (copy == "copy-idle" ? "-twice" : ""), "body", "first").status == 503);
+    wait(fixture, CopyTime);
+    const std::string body(copy == "copy-early" ? 90'000 : 4, 'x'); // the copy arrives before the body has been sent
+    const http::Response response = fixture.sendRequest(routeName, "p=" + copy, body, "second");
+    CHECK(response.status == 200);
+    const bool isStream = routeName == "stream" || routeName == "resume";
+    CHECK((isStream ? response.body == FakeUpstream::events(1, FakeUpstream::LastEvent) : response.body.ends_with(" to second")));
+    CHECK(peerServer.executedAttempts.size() == 1);
+    CHECK(fixture.executionCount() == 0);
+}
+
 //-----------------------------------------------------------------------------
 // Planned stop
 //-----------------------------------------------------------------------------
