An event without a number does not continue a numbered stream

A stream broke off, and the next upstream answered with status 200 and an event stream that held an error without an event id. The relay forwarded it: the client found the error's text in its stream, which then ended as if it were complete. Until the resumed upstream has sent a numbered event, an event without one now counts as a gap, so the stream is resumed elsewhere or aborted. Comments pass as before.

Before, metadatacachetest "an event without a number does not continue a numbered stream" failed 8 of 18 checks; it passes.

--- a/src/arbutus/edge/sserelay.cpp
+++ b/src/arbutus/edge/sserelay.cpp
@@ -48,6 +48,7 @@
     m_buffer.clear();
     m_resumed = true;
     m_hasEvent = false;
+    m_hasNumber = false;
     m_hasGap = false;
     m_isTruncated = false;
 }
@@ -77,9 +78,15 @@
 
 void SseRelay::processEvent(std::string_view event, std::string &output)
 {
-    m_hasEvent = m_hasEvent || http::hasEventField(event);
+    const bool hasField = http::hasEventField(event);
+    m_hasEvent = m_hasEvent || hasField;
     const auto id = findEventId(event);
     const auto number = id ? parseNumber(*id) : std::nullopt;
+    m_hasNumber = m_hasNumber || number;
+    if (hasField && m_resumed && m_lastEventNumber && !m_hasNumber) {
+        m_hasGap = true; // it may be an error
+        return;
+    }
     if (number && m_lastEventNumber) {
         if (m_resumed && *number <= *m_lastEventNumber) {
             return; // already forwarded to the client
--- a/src/arbutus/edge/sserelay.h
+++ b/src/arbutus/edge/sserelay.h
@@ -1,7 +1,8 @@
 // Relay of server-sent events: forwards complete events only, each exactly once and without gaps.
 //
 // Numeric event ids increase by one. After a stream is resumed at another upstream, events that the client already has are
-// dropped. A missing event stops the relay.
+// dropped. A missing event stops the relay, and so does an event without a number before the upstream's first numbered one, because
+// nothing shows that it continues the stream.
 //
 // Q: When is a stream complete?
 // A: When its body ended regularly and isTruncated() is false after finish(). How the body ended is not enough: an upstream that
@@ -48,7 +49,7 @@
     }
     [[nodiscard]] bool hasGap() const
     {
-        return m_hasGap; // an event of the current upstream was missing; nothing more of it is forwarded
+        return m_hasGap; // an event of the current upstream was missing or not numbered; nothing more of it is forwarded
     }
     [[nodiscard]] bool isTruncated() const
     {
@@ -65,7 +66,8 @@
     std::optional<std::int64_t> m_lastEventNumber; // m_lastEventId, if numeric
     std::uint64_t m_forwardedEventCount = 0;
     bool m_resumed = false;
-    bool m_hasEvent = false; // an event of the current upstream has been received
+    bool m_hasEvent = false;  // an event of the current upstream has been received
+    bool m_hasNumber = false; // a numbered one has
     bool m_hasGap = false;
     bool m_isTruncated = false;
 };
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -424,6 +424,31 @@
     CHECK(relay.hasGap() == row.gap);
 }
 
+TEST_CASE("an event without a number does not continue a numbered stream", "[events]")
+{
+    struct Row
+    {
+        std::string resumed;
+        std::string expected;
+        bool gap;
+    };
+    const std::string error = "event: error\ndata: failed\n\n";
+    const auto row = GENERATE_COPY(values<Row>({
+        {error, "", true},
+        {error + event(3), "", true},
+        {"id: x\ndata: failed\n\n", "", true},
+        {"failed\n\n", "", true},
+        {": comment\n\n" + event(3), ": comment\n\n" + event(3), false},
+        {event(2) + event(3) + error, event(3) + error, false}, // of the run that continues the stream
+    }));
+    CAPTURE(row.resumed);
+    edge::SseRelay relay;
+    REQUIRE(relay.feed(event(1) + event(2)) == event(1) + event(2));
+    relay.resume();
+    CHECK(relay.feed(row.resumed) == row.expected);
+    CHECK(relay.hasGap() == row.gap);
+}
+
 TEST_CASE("the end of a stream is complete only after a whole event", "[events]")
 {
     struct Row
