A response of another type does not continue a stream that has begun

A response without a content type may be a stream, also after a stream that has begun with a stated type. A text without a type from the next upstream was written into the client's stream, which then ended as if it were complete. The next response must state what the first one did.

routegatewaytest "a client finds only events of its stream in it, whatever follows a stream that broke off" plays 22 answers after 5 ways to break off, directly, for an instance of another region, and before and after a hop to a region and to a relay.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -170,6 +170,7 @@
     std::optional<http::Response> upstreamFailure;           // error response of an upstream, forwarded if no retry succeeds
     bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
     bool responseStarted = false;                            // the stream's response head was sent to the client
+    bool isEventStreamStated = false;                        // in that head
     std::optional<routing::SoftwareVersion> requiredVersion; // of a stream that has begun, in this or an earlier attempt of the client
     bool isVersionGone = false;                              // no upstream of the required version is left
     std::optional<SseRelay> sseRelay;
@@ -1026,7 +1027,7 @@
         return false;
     }
     return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success
-        && (!state.responseStarted || mayBeEventStream(response.headers));
+        && (!state.responseStarted || mayBeStream(state, response.headers));
 }
 
 //-----------------------------------------------------------------------------
@@ -1110,7 +1111,7 @@
     case ResponseKind::Success:
         break;
     }
-    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeEventStream(head.headers)) {
+    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeStream(state, head.headers)) {
         co_return co_await relayStream(state, attempt);
     }
     if (state.responseStarted && parsed.kind == ResponseKind::Success) { // it cannot continue the stream that has begun
@@ -1150,6 +1151,12 @@
     co_return result;
 }
 
+bool Forwarder::mayBeStream(const RequestState &state, const http::Headers &headers)
+{
+    const bool isStated = http::isEventStream(headers);
+    return state.responseStarted ? isStated == state.isEventStreamStated && mayBeEventStream(headers) : mayBeEventStream(headers);
+}
+
 bool Forwarder::fitsStream(const RequestState &state, const Attempt &attempt)
 {
     return !state.requiredVersion || *state.requiredVersion == attempt.version;
@@ -1172,6 +1179,7 @@
     if (std::exchange(state.responseStarted, true)) {
         co_return;
     }
+    state.isEventStreamStated = http::isEventStream(head.headers);
     http::Response response;
     response.status = head.status;
     response.headers = m_context.adapter.clientHeaders(head.headers);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -167,6 +167,8 @@
     /// Sends the response head, unless an earlier attempt did.
     boost::asio::awaitable<void> beginStream(RequestState &state, const Attempt &attempt);
     void recordOutput(RequestState &state, Attempt &attempt);
+    /// Whether a successful response with these headers may be the stream, or continue the one that has begun.
+    [[nodiscard]] static bool mayBeStream(const RequestState &state, const http::Headers &headers);
     /// Whether the attempt's upstream has the software version at which the stream began, if it has begun.
     [[nodiscard]] static bool fitsStream(const RequestState &state, const Attempt &attempt);
     /// Whether the upstream was started again with another software version since the request was placed.
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1257,6 +1257,148 @@
     CHECK(fixture.executionCount() == 0);
 }
 
+//-----------------------------------------------------------------------------
+// Errors after a stream has begun
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// What a client read from its connection.
+struct RawResponse
+{
+    std::string bytes;
+    std::string body; // without chunk sizes
+    bool hasEnd = false;
+};
+
+RawResponse parseRawResponse(std::string bytes)
+{
+    RawResponse out;
+    out.bytes = std::move(bytes);
+    std::size_t at = out.bytes.find("\r\n\r\n");
+    if (at == std::string::npos) {
+        return out;
+    }
+    at += 4;
+    while (true) {
+        const std::size_t sizeEnd = out.bytes.find("\r\n", at);
+        if (sizeEnd == std::string::npos) {
+            return out;
+        }
+        const std::size_t size = std::stoul(out.bytes.substr(at, sizeEnd - at), nullptr, 16);
+        if (size == 0) {
+            out.hasEnd = true;
+            return out;
+        }
+        out.body += out.bytes.substr(sizeEnd + 2, size);
+        at = std::min(out.bytes.size(), sizeEnd + 2 + size + 2);
+    }
+}
+
+RawResponse sendRaw(Fixture &fixture, const http::Endpoint &endpoint, const std::string &request)
+{
+    auto operation = [&]() -> asio::awaitable<std::string> {
+        Tcp::socket socket(fixture.loop);
+        co_await socket.async_connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), endpoint.port), asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+        std::string out;
+        std::array<char, 2048> chunk{};
+        ErrorCode code;
+        while (!code) {
+            const std::size_t received = co_await socket.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, code));
+            out.append(chunk.data(), received);
+        }
+        co_return out;
+    };
+    return parseRawResponse(fixture.run(operation()));
+}
+
+enum class StreamPath {
+    Direct,          // both upstreams are in the client's region
+    ForAnother,      // the same, for an instance of another region
+    RegionContinues, // the stream begins at an upstream; an instance of another region is next
+    RelayContinues,  // the same with a relay
+    RegionBegins,    // the stream begins at an instance of another region; an upstream is next
+    RelayBegins,     // the same with a relay
+};
+
+} // namespace
+
+TEST_CASE("a client finds only events of its stream in it, whatever follows a stream that broke off", "[edge][streams]")
+{
+    const auto path = GENERATE(
+        StreamPath::Direct, StreamPath::ForAnother, StreamPath::RegionContinues, StreamPath::RelayContinues, StreamPath::RegionBegins, StreamPath::RelayBegins);
+    const auto begin = GENERATE(as<std::string>{},
+                                "chunked-close@0",  // after the response head
+                                "chunked-close@15", // after an event
+                                "chunked-close@22", // inside an event
+                                "chunked-last@22",  // the same, with a last chunk
+                                "stream-gap");
+    CAPTURE(static_cast<int>(path), begin);
+    const bool peerBegins = path == StreamPath::RegionBegins || path == StreamPath::RelayBegins;
+    const bool hasPeer = peerBegins || path == StreamPath::RegionContinues || path == StreamPath::RelayContinues;
+    const bool hasRelay = path == StreamPath::RelayContinues || path == StreamPath::RelayBegins;
+    constexpr double MinRetries = 1'000; // the budget is not what ends a stream
+    Fixture fixture(true, 8s, MinRetries);
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    int placements = 0;
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const auto decide = [&](const routing::PlacementRequest &) -> routing::PlacementDecision {
+        const int placement = placements++;
+        if (placement > 1) {
+            return routing::Refused{};
+        }
+        if (hasPeer && (placement == 0) == peerBegins) {
+            return routing::Redirected{core::RegionId(hasRelay ? "x" : "y"), 10ms, {}, core::InstanceId(hasRelay ? "p" : "")};
+        }
+        const bool usesA = placement == 0 || peerBegins;
+        return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
+    };
+    const FakePeer peer(fixture, "p", hasRelay ? "x" : "y", 1, peerPort, refuse);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    const std::string firstName = peerBegins ? "p" : "a";
+    const std::string secondName = path == StreamPath::Direct || path == StreamPath::ForAnother ? "b" : peerBegins ? "a" : "p";
+    const std::vector<std::string> responses = {"failure-text",      "failure-json",
+                                                "failure-events",    "failure-in-pieces",
+                                                "failure-unframed",  "failure-503",
+                                                "failure-unknown",   "success-text",
+                                                "success-untyped",   "success-unframed",
+                                                "success-events",    "success-stampless",
+                                                "no-http",           "no-http-events",
+                                                "refuse-503",        "refuse-429-named",
+                                                "refuse-421",        "reset",
+                                                "stream-skips",      "stream-other-version",
+                                                "stream-from-begin", "stream"};
+    for (const std::string &next : responses) {
+        CAPTURE(next);
+        placements = 0;
+        std::string request = "POST /resume/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Attempt-Id: " + next + "\r\nX-Deadline-Ms: 3000\r\n";
+        request += "X-Behave: " + firstName + "=" + begin + "," + secondName + "=" + next + "\r\nContent-Length: " + std::to_string(next.size()) + "\r\n";
+        request += path == StreamPath::ForAnother ? "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\n" : "";
+        const http::Endpoint &endpoint = path == StreamPath::ForAnother ? fixture.settings.peersEndpoint : fixture.settings.clientEndpoint;
+        const RawResponse response = sendRaw(fixture, endpoint, request + "\r\n" + next);
+        CAPTURE(response.bytes);
+        CHECK(placements >= 2); // the second one is asked for what follows
+        CHECK(response.bytes.starts_with("HTTP/1.1 200"));
+        CHECK(response.bytes.find("HTTP/1.1", 1) == std::string::npos);
+        const bool hasEvents = begin != "chunked-close@0";
+        if (next == "success-events" && !hasEvents) { // a stream of its own: nothing shows that its event is not the first one
+            CHECK(response.body == FakeUpstream::errorEvent());
+            continue;
+        }
+        const std::string whole = FakeUpstream::events(1, FakeUpstream::LastEvent);
+        CHECK(whole.starts_with(response.body));
+        CHECK(response.body.size() % FakeUpstream::events(1, 1).size() == 0);
+        CHECK(response.hasEnd == (response.body == whole));
+        const bool peerContinues = hasPeer && !peerBegins; // the header that states the version is that of instances
+        const bool continues = next == "stream" || next == "stream-from-begin" || (next == "stream-skips" && !hasEvents)
+            || (next == "stream-other-version" && (!peerContinues || !hasEvents));
+        CHECK(response.hasEnd == continues);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Planned stop
 //-----------------------------------------------------------------------------
