The product's own interface: no second response head in a stream that has begun

After a stream had broken off, the next attempt's answer was relayed as a whole response if it was a client error, a rejection below 500 or a 200 of another type: its head and body stood in the middle of the client's stream. Such an attempt now ends as incomplete, at an upstream and through another instance, and http::Exchange::respond() aborts a response that has begun instead of writing a second head.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -313,6 +313,10 @@
         co_return std::move(*earlyResult);
     }
     const bool isEventStream = http::headerValue(head.value().headers, "Content-Type").starts_with("text/event-stream");
+    if (exchange.responseStarted() && !isEventStream) {
+        std::string message = "a response with status " + std::to_string(head.value().status) + " does not continue the stream that has begun";
+        co_return makeAttemptEnded(request, node::AttemptResult::Incomplete, std::move(message));
+    }
     if (isEventStream && request.streaming && !request.isServiceCall) {
         co_return co_await relaySseStream(context, request, dispatch, target.upstream.text, call, std::move(head.value()), startedAt, exchange);
     }
@@ -402,6 +406,10 @@
             relayed.notRun = outcome == "not_run";
         }
         const bool streamed = relayed.contentType.starts_with("text/event-stream") && !relayed.rejected;
+        if (exchange.responseStarted() && !streamed && !relayed.rejected) { // it does not continue the stream that has begun
+            stream->cancel();
+            co_return relayed;
+        }
         if (streamed && !chunk->body.empty()) {
             if (silence) {
                 silence->pause();
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -243,6 +243,10 @@
 
     asio::awaitable<bool> respond(const Response &response) override
     {
+        if (m_started) { // a second head would be read as part of the body that has begun
+            abort();
+            co_return false;
+        }
         wire::response<wire::string_body> message(static_cast<wire::status>(response.status), m_version);
         copyHeaders(response.headers, message);
         message.body() = response.body;
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -73,6 +73,11 @@
                 exchange.abort();
                 co_return;
             }
+            if (exchange.request().queryParameter("respond") == "1") {
+                const http::Response failure = http::jsonResponse(500, "{}");
+                co_await exchange.respond(failure);
+                co_return;
+            }
             if (exchange.request().queryParameter("end") == "0") {
                 co_return;
             }
@@ -219,6 +224,16 @@
     CHECK(reasons == (row.reason.empty() ? std::vector<std::string>{} : std::vector{row.reason}));
 }
 
+TEST_CASE("a complete response after a stream has begun is not written into it", "[http]")
+{
+    EchoServer server(smallLimits());
+    const std::string received = server.sendRaw("GET /stream?respond=1 HTTP/1.1\r\nHost: h\r\n\r\n", false);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.find("three") != std::string::npos);
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("pipelined requests are answered in order", "[http]")
 {
     EchoServer server(smallLimits());
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -16,7 +16,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -25,11 +29,13 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 using namespace arbutus;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 namespace json = boost::json;
 
 namespace {
@@ -166,20 +172,14 @@
         m_thread.stop();
     }
 
-    /// Body of a call that adds the upstreams to the platform's list.
-    [[nodiscard]] std::string listing() const
+    [[nodiscard]] std::vector<std::uint16_t> ports() const
     {
-        json::array instances;
+        std::vector<std::uint16_t> out;
+        out.reserve(m_servers.size());
         for (const auto &server : m_servers) {
-            const std::string port = std::to_string(server->port());
-            instances.push_back(json::object{{"id", "u" + port},
-                                             {"kind", "model"},
-                                             {"region", "r"},
-                                             {"failure_domain", "d"},
-                                             {"address", "127.0.0.1:" + port},
-                                             {"models", json::array{"m"}}});
+            out.push_back(server->port());
         }
-        return json::serialize(json::object{{"instances", std::move(instances)}});
+        return out;
     }
     [[nodiscard]] std::size_t callCount() const
     {
@@ -237,6 +237,184 @@
     std::vector<std::unique_ptr<http::Server>> m_servers;
 };
 
+/// Model upstreams on plain sockets. They share the list of answers, one for each call whose body holds "counted"; the last one is also
+/// that of further calls.
+class ScriptedUpstreams
+{
+public:
+    ScriptedUpstreams(std::size_t count, std::vector<std::string> answers)
+        : m_answers(std::move(answers))
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_acceptors.push_back(std::make_unique<Tcp::acceptor>(m_thread.executor(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+            asio::co_spawn(m_thread.executor(), acceptLoop(*m_acceptors.back()), asio::detached);
+        }
+        m_thread.start();
+    }
+    ScriptedUpstreams(const ScriptedUpstreams &) = delete;
+    ScriptedUpstreams &operator=(const ScriptedUpstreams &) = delete;
+    ~ScriptedUpstreams()
+    {
+        m_thread.stop();
+    }
+
+    [[nodiscard]] std::vector<std::uint16_t> ports() const
+    {
+        std::vector<std::uint16_t> out;
+        out.reserve(m_acceptors.size());
+        for (const auto &acceptor : m_acceptors) {
+            out.push_back(acceptor->local_endpoint().port());
+        }
+        return out;
+    }
+    /// Number of calls, with the body `body`, that it began to run.
+    [[nodiscard]] std::size_t runCount(const std::string &body) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<std::size_t>(std::count(m_runs.begin(), m_runs.end(), body));
+    }
+    [[nodiscard]] std::size_t callCount() const
+    {
+        return m_callCount;
+    }
+
+    static constexpr std::size_t TokenCount = 6;
+    static std::string tokenEvent(const std::string &attempt, std::size_t index)
+    {
+        return R"(data: {"id":")" + attempt + R"(","choices":[{"finish_reason":null,"delta":{"content":"token)" + std::to_string(index) + "\"}}]}\n\n";
+    }
+
+private:
+    using Tcp = asio::ip::tcp;
+    using Request = beast::http::request<beast::http::string_body>;
+
+    static std::string chunk(const std::string &data)
+    {
+        std::ostringstream size;
+        size << std::hex << data.size();
+        return size.str() + "\r\n" + data + "\r\n";
+    }
+    static std::string withLength(const std::string &status, const std::string &headers, const std::string &body)
+    {
+        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    static std::string streamHead(const std::string &attempt)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+    static std::string rejection(const std::string &status, const std::string &attempt)
+    {
+        const std::string id = attempt.empty() ? "" : "X-Attempt-Id: " + attempt + "\r\n";
+        return withLength(status, "X-Not-Run: 1\r\nContent-Type: application/json\r\n" + id, R"({"error":"failure of the upstream"})");
+    }
+
+    asio::awaitable<void> acceptLoop(Tcp::acceptor &acceptor)
+    {
+        while (true) {
+            Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(m_thread.executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(Tcp::socket socket)
+    {
+        beast::flat_buffer buffer;
+        std::string lastRejection; // on this connection
+        bool keepsOpen = true;
+        while (keepsOpen) {
+            Request request;
+            boost::system::error_code code;
+            co_await beast::http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, code));
+            if (code) {
+                co_return;
+            }
+            std::vector<std::string> pieces = {
+                withLength("200 OK", "Content-Type: application/json\r\n", R"({"running":0,"waiting":0,"slots":16,"models":["m"],"events":[]})")};
+            if (request.method() == beast::http::verb::post) {
+                const bool isCounted = request.body().find("counted") != std::string::npos;
+                const std::string answer = isCounted ? m_answers[std::min<std::size_t>(m_callCount++, m_answers.size() - 1)] : "stream";
+                pieces = piecesOf(answer, request, lastRejection);
+                keepsOpen = !answer.starts_with("break") && answer != "unframed" && answer != "no-http";
+            }
+            for (const std::string &piece : pieces) {
+                co_await asio::async_write(socket, asio::buffer(piece), asio::redirect_error(asio::use_awaitable, code));
+                co_await core::asyncSleep(2ms);
+            }
+        }
+    }
+
+    std::vector<std::string> piecesOf(const std::string &answer, const Request &request, std::string &lastRejection)
+    {
+        const std::string attempt(request["X-Attempt-Id"]);
+        const std::string named = "X-Attempt-Id: " + attempt + "\r\n";
+        const std::string offset(request["X-Resume-Offset"]);
+        const std::size_t first = std::strtoul(offset.c_str(), nullptr, 10);
+        const std::string text = "failure of the upstream\n\n";
+        const std::string failed = "500 Internal Server Error";
+        if (answer.starts_with("reject-")) { // for example "reject-503", "reject-400-named"
+            constexpr std::size_t StatusAt = 7;
+            constexpr std::size_t StatusLength = 3;
+            lastRejection = rejection(answer.substr(StatusAt, StatusLength) + " Rejected", answer.ends_with("-named") ? attempt : "");
+            return {lastRejection};
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            m_runs.push_back(request.body());
+        }
+        if (answer == "copy") { // of a rejection that was written on this connection
+            const std::string body = R"({"id":")" + attempt + R"(","choices":[]})";
+            return {lastRejection, withLength("200 OK", named + "Content-Type: application/json\r\n", body)};
+        }
+        if (answer == "text") {
+            return {withLength(failed, named + "Content-Type: text/plain\r\n", text)};
+        }
+        if (answer == "in-pieces") {
+            const std::string whole = withLength(failed, named + "Content-Type: text/plain\r\n", text);
+            return {whole.substr(0, 5), whole.substr(5, 30), whole.substr(35)};
+        }
+        if (answer == "events") {
+            return {withLength(failed, named + "Content-Type: text/event-stream\r\n", "event: error\ndata: " + text)};
+        }
+        if (answer == "unframed") {
+            return {"HTTP/1.1 " + failed + "\r\n" + named + "\r\n" + text};
+        }
+        if (answer == "no-http") {
+            return {text};
+        }
+        if (answer == "client-error") {
+            return {withLength("404 Not Found", named + "Content-Type: text/plain\r\n", text)};
+        }
+        if (answer == "client-error-events") {
+            return {withLength("404 Not Found", named + "Content-Type: text/event-stream\r\n", "event: error\ndata: " + text)};
+        }
+        if (answer == "success-text") {
+            return {withLength("200 OK", named + "Content-Type: text/plain\r\n", text)};
+        }
+        if (answer == "success-json") {
+            return {withLength("200 OK", named + "Content-Type: application/json\r\n", R"({"error":"failure of the upstream"})")};
+        }
+        if (answer == "success-events") {
+            return {streamHead(attempt) + chunk("event: error\ndata: " + text) + "0\r\n\r\n"};
+        }
+        constexpr std::size_t TokensBeforeBreak = 2;
+        std::string stream = streamHead(attempt);
+        for (std::size_t i = first; i < (answer.starts_with("break") ? first + TokensBeforeBreak : TokenCount); ++i) {
+            stream += chunk(tokenEvent(attempt, i));
+        }
+        if (answer == "break-inside") {
+            stream += chunk(tokenEvent(attempt, first + TokensBeforeBreak).substr(0, 20));
+        }
+        return {answer.starts_with("break") ? stream : stream + chunk("data: [DONE]\n\n") + "0\r\n\r\n"};
+    }
+
+    std::vector<std::string> m_answers;
+    std::atomic<std::size_t> m_callCount{0};
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_runs; // bodies
+    gateway::EventLoopThread m_thread;
+    std::vector<std::unique_ptr<Tcp::acceptor>> m_acceptors;
+};
+
 using AdjustSettings = std::function<void(gateway::Settings &)>;
 
 gateway::Settings instanceSettings(const http::Endpoint &platform, const AdjustSettings &adjust)
@@ -380,12 +558,23 @@
         return sent;
     }
     /// Adds upstreams to the platform's list and returns when the instance uses them.
-    void addUpstreams(const SilentUpstreams &upstreams)
+    template<class Upstreams>
+    void addUpstreams(const Upstreams &upstreams)
     {
+        json::array instances;
+        for (const std::uint16_t number : upstreams.ports()) {
+            const std::string port = std::to_string(number);
+            instances.push_back(json::object{{"id", "u" + port},
+                                             {"kind", "model"},
+                                             {"region", "r"},
+                                             {"failure_domain", "d"},
+                                             {"address", "127.0.0.1:" + port},
+                                             {"models", json::array{"m"}}});
+        }
         http::Request listing;
         listing.method = "POST";
         listing.target = "/list";
-        listing.body = upstreams.listing();
+        listing.body = json::serialize(json::object{{"instances", std::move(instances)}});
         const auto listed = send(platform.endpoint(), listing);
         REQUIRE(runUntil([&] { return listed->done; }));
         REQUIRE(listed->status == 200);
@@ -403,6 +592,26 @@
     }
 };
 
+/// Sends a request for a completion to the instance.
+void sendRaw(const InstanceFixture &fixture, asio::ip::tcp::socket &client, const std::string &body)
+{
+    client.connect({asio::ip::make_address("127.0.0.1"), fixture.instance.clientPort()});
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Workspace: ws\r\nAuthorization: Bearer " + WorkspaceKey
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    asio::write(client, asio::buffer(head + body));
+}
+
+/// All bytes of the response to a request for a completion.
+std::string readRaw(InstanceFixture &fixture, const std::string &body)
+{
+    asio::ip::tcp::socket client(fixture.clients);
+    sendRaw(fixture, client, body);
+    std::string received;
+    boost::system::error_code code;
+    asio::read(client, asio::dynamic_buffer(received), code);
+    return received;
+}
+
 } // namespace
 
 TEST_CASE("the result of a claim that arrives while the event queue is full reaches its request", "[instance]")
@@ -557,11 +766,7 @@
     InstanceFixture fixture([](gateway::Settings &settings) { settings.streamIdleTimeout = StreamIdleTimeout; });
     fixture.addUpstreams(upstreams);
     asio::ip::tcp::socket client(fixture.clients);
-    client.connect({asio::ip::make_address("127.0.0.1"), fixture.instance.clientPort()});
-    const std::string body = R"({"model":"m","prompt":"counted","stream":true})";
-    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Workspace: ws\r\nAuthorization: Bearer " + WorkspaceKey
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    asio::write(client, asio::buffer(head + body));
+    sendRaw(fixture, client, R"({"model":"m","prompt":"counted","stream":true})");
     std::this_thread::sleep_for(Silence);
     std::string received;
     boost::system::error_code code;
@@ -570,3 +775,48 @@
     CHECK(received.find("data: [DONE]") != std::string::npos);
     CHECK(upstreams.callCount() == 1);
 }
+
+TEST_CASE("a client finds only tokens of its stream in it, whatever follows a stream that broke off", "[instance]")
+{
+    const auto begin = GENERATE(as<std::string>{}, "break", "break-inside");
+    const auto next = GENERATE(as<std::string>{},
+                               "text",
+                               "in-pieces",
+                               "events",
+                               "unframed",
+                               "no-http",
+                               "client-error",
+                               "client-error-events",
+                               "success-text",
+                               "success-json",
+                               "success-events",
+                               "reject-503",
+                               "reject-503-named",
+                               "reject-429",
+                               "stream");
+    CAPTURE(begin, next);
+    ScriptedUpstreams upstreams(2, {begin, next});
+    InstanceFixture fixture([](gateway::Settings &settings) { settings.node.maxAttempts = 2; });
+    fixture.addUpstreams(upstreams);
+    const std::string received = readRaw(fixture, R"({"model":"m","prompt":"counted","stream":true})");
+    CAPTURE(received);
+    CHECK(upstreams.callCount() == 2);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(received.find("failure of the upstream") == std::string::npos);
+    const bool isWhole = next == "stream";
+    std::size_t position = 0;
+    for (std::size_t i = 0; i < ScriptedUpstreams::TokenCount; ++i) {
+        constexpr std::size_t TokensBeforeBreak = 2;
+        const std::string token = "token" + std::to_string(i);
+        const std::size_t found = received.find(token);
+        CHECK((found != std::string::npos) == (isWhole || i < TokensBeforeBreak));
+        if (found != std::string::npos) {
+            CHECK(found >= position);
+            CHECK(received.find(token, found + 1) == std::string::npos);
+            position = found;
+        }
+    }
+    CHECK((received.find("data: [DONE]") != std::string::npos) == isWhole);
+    CHECK(received.ends_with("\r\n0\r\n\r\n") == isWhole);
+}
