The product's own interface: a rejection of another attempt is not the answer to this one

X-Not-Run was believed whatever attempt the response named. A rejection with status 400 that an upstream wrote once more on a kept connection was relayed to the next caller as its answer. A response that names another attempt is no answer now, and a connection that has carried one without an id, or with another one, is not used again. Only repeatable requests use kept connections.

The gRPC hop has one stream for each call and no such copies. Reports that an instance reads from upstreams carry no ids: a copy there would be one stale report.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -186,16 +186,17 @@
 std::optional<node::AttemptEnded> checkResponseHead(const AttemptRequest &request, const node::Dispatch &dispatch, const http::Response &head)
 {
     const bool notRun = http::headerValue(head.headers, "X-Not-Run") == "1";
+    const std::string id = http::headerValue(head.headers, "X-Attempt-Id");
+    const bool mayOmitId = notRun; // a kept connection has carried no response without an id, of which this one could be a copy
+    if (id != dispatch.attempt.text && !(id.empty() && mayOmitId)) {
+        return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the response carries the id of another attempt");
+    }
     if (notRun && head.status >= 500) {
         return makeAttemptEnded(request, node::AttemptResult::NotRun, "the upstream rejected the request with status " + std::to_string(head.status));
     }
     if (notRun) {
         return std::nullopt; // a client error, relayed unchanged
     }
-    const std::string id = http::headerValue(head.headers, "X-Attempt-Id");
-    if (id != dispatch.attempt.text) {
-        return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the response carries the id of another attempt");
-    }
     if (head.status >= 500 && dispatch.repeatable) {
         return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the upstream responded with status " + std::to_string(head.status));
     }
@@ -303,6 +304,9 @@
     http::CallOptions options;
     options.pool = dispatch.repeatable ? &context.connectionPool : nullptr;
     options.acceptConnectionClose = true;
+    options.matchResponse = [id = dispatch.attempt.text](const http::Headers &headers) { // checkResponseHead() judges the others
+        return http::headerValue(headers, "X-Attempt-Id") == id ? http::ResponseMatch::ThisRequest : http::ResponseMatch::NoRequest;
+    };
     http::Call call(context.executor, http::parseEndpoint(target.address), std::move(options));
     const http::Request out = makeUpstreamRequest(request, dispatch);
     auto head = co_await call.start(out, remainingTimeout(dispatch.remainingTime, dispatch, startedAt, context.clock));
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -820,3 +820,37 @@
     CHECK((received.find("data: [DONE]") != std::string::npos) == isWhole);
     CHECK(received.ends_with("\r\n0\r\n\r\n") == isWhole);
 }
+
+TEST_CASE("a rejection that an upstream writes twice is not taken for the answer to another request", "[instance]")
+{
+    const auto rejection = GENERATE(as<std::string>{}, "reject-503", "reject-503-named", "reject-400", "reject-400-named");
+    CAPTURE(rejection);
+    constexpr std::size_t MaxAttempts = 2;
+    const bool isRelayed = rejection.starts_with("reject-400"); // and no second upstream is asked
+    std::vector<std::string> answers(isRelayed ? 1 : MaxAttempts, rejection);
+    answers.emplace_back("copy");
+    ScriptedUpstreams upstreams(2, answers);
+    InstanceFixture fixture([](gateway::Settings &settings) { settings.node.maxAttempts = MaxAttempts; });
+    fixture.addUpstreams(upstreams);
+    const auto send = [&](const std::string &prompt) {
+        const std::string body = R"({"model":"m","prompt":"counted )" + prompt + "\"}";
+        const auto pending = fixture.send(workspaceRequest("POST", "/v1/completions", body));
+        CHECK(fixture.runUntil([&] { return pending->done; }));
+        CAPTURE(prompt, pending->body);
+        if (prompt == "first") {
+            CHECK(pending->status >= 400);
+            return;
+        }
+        CHECK(pending->body.find("failure of the upstream") == std::string::npos);
+        CHECK((pending->status == 200 || pending->body.find("not_run") == std::string::npos));
+        if (!rejection.ends_with("-named")) { // one that names another attempt ends the attempt, whose request may be repeated
+            CHECK(pending->status == 200);
+            CHECK(upstreams.runCount(body) == 1);
+        }
+    };
+    send("first");
+    constexpr int LaterRequests = 4; // both upstreams get some
+    for (int i = 0; i < LaterRequests; ++i) {
+        send("later " + std::to_string(i));
+    }
+}
