The product's own interface: an instance that serves a stream for another one writes no error into it

When the stream of a forwarded request broke off, the serving instance ended it with its own error event, and the origin passed the event on and went on at another upstream: an error in the middle of a stream that then ended as complete. Only the origin writes the event now, also for a stream that the owner of a ticket has begun.

Before, instancetest "an instance that serves a stream for another one writes no error into it" found the event for both ways to break off; it passes.

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -521,7 +521,10 @@
     const PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, false, exchange);
     result.relayed = relayed.complete || !relayed.clientConnected;
     if (!result.relayed && exchange.responseStarted()) {
-        // A partial response cannot be retracted. Abort, so that the client does not take it as complete.
+        // A partial response cannot be retracted. Report the error and abort, so that the client does not take it as complete.
+        const core::Error error = core::makeUnknownOutcomeError(core::ErrorKind::UpstreamFailed, "the response through the ticket's owner is incomplete");
+        const std::string event = "data: " + core::toJson(error) + "\n\n";
+        co_await exchange.writeChunk(event);
         exchange.abort();
         result.relayed = true;
     }
--- a/src/arbutus/gateway/requesthandler.cpp
+++ b/src/arbutus/gateway/requesthandler.cpp
@@ -288,8 +288,12 @@
     co_await exchange.respond(response);
 }
 
-asio::awaitable<void> RequestHandler::sendRejection(http::Exchange &exchange, const node::RejectRequest &rejection)
+asio::awaitable<void> RequestHandler::sendRejection(http::Exchange &exchange, const RequestContext &context, const node::RejectRequest &rejection)
 {
+    if (exchange.responseStarted() && context.head.forwarded) { // the origin may continue the stream at another upstream
+        exchange.abort();
+        co_return;
+    }
     if (exchange.responseStarted()) {
         // Part of the response has been sent. Report the error inside the stream and abort it, so that the client does not
         // take the response as complete.
@@ -404,7 +408,7 @@
     } else {
         const RequestAction action = co_await mailbox->next();
         recordOutcome(context, "bad_body");
-        co_await sendRejection(exchange, std::get<node::RejectRequest>(action));
+        co_await sendRejection(exchange, context, std::get<node::RejectRequest>(action));
     }
     m_mailboxes.close(context.key);
 }
@@ -480,7 +484,7 @@
             co_return;
         } else if (const auto *rejection = std::get_if<node::RejectRequest>(&action)) {
             recordOutcome(context, core::toString(rejection->error.outcome));
-            co_await sendRejection(exchange, *rejection);
+            co_await sendRejection(exchange, context, *rejection);
             co_return;
         }
     }
--- a/src/arbutus/gateway/requesthandler.h
+++ b/src/arbutus/gateway/requesthandler.h
@@ -43,7 +43,7 @@
     boost::asio::awaitable<bool> readBody(http::Exchange &exchange, RequestContext &context);
     boost::asio::awaitable<void> sendEntries(http::Exchange &exchange, bool ticketsOnly);
     boost::asio::awaitable<void> sendModels(http::Exchange &exchange);
-    boost::asio::awaitable<void> sendRejection(http::Exchange &exchange, const node::RejectRequest &rejection);
+    boost::asio::awaitable<void> sendRejection(http::Exchange &exchange, const RequestContext &context, const node::RejectRequest &rejection);
     void recordOutcome(const RequestContext &context, std::string_view outcome);
 
     AttemptContext m_attemptContext;
--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -9,6 +9,7 @@
 #include "arbutus/gateway/gateway.h"
 #include "arbutus/http/client.h"
 #include "arbutus/metadata/kvclient.h"
+#include "arbutus/peer/client.h"
 #include "arbutus/standin/platform.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -821,6 +822,60 @@
     CHECK(received.ends_with("\r\n0\r\n\r\n") == isWhole);
 }
 
+TEST_CASE("an instance that serves a stream for another one writes no error into it", "[instance]")
+{
+    const auto begin = GENERATE(as<std::string>{}, "break", "break-inside");
+    CAPTURE(begin);
+    std::uint16_t peerPort = 0;
+    {
+        asio::io_context loop;
+        const asio::ip::tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
+        peerPort = acceptor.local_endpoint().port();
+    }
+    ScriptedUpstreams upstreams(1, {begin});
+    std::string clusterKey;
+    InstanceFixture fixture([&](gateway::Settings &settings) {
+        settings.peersEndpoint.port = peerPort;
+        clusterKey = settings.clusterKey;
+    });
+    fixture.addUpstreams(upstreams);
+    peer::ForwardCall call;
+    call.request = workspaceRequest("POST", "/v1/completions", R"({"model":"m","prompt":"counted","stream":true})");
+    call.origin = core::InstanceRef{core::InstanceId("gw-2"), core::Incarnation(1)};
+    call.via = "gw-2";
+    call.attemptId = core::AttemptId("attempt");
+    call.remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(ResponseTimeout);
+    call.request.headers["X-Shown-Id"] = "attempt";
+    peer::Client client(clusterKey);
+    const auto stream = client.forward("127.0.0.1:" + std::to_string(peerPort), call);
+    std::mutex mutex;
+    std::string body;
+    bool hasLast = false;
+    bool done = false;
+    std::function<void()> readNext = [&] {
+        stream->read([&](std::optional<peer::ForwardChunk> chunk) {
+            {
+                const std::lock_guard lock(mutex);
+                done = !chunk || chunk->last;
+                hasLast = chunk && chunk->last;
+                body += chunk ? chunk->body : std::string();
+                if (done) {
+                    return;
+                }
+            }
+            readNext();
+        });
+    };
+    readNext();
+    CHECK(fixture.runUntil([&] {
+        const std::lock_guard lock(mutex);
+        return done;
+    }));
+    const std::lock_guard lock(mutex);
+    CHECK(body == ScriptedUpstreams::tokenEvent("attempt", 0) + ScriptedUpstreams::tokenEvent("attempt", 1));
+    CHECK_FALSE(hasLast);
+}
+
 TEST_CASE("a rejection that an upstream writes twice is not taken for the answer to another request", "[instance]")
 {
     const auto rejection = GENERATE(as<std::string>{}, "reject-503", "reject-503-named", "reject-400", "reject-400-named");
