--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -124,6 +124,7 @@
     std::optional<http::Call> call;
     core::TimePoint sentAt{};
     std::optional<core::TimePoint> connectedAt;
+    bool isOnNewConnection = false;
     std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
     core::TimePoint firstEventAt{};
     core::TimePoint lastProgressAt{}; // response head or last complete event
@@ -141,6 +142,7 @@
     std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
     bool saysLeaving = false;          // the response said that its upstream is leaving
     std::string bodyEnd;               // how the response marked the end of its body
+    bool isUnnamed = false;            // the response names no attempt
     std::size_t partialEventBytes = 0; // received after the last complete event
 
     [[nodiscard]] bool isToPeer() const
@@ -187,6 +189,7 @@
     std::optional<http::Response> upstreamFailure;           // error response of an upstream, forwarded if no retry succeeds
     bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
     bool responseStarted = false;                            // the stream's response head was sent to the client
+    bool isEventStreamStated = false;                        // in that head
     std::optional<routing::SoftwareVersion> requiredVersion; // of a stream that has begun, in this or an earlier attempt of the client
     bool isVersionGone = false;                              // no upstream of the required version is left
     std::optional<SseRelay> sseRelay;
@@ -615,6 +618,10 @@
         rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
         return nullptr;
     }
+    if (state.excludedUpstreams.contains(granted.upstream)) { // a copy of its first response could not be told from its second one
+        rejectPlacement(state, granted, "placed again at an upstream that has failed or rejected the request");
+        return nullptr;
+    }
     if (m_placement.isResting(granted.upstream)) { // since the request was placed
         rejectPlacement(state, granted, "placed at an upstream that asked for a rest");
         return nullptr;
@@ -667,7 +674,7 @@
     options.acceptConnectionClose = true;
     options.maxIdleTime = state.isRepeatable() ? m_settings.repeatableMaxIdleTime : m_settings.atMostOnceMaxIdleTime;
     options.connectTimeout = m_settings.upstreamConnectTimeout;
-    options.matchesResponse = [this, id = state.head.attemptId](const http::Headers &headers) { return m_context.adapter.isResponseTo(headers, id); };
+    options.matchResponse = [this, id = state.head.attemptId](const http::Headers &headers) { return m_context.adapter.matchResponse(headers, id); };
     startAttempt(state, attempt, std::move(options));
     return attempt;
 }
@@ -761,6 +768,7 @@
     }
     options.onConnected = [this, &state, attempt = attempt.get()](bool isNewConnection) {
         attempt->connectedAt = m_context.now();
+        attempt->isOnNewConnection = isNewConnection;
         if (!attempt->isToPeer()) { // a peer reports its own counts
             ++state.sendCount;
             ++state.possibleExecutions;
@@ -911,6 +919,8 @@
             .add("reason", attempt.failure)
             .add("named_rate", attempt.maxRequestRate)
             .add("rest_ms", attempt.rest)
+            .add("connection", attempt.isOnNewConnection ? "new" : "kept")
+            .add("unnamed", attempt.isUnnamed)
             .add("prompt_parts", attempt.outcome == routing::SendOutcome::Incomplete ? sharedPartIds(state.head.prompt) : "")
             .add("fingerprint", isBroken(attempt) ? routing::toString(state.fingerprint) : "")
             .add("first_event_ms", hasEvent ? core::toMilliseconds(attempt.firstEventAt - attempt.sentAt) : 0)
@@ -1065,7 +1075,7 @@
         return false;
     }
     return m_context.adapter.parseResponse(response, state.head.attemptId).kind == ResponseKind::Success
-        && (!state.responseStarted || mayBeEventStream(response.headers));
+        && (!state.responseStarted || mayBeStream(state, response.headers));
 }
 
 //-----------------------------------------------------------------------------
@@ -1148,6 +1158,10 @@
     http::Response &head = attempt.head->value();
     const ResponseHead parsed = recordStatements(state, attempt);
     attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
+    attempt.isUnnamed = m_context.adapter.matchResponse(head.headers, state.head.attemptId) == http::ResponseMatch::NoRequest;
+    if (!attempt.isToPeer() && attempt.isUnnamed) {
+        m_context.metrics.incrementCounter("arbutus_unnamed_responses_total", attempt.isOnNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
+    }
     if (!attempt.isToPeer()) {
         m_paths.recordResponse(attempt.upstream);
     }
@@ -1173,7 +1187,7 @@
     case ResponseKind::Success:
         break;
     }
-    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeEventStream(head.headers)) {
+    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeStream(state, head.headers)) {
         co_return co_await relayStream(state, attempt);
     }
     if (state.responseStarted && parsed.kind == ResponseKind::Success) { // it cannot continue the stream that has begun
@@ -1213,6 +1227,12 @@
     co_return result;
 }
 
+bool Forwarder::mayBeStream(const RequestState &state, const http::Headers &headers)
+{
+    const bool isStated = http::isEventStream(headers);
+    return state.responseStarted ? isStated == state.isEventStreamStated && mayBeEventStream(headers) : mayBeEventStream(headers);
+}
+
 bool Forwarder::fitsStream(const RequestState &state, const Attempt &attempt)
 {
     return !state.requiredVersion || *state.requiredVersion == attempt.version;
@@ -1235,6 +1255,7 @@
     if (std::exchange(state.responseStarted, true)) {
         co_return;
     }
+    state.isEventStreamStated = http::isEventStream(head.headers);
     http::Response response;
     response.status = head.status;
     response.headers = m_context.adapter.clientHeaders(head.headers);
--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -186,16 +186,17 @@
 std::optional<node::AttemptEnded> checkResponseHead(const AttemptRequest &request, const node::Dispatch &dispatch, const http::Response &head)
 {
     const bool notRun = http::headerValue(head.headers, "X-Not-Run") == "1";
+    const std::string id = http::headerValue(head.headers, "X-Attempt-Id");
+    const bool mayOmitId = notRun; // a kept connection has carried no response without an id, of which this one could be a copy
+    if (id != dispatch.attempt.text && !(id.empty() && mayOmitId)) {
+        return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the response carries the id of another attempt");
+    }
     if (notRun && head.status >= 500) {
         return makeAttemptEnded(request, node::AttemptResult::NotRun, "the upstream rejected the request with status " + std::to_string(head.status));
     }
     if (notRun) {
         return std::nullopt; // a client error, relayed unchanged
     }
-    const std::string id = http::headerValue(head.headers, "X-Attempt-Id");
-    if (id != dispatch.attempt.text) {
-        return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the response carries the id of another attempt");
-    }
     if (head.status >= 500 && dispatch.repeatable) {
         return makeAttemptEnded(request, node::AttemptResult::Incomplete, "the upstream responded with status " + std::to_string(head.status));
     }
@@ -303,6 +304,9 @@
     http::CallOptions options;
     options.pool = dispatch.repeatable ? &context.connectionPool : nullptr;
     options.acceptConnectionClose = true;
+    options.matchResponse = [id = dispatch.attempt.text](const http::Headers &headers) { // checkResponseHead() judges the others
+        return http::headerValue(headers, "X-Attempt-Id") == id ? http::ResponseMatch::ThisRequest : http::ResponseMatch::NoRequest;
+    };
     http::Call call(context.executor, http::parseEndpoint(target.address), std::move(options));
     const http::Request out = makeUpstreamRequest(request, dispatch);
     auto head = co_await call.start(out, remainingTimeout(dispatch.remainingTime, dispatch, startedAt, context.clock));
@@ -313,6 +317,10 @@
         co_return std::move(*earlyResult);
     }
     const bool isEventStream = http::headerValue(head.value().headers, "Content-Type").starts_with("text/event-stream");
+    if (exchange.responseStarted() && !isEventStream) {
+        std::string message = "a response with status " + std::to_string(head.value().status) + " does not continue the stream that has begun";
+        co_return makeAttemptEnded(request, node::AttemptResult::Incomplete, std::move(message));
+    }
     if (isEventStream && request.streaming && !request.isServiceCall) {
         co_return co_await relaySseStream(context, request, dispatch, target.upstream.text, call, std::move(head.value()), startedAt, exchange);
     }
@@ -402,6 +410,10 @@
             relayed.notRun = outcome == "not_run";
         }
         const bool streamed = relayed.contentType.starts_with("text/event-stream") && !relayed.rejected;
+        if (exchange.responseStarted() && !streamed && !relayed.rejected) { // it does not continue the stream that has begun
+            stream->cancel();
+            co_return relayed;
+        }
         if (streamed && !chunk->body.empty()) {
             if (silence) {
                 silence->pause();
@@ -509,7 +521,10 @@
     const PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, false, exchange);
     result.relayed = relayed.complete || !relayed.clientConnected;
     if (!result.relayed && exchange.responseStarted()) {
-        // A partial response cannot be retracted. Abort, so that the client does not take it as complete.
+        // A partial response cannot be retracted. Report the error and abort, so that the client does not take it as complete.
+        const core::Error error = core::makeUnknownOutcomeError(core::ErrorKind::UpstreamFailed, "the response through the ticket's owner is incomplete");
+        const std::string event = "data: " + core::toJson(error) + "\n\n";
+        co_await exchange.writeChunk(event);
         exchange.abort();
         result.relayed = true;
     }
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -53,6 +53,11 @@
     return metadata::StoreItem{key, value, metadata::StoreRevision(1)};
 }
 
+metadata::StorePosition position(std::uint64_t revision)
+{
+    return metadata::StorePosition{{}, metadata::StoreRevision(revision)};
+}
+
 void requireSoundData(const edge::MetadataCache &cache)
 {
     const routing::RegistryEntry *entry = cache.registry().find(SoundUpstream);
@@ -179,11 +184,10 @@
     }
     edge::MetadataCache cache(adapter);
     const std::string soundKey = "servers/" + SoundUpstream.text;
-    (void)cache.applyRange(
-        {item("op/config", SoundConfiguration), item(soundKey, SoundEntry), item("servers/other", value)}, metadata::StoreRevision(5), false, Now);
+    (void)cache.applyRange({item("op/config", SoundConfiguration), item(soundKey, SoundEntry), item("servers/other", value)}, position(5), false, Now);
     requireSoundData(cache);
     require((cache.registry().find(core::UpstreamId("other")) != nullptr) == parsed.has_value(), "an entry that is refused names no upstream");
-    (void)cache.applyChanges({metadata::StoreChange{item("servers/other", SoundEntry), false}}, metadata::StoreRevision(6), false, Now + 1s);
+    (void)cache.applyChanges({metadata::StoreChange{item("servers/other", SoundEntry), false}}, position(5), position(6), false, Now + 1s);
     requireSoundData(cache);
     (void)edge::parseRegistration(core::InstanceId("n"), value);
 }
@@ -194,8 +198,8 @@
     const std::string value(input);
     edge::MetadataCache cache(adapter);
     const std::string soundKey = "servers/" + SoundUpstream.text;
-    (void)cache.applyRange({item("op/config", SoundConfiguration), item(soundKey, SoundEntry)}, metadata::StoreRevision(5), false, Now);
-    (void)cache.applyChanges({metadata::StoreChange{item("op/config", value), false}}, metadata::StoreRevision(6), false, Now + 1s);
+    (void)cache.applyRange({item("op/config", SoundConfiguration), item(soundKey, SoundEntry)}, position(5), false, Now);
+    (void)cache.applyChanges({metadata::StoreChange{item("op/config", value), false}}, position(5), position(6), false, Now + 1s);
     requireSoundData(cache);
     for (const catalog::Route &route : cache.catalog()->routes()) {
         require(route.maxUpstreamsPerAttempt >= 1, "a request may be sent to an upstream");
@@ -232,7 +236,7 @@
     const platform::PlatformAdapter adapter;
     edge::MetadataCache cache(adapter);
     const std::string soundKey = "servers/" + SoundUpstream.text;
-    (void)cache.applyRange({item("op/config", SoundConfiguration), item(soundKey, SoundEntry)}, metadata::StoreRevision(5), false, Now);
+    (void)cache.applyRange({item("op/config", SoundConfiguration), item(soundKey, SoundEntry)}, position(5), false, Now);
     try {
         metadata::StoreRange range;
         const platform::RangePage page = platform::parseRangePage(document.as_object(), range);
@@ -241,7 +245,7 @@
         for (const metadata::StoreItem &read : range.items) {
             require(!read.key.empty(), "an item has a key");
         }
-        (void)cache.applyRange(range.items, page.revision, false, Now + 1s);
+        (void)cache.applyRange(range.items, position(page.revision.value), false, Now + 1s);
         require(cache.catalog() != nullptr, "a configuration stays in force");
     } catch (const Violation &) {
         throw;
@@ -249,7 +253,7 @@
     }
     try {
         const metadata::StoreChanges changes = platform::parseChanges(document.as_object());
-        (void)cache.applyChanges(changes.changes, changes.revision, false, Now + 2s);
+        (void)cache.applyChanges(changes.changes, cache.storePosition(), changes.position, false, Now + 2s);
     } catch (const Violation &) {
         throw;
     } catch (const std::exception &) { // refused, as by the store client
@@ -267,7 +271,7 @@
     if (const auto snapshot = edge::decodeMetadataSnapshot(std::string(input))) {
         const platform::PlatformAdapter adapter;
         edge::MetadataCache cache(adapter);
-        (void)cache.applyRange({item("op/config", SoundConfiguration)}, metadata::StoreRevision(5), false, Now);
+        (void)cache.applyRange({item("op/config", SoundConfiguration)}, position(5), false, Now);
         (void)cache.applySnapshot(*snapshot, Now + 1s);
         require(cache.catalog() != nullptr, "a configuration stays in force");
         require(cache.staleness(Now + 1s) >= 0ms, "metadata are not from the future");
