Tests: no request runs at more upstreams than its route allows, whoever is silent

An instance that has lost its paths sends everything through relays or the other region; instances are frozen for longer than an origin waits for a peer. The receiving instance has rows for silent upstreams.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -855,11 +855,13 @@
 TEST_CASE("an instance sends a forwarded request to no more upstreams than the origin grants", "[edge]")
 {
     const auto granted = GENERATE(1, 2);
+    const auto behavior = GENERATE(as<std::string>{}, "a=error,b=error", "a=hang,b=hang");
+    CAPTURE(granted, behavior);
     Fixture fixture;
     http::Request request;
     request.method = "POST";
     request.target = "/thrice/x";
-    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}, {"X-Behave", "a=error,b=error"}};
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}, {"X-Behave", behavior}};
     request.headers["X-Gateway-Origin"] = "other";
     request.headers["X-Gateway-Service"] = "s";
     request.headers["X-Gateway-Max-Runs"] = std::to_string(granted);
--- a/tests/silentupstreamtest.cpp
+++ b/tests/silentupstreamtest.cpp
@@ -24,6 +24,7 @@
 constexpr auto StartTime = 1'500ms;               // membership and configuration
 constexpr auto ConfigurationApplyTime = 2'000ms;  // until every instance has a configuration that was written
 constexpr std::size_t MaxRefusedPerThousand = 10; // the upstreams are never full
+constexpr std::size_t MaxUpstreams = 3;           // of one request, as the repeatable routes allow unless a test says otherwise
 
 /// What became of the requests to the paths that begin with a prefix.
 struct Summary
@@ -209,8 +210,25 @@
     rig.runFor(KeptClientPoll);
 }
 
+/// Requests that ran at more upstreams than their route allows.
+std::size_t countBeyondLimit(const tests::EdgeRig &rig)
+{
+    const auto upstreams = rig.upstreamsByAttempt();
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < rig.requestCount(); ++i) {
+        const std::string &target = rig.result(i).target;
+        const std::string routeName = target.substr(1, target.find('/', 1) - 1);
+        const auto limited = rig.configuration().limitedRoutes.find(routeName);
+        const std::size_t limit = limited != rig.configuration().limitedRoutes.end() ? limited->second : routeName == "once" ? 1 : MaxUpstreams;
+        const auto found = upstreams.find(tests::EdgeRig::attemptId(i));
+        out += found != upstreams.end() && found->second.size() > limit ? 1 : 0;
+    }
+    return out;
+}
+
 void checkNothingLost(const tests::EdgeRig &rig, const std::string &title)
 {
+    CHECK(countBeyondLimit(rig) == 0);
     for (const char *prefix : {"/chat/", "/plain/", "/once/", "/extra/"}) {
         const Summary summary = summarize(rig, prefix);
         std::cout << title << " " << prefix << ": " << summary << std::endl;
@@ -490,3 +508,72 @@
         }
     }
 }
+
+TEST_CASE("a request that crosses the hop runs at no more upstreams than its route allows, whoever is silent", "[rig]")
+{
+    struct Row
+    {
+        const char *name;
+        bool upstreamsFallSilent;
+        bool peersFallSilent;
+    };
+    constexpr std::array Rows = {
+        Row{"upstreams", true, false},
+        Row{"peers", false, true},
+        Row{"upstreams and peers", true, true},
+    };
+    constexpr auto Time = 6'000ms;
+    constexpr auto Interval = 15ms;
+    constexpr auto FreezeTime = 2'200ms; // longer than an origin waits for a peer
+    constexpr auto FreezePeriod = 1'500ms;
+    const std::map<std::string, std::size_t> limits = {{"single", 1}, {"again", 2}, {"thrice", 3}};
+    const std::uint64_t first = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + tests::environmentNumber("ARBUTUS_RIG_SEEDS", 1); ++seed) {
+        for (const Row &row : Rows) {
+            CAPTURE(seed, row.name);
+            pcg32 random(seed);
+            tests::EdgeRigOptions options = rigOptions(seed);
+            options.plainUpstreamsPerRegion = 4;
+            options.configuration.limitedRoutes = limits;
+            options.silence.share = row.upstreamsFallSilent ? 0.7 : 0;
+            options.silence.minDuration = MinSilence;
+            options.silence.maxDuration = MaxSilence;
+            options.breaks.share = 0.2;
+            options.minRetries = 1'000; // the retry budget is not what is tested here
+            options.allowsPathCuts = true;
+            tests::EdgeRig rig(options);
+            rig.runFor(StartTime);
+            rig.cutPaths(0, tests::PathFailure::Reset); // its requests go through relays, or to the other region
+            rig.runFor(StartTime);
+            std::size_t next = 0;
+            for (auto at = 500ms; row.peersFallSilent && at < Time; at += FreezePeriod) {
+                rig.schedule(at, [&] { rig.freeze(1 + next++ % (rig.instanceCount() - 1), FreezeTime); });
+            }
+            for (auto at = 0ms; at < Time; at += Interval) {
+                rig.schedule(at, [&] {
+                    constexpr std::array Targets = {"/chat/x", "/single/x", "/again/x", "/thrice/x"};
+                    const std::string target = Targets[random() % Targets.size()];
+                    std::vector<std::string> parts;
+                    if (target.starts_with("/chat/")) {
+                        parts = {"a1", "c" + std::to_string(rig.requestCount())};
+                    }
+                    rig.send(tests::RigRequest{.instance = 0, .target = target, .parts = parts, .deadline = Deadline});
+                });
+            }
+            rig.runFor(Time);
+            runUntilDone(rig);
+            std::map<std::size_t, std::size_t> requestsByUpstreams;
+            for (const auto &[attempt, upstreams] : rig.upstreamsByAttempt()) {
+                ++requestsByUpstreams[upstreams.size()];
+            }
+            std::cout << "silent " << row.name << ", seed " << seed << ": requests " << rig.requestCount();
+            for (const auto &[upstreams, requests] : requestsByUpstreams) {
+                std::cout << ", at " << upstreams << " upstreams " << requests;
+            }
+            std::cout << std::endl;
+            CHECK(requestsByUpstreams[1] > 0);
+            CHECK(requestsByUpstreams[2] > 0); // some were sent again
+            CHECK(countBeyondLimit(rig) == 0);
+        }
+    }
+}
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -333,7 +333,8 @@
         return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + path + R"(/",)" + fields + R"(,"timeout_ms":)"
             + std::to_string(configuration.routeTimeout.count()) + R"(,"target_latency_ms":600,"target_gap_ms":400,"priority":0})";
     };
-    const std::string repeatable = R"("route_type":"safe","max_attempts":3,"service":"p")";
+    const auto repeatable = [](std::size_t maxUpstreams) { return R"("route_type":"safe","service":"p","max_attempts":)" + std::to_string(maxUpstreams); };
+    constexpr std::size_t MaxUpstreams = 3;
     std::string routes = route("chat" + configuration.nameSuffix, "chat", R"("route_type":"streaming","resumable":true,"max_attempts":3,"service":"s")");
     const std::string engine = R"(,"engine":{"slots":64,"kv_capacity":200000,"stride":5}})";
     std::string services = R"({"name":"s")" + engine;
@@ -347,10 +348,13 @@
     }
     if (m_options.plainUpstreamsPerRegion > 0) {
         services += R"(,{"name":"p"})";
-        routes += "," + route("plain" + configuration.nameSuffix, "plain", repeatable);
+        routes += "," + route("plain" + configuration.nameSuffix, "plain", repeatable(MaxUpstreams));
         routes += "," + route("once" + configuration.nameSuffix, "once", R"("route_type":"unsafe","max_attempts":1,"service":"p")");
         for (const std::string &name : configuration.extraRoutes) {
-            routes += "," + route(name, name, repeatable);
+            routes += "," + route(name, name, repeatable(MaxUpstreams));
+        }
+        for (const auto &[name, maxUpstreams] : configuration.limitedRoutes) {
+            routes += "," + route(name, name, repeatable(maxUpstreams));
         }
     }
     for (const std::string &name : configuration.extraServices) {
@@ -975,6 +979,17 @@
         m_arrivals.begin(), m_arrivals.end(), [&](const Arrival &arrival) { return arrival.attempt == attemptId(request) && !arrival.misdirected; }));
 }
 
+std::map<std::string, std::set<std::string>> EdgeRig::upstreamsByAttempt() const
+{
+    std::map<std::string, std::set<std::string>> out;
+    for (const Arrival &arrival : m_arrivals) {
+        if (!arrival.misdirected && !arrival.wasShed) {
+            out[arrival.attempt].insert(arrival.upstream);
+        }
+    }
+    return out;
+}
+
 void EdgeRig::runUntilDone()
 {
     constexpr auto Step = 20ms;
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -86,8 +86,9 @@
 {
     std::chrono::milliseconds idleLimit{15'000};
     std::chrono::milliseconds routeTimeout{5'000};
-    std::string nameSuffix;               // of the names of the routes; a route that gets another name keeps its path
-    std::vector<std::string> extraRoutes; // repeatable, to the plain service; the name is also the path
+    std::string nameSuffix;                           // of the names of the routes; a route that gets another name keeps its path
+    std::vector<std::string> extraRoutes;             // repeatable, to the plain service; the name is also the path
+    std::map<std::string, std::size_t> limitedRoutes; // the same, with the number of upstreams that may run a request; 3 at all others
     std::vector<std::string> extraServices;
 };
 
@@ -443,8 +444,10 @@
     {
         return m_results[request];
     }
-    /// Number of upstreams that ran a request.
+    /// Number of times that upstreams ran a request.
     [[nodiscard]] std::size_t runCount(std::size_t request) const;
+    /// Upstreams that ran the request, by the request's X-Attempt-Id.
+    [[nodiscard]] std::map<std::string, std::set<std::string>> upstreamsByAttempt() const;
     /// Sends a stream that its client takes up again; returns its number.
     std::size_t sendStream(StreamOptions options);
     [[nodiscard]] std::size_t streamCount() const
