--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -169,8 +169,8 @@
     load.versions = {routing::VersionLoad{routing::SoftwareVersion("v1"), 2, 30ms}, routing::VersionLoad{routing::SoftwareVersion("v2"), 2, 31ms}};
     edge::RegionState state;
     state.serviceLoads = {edge::RegionServiceLoad{core::RegionId("x"), load, 5ms}};
-    state.lastChangeRevision = metadata::StoreRevision(41);
-    state.storeRevision = metadata::StoreRevision(43);
+    state.lastChange.revision = metadata::StoreRevision(41);
+    state.storePosition.revision = metadata::StoreRevision(43);
     state.metadataStaleness = 250ms;
     state.notices = sampleNotices(build);
     if (build == Build::WithPaths) {
@@ -214,8 +214,8 @@
 edge::MetadataSnapshot sampleSnapshot()
 {
     edge::MetadataSnapshot snapshot;
-    snapshot.lastChangeRevision = metadata::StoreRevision(41);
-    snapshot.storeRevision = metadata::StoreRevision(43);
+    snapshot.lastChange.revision = metadata::StoreRevision(41);
+    snapshot.storePosition.revision = metadata::StoreRevision(43);
     snapshot.staleness = 250ms;
     snapshot.catalogValue = R"({"version":1})";
     snapshot.upstreamEntries = {{"servers/u1", "entry 1"}, {"servers/u2", "entry 2"}};
