A grant that crossed the loss of a path does not exclude the upstream

Found by review: a placement at an upstream that the request stated to be unreachable excluded it for the request, so that a dispatcher of an older build does not choose it again. Such a grant may also have been decided before the path was lost, and an excluded upstream is not reached through a relay either: with no other upstream the request was refused. Only the second such grant excludes now; a dispatcher that does not read the field still gets past it.

Test: routegatewaytest "a grant that crossed the loss of the path does not exclude the upstream, which a relay may reach"; by reading, the code before excluded it at the first grant.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -181,6 +181,7 @@
     std::set<core::RegionId> excludedRegions;
     std::set<core::InstanceId> excludedRelays;
     std::size_t placements = 0;
+    std::size_t unreachableGrants = 0;                       // placements at upstreams that the placement request stated to be unreachable
     std::size_t fruitlessSearches = 0;                       // placements for a replacement that was not sent
     std::size_t sendCount = 0;                               // requests that reached an upstream
     std::size_t possibleExecutions = 0;                      // sends after which an upstream may have executed the request
@@ -470,7 +471,9 @@
 void Forwarder::excludeUnreachable(RequestState &state, const routing::PlacementRequest &request, const routing::PlacementDecision &decision)
 {
     const auto *granted = std::get_if<routing::Granted>(&decision);
-    if (granted != nullptr && request.unreachableUpstreams.contains(granted->upstream)) {
+    const bool isUnreachable = granted != nullptr && request.unreachableUpstreams.contains(granted->upstream);
+    // One such grant may have crossed the request. An excluded upstream is not reached through a relay either.
+    if (isUnreachable && ++state.unreachableGrants > 1) {
         state.excludedUpstreams.insert(request.unreachableUpstreams.begin(), request.unreachableUpstreams.end());
     }
 }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -118,7 +118,7 @@
     //--- Placement
     boost::asio::awaitable<void> placeAndSend(RequestState &state);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
-    /// Excludes the upstreams that the request states to be unreachable, if it was placed at one: a dispatcher of an older release does
+    /// Excludes the upstreams that the request states to be unreachable, if it was placed at one again: a dispatcher of an older release does
     /// not read that field, and would place it there again.
     static void excludeUnreachable(RequestState &state, const routing::PlacementRequest &request, const routing::PlacementDecision &decision);
     [[nodiscard]] bool canRetry(RequestState &state);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1211,6 +1211,24 @@
     }
 }
 
+TEST_CASE("a grant that crossed the loss of the path does not exclude the upstream, which a relay may reach", "[edge]")
+{
+    Fixture fixture;
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
+    std::optional<bool> isExcluded;
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
+            return routing::Granted{core::UpstreamId("a"), refusingAddress};
+        }
+        isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId("b"), fixture.b.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    CHECK(fixture.sendRequest("again", "ok").status == 200);
+    CHECK(isExcluded == std::optional(false));
+}
+
 namespace {
 
 /// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
