Removals and reversals that a restore or a short read hides

The copy's entry of an upstream that was removed since may have a later one, and was taken as announced again. What a restored store has from the start counts as older now, until it is written again or has stayed for 10 s, longer than the store keeps the entry of an upstream that is gone. - A sequence alone that revives an upstream, and a cold time that begins again, did not move the last change, so that peers were confirmed beyond it. They do now. - A change and its reversal that the reader sees in one batch left the last change where it was, and confirmed a peer that had read between them. Any event of an evacuation or a removal counts now, also in a full read by the revision of the entry.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -190,6 +190,10 @@
     // What a restored store lacks may be missing for the same reason as after an outage.
     const bool mayReturn = recentStoreOutage || update.positionBefore.has_value();
     auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, mayReturn, now);
+    // Neither shows in the contents: a sequence alone revives an upstream, and a cold time may begin again before its end was written.
+    update.contentsChanged = update.contentsChanged || std::any_of(changes.begin(), changes.end(), [](const routing::RegistryChange &change) {
+                                 return change.kind == routing::RegistryChange::Kind::Returned || change.kind == routing::RegistryChange::Kind::Cold;
+                             });
     update.upstreamChanges.insert(update.upstreamChanges.end(), changes.begin(), changes.end());
 }
 
@@ -227,6 +231,7 @@
             applyCatalog(item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(item.key); !domain.empty()) {
             evacuated.insert(domain);
+            update.contentsChanged = update.contentsChanged || item.revision > before.revision; // it may have ended and begun again
         }
     }
     m_storedCatalogValue = std::move(storedCatalogValue);
@@ -261,6 +266,7 @@
     for (const metadata::StoreChange &change : changes) {
         if (change.item.key.starts_with(prefix)) {
             if (change.removed) {
+                update.contentsChanged = true; // also if the same batch has it again: others may have read between
                 m_upstreamEntries.erase(change.item.key);
             } else {
                 m_upstreamEntries[change.item.key] = change.item.value;
@@ -270,6 +276,7 @@
             m_storedCatalogValue = change.item.value;
             applyCatalog(change.item.value, position.generation, update);
         } else if (const core::DomainId domain = m_adapter.parseEvacuationKey(change.item.key); !domain.empty()) {
+            update.contentsChanged = true; // for the same reason
             if (change.removed) {
                 evacuated.erase(domain);
                 m_keptEvacuations.erase(domain);
--- a/src/arbutus/routing/upstreamregistry.cpp
+++ b/src/arbutus/routing/upstreamregistry.cpp
@@ -33,10 +33,12 @@
 void UpstreamRegistry::beginRestoredHistory()
 {
     m_revision = SnapshotRevision();
+    m_beginsHistory = true;
     for (auto &[id, entry] : m_entries) {
         entry.lastRestoredSequence = std::max(entry.lastRestoredSequence.value_or(0), entry.announcement.sequence);
         entry.removedBeforeRestore = entry.removed;
         entry.hasRestoredEntry = false;
+        entry.returnsAt.reset();
     }
 }
 
@@ -72,6 +74,10 @@
         entry.leaving = true; // holds until the upstream restarts
         changes.push_back({announcement.id, RegistryChange::Kind::Leaving});
     }
+    if (m_beginsHistory && entry.removedBeforeRestore && !isFromRestoredCopy(entry, announcement)) {
+        entry.lastRestoredSequence = announcement.sequence; // this instance may not have known the last one before the removal
+        entry.returnsAt = now + m_settings.restoredEntryGracePeriod;
+    }
     const bool isFromCopy = isFromRestoredCopy(entry, announcement);
     if (isFromCopy && entry.removedBeforeRestore) {
         entry.hasRestoredEntry = true;
@@ -80,6 +86,7 @@
     if (!isFromCopy) {
         entry.lastRestoredSequence.reset();
         entry.removedBeforeRestore = false;
+        entry.returnsAt.reset();
     }
     if (entry.removed || entry.missingSince) {
         entry.removed = false;
@@ -117,8 +124,12 @@
         listed.insert(announcement.id);
         applyAnnouncement(announcement, now, changes);
     }
+    m_beginsHistory = false;
     for (auto &[id, entry] : m_entries) {
-        entry.hasRestoredEntry = entry.hasRestoredEntry && listed.contains(id);
+        if (!listed.contains(id)) {
+            entry.hasRestoredEntry = false;
+            entry.returnsAt.reset();
+        }
         if (listed.contains(id) || entry.removed || entry.missingSince) {
             continue;
         }
@@ -173,6 +184,14 @@
             entry.updatedAt = now;
             changes.push_back({id, RegistryChange::Kind::Removed});
         }
+        if (entry.returnsAt && now >= *entry.returnsAt) {
+            entry.removed = false;
+            entry.removedBeforeRestore = false;
+            entry.hasRestoredEntry = false;
+            entry.lastRestoredSequence.reset();
+            entry.returnsAt.reset();
+            changes.push_back({id, RegistryChange::Kind::Returned});
+        }
     }
     const auto erased = std::erase_if(m_entries, [&](const auto &item) {
         const RegistryEntry &entry = item.second;
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -8,7 +8,9 @@
 //     `missingGracePeriod` after the store has recovered, and removed if it has not announced itself again by then;
 //   - a later start time under a known id is a restart: nothing known about the previous run applies any more;
 //   - if the store was restored from an older copy, its entries may be older than what is known: an upstream that was removed
-//     before comes back only with a later sequence or start time, and an older announcement changes nothing;
+//     before comes back only with a later sequence or start time, and an older announcement changes nothing. What is known may
+//     itself be older than the copy, as peers do not report sequences: an entry that the restored store has from the start counts
+//     as older until it is written again, or has stayed for `restoredEntryGracePeriod`;
 //   - an upstream that has not yet announced that it is warm counts as cold.
 //
 // Sections:
@@ -62,9 +64,10 @@
 {
     core::Duration missingGracePeriod = std::chrono::milliseconds(2'000); // for entries that expired while the store was unreachable to reappear
     core::Duration coldAfterEvacuation =
-        std::chrono::milliseconds(1'500);                       // after an evacuation an upstream counts as cold for this long unless it announces otherwise
-    core::Duration removedRetention = std::chrono::seconds(30); // removed upstreams are kept this long, so that late messages do not revive them
-    core::Duration leftRetention = std::chrono::minutes(10);    // erased runs that left are remembered this long
+        std::chrono::milliseconds(1'500); // after an evacuation an upstream counts as cold for this long unless it announces otherwise
+    core::Duration restoredEntryGracePeriod = std::chrono::seconds(10); // longer than the store keeps the entry of an upstream that is gone
+    core::Duration removedRetention = std::chrono::seconds(30);         // removed upstreams are kept this long, so that late messages do not revive them
+    core::Duration leftRetention = std::chrono::minutes(10);            // erased runs that left are remembered this long
 };
 
 /// Current state of one upstream.
@@ -79,6 +82,7 @@
     std::optional<std::uint64_t> lastRestoredSequence; // entries up to this one may be older than what is known, since the store was restored
     bool removedBeforeRestore = false;                 // until a later entry arrives
     bool hasRestoredEntry = false;                     // the store has such an entry of this removed upstream
+    std::optional<core::TimePoint> returnsAt;          // end of the grace of such an entry with a later sequence than was known
 
     [[nodiscard]] bool isUsable() const
     {
@@ -165,6 +169,7 @@
     std::set<core::DomainId> m_evacuatedDomains;
     SnapshotRevision m_revision;
     std::uint64_t m_version = 0;
+    bool m_beginsHistory = false; // the next snapshot is the first one of a restored store
 };
 
 } // namespace arbutus::routing
