A rejection that names no attempt proves nothing on a kept connection

A refusal that names no attempt may also be written once more on another kept connection, which has carried none. A request that must run once then ran at a second upstream, too. On a kept connection such a rejection now counts as a possible execution: 502 for a request that must run once, a retry within the budget for others. On a new connection it is believed.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1172,7 +1172,9 @@
     switch (parsed.kind) {
     case ResponseKind::NotExecuted:
     case ResponseKind::Misdirected: {
-        state.possibleExecutions -= attempt.isToPeer() ? 0 : 1;
+        // A copy of a rejection on another connection cannot be told from one of this request; a new connection has carried none.
+        const bool provesNothing = !attempt.isToPeer() && attempt.isUnnamed && !attempt.isOnNewConnection;
+        state.possibleExecutions -= attempt.isToPeer() || provesNothing ? 0 : 1;
         constexpr auto BodyTimeout = milliseconds(200); // reading the short body lets the connection be reused
         const auto body = co_await attempt.call->readAll(BodyTimeout);
         attempt.failure = body ? "rejected by the upstream" : "rejected by the upstream; reading the response body failed: " + body.error().message;
@@ -1182,6 +1184,10 @@
             attempt.outcome = routing::SendOutcome::Unreachable; // another upstream has the address
             closeIdleConnections(attempt.address);
         }
+        if (provesNothing) {
+            attempt.failure = "rejected on a kept connection by a response that names no attempt; the request may have been executed";
+            co_return failedSendResult(state);
+        }
         co_return SendResult::NotExecuted;
     }
     case ResponseKind::Unverified:
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1583,6 +1583,32 @@
     CHECK(fixture.executionCount("second") == 1);
 }
 
+TEST_CASE("a refusal that names no request, written once more on another kept connection, proves nothing", "[edge][refusal]")
+{
+    struct Row
+    {
+        const char *route;
+        unsigned status;
+        std::ptrdiff_t maxExecutions;
+    };
+    const auto row = GENERATE(values<Row>({{"once", 502, 1}, {"stream", 502, 1}, {"again", 200, 2}, {"single", 502, 1}}));
+    CAPTURE(row.route);
+    Fixture fixture;
+    const auto grant = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grant);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    REQUIRE(fixture.sendRequest("once", "a=refuse-503", "body", "first").status == 200); // by the other upstream
+    REQUIRE(fixture.sendRequest("once", "ok", "body", "between").status == 200);
+    const int connections = fixture.a.connections;
+    CHECK(fixture.sendRequest(row.route, "a=copy-elsewhere", "body", "second").status == row.status);
+    CHECK(fixture.a.connections == connections); // the copy came on a kept one
+    CHECK(fixture.executionCount("second") >= 1);
+    CHECK(fixture.executionCount("second") <= row.maxExecutions);
+}
+
 TEST_CASE("a connection that has carried a response to another request is not used again", "[edge][refusal]")
 {
     constexpr int RequestCount = 6;
