One check of the address of a machine, and one raw exchange in routegatewaytest

Found when reading the change: announcements of upstreams and registrations of instances each had the same check of an address (an IP address with a port, nothing else, neither unspecified nor multicast). It is http::isMachineAddress now. Two places of routegatewaytest that write bytes and read to the end of the connection use one function. No behaviour, check or expectation changes.

--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -5,10 +5,10 @@
 #include "arbutus/core/json.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/http/client.h"
+#include "arbutus/http/machineaddress.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -401,12 +401,6 @@
         const auto isControl = [](unsigned char c) { return c < ' ' || c == 0x7f; };
         return !text.empty() && text.size() <= MaxNameBytes && std::none_of(text.begin(), text.end(), isControl);
     };
-    const auto isAddress = [](const std::string &text) {
-        const http::Endpoint endpoint = http::parseEndpoint(text);
-        boost::system::error_code code;
-        const auto address = asio::ip::make_address(endpoint.host, code);
-        return !code && endpoint.port != 0 && http::toString(endpoint) == text && !address.is_unspecified() && !address.is_multicast();
-    };
     BOOST_OUTCOME_TRY(const json::object fields, core::parseJsonObject(value));
     membership::Member contact;
     contact.id = id;
@@ -424,10 +418,10 @@
     if (!isName(contact.region.text)) {
         return invalid("region");
     }
-    if (!isAddress(contact.peerAddress)) {
+    if (!http::isMachineAddress(contact.peerAddress)) {
         return invalid("peer");
     }
-    if (!isAddress(contact.clientUrl)) {
+    if (!http::isMachineAddress(contact.clientUrl)) {
         return invalid("callers");
     }
     return contact;
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -728,6 +728,25 @@
     int m_version = 1; // of the configuration in the store
 };
 
+/// Writes the bytes to a new connection and returns all that arrives until its end.
+std::string exchangeRaw(Fixture &fixture, const http::Endpoint &endpoint, const std::string &request)
+{
+    auto operation = [&]() -> asio::awaitable<std::string> {
+        Tcp::socket socket(fixture.loop);
+        co_await socket.async_connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), endpoint.port), asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+        std::string out;
+        std::array<char, 2048> chunk{};
+        ErrorCode code;
+        while (!code) {
+            const std::size_t received = co_await socket.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, code));
+            out.append(chunk.data(), received);
+        }
+        co_return out;
+    };
+    return fixture.run(operation());
+}
+
 /// Another instance of the fleet, whose placement decisions the test makes.
 class FakePeer
 {
@@ -1471,23 +1490,9 @@
                                   "Host: other.example\r\nContent-Length: 0\r\n");
     CAPTURE(headers);
     Fixture fixture;
-    auto sendAmbiguousRequest = [&]() -> asio::awaitable<std::string> {
-        Tcp::socket socket(fixture.loop);
-        const Tcp::endpoint target(asio::ip::make_address("127.0.0.1"), fixture.settings.clientEndpoint.port);
-        co_await socket.async_connect(target, asio::use_awaitable);
-        const std::string bytes = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: outer\r\n" + headers
-            + "\r\n0\r\n\r\nPOST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: inner\r\nContent-Length: 0\r\n\r\n";
-        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
-        std::string out;
-        std::array<char, 2048> chunk{};
-        ErrorCode code;
-        while (!code) {
-            const std::size_t received = co_await socket.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, code));
-            out.append(chunk.data(), received);
-        }
-        co_return out;
-    };
-    const std::string response = fixture.run(sendAmbiguousRequest());
+    const std::string bytes = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: outer\r\n" + headers
+        + "\r\n0\r\n\r\nPOST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: inner\r\nContent-Length: 0\r\n\r\n";
+    const std::string response = exchangeRaw(fixture, fixture.settings.clientEndpoint, bytes);
     CHECK(response.starts_with("HTTP/1.1 400"));
     CHECK(response.find("HTTP/1.1", 1) == std::string::npos);
     CHECK(fixture.executionCount() == 0);
@@ -1710,20 +1715,7 @@
 
 RawResponse sendRaw(Fixture &fixture, const http::Endpoint &endpoint, const std::string &request)
 {
-    auto operation = [&]() -> asio::awaitable<std::string> {
-        Tcp::socket socket(fixture.loop);
-        co_await socket.async_connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), endpoint.port), asio::use_awaitable);
-        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
-        std::string out;
-        std::array<char, 2048> chunk{};
-        ErrorCode code;
-        while (!code) {
-            const std::size_t received = co_await socket.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, code));
-            out.append(chunk.data(), received);
-        }
-        co_return out;
-    };
-    return parseRawResponse(fixture.run(operation()));
+    return parseRawResponse(exchangeRaw(fixture, endpoint, request));
 }
 
 enum class StreamPath {
