Incident, requests outside their home regions: timeline, hypotheses, and the log lines that tell them apart

The report is of an earlier landing: a request was handled by a configuration older than the acknowledged one.

No line told which configuration an instance knew when it sent a request, so an instance with an old configuration could not be told from a request that was accepted under one. Attempts now log both versions, the home regions of the route and the staleness of the metadata, and a process that stood still logs event_loop_stalled.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -123,6 +123,8 @@
     http::Request request;
     std::optional<http::Call> call;
     core::TimePoint sentAt{};
+    catalog::CatalogVersion newestCatalog; // that this instance knew when the request was sent, for the log
+    core::Duration metadataStaleness{};    // the same
     std::optional<core::TimePoint> connectedAt;
     bool isOnNewConnection = false;
     std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
@@ -766,6 +768,8 @@
     const core::TimePoint now = m_context.now();
     attempt->sentAt = now;
     attempt->lastProgressAt = now;
+    attempt->newestCatalog = m_metadataCache.knownCatalog().version;
+    attempt->metadataStaleness = m_metadataCache.staleness(now);
     if (!state.isStreaming()) {
         options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
     }
@@ -931,7 +935,15 @@
             .add("upstream_sends", state.sendCount)
             .add("runs", state.possibleExecutions);
     }
-    line.add("says_leaving", attempt.saysLeaving)
+    std::string homeRegions;
+    for (const core::RegionId &region : state.route->homeRegions) {
+        homeRegions += (homeRegions.empty() ? "" : ",") + region.text;
+    }
+    line.add("configuration", state.catalog->version())
+        .add("newest_configuration", attempt.newestCatalog)
+        .add("home_regions", homeRegions)
+        .add("metadata_staleness_ms", core::toMilliseconds(attempt.metadataStaleness))
+        .add("says_leaving", attempt.saysLeaving)
         .add("body_end", attempt.bodyEnd)
         .add("partial_event_bytes", attempt.partialEventBytes)
         .add("took_ms", core::toMilliseconds(now - attempt.sentAt));
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -31,6 +31,7 @@
 constexpr auto LeavePropagationDelay = milliseconds(300); // after which the directories of other instances no longer list this one
 constexpr auto ShutdownMargin = milliseconds(700);        // time reserved before the grace period ends
 constexpr auto MinSuspension = milliseconds(200);         // smaller differences between the clocks are ignored
+constexpr auto MinStall = milliseconds(300);              // of the event loop, to be logged
 
 /// Time since boot, including time in which the system was suspended.
 milliseconds bootTime()
@@ -283,6 +284,12 @@
         core::TimePoint lastSteadyTime = context.now();
         while (true) {
             co_await core::asyncSleep(MetadataExpiryPeriod);
+            const core::Duration stalled = context.now() - lastSteadyTime - MetadataExpiryPeriod;
+            if (stalled >= MinStall) {
+                context.writeLog(observe::LogLine("event_loop_stalled")
+                                     .add("duration_ms", core::toMilliseconds(stalled))
+                                     .add("metadata_staleness_ms", core::toMilliseconds(metadataCache.staleness(context.now()))));
+            }
             const milliseconds suspended = (bootTime() - lastBootTime) - std::chrono::duration_cast<milliseconds>(context.now() - lastSteadyTime);
             if (suspended >= MinSuspension) {
                 context.writeLog(observe::LogLine("suspend_detected").add("duration_ms", suspended.count()));
