Home regions that cannot be read do not open a route to all regions

A configuration whose home_regions is a text, an object, a number or null was applied with the route open to all regions, and one with an empty name bound the route to a region without a name. A request of the route could then run anywhere. A field that restricts must fail closed: the configuration is refused as a whole with the field's name, and the version before stays in force; only an absent or an empty list allows all regions, as in the users' examples.

--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -433,6 +433,36 @@
     CHECK(fixture.applyChanges({change("op/config", config(9))}, 7).catalogChanged);
 }
 
+TEST_CASE("home regions that cannot be read do not open a route to all regions", "[metadata]")
+{
+    const auto homes = GENERATE(as<std::string>{}, R"("x")", R"({"x":1})", "null", "7", "true", R"(["x",7])", R"(["x",null])", R"([""])", R"(["x",""])");
+    CAPTURE(homes);
+    Fixture fixture;
+    fixture.applyRange({item("op/config", config(7))}, 5);
+    std::string invalid = config(8, "/b/");
+    const std::string field = R"("home_regions":["x"])";
+    REQUIRE(invalid.find(field) != std::string::npos);
+    invalid.replace(invalid.find(field), field.size(), "\"home_regions\":" + homes);
+    const edge::MetadataUpdate update = fixture.applyChanges({change("op/config", invalid)}, 6);
+    REQUIRE(update.parseErrors.size() == 1);
+    CHECK(update.parseErrors.front().find("home_regions") != std::string::npos);
+    CHECK(fixture.cache.catalog()->version() == catalog::CatalogVersion(7));
+    const catalog::Route *route = fixture.cache.catalog()->matchRoute("h.example", "/a/x");
+    REQUIRE(route != nullptr);
+    CHECK_FALSE(route->allowsRegion(core::RegionId("y")));
+}
+
+TEST_CASE("a route without home regions may be served in all regions", "[metadata]")
+{
+    const auto homes = GENERATE(as<std::string>{}, R"("home_regions":[])", R"("session_affinity":true)");
+    Fixture fixture;
+    std::string valid = config(8);
+    const std::string field = R"("home_regions":["x"])";
+    valid.replace(valid.find(field), field.size(), homes);
+    REQUIRE(fixture.applyRange({item("op/config", valid)}, 5).catalogChanged);
+    CHECK(fixture.cache.catalog()->matchRoute("h.example", "/a/x")->allowsRegion(core::RegionId("y")));
+}
+
 TEST_CASE("a configuration whose numbers are at the ends of their ranges is applied", "[metadata]")
 {
     struct Row
