Test: a response head that is cut off at any byte is not delivered as a response

Another operator's upstream stopped in the middle of its response head and closed, and clients got a 200 with an empty or short body, framed as whole. Here a head that ends early is an error of the call, at every byte: closed, reset or after a response to another request, with a length, chunks, events and neither, on new and on kept connections, of an upstream, an instance of another region and a relay. Nothing had to change.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -113,8 +113,9 @@
     std::vector<std::string> executedAttempts;  // ids of the attempts that it started to execute
     std::vector<std::string> executedBodies;    // request bodies of these attempts
     std::vector<std::string> expectedInstances; // X-Expect-Instance header of every received request
-    std::vector<std::string> executionsBefore;  // X-Gateway-Runs header of every received request
-    std::vector<std::string> maxExecutions;     // X-Gateway-Max-Runs header of every received request
+    std::set<std::string> attemptsOnKeptConnections;
+    std::vector<std::string> executionsBefore; // X-Gateway-Runs header of every received request
+    std::vector<std::string> maxExecutions;    // X-Gateway-Max-Runs header of every received request
     int connections = 0;
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
@@ -137,6 +138,16 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    /// Response head whose end is marked by `framing`: "length", "chunked", "events" (chunks of an event stream) or "unframed".
+    static std::string framedHead(const std::string &framing, const std::string &attempt)
+    {
+        const std::map<std::string, std::string> headers = {{"length", "Content-Length: 25\r\n"},
+                                                            {"chunked", "Transfer-Encoding: chunked\r\n"},
+                                                            {"events", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"},
+                                                            {"unframed", "Connection: close\r\n"}};
+        return responseHead("200 OK", attempt, headers.at(framing));
+    }
+
     static std::string errorEvent()
     {
         return "event: error\ndata: failure of the upstream\n\n";
@@ -271,7 +282,7 @@
     {
         beast::flat_buffer buffer;
         std::string lastRefusal; // on this connection
-        while (true) {
+        for (int requests = 0;; ++requests) {
             beast::http::request_parser<beast::http::string_body> parser;
             ErrorCode code;
             co_await beast::http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
@@ -283,6 +294,9 @@
             maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
             const std::string behavior = behaviorOf(parser.get());
             const std::string attempt(parser.get()["X-Attempt-Id"]);
+            if (requests > 0) {
+                attemptsOnKeptConnections.insert(attempt);
+            }
             if (behavior == "early-response") { // responds before reading the body
                 const std::string response = responseHead("500 Internal Server Error", attempt, "Content-Length: 0\r\n");
                 co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
@@ -508,6 +522,12 @@
                 co_return false;
             } else if (behavior == "stream") {
                 out = chunked + eventChunks(firstEvent, LastEvent) + "0\r\n\r\n";
+            } else if (behavior.starts_with("head-")) { // for example "head-length-reset@20", "head-length-close-after-other@20"
+                const std::size_t framingAt = behavior.find('-') + 1;
+                const std::string framing = behavior.substr(framingAt, behavior.find('-', framingAt) - framingAt);
+                const std::string head = framedHead(framing, attempt).substr(0, std::stoul(behavior.substr(behavior.find('@') + 1)));
+                out = (behavior.find("-after-other") == std::string::npos ? "" : completeResponse("somebody-else")) + head;
+                keepOpen = false;
             } else if (const std::size_t at = behavior.find('@'); at != std::string::npos) { // for example "unframed-close@20"
                 out = cutStream(behavior.substr(0, at), std::stoul(behavior.substr(at + 1)), attempt, firstEvent);
                 keepOpen = false;
@@ -522,8 +542,8 @@
         }
         ErrorCode code;
         co_await asio::async_write(socket, asio::buffer(out), asio::redirect_error(asio::use_awaitable, code));
-        if (behavior.starts_with("unframed-reset")) {
-            asio::steady_timer timer(m_loop, 30ms); // lets the bytes arrive before the reset
+        if (behavior.find("-reset") != std::string::npos) {
+            asio::steady_timer timer(m_loop, behavior.starts_with("head-") ? 2ms : 30ms); // lets the bytes arrive before the reset
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
             reset(socket);
         }
@@ -1008,6 +1028,73 @@
     }
 }
 
+TEST_CASE("a response head that is cut off at any byte is not delivered as a response", "[edge][head]")
+{
+    const auto framing = GENERATE(as<std::string>{}, "length", "chunked", "events", "unframed");
+    const auto ending = GENERATE(as<std::string>{}, "close", "reset", "close-after-other");
+    const bool isKept = GENERATE(false, true); // the connection has carried a whole response before
+    CAPTURE(framing, ending, isKept);
+    constexpr double MinRetries = 1'000; // the budget is not what ends a request
+    Fixture fixture(true, 8s, MinRetries);
+    const auto grantA = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantA);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    const std::size_t headLength = FakeUpstream::framedHead(framing, "once-000").size();
+    for (std::size_t length = 0; length < headLength; ++length) {
+        CAPTURE(length);
+        const std::string number = std::to_string(1'000 + length).substr(1);
+        const std::string behavior = "a=head-" + framing + "-" + ending + "@" + std::to_string(length) + ",b=";
+        const auto send = [&](const std::string &route) {
+            if (isKept) {
+                REQUIRE(fixture.sendRequest("once", "ok", "body", "before-" + route + number).status == 200);
+            }
+            const std::string attempt = route + "-" + number;
+            const http::Response response = fixture.sendRequest(route, behavior + (route == "resume" ? "stream" : "ok"), "body", attempt);
+            CHECK(fixture.a.attemptsOnKeptConnections.contains(attempt) == isKept);
+            return response;
+        };
+        CHECK(send("once").status == 502);
+        CHECK(send("stream").status == 502);
+        CHECK(send("again").body == "from b to again-" + number);
+        CHECK(send("resume").body == FakeUpstream::events(1, FakeUpstream::LastEvent));
+        CHECK(fixture.executionCount("once-" + number) == 1);
+        CHECK(fixture.executionCount("stream-" + number) == 1);
+    }
+}
+
+TEST_CASE("a response head of another instance that is cut off at any byte is not delivered as a response", "[edge][head]")
+{
+    const auto relay = GENERATE(as<std::string>{}, "", "p"); // empty: an instance of another region
+    const auto framing = GENERATE(as<std::string>{}, "length", "chunked", "events");
+    const auto ending = GENERATE(as<std::string>{}, "close", "reset");
+    CAPTURE(relay, framing, ending);
+    Fixture fixture;
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    const auto redirect = [&relay](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (!request.excludedRegions.empty() || !request.excludedRelays.empty()) {
+            return routing::Refused{};
+        }
+        return routing::Redirected{core::RegionId(relay.empty() ? "y" : "x"), 10ms, {}, core::InstanceId(relay)};
+    };
+    const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
+    const FakePeer peer(fixture, "p", relay.empty() ? "y" : "x", 1, peerPort, refuse);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    const std::size_t headLength = FakeUpstream::framedHead(framing, "once-000").size();
+    for (std::size_t length = 0; length < headLength; ++length) {
+        CAPTURE(length);
+        const std::string number = std::to_string(1'000 + length).substr(1);
+        const std::string behavior = "p=head-" + framing + "-" + ending + "@" + std::to_string(length);
+        CHECK(fixture.sendRequest("once", behavior, "body", "once-" + number).status == 502);
+        CHECK(fixture.sendRequest("stream", behavior, "body", "stream-" + number).status == 502);
+        CHECK(fixture.executionCount() == 0);
+    }
+}
+
 TEST_CASE("a stream broken off inside an event is not delivered as complete", "[edge]")
 {
     struct Row
