An interim response of an upstream is not passed on as the final one

An upstream that sent an interim response (100, 102, 103) before the final one had it passed on as the response: clients got status 103 with an empty body for requests that had run, at-most-once ones too, and streams came without events. The client of both interfaces took the first head for the final one. It now reads on until a final head comes, over at most 8 interim ones; 101, which no request asks for, is an error of the call.

Found while looking for response heads that are cut in their middle.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024;              // limit for the status line and headers
 constexpr std::size_t MaxBufferedBytes = 128 * 1024;                   // received and not yet parsed; also bounds chunk extensions and trailers
 constexpr int MaxMismatchedResponses = 3;                              // responses to other requests discarded before the call fails
+constexpr int MaxInterimResponses = 8;                                 // before a final one
 constexpr std::chrono::seconds MaxIdleTimeout = std::chrono::hours(1); // of pooled connections; longer announced ones are cut
 constexpr auto KeepAliveMargin = std::chrono::seconds(1);              // subtracted from the idle timeout announced by the server
 
@@ -199,10 +200,10 @@
         wire::async_write(*stream, message, [self = shared_from_this()](const ErrorCode &code, std::size_t) { self->requestWritten = !code; });
     }
 
-    /// Reads response headers, discarding responses to other requests, until some belong to this call.
-    asio::awaitable<ErrorCode> readMatchingHeaders(bool &mismatched)
+    /// Reads the headers of a final response; interim ones (1xx) come before it and are not needed.
+    asio::awaitable<ErrorCode> readFinalHeaders()
     {
-        for (int discarded = 0; discarded <= MaxMismatchedResponses; ++discarded) {
+        for (int interim = 0; interim <= MaxInterimResponses; ++interim) {
             parser.emplace();
             parser->header_limit(MaxResponseHeadBytes);
             parser->body_limit(options.maxBodyBytes);
@@ -211,6 +212,21 @@
             }
             ErrorCode code;
             co_await wire::async_read_header(*stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, code));
+            if (code || wire::to_status_class(parser->get().result_int()) != wire::status_class::informational) {
+                co_return code;
+            }
+            if (parser->get().result() == wire::status::switching_protocols) { // which no request asks for
+                break;
+            }
+        }
+        co_return wire::error::bad_value;
+    }
+
+    /// Reads response headers, discarding responses to other requests, until some belong to this call.
+    asio::awaitable<ErrorCode> readMatchingHeaders(bool &mismatched)
+    {
+        for (int discarded = 0; discarded <= MaxMismatchedResponses; ++discarded) {
+            ErrorCode code = co_await readFinalHeaders();
             if (code || !options.matchResponse) {
                 co_return code;
             }
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -292,11 +292,20 @@
             expectedInstances.emplace_back(parser.get()["X-Expect-Instance"]);
             executionsBefore.emplace_back(parser.get()["X-Gateway-Runs"]);
             maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
-            const std::string behavior = behaviorOf(parser.get());
+            std::string behavior = behaviorOf(parser.get());
             const std::string attempt(parser.get()["X-Attempt-Id"]);
             if (requests > 0) {
                 attemptsOnKeptConnections.insert(attempt);
             }
+            if (behavior.starts_with("interim-")) { // for example "interim-103x2-ok": two interim responses before the final one
+                constexpr std::size_t StatusAt = 8;
+                constexpr std::size_t CountAt = 12;
+                constexpr std::size_t FinalAt = 14;
+                const std::string interim = "HTTP/1.1 " + behavior.substr(StatusAt, 3) + " Interim\r\nLink: </x>\r\n\r\n";
+                const std::string both = behavior[CountAt] == '2' ? interim + interim : interim;
+                co_await asio::async_write(socket, asio::buffer(both), asio::redirect_error(asio::use_awaitable, code));
+                behavior.erase(0, FinalAt);
+            }
             if (behavior == "early-response") { // responds before reading the body
                 const std::string response = responseHead("500 Internal Server Error", attempt, "Content-Length: 0\r\n");
                 co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
@@ -1095,6 +1104,24 @@
     }
 }
 
+TEST_CASE("an interim response is not delivered as the response", "[edge][head]")
+{
+    const auto interim = GENERATE(as<std::string>{}, "100 Continue", "102 Processing", "103 Early Hints");
+    const auto count = GENERATE(as<std::string>{}, "1", "2");
+    CAPTURE(interim, count);
+    Fixture fixture;
+    const std::string before = "interim-" + interim.substr(0, 3) + "x" + count;
+    const auto behave = [&](const std::string &behavior) { return "a=" + before + "-" + behavior + ",b=" + before + "-" + behavior; };
+    CHECK(fixture.sendRequest("once", behave("ok"), "body", "attempt-1").body.ends_with(" to attempt-1"));
+    CHECK(fixture.sendRequest("once", behave("ok"), "body", "attempt-2").status == 200); // on a kept connection
+    CHECK(fixture.sendRequest("stream", behave("stream"), "body", "attempt-3").body == FakeUpstream::events(1, FakeUpstream::LastEvent));
+    CHECK(fixture.sendRequest("once", behave("refuse-503-named")).status == 503);
+    CHECK(fixture.executionCount() == 3);
+    CHECK(fixture.sendRequest("once", behave("close"), "body", "attempt-4").status == 502);
+    CHECK(fixture.executionCount("attempt-4") == 1);
+    CHECK(fixture.sendRequest("once", "a=interim-101x1-ok,b=interim-101x1-ok").status == 502); // no request asks for another protocol
+}
+
 TEST_CASE("a stream broken off inside an event is not delivered as complete", "[edge]")
 {
     struct Row
