--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1061,7 +1061,7 @@
                 REQUIRE(fixture.sendRequest("once", "ok", "body", "before-" + route + number).status == 200);
             }
             const std::string attempt = route + "-" + number;
-            const http::Response response = fixture.sendRequest(route, behavior + (route == "resume" ? "stream" : "ok"), "body", attempt);
+            http::Response response = fixture.sendRequest(route, behavior + (route == "resume" ? "stream" : "ok"), "body", attempt);
             CHECK(fixture.a.attemptsOnKeptConnections.contains(attempt) == isKept);
             return response;
         };
