Rig: home regions of routes, slow bodies, and a check of what ran outside

The rig had no routes with home regions and kept no history of configurations, so no test could tell which regions were allowed when a request arrived. RigConfiguration names the home regions by route. The rig records each configuration that its store acknowledged, with time, version and homes, and the requests that reach instances other than the client's. findOutsideRequests() judges arrivals at upstreams and at instances of other regions by this history alone; an acknowledged configuration holds until a later one is written, whatever a restored store has. A client can pause in the middle of a body, and the slots of plain upstreams and the target latency can be set. The time that a killed instance is down now counts as one disturbance up to its start, not as two moments.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -30,6 +30,7 @@
 
 constexpr const char *SenderHeader = "X-Rig-Sender"; // instance that sent a request to an upstream
 constexpr std::size_t RegionCount = 2;
+constexpr std::size_t EngineSlots = 64;
 
 std::string regionName(std::size_t region)
 {
@@ -136,14 +137,20 @@
     return out;
 }
 
-/// Adds the sender to each request for an upstream.
+/// Adds the sender to each request for an upstream, and reports the requests that reach its instance.
 class RigAdapter final : public platform::PlatformAdapter
 {
 public:
-    explicit RigAdapter(std::string sender)
+    RigAdapter(std::string sender, std::function<void(const std::string &attempt)> onReceived)
         : m_sender(std::move(sender))
+        , m_onReceived(std::move(onReceived))
     {
     }
+    [[nodiscard]] core::Result<edge::RequestHead> parseRequest(const http::Request &request) const override
+    {
+        m_onReceived(http::headerValue(request.headers, "X-Attempt-Id"));
+        return PlatformAdapter::parseRequest(request);
+    }
     [[nodiscard]] http::Headers upstreamHeaders(const http::Request &request, const edge::UpstreamRequestOptions &options) const override
     {
         http::Headers headers = PlatformAdapter::upstreamHeaders(request, options);
@@ -153,6 +160,7 @@
 
 private:
     std::string m_sender;
+    std::function<void(const std::string &attempt)> m_onReceived;
 };
 
 } // namespace
@@ -338,7 +346,7 @@
 {
     Instance(EdgeRig &rig, std::size_t number)
         : store(*rig.m_store, rig.m_options.keepsRegistrations)
-        , adapter("gateway-" + std::to_string(number))
+        , adapter("gateway-" + std::to_string(number), [&rig, number](const std::string &attempt) { rig.recordReceived(number, attempt); })
         , log(rig.m_clock, ::open(logPath(number).c_str(), O_WRONLY | O_CLOEXEC | O_CREAT | O_APPEND, 0600))
     {
         settings.instanceId = core::InstanceId("gateway-" + std::to_string(number));
@@ -424,6 +432,13 @@
     }
 }
 
+void EdgeRig::recordReceived(std::size_t instance, const std::string &attempt)
+{
+    if (!attempt.empty() && m_results[requestNumber(attempt)].instance != instance) {
+        m_peerArrivals.push_back(PeerArrival{now(), instance, attempt});
+    }
+}
+
 void EdgeRig::configure(RigConfiguration configuration)
 {
     m_options.configuration = std::move(configuration);
@@ -465,9 +480,21 @@
 void EdgeRig::writeConfiguration()
 {
     const RigConfiguration &configuration = m_options.configuration;
+    const auto homes = [&](const std::string &path) {
+        const auto found = configuration.homeRegions.find(path);
+        if (found == configuration.homeRegions.end()) {
+            return std::string();
+        }
+        std::string list;
+        for (const std::string &region : found->second) {
+            list += (list.empty() ? "\"" : ",\"") + region + "\"";
+        }
+        return R"(,"home_regions":[)" + list + "]";
+    };
     const auto route = [&](const std::string &name, const std::string &path, const std::string &fields) {
-        return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + path + R"(/",)" + fields + R"(,"timeout_ms":)"
-            + std::to_string(configuration.routeTimeout.count()) + R"(,"target_latency_ms":600,"target_gap_ms":400,"priority":0})";
+        return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + path + R"(/",)" + fields + homes(path) + R"(,"timeout_ms":)"
+            + std::to_string(configuration.routeTimeout.count()) + R"(,"target_latency_ms":)" + std::to_string(configuration.targetLatency.count())
+            + R"(,"target_gap_ms":400,"priority":0})";
     };
     const auto repeatable = [](std::size_t maxUpstreams) { return R"("route_type":"safe","service":"p","max_attempts":)" + std::to_string(maxUpstreams); };
     constexpr std::size_t MaxUpstreams = 3;
@@ -500,6 +527,13 @@
                  R"({"version":)" + std::to_string(++m_configurationVersion) + R"(,"routes":[)" + routes + R"(],"services":[)" + services
                      + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":)"
                      + std::to_string(configuration.idleLimit.count()) + "}}");
+    m_configurationHistory.push_back(ConfigurationRecord{now(), m_configurationVersion, configuration.homeRegions});
+}
+
+bool ConfigurationRecord::allowsRegion(const std::string &target, const std::string &region) const
+{
+    const auto found = homeRegions.find(target.substr(1, target.find('/', 1) - 1));
+    return found == homeRegions.end() || found->second.empty() || found->second.contains(region);
 }
 
 std::string EdgeRig::instanceId(std::size_t instance) const
@@ -536,7 +570,7 @@
 {
     m_instances[instance]->gateway.reset();
     m_instances[instance]->loop.reset();
-    m_instances[instance]->disruptions.emplace_back(now(), now());
+    m_instances[instance]->disruptions.emplace_back(now(), core::TimePoint::max());
 }
 
 void EdgeRig::start(std::size_t index)
@@ -547,6 +581,9 @@
     instance.gateway =
         std::make_unique<edge::RouteGateway>(*instance.loop, m_clock, instance.settings, instance.adapter, instance.store, instance.log, reloadSettings);
     instance.gateway->start();
+    for (auto &[begin, end] : instance.disruptions) {
+        end = end == core::TimePoint::max() ? now() : end; // of the time when it did not run
+    }
     instance.disruptions.emplace_back(now(), now());
 }
 
@@ -573,6 +610,22 @@
     return std::none_of(disruptions.begin(), disruptions.end(), [&](const auto &item) { return item.first <= at && item.second >= at - duration; });
 }
 
+core::TimePoint EdgeRig::disturbedSince(const std::string &instance, core::TimePoint at, core::Duration duration) const
+{
+    const auto found = std::find_if(m_instances.begin(), m_instances.end(), [&](const auto &item) { return item->settings.instanceId.text == instance; });
+    core::TimePoint since = at;
+    bool wasMoved = true;
+    while (std::exchange(wasMoved, false)) {
+        for (const auto &[begin, end] : (*found)->disruptions) {
+            if (begin < since && end >= since - duration) {
+                since = begin;
+                wasMoved = true;
+            }
+        }
+    }
+    return since;
+}
+
 std::string EdgeRig::metricsText(std::size_t instance)
 {
     std::optional<std::string> out;
@@ -671,8 +724,9 @@
 {
     m_rig.m_store->set("servers/" + m_id,
                        R"({"service":")" + m_service + R"(","address":"127.0.0.1:)" + std::to_string(m_port) + R"(","zone":"domain-)" + m_region
-                           + R"(","slots":64,"state":")" + (m_isDraining ? "draining" : "ready") + R"(","cold_remaining_ms":0,"version":")" + m_version
-                           + R"(","born":)" + std::to_string(m_run) + R"(,"sequence":)" + std::to_string(++m_sequence) + "}");
+                           + R"(","slots":)" + std::to_string(m_service == "p" ? m_rig.m_options.plainSlots : EngineSlots) + R"(,"state":")"
+                           + (m_isDraining ? "draining" : "ready") + R"(","cold_remaining_ms":0,"version":")" + m_version + R"(","born":)"
+                           + std::to_string(m_run) + R"(,"sequence":)" + std::to_string(++m_sequence) + "}");
 }
 
 void RigUpstream::start(bool keepsId)
@@ -789,6 +843,7 @@
             m_rig.now(), m_id, std::string(request[SenderHeader]), {}, attempt, misdirected, std::string(request.target()), request.body(), m_version};
         arrival.run = run;
         arrival.saysLeaving = statesLeaving;
+        arrival.region = m_region;
         for (const std::string &element : splitList(std::string(request["X-Prompt-Prefix"]), ',')) {
             arrival.parts.push_back(element.substr(0, element.find(':')));
         }
@@ -1048,6 +1103,10 @@
     request.body = rigRequest.body;
     constexpr auto Slack = 1s; // after the request's deadline, until the client gives up
     const std::chrono::milliseconds timeout = rigRequest.deadline + Slack;
+    if (rigRequest.bodyPause > 0ms) {
+        asio::co_spawn(m_loop, sendSlowly(rigRequest, number, request, timeout), asio::detached);
+        return number;
+    }
     auto operation =
         [this, rigRequest, number, request, timeout, endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint]() -> asio::awaitable<void> {
         http::CallOptions options;
@@ -1120,6 +1179,57 @@
     return number;
 }
 
+asio::awaitable<void> EdgeRig::sendSlowly(RigRequest rigRequest, std::size_t number, http::Request request, std::chrono::milliseconds timeout)
+{
+    const http::Endpoint &endpoint = m_instances[rigRequest.instance]->settings.clientEndpoint;
+    ClientResult &result = m_results[number];
+    std::string begin = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : request.headers) {
+        begin += name + ": " + value + "\r\n";
+    }
+    const std::size_t half = request.body.size() / 2;
+    begin += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body.substr(0, half);
+    const std::string rest = request.body.substr(half);
+    const Tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+
+    beast::tcp_stream stream(m_loop);
+    stream.expires_after(timeout);
+    ErrorCode code;
+    co_await stream.async_connect(address, asio::redirect_error(asio::use_awaitable, code));
+    if (!code) {
+        co_await asio::async_write(stream, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+    }
+    asio::steady_timer timer(m_loop, rigRequest.bodyPause);
+    co_await timer.async_wait(asio::use_awaitable);
+    ErrorCode writeCode = code;
+    if (!code) { // also after an early response
+        co_await asio::async_write(stream, asio::buffer(rest), asio::redirect_error(asio::use_awaitable, writeCode));
+    }
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::string_body> parser;
+    if (!code) {
+        co_await beast::http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+    }
+    if (code) {
+        result.failure = code.message();
+        result.outcome = parser.is_header_done() ? ClientOutcome::Cut : writeCode ? ClientOutcome::NotSent : ClientOutcome::NoResponse;
+    } else {
+        const auto &response = parser.get();
+        std::string body = response.body();
+        if (std::string(response["Content-Type"]).starts_with("text/event-stream")) {
+            result.events = takeEvents(body);
+        }
+        result.status = response.result_int();
+        result.retryAfter = std::string(response["Retry-After"]);
+        result.outcome = result.status == 200 ? ClientOutcome::Complete : ClientOutcome::OtherStatus;
+    }
+    result.done = true;
+    result.endedAt = now();
+    if (rigRequest.onDone) {
+        rigRequest.onDone();
+    }
+}
+
 std::size_t EdgeRig::runCount(std::size_t request) const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -1394,6 +1504,63 @@
     }));
 }
 
+std::vector<OutsideRequest> findOutsideRequests(const EdgeRig &rig, const ConfigurationBounds &bounds)
+{
+    const std::vector<ConfigurationRecord> &history = rig.configurationHistory();
+    // Whether a configuration allows it that was acknowledged by `at` and not replaced by another one for longer than `apply` before `since`.
+    const auto isAllowed = [&](const std::string &target, const std::string &region, core::TimePoint since, core::TimePoint at) {
+        bool isAllowedByOne = false;
+        for (const ConfigurationRecord &record : history) {
+            if (record.acknowledgedAt < since - bounds.apply) {
+                isAllowedByOne = false; // the earlier ones no longer hold
+            }
+            isAllowedByOne = isAllowedByOne || (record.acknowledgedAt <= at && record.allowsRegion(target, region));
+        }
+        return isAllowedByOne;
+    };
+    std::vector<OutsideRequest> out;
+    const auto judge = [&](OutsideRequest request, core::TimePoint disturbedSince) {
+        if (isAllowed(request.target, request.region, request.at, request.at)) {
+            return;
+        }
+        for (const ConfigurationRecord &record : history) {
+            if (record.acknowledgedAt <= request.at) {
+                request.sinceAcknowledgement = request.at - record.acknowledgedAt;
+            }
+        }
+        request.isExcused = isAllowed(request.target, request.region, disturbedSince, request.at);
+        out.push_back(std::move(request));
+    };
+    for (const Arrival &arrival : rig.arrivals()) {
+        judge({.at = arrival.at,
+               .attempt = arrival.attempt,
+               .target = arrival.target,
+               .region = arrival.region,
+               .sender = arrival.sender,
+               .receiver = arrival.upstream},
+              rig.disturbedSince(arrival.sender, arrival.at, bounds.stability));
+    }
+    for (const PeerArrival &arrival : rig.peerArrivals()) {
+        const ClientResult &request = rig.result(EdgeRig::requestNumber(arrival.attempt));
+        const std::string sender = rig.instanceId(request.instance);
+        const std::string receiver = rig.instanceId(arrival.instance);
+        if (rig.instanceRegion(arrival.instance) == rig.instanceRegion(request.instance)) {
+            continue; // the client itself sent its body to this region
+        }
+        // A receiver that stood still reports it late.
+        const core::TimePoint since =
+            std::min(rig.disturbedSince(sender, arrival.at, bounds.stability), rig.disturbedSince(receiver, arrival.at, bounds.stability));
+        judge({.at = arrival.at,
+               .attempt = arrival.attempt,
+               .target = request.target,
+               .region = rig.instanceRegion(arrival.instance),
+               .sender = sender,
+               .receiver = receiver},
+              since);
+    }
+    return out;
+}
+
 void scheduleDisruptions(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds start, std::size_t crashes)
 {
     const auto randomTime = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -86,10 +86,23 @@
 {
     std::chrono::milliseconds idleLimit{15'000};
     std::chrono::milliseconds routeTimeout{5'000};
+    std::chrono::milliseconds targetLatency{600};
     std::string nameSuffix;                           // of the names of the routes; a route that gets another name keeps its path
     std::vector<std::string> extraRoutes;             // repeatable, to the plain service; the name is also the path
     std::map<std::string, std::size_t> limitedRoutes; // the same, with the number of upstreams that may run a request; 3 at all others
     std::vector<std::string> extraServices;
+    std::map<std::string, std::set<std::string>> homeRegions; // by the path of the route, without slashes; all regions of a route not named
+};
+
+/// A configuration that the store has acknowledged, with its home regions.
+struct ConfigurationRecord
+{
+    core::TimePoint acknowledgedAt{};
+    std::uint64_t version = 0;
+    std::map<std::string, std::set<std::string>> homeRegions;
+
+    /// Whether a request for `target` may run in the region.
+    [[nodiscard]] bool allowsRegion(const std::string &target, const std::string &region) const;
 };
 
 /// Size of the deployment and what happens in it.
@@ -115,6 +128,7 @@
     std::chrono::milliseconds announcementInterval{}; // at which upstreams announce themselves again; zero: only on changes
     bool keepsRegistrations = false;                  // of instances, in the store
     bool allowsPathCuts = false;                      // between instances and upstreams; their connections go through a proxy
+    std::size_t plainSlots = 64;                      // of each upstream of the plain service
 };
 
 /// A request that reached an upstream.
@@ -132,6 +146,7 @@
     bool wasShed = false;     // not run, because the upstream rejected it
     std::uint64_t run = 0;    // of the upstream
     bool saysLeaving = false; // the upstream said in its response that it was leaving
+    std::string region = {};  // of the upstream
 
     [[nodiscard]] bool hasPart(const std::string &part) const
     {
@@ -139,6 +154,14 @@
     }
 };
 
+/// A request that reached an instance to which its client had not sent it.
+struct PeerArrival
+{
+    core::TimePoint at{};
+    std::size_t instance = 0;
+    std::string attempt;
+};
+
 /// An upstream's wish for no more requests from an instance.
 struct RestRequest
 {
@@ -183,7 +206,8 @@
     std::optional<int> dropAfter = {};         // id of the event after which the client ends its connection
     std::function<void(const StreamEvent &)> onEvent = {};
     std::function<void()> onDone = {};
-    http::ConnectionPool *pool = nullptr; // connections that the client keeps; null: a new one
+    http::ConnectionPool *pool = nullptr;  // connections that the client keeps; null: a new one
+    std::chrono::milliseconds bodyPause{}; // in the middle of the body; zero: none
 };
 
 /// What a client saw of a request.
@@ -376,6 +400,8 @@
     [[nodiscard]] std::size_t pickRunning(pcg32 &random) const;
     /// Whether the instance has run without a disruption for `duration` before `at`.
     [[nodiscard]] bool wasUndisturbed(const std::string &instance, core::TimePoint at, core::Duration duration) const;
+    /// Begin of the disturbances that followed each other within `duration` until `at`; `at` if there was none.
+    [[nodiscard]] core::TimePoint disturbedSince(const std::string &instance, core::TimePoint at, core::Duration duration) const;
     [[nodiscard]] std::string metricsText(std::size_t instance);
 
     //--- Upstreams
@@ -396,6 +422,10 @@
     {
         return m_arrivals;
     }
+    [[nodiscard]] const std::vector<PeerArrival> &peerArrivals() const
+    {
+        return m_peerArrivals;
+    }
     /// When the instance first received a response in which this run of an upstream names its limit; nothing if it has not.
     [[nodiscard]] std::optional<core::TimePoint> toldLimitAt(const std::string &upstream, const std::string &instance) const
     {
@@ -433,6 +463,11 @@
     {
         return m_configurationVersion;
     }
+    /// All configurations in the order of writing, also those that a restored store lacks.
+    [[nodiscard]] const std::vector<ConfigurationRecord> &configurationHistory() const
+    {
+        return m_configurationHistory;
+    }
     /// The version that an instance has applied.
     [[nodiscard]] std::uint64_t appliedConfiguration(std::size_t instance);
 
@@ -503,11 +538,14 @@
     void resumeLater(std::size_t stream);
     [[nodiscard]] std::size_t pickForResumption(std::size_t previous, ResumeAt where);
 
+    void recordReceived(std::size_t instance, const std::string &attempt);
     void writeConfiguration();
     void announceAgain();
+    boost::asio::awaitable<void> sendSlowly(RigRequest rigRequest, std::size_t number, http::Request request, std::chrono::milliseconds timeout);
 
     EdgeRigOptions m_options;
     std::uint64_t m_configurationVersion = 0;
+    std::vector<ConfigurationRecord> m_configurationHistory;
     core::SystemClock m_clock;
     pcg32 m_random;
     std::unique_ptr<Store> m_store;
@@ -516,6 +554,7 @@
     std::vector<std::unique_ptr<RigUpstream>> m_upstreams;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<Arrival> m_arrivals;
+    std::vector<PeerArrival> m_peerArrivals;
     std::map<std::pair<std::string, std::string>, core::TimePoint> m_toldLimitAt; // by upstream and instance
     std::vector<RestRequest> m_restRequests;
     std::vector<core::TimePoint> m_partCrashes;
@@ -596,6 +635,30 @@
                                             core::Duration window,
                                             const std::function<bool(const Arrival &)> &matches);
 
+/// Times within which the rules about configurations hold.
+struct ConfigurationBounds
+{
+    core::Duration apply = std::chrono::seconds(3);     // from the store's acknowledgement until no instance handles a request by an older one
+    core::Duration stability = std::chrono::seconds(5); // undisturbed before, else `apply` begins before the disturbance
+};
+
+/// A request that reached an upstream in a region, or an instance in another region than its client's, although no configuration that may
+/// be in force at undisturbed instances allows the region.
+struct OutsideRequest
+{
+    core::TimePoint at{};
+    std::string attempt;
+    std::string target;
+    std::string region;
+    std::string sender;                    // instance
+    std::string receiver;                  // upstream or instance
+    core::Duration sinceAcknowledgement{}; // of the newest configuration
+    bool isExcused = false;                // a configuration that was in force before a disturbance of the sender allows the region
+};
+
+/// All outside requests. An acknowledged configuration holds until a later one is written, whatever a restored store has.
+[[nodiscard]] std::vector<OutsideRequest> findOutsideRequests(const EdgeRig &rig, const ConfigurationBounds &bounds);
+
 /// Schedules disruptions around `start` and later: a kill with a restart, a freeze, a store cut, and `crashes` of upstreams.
 void scheduleDisruptions(EdgeRig &rig, pcg32 &random, std::chrono::milliseconds start, std::size_t crashes);
 
