Rig: the store's answers may be on their way while an instance stands still

The rig's store answered reading calls at once, so an instance that had stood still read the newest state before anything else, and no test could show what it does with an answer of before. EdgeRigOptions::storeDelay delays the answers on their way back; the default is none.

--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -232,14 +232,16 @@
 /// One instance's connection to the store.
 struct EdgeRig::StoreView final : metadata::MetadataStore
 {
-    StoreView(Store &theStore, bool keepsTheRegistrations)
+    StoreView(Store &theStore, const EdgeRigOptions &options)
         : store(theStore)
-        , keepsRegistrations(keepsTheRegistrations)
+        , keepsRegistrations(options.keepsRegistrations)
+        , answerDelay(options.storeDelay)
     {
     }
 
     Store &store;
     bool keepsRegistrations;
+    std::chrono::milliseconds answerDelay;
     bool isCut = false;
 
     [[nodiscard]] static metadata::StoreError unreachable()
@@ -251,6 +253,15 @@
         return metadata::StoreError{kind, message, metadata::StoreError::WriteEffect::None, store.position.generation};
     }
 
+    /// An answer shows the store as it was when the question arrived there.
+    [[nodiscard]] asio::awaitable<void> delayAnswer() const
+    {
+        if (answerDelay > 0ms) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, answerDelay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
     asio::awaitable<metadata::StoreResult<metadata::StoreRange>> range(std::string prefix, metadata::ReadConsistency) override
     {
         if (isCut) {
@@ -264,6 +275,7 @@
                 out.items.push_back(item);
             }
         }
+        co_await delayAnswer();
         co_return out;
     }
     /// Does not wait for changes.
@@ -283,6 +295,7 @@
                 out.changes.push_back(record.change);
             }
         }
+        co_await delayAnswer();
         co_return out;
     }
     asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string key, std::string value, metadata::LeaseId lease) override
@@ -345,7 +358,7 @@
 struct EdgeRig::Instance
 {
     Instance(EdgeRig &rig, std::size_t number)
-        : store(*rig.m_store, rig.m_options.keepsRegistrations)
+        : store(*rig.m_store, rig.m_options)
         , adapter("gateway-" + std::to_string(number), [&rig, number](const std::string &attempt) { rig.recordReceived(number, attempt); })
         , log(rig.m_clock, ::open(logPath(number).c_str(), O_WRONLY | O_CLOEXEC | O_CREAT | O_APPEND, 0600))
     {
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -129,6 +129,7 @@
     bool keepsRegistrations = false;                  // of instances, in the store
     bool allowsPathCuts = false;                      // between instances and upstreams; their connections go through a proxy
     std::size_t plainSlots = 64;                      // of each upstream of the plain service
+    std::chrono::milliseconds storeDelay{};           // of the store's answers to reading calls, on their way back
 };
 
 /// A request that reached an upstream.
