Metadata cache: a place for the configuration version that another instance states

noteCatalogVersion() records the highest version that was stated; isCatalogBehind() tells whether it is above this instance's own. Nothing calls them yet, so nothing changes.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -91,6 +91,11 @@
     return resolved && *resolved > m_lastChange;
 }
 
+void MetadataCache::noteCatalogVersion(catalog::CatalogVersion stated)
+{
+    m_statedCatalogVersion = std::max(m_statedCatalogVersion, stated);
+}
+
 //-----------------------------------------------------------------------------
 // Updates
 //-----------------------------------------------------------------------------
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -128,6 +128,15 @@
         return m_knownGeneration;
     }
 
+    //--- Configurations of other instances
+    /// Records the version of the configuration that another instance states to have; 0 if it states none.
+    void noteCatalogVersion(catalog::CatalogVersion stated);
+    /// Whether a newer configuration than this instance's is known to be in force at another instance.
+    [[nodiscard]] bool isCatalogBehind() const
+    {
+        return m_statedCatalogVersion > knownCatalog().version;
+    }
+
     //--- State
     /// Whether a peer whose last change is this one has newer data.
     [[nodiscard]] bool isNewer(metadata::StorePosition lastChange) const;
@@ -179,6 +188,7 @@
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
     metadata::StoreGeneration m_catalogGeneration;                           // latest one in which the store had this value
+    catalog::CatalogVersion m_statedCatalogVersion;                          // highest one that another instance states to have
     std::string m_storedCatalogValue;                                        // differs from m_catalogValue if it is older or invalid
     std::map<std::string, std::string> m_upstreamEntries;                    // values by key, as in the store
     std::map<core::UpstreamId, routing::Announcement> m_storedAnnouncements; // the valid ones
