Metadata cache: a newer configuration is taken from any instance, whatever the store's positions are

It counted as current meanwhile, as peers and the store confirmed its data.

While an instance knows of a newer version, neither the store nor peers reduce its staleness; storeStaleness() tells when the store was last read. A version that no instance states for 10 s is forgotten. A lower version that a restored store has in place of the kept one is reported in the update. What happens to a version that was never acknowledged is weighed in the header.

The property test of the cache is a fleet now: messages that are lost or reordered, restarts of instances, and at the end each has the highest version along any path.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr core::Duration NeverConfirmed = std::chrono::hours(24); // staleness
+
 /// Whether a change of an announcement matters for routing. Its sequence and remaining times change with each announcement.
 bool isRelevantChange(const routing::Announcement &before, const routing::Announcement &after)
 {
@@ -93,7 +95,14 @@
 
 void MetadataCache::noteCatalogVersion(catalog::CatalogVersion stated)
 {
-    m_statedCatalogVersion = std::max(m_statedCatalogVersion, stated);
+    if (stated.value == 0 || stated < m_statedCatalogVersion) {
+        return;
+    }
+    if (!isCatalogBehind()) {
+        m_lastCurrentAt = m_initialized ? std::optional(m_lastConfirmedAt) : std::nullopt;
+    }
+    m_statedCatalogVersion = stated;
+    m_isCatalogStatedAgain = true;
 }
 
 //-----------------------------------------------------------------------------
@@ -141,6 +150,9 @@
         const catalog::CatalogVersion version = parsed.value()->version();
         const bool isOtherContent = version == m_catalog->version() && generation > m_catalogGeneration;
         if (version < m_catalog->version() || (version == m_catalog->version() && !isOtherContent)) {
+            if (version < m_catalog->version() && generation > m_catalogGeneration && std::exchange(m_lowerCatalogVersion, version) != version) {
+                update.lowerCatalog = version;
+            }
             return; // an older version never replaces a newer one
         }
         if (isOtherContent) {
@@ -150,6 +162,7 @@
     m_catalog = std::move(parsed.value());
     m_catalogValue = value;
     m_catalogGeneration = generation;
+    m_lowerCatalogVersion.reset();
     update.catalogChanged = true;
 }
 
@@ -300,15 +313,19 @@
 {
     MetadataUpdate update;
     const auto position = resolvePeerPosition(snapshot.storePosition);
-    if (!position || !beginUpdate(*position, now, update)) {
-        update.isObsolete = true;
+    const bool isCurrent = position && beginUpdate(*position, now, update);
+    if (!snapshot.catalogValue.empty()) {
+        const bool isGenerationKnown = position && snapshot.catalogGeneration.value != 0;
+        applyCatalog(snapshot.catalogValue, isGenerationKnown ? snapshot.catalogGeneration : m_catalogGeneration, update);
+    }
+    if (!isCurrent) {
+        if (!update.parseErrors.empty() && std::exchange(m_rejectedCatalogValue, snapshot.catalogValue) == snapshot.catalogValue) {
+            update.parseErrors.clear();
+        }
+        update.isObsolete = !update.catalogChanged;
         return update;
     }
     m_recentStoreOutage = snapshot.recentStoreOutage;
-    if (!snapshot.catalogValue.empty()) {
-        const bool isGenerationStated = snapshot.catalogGeneration.value != 0;
-        applyCatalog(snapshot.catalogValue, isGenerationStated ? snapshot.catalogGeneration : m_catalogGeneration, update);
-    }
     m_storedCatalogValue = m_catalogValue;
     m_upstreamEntries = snapshot.upstreamEntries;
     applyEvacuations(snapshot.evacuatedDomains, now, update);
@@ -355,12 +372,20 @@
         std::erase_if(m_keptEvacuations, [&](const auto &kept) { return update.endedEvacuations.contains(kept.first); });
         setEvacuatedDomains(now, update);
     }
+    if (std::exchange(m_isCatalogStatedAgain, false)) {
+        m_catalogStatedAt = now;
+    } else if (isCatalogBehind() && now - m_catalogStatedAt >= m_settings.statedCatalogRetention) {
+        update.endedCatalog = std::exchange(m_statedCatalogVersion, catalog::CatalogVersion());
+    }
     return update;
 }
 
 void MetadataCache::addSuspendedTime(core::Duration duration)
 {
     m_lastConfirmedAt -= duration;
+    if (m_lastCurrentAt) {
+        *m_lastCurrentAt -= duration;
+    }
 }
 
 MetadataSnapshot MetadataCache::snapshot(KnownCatalog known, core::TimePoint now) const
@@ -381,7 +406,15 @@
 
 core::Duration MetadataCache::staleness(core::TimePoint now) const
 {
-    return m_initialized ? now - m_lastConfirmedAt : core::Duration(std::chrono::hours(24));
+    if (!isCatalogBehind()) {
+        return storeStaleness(now);
+    }
+    return m_initialized && m_lastCurrentAt ? now - std::min(*m_lastCurrentAt, m_lastConfirmedAt) : NeverConfirmed;
+}
+
+core::Duration MetadataCache::storeStaleness(core::TimePoint now) const
+{
+    return m_initialized ? now - m_lastConfirmedAt : NeverConfirmed;
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -6,7 +6,8 @@
 //
 // A store that was restored from an older copy has a higher generation and lacks its last changes. The first update of that
 // generation replaces the data, but what the cache has acknowledged before holds until it is written again:
-//   - a configuration version never goes back. Another content of the same version replaces the earlier one if it comes from a
+//   - a configuration version never goes back, and an instance that has a lower one takes the higher one from any other instance,
+//     whatever the store's positions are (see below). Another content of the same version replaces the earlier one if it comes from a
 //     later generation: versions rise within a history, so it was written after the restore;
 //   - a leaving holds for that run of the upstream; an upstream that was removed comes back with a later announcement only;
 //   - an evacuation that the store lacks holds for `evacuationGrace`;
@@ -26,6 +27,27 @@
 // A: It runs a build of before generations, or its store states none. It is taken to mean this cache's generation. Once the
 //    generation has changed, that may be wrong, and its snapshots and confirmations have no effect any more.
 //
+// Q: How does an instance that starts after a restore learn of a configuration that the store lacks?
+// A: What has been acknowledged only grows, apart from the store's position. Each message between instances states the sender's
+//    version; an instance with a lower one is behind, and fetches a snapshot from the sender. A snapshot's higher configuration is taken
+//    even if the rest of it is older than the cache. Any path that connects two instances is enough, whoever reads the store.
+//
+// Q: Is an instance that is behind current?
+// A: No. Until it has the newer configuration, neither the store nor peers reduce its staleness(). storeStaleness() tells when the data was
+//    last confirmed all the same; reads of the store go by that, since more of them don't help. If no instance has stated the version for
+//    `statedCatalogRetention`, it is in force nowhere, and the instance is current again.
+//
+// Q: What if the same version has another content after a restore?
+// A: It was written in the later generation and replaces the earlier one, as above. Versions alone are stated, so that does not make an
+//    instance behind: the writing is a change of the store, and lastChange tells of it.
+//
+// Q: What if a version was never acknowledged, and the restore lost it?
+// A: It is kept and passed on like an acknowledged one, until the store has the same or a higher version. An instance knows a version from a
+//    linearizable read, so the store had committed it; whether its writer got the answer can't be seen from here. A writer without an answer
+//    can't know either, and its next version must be higher. A lower one that is written after the restore has no effect until then:
+//    instances that take it and ones that don't would need a common order of the writings of both generations, which the store's positions
+//    don't give to an instance that has not seen the restore. The line `configuration_kept` names both versions.
+//
 // Q: What if the store's generation falls?
 // A: Updates of a lower generation have no effect. A caller that is sure that the store is another one calls
 //    acceptLowerGeneration(); the next full read is then taken as that of a restored store, and peers that state a generation
@@ -46,7 +68,8 @@
 struct MetadataCacheSettings
 {
     routing::UpstreamRegistrySettings registry;
-    core::Duration evacuationGrace = std::chrono::seconds(10); // for an evacuation that a restored store lacks to be written again
+    core::Duration evacuationGrace = std::chrono::seconds(10);        // for an evacuation that a restored store lacks to be written again
+    core::Duration statedCatalogRetention = std::chrono::seconds(10); // of a version that no other instance states any more
 };
 
 /// The effect of an update, for logging and for components that keep state for each upstream.
@@ -61,6 +84,8 @@
     bool isFullReadNeeded = false;                          // changes that do not continue the cached data, so they had no effect
     std::optional<metadata::StorePosition> positionBefore;  // if this is the first update from a restored store
     std::optional<catalog::CatalogVersion> replacedCatalog; // the version whose content was replaced by another one
+    std::optional<catalog::CatalogVersion> lowerCatalog;    // that the store has in place of the one that is kept; once for each
+    std::optional<catalog::CatalogVersion> endedCatalog;    // that no other instance states any more, without this one having got it
     std::set<core::DomainId> keptEvacuations;               // that a restored store lacks
     std::set<core::DomainId> endedEvacuations;              // that were kept and have not been written again in time
 
@@ -107,13 +132,13 @@
                                 metadata::StorePosition position,
                                 bool recentStoreOutage,
                                 core::TimePoint readAt);
-    /// Applies a peer's snapshot; one that is older than the cache has no effect.
+    /// Applies a peer's snapshot; of one that is older than the cache, only a newer configuration has an effect.
     MetadataUpdate applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now);
     /// Updates the staleness after a peer reported the position of its own cache.
     void confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now);
     /// Marks an upstream that this instance or a peer has observed to be leaving.
     MetadataUpdate markLeaving(const core::UpstreamId &id, core::TimePoint now);
-    /// Ends grace periods that are over.
+    /// Ends grace periods that are over, and forgets versions that are not stated any more.
     MetadataUpdate expireEntries(core::TimePoint now);
     /// Accounts for a suspension of the machine, which the steady clock does not include in the staleness.
     void addSuspendedTime(core::Duration duration);
@@ -161,8 +186,11 @@
     {
         return m_storePosition;
     }
-    /// Time since the cache was last known to match the store; 24 hours before the first read.
+    /// Time since the cache was last known to match what is in force; 24 hours before the first read. It only rises while this instance
+    /// is behind.
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
+    /// Time since the cache was last known to match the store, whatever other instances have.
+    [[nodiscard]] core::Duration storeStaleness(core::TimePoint now) const;
 
 private:
     /// Where an update stands relative to the cached data.
@@ -188,7 +216,11 @@
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
     metadata::StoreGeneration m_catalogGeneration;                           // latest one in which the store had this value
+    std::string m_rejectedCatalogValue;                                      // of a peer's older snapshot, so that it is reported once
+    std::optional<catalog::CatalogVersion> m_lowerCatalogVersion;            // of the store, while a higher one is kept
     catalog::CatalogVersion m_statedCatalogVersion;                          // highest one that another instance states to have
+    bool m_isCatalogStatedAgain = false;                                     // since expireEntries()
+    core::TimePoint m_catalogStatedAt{};                                     // as of expireEntries()
     std::string m_storedCatalogValue;                                        // differs from m_catalogValue if it is older or invalid
     std::map<std::string, std::string> m_upstreamEntries;                    // values by key, as in the store
     std::map<core::UpstreamId, routing::Announcement> m_storedAnnouncements; // the valid ones
@@ -200,9 +232,10 @@
     metadata::StoreGeneration m_knownGeneration;                 // highest one that the store or a peer has stated
     std::optional<metadata::StoreGeneration> m_fallenGeneration; // from which the store has fallen to a lower one
     core::TimePoint m_lastConfirmedAt{};
-    bool m_initialized = false;          // after the first read or snapshot
-    bool m_hasGenerationChanged = false; // since this instance's start
-    bool m_isRestoreExpected = false;    // the next update replaces the data, whatever its revision
+    std::optional<core::TimePoint> m_lastCurrentAt; // before this instance was behind; nothing if it was so from its first read
+    bool m_initialized = false;                     // after the first read or snapshot
+    bool m_hasGenerationChanged = false;            // since this instance's start
+    bool m_isRestoreExpected = false;               // the next update replaces the data, whatever its revision
     bool m_recentStoreOutage = false;
 };
 
--- a/tests/metadatahistorytest.cpp
+++ b/tests/metadatahistorytest.cpp
@@ -1,9 +1,12 @@
-// Property test of the metadata cache against a plain model of the store: any interleaving of full reads, watches, snapshots and
-// confirmations of peers, also late ones, with restores of the store from older copies and compactions of its history.
+// Property test of the metadata caches of a fleet against a plain model of the store: any interleaving of full reads, watches, snapshots
+// and confirmations of peers, also late ones, with messages between instances that are lost or arrive in another order, restarts of
+// instances, restores of the store from older copies and compactions of its history.
 //
 // After each step: positions and configuration versions never go back; an upstream that was seen leaving or removed gets nothing more in
-// that run; an evacuation ends only if the store says so, or after its grace; and a cache holds what the store held at the position that
-// it claims. At the end, once everything that was lost is written again and read, each cache equals the store.
+// that run; an evacuation ends only if the store says so, or after its grace; a cache holds what the store held at the position that it
+// claims; and the staleness of an instance that knows of a newer configuration only rises. At the end, once messages have passed along any
+// path that connects the instances, each has the highest version that one of them has. Once everything that was lost is written again and
+// read, each cache equals the store.
 
 #include "arbutus/edge/metadatacache.h"
 #include "platform/platformadapter.h"
@@ -208,6 +211,7 @@
     metadata::StorePosition position;
     metadata::StorePosition lastChange;
     std::uint64_t version = 0;
+    std::optional<core::TimePoint> lastCurrentAt; // as of the last check, if it knew of a newer configuration
 };
 
 class Play
@@ -218,6 +222,7 @@
         const auto [operation, parameter] = choice;
         const auto number = static_cast<std::uint64_t>(parameter);
         Instance &instance = *m_instances[number % CacheCount];
+        const std::size_t place = number % CacheCount;
         Instance &peer = *m_instances[(number / CacheCount + number + 1) % CacheCount];
         Upstream &upstream = m_world.upstreams[number % UpstreamCount];
         const bool isLate = number % 4 == 0;
@@ -292,15 +297,54 @@
                 (void)item->cache.expireEntries(m_now);
             }
             break;
-        default:
+        case 19:
             deliverLate();
             break;
+        case 20: // answers and messages to the instance before it was started again are dropped
+            m_instances[place] = std::make_unique<Instance>(m_adapter);
+            break;
+        case 21:
+        case 22:
+            m_messages.push_back(messageOf(number % CacheCount, (number / CacheCount) % CacheCount));
+            break;
+        case 23: // in any order
+            if (!m_messages.empty()) {
+                const auto at = m_messages.begin() + static_cast<std::ptrdiff_t>(number % m_messages.size());
+                const Message message = *at;
+                m_messages.erase(at);
+                deliver(message);
+            }
+            break;
+        default:
+            if (!m_messages.empty()) {
+                m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(number % m_messages.size()));
+            }
+            break;
         }
         for (const auto &item : m_instances) {
             check(*item);
         }
     }
 
+    /// Messages pass along a path that connects all instances, in both directions.
+    void talkAlongPath(std::size_t first)
+    {
+        std::uint64_t highest = 0;
+        for (const auto &instance : m_instances) {
+            highest = std::max(highest, instance->cache.knownCatalog().version.value);
+        }
+        for (std::size_t i = 0; i + 1 < CacheCount; ++i) {
+            deliver(messageOf((first + i) % CacheCount, (first + i + 1) % CacheCount));
+        }
+        for (std::size_t i = CacheCount - 1; i > 0; --i) {
+            deliver(messageOf((first + i) % CacheCount, (first + i - 1) % CacheCount));
+        }
+        for (const auto &instance : m_instances) {
+            check(*instance);
+            RC_ASSERT(instance->cache.knownCatalog().version.value == highest);
+        }
+    }
+
     /// Everything is written again and read.
     void finish()
     {
@@ -310,6 +354,7 @@
                 check(*instance);
             }
         }
+        talkAlongPath(m_world.version % CacheCount);
         m_world.rewrite();
         for (const auto &instance : m_instances) {
             fullRead(*instance, false);
@@ -341,14 +386,46 @@
     }
 
 private:
+    /// What each message between instances tells of its sender's metadata.
+    struct Message
+    {
+        std::size_t sender = 0;
+        std::size_t receiver = 0;
+        catalog::CatalogVersion version;
+        metadata::StorePosition lastChange;
+        metadata::StorePosition storePosition;
+        core::TimePoint currentAt{};
+    };
+
+    [[nodiscard]] Message messageOf(std::size_t sender, std::size_t receiver) const
+    {
+        const edge::MetadataCache &cache = m_instances[sender]->cache;
+        return Message{sender, receiver, cache.knownCatalog().version, cache.lastChange(), cache.storePosition(), m_now - cache.staleness(m_now)};
+    }
+    /// The receiver fetches a snapshot of the sender if it has to.
+    void deliver(const Message &message)
+    {
+        Instance &receiver = *m_instances[message.receiver];
+        Instance &sender = *m_instances[message.sender];
+        receiver.cache.noteCatalogVersion(message.version);
+        receiver.cache.confirmCurrent(message.lastChange, message.storePosition, m_now - message.currentAt, m_now);
+        if (receiver.cache.isCatalogBehind() || receiver.cache.isNewer(message.lastChange)) {
+            fetch(receiver, sender, false);
+        }
+    }
     [[nodiscard]] static core::UpstreamId id(const Upstream &upstream)
     {
         return core::UpstreamId("i-" + std::to_string(upstream.number));
     }
-    void deliver(bool isLate, std::function<void()> answer)
+    void deliver(bool isLate, const Instance &receiver, std::function<void()> answer)
     {
         if (isLate) {
-            m_late.push_back(std::move(answer));
+            m_late.push_back([this, &receiver, answer = std::move(answer)] {
+                const bool isRunning = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &item) { return item.get() == &receiver; });
+                if (isRunning) {
+                    answer();
+                }
+            });
         } else {
             answer();
         }
@@ -364,8 +441,9 @@
     void fullRead(Instance &instance, bool isLate)
     {
         instance.isFullReadNeeded = false;
-        deliver(isLate,
-                [&instance, items = m_world.items(), at = m_world.position, readAt = m_now] { (void)instance.cache.applyRange(items, at, false, readAt); });
+        deliver(isLate, instance, [&instance, items = m_world.items(), at = m_world.position, readAt = m_now] {
+            (void)instance.cache.applyRange(items, at, false, readAt);
+        });
     }
     void watch(Instance &instance, bool isLate)
     {
@@ -375,7 +453,7 @@
             fullRead(instance, isLate);
             return;
         }
-        deliver(isLate, [this, &instance, after, changes = *changes, at = m_world.position] {
+        deliver(isLate, instance, [this, &instance, after, changes = *changes, at = m_world.position] {
             const edge::MetadataUpdate update = instance.cache.applyChanges(changes, after, at, false, m_now);
             instance.isFullReadNeeded = instance.isFullReadNeeded || update.isFullReadNeeded;
             for (const metadata::StoreChange &change : changes) {
@@ -388,14 +466,14 @@
     void fetch(Instance &instance, Instance &peer, bool isLate)
     {
         if (&instance != &peer && peer.cache.catalog()) {
-            deliver(isLate, [this, &instance, snapshot = peer.cache.snapshot(instance.cache.knownCatalog(), m_now)] {
+            deliver(isLate, instance, [this, &instance, snapshot = peer.cache.snapshot(instance.cache.knownCatalog(), m_now)] {
                 (void)instance.cache.applySnapshot(snapshot, m_now);
             });
         }
     }
     void confirm(Instance &instance, Instance &peer, bool isLate)
     {
-        deliver(isLate, [this, &instance, lastChange = peer.cache.lastChange(), at = peer.cache.storePosition()] {
+        deliver(isLate, instance, [this, &instance, lastChange = peer.cache.lastChange(), at = peer.cache.storePosition()] {
             instance.cache.confirmCurrent(lastChange, at, 0ms, m_now);
         });
     }
@@ -406,6 +484,9 @@
         if (!cache.catalog()) {
             return;
         }
+        const core::TimePoint currentAt = m_now - cache.staleness(m_now);
+        RC_ASSERT(!cache.isCatalogBehind() || !instance.lastCurrentAt || currentAt <= *instance.lastCurrentAt);
+        instance.lastCurrentAt = cache.isCatalogBehind() ? std::optional(currentAt) : std::nullopt;
         RC_ASSERT(cache.storePosition() >= instance.position);
         RC_ASSERT(cache.lastChange() >= instance.lastChange);
         RC_ASSERT(cache.catalog()->version().value >= instance.version);
@@ -507,6 +588,7 @@
     World m_world;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::deque<std::function<void()>> m_late; // answers that are still under way
+    std::vector<Message> m_messages;          // between instances, likewise
     core::TimePoint m_now{1000s};
 };
 
@@ -515,7 +597,7 @@
 TEST_CASE("a cache never loses what it has acknowledged and never goes back whatever reaches it in which order", "[restore][property]")
 {
     constexpr int Schedules = 400;
-    constexpr int OperationCount = 20;
+    constexpr int OperationCount = 25;
     // Without resize(), short schedules would have the first operations only.
     const auto operation = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, OperationCount));
     const auto parameter = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 10'000));
--- a/tests/metadatarestoretest.cpp
+++ b/tests/metadatarestoretest.cpp
@@ -26,10 +26,10 @@
         + std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}";
 }
 
-std::string config(std::uint64_t version, const std::string &prefix = "/a/")
+std::string config(std::uint64_t version, const std::string &prefix = "/a/", const std::string &homes = R"(["x"])")
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"r","host":"h.example","path_prefix":")" + prefix
-        + R"(","route_type":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"s","max_attempts":2,"home_regions":["x"]}],)"
+        + R"(","route_type":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"s","max_attempts":2,"home_regions":)" + homes + "}],"
         + R"("services":[{"name":"s","health_path":"/health","max_connections":110,"cold_start_s":0.5,"cold_per_s":1.5}],)"
         + R"("limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":4000}})";
 }
@@ -392,6 +392,149 @@
     CHECK(fixture.cache.catalog()->matchRoute("h.example", "/b/x") != nullptr);
 }
 
+//-----------------------------------------------------------------------------
+// Configurations of other instances
+//-----------------------------------------------------------------------------
+
+namespace {
+
+/// Version 6 forbids region x. It was acknowledged, and the copy that the store was restored from has version 5.
+const Items Copy{{"op/config", config(5, "/a/", R"(["x","y"])")}, {"servers/i-a", entry()}};
+const Items Acknowledged{{"op/config", config(6, "/a/", R"(["y"])")}, {"servers/i-a", entry()}};
+
+/// What a message of `sender` tells `receiver`, which fetches a snapshot if it has to; returns whether it did.
+bool hear(Fixture &receiver, const Fixture &sender, core::TimePoint now = Start)
+{
+    receiver.cache.noteCatalogVersion(sender.cache.knownCatalog().version);
+    receiver.cache.confirmCurrent(sender.cache.lastChange(), sender.cache.storePosition(), sender.cache.staleness(now), now);
+    const bool fetches = receiver.cache.isCatalogBehind() || receiver.cache.isNewer(sender.cache.lastChange());
+    if (fetches) {
+        (void)receiver.cache.applySnapshot(receiver.snapshotOf(sender.cache, now), now);
+    }
+    return fetches;
+}
+
+bool mayServe(const Fixture &fixture, const std::string &region)
+{
+    return fixture.cache.catalog()->matchRoute("h.example", "/a/")->homeRegions.contains(core::RegionId(region));
+}
+
+} // namespace
+
+TEST_CASE("an instance that starts after a restore serves outside the home regions that its peers know", "[restore][behind]")
+{
+    struct Row
+    {
+        const char *name;
+        metadata::StorePosition started; // of the instance that started after the restore
+    };
+    const auto row = GENERATE(values<Row>({
+        {"equal positions", position(2, 90)},
+        {"the peer's position is older", position(2, 95)},
+        {"the peer's position is older by a generation", position(3, 80)},
+        {"the peer's position is newer", position(2, 89)},
+    }));
+    CAPTURE(row.name);
+    Fixture survivor;
+    survivor.applyRange(Acknowledged, position(1, 100));
+    survivor.applyRange(Copy, position(2, 90));
+    Fixture started;
+    started.applyRange(Copy, row.started);
+    REQUIRE(mayServe(started, "x"));
+    CHECK(hear(started, survivor));
+    CHECK(started.version() == 6);
+    CHECK_FALSE(mayServe(started, "x"));
+    CHECK(mayServe(started, "y"));
+    CHECK_FALSE(started.cache.isCatalogBehind());
+    CHECK(started.cache.storePosition() == std::max(row.started, position(2, 90))); // nothing else goes back
+    CHECK(started.isEligible());
+    CHECK_FALSE(hear(started, survivor));
+    (void)hear(survivor, started);
+    CHECK(survivor.version() == 6);
+}
+
+TEST_CASE("an instance whose store is cut off does not pass on the configuration that it has", "[restore][behind]")
+{
+    Fixture cutOff; // has not heard of the restore
+    cutOff.applyRange(Acknowledged, position(1, 100));
+    Fixture started;
+    started.applyRange(Copy, position(2, 90));
+    CHECK(hear(started, cutOff));
+    CHECK(started.version() == 6);
+    CHECK(started.cache.storePosition() == position(2, 90));
+    CHECK(hear(cutOff, started));
+    CHECK(cutOff.version() == 6);
+    CHECK(cutOff.cache.storePosition() == position(2, 90));
+}
+
+TEST_CASE("a configuration that the copy lacks does not reach instances that hear of each other only", "[restore][behind]")
+{
+    Fixture survivor;
+    survivor.applyRange(Acknowledged, position(1, 100));
+    survivor.applyRange(Copy, position(2, 90));
+    Fixture middle;
+    middle.applyRange(Copy, position(2, 92));
+    Fixture last;
+    last.applyRange(Copy, position(2, 90));
+    CHECK(hear(middle, survivor));
+    CHECK(hear(last, middle));
+    CHECK(last.version() == 6);
+    CHECK_FALSE(mayServe(last, "x"));
+}
+
+TEST_CASE("an instance that knows of a newer configuration counts as current", "[restore][behind]")
+{
+    Fixture fixture;
+    fixture.applyRange(Copy, position(2, 90));
+    fixture.cache.noteCatalogVersion(catalog::CatalogVersion(6));
+    CHECK(fixture.cache.isCatalogBehind());
+    SECTION("after a confirmation of a peer")
+    {
+        fixture.cache.confirmCurrent(position(2, 90), position(2, 91), 0ms, Start + 5s);
+    }
+    SECTION("after a read of the store")
+    {
+        fixture.applyRange(Copy, position(2, 91), Start + 5s);
+    }
+    SECTION("after a watch of the store")
+    {
+        fixture.applyChanges({}, position(2, 91), Start + 5s);
+    }
+    SECTION("after a snapshot of a peer that is behind too")
+    {
+        fixture.learn(Source::Snapshot, Copy, position(2, 91), Start + 5s);
+    }
+    SECTION("after the first read of another generation")
+    {
+        fixture.applyRange(Copy, position(3, 80), Start + 5s);
+    }
+    CHECK(fixture.cache.isCatalogBehind());
+    CHECK(fixture.cache.staleness(Start + 5s) == 5s);
+    fixture.applyRange(Acknowledged, position(3, 92), Start + 6s);
+    CHECK_FALSE(fixture.cache.isCatalogBehind());
+    CHECK(fixture.cache.staleness(Start + 6s) == 0s);
+}
+
+TEST_CASE("an instance that heard of a newer configuration before its first read counts as current", "[restore][behind]")
+{
+    Fixture fixture;
+    fixture.cache.noteCatalogVersion(catalog::CatalogVersion(6));
+    fixture.applyRange(Copy, position(2, 90));
+    CHECK(fixture.cache.staleness(Start) >= 1h);
+    fixture.applyRange(Acknowledged, position(2, 91));
+    CHECK(fixture.cache.staleness(Start) == 0s);
+}
+
+TEST_CASE("an instance of a build that states no configuration version holds others back", "[restore][behind]")
+{
+    Fixture fixture;
+    fixture.applyRange(Copy, position(2, 90));
+    fixture.cache.noteCatalogVersion(catalog::CatalogVersion(0));
+    CHECK_FALSE(fixture.cache.isCatalogBehind());
+    fixture.cache.confirmCurrent(position(2, 90), position(2, 91), 0ms, Start + 5s);
+    CHECK(fixture.cache.staleness(Start + 5s) == 0s);
+}
+
 //-----------------------------------------------------------------------------
 // Confirmations
 //-----------------------------------------------------------------------------
