Instances state the version of their configuration, and the lower side fetches it

Only the store's positions told an instance to ask a peer, and after a restore they are equal although the configurations differ. An instance that started after the restore kept the older one until the operator wrote again.

Each message has the version of its sender, also pings, so an instance that is nobody's usual receiver hears of a newer one as well; every message is looked at before it is handled, and a newer version leads to a fetch from its sender, at most one in 200 ms. Reads of the store go by storeStaleness(): an instance that is behind does not read more often. Lines: configuration_behind (once for each newer version, with the peer that stated it), configuration_behind_ended, configuration_kept.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -614,6 +614,7 @@
     out.set_store_generation(snapshot.storePosition.generation.value);
     out.set_evidence_age_us(toMicroseconds(snapshot.staleness));
     out.set_catalog(snapshot.catalogValue);
+    out.set_catalog_version(snapshot.catalogVersion.value);
     out.set_catalog_generation(snapshot.catalogGeneration.value);
     for (const auto &[key, value] : snapshot.upstreamEntries) {
         auto *row = out.add_upstreams();
@@ -639,6 +640,7 @@
     out.storePosition = metadata::StorePosition{generation, metadata::StoreRevision(in.as_of())};
     out.staleness = fromMicroseconds(in.evidence_age_us());
     out.catalogValue = in.catalog();
+    out.catalogVersion = catalog::CatalogVersion(in.catalog_version());
     out.catalogGeneration = metadata::StoreGeneration(in.catalog_generation());
     for (const auto &row : in.upstreams()) {
         out.upstreamEntries[row.key()] = row.value();
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -95,7 +95,8 @@
     core::InstanceRef sender;
     core::RegionId region;
     FleetMessageBody body;
-    std::size_t ignoredParts = 0; // with values that only a newer release knows
+    std::size_t ignoredParts = 0;           // with values that only a newer release knows
+    catalog::CatalogVersion catalogVersion; // of the sender's configuration; 0: it has none, or its build states none
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -94,7 +94,8 @@
         m_context.writeLog(observe::LogLine("datagram_send_failed").add("address", address).add("error", code.message()));
         return;
     }
-    const FleetMessage message{core::InstanceRef{self().id, self().incarnation}, self().region, std::move(body)};
+    FleetMessage message{core::InstanceRef{self().id, self().incarnation}, self().region, std::move(body)};
+    message.catalogVersion = ownCatalogVersion ? ownCatalogVersion() : catalog::CatalogVersion();
     const std::string bytes = encode(message, m_context.now());
     m_socket.send_to(asio::buffer(bytes), *target, 0, code);
     m_context.metrics.incrementCounter(code ? "arbutus_datagrams_failed_total" : "arbutus_datagrams_sent_total");
@@ -132,6 +133,11 @@
     if (auto *membershipMessage = std::get_if<membership::Message>(&message->body)) {
         sendAll(m_view.receive(*membershipMessage, from, m_context.now()));
         refreshMembers();
+    }
+    if (onCatalogVersion) { // its sender may be a member only now
+        onCatalogVersion(message->sender.id, message->catalogVersion);
+    }
+    if (std::holds_alternative<membership::Message>(message->body)) {
         return;
     }
     m_messageHandler(std::move(*message), from);
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -78,6 +78,12 @@
     std::map<core::RegionId, std::vector<membership::Member>> m_dispatcherRankings;          // cache as of m_membersVersion; ranking hashes every member
     std::optional<std::size_t> m_storeWatchRank;                                             // cache as of m_membersVersion
     std::map<core::InstanceId, std::pair<membership::MemberCondition, bool>> m_loggedStates; // condition and leaving flag, as last logged
+
+public:
+    /// Returns the version of this instance's configuration, which every message states.
+    std::function<catalog::CatalogVersion()> ownCatalogVersion;
+    /// Called for every message, before it is handled.
+    std::function<void(const core::InstanceId &peer, catalog::CatalogVersion stated)> onCatalogVersion;
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -312,6 +312,7 @@
 MetadataUpdate MetadataCache::applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now)
 {
     MetadataUpdate update;
+    noteCatalogVersion(snapshot.catalogVersion);
     const auto position = resolvePeerPosition(snapshot.storePosition);
     const bool isCurrent = position && beginUpdate(*position, now, update);
     if (!snapshot.catalogValue.empty()) {
@@ -397,6 +398,7 @@
     if (m_catalog && known < knownCatalog()) {
         out.catalogValue = m_catalogValue;
     }
+    out.catalogVersion = knownCatalog().version;
     out.catalogGeneration = m_catalogGeneration;
     out.upstreamEntries = m_upstreamEntries;
     out.evacuatedDomains = m_storedEvacuations;
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -110,7 +110,8 @@
     metadata::StorePosition lastChange;
     metadata::StorePosition storePosition;
     core::Duration staleness{};
-    std::string catalogValue; // empty if the receiver already has it
+    std::string catalogValue;               // empty if the receiver already has it
+    catalog::CatalogVersion catalogVersion; // of the sender; 0: it has none, or its build states none
     metadata::StoreGeneration catalogGeneration;
     std::map<std::string, std::string> upstreamEntries;
     std::set<core::DomainId> evacuatedDomains;
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -232,7 +232,7 @@
     milliseconds retryDelay = m_settings.initialRetryDelay;
     while (!m_deregistering) {
         const core::Duration threshold = m_metadataCache.catalog() ? readThreshold() : core::Duration::zero();
-        if (m_metadataCache.staleness(m_context.now()) < threshold) {
+        if (m_metadataCache.storeStaleness(m_context.now()) < threshold) {
             co_await core::asyncSleep(m_settings.stalenessCheckInterval);
             continue;
         }
@@ -292,6 +292,14 @@
                                .add("store_revision", cached.revision)
                                .add("source", source));
     }
+    if (update.lowerCatalog) {
+        m_context.writeLog(observe::LogLine("configuration_kept")
+                               .add("version", m_metadataCache.knownCatalog().version)
+                               .add("store_version", *update.lowerCatalog)
+                               .add("store_generation", cached.generation)
+                               .add("store_revision", cached.revision)
+                               .add("source", source));
+    }
     if (update.catalogChanged) {
         m_context.writeLog(observe::LogLine("configuration_applied")
                                .add("version", m_metadataCache.catalog()->version())
@@ -331,6 +339,30 @@
 // Peers
 //-----------------------------------------------------------------------------
 
+void MetadataSync::noteCatalogVersion(const core::InstanceId &peer, catalog::CatalogVersion stated)
+{
+    m_metadataCache.noteCatalogVersion(stated);
+    const catalog::CatalogVersion known = m_metadataCache.knownCatalog().version;
+    if (stated <= known) {
+        return;
+    }
+    const core::TimePoint now = m_context.now();
+    if (stated > m_reportedCatalogVersion) {
+        m_reportedCatalogVersion = stated;
+        m_context.writeLog(observe::LogLine("configuration_behind")
+                               .add("version", known)
+                               .add("newer_version", stated)
+                               .add("peer", peer)
+                               .add("store_generation", m_metadataCache.storePosition().generation)
+                               .add("store_revision", m_metadataCache.storePosition().revision)
+                               .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(now))));
+    }
+    if (!m_lastCatalogFetchAt || now - *m_lastCatalogFetchAt >= m_settings.catalogFetchInterval) {
+        m_lastCatalogFetchAt = now;
+        fetchFromPeer(peer);
+    }
+}
+
 void MetadataSync::fetchFromPeer(const core::InstanceId &peer)
 {
     const membership::Member *member = m_fleet.findMember(peer);
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -52,8 +52,9 @@
     std::chrono::milliseconds leaseRenewalInterval{5'000};
     int registrationsPerSecond = 100; // of all instances after a restore of the store; each takes two writing calls
     core::Duration lowerGenerationTimeout = std::chrono::seconds(30);
-    std::chrono::milliseconds memberRefreshInterval{15'000}; // for reading the registrations of other instances
-    std::chrono::milliseconds peerFetchTimeout{700};         // for fetching a snapshot from a peer
+    std::chrono::milliseconds memberRefreshInterval{15'000};              // for reading the registrations of other instances
+    std::chrono::milliseconds peerFetchTimeout{700};                      // for fetching a snapshot from a peer
+    core::Duration catalogFetchInterval = std::chrono::milliseconds(200); // between fetches for a newer configuration that peers state
 };
 
 class MetadataSync
@@ -66,6 +67,8 @@
     void start(UpdateHandler handler);
     /// Fetches a metadata snapshot from a peer that has newer data.
     void fetchFromPeer(const core::InstanceId &peer);
+    /// Records the version of the configuration that a peer states, and fetches it if it is newer than this instance's.
+    void noteCatalogVersion(const core::InstanceId &peer, catalog::CatalogVersion stated);
     /// Returns whether this instance reads the store although another one should, because no update has arrived.
     [[nodiscard]] bool isSubstituteReader() const;
     /// Revokes this instance's registration before a planned shutdown.
@@ -112,6 +115,8 @@
     std::set<std::string> m_reportedInvalidItems;
     std::map<std::string, std::string> m_invalidRegistrations; // reasons by key, so that each is reported once
     bool m_fetching = false;
+    std::optional<core::TimePoint> m_lastCatalogFetchAt;
+    catalog::CatalogVersion m_reportedCatalogVersion; // highest one that this instance was logged to lack
     metadata::LeaseId m_lease;
     metadata::StoreGeneration m_leaseGeneration;   // in which it was granted
     metadata::StoreGeneration m_storeGeneration;   // latest one that this instance has reacted to
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -307,6 +307,10 @@
             for (const core::DomainId &domain : update.endedEvacuations) {
                 context.writeLog(observe::LogLine("evacuation_expired").add("domain", domain).add("reason", "not written again after the store was restored"));
             }
+            if (update.endedCatalog) {
+                context.writeLog(
+                    observe::LogLine("configuration_behind_ended").add("version", *update.endedCatalog).add("reason", "no other instance states it"));
+            }
             if (update.hasChanges()) {
                 onMetadataChanged(update);
             }
@@ -385,6 +389,8 @@
                               .add("callers", http::toString(impl.settings.clientEndpoint)));
     impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
+    impl.fleet.ownCatalogVersion = [&impl] { return impl.metadataCache.knownCatalog().version; };
+    impl.fleet.onCatalogVersion = [&impl](const core::InstanceId &peer, catalog::CatalogVersion stated) { impl.metadataSync.noteCatalogVersion(peer, stated); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
     impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint) {
         return impl.quarantine.findQuarantined(prompt, fingerprint).has_value();
--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -392,6 +392,40 @@
     }
 }
 
+TEST_CASE("a message does not state the configuration version of its sender", "[codec]")
+{
+    const catalog::CatalogVersion version(6);
+    for (const NamedMessage &message : sampleMessages(Build::WithPaths)) {
+        CAPTURE(message.name);
+        edge::FleetMessage sent{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), message.body};
+        sent.catalogVersion = version;
+        const auto received = edge::decodeFleetMessage(edge::encode(sent, Start), Start);
+        REQUIRE(received);
+        CHECK(received->catalogVersion == version);
+    }
+}
+
+TEST_CASE("a message of an older build is taken to state a configuration version", "[codec]")
+{
+    for (const RecordedMessage &row : readRecordedMessages()) {
+        CAPTURE(row.commit, row.name);
+        const bool isSnapshot = row.name == "snapshot";
+        const auto snapshot = isSnapshot ? edge::decodeMetadataSnapshot(row.bytes) : std::nullopt;
+        const auto message = isSnapshot ? std::nullopt : edge::decodeFleetMessage(row.bytes, Start);
+        REQUIRE((snapshot || message));
+        CHECK((isSnapshot ? snapshot->catalogVersion : message->catalogVersion).value == 0);
+    }
+}
+
+TEST_CASE("a snapshot does not state the configuration version of its sender", "[codec]")
+{
+    edge::MetadataSnapshot sent = sampleSnapshot();
+    sent.catalogVersion = catalog::CatalogVersion(6);
+    const auto received = edge::decodeMetadataSnapshot(edge::encode(sent));
+    REQUIRE(received);
+    CHECK(received->catalogVersion == sent.catalogVersion);
+}
+
 TEST_CASE("no field of an older build has another type or number, or is used again", "[codec]")
 {
     const std::map<std::string, ProtoFields> protos = {{"fleet.proto", readProto(ARBUTUS_PROTO_DIR "/fleet.proto")},
--- a/tests/storerestoretest.cpp
+++ b/tests/storerestoretest.cpp
@@ -106,3 +106,41 @@
         }
     }
 }
+
+TEST_CASE("an instance that starts after a restore serves by an older configuration than the others", "[restore][behind]")
+{
+    constexpr auto StartTime = 2'000ms; // membership, configuration and registrations
+    constexpr auto DownTime = 300ms;
+    constexpr auto ConfigurationBound = 3'000ms;
+    const std::uint64_t firstSeed = tests::environmentNumber("ARBUTUS_RIG_FIRST_SEED", 1);
+    const std::uint64_t seedCount = tests::environmentNumber("ARBUTUS_RIG_SEEDS", 1);
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
+        tests::EdgeRigOptions options;
+        options.seed = seed;
+        options.announcementInterval = 1'000ms;
+        options.keepsRegistrations = true;
+        tests::EdgeRig rig(options);
+        rig.runFor(StartTime);
+        rig.configure(rig.configuration());
+        rig.runFor(1'000ms);
+        const std::uint64_t acknowledged = rig.configurationVersion();
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) {
+            REQUIRE(rig.appliedConfiguration(i) == acknowledged);
+        }
+        rig.restoreStore(1'200ms);
+        rig.runFor(1'000ms);
+        std::vector<std::string> behind;
+        for (std::size_t i = 0; i < rig.instanceCount(); ++i) { // whichever roles it has, and the last ones from those that have started again
+            rig.kill(i);
+            rig.runFor(DownTime);
+            rig.start(i);
+            rig.runFor(ConfigurationBound);
+            if (rig.appliedConfiguration(i) != acknowledged) {
+                behind.push_back(rig.instanceId(i));
+            }
+        }
+        std::cout << "seed " << seed << ": instances behind " << behind.size() << " of " << rig.instanceCount() << std::endl;
+        CAPTURE(seed, behind);
+        CHECK(behind.empty());
+    }
+}
