Instances state the evacuations that they keep over a restore, with what is left of the grace

An evacuation that a restored store lacks was kept for 10 s by the instances that had it; one that started meanwhile read the store without it and used the failure domain at once.

Each message has the kept evacuations of its sender and their generation. An instance of the same generation keeps them for the time that is left, never longer than it was told first, and not if it has seen them written or ended since the restore.

Leavings and removals that are kept are still not passed on.

--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -97,6 +97,7 @@
     FleetMessageBody body;
     std::size_t ignoredParts = 0;           // with values that only a newer release knows
     catalog::CatalogVersion catalogVersion; // of the sender's configuration; 0: it has none, or its build states none
+    KeptEvacuations keptEvacuations;        // of the sender
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -95,7 +95,9 @@
         return;
     }
     FleetMessage message{core::InstanceRef{self().id, self().incarnation}, self().region, std::move(body)};
-    message.catalogVersion = ownCatalogVersion ? ownCatalogVersion() : catalog::CatalogVersion();
+    if (stateMetadata) {
+        stateMetadata(message);
+    }
     const std::string bytes = encode(message, m_context.now());
     m_socket.send_to(asio::buffer(bytes), *target, 0, code);
     m_context.metrics.incrementCounter(code ? "arbutus_datagrams_failed_total" : "arbutus_datagrams_sent_total");
@@ -134,8 +136,8 @@
         sendAll(m_view.receive(*membershipMessage, from, m_context.now()));
         refreshMembers();
     }
-    if (onCatalogVersion) { // its sender may be a member only now
-        onCatalogVersion(message->sender.id, message->catalogVersion);
+    if (onMetadataStated) { // its sender may be a member only now
+        onMetadataStated(*message);
     }
     if (std::holds_alternative<membership::Message>(message->body)) {
         return;
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -80,10 +80,10 @@
     std::map<core::InstanceId, std::pair<membership::MemberCondition, bool>> m_loggedStates; // condition and leaving flag, as last logged
 
 public:
-    /// Returns the version of this instance's configuration, which every message states.
-    std::function<catalog::CatalogVersion()> ownCatalogVersion;
+    /// Sets what every message states of this instance's metadata.
+    std::function<void(FleetMessage &message)> stateMetadata;
     /// Called for every message, before it is handled.
-    std::function<void(const core::InstanceId &peer, catalog::CatalogVersion stated)> onCatalogVersion;
+    std::function<void(const FleetMessage &message)> onMetadataStated;
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -105,6 +105,31 @@
     m_isCatalogStatedAgain = true;
 }
 
+KeptEvacuations MetadataCache::keptEvacuations(core::TimePoint now) const
+{
+    KeptEvacuations out{m_storePosition.generation, {}};
+    for (const auto &[domain, end] : m_keptEvacuations) {
+        out.domains[domain] = end - now;
+    }
+    return out;
+}
+
+MetadataUpdate MetadataCache::noteKeptEvacuations(const KeptEvacuations &kept, core::TimePoint now)
+{
+    MetadataUpdate update;
+    if (!m_initialized || m_isRestoreExpected || kept.generation != m_storePosition.generation) {
+        return update; // kept since another restore
+    }
+    for (const auto &[domain, left] : kept.domains) {
+        const bool isDecided = m_storedEvacuations.contains(domain) || m_decidedEvacuations.contains(domain);
+        if (left > core::Duration::zero() && !isDecided) {
+            m_keptEvacuations.emplace(domain, now + std::min(left, m_settings.evacuationGrace)); // never longer than it was known for
+        }
+    }
+    setEvacuatedDomains(now, update);
+    return update;
+}
+
 //-----------------------------------------------------------------------------
 // Updates
 //-----------------------------------------------------------------------------
@@ -120,6 +145,7 @@
     if (order == Order::Restored) {
         update.positionBefore = m_storePosition;
         update.contentsChanged = true;
+        m_decidedEvacuations.clear();
         for (const core::DomainId &domain : m_registry.evacuatedDomains()) {
             m_keptEvacuations[domain] = now + m_settings.evacuationGrace;
         }
@@ -180,6 +206,7 @@
     update.contentsChanged = update.contentsChanged || evacuated != m_storedEvacuations;
     m_storedEvacuations = std::move(evacuated);
     std::erase_if(m_keptEvacuations, [&](const auto &kept) { return m_storedEvacuations.contains(kept.first); });
+    m_decidedEvacuations.insert(m_storedEvacuations.begin(), m_storedEvacuations.end());
     setEvacuatedDomains(now, update);
     if (update.positionBefore) {
         for (const auto &[domain, end] : m_keptEvacuations) {
@@ -298,6 +325,7 @@
             if (change.removed) {
                 evacuated.erase(domain);
                 m_keptEvacuations.erase(domain);
+                m_decidedEvacuations.insert(domain);
             } else {
                 evacuated.insert(domain);
             }
@@ -370,6 +398,7 @@
         }
     }
     if (!update.endedEvacuations.empty()) {
+        m_decidedEvacuations.insert(update.endedEvacuations.begin(), update.endedEvacuations.end());
         std::erase_if(m_keptEvacuations, [&](const auto &kept) { return update.endedEvacuations.contains(kept.first); });
         setEvacuatedDomains(now, update);
     }
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -10,7 +10,8 @@
 //     whatever the store's positions are (see below). Another content of the same version replaces the earlier one if it comes from a
 //     later generation: versions rise within a history, so it was written after the restore;
 //   - a leaving holds for that run of the upstream; an upstream that was removed comes back with a later announcement only;
-//   - an evacuation that the store lacks holds for `evacuationGrace`;
+//   - an evacuation that the store lacks holds for `evacuationGrace`, also at instances that start meanwhile: messages state what is
+//     left of the grace;
 //   - an upstream that the store lacks is kept for a grace period, as after an outage (routing::UpstreamRegistry).
 //
 // Sections:
@@ -104,6 +105,13 @@
     auto operator<=>(const KnownCatalog &) const = default;
 };
 
+/// Evacuations that an instance keeps although the store, as restored to `generation`, lacks them; with the time that is left of their grace.
+struct KeptEvacuations
+{
+    metadata::StoreGeneration generation;
+    std::map<core::DomainId, core::Duration> domains;
+};
+
 /// Contents of a cache as sent to a peer; keys and values are those of the store.
 struct MetadataSnapshot
 {
@@ -163,6 +171,12 @@
         return m_statedCatalogVersion > knownCatalog().version;
     }
 
+    //--- Evacuations of other instances
+    [[nodiscard]] KeptEvacuations keptEvacuations(core::TimePoint now) const;
+    /// Keeps the evacuations that another instance keeps, for the rest of their grace, unless this instance has seen them written or ended
+    /// since the restore.
+    MetadataUpdate noteKeptEvacuations(const KeptEvacuations &kept, core::TimePoint now);
+
     //--- State
     /// Whether a peer whose last change is this one has newer data.
     [[nodiscard]] bool isNewer(metadata::StorePosition lastChange) const;
@@ -228,6 +242,7 @@
     std::map<std::string, std::string> m_invalidEntries;                     // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_storedEvacuations;
     std::map<core::DomainId, core::TimePoint> m_keptEvacuations; // that a restored store lacks, with the end of their grace
+    std::set<core::DomainId> m_decidedEvacuations;               // written or ended since the restore, so that others do not bring them back
     metadata::StorePosition m_lastChange;
     metadata::StorePosition m_storePosition;
     metadata::StoreGeneration m_knownGeneration;                 // highest one that the store or a peer has stated
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -339,6 +339,19 @@
 // Peers
 //-----------------------------------------------------------------------------
 
+void MetadataSync::stateMetadata(FleetMessage &message) const
+{
+    message.catalogVersion = m_metadataCache.knownCatalog().version;
+    message.keptEvacuations = m_metadataCache.keptEvacuations(m_context.now());
+}
+
+void MetadataSync::noteStatedMetadata(const FleetMessage &message)
+{
+    noteCatalogVersion(message.sender.id, message.catalogVersion);
+    const MetadataUpdate update = m_metadataCache.noteKeptEvacuations(message.keptEvacuations, m_context.now());
+    reportUpdate(update, m_metadataCache.storePosition(), "peer");
+}
+
 void MetadataSync::noteCatalogVersion(const core::InstanceId &peer, catalog::CatalogVersion stated)
 {
     m_metadataCache.noteCatalogVersion(stated);
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -67,8 +67,10 @@
     void start(UpdateHandler handler);
     /// Fetches a metadata snapshot from a peer that has newer data.
     void fetchFromPeer(const core::InstanceId &peer);
-    /// Records the version of the configuration that a peer states, and fetches it if it is newer than this instance's.
-    void noteCatalogVersion(const core::InstanceId &peer, catalog::CatalogVersion stated);
+    /// Sets what a message states of this instance's metadata.
+    void stateMetadata(FleetMessage &message) const;
+    /// Records what a message states of its sender's metadata, and fetches a newer configuration.
+    void noteStatedMetadata(const FleetMessage &message);
     /// Returns whether this instance reads the store although another one should, because no update has arrived.
     [[nodiscard]] bool isSubstituteReader() const;
     /// Revokes this instance's registration before a planned shutdown.
@@ -89,6 +91,7 @@
     /// Records the generation that a response states, and reacts to a restore; `call` is the call that showed it. Returns whether
     /// the response may be used: it is not of an earlier generation.
     bool observeGeneration(metadata::StoreGeneration stated, std::string_view call);
+    void noteCatalogVersion(const core::InstanceId &peer, catalog::CatalogVersion stated);
     /// Reads the store and registers again after a restore.
     void onStoreRestored(); // once for each generation
     void logRestore(const MetadataUpdate &update, std::string_view source);
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -389,8 +389,8 @@
                               .add("callers", http::toString(impl.settings.clientEndpoint)));
     impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
-    impl.fleet.ownCatalogVersion = [&impl] { return impl.metadataCache.knownCatalog().version; };
-    impl.fleet.onCatalogVersion = [&impl](const core::InstanceId &peer, catalog::CatalogVersion stated) { impl.metadataSync.noteCatalogVersion(peer, stated); };
+    impl.fleet.stateMetadata = [&impl](FleetMessage &message) { impl.metadataSync.stateMetadata(message); };
+    impl.fleet.onMetadataStated = [&impl](const FleetMessage &message) { impl.metadataSync.noteStatedMetadata(message); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
     impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint) {
         return impl.quarantine.findQuarantined(prompt, fingerprint).has_value();
--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -405,6 +405,20 @@
     }
 }
 
+TEST_CASE("a message does not state the evacuations that its sender keeps", "[codec]")
+{
+    const edge::KeptEvacuations kept{metadata::StoreGeneration(2), {{core::DomainId("z"), 4s}, {core::DomainId("z2"), 0s}}};
+    for (const NamedMessage &message : sampleMessages(Build::WithPaths)) {
+        CAPTURE(message.name);
+        edge::FleetMessage sent{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), message.body};
+        sent.keptEvacuations = kept;
+        const auto received = edge::decodeFleetMessage(edge::encode(sent, Start), Start);
+        REQUIRE(received);
+        CHECK(received->keptEvacuations.generation == kept.generation);
+        CHECK(received->keptEvacuations.domains == kept.domains);
+    }
+}
+
 TEST_CASE("a message of an older build is taken to state a configuration version", "[codec]")
 {
     for (const RecordedMessage &row : readRecordedMessages()) {
@@ -414,6 +428,7 @@
         const auto message = isSnapshot ? std::nullopt : edge::decodeFleetMessage(row.bytes, Start);
         REQUIRE((snapshot || message));
         CHECK((isSnapshot ? snapshot->catalogVersion : message->catalogVersion).value == 0);
+        CHECK((isSnapshot || message->keptEvacuations.domains.empty()));
     }
 }
 
--- a/tests/metadatahistorytest.cpp
+++ b/tests/metadatahistorytest.cpp
@@ -395,12 +395,19 @@
         metadata::StorePosition lastChange;
         metadata::StorePosition storePosition;
         core::TimePoint currentAt{};
+        edge::KeptEvacuations kept;
     };
 
     [[nodiscard]] Message messageOf(std::size_t sender, std::size_t receiver) const
     {
         const edge::MetadataCache &cache = m_instances[sender]->cache;
-        return Message{sender, receiver, cache.knownCatalog().version, cache.lastChange(), cache.storePosition(), m_now - cache.staleness(m_now)};
+        return Message{sender,
+                       receiver,
+                       cache.knownCatalog().version,
+                       cache.lastChange(),
+                       cache.storePosition(),
+                       m_now - cache.staleness(m_now),
+                       cache.keptEvacuations(m_now)};
     }
     /// The receiver fetches a snapshot of the sender if it has to.
     void deliver(const Message &message)
@@ -408,6 +415,13 @@
         Instance &receiver = *m_instances[message.receiver];
         Instance &sender = *m_instances[message.sender];
         receiver.cache.noteCatalogVersion(message.version);
+        const std::set<core::DomainId> before = receiver.cache.registry().evacuatedDomains();
+        (void)receiver.cache.noteKeptEvacuations(message.kept, m_now);
+        for (const auto &[domain, left] : message.kept.domains) {
+            if (receiver.cache.registry().isEvacuated(domain) && !before.contains(domain)) {
+                receiver.evacuated["op/evacuate/" + domain.text] = m_now + left - EvacuationGrace; // as at the sender
+            }
+        }
         receiver.cache.confirmCurrent(message.lastChange, message.storePosition, m_now - message.currentAt, m_now);
         if (receiver.cache.isCatalogBehind() || receiver.cache.isNewer(message.lastChange)) {
             fetch(receiver, sender, false);
--- a/tests/metadatarestoretest.cpp
+++ b/tests/metadatarestoretest.cpp
@@ -406,6 +406,7 @@
 bool hear(Fixture &receiver, const Fixture &sender, core::TimePoint now = Start)
 {
     receiver.cache.noteCatalogVersion(sender.cache.knownCatalog().version);
+    (void)receiver.cache.noteKeptEvacuations(sender.cache.keptEvacuations(now), now);
     receiver.cache.confirmCurrent(sender.cache.lastChange(), sender.cache.storePosition(), sender.cache.staleness(now), now);
     const bool fetches = receiver.cache.isCatalogBehind() || receiver.cache.isNewer(sender.cache.lastChange());
     if (fetches) {
@@ -535,6 +536,50 @@
     CHECK(fixture.cache.staleness(Start + 5s) == 0s);
 }
 
+TEST_CASE("an instance that starts after a restore uses a failure domain that its peers keep evacuated", "[restore][behind]")
+{
+    constexpr auto Grace = 10s; // MetadataCacheSettings::evacuationGrace
+    const Items evacuating{{"servers/i-a", entry()}, {"op/evacuate/z", "{}"}};
+    const Items copy{{"servers/i-a", entry()}};
+    Fixture survivor;
+    survivor.applyRange(evacuating, position(1, 100));
+    survivor.applyRange(copy, position(2, 90));
+    Fixture started;
+    started.applyRange(copy, position(2, 90), Start + 4s);
+    REQUIRE(started.isEligible());
+    (void)hear(started, survivor, Start + 4s);
+    CHECK_FALSE(started.isEligible());
+    Fixture last;
+    last.applyRange(copy, position(2, 90), Start + 8s);
+    SECTION("it is not written again")
+    {
+        (void)hear(last, started, Start + 8s);
+        CHECK_FALSE(last.isEligible());
+        for (Fixture *fixture : {&started, &last}) {
+            (void)fixture->cache.expireEntries(Start + Grace - 100ms);
+            CHECK_FALSE(fixture->isEligible());
+            (void)fixture->cache.expireEntries(Start + Grace);
+            CHECK(fixture->isEligible());
+            (void)hear(*fixture, survivor, Start + Grace - 1s); // a late message does not bring it back
+            CHECK(fixture->isEligible());
+        }
+    }
+    SECTION("it is written again and ended, and a peer that has seen neither keeps it")
+    {
+        started.applyChanges({{"op/evacuate/z", "{}"}}, position(2, 91), Start + 5s);
+        started.applyRange(copy, position(2, 92), Start + 6s);
+        CHECK(started.isEligible());
+        (void)hear(started, survivor, Start + 7s);
+        CHECK(started.isEligible());
+    }
+    SECTION("the store is restored again, and the peer has not heard of that")
+    {
+        last.applyRange(copy, position(3, 80), Start + 8s);
+        (void)hear(last, survivor, Start + 8s);
+        CHECK(last.isEligible());
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Confirmations
 //-----------------------------------------------------------------------------
