--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr core::Duration NeverConfirmed = std::chrono::hours(24); // staleness
+
 /// Whether a change of an announcement matters for routing. Its sequence and remaining times change with each announcement.
 bool isRelevantChange(const routing::Announcement &before, const routing::Announcement &after)
 {
@@ -91,6 +93,43 @@
     return resolved && *resolved > m_lastChange;
 }
 
+void MetadataCache::noteCatalogVersion(catalog::CatalogVersion stated)
+{
+    if (stated.value == 0 || stated < m_statedCatalogVersion) {
+        return;
+    }
+    if (!isCatalogBehind()) {
+        m_lastCurrentAt = m_initialized ? std::optional(m_lastConfirmedAt) : std::nullopt;
+    }
+    m_statedCatalogVersion = stated;
+    m_isCatalogStatedAgain = true;
+}
+
+KeptEvacuations MetadataCache::keptEvacuations(core::TimePoint now) const
+{
+    KeptEvacuations out{m_storePosition.generation, {}};
+    for (const auto &[domain, end] : m_keptEvacuations) {
+        out.domains[domain] = end - now;
+    }
+    return out;
+}
+
+MetadataUpdate MetadataCache::noteKeptEvacuations(const KeptEvacuations &kept, core::TimePoint now)
+{
+    MetadataUpdate update;
+    if (!m_initialized || m_isRestoreExpected || kept.generation != m_storePosition.generation) {
+        return update; // kept since another restore
+    }
+    for (const auto &[domain, left] : kept.domains) {
+        const bool isDecided = m_storedEvacuations.contains(domain) || m_decidedEvacuations.contains(domain);
+        if (left > core::Duration::zero() && !isDecided) {
+            m_keptEvacuations.emplace(domain, now + std::min(left, m_settings.evacuationGrace)); // never longer than it was known for
+        }
+    }
+    setEvacuatedDomains(now, update);
+    return update;
+}
+
 //-----------------------------------------------------------------------------
 // Updates
 //-----------------------------------------------------------------------------
@@ -106,6 +145,7 @@
     if (order == Order::Restored) {
         update.positionBefore = m_storePosition;
         update.contentsChanged = true;
+        m_decidedEvacuations.clear();
         for (const core::DomainId &domain : m_registry.evacuatedDomains()) {
             m_keptEvacuations[domain] = now + m_settings.evacuationGrace;
         }
@@ -136,6 +176,9 @@
         const catalog::CatalogVersion version = parsed.value()->version();
         const bool isOtherContent = version == m_catalog->version() && generation > m_catalogGeneration;
         if (version < m_catalog->version() || (version == m_catalog->version() && !isOtherContent)) {
+            if (version < m_catalog->version() && generation > m_catalogGeneration && std::exchange(m_lowerCatalogVersion, version) != version) {
+                update.lowerCatalog = version;
+            }
             return; // an older version never replaces a newer one
         }
         if (isOtherContent) {
@@ -145,6 +188,7 @@
     m_catalog = std::move(parsed.value());
     m_catalogValue = value;
     m_catalogGeneration = generation;
+    m_lowerCatalogVersion.reset();
     update.catalogChanged = true;
 }
 
@@ -162,6 +206,7 @@
     update.contentsChanged = update.contentsChanged || evacuated != m_storedEvacuations;
     m_storedEvacuations = std::move(evacuated);
     std::erase_if(m_keptEvacuations, [&](const auto &kept) { return m_storedEvacuations.contains(kept.first); });
+    m_decidedEvacuations.insert(m_storedEvacuations.begin(), m_storedEvacuations.end());
     setEvacuatedDomains(now, update);
     if (update.positionBefore) {
         for (const auto &[domain, end] : m_keptEvacuations) {
@@ -280,6 +325,7 @@
             if (change.removed) {
                 evacuated.erase(domain);
                 m_keptEvacuations.erase(domain);
+                m_decidedEvacuations.insert(domain);
             } else {
                 evacuated.insert(domain);
             }
@@ -294,16 +340,21 @@
 MetadataUpdate MetadataCache::applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now)
 {
     MetadataUpdate update;
+    noteCatalogVersion(snapshot.catalogVersion);
     const auto position = resolvePeerPosition(snapshot.storePosition);
-    if (!position || !beginUpdate(*position, now, update)) {
-        update.isObsolete = true;
+    const bool isCurrent = position && beginUpdate(*position, now, update);
+    if (!snapshot.catalogValue.empty()) {
+        const bool isGenerationKnown = position && snapshot.catalogGeneration.value != 0;
+        applyCatalog(snapshot.catalogValue, isGenerationKnown ? snapshot.catalogGeneration : m_catalogGeneration, update);
+    }
+    if (!isCurrent) {
+        if (!update.parseErrors.empty() && std::exchange(m_rejectedCatalogValue, snapshot.catalogValue) == snapshot.catalogValue) {
+            update.parseErrors.clear();
+        }
+        update.isObsolete = !update.catalogChanged;
         return update;
     }
     m_recentStoreOutage = snapshot.recentStoreOutage;
-    if (!snapshot.catalogValue.empty()) {
-        const bool isGenerationStated = snapshot.catalogGeneration.value != 0;
-        applyCatalog(snapshot.catalogValue, isGenerationStated ? snapshot.catalogGeneration : m_catalogGeneration, update);
-    }
     m_storedCatalogValue = m_catalogValue;
     m_upstreamEntries = snapshot.upstreamEntries;
     applyEvacuations(snapshot.evacuatedDomains, now, update);
@@ -347,15 +398,24 @@
         }
     }
     if (!update.endedEvacuations.empty()) {
+        m_decidedEvacuations.insert(update.endedEvacuations.begin(), update.endedEvacuations.end());
         std::erase_if(m_keptEvacuations, [&](const auto &kept) { return update.endedEvacuations.contains(kept.first); });
         setEvacuatedDomains(now, update);
     }
+    if (std::exchange(m_isCatalogStatedAgain, false)) {
+        m_catalogStatedAt = now;
+    } else if (isCatalogBehind() && now - m_catalogStatedAt >= m_settings.statedCatalogRetention) {
+        update.endedCatalog = std::exchange(m_statedCatalogVersion, catalog::CatalogVersion());
+    }
     return update;
 }
 
 void MetadataCache::addSuspendedTime(core::Duration duration)
 {
     m_lastConfirmedAt -= duration;
+    if (m_lastCurrentAt) {
+        *m_lastCurrentAt -= duration;
+    }
 }
 
 MetadataSnapshot MetadataCache::snapshot(KnownCatalog known, core::TimePoint now) const
@@ -367,6 +427,7 @@
     if (m_catalog && known < knownCatalog()) {
         out.catalogValue = m_catalogValue;
     }
+    out.catalogVersion = knownCatalog().version;
     out.catalogGeneration = m_catalogGeneration;
     out.upstreamEntries = m_upstreamEntries;
     out.evacuatedDomains = m_storedEvacuations;
@@ -376,7 +437,15 @@
 
 core::Duration MetadataCache::staleness(core::TimePoint now) const
 {
-    return m_initialized ? now - m_lastConfirmedAt : core::Duration(std::chrono::hours(24));
+    if (!isCatalogBehind()) {
+        return storeStaleness(now);
+    }
+    return m_initialized && m_lastCurrentAt ? now - std::min(*m_lastCurrentAt, m_lastConfirmedAt) : NeverConfirmed;
+}
+
+core::Duration MetadataCache::storeStaleness(core::TimePoint now) const
+{
+    return m_initialized ? now - m_lastConfirmedAt : NeverConfirmed;
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -6,10 +6,12 @@
 //
 // A store that was restored from an older copy has a higher generation and lacks its last changes. The first update of that
 // generation replaces the data, but what the cache has acknowledged before holds until it is written again:
-//   - a configuration version never goes back. Another content of the same version replaces the earlier one if it comes from a
+//   - a configuration version never goes back, and an instance that has a lower one takes the higher one from any other instance,
+//     whatever the store's positions are (see below). Another content of the same version replaces the earlier one if it comes from a
 //     later generation: versions rise within a history, so it was written after the restore;
 //   - a leaving holds for that run of the upstream; an upstream that was removed comes back with a later announcement only;
-//   - an evacuation that the store lacks holds for `evacuationGrace`;
+//   - an evacuation that the store lacks holds for `evacuationGrace`, also at instances that start meanwhile: messages state what is
+//     left of the grace;
 //   - an upstream that the store lacks is kept for a grace period, as after an outage (routing::UpstreamRegistry).
 //
 // Sections:
@@ -26,6 +28,27 @@
 // A: It runs a build of before generations, or its store states none. It is taken to mean this cache's generation. Once the
 //    generation has changed, that may be wrong, and its snapshots and confirmations have no effect any more.
 //
+// Q: How does an instance that starts after a restore learn of a configuration that the store lacks?
+// A: What has been acknowledged only grows, apart from the store's position. Each message between instances states the sender's
+//    version; an instance with a lower one is behind, and fetches a snapshot from the sender. A snapshot's higher configuration is taken
+//    even if the rest of it is older than the cache. Any path that connects two instances is enough, whoever reads the store.
+//
+// Q: Is an instance that is behind current?
+// A: No. Until it has the newer configuration, neither the store nor peers reduce its staleness(). storeStaleness() tells when the data was
+//    last confirmed all the same; reads of the store go by that, since more of them don't help. If no instance has stated the version for
+//    `statedCatalogRetention`, it is in force nowhere, and the instance is current again.
+//
+// Q: What if the same version has another content after a restore?
+// A: It was written in the later generation and replaces the earlier one, as above. Versions alone are stated, so that does not make an
+//    instance behind: the writing is a change of the store, and lastChange tells of it.
+//
+// Q: What if a version was never acknowledged, and the restore lost it?
+// A: It is kept and passed on like an acknowledged one, until the store has the same or a higher version. An instance knows a version from a
+//    linearizable read, so the store had committed it; whether its writer got the answer can't be seen from here. A writer without an answer
+//    can't know either, and its next version must be higher. A lower one that is written after the restore has no effect until then:
+//    instances that take it and ones that don't would need a common order of the writings of both generations, which the store's positions
+//    don't give to an instance that has not seen the restore. The line `configuration_kept` names both versions.
+//
 // Q: What if the store's generation falls?
 // A: Updates of a lower generation have no effect. A caller that is sure that the store is another one calls
 //    acceptLowerGeneration(); the next full read is then taken as that of a restored store, and peers that state a generation
@@ -46,7 +69,8 @@
 struct MetadataCacheSettings
 {
     routing::UpstreamRegistrySettings registry;
-    core::Duration evacuationGrace = std::chrono::seconds(10); // for an evacuation that a restored store lacks to be written again
+    core::Duration evacuationGrace = std::chrono::seconds(10);        // for an evacuation that a restored store lacks to be written again
+    core::Duration statedCatalogRetention = std::chrono::seconds(10); // of a version that no other instance states any more
 };
 
 /// The effect of an update, for logging and for components that keep state for each upstream.
@@ -61,6 +85,8 @@
     bool isFullReadNeeded = false;                          // changes that do not continue the cached data, so they had no effect
     std::optional<metadata::StorePosition> positionBefore;  // if this is the first update from a restored store
     std::optional<catalog::CatalogVersion> replacedCatalog; // the version whose content was replaced by another one
+    std::optional<catalog::CatalogVersion> lowerCatalog;    // that the store has in place of the one that is kept; once for each
+    std::optional<catalog::CatalogVersion> endedCatalog;    // that no other instance states any more, without this one having got it
     std::set<core::DomainId> keptEvacuations;               // that a restored store lacks
     std::set<core::DomainId> endedEvacuations;              // that were kept and have not been written again in time
 
@@ -79,13 +105,21 @@
     auto operator<=>(const KnownCatalog &) const = default;
 };
 
+/// Evacuations that an instance keeps although the store, as restored to `generation`, lacks them; with the time that is left of their grace.
+struct KeptEvacuations
+{
+    metadata::StoreGeneration generation;
+    std::map<core::DomainId, core::Duration> domains;
+};
+
 /// Contents of a cache as sent to a peer; keys and values are those of the store.
 struct MetadataSnapshot
 {
     metadata::StorePosition lastChange;
     metadata::StorePosition storePosition;
     core::Duration staleness{};
-    std::string catalogValue; // empty if the receiver already has it
+    std::string catalogValue;               // empty if the receiver already has it
+    catalog::CatalogVersion catalogVersion; // of the sender; 0: it has none, or its build states none
     metadata::StoreGeneration catalogGeneration;
     std::map<std::string, std::string> upstreamEntries;
     std::set<core::DomainId> evacuatedDomains;
@@ -107,13 +141,13 @@
                                 metadata::StorePosition position,
                                 bool recentStoreOutage,
                                 core::TimePoint readAt);
-    /// Applies a peer's snapshot; one that is older than the cache has no effect.
+    /// Applies a peer's snapshot; of one that is older than the cache, only a newer configuration has an effect.
     MetadataUpdate applySnapshot(const MetadataSnapshot &snapshot, core::TimePoint now);
     /// Updates the staleness after a peer reported the position of its own cache.
     void confirmCurrent(metadata::StorePosition lastChange, metadata::StorePosition storePosition, core::Duration staleness, core::TimePoint now);
     /// Marks an upstream that this instance or a peer has observed to be leaving.
     MetadataUpdate markLeaving(const core::UpstreamId &id, core::TimePoint now);
-    /// Ends grace periods that are over.
+    /// Ends grace periods that are over, and forgets versions that are not stated any more.
     MetadataUpdate expireEntries(core::TimePoint now);
     /// Accounts for a suspension of the machine, which the steady clock does not include in the staleness.
     void addSuspendedTime(core::Duration duration);
@@ -128,6 +162,21 @@
         return m_knownGeneration;
     }
 
+    //--- Configurations of other instances
+    /// Records the version of the configuration that another instance states to have; 0 if it states none.
+    void noteCatalogVersion(catalog::CatalogVersion stated);
+    /// Whether a newer configuration than this instance's is known to be in force at another instance.
+    [[nodiscard]] bool isCatalogBehind() const
+    {
+        return m_statedCatalogVersion > knownCatalog().version;
+    }
+
+    //--- Evacuations of other instances
+    [[nodiscard]] KeptEvacuations keptEvacuations(core::TimePoint now) const;
+    /// Keeps the evacuations that another instance keeps, for the rest of their grace, unless this instance has seen them written or ended
+    /// since the restore.
+    MetadataUpdate noteKeptEvacuations(const KeptEvacuations &kept, core::TimePoint now);
+
     //--- State
     /// Whether a peer whose last change is this one has newer data.
     [[nodiscard]] bool isNewer(metadata::StorePosition lastChange) const;
@@ -152,8 +201,11 @@
     {
         return m_storePosition;
     }
-    /// Time since the cache was last known to match the store; 24 hours before the first read.
+    /// Time since the cache was last known to match what is in force; 24 hours before the first read. It only rises while this instance
+    /// is behind.
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
+    /// Time since the cache was last known to match the store, whatever other instances have.
+    [[nodiscard]] core::Duration storeStaleness(core::TimePoint now) const;
 
 private:
     /// Where an update stands relative to the cached data.
@@ -179,20 +231,27 @@
     catalog::CatalogPointer m_catalog;
     std::string m_catalogValue;
     metadata::StoreGeneration m_catalogGeneration;                           // latest one in which the store had this value
+    std::string m_rejectedCatalogValue;                                      // of a peer's older snapshot, so that it is reported once
+    std::optional<catalog::CatalogVersion> m_lowerCatalogVersion;            // of the store, while a higher one is kept
+    catalog::CatalogVersion m_statedCatalogVersion;                          // highest one that another instance states to have
+    bool m_isCatalogStatedAgain = false;                                     // since expireEntries()
+    core::TimePoint m_catalogStatedAt{};                                     // as of expireEntries()
     std::string m_storedCatalogValue;                                        // differs from m_catalogValue if it is older or invalid
     std::map<std::string, std::string> m_upstreamEntries;                    // values by key, as in the store
     std::map<core::UpstreamId, routing::Announcement> m_storedAnnouncements; // the valid ones
     std::map<std::string, std::string> m_invalidEntries;                     // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_storedEvacuations;
     std::map<core::DomainId, core::TimePoint> m_keptEvacuations; // that a restored store lacks, with the end of their grace
+    std::set<core::DomainId> m_decidedEvacuations;               // written or ended since the restore, so that others do not bring them back
     metadata::StorePosition m_lastChange;
     metadata::StorePosition m_storePosition;
     metadata::StoreGeneration m_knownGeneration;                 // highest one that the store or a peer has stated
     std::optional<metadata::StoreGeneration> m_fallenGeneration; // from which the store has fallen to a lower one
     core::TimePoint m_lastConfirmedAt{};
-    bool m_initialized = false;          // after the first read or snapshot
-    bool m_hasGenerationChanged = false; // since this instance's start
-    bool m_isRestoreExpected = false;    // the next update replaces the data, whatever its revision
+    std::optional<core::TimePoint> m_lastCurrentAt; // before this instance was behind; nothing if it was so from its first read
+    bool m_initialized = false;                     // after the first read or snapshot
+    bool m_hasGenerationChanged = false;            // since this instance's start
+    bool m_isRestoreExpected = false;               // the next update replaces the data, whatever its revision
     bool m_recentStoreOutage = false;
 };
 
