Datagrams state the version of the sender's configuration and the evacuations that it keeps over a restore

An instance that started after a restore of the store served by an older configuration than the others, outside the home regions that the others kept, until the operator wrote again: positions of the store are equal then, and no message told the version. Evacuations that the restored store lacks go with it (kept_generation, kept_evacuations), with what is left of their grace.

Messages of older builds state neither, and older builds ignore the fields.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -519,6 +519,11 @@
     FleetMessage message;
     message.sender = core::InstanceRef{core::InstanceId(in.sender()), core::Incarnation(in.incarnation())};
     message.region = core::RegionId(in.region());
+    message.catalogVersion = catalog::CatalogVersion(in.catalog_version());
+    message.keptEvacuations.generation = metadata::StoreGeneration(in.kept_generation());
+    for (const fleet::KeptEvacuation &row : in.kept_evacuations()) {
+        message.keptEvacuations.domains[core::DomainId(row.domain())] = fromMicroseconds(row.left_us());
+    }
     membership::Message gossip;
     gossip.sender = message.sender;
     for (const fleet::Member &member : in.members()) {
@@ -589,6 +594,15 @@
     out.set_sender(message.sender.id.text);
     out.set_incarnation(message.sender.incarnation.value);
     out.set_region(message.region.text);
+    out.set_catalog_version(message.catalogVersion.value);
+    if (!message.keptEvacuations.domains.empty()) {
+        out.set_kept_generation(message.keptEvacuations.generation.value);
+    }
+    for (const auto &[domain, left] : message.keptEvacuations.domains) {
+        fleet::KeptEvacuation *row = out.add_kept_evacuations();
+        row->set_domain(domain.text);
+        row->set_left_us(toMicroseconds(left));
+    }
     bodyToProto(message.body, out, now);
     return out.SerializeAsString();
 }
