Tests of instances that stood still or are out of step, failing

An instance that is cut off from the others and the store sent 12 of 12 streams that had begun at a new version to the old one.

The rig can lose datagrams between instances, by filters on their sockets.

--- a/tests/mixedversiontest.cpp
+++ b/tests/mixedversiontest.cpp
@@ -449,6 +449,103 @@
     }
 }
 
+TEST_CASE("an instance out of step does not send a stream that began at a new version to an older one", "[rig]")
+{
+    enum class Disruption { StoodStill, CutFromInstances, CutFromAll, LostDatagrams, StoodStillAndCutFromInstances };
+    struct Row
+    {
+        const char *name;
+        Disruption disruption;
+    };
+    constexpr std::array Rows = {
+        Row{"stood still", Disruption::StoodStill},
+        Row{"stood still, then cut off from the other instances", Disruption::StoodStillAndCutFromInstances},
+        Row{"cut off from the other instances", Disruption::CutFromInstances},
+        Row{"cut off from the other instances and the store", Disruption::CutFromAll},
+        Row{"half of all datagrams lost", Disruption::LostDatagrams},
+    };
+    const auto known = std::chrono::duration_cast<std::chrono::milliseconds>(routing::StreamRecordsSettings{}.retention) + StartTime;
+    constexpr std::size_t StreamCount = 32;
+    constexpr auto StandstillTime = 1'200ms;
+    constexpr auto JoinDelay = 50ms;    // from the disruption until the upstreams of the new version join
+    constexpr auto StreamDelay = 200ms; // until the streams begin
+    constexpr auto StreamTime = 300ms;  // in which they have their last event and are taken up
+    for (const Row &row : Rows) {
+        tests::EdgeRigOptions options = rigOptions(1);
+        options.versions = {"v1"};
+        tests::EdgeRig rig(options);
+        rig.runFor(known);
+        const auto storeCallCount = [&](std::size_t instance) {
+            const std::string text = rig.metricsText(instance);
+            const std::string name = "arbutus_store_calls_total{call=\"watch\"} ";
+            const std::size_t at = text.find(name);
+            return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
+        };
+        std::size_t outOfStep = 0; // not the one that watches the store
+        for (std::size_t i = 1; i < rig.instanceCount(); ++i) {
+            outOfStep = storeCallCount(i) <= storeCallCount(outOfStep) ? i : outOfStep;
+        }
+        const bool standsStill = row.disruption == Disruption::StoodStill || row.disruption == Disruption::StoodStillAndCutFromInstances;
+        if (standsStill) {
+            rig.freeze(outOfStep, StandstillTime);
+        } else if (row.disruption == Disruption::LostDatagrams) {
+            rig.loseDatagrams(0.5);
+        } else {
+            rig.cutDatagrams(outOfStep);
+            rig.setStoreCut(outOfStep, row.disruption == Disruption::CutFromAll);
+        }
+        rig.runFor(JoinDelay);
+        for (std::size_t i = 0, count = rig.upstreamCount(); i < count; ++i) {
+            rig.addUpstream(rig.upstream(i).region(), "s", "v2");
+        }
+        rig.runFor(StreamDelay);
+        std::map<std::size_t, std::size_t> resumed; // by first request
+        std::vector<std::size_t> first(StreamCount);
+        for (std::size_t i = 0; i < StreamCount; ++i) {
+            std::size_t instance = i % rig.instanceCount();
+            instance = instance == outOfStep ? (instance + 1) % rig.instanceCount() : instance;
+            tests::RigRequest request = streamRequest(instance, i);
+            request.parts = {"c" + std::to_string(i)}; // nothing draws them to the upstreams that have served others
+            request.dropAfter = 2;
+            request.onDone = [&rig, &resumed, &first, outOfStep, i] {
+                if (rig.result(first[i]).events.size() == 2) {
+                    tests::RigRequest resumption = streamRequest(outOfStep, i);
+                    resumption.lastEvent = 2;
+                    resumption.resumes = tests::EdgeRig::attemptId(first[i]);
+                    resumed[first[i]] = rig.send(resumption);
+                }
+            };
+            first[i] = rig.send(request);
+        }
+        rig.runFor(standsStill ? StandstillTime - JoinDelay - StreamDelay - 100ms : StreamTime);
+        if (row.disruption == Disruption::StoodStillAndCutFromInstances) {
+            rig.cutDatagrams(outOfStep);
+        }
+        const std::size_t fresh = rig.send(streamRequest(outOfStep, StreamCount));
+        rig.runUntilDone();
+        std::size_t ofNewVersion = 0;
+        std::size_t mixed = 0;
+        std::size_t wentOn = 0;
+        std::size_t refused = 0;
+        for (const auto &[firstNumber, number] : resumed) {
+            const tests::ClientResult &result = rig.result(number);
+            const std::string &version = rig.result(firstNumber).events.front().version;
+            ofNewVersion += version == "v2" ? 1 : 0;
+            wentOn += result.events.empty() ? 0 : 1;
+            refused += result.status == 503 ? 1 : 0;
+            mixed += std::any_of(result.events.begin(), result.events.end(), [&](const tests::StreamEvent &event) { return event.version != version; }) ? 1 : 0;
+        }
+        std::cout << "out of step, " << row.name << ": taken up " << resumed.size() << ", begun at the new version " << ofNewVersion << ", gone on " << wentOn
+                  << ", of two versions " << mixed << ", 503 " << refused << std::endl;
+        CAPTURE(row.name);
+        CHECK(resumed.size() >= StreamCount / 2);
+        CHECK(ofNewVersion > 0);
+        CHECK(mixed == 0);
+        CHECK(wentOn + refused == resumed.size());
+        CHECK(rig.result(fresh).status == 200);
+    }
+}
+
 TEST_CASE("a resumed stream stays at the service that began it", "[rig]")
 {
     struct Row
--- a/tests/support/edgerig.cpp
+++ b/tests/support/edgerig.cpp
@@ -3,6 +3,7 @@
 #include "support/edgerig.h"
 #include "arbutus/edge/fleet.h"
 #include "arbutus/http/server.h"
+#include "support/datagramloss.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -556,6 +557,27 @@
     m_instances[instance]->disruptions.emplace_back(now(), now());
 }
 
+void EdgeRig::cutDatagrams(std::size_t instance)
+{
+    m_instances[instance]->disruptions.emplace_back(now(), core::TimePoint::max());
+    const std::uint16_t port = m_instances[instance]->settings.peersEndpoint.port;
+    DatagramLoss loss;
+    for (const auto &other : m_instances) {
+        if (other->gateway && other != m_instances[instance]) {
+            loss.cutSenders.insert(other->settings.peersEndpoint.port);
+            setDatagramLoss(other->settings.peersEndpoint.port, DatagramLoss{.cutSenders = {port}});
+        }
+    }
+    setDatagramLoss(port, loss);
+}
+
+void EdgeRig::loseDatagrams(double share)
+{
+    for (const auto &instance : m_instances) {
+        setDatagramLoss(instance->settings.peersEndpoint.port, DatagramLoss{.cutSenders = {}, .share = share});
+    }
+}
+
 void EdgeRig::cutPaths(std::size_t instance, PathFailure failure)
 {
     m_pathCuts->cut(instance, failure);
--- a/tests/support/edgerig.h
+++ b/tests/support/edgerig.h
@@ -369,6 +369,10 @@
     void kill(std::size_t instance);
     void start(std::size_t instance);
     void setStoreCut(std::size_t instance, bool isCut);
+    /// Loses all datagrams between an instance and the others, until the end; connections are not affected. For one instance only.
+    void cutDatagrams(std::size_t instance);
+    /// Loses a share of the datagrams between instances, at random. It counts as undisturbed meanwhile.
+    void loseDatagrams(double share);
     /// Cuts the paths from an instance to all upstreams; needs EdgeRigOptions::allowsPathCuts. It counts as undisturbed meanwhile.
     void cutPaths(std::size_t instance, PathFailure failure);
     void healPaths(std::size_t instance);
