Evidence that waited while the process stood still counts as old

Cause: the age that a datagram states, and the end of a watch call, were counted from the moment of reading. Right after a stall, what had waited in the sockets made the metadata current although they were seconds old, and requests that waited as well were served by them.

Change: EvidenceClock knows when the event loop last ran and when no datagram was left. After a stall of 0.5 s or more with metadata older than 1.2 s, the instance asks up to two peers, then the store. Requests wait for that when they are accepted and before they are sent, and a dispatcher decides nothing, for 0.5 s at most.

After: stalledinstancetest, metadatacachetest, metadatarestoretest, metadatahistorytest and routegatewaytest pass.

--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -96,6 +96,7 @@
     core::RegionId region;
     FleetMessageBody body;
     std::size_t ignoredParts = 0; // with values that only a newer release knows
+    core::TimePoint arrivedAt{};  // at the earliest; set by the receiver
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
--- a/src/arbutus/edge/context.h
+++ b/src/arbutus/edge/context.h
@@ -1,4 +1,4 @@
-// Services shared by all components of an instance: executor, clock, settings, log and metrics.
+// Services shared by all components of an instance: executor, clocks, settings, log and metrics.
 //
 // All components run on one event loop in one thread, without locks or queues between them. On a quarter of a core, handing
 // work from one thread to another costs more than the work itself (measured in docs/PLATFORM.md).
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "arbutus/core/clock.h"
+#include "arbutus/edge/evidenceclock.h"
 #include "arbutus/edge/protocoladapter.h"
 #include "arbutus/edge/settings.h"
 #include "arbutus/observe/logbuffer.h"
@@ -25,6 +26,7 @@
     metadata::MetadataStore &store;
     observe::LogBuffer &log;
     observe::Metrics &metrics;
+    EvidenceClock &evidenceClock;
 
     [[nodiscard]] core::TimePoint now() const
     {
--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -81,8 +82,8 @@
         }
     }
     sendAll(m_view.announce());
-    const auto onDatagram = [this](std::string_view bytes, const std::string &from) { receive(bytes, from); };
-    asio::co_spawn(m_context.executor, peer::receiveDatagrams(m_socket, onDatagram), asio::detached);
+    m_socket.non_blocking(true);
+    asio::co_spawn(m_context.executor, receiveLoop(), asio::detached);
     asio::co_spawn(m_context.executor, tickLoop(), asio::detached);
 }
 
@@ -119,6 +120,33 @@
     }
 }
 
+bool Fleet::receiveWaiting()
+{
+    constexpr std::size_t MaxDatagrams = 64; // before others run
+    const auto onDatagram = [this](std::string_view bytes, const std::string &from) { receive(bytes, from); };
+    const core::TimePoint now = m_context.now();
+    m_context.evidenceClock.noteRunning(now);
+    const bool isEmpty = peer::receiveWaiting(m_socket, MaxDatagrams, onDatagram);
+    if (isEmpty) {
+        m_context.evidenceClock.noteDrained(now);
+    }
+    return isEmpty;
+}
+
+asio::awaitable<void> Fleet::receiveLoop()
+{
+    while (true) {
+        boost::system::error_code code;
+        co_await m_socket.async_wait(Udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, code));
+        if (code) {
+            co_return; // the socket is closed
+        }
+        while (!receiveWaiting()) {
+            co_await asio::post(asio::use_awaitable);
+        }
+    }
+}
+
 void Fleet::receive(std::string_view bytes, const std::string &from)
 {
     auto message = decodeFleetMessage(bytes, m_context.now());
@@ -126,6 +154,7 @@
         m_context.metrics.incrementCounter("arbutus_datagrams_refused_total");
         return;
     }
+    message->arrivedAt = m_context.evidenceClock.arrivalTime(m_context.now());
     if (message->ignoredParts > 0) {
         m_context.metrics.incrementCounter("arbutus_datagram_parts_ignored_total", "", static_cast<double>(message->ignoredParts));
     }
@@ -141,6 +170,10 @@
 {
     asio::steady_timer timer(m_context.executor);
     while (true) {
+        m_context.evidenceClock.noteRunning(m_context.now());
+        if (!m_context.evidenceClock.isDrained()) {
+            receiveWaiting();
+        }
         sendAll(m_view.tick(m_context.now()));
         refreshMembers();
         timer.expires_after(m_settings.tickInterval);
--- a/src/arbutus/edge/fleet.h
+++ b/src/arbutus/edge/fleet.h
@@ -63,6 +63,9 @@
     [[nodiscard]] std::size_t knownMemberCount() const;
 
 private:
+    boost::asio::awaitable<void> receiveLoop();
+    /// Handles datagrams that wait in the socket; returns whether none is left.
+    bool receiveWaiting();
     void receive(std::string_view bytes, const std::string &from);
     boost::asio::awaitable<void> tickLoop();
     void sendAll(std::vector<membership::OutgoingMessage> outgoing);
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -351,6 +351,9 @@
 
 asio::awaitable<bool> Forwarder::acceptRequest(RequestState &state)
 {
+    if (waitUntilCurrent) {
+        co_await waitUntilCurrent();
+    }
     state.catalog = m_metadataCache.catalog();
     auto head = m_context.adapter.parseRequest(state.request);
     if (!head) {
@@ -512,6 +515,9 @@
         if (!state.current) {
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
+            if (waitUntilCurrent) {
+                co_await waitUntilCurrent();
+            }
             excludeUnreachable(state, placementRequest, decision);
             if (state.cancellation->cancelled) {
                 logCompletion(state, 0, "client_disconnected");
@@ -1019,6 +1025,9 @@
     state.replacementToken = std::make_shared<CancellationToken>();
     routing::PlacementRequest placementRequest = makePlacementRequest(state);
     const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.replacementToken);
+    if (waitUntilCurrent) {
+        co_await waitUntilCurrent();
+    }
     excludeUnreachable(state, placementRequest, decision);
     state.replacementToken = nullptr;
     if (silent->ended || state.cancellation->cancelled || !isSilent(state, *silent)) {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -209,6 +209,10 @@
     http::ConnectionPool m_upstreamConnections;
     http::ConnectionPool m_peerConnections;
     pcg32 m_random;
+
+public:
+    /// Waits until this instance's metadata are current, if it has stood still.
+    std::function<boost::asio::awaitable<void>()> waitUntilCurrent;
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -25,6 +25,7 @@
 
 namespace {
 
+constexpr auto CatchUpPollInterval = milliseconds(5);
 const std::string AllKeysPrefix; // empty, so one watch covers configuration, evacuations and upstreams
 
 } // namespace
@@ -204,7 +205,8 @@
         co_return true;
     }
     const metadata::StorePosition after = m_metadataCache.storePosition(); // may change meanwhile
-    auto changes = co_await m_context.store.watch(AllKeysPrefix, after.revision, m_settings.watchTimeout);
+    const milliseconds timeout = m_isCatchingUp ? m_settings.catchUpWatchTimeout : m_settings.watchTimeout;
+    auto changes = co_await m_context.store.watch(AllKeysPrefix, after.revision, timeout);
     const bool isUsable = observeGeneration(changes ? changes.value().position.generation : changes.error().generation, "watch");
     if (!changes && changes.error().kind == metadata::StoreErrorKind::HistoryCompacted) {
         m_context.writeLog(observe::LogLine("store_history_compacted").add("store_revision", after.revision));
@@ -218,7 +220,8 @@
     }
     reportInvalidItems(changes.value().invalidItems);
     const metadata::StorePosition position = changes.value().position;
-    const MetadataUpdate update = m_metadataCache.applyChanges(changes.value().changes, after, position, recentStoreOutage(m_context.now()), m_context.now());
+    const core::TimePoint readAt = m_context.evidenceClock.answerTime(startedAt, m_context.now());
+    const MetadataUpdate update = m_metadataCache.applyChanges(changes.value().changes, after, position, recentStoreOutage(m_context.now()), readAt);
     reportUpdate(update, position, "store_watch");
     if (update.isFullReadNeeded) {
         m_fullReadNeeded = true;
@@ -231,6 +234,10 @@
 {
     milliseconds retryDelay = m_settings.initialRetryDelay;
     while (!m_deregistering) {
+        if (m_isAskingPeers) { // a call to the store may not be needed
+            co_await core::asyncSleep(CatchUpPollInterval);
+            continue;
+        }
         const core::Duration threshold = m_metadataCache.catalog() ? readThreshold() : core::Duration::zero();
         if (m_metadataCache.staleness(m_context.now()) < threshold) {
             co_await core::asyncSleep(m_settings.stalenessCheckInterval);
@@ -239,7 +246,9 @@
         m_readsAsSubstitute = threshold > core::Duration::zero();
         if (co_await readOnce()) {
             retryDelay = m_settings.initialRetryDelay;
-            if (!std::exchange(m_readsAtOnce, false)) {
+            if (m_isCatchingUp && !isCurrent()) { // the call was under way when the process stood still
+                co_await core::asyncSleep(CatchUpPollInterval);
+            } else if (!std::exchange(m_readsAtOnce, false)) {
                 co_await core::asyncSleep(m_settings.watchPause);
             } else if (m_readsAsSubstitute) { // as others may do now
                 co_await core::asyncSleep(milliseconds(m_random(static_cast<std::uint32_t>(m_settings.substituteReadJitter.count()))));
@@ -337,30 +346,95 @@
     if (member == nullptr || std::exchange(m_fetching, true)) {
         return;
     }
-    asio::co_spawn(m_context.executor, fetchSnapshot(*member), asio::detached);
+    asio::co_spawn(m_context.executor, fetchSnapshot(*member, m_settings.peerFetchTimeout), asio::detached);
 }
 
-asio::awaitable<void> MetadataSync::fetchSnapshot(membership::Member peer)
+asio::awaitable<void> MetadataSync::fetchSnapshot(membership::Member peer, milliseconds timeout)
 {
+    const core::TimePoint askedAt = m_context.now();
     http::Request request;
     const KnownCatalog known = m_metadataCache.knownCatalog();
     request.target = "/beliefs?catalog=" + std::to_string(known.version.value) + "&generation=" + std::to_string(known.generation.value);
     http::Endpoint endpoint = http::parseEndpoint(peer.peerAddress);
-    auto response = co_await http::fetch(m_context.executor, endpoint, request, m_settings.peerFetchTimeout);
+    auto response = co_await http::fetch(m_context.executor, endpoint, request, timeout);
     m_fetching = false;
     if (!response) {
         m_context.writeLog(observe::LogLine("metadata_fetch_failed").add("peer", peer.id).add("reason", response.error().message));
         co_return;
     }
-    const auto snapshot = decodeMetadataSnapshot(response.value().body);
+    auto snapshot = decodeMetadataSnapshot(response.value().body);
     if (!snapshot) {
         m_context.writeLog(observe::LogLine("metadata_fetch_failed").add("peer", peer.id).add("reason", "the response body is not a valid metadata snapshot"));
         co_return;
     }
+    snapshot->staleness += m_context.now() - askedAt; // the answer may have waited
     const MetadataUpdate update = m_metadataCache.applySnapshot(*snapshot, m_context.now());
     reportUpdate(update, snapshot->storePosition, "peer");
 }
 
+//-----------------------------------------------------------------------------
+// After a stall
+//-----------------------------------------------------------------------------
+
+bool MetadataSync::isCurrent() const
+{
+    return m_metadataCache.staleness(m_context.now()) < m_settings.currentStaleness;
+}
+
+void MetadataSync::onStalled(core::Duration stalledFor)
+{
+    if (stalledFor < m_settings.minStall || isCurrent() || !m_metadataCache.catalog() || std::exchange(m_isCatchingUp, true)) {
+        return;
+    }
+    m_isAskingPeers = true;
+    asio::co_spawn(m_context.executor, catchUp(), asio::detached);
+}
+
+std::vector<membership::Member> MetadataSync::peersToCatchUpWith()
+{
+    std::vector<membership::Member> out;
+    const auto add = [&](const std::vector<membership::Member> &members) {
+        for (const membership::Member &member : members) {
+            if (member.id != m_context.settings.instanceId && out.size() < m_settings.catchUpPeers) {
+                out.push_back(member);
+            }
+        }
+    };
+    add(m_fleet.dispatcherRanking(m_context.settings.region)); // they are told of changes first
+    if (out.empty()) {
+        add(m_fleet.liveMembers());
+    }
+    return out;
+}
+
+asio::awaitable<void> MetadataSync::catchUp()
+{
+    const core::TimePoint startedAt = m_context.now();
+    for (const membership::Member &peer : peersToCatchUpWith()) {
+        co_await fetchSnapshot(peer, m_settings.catchUpFetchTimeout);
+        if (isCurrent()) {
+            break;
+        }
+    }
+    m_isAskingPeers = false;
+    while (!isCurrent() && m_context.now() - startedAt < m_settings.catchUpTimeout) {
+        co_await core::asyncSleep(CatchUpPollInterval);
+    }
+    m_isCatchingUp = false;
+    m_context.writeLog(observe::LogLine("caught_up")
+                           .add("current", isCurrent())
+                           .add("took_ms", core::toMilliseconds(m_context.now() - startedAt))
+                           .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(m_context.now()))));
+}
+
+asio::awaitable<void> MetadataSync::waitUntilCurrent()
+{
+    m_context.evidenceClock.noteRunning(m_context.now());
+    while (m_isCatchingUp) {
+        co_await core::asyncSleep(CatchUpPollInterval);
+    }
+}
+
 http::Response metadataSnapshotResponse(const MetadataCache &metadataCache, const http::Request &request, core::TimePoint now)
 {
     const auto numberParameter = [&request](std::string_view name, std::uint64_t fallback) {
--- a/src/arbutus/edge/metadatasync.h
+++ b/src/arbutus/edge/metadatasync.h
@@ -21,6 +21,11 @@
 //    `lowerGenerationTimeout`, it is taken to be another store: its contents are read like those of a restored one. Each instance
 //    decides that by itself; until all have, those that have do not believe the others.
 
+// Q: What happens when the process stood still?
+// A: What it then finds in its sockets counts as of before (EvidenceClock). If its metadata are old, it asks up to two peers at once, and
+//    the store if they don't help. Requests and placements wait for that, for `catchUpTimeout` at most: an instance that is cut off serves
+//    by what it knows.
+
 #pragma once
 
 #include "arbutus/edge/fleet.h"
@@ -52,8 +57,14 @@
     std::chrono::milliseconds leaseRenewalInterval{5'000};
     int registrationsPerSecond = 100; // of all instances after a restore of the store; each takes two writing calls
     core::Duration lowerGenerationTimeout = std::chrono::seconds(30);
-    std::chrono::milliseconds memberRefreshInterval{15'000}; // for reading the registrations of other instances
-    std::chrono::milliseconds peerFetchTimeout{700};         // for fetching a snapshot from a peer
+    std::chrono::milliseconds memberRefreshInterval{15'000};            // for reading the registrations of other instances
+    std::chrono::milliseconds peerFetchTimeout{700};                    // for fetching a snapshot from a peer
+    core::Duration minStall = std::chrono::milliseconds(500);           // shorter ones leave the metadata nearly as current as before
+    core::Duration currentStaleness = std::chrono::milliseconds(1'200); // up to which metadata are current after the process stood still
+    std::chrono::milliseconds catchUpTimeout{500};                      // for which requests wait until they are
+    std::chrono::milliseconds catchUpFetchTimeout{120};                 // for each peer that is asked
+    std::size_t catchUpPeers = 2;                                       // that are asked before the store
+    std::chrono::milliseconds catchUpWatchTimeout{10};                  // of the watch call, which then must not wait for changes
 };
 
 class MetadataSync
@@ -64,6 +75,15 @@
     MetadataSync(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, std::uint64_t seed, MetadataSyncSettings settings = {});
 
     void start(UpdateHandler handler);
+    /// Called when the process goes on after it stood still: asks for newer metadata if they may be old, first peers, then the store.
+    void onStalled(core::Duration stalledFor);
+    /// Whether that is under way; it ends after catchUpTimeout at the latest.
+    [[nodiscard]] bool isCatchingUp() const
+    {
+        return m_isCatchingUp;
+    }
+    /// Waits until it is over, and begins it if the process has just stood still.
+    boost::asio::awaitable<void> waitUntilCurrent();
     /// Fetches a metadata snapshot from a peer that has newer data.
     void fetchFromPeer(const core::InstanceId &peer);
     /// Returns whether this instance reads the store although another one should, because no update has arrived.
@@ -75,7 +95,10 @@
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> registerLoop();
     boost::asio::awaitable<void> memberRefreshLoop();
-    boost::asio::awaitable<void> fetchSnapshot(membership::Member peer);
+    boost::asio::awaitable<void> fetchSnapshot(membership::Member peer, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<void> catchUp();
+    [[nodiscard]] std::vector<membership::Member> peersToCatchUpWith();
+    [[nodiscard]] bool isCurrent() const;
     boost::asio::awaitable<bool> readOnce();
     boost::asio::awaitable<bool> readMembers(metadata::ReadConsistency consistency);
     /// Adds a registered instance to the fleet, which pings it if it is new.
@@ -112,6 +135,8 @@
     std::set<std::string> m_reportedInvalidItems;
     std::map<std::string, std::string> m_invalidRegistrations; // reasons by key, so that each is reported once
     bool m_fetching = false;
+    bool m_isCatchingUp = false; // after the process stood still
+    bool m_isAskingPeers = false;
     metadata::LeaseId m_lease;
     metadata::StoreGeneration m_leaseGeneration;   // in which it was granted
     metadata::StoreGeneration m_storeGeneration;   // latest one that this instance has reacted to
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -530,7 +530,7 @@
     while (true) {
         co_await core::asyncSleep(m_settings.dispatchInterval);
         updateDispatcherRole();
-        if (m_dispatcher.queueLength() > 0) {
+        if (m_dispatcher.queueLength() > 0 && mayDecide()) {
             deliverDecisions(m_dispatcher.processQueue(m_context.now()));
         }
     }
@@ -566,7 +566,7 @@
                    [&](const routing::PlacementRequest &request) { handlePlacementRequest(request, from); },
                    [&](const std::vector<PlacementReply> &replies) { handlePlacementReplies(replies); },
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
-                   [&](const RegionState &state) { handleRegionState(state, message.sender.id); },
+                   [&](const RegionState &state) { handleRegionState(state, message.sender.id, message.arrivedAt); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
                    [](const std::vector<routing::CauseRecord> &) {}, // handled by the quarantine service
                    [](const StreamQuery &) {},                       // handled by the stream directory
@@ -577,6 +577,9 @@
 
 void PlacementService::handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from)
 {
+    if (!mayDecide()) {
+        return; // the request is sent again, or to another dispatcher
+    }
     m_requesterAddresses[request.requester] = from;
     routing::PlacementDecision decision = routing::Refused{routing::RefusalReason::Quarantined, {}};
     if (isQuarantined && isQuarantined(request.prompt, request.fingerprint)) { // the requester may not have heard of it yet
@@ -615,7 +618,7 @@
     for (const CompletedPlacement &completed : report.completed) {
         recordOutcome(completed, sender);
     }
-    if (m_dispatcher.queueLength() > 0) {
+    if (m_dispatcher.queueLength() > 0 && mayDecide()) {
         deliverDecisions(m_dispatcher.processQueue(now));
     }
 }
@@ -701,9 +704,8 @@
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
 
-void PlacementService::handleRegionState(const RegionState &state, const core::InstanceId &sender)
+void PlacementService::handleRegionState(const RegionState &state, const core::InstanceId &sender, core::TimePoint arrivedAt)
 {
-    const core::TimePoint now = m_context.now();
     mergeNotices(state.notices, sender);
     for (const core::UpstreamId &upstream : state.unreachableUpstreams) {
         m_paths.doubtUnlessFresh(upstream);
@@ -712,14 +714,14 @@
         if (row.region == m_context.settings.region) {
             continue;
         }
-        const core::TimePoint at = now - row.age;
+        const core::TimePoint at = arrivedAt - row.age;
         auto &known = m_remoteLoads[{row.region, row.load.service}];
         if (at > known.second) {
             known = {row.load, at};
             m_dispatcher.updateRemoteLoad(row.region, row.load, at);
         }
     }
-    m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, now);
+    m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, arrivedAt);
     if (m_metadataCache.isNewer(state.lastChange) && onNewerMetadata) {
         onNewerMetadata(sender);
     }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -115,6 +115,10 @@
     /// The region's dispatcher, or nothing if that is this instance or if every other candidate is skipped.
     [[nodiscard]] std::optional<membership::Member> remoteDispatcher();
     [[nodiscard]] bool isSkipped(const core::InstanceId &id) const;
+    [[nodiscard]] bool mayDecide() const
+    {
+        return !isCatchingUp || !isCatchingUp();
+    }
     /// Skips the dispatcher for a while. Requests that are pending there are sent to the next one at once.
     void skipUnresponsive(const core::InstanceId &id);
     /// Excludes the upstreams that rest for this instance, or that only it knows to be leaving, from the placement.
@@ -145,7 +149,7 @@
     void handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from);
     void handlePlacementReplies(const std::vector<PlacementReply> &replies);
     void handlePlacementReport(const PlacementReport &report, const core::InstanceId &sender);
-    void handleRegionState(const RegionState &state, const core::InstanceId &sender);
+    void handleRegionState(const RegionState &state, const core::InstanceId &sender, core::TimePoint arrivedAt);
 
     InstanceContext &m_context;
     Fleet &m_fleet;
@@ -177,6 +181,8 @@
     std::function<void(const routing::StreamRecord &record)> onStreamBegan;
     /// Returns whether this instance reads the store in place of the instances that usually report to others.
     std::function<bool()> isSubstituteReader;
+    /// Returns whether this instance is to decide nothing, because it has stood still and its metadata may be old.
+    std::function<bool()> isCatchingUp;
     /// Called when a peer has newer metadata.
     std::function<void(const core::InstanceId &peer)> onNewerMetadata;
     /// Called for an upstream whose run in the registry this instance or a peer has observed to be leaving.
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -31,7 +31,6 @@
 constexpr auto LeavePropagationDelay = milliseconds(300); // after which the directories of other instances no longer list this one
 constexpr auto ShutdownMargin = milliseconds(700);        // time reserved before the grace period ends
 constexpr auto MinSuspension = milliseconds(200);         // smaller differences between the clocks are ignored
-constexpr auto MinStall = milliseconds(300);              // of the event loop, to be logged
 
 /// Time since boot, including time in which the system was suspended.
 milliseconds bootTime()
@@ -67,7 +66,8 @@
          std::function<core::Result<Settings>()> theReloadSettings)
         : ioContext(theIoContext)
         , settings(std::move(theSettings))
-        , context{theIoContext.get_executor(), clock, settings, adapter, store, log, metrics}
+        , evidenceClock(clock.steadyNow())
+        , context{theIoContext.get_executor(), clock, settings, adapter, store, log, metrics, evidenceClock}
         , seed(randomSeed())
         , random(seed)
         , metadataCache(adapter)
@@ -98,6 +98,7 @@
     asio::io_context &ioContext;
     Settings settings;
     observe::Metrics metrics;
+    EvidenceClock evidenceClock;
     InstanceContext context;
     std::uint64_t seed;
     pcg32 random;
@@ -258,6 +259,14 @@
         placement.onPathsChanged();
     }
 
+    void onStalled(core::Duration stalledFor)
+    {
+        context.writeLog(observe::LogLine("event_loop_stalled")
+                             .add("duration_ms", core::toMilliseconds(stalledFor))
+                             .add("metadata_staleness_ms", core::toMilliseconds(metadataCache.staleness(context.now()))));
+        metadataSync.onStalled(stalledFor);
+    }
+
     void markUpstreamLeaving(const core::UpstreamId &id)
     {
         const MetadataUpdate update = metadataCache.markLeaving(id, context.now());
@@ -284,12 +293,6 @@
         core::TimePoint lastSteadyTime = context.now();
         while (true) {
             co_await core::asyncSleep(MetadataExpiryPeriod);
-            const core::Duration stalled = context.now() - lastSteadyTime - MetadataExpiryPeriod;
-            if (stalled >= MinStall) {
-                context.writeLog(observe::LogLine("event_loop_stalled")
-                                     .add("duration_ms", core::toMilliseconds(stalled))
-                                     .add("metadata_staleness_ms", core::toMilliseconds(metadataCache.staleness(context.now()))));
-            }
             const milliseconds suspended = (bootTime() - lastBootTime) - std::chrono::duration_cast<milliseconds>(context.now() - lastSteadyTime);
             if (suspended >= MinSuspension) {
                 context.writeLog(observe::LogLine("suspend_detected").add("duration_ms", suspended.count()));
@@ -384,6 +387,9 @@
                               .add("region", impl.settings.region)
                               .add("callers", http::toString(impl.settings.clientEndpoint)));
     impl.placement.isSubstituteReader = [&impl] { return impl.metadataSync.isSubstituteReader(); };
+    impl.evidenceClock.onStalled = [&impl](core::Duration stalledFor) { impl.onStalled(stalledFor); };
+    impl.placement.isCatchingUp = [&impl] { return impl.metadataSync.isCatchingUp(); };
+    impl.forwarder.waitUntilCurrent = [&impl] { return impl.metadataSync.waitUntilCurrent(); };
     impl.placement.onNewerMetadata = [&impl](const core::InstanceId &peer) { impl.metadataSync.fetchFromPeer(peer); };
     impl.placement.onUpstreamLeaving = [&impl](const core::UpstreamId &upstream) { impl.markUpstreamLeaving(upstream); };
     impl.placement.isQuarantined = [&impl](const std::vector<routing::PromptPart> &prompt, const routing::RequestFingerprint &fingerprint) {
--- a/src/arbutus/peer/udp.cpp
+++ b/src/arbutus/peer/udp.cpp
@@ -43,4 +43,21 @@
     }
 }
 
+bool receiveWaiting(Udp::socket &socket, std::size_t limit, const std::function<void(std::string_view bytes, const std::string &from)> &onDatagram)
+{
+    static thread_local std::vector<char> buffer(MaxDatagramBytes);
+    for (std::size_t i = 0; i < limit; ++i) {
+        Udp::endpoint from;
+        boost::system::error_code code;
+        const std::size_t size = socket.receive_from(asio::buffer(buffer), from, 0, code);
+        if (code == asio::error::would_block) {
+            return true;
+        }
+        if (!code) { // else an ICMP error for a datagram sent earlier
+            onDatagram(std::string_view(buffer.data(), size), http::toString(http::Endpoint{from.address().to_string(), from.port()}));
+        }
+    }
+    return false;
+}
+
 } // namespace arbutus::peer
--- a/src/arbutus/peer/udp.h
+++ b/src/arbutus/peer/udp.h
@@ -19,4 +19,10 @@
 boost::asio::awaitable<void> receiveDatagrams(boost::asio::ip::udp::socket &socket,
                                               std::function<void(std::string_view bytes, const std::string &from)> onDatagram);
 
+/// Calls `onDatagram` with each datagram that waits and its sender's address, up to `limit`. Returns whether none is left. The socket
+/// is in non-blocking mode, and `bytes` is valid only during the call.
+bool receiveWaiting(boost::asio::ip::udp::socket &socket,
+                    std::size_t limit,
+                    const std::function<void(std::string_view bytes, const std::string &from)> &onDatagram);
+
 } // namespace arbutus::peer
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -757,7 +757,8 @@
 
     FakePeer(Fixture &fixture, const std::string &id, const std::string &region, double capacity, std::uint16_t port, Decide decide)
         : m_settings(makeSettings(id, region, capacity, port))
-        , m_context{fixture.loop.get_executor(), fixture.clock, m_settings, fixture.adapter, fixture.store, fixture.log, m_metrics}
+        , m_evidenceClock(fixture.clock.steadyNow())
+        , m_context{fixture.loop.get_executor(), fixture.clock, m_settings, fixture.adapter, fixture.store, fixture.log, m_metrics, m_evidenceClock}
         , m_fleet(m_context, core::Incarnation(1), 1)
     {
         m_fleet.start([this, decide = std::move(decide)](const edge::FleetMessage &message, const std::string &from) {
@@ -797,6 +798,7 @@
 
     edge::Settings m_settings;
     observe::Metrics m_metrics;
+    edge::EvidenceClock m_evidenceClock;
     edge::InstanceContext m_context;
     edge::Fleet m_fleet;
     std::string m_gatewayAddress;
--- a/tests/stalledinstancetest.cpp
+++ b/tests/stalledinstancetest.cpp
@@ -1,5 +1,6 @@
 // Instances whose process stands still for a while and then goes on, in a deployment of two regions over loopback.
 
+#include "arbutus/edge/evidenceclock.h"
 #include "support/edgerig.h"
 
 #include <catch2/catch.hpp>
@@ -90,7 +91,7 @@
     rig.runFor(ChangeTime);
     change();
     rig.runFor(RequestTime - ChangeTime);
-    const std::vector<std::size_t> requests = sendRequests(rig, target);
+    std::vector<std::size_t> requests = sendRequests(rig, target);
     rig.runUntilDone();
     return requests;
 }
@@ -102,6 +103,56 @@
 
 } // namespace
 
+TEST_CASE("evidence that may have waited while the process stood still is not taken for new", "[metadata]")
+{
+    constexpr core::TimePoint Start(1'000s);
+    constexpr auto Heartbeat = 50ms;
+    constexpr auto End = 1'000ms; // of the heartbeats
+    struct Row
+    {
+        const char *name;
+        core::Duration stall;
+        core::Duration drainedAt; // from the end of the stall; negative: before the process went on
+        core::Duration readAt;    // from the end of the stall
+        core::Duration nextStall; // that begins then
+        core::Duration age;       // of a datagram that is read then
+        core::Duration answerAge; // of the answer to a question that was asked 100 ms before the stall
+    };
+    const std::array rows = {
+        Row{"no stall", 0ms, -1ms, 10ms, 0ms, 0ms, 0ms},
+        Row{"short gap", 200ms, -1ms, 10ms, 0ms, 0ms, 0ms},
+        Row{"at once", 3s, -1ms, 0ms, 0ms, 3s, 3'100ms},
+        Row{"later, not all has been read", 3s, -1ms, 100ms, 0ms, 3'100ms, 3'200ms},
+        Row{"a drain from before the process went on", 3s, -10ms, 100ms, 0ms, 3'100ms, 3'200ms},
+        Row{"all has been read", 3s, 20ms, 100ms, 0ms, 0ms, 3'200ms},
+        Row{"stands still again before all has been read", 3s, -1ms, 100ms, 1s, 4'100ms, 4'200ms},
+        Row{"stands still again after all has been read", 3s, 20ms, 100ms, 1s, 1s, 4'200ms},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        edge::EvidenceClock clock(Start);
+        std::size_t stalls = 0;
+        clock.onStalled = [&](core::Duration) { ++stalls; };
+        core::TimePoint now = Start;
+        for (; now < Start + End; now += Heartbeat) {
+            clock.noteRunning(now);
+            clock.noteDrained(now);
+        }
+        clock.noteRunning(now);
+        const core::TimePoint askedAt = now - 100ms;
+        now += row.stall;
+        clock.noteRunning(now);
+        clock.noteDrained(now + row.drainedAt);
+        now += row.readAt;
+        clock.noteRunning(now);
+        now += row.nextStall;
+        CHECK(now - clock.arrivalTime(now) == row.age);
+        CHECK(now - clock.answerTime(askedAt, now) == row.answerAge);
+        CHECK(clock.answerTime(now, now) == now);
+        CHECK(stalls == (row.stall > 250ms ? 1U : 0U) + (row.nextStall > 0ms ? 1U : 0U));
+    }
+}
+
 TEST_CASE("what waited in the sockets of an instance that stood still does not make its metadata current", "[rig]")
 {
     constexpr auto PeerTime = 1'500ms; // from the begin of the stall until nothing is sent to the instance any more
