--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -98,6 +98,7 @@
     std::size_t ignoredParts = 0;           // with values that only a newer release knows
     catalog::CatalogVersion catalogVersion; // of the sender's configuration; 0: it has none, or its build states none
     KeptEvacuations keptEvacuations;        // of the sender
+    core::TimePoint arrivedAt{};            // at the earliest; set by the receiver
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
