Failing tests: a request goes by the configuration of its first moment

The configuration changes while a body is read, while a request waits in a dispatcher's queue of this or another instance, before a retry, the replacement of a silent attempt or a resumption, and on both sides of a hop. Placement requests get the fields that the tests state: the route and the version of the configuration that it is from; nothing reads or sends them yet.

--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -78,6 +78,8 @@
     std::set<core::UpstreamId> unreachableUpstreams; // that the requester has no path to
     std::set<core::InstanceId> excludedRelays;       // that did not execute the request
     std::optional<SoftwareVersion> requiredVersion;  // of a stream that has begun: no upstream of another version may serve it
+    catalog::RouteId route;                          // that service and regions are from; empty: a requester of an older release
+    catalog::CatalogVersion catalogVersion;          // of the requester, that the route is from
 
     /// Memory needed beyond prompt parts shared with other requests, in tokens.
     [[nodiscard]] std::uint32_t unsharedTokens() const
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -250,6 +250,93 @@
     REQUIRE(std::holds_alternative<routing::Refused>(fixture.dispatcher.requestPlacement(request, Start)));
 }
 
+TEST_CASE("a request is not placed by a configuration that is older than the dispatcher's", "[dispatcher][configuration]")
+{
+    enum class Moment {
+        Request, // the dispatcher has the newer configuration when the request arrives
+        Queue,   // it gets the configuration while the request waits
+        Repeat,  // it gets the configuration after it has granted the request, and the requester repeats that
+    };
+    struct Row
+    {
+        const char *change;
+        std::uint64_t requesterVersion;
+        bool statesRoute; // one of an older release does not
+        bool isPlaced;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"none", 1, true, true},
+        {"none", 2, true, true},
+        {"route dropped", 1, true, false},
+        {"service moved", 1, true, false},
+        {"region is no home", 1, true, false},
+        {"route dropped", 3, true, true}, // the requester knows a newer configuration than the dispatcher
+        {"service moved", 3, true, true},
+        {"region is no home", 3, true, true},
+        {"route dropped", 0, false, true},
+    }));
+    const auto moment = GENERATE(Moment::Request, Moment::Queue, Moment::Repeat);
+    CAPTURE(row.change, row.requesterVersion, static_cast<int>(moment));
+    Fixture fixture({makeAnnouncement("a", PlainService, "here-a", 1)});
+    const auto setCatalog = [&](std::uint64_t version, const std::string &change) {
+        catalog::Route route = fixture.catalog->routes().front();
+        route.id = catalog::RouteId(change == "route dropped" ? "another" : "plain");
+        route.trafficSplits = {catalog::TrafficSplit{change == "service moved" ? Model : PlainService, 1}};
+        route.homeRegions = {core::RegionId(change == "region is no home" ? "there" : "here")};
+        const std::vector services = {*fixture.catalog->findService(Model), *fixture.catalog->findService(PlainService)};
+        fixture.catalog = std::make_shared<catalog::Catalog>(catalog::CatalogVersion(version), std::vector{route}, services, catalog::ClientLimits{});
+    };
+    setCatalog(1, "none");
+    routing::PlacementRequest request = fixture.makeRequest("w", PlainService, Start);
+    request.catalogVersion = catalog::CatalogVersion(row.requesterVersion);
+    request.route = catalog::RouteId(row.statesRoute ? "plain" : "");
+    request.allowedRegions = {core::RegionId("here")};
+    routing::PlacementDecision decision;
+    if (moment == Moment::Queue) {
+        REQUIRE_FALSE(grantedUpstream(fixture.dispatcher.requestPlacement(fixture.makeRequest("running", PlainService, Start), Start)).empty());
+        REQUIRE(std::holds_alternative<routing::Queued>(fixture.dispatcher.requestPlacement(request, Start)));
+        setCatalog(2, row.change);
+        fixture.dispatcher.recordCompletion(routing::PlacementId("running"), core::UpstreamId("a"), routing::SendOutcome::Completed, Start + 20ms);
+        const auto deferred = fixture.dispatcher.processQueue(Start + 20ms);
+        REQUIRE(deferred.size() == 1);
+        decision = deferred.front().decision;
+    } else {
+        if (moment == Moment::Repeat) {
+            REQUIRE_FALSE(grantedUpstream(fixture.dispatcher.requestPlacement(request, Start)).empty());
+        }
+        setCatalog(2, row.change);
+        decision = fixture.dispatcher.requestPlacement(request, Start + 20ms);
+    }
+    CHECK(grantedUpstream(decision).empty() != row.isPlaced);
+    CHECK(std::holds_alternative<routing::Refused>(decision) != row.isPlaced);
+    CHECK(fixture.dispatcher.queueLength() == 0);
+    if (!row.isPlaced) { // a grant that must not be used holds no place
+        routing::PlacementRequest next = fixture.makeRequest("next", PlainService, Start + 40ms);
+        CHECK_FALSE(grantedUpstream(fixture.dispatcher.requestPlacement(next, Start + 40ms)).empty());
+    }
+}
+
+TEST_CASE("a request goes to another region only if that is a home by the newer of two configurations", "[dispatcher][configuration]")
+{
+    struct Row
+    {
+        std::uint64_t requesterVersion;
+        bool isRedirected;
+    };
+    const auto row = GENERATE(values<Row>({{1, false}, {2, true}, {3, true}}));
+    CAPTURE(row.requesterVersion);
+    Fixture fixture({});
+    catalog::Route route = fixture.catalog->routes().front();
+    route.homeRegions = {core::RegionId("here")};
+    const std::vector services = {*fixture.catalog->findService(Model)};
+    fixture.catalog = std::make_shared<catalog::Catalog>(catalog::CatalogVersion(2), std::vector{route}, services, catalog::ClientLimits{});
+    fixture.dispatcher.updateRemoteLoad(core::RegionId("there"), makeServiceLoad(Model, 0ms, 120), Start);
+    routing::PlacementRequest request = fixture.makePromptRequest("w", 1, Start);
+    request.route = route.id;
+    request.catalogVersion = catalog::CatalogVersion(row.requesterVersion);
+    CHECK(std::holds_alternative<routing::Redirected>(fixture.dispatcher.requestPlacement(request, Start)) == row.isRedirected);
+}
+
 TEST_CASE("urgent requests overtake queued ones, and those past their latency deadline come last", "[dispatcher]")
 {
     Fixture fixture({makeAnnouncement("a", PlainService, "here-a", 1)});
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -119,6 +119,7 @@
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
     bool hasSentEvent = false;    // by "stream-beside-other"
+    bool isReleased = false;      // the behaviors "held-..." go on
     FakeUpstream *other = nullptr;
 
     static constexpr int LastEvent = 6;
@@ -428,6 +429,17 @@
                 ++abortedConnections;
                 co_return false;
             }
+            if (behavior.starts_with("held-") && other->executedAttempts.empty()) { // only the first of the two is held
+                ErrorCode code;
+                if (behavior == "held-break") {
+                    const std::string begin = chunked + eventChunks(1, 2);
+                    co_await asio::async_write(socket, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+                }
+                const std::function<bool()> released = [this] { return isReleased; };
+                co_await waitUntil(released);
+                reset(socket);
+                co_return false;
+            }
             if (behavior == "endless-head") {
                 co_await sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(16'384, 'x'));
                 co_return false;
@@ -506,7 +518,7 @@
                 co_await socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, code));
                 ++abortedConnections;
                 co_return false;
-            } else if (behavior == "stream") {
+            } else if (behavior == "stream" || behavior == "held-break") { // of "held-break" the second one, which continues the stream
                 out = chunked + eventChunks(firstEvent, LastEvent) + "0\r\n\r\n";
             } else if (const std::size_t at = behavior.find('@'); at != std::string::npos) { // for example "unframed-close@20"
                 out = cutStream(behavior.substr(0, at), std::stoul(behavior.substr(at + 1)), attempt, firstEvent);
@@ -594,6 +606,8 @@
         if (configured) {
             configure();
         }
+        a.other = &b;
+        b.other = &a;
         gateway.emplace(loop, clock, settings, adapter, store, log, [this]() -> core::Result<edge::Settings> { return settings; });
         gateway->start();
         if (configured) {
@@ -632,6 +646,14 @@
             + std::to_string(born) + R"(,"version":")" + version + R"(","sequence":1})";
     }
 
+    /// Writes a configuration with other routes, of the services s and t, and waits until the gateway has read it.
+    void setRoutes(const std::string &routes)
+    {
+        store.keys["op/config"] = R"({"version":)" + std::to_string(++m_version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"s"},{"name":"t"}]})";
+        ++store.revision;
+        runUntil([this] { return hasMetric("arbutus_configuration_version " + std::to_string(m_version)); });
+    }
+
     /// Writes the entry of an upstream, or removes it, and waits until the gateway has read that.
     void setAnnouncement(const std::string &upstream, const std::optional<std::string> &announcement)
     {
@@ -1919,3 +1941,259 @@
     const std::string query = "/-/resolve?name=h.example&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
     CHECK(fixture.get(fixture.settings.directoryEndpoint, query).status == row.status);
 }
+
+//-----------------------------------------------------------------------------
+// Configuration changes during a request
+//-----------------------------------------------------------------------------
+
+namespace {
+
+enum class Moment {
+    Body,              // between the head of the request and the end of its body
+    OwnQueue,          // while the request waits in this instance's dispatcher
+    OtherQueue,        // while it waits in the dispatcher of another instance, which does not get the configuration
+    Retry,             // after the request was sent, before that attempt fails
+    Silence,           // the same, and the attempt is silent
+    Resumption,        // after two events of the stream, before it breaks off
+    ForwardedBody,     // as Body, of a request that another instance has forwarded
+    ForwardedOwnQueue, // as OwnQueue
+    ForwardedRetry,    // as Retry
+};
+
+enum class Change {
+    Moved,     // the route leads to service t instead of s
+    Dropped,   // there is no such route any more
+    NotHere,   // only region y is a home
+    NotThere,  // only this region is a home
+    Forbidden, // of a repeatable route: it may run once only
+};
+
+/// A gateway with upstreams a and b of service s and c of service t, and a route whose configuration changes.
+struct ChangeFixture : Fixture
+{
+    FakeUpstream c{loop, "c"};
+    FakeUpstream peerServer;
+    std::optional<FakePeer> peer;
+    std::optional<FakePeer> dispatcher;
+    int queuedPlacements = 0; // at the other instance's dispatcher
+    bool decides = false;     // the other instance's dispatcher, if it does not have the request wait
+
+    explicit ChangeFixture(std::uint16_t peerPort = PeerFixture::anyFreePort())
+        : peerServer(loop, "p", peerPort)
+        , m_peerPort(peerPort)
+    {
+        std::string entry = announcement(c, 1);
+        entry.replace(entry.find(R"("service":"s")"), std::string(R"("service":"s")").size(), R"("service":"t")");
+        store.keys["servers/c"] = entry;
+    }
+
+    /// Sets the routes as before or after the change. The route "other" stays as it is.
+    void setRoutesAs(std::optional<Change> change)
+    {
+        const bool isMoved = change == Change::Moved;
+        const std::string homes = change == Change::NotHere ? R"(,"home_regions":["y"])" : change == Change::NotThere ? R"(,"home_regions":["x"])" : "";
+        std::string routes = routeJson("other", "unsafe", "s", R"("max_attempts":1)");
+        if (change != Change::Dropped) {
+            const std::string type = change == Change::Forbidden ? "unsafe" : "safe";
+            routes += "," + routeJson("again", type, isMoved ? "t" : "s", R"("max_attempts":2)" + homes);
+            routes += "," + routeJson("resume", "streaming", isMoved ? "t" : "s", R"("max_attempts":2,"resumable":true)" + homes);
+        }
+        setRoutes(routes);
+    }
+
+    void startOtherInstances(bool redirects)
+    {
+        peer.emplace(*this, "p", "y", 1, m_peerPort, [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; });
+        dispatcher.emplace(*this, "d", "x", DispatcherCapacity, freePort(loop), [this, redirects](const routing::PlacementRequest &request) {
+            return decide(request, redirects);
+        });
+        runUntil([this] { return hasMetric("arbutus_live_members 3"); });
+    }
+
+    /// The dispatcher of the other instance knows the first configuration only, and the services' upstreams.
+    routing::PlacementDecision decide(const routing::PlacementRequest &request, bool redirects)
+    {
+        if (request.service == core::ServiceId("t")) {
+            return routing::Granted{core::UpstreamId("c"), c.address()};
+        }
+        if (!decides) {
+            ++queuedPlacements;
+            return routing::Queued{10ms};
+        }
+        if (redirects) {
+            return routing::Redirected{core::RegionId("y"), 10ms};
+        }
+        const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
+        return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? a.address() : b.address()};
+    }
+
+    /// Leaves one place in service s, of a new run of a, and uses it.
+    void occupy()
+    {
+        std::string entry = announcement(a, 2);
+        entry.replace(entry.find(R"("slots":6)"), std::string(R"("slots":6)").size(), R"("slots":1)");
+        store.keys["servers/a"] = entry;
+        store.keys.erase("servers/b");
+        setRoutesAs(std::nullopt);
+        start(requestText("other", "occupant", "a=held-reset", ""), m_occupied);
+        runUntil([this] { return executionCount("occupant") == 1; });
+    }
+
+    [[nodiscard]] static std::string requestText(const std::string &route, const std::string &attempt, const std::string &behavior, const std::string &headers)
+    {
+        return "POST /" + route + "/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Attempt-Id: " + attempt
+            + "\r\nX-Deadline-Ms: 1500\r\nX-Behave: " + behavior + "\r\n" + headers + "Content-Length: 4\r\n\r\n";
+    }
+
+    /// Sends the head of a request, its body once `isBodySent` is true, and reads the response into `result`.
+    void start(std::string head, std::optional<std::string> &result, bool isForwarded = false)
+    {
+        const std::uint16_t port = isForwarded ? settings.peersEndpoint.port : settings.clientEndpoint.port;
+        auto operation = [this, head, &result, port]() -> asio::awaitable<void> {
+            Tcp::socket socket(loop);
+            co_await socket.async_connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+            asio::steady_timer timer(loop);
+            while (!isBodySent) {
+                timer.expires_after(1ms);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            const std::string body = "body";
+            co_await asio::async_write(socket, asio::buffer(body), asio::use_awaitable);
+            std::string out;
+            std::array<char, 2048> bytes{};
+            ErrorCode code;
+            while (!code) {
+                const std::size_t received = co_await socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, code));
+                out.append(bytes.data(), received);
+            }
+            result = out;
+        };
+        asio::co_spawn(loop, operation, asio::detached);
+    }
+
+    /// Services at whose upstreams the request was executed.
+    [[nodiscard]] std::string executions(const std::string &attempt) const
+    {
+        return std::string(static_cast<std::size_t>(executionCount(attempt)), 's')
+            + std::string(static_cast<std::size_t>(std::count(c.executedAttempts.begin(), c.executedAttempts.end(), attempt)), 't');
+    }
+
+    bool isBodySent = true;
+
+private:
+    std::uint16_t m_peerPort;
+    std::optional<std::string> m_occupied;
+};
+
+unsigned statusOf(const std::string &response)
+{
+    constexpr std::size_t StatusAt = 9;
+    return response.size() < StatusAt + 3 ? 0 : static_cast<unsigned>(std::stoul(response.substr(StatusAt, 3)));
+}
+
+/// Sends a request during which the configuration changes; returns the whole response.
+std::string sendDuringChange(ChangeFixture &fixture, Moment moment, Change change, const std::string &attempt)
+{
+    const bool isForwarded = moment == Moment::ForwardedBody || moment == Moment::ForwardedOwnQueue || moment == Moment::ForwardedRetry;
+    const bool isQueued = moment == Moment::OwnQueue || moment == Moment::ForwardedOwnQueue;
+    const bool isSent = moment == Moment::Retry || moment == Moment::Silence || moment == Moment::ForwardedRetry || moment == Moment::Resumption;
+    fixture.setRoutesAs(std::nullopt);
+    if (isQueued) {
+        fixture.occupy();
+    }
+    const bool hasPeer = change == Change::NotThere;
+    if (moment == Moment::OtherQueue || hasPeer) {
+        fixture.startOtherInstances(hasPeer && moment == Moment::OtherQueue);
+        fixture.decides = moment != Moment::OtherQueue;
+    }
+    const std::string behavior = moment == Moment::Resumption ? "a=held-break,b=held-break" : isSent ? "a=held-reset,b=held-reset" : "ok";
+    const std::string headers = isForwarded ? "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\n" : "";
+    const std::string route = moment == Moment::Resumption ? "resume" : "again";
+    const bool isSlow = moment == Moment::Body || moment == Moment::ForwardedBody;
+    fixture.isBodySent = !isSlow;
+    std::optional<std::string> response;
+    fixture.start(ChangeFixture::requestText(route, attempt, behavior, headers), response, isForwarded);
+    if (isSlow) {
+        wait(fixture, 30ms);
+    }
+    fixture.runUntil([&] {
+        return isSlow || (isQueued && fixture.hasMetric("arbutus_waiting_requests 1")) || (moment == Moment::OtherQueue && fixture.queuedPlacements > 0)
+            || (isSent && fixture.executionCount(attempt) == 1);
+    });
+    fixture.setRoutesAs(change);
+    fixture.decides = true;
+    fixture.isBodySent = true;
+    const bool isReleased = moment != Moment::Silence;
+    fixture.a.isReleased = isReleased;
+    fixture.b.isReleased = isReleased;
+    fixture.runUntil([&] { return response.has_value(); });
+    return *response;
+}
+
+} // namespace
+
+TEST_CASE("a request is not sent by a configuration that changed after the request began", "[edge][configuration]")
+{
+    struct Row
+    {
+        Moment moment;
+        Change change;
+        unsigned status;
+        const char *executions; // services, in their order
+    };
+    const auto row = GENERATE(values<Row>({
+        {Moment::Body, Change::Moved, 200, "t"},
+        {Moment::Body, Change::Dropped, 503, ""},
+        {Moment::Body, Change::NotHere, 503, ""},
+        {Moment::Body, Change::NotThere, 200, "s"},
+        {Moment::OwnQueue, Change::Moved, 200, "t"},
+        {Moment::OwnQueue, Change::Dropped, 503, ""},
+        {Moment::OwnQueue, Change::NotHere, 503, ""},
+        {Moment::OtherQueue, Change::Moved, 200, "t"},
+        {Moment::OtherQueue, Change::Dropped, 503, ""},
+        {Moment::OtherQueue, Change::NotHere, 503, ""},
+        {Moment::OtherQueue, Change::NotThere, 503, ""}, // the dispatcher names region y
+        {Moment::Retry, Change::Moved, 200, "st"},
+        {Moment::Retry, Change::Dropped, 502, "s"},
+        {Moment::Retry, Change::NotHere, 502, "s"},
+        {Moment::Retry, Change::Forbidden, 502, "s"},
+        {Moment::Silence, Change::Moved, 200, "st"},
+        {Moment::Silence, Change::Dropped, 504, "s"},
+        {Moment::Silence, Change::NotHere, 504, "s"},
+        {Moment::ForwardedBody, Change::Moved, 503, ""}, // the origin chooses the service
+        {Moment::ForwardedBody, Change::Dropped, 503, ""},
+        {Moment::ForwardedBody, Change::NotHere, 503, ""},
+        {Moment::ForwardedOwnQueue, Change::Moved, 503, ""},
+        {Moment::ForwardedOwnQueue, Change::Dropped, 503, ""},
+        {Moment::ForwardedOwnQueue, Change::NotHere, 503, ""},
+        {Moment::ForwardedRetry, Change::Moved, 502, "s"},
+        {Moment::ForwardedRetry, Change::Dropped, 502, "s"},
+        {Moment::ForwardedRetry, Change::NotHere, 502, "s"},
+    }));
+    CAPTURE(static_cast<int>(row.moment), static_cast<int>(row.change));
+    ChangeFixture fixture;
+    const std::string response = sendDuringChange(fixture, row.moment, row.change, "attempt-1");
+    CAPTURE(response);
+    CHECK(statusOf(response) == row.status);
+    CHECK(fixture.executions("attempt-1") == row.executions);
+    CHECK(fixture.peerServer.connections == 0);
+    CHECK((response.find("Retry-After") != std::string::npos) == (row.status == 503));
+    const bool isForwarded = row.moment == Moment::ForwardedBody || row.moment == Moment::ForwardedOwnQueue || row.moment == Moment::ForwardedRetry;
+    if (isForwarded) {
+        CHECK((response.find("X-Gateway-Outcome: not_run") != std::string::npos) == (row.status == 503));
+    }
+}
+
+TEST_CASE("a stream that has begun does not go on by a configuration that has changed", "[edge][configuration]")
+{
+    const auto change = GENERATE(Change::Moved, Change::Dropped, Change::NotHere, Change::NotThere);
+    CAPTURE(static_cast<int>(change));
+    ChangeFixture fixture;
+    const RawResponse response = parseRawResponse(sendDuringChange(fixture, Moment::Resumption, change, "attempt-1"));
+    const bool goesOn = change == Change::NotThere; // this region still is a home
+    CHECK(statusOf(response.bytes) == 200);
+    CHECK(response.hasEnd == goesOn);
+    CHECK(response.body == FakeUpstream::events(1, goesOn ? FakeUpstream::LastEvent : 2));
+    CHECK(fixture.executions("attempt-1") == (goesOn ? "ss" : "s"));
+}
