What of a request has not been sent goes by the newest configuration

Cause: a request kept the configuration of its first moment while its body was read, in a dispatcher's queue, for retries, replacements and resumptions, and on both sides of a hop; a dispatcher kept the regions that the requester had stated.

Change: one function, catalog::checkSend(), says whether the newest configuration allows a send. It is asked after the body, at each placement and before each send. Waits for a placement end when the configuration says something else about the request, which is then placed anew or refused as not run. A peer compares the origin's service with its route; both state their versions in headers. An attempt of another service does not continue a stream. The timeout of an attempt is rounded up, so that its end counts as timed out.

--- a/src/arbutus/catalog/catalog.cpp
+++ b/src/arbutus/catalog/catalog.cpp
@@ -19,6 +19,41 @@
 
 } // namespace
 
+std::string_view toString(SendPermission permission)
+{
+    switch (permission) {
+    case SendPermission::Allowed:
+        return "allowed";
+    case SendPermission::RouteDropped:
+        return "the route was dropped";
+    case SendPermission::ServiceMoved:
+        return "the route leads to another service";
+    case SendPermission::RegionForbidden:
+        return "the region is no home of the route";
+    }
+    return "";
+}
+
+SendPermission checkSend(const Route *route, const core::ServiceId &service, const core::RegionId &region)
+{
+    if (route == nullptr) {
+        return SendPermission::RouteDropped;
+    }
+    if (!route->leadsTo(service)) {
+        return SendPermission::ServiceMoved;
+    }
+    return route->allowsRegion(region) ? SendPermission::Allowed : SendPermission::RegionForbidden;
+}
+
+bool Route::leadsTo(const core::ServiceId &service) const
+{
+    const bool hasWeights = std::any_of(trafficSplits.begin(), trafficSplits.end(), [](const TrafficSplit &split) { return split.weight > 0; });
+    if (!hasWeights) {
+        return !trafficSplits.empty() && trafficSplits.front().service == service;
+    }
+    return std::any_of(trafficSplits.begin(), trafficSplits.end(), [&](const TrafficSplit &split) { return split.weight > 0 && split.service == service; });
+}
+
 core::ServiceId Route::serviceFor(std::string_view attemptId) const
 {
     std::uint64_t totalWeight = 0;
@@ -47,6 +82,7 @@
         m_services[service.id] = std::move(service);
     }
     for (std::size_t i = 0; i < m_routes.size(); ++i) {
+        m_routesById.emplace(m_routes[i].id, i);
         m_routeIndex.emplace(routeKey(m_routes[i].host, m_routes[i].pathPrefix), i);
     }
 }
@@ -67,6 +103,12 @@
     return nullptr;
 }
 
+const Route *Catalog::findRoute(const RouteId &id) const
+{
+    const auto found = m_routesById.find(id);
+    return found == m_routesById.end() ? nullptr : &m_routes[found->second];
+}
+
 const Service *Catalog::findService(const core::ServiceId &id) const
 {
     const auto found = m_services.find(id);
--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -1,7 +1,7 @@
 // Routes and services: the configuration for requests that are forwarded by host and path.
 //
 // A Catalog is one complete version of this configuration and is immutable. A node replaces its shared pointer when a
-// newer version arrives; a request keeps using the version it started with.
+// newer version arrives; what of a request has not been sent goes by the newest version.
 //
 //   const Route *route = catalog.matchRoute("shop.example", "/orders/17");
 //   const core::ServiceId service = route->serviceFor(attemptId);
@@ -71,6 +71,8 @@
     std::vector<TrafficSplit> trafficSplits;           // at least one
     std::set<core::RegionId> homeRegions;              // regions that may serve it; empty = all
 
+    /// Whether requests may go to `service`.
+    [[nodiscard]] bool leadsTo(const core::ServiceId &service) const;
     /// Selects a service by weight, deterministically for a given attempt ID.
     [[nodiscard]] core::ServiceId serviceFor(std::string_view attemptId) const;
     /// Whether requests may be served in `region`.
@@ -80,6 +82,18 @@
     }
 };
 
+enum class SendPermission {
+    Allowed,
+    RouteDropped,    // the configuration has no such route
+    ServiceMoved,    // the route does not lead to the service
+    RegionForbidden, // the region is no home of the route
+};
+[[nodiscard]] std::string_view toString(SendPermission permission);
+
+/// Whether a request for `service` may be sent in `region`. `route` is that of the request in the newest known configuration; null: it
+/// has none there.
+[[nodiscard]] SendPermission checkSend(const Route *route, const core::ServiceId &service, const core::RegionId &region);
+
 //-----------------------------------------------------------------------------
 // Service
 //-----------------------------------------------------------------------------
@@ -124,6 +138,7 @@
 
     /// Route of `host` with the longest path prefix that matches `path`, or null.
     [[nodiscard]] const Route *matchRoute(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const Route *findRoute(const RouteId &id) const;
     [[nodiscard]] const Service *findService(const core::ServiceId &id) const;
     [[nodiscard]] CatalogVersion version() const
     {
@@ -144,6 +159,7 @@
     std::map<core::ServiceId, Service> m_services;
     ClientLimits m_limits;
     std::unordered_map<std::string, std::size_t> m_routeIndex; // host and prefix -> index in m_routes
+    std::map<RouteId, std::size_t> m_routesById;               // index in m_routes
 };
 
 using CatalogPointer = std::shared_ptr<const Catalog>; // null until the first version is known
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -3,6 +3,7 @@
 // Sections:
 //   Request state   state of one request
 //   Acceptance      headers, route, body
+//   Configuration   changes of it during the request
 //   Placement       retry loop over placements
 //   Sending         attempts at upstreams and peers
 //   Silence         replacement of attempts whose upstream is silent
@@ -10,7 +11,6 @@
 //   Responses       error responses and the request log
 
 #include "arbutus/edge/forwarder.h"
-#include "arbutus/core/asyncevent.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/http/truncation.h"
@@ -38,6 +38,7 @@
 constexpr const char *VersionHeader = "X-Gateway-Version";         // request: required software version; response: that of the upstream
 constexpr const char *UpstreamHeader = "X-Gateway-Upstream";       // response: upstream whose response is passed on
 constexpr const char *StartTimeHeader = "X-Gateway-Start-Time";    // response: run of it that was known when it got the request
+constexpr const char *CatalogHeader = "X-Gateway-Configuration";   // version that the sender has
 constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotExecuted = "not_run";
@@ -52,6 +53,7 @@
                                     VersionHeader,
                                     UpstreamHeader,
                                     StartTimeHeader,
+                                    CatalogHeader,
                                     OutcomeHeader};
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
@@ -89,6 +91,26 @@
     return error == std::errc() && end == text.data() + text.size() ? std::optional(routing::StartTime(value)) : std::nullopt;
 }
 
+catalog::CatalogVersion parseCatalogVersion(const http::Headers &headers)
+{
+    return catalog::CatalogVersion(parseCount(http::headerValue(headers, CatalogHeader)));
+}
+
+std::string homeRegionsOf(const catalog::Route &route)
+{
+    std::string out;
+    for (const core::RegionId &region : route.homeRegions) {
+        out += (out.empty() ? "" : ",") + region.text;
+    }
+    return out;
+}
+
+/// Whether a request that was sent by one of the routes may be sent by the other one.
+bool isSameKind(const catalog::Route &left, const catalog::Route &right)
+{
+    return left.executionSemantics == right.executionSemantics && left.responseMode == right.responseMode && left.resumable == right.resumable;
+}
+
 std::string formatSeconds(core::Duration duration)
 {
     char text[32];
@@ -111,6 +133,7 @@
     core::InstanceId peer;     // to which the request is sent instead
     core::RegionId region;     // of the peer
     bool isToRelay = false;    // the peer is of this region
+    core::ServiceId service;   // of the upstream
     std::string address;
     routing::SoftwareVersion version;           // of the upstream's software; a peer states it in its response head
     std::optional<routing::StartTime> knownRun; // of the upstream, when the request was sent; it may have been started again since
@@ -168,8 +191,10 @@
     http::Request request; // without PeerHeaders
     RequestHead head;
     routing::RequestFingerprint fingerprint;
-    catalog::CatalogPointer catalog;
+    catalog::CatalogPointer catalog; // that was applied last
     const catalog::Route *route = nullptr;
+    catalog::CatalogVersion acceptedCatalog;
+    catalog::CatalogVersion originCatalog; // of the instance that forwarded the request; 0: not stated by one of an older release
     core::ServiceId service;
     bool fromPeer = false;
     std::string origin; // instance that received the client's request
@@ -183,12 +208,13 @@
     std::set<core::RegionId> excludedRegions;
     std::set<core::InstanceId> excludedRelays;
     std::size_t placements = 0;
-    std::size_t unreachableGrants = 0;                       // placements at upstreams that the placement request stated to be unreachable
-    std::size_t fruitlessSearches = 0;                       // placements for a replacement that was not sent
-    std::size_t sendCount = 0;                               // requests that reached an upstream
-    std::size_t possibleExecutions = 0;                      // sends after which an upstream may have executed the request
-    std::size_t grantedExecutions = 0;                       // that peers may make, and have not reported
-    std::size_t maxExecutions = 0;                           // that the route allows, or the origin grants
+    std::size_t unreachableGrants = 0;  // placements at upstreams that the placement request stated to be unreachable
+    std::size_t fruitlessSearches = 0;  // placements for a replacement that was not sent
+    std::size_t sendCount = 0;          // requests that reached an upstream
+    std::size_t possibleExecutions = 0; // sends after which an upstream may have executed the request
+    std::size_t grantedExecutions = 0;  // that peers may make, and have not reported
+    std::size_t maxExecutions = 0;      // that the route allows, or the origin grants
+    std::size_t originGrant = std::numeric_limits<std::size_t>::max();
     std::optional<http::Response> upstreamFailure;           // error response of an upstream, forwarded if no retry succeeds
     bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
     bool responseStarted = false;                            // the stream's response head was sent to the client
@@ -289,6 +315,7 @@
     , m_streamDirectory(streamDirectory)
     , m_settings(settings)
     , m_retryBudget(limits::SharedRetryBudgetSettings{context.settings.retryRatio, context.settings.minRetries, context.settings.retryWindow})
+    , m_catalogChanged(context.executor)
     , m_random(seed)
 {
 }
@@ -330,7 +357,11 @@
     state.service = core::ServiceId(http::headerValue(state.request.headers, ServiceHeader));
     state.sendCount = parseCount(http::headerValue(state.request.headers, SendCountHeader));
     state.possibleExecutions = parseCount(http::headerValue(state.request.headers, PossibleExecutionsHeader));
-    const std::size_t maxExecutions = parseCount(http::headerValue(state.request.headers, MaxExecutionsHeader));
+    if (const std::size_t granted = parseCount(http::headerValue(state.request.headers, MaxExecutionsHeader)); granted > 0) {
+        state.originGrant = granted; // not stated by an origin of an older release
+    }
+    state.originCatalog = parseCatalogVersion(state.request.headers);
+    noteCatalogVersion(core::InstanceId(state.origin), state.request.headers);
     const std::string lastEventId = http::headerValue(state.request.headers, ResumeHeader);
     if (state.request.headers.contains(VersionHeader)) {
         state.requiredVersion = routing::SoftwareVersion(http::headerValue(state.request.headers, VersionHeader));
@@ -342,9 +373,6 @@
         state.sseRelay.emplace(lastEventId);
     }
     if (co_await acceptRequest(state)) {
-        if (maxExecutions > 0) { // not stated by an origin of an older release
-            state.maxExecutions = std::min(state.maxExecutions, maxExecutions);
-        }
         co_await placeAndSend(state);
     }
 }
@@ -367,14 +395,15 @@
         co_await respondWithError(state, 404, core::ErrorKind::NotFound, "no route matches the host and path", {});
         co_return false;
     }
-    if (state.fromPeer && !state.route->allowsRegion(m_context.settings.region)) {
-        co_await respondWithError(state, 503, core::ErrorKind::ResidencyRefused, "the route must not be served in this region", {});
-        co_return false;
-    }
+    state.acceptedCatalog = state.catalog->version();
     if (state.service.empty()) {
         state.service = state.route->serviceFor(state.head.attemptId);
     }
-    state.maxExecutions = state.route->maxUpstreamsPerAttempt;
+    state.maxExecutions = std::min(state.originGrant, state.route->maxUpstreamsPerAttempt);
+    if (state.fromPeer && !maySend(state, m_context.settings.region)) {
+        co_await refuseNotExecuted(state, core::ErrorKind::ResidencyRefused, {});
+        co_return false;
+    }
     const auto bodyRead = co_await state.exchange.readBody();
     if (!bodyRead) {
         co_await respondWithError(state, core::httpStatus(bodyRead.error().kind), bodyRead.error().kind, bodyRead.error().message, {});
@@ -382,6 +411,20 @@
     }
     state.request.body = state.exchange.request().body;
     state.fingerprint = routing::RequestFingerprint::of({state.request.method, state.head.host, state.request.target, state.head.prompt, state.request.body});
+    state.exchange.onClientDisconnect([cancellation = state.cancellation] { cancellation->cancel(); });
+    setDeadlines(state);
+    if (!renewRoute(state)) {
+        co_await respondWithFailure(state, false);
+        co_return false;
+    }
+    if (!state.fromPeer && state.isResumption()) {
+        co_return co_await findOrigin(state);
+    }
+    co_return true;
+}
+
+void Forwarder::setDeadlines(RequestState &state) const
+{
     auto timeout = state.route->timeout;
     if (state.head.timeout) {
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
@@ -396,11 +439,6 @@
                       milliseconds(std::llround(m_settings.abandonmentGapFactor * static_cast<double>(state.route->maxEventGap.count())))});
         state.responseDeadline = std::min(state.completionDeadline, state.receivedAt + abandonmentTime - m_settings.abandonmentMargin);
     }
-    state.exchange.onClientDisconnect([cancellation = state.cancellation] { cancellation->cancel(); });
-    if (!state.fromPeer && state.isResumption()) {
-        co_return co_await findOrigin(state);
-    }
-    co_return true;
 }
 
 asio::awaitable<bool> Forwarder::findOrigin(RequestState &state)
@@ -423,9 +461,7 @@
         co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionUnknownRetryAfter);
         co_return false;
     }
-    const auto &splits = state.route->trafficSplits;
-    const bool isOnRoute = std::any_of(splits.begin(), splits.end(), [&](const catalog::TrafficSplit &split) { return split.service == found.origin.service; });
-    if (!isOnRoute) {
+    if (!state.route->leadsTo(found.origin.service)) {
         countResumption(state, "service_moved");
         state.lastFailure = "the route no longer leads to the service at which the stream began";
         co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionGoneRetryAfter);
@@ -443,6 +479,116 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// Configuration
+//-----------------------------------------------------------------------------
+
+void Forwarder::onCatalogChanged()
+{
+    m_catalogChanged.notify();
+}
+
+bool Forwarder::isOutdated(const RequestState &state) const
+{
+    const catalog::CatalogPointer &newest = m_metadataCache.catalog();
+    if (state.catalog == newest) {
+        return false;
+    }
+    const catalog::Route *route = newest->matchRoute(state.head.host, state.head.path);
+    return route == nullptr || route->id != state.route->id || !isSameKind(*route, *state.route) || route->homeRegions != state.route->homeRegions
+        || route->leadsTo(state.service) != state.route->leadsTo(state.service);
+}
+
+bool Forwarder::renewRoute(RequestState &state)
+{
+    const catalog::CatalogPointer newest = m_metadataCache.catalog();
+    if (state.catalog == newest) {
+        return true;
+    }
+    const catalog::Route *route = newest->matchRoute(state.head.host, state.head.path);
+    if (route == nullptr) {
+        recordOutdated(state, catalog::toString(catalog::SendPermission::RouteDropped));
+        return false;
+    }
+    const bool hasBeenSent = state.hasBeenSent() || state.current || state.responseStarted;
+    if (hasBeenSent && !isSameKind(*route, *state.route)) {
+        recordOutdated(state, "the route is of another kind");
+        return false;
+    }
+    const bool isBegun = state.requiredVersion || state.responseStarted;
+    const bool isOriginNewer = state.originCatalog > newest->version();
+    if (!route->leadsTo(state.service) && !isOriginNewer && (state.fromPeer || isBegun)) {
+        recordOutdated(state, catalog::toString(catalog::SendPermission::ServiceMoved));
+        return false;
+    }
+    if (state.fromPeer && !route->allowsRegion(m_context.settings.region)) {
+        recordOutdated(state, catalog::toString(catalog::SendPermission::RegionForbidden));
+        return false;
+    }
+    if (!route->leadsTo(state.service) && !isOriginNewer) {
+        state.service = route->serviceFor(state.head.attemptId);
+    }
+    state.catalog = newest;
+    state.route = route;
+    const std::size_t maxExecutions = std::min(state.originGrant, route->maxUpstreamsPerAttempt);
+    state.maxExecutions = hasBeenSent ? std::min(state.maxExecutions, maxExecutions) : maxExecutions;
+    if (!hasBeenSent) {
+        setDeadlines(state);
+    }
+    return true;
+}
+
+bool Forwarder::maySend(RequestState &state, const core::RegionId &region)
+{
+    if (isOutdated(state)) {
+        recordOutdated(state, "the configuration changed since the request was placed");
+        return false;
+    }
+    const catalog::SendPermission permission = catalog::checkSend(state.route, state.service, region);
+    const bool isServiceOfNewer = permission == catalog::SendPermission::ServiceMoved && state.originCatalog > state.catalog->version();
+    if (permission == catalog::SendPermission::Allowed || (isServiceOfNewer && state.route->allowsRegion(region))) {
+        return true;
+    }
+    recordOutdated(state, catalog::toString(permission));
+    return false;
+}
+
+void Forwarder::recordOutdated(RequestState &state, std::string_view reason)
+{
+    const catalog::CatalogVersion newest = m_metadataCache.knownCatalog().version;
+    state.lastFailure =
+        std::string(reason) + " (configuration " + std::to_string(newest.value) + ", accepted by " + std::to_string(state.acceptedCatalog.value);
+    state.lastFailure += state.fromPeer ? ", origin has " + std::to_string(state.originCatalog.value) + ")" : ")";
+    m_context.metrics.incrementCounter("arbutus_outdated_sends_total");
+    const catalog::Route *route = m_metadataCache.catalog()->matchRoute(state.head.host, state.head.path);
+    m_context.writeLog(observe::LogLine("request_outdated")
+                           .add("request", state.placementId())
+                           .add("route", state.route->id)
+                           .add("service", state.service)
+                           .add("reason", reason)
+                           .add("configuration", state.acceptedCatalog)
+                           .add("newest_configuration", newest)
+                           .add("origin_configuration", state.originCatalog)
+                           .add("home_regions", route == nullptr ? "" : homeRegionsOf(*route)));
+}
+
+asio::awaitable<bool> Forwarder::waitForNewerCatalog(RequestState &state)
+{
+    const core::TimePoint end = std::min(m_context.now() + m_settings.maxCatalogWait, state.responseDeadline);
+    while (state.catalog == m_metadataCache.catalog() && !state.cancellation->cancelled && m_context.now() < end) {
+        co_await m_catalogChanged.wait(end - m_context.now());
+    }
+    co_return state.catalog != m_metadataCache.catalog();
+}
+
+void Forwarder::noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers)
+{
+    m_metadataCache.noteCatalogVersion(parseCatalogVersion(headers));
+    if (parseCatalogVersion(headers) > m_metadataCache.knownCatalog().version && m_placement.onNewerMetadata) {
+        m_placement.onNewerMetadata(instance);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Placement
 //-----------------------------------------------------------------------------
@@ -467,6 +613,7 @@
     placementRequest.excludedRegions = state.excludedRegions;
     placementRequest.excludedRelays = state.excludedRelays;
     placementRequest.requiredVersion = state.requiredVersion;
+    placementRequest.route = state.route->id;
     return placementRequest;
 }
 
@@ -509,7 +656,11 @@
 {
     while (state.replacement || !isQuarantined(state)) {
         state.current = std::exchange(state.replacement, nullptr);
+        if (!state.current && !renewRoute(state)) {
+            break;
+        }
         if (!state.current) {
+            state.cancellation->isOutdated = [this, &state] { return isOutdated(state); };
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
             excludeUnreachable(state, placementRequest, decision);
@@ -527,6 +678,13 @@
                     state.isVersionGone = true;
                     state.lastFailure = "no upstream of software version " + state.requiredVersion.value_or(routing::SoftwareVersion()).text + " is left";
                 }
+                if (refused->reason == routing::RefusalReason::Outdated) {
+                    const bool isNewerKnown = co_await waitForNewerCatalog(state);
+                    if (isNewerKnown && canRetry(state)) {
+                        continue;
+                    }
+                    recordOutdated(state, "the dispatcher has a newer configuration that does not allow the request");
+                }
                 break;
             }
             state.current = openAttempt(state, decision);
@@ -614,6 +772,14 @@
     const routing::PlacementId placementId = state.placementId();
     state.lastUpstream = granted.upstream;
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
+    if (!maySend(state, m_context.settings.region)) {
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+        return nullptr;
+    }
+    if (entry != nullptr && entry->announcement.service != state.service) {
+        rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
+        return nullptr;
+    }
     std::optional<routing::StartTime> run = granted.startTime;
     if (entry != nullptr) {
         run = std::max(run, std::optional(entry->announcement.startTime));
@@ -666,6 +832,7 @@
     auto attempt = std::make_shared<Attempt>();
     attempt->placement = placementId;
     attempt->upstream = granted.upstream;
+    attempt->service = state.service;
     attempt->address = granted.address;
     attempt->version = version;
     attempt->knownRun = run;
@@ -715,6 +882,12 @@
 std::shared_ptr<Forwarder::Attempt> Forwarder::openPeerAttempt(RequestState &state, const routing::Redirected &redirected)
 {
     const bool isToRelay = !redirected.relay.empty();
+    if (!maySend(state, redirected.region)) {
+        if (!isOutdated(state)) { // a dispatcher with an older configuration would name it again
+            state.excludedRegions.insert(redirected.region);
+        }
+        return nullptr;
+    }
     const auto peer = pickPeer(redirected);
     if (!peer) {
         if (isToRelay) {
@@ -730,6 +903,7 @@
     attempt->peer = peer->id;
     attempt->region = redirected.region;
     attempt->isToRelay = isToRelay;
+    attempt->service = state.service;
     attempt->address = peer->peerAddress;
     attempt->request = state.request;
     const auto remaining = std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now());
@@ -738,6 +912,7 @@
     headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - overhead / 2));
     headers[OriginHeader] = m_context.settings.instanceId.text;
     headers[ServiceHeader] = state.service.text;
+    headers[CatalogHeader] = std::to_string(m_metadataCache.knownCatalog().version.value);
     attempt->sendsBefore = std::max<std::size_t>(state.sendCount, state.hasBeenSent() ? 1 : 0);
     const std::size_t granted = executionsForPeer(state);
     // Executions that are not granted count as made: a peer of an older release knows no grants and goes on up to the route's number.
@@ -787,7 +962,8 @@
         state.changed.notify();
     };
     attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
-    const milliseconds remaining = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - now));
+    // Rounded up: an attempt that ends before the deadline would not count as timed out.
+    const milliseconds remaining = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(state.completionDeadline - now));
     auto operation = [attempt, remaining, owner = state.shared_from_this()]() -> asio::awaitable<void> {
         http::CallResult<http::Response> head = http::CallError{http::CallStage::SendRequest, "unexpected failure of the call"};
         try {
@@ -935,13 +1111,9 @@
             .add("upstream_sends", state.sendCount)
             .add("runs", state.possibleExecutions);
     }
-    std::string homeRegions;
-    for (const core::RegionId &region : state.route->homeRegions) {
-        homeRegions += (homeRegions.empty() ? "" : ",") + region.text;
-    }
-    line.add("configuration", state.catalog->version())
+    line.add("configuration", state.acceptedCatalog)
         .add("newest_configuration", attempt.newestCatalog)
-        .add("home_regions", homeRegions)
+        .add("home_regions", homeRegionsOf(*state.route))
         .add("metadata_staleness_ms", core::toMilliseconds(attempt.metadataStaleness))
         .add("says_leaving", attempt.saysLeaving)
         .add("body_end", attempt.bodyEnd)
@@ -1012,11 +1184,12 @@
 
 asio::awaitable<void> Forwarder::seekReplacement(RequestState &state, std::shared_ptr<Attempt> silent)
 {
-    if (!canRetry(state) || isQuarantined(state)) {
+    if (!canRetry(state) || isQuarantined(state) || !renewRoute(state)) {
         co_return;
     }
     exclude(state, *silent);
     state.replacementToken = std::make_shared<CancellationToken>();
+    state.replacementToken->isOutdated = [this, &state] { return isOutdated(state); };
     routing::PlacementRequest placementRequest = makePlacementRequest(state);
     const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.replacementToken);
     excludeUnreachable(state, placementRequest, decision);
@@ -1101,6 +1274,7 @@
 {
     const http::Headers &headers = attempt.head->value().headers;
     attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
+    noteCatalogVersion(attempt.peer, headers);
     const auto countSince = [&](const char *header, std::size_t before, std::size_t ifNotStated) {
         if (!headers.contains(header)) {
             return ifNotStated;
@@ -1256,7 +1430,7 @@
 
 bool Forwarder::fitsStream(const RequestState &state, const Attempt &attempt)
 {
-    return !state.requiredVersion || *state.requiredVersion == attempt.version;
+    return !state.requiredVersion || (*state.requiredVersion == attempt.version && state.service == attempt.service);
 }
 
 bool Forwarder::mayHaveChangedVersion(const Attempt &attempt) const
@@ -1303,6 +1477,7 @@
         attempt.firstEventAt = now;
         if (!state.requiredVersion) {
             state.requiredVersion = attempt.version;
+            state.service = attempt.service; // the route may have moved while the attempt was silent
         }
         std::optional<routing::StreamRecord> record;
         if (state.isRepeatable()) {
@@ -1403,6 +1578,9 @@
             response.headers[StartTimeHeader] = upstreamRun;
         }
         response.headers[OutcomeHeader] = std::string(outcome);
+        if (state.catalog) {
+            response.headers[CatalogHeader] = std::to_string(state.catalog->version().value);
+        }
         response.headers[SendCountHeader] = std::to_string(state.sendCount);
         response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
         if (state.requiredVersion) {
@@ -1494,7 +1672,7 @@
                            .add("origin", state.origin)
                            .add("route", route)
                            .add("service", state.service)
-                           .add("configuration", state.catalog ? state.catalog->version().value : 0)
+                           .add("configuration", state.acceptedCatalog)
                            .add("status", status)
                            .add("outcome", outcome)
                            .add("reason", state.lastFailure)
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -31,8 +31,20 @@
 //    placement at another upstream, within the retry budget. The silent attempt is cancelled only after the replacement has accepted
 //    the request, or has had it for `maxOverlap`. Without a replacement, the silent attempt is waited for until the deadline.
 
+// Q: The configuration changes during a request. By which one does it go?
+// A: What has been sent to an upstream may end. Each further send goes by the newest configuration known here: it is applied after the
+//    body, before each placement and each search for a replacement, and again before the send; a wait for a placement ends if the
+//    configuration says something else about the request. A peer does the same, and refuses what its own configuration does not allow.
+//    Until the first send the request is as new: service, homes, kind, priority, number of executions and all times, counted from its
+//    arrival, are the newest ones. After that, the deadlines stay, since upstreams and peers were told them; the number of executions is
+//    the smallest of all; a route of another kind gets no further send. A service stays as long as the route leads to it. Otherwise it
+//    is chosen as for a new request, unless events of the stream have arrived, or the origin has chosen it: then there is no further send.
+//    A request whose route was there when it arrived is never answered with 404: that configuration may still be in force.
+//
+
 #pragma once
 
+#include "arbutus/core/asyncevent.h"
 #include "arbutus/edge/placementservice.h"
 #include "arbutus/edge/quarantineservice.h"
 #include "arbutus/edge/streamdirectory.h"
@@ -61,6 +73,7 @@
     std::chrono::milliseconds crossRegionOverhead{130};      // round trip to another region; half of it is subtracted from the deadline sent to the peer
     std::chrono::milliseconds relayOverhead{4};              // the same within the region
     std::chrono::milliseconds noCatalogRetryAfter{500};      // Retry-After while no configuration is loaded
+    std::chrono::milliseconds maxCatalogWait{500};           // for a configuration that another instance is known to have
     std::chrono::seconds quarantineRetryAfter{60};           // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
     std::chrono::seconds versionGoneRetryAfter{60};          // Retry-After for a stream that no upstream can continue; longer than clients wait
     std::chrono::milliseconds versionUnknownRetryAfter{500}; // Retry-After for a stream whose record may still be found
@@ -98,6 +111,8 @@
     [[nodiscard]] static bool isForwardedRequest(const http::Request &request);
     /// Closes pooled connections to the address of a removed upstream, because another upstream may reuse the address.
     void closeIdleConnections(const std::string &address);
+    /// Ends waits for a newer configuration.
+    void onCatalogChanged();
 
 private:
     struct RequestState;
@@ -115,6 +130,21 @@
     /// Finds out what the stream that the client resumes can go on at; answers the request and returns false if that is not known.
     boost::asio::awaitable<bool> findOrigin(RequestState &state);
 
+    void setDeadlines(RequestState &state) const;
+
+    //--- Configuration
+    /// Applies the newest configuration to what has not been sent. Returns false, with the reason in the state, if it allows no send.
+    [[nodiscard]] bool renewRoute(RequestState &state);
+    /// Whether the newest configuration says something else about further sends than the one that was applied last.
+    [[nodiscard]] bool isOutdated(const RequestState &state) const;
+    /// Whether a further send to `region` is allowed; notes the reason in the state if it is not.
+    [[nodiscard]] bool maySend(RequestState &state, const core::RegionId &region);
+    void recordOutdated(RequestState &state, std::string_view reason);
+    /// Waits until this instance has a newer configuration than the state; returns false if none arrives in time.
+    boost::asio::awaitable<bool> waitForNewerCatalog(RequestState &state);
+    /// Records the version that another instance states in its headers, and fetches that configuration if it is newer.
+    void noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers);
+
     //--- Placement
     boost::asio::awaitable<void> placeAndSend(RequestState &state);
     [[nodiscard]] routing::PlacementRequest makePlacementRequest(RequestState &state);
@@ -180,7 +210,7 @@
     void recordOutput(RequestState &state, Attempt &attempt);
     /// Whether a successful response with these headers may be the stream, or continue the one that has begun.
     [[nodiscard]] static bool mayBeStream(const RequestState &state, const http::Headers &headers);
-    /// Whether the attempt's upstream has the software version at which the stream began, if it has begun.
+    /// Whether the attempt's upstream has the service and the software version at which the stream began, if it has begun.
     [[nodiscard]] static bool fitsStream(const RequestState &state, const Attempt &attempt);
     /// Whether the upstream was started again with another software version since the request was placed.
     [[nodiscard]] bool mayHaveChangedVersion(const Attempt &attempt) const;
@@ -206,6 +236,7 @@
     StreamDirectory &m_streamDirectory;
     ForwarderSettings m_settings;
     limits::SharedRetryBudget m_retryBudget;
+    core::AsyncEvent m_catalogChanged;
     http::ConnectionPool m_upstreamConnections;
     http::ConnectionPool m_peerConnections;
     pcg32 m_random;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -38,6 +38,7 @@
                               const std::string reason = refused.reason == routing::RefusalReason::Overloaded ? "overloaded"
                                   : refused.reason == routing::RefusalReason::Quarantined                     ? "quarantined"
                                   : refused.reason == routing::RefusalReason::VersionGone                     ? "version_gone"
+                                  : refused.reason == routing::RefusalReason::Outdated                        ? "outdated"
                                                                                                               : "no_upstream";
                               return "refused reason=" + reason + " retry_after_ms=" + std::to_string(core::toMilliseconds(refused.retryAfter));
                           },
@@ -45,10 +46,10 @@
                       decision);
 }
 
-bool isRefusedAsQuarantined(const routing::PlacementDecision &decision)
+bool isRefusedAs(const routing::PlacementDecision &decision, routing::RefusalReason reason)
 {
     const auto *refused = std::get_if<routing::Refused>(&decision);
-    return refused != nullptr && refused->reason == routing::RefusalReason::Quarantined;
+    return refused != nullptr && refused->reason == reason;
 }
 
 bool isQueued(const routing::PlacementDecision &decision)
@@ -126,6 +127,7 @@
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
     pending->prompt = request.prompt;
     pending->fingerprint = request.fingerprint;
+    pending->token = token;
     m_pending[request.id] = pending;
     token->onCancel = [pending] { pending->timer.cancel(); };
     routing::PlacementDecision decision = routing::Queued{};
@@ -137,8 +139,13 @@
             decision = routing::Refused{routing::RefusalReason::Overloaded, std::chrono::milliseconds(200)};
             break;
         }
+        if (token->isOutdated && token->isOutdated()) {
+            decision = routing::Refused{routing::RefusalReason::Outdated, {}};
+            break;
+        }
         const auto dispatcher = remoteDispatcher();
         pending->decision.reset();
+        request.catalogVersion = m_metadataCache.knownCatalog().version; // the request is not outdated by it
         request.unreachableUpstreams = m_paths.lost();
         excludeWithheld(request);
         if (!dispatcher) {
@@ -175,7 +182,11 @@
     }
     token->onCancel = nullptr;
     m_pending.erase(request.id);
-    if (token->cancelled || isRefusedAsQuarantined(decision)) {
+    const bool isOutdated = isRefusedAs(decision, routing::RefusalReason::Outdated);
+    if (isOutdated && decidedBy != m_context.settings.instanceId && request.catalogVersion == m_metadataCache.knownCatalog().version && onNewerMetadata) {
+        onNewerMetadata(decidedBy);
+    }
+    if (token->cancelled || isOutdated || isRefusedAs(decision, routing::RefusalReason::Quarantined)) {
         m_dispatcher.cancel(request.id);
         if (const auto dispatcher = remoteDispatcher()) {
             m_fleet.send(dispatcher->gossipAddress, PlacementCancellation{request.id});
@@ -204,6 +215,7 @@
                            .add("required_version", request.requiredVersion ? request.requiredVersion->text : "")
                            .add("wait_ms", core::toMilliseconds(elapsed))
                            .add("decided_by", decidedBy)
+                           .add("configuration", request.catalogVersion)
                            .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(m_context.now())))
                            .add("decision", describe(decision)));
     co_return decision;
@@ -261,6 +273,17 @@
     }
 }
 
+void PlacementService::refuseOutdated()
+{
+    for (const auto &[id, pending] : m_pending) {
+        const bool isDecided = pending->decision && !isQueued(*pending->decision); // looked at again before the request is sent
+        if (!isDecided && pending->token->isOutdated && pending->token->isOutdated()) {
+            pending->decision = routing::Refused{routing::RefusalReason::Outdated, {}};
+            pending->timer.cancel();
+        }
+    }
+}
+
 //-----------------------------------------------------------------------------
 // In-flight requests of this instance
 //-----------------------------------------------------------------------------
@@ -697,6 +720,7 @@
             markIfLeaving(upstream);
         }
     }
+    refuseOutdated();
     sendRegionState();
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -37,7 +37,8 @@
 struct CancellationToken
 {
     bool cancelled = false;
-    std::function<void()> onCancel; // set by the waiting coroutine
+    std::function<bool()> isOutdated; // set by the waiting coroutine: whether the configuration says something else about the request now
+    std::function<void()> onCancel;   // set by the waiting coroutine
     void cancel()
     {
         cancelled = true;
@@ -53,7 +54,8 @@
     PlacementService(InstanceContext &context, Fleet &fleet, MetadataCache &metadataCache, PathMonitor &paths, PlacementServiceSettings settings = {});
 
     void start();
-    /// Returns a granted placement, a redirect to another region or a refusal. Cancelling the token ends the wait with a refusal.
+    /// Returns a granted placement, a redirect to another region or a refusal. Cancelling the token ends the wait with a refusal, and so does a
+    /// configuration by which the request is outdated.
     boost::asio::awaitable<routing::PlacementDecision> place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token);
     /// `stream` is the record of a stream that may be resumed.
     void recordFirstEvent(const routing::PlacementId &id, std::optional<routing::StreamRecord> stream);
@@ -74,12 +76,14 @@
     [[nodiscard]] bool isResting(const core::UpstreamId &upstream) const;
     /// Handles a datagram about placements or region state.
     void handleMessage(const FleetMessage &message, const std::string &from);
-    /// Sends the region state to other instances and processes the queue after a metadata change.
+    /// Ends waits that are outdated, sends the region state to other instances and processes the queue after a metadata change.
     void onMetadataChanged();
     /// Tells dispatchers which upstreams this instance has no path to, after a change.
     void onPathsChanged();
     /// Refuses requests that wait for a placement and were quarantined meanwhile.
     void refuseQuarantined();
+    /// Refuses requests that wait for a placement and are outdated by the configuration that this instance has now.
+    void refuseOutdated();
     [[nodiscard]] const routing::Dispatcher &dispatcher() const
     {
         return m_dispatcher;
@@ -95,6 +99,7 @@
         std::optional<routing::PlacementDecision> decision;
         std::vector<routing::PromptPart> prompt;
         routing::RequestFingerprint fingerprint;
+        std::shared_ptr<CancellationToken> token;
         core::InstanceId requestedFrom; // dispatcher that the request was last sent to
         boost::asio::steady_timer timer;
     };
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -237,6 +237,7 @@
             serverLimits.headerTimeout = limits.headerTimeout;
             serverLimits.idleTimeout = limits.idleTimeout;
             clientServer.setLimits(serverLimits);
+            forwarder.onCatalogChanged();
         }
         for (const auto &[id, entry] : metadataCache.registry().entries()) {
             if (entry.isUsable()) {
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -36,6 +36,31 @@
 // Candidates
 //-----------------------------------------------------------------------------
 
+bool Dispatcher::hasNewerCatalog(const PlacementRequest &request) const
+{
+    return m_view.catalog && !request.route.empty() && m_view.catalog->version() > request.catalogVersion;
+}
+
+catalog::SendPermission Dispatcher::checkSend(const PlacementRequest &request, const core::RegionId &region) const
+{
+    if (hasNewerCatalog(request)) {
+        return catalog::checkSend(m_view.catalog->findRoute(request.route), request.service, region);
+    }
+    const bool isHome = request.allowedRegions.empty() || request.allowedRegions.contains(region);
+    return isHome ? catalog::SendPermission::Allowed : catalog::SendPermission::RegionForbidden;
+}
+
+bool Dispatcher::isOutdated(const PlacementRequest &request) const
+{
+    const catalog::SendPermission permission = checkSend(request, m_view.region);
+    return permission == catalog::SendPermission::RouteDropped || permission == catalog::SendPermission::ServiceMoved;
+}
+
+bool Dispatcher::allowsRegion(const PlacementRequest &request, const core::RegionId &region) const
+{
+    return !request.excludedRegions.contains(region) && checkSend(request, region) == catalog::SendPermission::Allowed;
+}
+
 UpstreamEstimator &Dispatcher::estimatorFor(const RegistryEntry &entry)
 {
     StartTime &startTime = m_startTimes[entry.announcement.id];
@@ -167,7 +192,7 @@
 
 bool Dispatcher::hasPotentialUpstream(const PlacementRequest &request, core::TimePoint now)
 {
-    if ((!request.allowedRegions.empty() && !request.allowedRegions.contains(m_view.region)) || request.excludedRegions.contains(m_view.region)) {
+    if (!allowsRegion(request, m_view.region)) {
         return false;
     }
     const auto &upstreams = localUpstreamsOf(request.service);
@@ -196,7 +221,7 @@
                const auto region = m_view.regionByDomain.find(announcement.domain);
                return announcement.service == request.service && mayServe(request, announcement) && m_view.registry.isEligible(entry) && !entry.isCold(now)
                    && now - entry.updatedAt < m_settings.maxRemoteLoadAge && region != m_view.regionByDomain.end() && region->second != m_view.region
-                   && (request.allowedRegions.empty() || request.allowedRegions.contains(region->second)) && !request.excludedRegions.contains(region->second);
+                   && allowsRegion(request, region->second);
            });
 }
 
@@ -209,7 +234,7 @@
         return false;
     }
     const auto isUnknown = [&](const core::RegionId &region) {
-        const bool allowed = (request.allowedRegions.empty() || request.allowedRegions.contains(region)) && !request.excludedRegions.contains(region);
+        const bool allowed = allowsRegion(request, region);
         if (region == m_view.region) {
             const auto &upstreams = localUpstreamsOf(request.service);
             return allowed && std::none_of(upstreams.begin(), upstreams.end(), [&](const LocalUpstream &upstream) {
@@ -399,7 +424,7 @@
         return best;
     }
     for (auto &[region, services] : m_remoteRegions) {
-        const bool allowed = (request.allowedRegions.empty() || request.allowedRegions.contains(region)) && !request.excludedRegions.contains(region);
+        const bool allowed = allowsRegion(request, region);
         const auto found = services.find(request.service);
         if (!allowed || found == services.end()) {
             continue;
@@ -551,8 +576,10 @@
 
 Dispatcher::PlacementAttempt Dispatcher::tryPlace(const PlacementRequest &request, core::TimePoint now)
 {
-    const bool localAllowed =
-        (request.allowedRegions.empty() || request.allowedRegions.contains(m_view.region)) && !request.excludedRegions.contains(m_view.region);
+    if (isOutdated(request)) {
+        return PlacementAttempt{refuse(request, RefusalReason::Outdated, core::Duration::zero(), now), nullptr, 0};
+    }
+    const bool localAllowed = allowsRegion(request, m_view.region);
     std::optional<Candidate> candidate = localAllowed ? bestLocal(request, Way::Direct, now) : std::nullopt;
     if (localAllowed && !request.unreachableUpstreams.empty() && (!candidate || !candidate->admissible)) {
         const std::optional<Candidate> viaRelay = bestLocal(request, Way::ViaRelay, now);
@@ -652,6 +679,11 @@
             done.push_back(request.id); // its node no longer repeats the request
             continue;
         }
+        if (isOutdated(request)) {
+            m_deferredDecisions.push_back({request.id, request.requester, refuse(request, RefusalReason::Outdated, core::Duration::zero(), now)});
+            done.push_back(request.id);
+            continue;
+        }
         double &workAhead = workAheadByService[request.service];
         const core::Duration predictedWait = queueDrainTime(workAhead, rates[request.service]);
         if (now + predictedWait + queued->minLatency >= request.responseDeadline) { // would be served too late
@@ -701,7 +733,7 @@
     }
 }
 
-std::optional<PlacementDecision> Dispatcher::findGrant(const PlacementId &id)
+std::optional<Granted> Dispatcher::findGrant(const PlacementId &id)
 {
     const auto found = m_grants.find(id);
     if (found == m_grants.end()) {
@@ -712,8 +744,11 @@
 
 PlacementDecision Dispatcher::requestPlacement(const PlacementRequest &request, core::TimePoint now)
 {
-    if (auto granted = findGrant(request.id)) {
-        return *granted;
+    if (const auto granted = findGrant(request.id)) {
+        if (checkSend(request, m_view.region) == catalog::SendPermission::Allowed) {
+            return *granted;
+        }
+        recordCompletion(request.id, granted->upstream, SendOutcome::NeverSent, now); // its requester still waits for a decision
     }
     recordUnreachable(request.requester, request.unreachableUpstreams, now);
     const auto existing = m_queue.find(request.id);
@@ -721,6 +756,7 @@
         existing->second.lastRequestedAt = now;
         existing->second.request.unreachableUpstreams = request.unreachableUpstreams;
         existing->second.request.excludedUpstreams = request.excludedUpstreams;
+        existing->second.request.catalogVersion = request.catalogVersion; // its route is the same there
     } else {
         if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
             return *decision;
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -35,6 +35,11 @@
 // A: Only the dispatcher grants placements there, at that rate. A new dispatcher starts with half of it, because the one before
 //    may still be at work for a moment, and one that reaches only part of its region takes that part of the rate.
 //
+// Q: The configuration changes while a request waits. By which one is it placed?
+// A: By the newer of the requester's, whose version and route the request states, and this instance's. A request that the newer one
+//    does not allow at its service is refused as outdated, and its requester places it anew. A requester of an older release states no
+//    route; what it asks for holds.
+//
 // Q: Why do requests wait here and not at the engines?
 // A: An engine starts the prefill of whatever it admits, and a started prefill cannot be overtaken. Here the order can
 //    change until a request is sent, and any engine with free capacity can take the next one.
@@ -114,6 +119,7 @@
     Overloaded,  // would not be served in time
     Quarantined, // the request, or a part of its prompt, crashes upstreams
     VersionGone, // no region has an upstream of the required version left
+    Outdated,    // a newer configuration has dropped or moved its route
 };
 struct Refused
 {
@@ -339,6 +345,14 @@
         std::uint32_t uncachedTokens = 0;
     };
 
+    /// Whether this instance's configuration is newer than the one that the request states.
+    [[nodiscard]] bool hasNewerCatalog(const PlacementRequest &request) const;
+    /// What the newer of the two configurations says about a send of the request in `region`.
+    [[nodiscard]] catalog::SendPermission checkSend(const PlacementRequest &request, const core::RegionId &region) const;
+    /// Whether the request must not go to its service in any region.
+    [[nodiscard]] bool isOutdated(const PlacementRequest &request) const;
+    /// Whether the request may go to `region`, which is not excluded either.
+    [[nodiscard]] bool allowsRegion(const PlacementRequest &request, const core::RegionId &region) const;
     [[nodiscard]] UpstreamEstimator &estimatorFor(const RegistryEntry &entry);
     /// Eligible upstreams of a service in this region; the list is rebuilt when the registry or the catalog has changed.
     [[nodiscard]] std::vector<LocalUpstream> &localUpstreamsOf(const core::ServiceId &service);
@@ -375,7 +389,7 @@
     void clearReservations();
     /// Clears `queuedSince` for services without queued requests.
     void resetQueuedSince();
-    [[nodiscard]] std::optional<PlacementDecision> findGrant(const PlacementId &id);
+    [[nodiscard]] std::optional<Granted> findGrant(const PlacementId &id);
     [[nodiscard]] PlacementDecision grant(const PlacementRequest &request, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] PlacementDecision redirect(const PlacementRequest &request, const Redirected &redirected);
     [[nodiscard]] Refused refuse(const PlacementRequest &request, RefusalReason reason, core::Duration predictedWait, core::TimePoint now) const;
