--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -2204,3 +2204,45 @@
     CHECK(response.body == FakeUpstream::events(1, goesOn ? FakeUpstream::LastEvent : 2));
     CHECK(fixture.executions("attempt-1") == (goesOn ? "ss" : "s"));
 }
+
+TEST_CASE("a body leaves the region although another instance is known to have a newer configuration", "[edge][configuration]")
+{
+    struct Row
+    {
+        const char *name;
+        std::optional<Change> before;
+        bool arrives; // the newer configuration, while the request waits for it
+        std::optional<Change> after;
+        unsigned status;
+        int peerConnections;
+        const char *executions;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"the other region stays a home", std::nullopt, true, std::nullopt, 200, 1, ""},
+        {"the other region is no home any more", std::nullopt, true, Change::NotThere, 200, 0, "s"},
+        {"it does not arrive", std::nullopt, false, std::nullopt, 200, 0, "s"},
+        {"it does not arrive, and this region is no home", Change::NotHere, false, std::nullopt, 503, 0, ""},
+    }));
+    CAPTURE(row.name);
+    ChangeFixture fixture;
+    fixture.setRoutesAs(row.before);
+    fixture.startOtherInstances(true);
+    fixture.decides = true;
+    const std::string newer = std::to_string(fixture.configurationVersion() + 1);
+    const std::string headers = "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
+    std::optional<std::string> forwarded;
+    fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
+    fixture.runUntil([&] { return forwarded.has_value(); });
+    REQUIRE(statusOf(*forwarded) == 200);
+    std::optional<std::string> response;
+    fixture.start(ChangeFixture::requestText("again", "attempt-1", "ok", ""), response);
+    if (row.arrives) {
+        wait(fixture, 50ms);
+        CHECK(fixture.peerServer.connections == 0);
+        fixture.setRoutesAs(row.after);
+    }
+    fixture.runUntil([&] { return response.has_value(); });
+    CHECK(statusOf(*response) == row.status);
+    CHECK(fixture.peerServer.connections == row.peerConnections);
+    CHECK(fixture.executions("attempt-1") == row.executions);
+}
