Planned stop: failing tests of requests that are open at the end of the grace period

Another operator's report: requests that came late in the grace period were passed on and cut with no answer at its end. It happens here: RouteGateway ends its event loop 0.7 s before the end, whatever is open, and accepts requests until then with their full timeouts.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -506,6 +506,15 @@
                 co_await socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, code));
                 ++abortedConnections;
                 co_return false;
+            } else if (behavior.starts_with("lasts-") || behavior.starts_with("stream-lasts-")) { // for example "lasts-300", in milliseconds
+                const bool isStream = behavior.starts_with("stream-");
+                ErrorCode code;
+                if (isStream) {
+                    const std::string begin = chunked + eventChunks(1, 1);
+                    co_await asio::async_write(socket, asio::buffer(begin), asio::redirect_error(asio::use_awaitable, code));
+                }
+                co_await wait(std::chrono::milliseconds(std::stoi(behavior.substr(behavior.rfind('-') + 1))));
+                out = isStream ? eventChunks(2, LastEvent) + "0\r\n\r\n" : completeResponse(attempt);
             } else if (behavior == "stream") {
                 out = chunked + eventChunks(firstEvent, LastEvent) + "0\r\n\r\n";
             } else if (const std::size_t at = behavior.find('@'); at != std::string::npos) { // for example "unframed-close@20"
@@ -1850,6 +1859,270 @@
     fixture.runUntil([&] { return fixture.hasStopped; });
 }
 
+namespace {
+
+/// Time from the start of the clients to the stop signal.
+constexpr auto SignalAt = 200ms;
+constexpr auto ShortGracePeriod = 2s;
+
+/// A client whose requests reach an instance around its stop. It has an event loop of its own, so that only what the instance sent before
+/// it exited counts.
+class StopClient
+{
+public:
+    struct Piece
+    {
+        std::chrono::milliseconds at; // from the start
+        std::string bytes;
+    };
+
+    std::string received;
+    bool wasReset = false;
+
+    StopClient(asio::io_context &loop, std::uint16_t port, std::vector<Piece> pieces)
+        : m_socket(loop)
+        , m_pieces(std::move(pieces))
+    {
+        asio::co_spawn(loop, exchange(port), asio::detached);
+    }
+
+    /// Complete final responses, in order.
+    [[nodiscard]] std::vector<beast::http::response<beast::http::string_body>> responses() const
+    {
+        std::vector<beast::http::response<beast::http::string_body>> out;
+        std::string rest = received;
+        while (!rest.empty()) {
+            beast::http::response_parser<beast::http::string_body> parser;
+            parser.eager(true);
+            ErrorCode code;
+            const std::size_t used = parser.put(asio::buffer(rest), code);
+            if (code || !parser.is_done()) {
+                break;
+            }
+            rest.erase(0, used);
+            out.push_back(parser.release());
+        }
+        return out;
+    }
+
+private:
+    asio::awaitable<void> exchange(std::uint16_t port)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        ErrorCode code;
+        bool isFirst = true;
+        for (const Piece &piece : m_pieces) {
+            asio::steady_timer timer(m_socket.get_executor(), start + piece.at);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (std::exchange(isFirst, false)) {
+                co_await m_socket.async_connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), asio::redirect_error(asio::use_awaitable, code));
+            }
+            co_await asio::async_write(m_socket, asio::buffer(piece.bytes), asio::redirect_error(asio::use_awaitable, code));
+        }
+        std::array<char, 4096> chunk{};
+        code = {};
+        while (!code) {
+            const std::size_t count = co_await m_socket.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, code));
+            received.append(chunk.data(), count);
+        }
+        wasReset = code == asio::error::connection_reset;
+    }
+
+    Tcp::socket m_socket;
+    std::vector<Piece> m_pieces;
+};
+
+asio::awaitable<void> signalStop(std::chrono::milliseconds at)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, at);
+    co_await timer.async_wait(asio::use_awaitable);
+    REQUIRE(std::raise(SIGTERM) == 0);
+}
+
+/// Runs the instance and its clients until the instance has stopped, and then reads what the clients have not read yet.
+void runUntilStopped(Fixture &fixture, asio::io_context &clientLoop)
+{
+    const auto work = asio::make_work_guard(clientLoop);
+    while (!fixture.hasStopped) {
+        fixture.runOne();
+        clientLoop.poll();
+    }
+    clientLoop.run_for(50ms);
+}
+
+enum class StopPath {
+    Client,         // from a client
+    ForAnother,     // from an instance of another region
+    ToAnother,      // from a client, sent on to an instance of another region
+    Waiting,        // from a client, and waits for a placement
+    WaitingForPeer, // the same for an instance of another region
+};
+
+struct StopRow
+{
+    std::string title;
+    StopPath path;
+    std::string route;
+    std::string behavior;                // of all upstreams
+    std::chrono::milliseconds at;        // from the stop signal to the request
+    std::chrono::milliseconds bodyAfter; // from its head to its body
+    std::set<unsigned> statuses;         // 0: no complete response
+    std::ptrdiff_t executions;
+};
+
+std::string stopRequest(const StopRow &row, const std::string &attempt, bool withBody)
+{
+    std::string out = "POST /" + row.route + "/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 10000\r\n";
+    out += "X-Behave: a=" + row.behavior + ",b=" + row.behavior + ",p=" + row.behavior + "\r\nContent-Length: 4\r\n";
+    const bool isFromPeer = row.path == StopPath::ForAnother || row.path == StopPath::WaitingForPeer;
+    out += isFromPeer ? "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\n" : "";
+    return out + "\r\n" + (withBody ? "body" : "");
+}
+
+/// A request before the signal, without which the instance would have stopped before a later one.
+std::vector<StopClient::Piece> openRequest(const std::string &behavior)
+{
+    const StopRow row{"", StopPath::Client, "once", behavior, 0ms, 0ms, {}, 0};
+    return {{SignalAt - 100ms, stopRequest(row, "earlier", true)}};
+}
+
+} // namespace
+
+TEST_CASE("a request is not left without a truthful answer when the grace period ends", "[edge][stop]")
+{
+    const auto never = std::chrono::milliseconds(60'000);
+    const auto row = GENERATE_COPY(values<StopRow>({
+        {"at most once, at its upstream", StopPath::Client, "once", "hang", -100ms, 0ms, {502, 504}, 1},
+        {"repeatable, at its upstream", StopPath::Client, "single", "hang", -100ms, 0ms, {502, 504}, 1},
+        {"stream that has not begun", StopPath::Client, "stream", "hang", -100ms, 0ms, {502, 504}, 1},
+        {"stream that has begun", StopPath::Client, "stream", "stream-lasts-60000", -100ms, 0ms, {0}, 1},
+        {"body that began before the signal and does not end", StopPath::Client, "once", "ok", -100ms, never, {503}, 0},
+        {"body that began after the signal and does not end", StopPath::Client, "once", "ok", 100ms, never, {503}, 0},
+        {"body of a stream that ends late", StopPath::Client, "stream", "hang", -100ms, 1'500ms, {503}, 0},
+        {"waits for a placement", StopPath::Waiting, "once", "ok", -100ms, 0ms, {503}, 0},
+        {"stream waits for a placement", StopPath::Waiting, "stream", "ok", -100ms, 0ms, {503}, 0},
+        {"for another instance, at its upstream", StopPath::ForAnother, "once", "hang", -100ms, 0ms, {502, 504}, 1},
+        {"for another instance, waits for a placement", StopPath::WaitingForPeer, "once", "ok", -100ms, 0ms, {503}, 0},
+        {"for another instance, late", StopPath::ForAnother, "stream", "hang", 1'500ms, 0ms, {503}, 0},
+        {"for another instance, body that does not end", StopPath::ForAnother, "once", "ok", -100ms, never, {503}, 0},
+        {"at another instance", StopPath::ToAnother, "once", "hang", -100ms, 0ms, {502, 504}, 1},
+        {"stream at another instance, not begun", StopPath::ToAnother, "stream", "hang", -100ms, 0ms, {502, 504}, 1},
+    }));
+    const bool isSignalRepeated = GENERATE(false, true);
+    CAPTURE(row.title, isSignalRepeated);
+    Fixture fixture(true, ShortGracePeriod);
+    const std::uint16_t peerPort = freePort(fixture.loop);
+    FakeUpstream peerServer(fixture.loop, "p", peerPort);
+    std::optional<FakePeer> peer;
+    std::optional<FakePeer> dispatcher;
+    if (row.path == StopPath::ToAnother || row.path == StopPath::Waiting || row.path == StopPath::WaitingForPeer) {
+        const auto decide = [&row](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+            if (row.path != StopPath::ToAnother) {
+                return routing::Queued{};
+            }
+            if (!request.excludedRegions.empty()) {
+                return routing::Refused{};
+            }
+            return routing::Redirected{core::RegionId("y"), 10ms};
+        };
+        peer.emplace(fixture, "p", "y", 1, peerPort, refuseAll);
+        dispatcher.emplace(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+        fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
+    }
+    asio::io_context clientLoop;
+    const bool isFromPeer = row.path == StopPath::ForAnother || row.path == StopPath::WaitingForPeer;
+    const std::uint16_t port = isFromPeer ? fixture.settings.peersEndpoint.port : fixture.settings.clientEndpoint.port;
+    std::vector<StopClient::Piece> pieces = {{SignalAt + row.at, stopRequest(row, "first", row.bodyAfter == 0ms)}};
+    if (row.bodyAfter > 0ms) {
+        pieces.push_back({SignalAt + row.at + row.bodyAfter, "body"});
+    }
+    if (row.bodyAfter == never) { // a client that reads while it sends
+        pieces.pop_back();
+    }
+    const StopClient client(clientLoop, port, pieces);
+    std::optional<StopClient> earlier;
+    if (row.at > 0ms) {
+        earlier.emplace(clientLoop, fixture.settings.clientEndpoint.port, openRequest("hang"));
+    }
+    asio::co_spawn(clientLoop, signalStop(SignalAt), asio::detached);
+    if (isSignalRepeated) {
+        asio::co_spawn(clientLoop, signalStop(SignalAt + 500ms), asio::detached);
+    }
+    const auto start = std::chrono::steady_clock::now();
+    runUntilStopped(fixture, clientLoop);
+    CHECK(std::chrono::steady_clock::now() - start < SignalAt + ShortGracePeriod);
+    CAPTURE(client.received);
+    const auto responses = client.responses();
+    const unsigned status = responses.empty() ? 0 : responses.front().result_int();
+    CHECK(row.statuses.contains(status));
+    CHECK_FALSE(client.wasReset);
+    const auto &peerExecutions = peerServer.executedAttempts;
+    CHECK(fixture.executionCount("first") + std::count(peerExecutions.begin(), peerExecutions.end(), "first") == row.executions);
+    if (status != 0) {
+        CHECK(responses.front()["Connection"] == "close");
+        CHECK((responses.front().count("Retry-After") > 0) == (status == 503));
+        const std::string outcome = status == 503 ? "not_run" : "unknown";
+        CHECK(responses.front()["X-Gateway-Outcome"] == (isFromPeer ? outcome : ""));
+    }
+}
+
+TEST_CASE("the next request on a connection is not passed on if it cannot end within the grace period", "[edge][stop]")
+{
+    const auto route = GENERATE(as<std::string>{}, "stream", "resume");
+    CAPTURE(route);
+    Fixture fixture(true, ShortGracePeriod);
+    asio::io_context clientLoop;
+    // The head of the first response does not announce the close.
+    const StopRow first{"", StopPath::Client, "stream", "stream-lasts-1000", 0ms, 0ms, {}, 0};
+    const StopRow next{"", StopPath::Client, route, "stream-lasts-60000", 0ms, 0ms, {}, 0};
+    const StopClient client(
+        clientLoop, fixture.settings.clientEndpoint.port, {{SignalAt - 100ms, stopRequest(first, "first", true) + stopRequest(next, "next", true)}});
+    asio::co_spawn(clientLoop, signalStop(SignalAt), asio::detached);
+    runUntilStopped(fixture, clientLoop);
+    CAPTURE(client.received);
+    const auto responses = client.responses();
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[0].result_int() == 200);
+    CHECK(responses[1].result_int() == 503);
+    CHECK(responses[1]["Connection"] == "close");
+    CHECK(fixture.executionCount("next") == 0);
+}
+
+TEST_CASE("a request that ends within the grace period is neither refused nor cut", "[edge][stop]")
+{
+    const auto row = GENERATE(values<StopRow>({
+        {"before the signal", StopPath::Client, "once", "lasts-1300", -100ms, 0ms, {200}, 1},
+        {"after the signal", StopPath::Client, "once", "lasts-700", 100ms, 0ms, {200}, 1},
+        {"stream before the signal", StopPath::Client, "stream", "stream-lasts-1300", -100ms, 0ms, {200}, 1},
+        {"stream after the signal", StopPath::Client, "stream", "stream-lasts-500", 100ms, 0ms, {200}, 1},
+        {"slow body", StopPath::Client, "once", "lasts-300", -100ms, 700ms, {200}, 1},
+        {"for another instance", StopPath::ForAnother, "once", "lasts-300", 700ms, 0ms, {200}, 1},
+        {"stream for another instance", StopPath::ForAnother, "stream", "stream-lasts-300", 700ms, 0ms, {200}, 1},
+    }));
+    CAPTURE(row.title);
+    Fixture fixture(true, ShortGracePeriod);
+    for (int request = 0; request < 3; ++request) { // the instance learns how long streams take
+        REQUIRE(fixture.sendRequest("stream", "a=stream-lasts-300,b=stream-lasts-300", "body", "before").status == 200);
+    }
+    asio::io_context clientLoop;
+    const bool isFromPeer = row.path == StopPath::ForAnother;
+    const std::uint16_t port = isFromPeer ? fixture.settings.peersEndpoint.port : fixture.settings.clientEndpoint.port;
+    std::vector<StopClient::Piece> pieces = {{SignalAt + row.at, stopRequest(row, "first", row.bodyAfter == 0ms)}};
+    if (row.bodyAfter > 0ms) {
+        pieces.push_back({SignalAt + row.at + row.bodyAfter, "body"});
+    }
+    const StopClient client(clientLoop, port, pieces);
+    const StopClient earlier(clientLoop, fixture.settings.clientEndpoint.port, openRequest("lasts-1200"));
+    asio::co_spawn(clientLoop, signalStop(SignalAt), asio::detached);
+    runUntilStopped(fixture, clientLoop);
+    CAPTURE(client.received);
+    const auto responses = client.responses();
+    CHECK(earlier.responses().size() == 1);
+    REQUIRE(responses.size() == 1);
+    CHECK(responses.front().result_int() == 200);
+    CHECK(fixture.executionCount("first") == row.executions);
+}
+
 //-----------------------------------------------------------------------------
 // Directory
 //-----------------------------------------------------------------------------
