A stop waits for connections that linger after a response

Cause: hasOpenRequests() did not count a connection on which the response was written and whose client may still send. A process that exits then closes the socket with unread data, which resets the connection and can destroy the response, for example a refusal that was sent before the body was read.

Change: such connections count as open, for LingerTimeout (0.5 s) at most.

--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -132,6 +132,7 @@
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> exchanges{0};
     std::atomic<std::size_t> requests{0};         // of which at least the first byte has been read
+    std::atomic<std::size_t> closing{0};          // connections that linger after a response
     std::atomic<bool> sendConnectionClose{false}; // add `Connection: close` to responses
     std::set<std::shared_ptr<ReadTimer>> idle;    // waits for the first byte of a request; accessed only on the executor
     std::function<void(const UnansweredRequest &)> onUnanswered;
@@ -228,7 +229,9 @@
         ErrorCode code;
         {
             const ReadLimit readLimit(beast::get_lowest_layer(m_stream).socket(), m_limits.bodyTimeout);
+            m_isReadingBody = true;
             co_await wire::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+            m_isReadingBody = false;
             if (code == asio::error::operation_aborted && readLimit.timer()->expired) {
                 code = beast::error::timeout;
             }
@@ -241,6 +244,14 @@
         co_return core::success();
     }
 
+    void cancelBodyRead() override
+    {
+        if (m_isReadingBody) {
+            ErrorCode code;
+            beast::get_lowest_layer(m_stream).socket().cancel(code);
+        }
+    }
+
     asio::awaitable<bool> respond(const Response &response) override
     {
         if (m_started) { // a second head would be read as part of the body that has begun
@@ -437,6 +448,7 @@
     bool m_endsWithConnection = false; // the response has neither a length nor chunks
     bool m_keepAlive = true;
     bool m_bodyRead = false;
+    bool m_isReadingBody = false;
     bool m_started = false;
     bool m_ended = false;
     bool m_failed = false;
@@ -649,6 +661,7 @@
             beast::tcp_stream stream(std::move(socket));
             // An idle connection is closed at once: a request that arrives while it closes must not be read.
             if (co_await serveStream(stream, state) == ConnectionEnd::WithRequest) {
+                const ScopedCount closingCount(state->closing);
                 co_await linger(stream);
             }
             co_return;
@@ -659,6 +672,7 @@
         co_await stream.async_handshake(asio::ssl::stream_base::server, asio::redirect_error(asio::use_awaitable, code));
         if (!code) {
             co_await serveStream(stream, state);
+            const ScopedCount closingCount(state->closing);
             beast::get_lowest_layer(stream).expires_after(LingerTimeout);
             co_await stream.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
         }
@@ -781,7 +795,7 @@
 
 bool Server::hasOpenRequests() const
 {
-    return m_state->requests > 0 || !m_state->idle.empty();
+    return m_state->requests > 0 || !m_state->idle.empty() || m_state->closing > 0;
 }
 
 std::uint16_t Server::port() const
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -60,6 +60,11 @@
     [[nodiscard]] virtual const Request &request() const = 0;
     /// Reads the body into request().body; fails with BodyTooLarge or BadRequest.
     virtual boost::asio::awaitable<core::Result<void>> readBody() = 0;
+    /// Ends a readBody() that waits for the client, which then fails. Bytes that have just arrived may let it go on. Supported only on
+    /// connections of an http::Server.
+    virtual void cancelBodyRead()
+    {
+    }
     /// Sends a complete response.
     virtual boost::asio::awaitable<bool> respond(const Response &response) = 0;
     /// Starts a response whose length is not known yet; `response.body` is not sent.
@@ -131,8 +136,9 @@
     /// its client may rely on either. Call this on the executor.
     void setLimits(const ServerLimits &limits);
     [[nodiscard]] std::size_t activeExchangeCount() const; // requests currently being handled
-    /// Returns whether a request is being read or handled, or an open idle connection may still deliver one. After
-    /// closeIdleConnections(), false means that the process can exit without losing a request that it has read.
+    /// Returns whether a request is being read or handled, an open idle connection may still deliver one, or a connection is being
+    /// closed after a response. After closeIdleConnections(), false means that the process can exit without losing a request that it
+    /// has read, or a response that the client has not read.
     [[nodiscard]] bool hasOpenRequests() const;
     [[nodiscard]] std::size_t openConnectionCount() const;
     [[nodiscard]] std::uint16_t port() const;
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -966,6 +966,35 @@
     CHECK(std::string(readBuffer.data(), received).starts_with("HTTP/1.1 403"));
 }
 
+TEST_CASE("a stop does not end while the client may not have read its response", "[http]")
+{
+    const bool isBodyUnread = GENERATE(false, true);
+    CAPTURE(isBodyUnread);
+    EchoServer server;
+    asio::io_context clientContext{1};
+    asio::ip::tcp::socket client(clientContext);
+    client.connect({asio::ip::make_address("127.0.0.1"), server.server.port()});
+    const std::string request = isBodyUnread ? "POST /refuse HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n" : "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(client, asio::buffer(request));
+    server.server.closeAfterResponses();
+    while (server.handled == 0) {
+        server.context.run_one();
+    }
+    std::array<char, 2048> readBuffer{};
+    boost::system::error_code code;
+    client.non_blocking(true);
+    while (client.read_some(asio::buffer(readBuffer), code) == 0 && code == asio::error::would_block) {
+        server.context.poll_one();
+    }
+    server.context.poll();
+    CHECK(server.server.hasOpenRequests()); // the client still has its side open
+    client.close();
+    while (server.server.hasOpenRequests()) {
+        server.context.run_one();
+    }
+    CHECK(server.server.openConnectionCount() == 0);
+}
+
 TEST_CASE("a request on a connection that waits to be accepted is answered by a server that stops accepting", "[http]")
 {
     EchoServer server;
