The product's own interface: failing test of requests that are open when an instance stops

Gateway::stop waits 5 s for open requests and then ends the request thread; what is still open gets no answer. The drain before it has no end of its own: by reading, apps/gateway.cpp waits for the last request, and the settings of this interface have no grace period.

--- a/tests/instancetest.cpp
+++ b/tests/instancetest.cpp
@@ -30,6 +30,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -362,6 +363,9 @@
             const std::lock_guard lock(m_mutex);
             m_runs.push_back(request.body());
         }
+        if (answer == "hang") { // until the instance closes the connection
+            return {};
+        }
         if (answer == "copy") { // of a rejection that was written on this connection
             const std::string body = R"({"id":")" + attempt + R"(","choices":[]})";
             return {lastRejection, withLength("200 OK", named + "Content-Type: application/json\r\n", body)};
@@ -673,6 +677,48 @@
     }
 }
 
+TEST_CASE("a stop does not leave an open request without an answer", "[instance]")
+{
+    struct Row
+    {
+        const char *name;
+        const char *body;
+        bool isBodyWhole;
+        std::set<std::string> statuses;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"at its upstream", R"({"model":"m","prompt":"counted"})", true, {"502", "504"}},
+        {"stream that has not begun", R"({"model":"m","prompt":"counted","stream":true})", true, {"502", "504"}},
+        {"body that does not end", R"({"model":"m","prompt":"counted"})", false, {"503"}},
+    }));
+    CAPTURE(row.name);
+    ScriptedUpstreams upstreams(1, {"hang"});
+    InstanceFixture fixture;
+    fixture.addUpstreams(upstreams);
+    const std::string body(row.body);
+    asio::ip::tcp::socket client(fixture.clients);
+    client.connect({asio::ip::make_address("127.0.0.1"), fixture.instance.clientPort()});
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nX-Workspace: ws\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer " + WorkspaceKey
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    asio::write(client, asio::buffer(head + body.substr(0, row.isBodyWhole ? body.size() : body.size() / 2)));
+    if (row.isBodyWhole) {
+        REQUIRE(fixture.runUntil([&] { return upstreams.callCount() == 1; }));
+    } else {
+        fixture.runUntil([] { return false; }, SettleTime);
+    }
+    fixture.instance.drain();
+    fixture.instance.stop();
+    client.non_blocking(true);
+    std::array<char, 4096> buffer{};
+    boost::system::error_code code;
+    const std::string received(buffer.data(), client.read_some(asio::buffer(buffer), code));
+    CAPTURE(received, code.message());
+    constexpr std::size_t StatusAt = 9;
+    constexpr std::size_t StatusLength = 3;
+    REQUIRE(received.size() > StatusAt + StatusLength);
+    CHECK(row.statuses.contains(received.substr(StatusAt, StatusLength)));
+}
+
 TEST_CASE("a stream that falls silent is given up only if another attempt can replace it", "[instance]")
 {
     struct Row
