--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -4,6 +4,7 @@
 //   Request state   state of one request
 //   Acceptance      headers, route, body
 //   Configuration   changes of it during the request
+//   Shutdown        refusals and ends during a planned stop
 //   Placement       retry loop over placements
 //   Sending         attempts at upstreams and peers
 //   Silence         replacement of attempts whose upstream is silent
@@ -111,6 +112,29 @@
     return left.executionSemantics == right.executionSemantics && left.responseMode == right.responseMode && left.resumable == right.resumable;
 }
 
+/// Keeps an element in a set for the lifetime of the object.
+template<class T>
+class ScopedElement
+{
+public:
+    ScopedElement(std::set<T> &elements, const T &element)
+        : m_elements(elements)
+        , m_element(element)
+    {
+        m_elements.insert(m_element);
+    }
+    ScopedElement(const ScopedElement &) = delete;
+    ScopedElement &operator=(const ScopedElement &) = delete;
+    ~ScopedElement()
+    {
+        m_elements.erase(m_element);
+    }
+
+private:
+    std::set<T> &m_elements;
+    T m_element;
+};
+
 std::string formatSeconds(core::Duration duration)
 {
     char text[32];
@@ -236,6 +260,8 @@
     std::shared_ptr<Attempt> failedReplacement;          // whose response is still read; the silent attempt goes on
     std::shared_ptr<CancellationToken> replacementToken; // while a replacement waits for its placement
     bool isSeekingReplacement = false;
+    bool isReadingBody = false;
+    bool endedByShutdown = false;
 
     [[nodiscard]] bool isRepeatable() const
     {
@@ -338,6 +364,7 @@
 {
     const auto owner = std::make_shared<RequestState>(exchange, m_context);
     RequestState &state = *owner;
+    const ScopedElement<RequestState *> open(m_openRequests, &state);
     state.request = exchange.request();
     for (const char *name : PeerHeaders) {
         state.request.headers.erase(name); // reserved for requests between instances
@@ -351,6 +378,7 @@
 {
     const auto owner = std::make_shared<RequestState>(exchange, m_context);
     RequestState &state = *owner;
+    const ScopedElement<RequestState *> open(m_openRequests, &state);
     state.request = exchange.request();
     state.fromPeer = true;
     state.origin = http::headerValue(state.request.headers, OriginHeader);
@@ -407,7 +435,18 @@
         co_await refuseNotExecuted(state, core::ErrorKind::ResidencyRefused, {});
         co_return false;
     }
+    setDeadlines(state);
+    if (!canEndInTime(state)) {
+        co_await refuseForShutdown(state, "new");
+        co_return false;
+    }
+    state.isReadingBody = true;
     const auto bodyRead = co_await state.exchange.readBody();
+    state.isReadingBody = false;
+    if (!canEndInTime(state)) {
+        co_await refuseForShutdown(state, "body");
+        co_return false;
+    }
     if (!bodyRead) {
         co_await respondWithError(state, core::httpStatus(bodyRead.error().kind), bodyRead.error().kind, bodyRead.error().message, {});
         co_return false;
@@ -415,7 +454,6 @@
     state.request.body = state.exchange.request().body;
     state.fingerprint = routing::RequestFingerprint::of({state.request.method, state.head.host, state.request.target, state.head.prompt, state.request.body});
     state.exchange.onClientDisconnect([cancellation = state.cancellation] { cancellation->cancel(); });
-    setDeadlines(state);
     if (!renewRoute(state)) {
         co_await respondWithFailure(state, false);
         co_return false;
@@ -592,6 +630,79 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// Shutdown
+//-----------------------------------------------------------------------------
+
+void Forwarder::beginShutdown(const ShutdownTimes &times)
+{
+    m_shutdown = times;
+}
+
+core::Duration Forwarder::expectedDuration(const RequestState &state) const
+{
+    // A stream that is cut is worse for its client than a refusal; another request gets a response in any case.
+    const core::Duration expected = state.isStreaming() ? m_durations.longest(state.route->id).value_or(state.route->timeout)
+                                                        : m_durations.median(state.route->id).value_or(state.route->latencyObjective);
+    return std::min(expected, state.completionDeadline - m_context.now());
+}
+
+bool Forwarder::canEndInTime(const RequestState &state) const
+{
+    const core::TimePoint now = m_context.now();
+    return !m_shutdown || now + std::max(core::Duration::zero(), expectedDuration(state)) < limitByShutdown(state, core::TimePoint::max());
+}
+
+core::TimePoint Forwarder::limitByShutdown(const RequestState &state, core::TimePoint time) const
+{
+    return !m_shutdown ? time : std::min(time, state.isStreaming() ? m_shutdown->streamsUntil : m_shutdown->answersBy);
+}
+
+asio::awaitable<void> Forwarder::refuseForShutdown(RequestState &state, std::string_view stage)
+{
+    recordShutdown(state, stage);
+    co_await refuseNotExecuted(state, core::ErrorKind::Draining, m_settings.shutdownRetryAfter);
+}
+
+void Forwarder::recordShutdown(RequestState &state, std::string_view stage)
+{
+    state.endedByShutdown = true;
+    state.lastFailure = "the instance is shutting down";
+    state.retryAfter = m_settings.shutdownRetryAfter;
+    m_context.metrics.incrementCounter("arbutus_shutdown_requests_total", "stage=\"" + std::string(stage) + "\"");
+    m_context.writeLog(observe::LogLine("request_ended_by_shutdown")
+                           .add("request", state.head.attemptId)
+                           .add("origin", state.origin)
+                           .add("route", state.route->id)
+                           .add("stage", stage)
+                           .add("upstream_sends", state.sendCount)
+                           .add("expected_ms", core::toMilliseconds(expectedDuration(state)))
+                           .add("left_ms", core::toMilliseconds(limitByShutdown(state, core::TimePoint::max()) - m_context.now())));
+}
+
+void Forwarder::endOverdueRequests()
+{
+    if (!m_shutdown) {
+        return;
+    }
+    const core::TimePoint now = m_context.now();
+    const std::set<RequestState *> openRequests = m_openRequests;
+    for (RequestState *state : openRequests) {
+        const bool isAnswered = state->exchange.responseStarted() && !state->responseStarted;
+        if (!m_openRequests.contains(state) || state->route == nullptr || state->endedByShutdown || state->cancellation->cancelled || isAnswered) {
+            continue;
+        }
+        const bool isWaiting = !state->responseStarted && !state->current && !state->replacement;
+        const bool isOverdue = now >= (state->responseStarted ? m_shutdown->streamsUntil : m_shutdown->answersBy);
+        if (state->isReadingBody && (isOverdue || !canEndInTime(*state))) {
+            state->exchange.cancelBodyRead(); // acceptRequest() responds
+        } else if (isOverdue || (isWaiting && !state->isReadingBody && !canEndInTime(*state))) {
+            recordShutdown(*state, isWaiting ? "waiting" : state->responseStarted ? "stream" : "sent");
+            state->cancellation->cancel();
+        }
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Placement
 //-----------------------------------------------------------------------------
@@ -604,8 +715,8 @@
     placementRequest.service = state.service;
     placementRequest.priority = state.route->priority;
     placementRequest.latencyDeadline = state.latencyDeadline;
-    placementRequest.responseDeadline = state.responseStarted ? state.completionDeadline : state.responseDeadline;
-    placementRequest.completionDeadline = state.completionDeadline;
+    placementRequest.responseDeadline = limitByShutdown(state, state.responseStarted ? state.completionDeadline : state.responseDeadline);
+    placementRequest.completionDeadline = limitByShutdown(state, state.completionDeadline);
     placementRequest.prompt = state.head.prompt;
     placementRequest.fingerprint = state.fingerprint;
     placementRequest.promptTokens = state.head.promptTokens;
@@ -663,6 +774,10 @@
             break;
         }
         if (!state.current) {
+            if (!state.responseStarted && !canEndInTime(state)) {
+                recordShutdown(state, "waiting");
+                break;
+            }
             state.cancellation->isOutdated = [this, &state] { return isOutdated(state); };
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
@@ -670,6 +785,9 @@
                 co_await waitUntilCurrent();
             }
             excludeUnreachable(state, placementRequest, decision);
+            if (state.endedByShutdown) {
+                break;
+            }
             if (state.cancellation->cancelled) {
                 logCompletion(state, 0, "client_disconnected");
                 co_return;
@@ -712,6 +830,9 @@
             if (const auto unused = std::exchange(state.replacement, nullptr)) {
                 co_await abandonAttempt(state, unused);
             }
+            if (result != SendResult::Finished && state.endedByShutdown) {
+                break;
+            }
             if (result != SendResult::Finished) {
                 logCompletion(state, 0, "client_disconnected");
             }
@@ -829,7 +950,7 @@
     const catalog::Service *service = state.catalog->findService(state.service);
     UpstreamRequestOptions requestOptions;
     requestOptions.expectedUpstream = granted.upstream;
-    requestOptions.timeout = std::chrono::duration_cast<milliseconds>(state.completionDeadline - now);
+    requestOptions.timeout = std::chrono::duration_cast<milliseconds>(limitByShutdown(state, state.completionDeadline) - now);
     requestOptions.priority = state.route->priority;
     requestOptions.isModelEngine = service != nullptr && service->engine.has_value();
     if (state.sseRelay) {
@@ -912,7 +1033,7 @@
     attempt->service = state.service;
     attempt->address = peer->peerAddress;
     attempt->request = state.request;
-    const auto remaining = std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now());
+    const auto remaining = std::chrono::duration_cast<milliseconds>(limitByShutdown(state, state.completionDeadline) - m_context.now());
     http::Headers &headers = attempt->request.headers;
     const milliseconds overhead = isToRelay ? m_settings.relayOverhead : m_settings.crossRegionOverhead;
     headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - overhead / 2));
@@ -1029,7 +1150,7 @@
     const bool connected = attempt.connectedAt.has_value();
     if (state.cancellation->cancelled) {
         attempt.outcome = routing::SendOutcome::ClientDisconnected;
-        return failedSendResult(state);
+        return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
     if (attempt.isToPeer()) {
         exclude(state, attempt);
@@ -1190,7 +1311,7 @@
 
 asio::awaitable<void> Forwarder::seekReplacement(RequestState &state, std::shared_ptr<Attempt> silent)
 {
-    if (!canRetry(state) || isQuarantined(state) || !renewRoute(state)) {
+    if (!canRetry(state) || isQuarantined(state) || !renewRoute(state) || (!state.responseStarted && !canEndInTime(state))) {
         co_return;
     }
     exclude(state, *silent);
@@ -1255,6 +1376,7 @@
     }
     attempt->outcome = routing::SendOutcome::ClientDisconnected;
     attempt->failure = "not needed any more";
+    state.mayHaveExecuted = state.mayHaveExecuted || attempt->connectedAt.has_value();
     if (!attempt->isToPeer()) {
         m_placement.recordCompletion(attempt->placement, attempt->outcome);
     }
@@ -1418,6 +1540,7 @@
     if (status >= 200 && status < 300) {
         attempt.outcome = routing::SendOutcome::Completed;
         attempt.delivered = true;
+        m_durations.record(state.route->id, m_context.now() - attempt.sentAt);
         if (!attempt.isToPeer()) {
             m_quarantine.recordFirstEvent(state.head.prompt);
         }
@@ -1560,6 +1683,7 @@
         if (complete) {
             attempt.outcome = routing::SendOutcome::Completed;
             attempt.delivered = true;
+            m_durations.record(state.route->id, m_context.now() - attempt.sentAt);
             co_await state.exchange.endResponse();
             state.lastUpstream = attempt.upstream;
             logCompletion(state, status, attempt.isToPeer() ? "streamed_by_peer" : "streamed");
@@ -1636,7 +1760,12 @@
         if (!state.lastFailure.empty()) { // not a conditional expression in the call: GCC 12 destroys temporaries of one in a co_await twice
             message = "request was not executed: " + state.lastFailure;
         }
-        co_await respondWithError(state, 503, core::ErrorKind::Overloaded, message, state.retryAfter);
+        const core::ErrorKind kind = state.endedByShutdown ? core::ErrorKind::Draining : core::ErrorKind::Overloaded;
+        co_await respondWithError(state, 503, kind, message, state.retryAfter);
+        co_return;
+    }
+    if (state.endedByShutdown) {
+        co_await respondWithError(state, 504, core::ErrorKind::Draining, "the instance is shutting down; the request may have been executed", {});
         co_return;
     }
     if (timedOut) {
