homeregiontest: the restored copy lacks the change also when the change came late

The age of the copy was a constant. On a busy machine the restore can come later after the change than planned, and the copy would then hold the change: the case would pass without having tested anything. The age now counts from the change.

--- a/tests/homeregiontest.cpp
+++ b/tests/homeregiontest.cpp
@@ -21,7 +21,7 @@
 constexpr auto FreezeTime = 3'800ms;    // over the change and its bound
 constexpr auto KillDelay = 1'000ms;     // from the change; all instances that run have applied it
 constexpr auto RestoreDelay = 1'200ms;  // from the change
-constexpr auto CopyAge = 1'500ms;       // of the restored store, which lacks the change
+constexpr auto CopyLead = 300ms;        // from the copy that is restored to the change, which it lacks
 constexpr auto RestartDelay = 1'500ms;  // from the change
 constexpr auto SpecialLead = 500ms;     // from a request that lasts over the change to the change
 constexpr auto BodyPause = 4'000ms;     // it ends later than the bound
@@ -112,6 +112,7 @@
     if (!play.disturbsAny) {
         std::stable_partition(instances.begin(), instances.end(), [&](std::size_t item) { return rig.instanceRegion(item) == lost; });
     }
+    core::TimePoint changedAt{};
     const std::size_t frozen = instances[0];
     const std::size_t cut = instances[1];
     const std::size_t restarted = instances[2];
@@ -127,7 +128,7 @@
         rig.schedule(TimeBefore + RestartDelay, [&] { rig.start(restarted); });
     }
     if (play.restores) {
-        rig.schedule(TimeBefore + RestoreDelay, [&] { rig.restoreStore(CopyAge); });
+        rig.schedule(TimeBefore + RestoreDelay, [&] { rig.restoreStore(std::chrono::ceil<std::chrono::milliseconds>(rig.now() - changedAt) + CopyLead); });
     }
 
     std::set<std::size_t> specials;
@@ -170,7 +171,6 @@
         });
     }
 
-    core::TimePoint changedAt{};
     rig.schedule(TimeBefore, [&] {
         tests::RigConfiguration configuration = rig.configuration();
         configuration.homeRegions = {{"chat", {kept}}, {"plain", {kept}}, {"once", {kept}}};
