The set of open requests outlives the forwarder

Cause: a coroutine that is destroyed with its executor, after the forwarder, erased itself from a set that was gone. mixedversiontest ended with SIGSEGV in "a resumed stream goes on at the version that began it"; promptcrashtest failed once of two runs.

Change: the set is shared with the coroutines.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -90,26 +90,26 @@
     return error == std::errc() && end == text.data() + text.size() ? std::optional(routing::StartTime(value)) : std::nullopt;
 }
 
-/// Keeps an element in a set for the lifetime of the object.
+/// Keeps an element in a set for the lifetime of the object, which may outlive the owner of the set: a coroutine is destroyed with its executor.
 template<class T>
 class ScopedElement
 {
 public:
-    ScopedElement(std::set<T> &elements, const T &element)
-        : m_elements(elements)
+    ScopedElement(std::shared_ptr<std::set<T>> elements, const T &element)
+        : m_elements(std::move(elements))
         , m_element(element)
     {
-        m_elements.insert(m_element);
+        m_elements->insert(m_element);
     }
     ScopedElement(const ScopedElement &) = delete;
     ScopedElement &operator=(const ScopedElement &) = delete;
     ~ScopedElement()
     {
-        m_elements.erase(m_element);
+        m_elements->erase(m_element);
     }
 
 private:
-    std::set<T> &m_elements;
+    std::shared_ptr<std::set<T>> m_elements;
     T m_element;
 };
 
@@ -537,10 +537,10 @@
         return;
     }
     const core::TimePoint now = m_context.now();
-    const std::set<RequestState *> openRequests = m_openRequests;
+    const std::set<RequestState *> openRequests = *m_openRequests;
     for (RequestState *state : openRequests) {
         const bool isAnswered = state->exchange.responseStarted() && !state->responseStarted;
-        if (!m_openRequests.contains(state) || state->route == nullptr || state->endedByShutdown || state->cancellation->cancelled || isAnswered) {
+        if (!m_openRequests->contains(state) || state->route == nullptr || state->endedByShutdown || state->cancellation->cancelled || isAnswered) {
             continue;
         }
         const bool isWaiting = !state->responseStarted && !state->current && !state->replacement;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -238,7 +238,7 @@
     http::ConnectionPool m_peerConnections;
     pcg32 m_random;
     DurationHistory m_durations;
-    std::set<RequestState *> m_openRequests;
+    std::shared_ptr<std::set<RequestState *>> m_openRequests = std::make_shared<std::set<RequestState *>>();
     std::optional<ShutdownTimes> m_shutdown;
 };
 
