A sole version is inferred only from metadata of after the resumption

Cause: a resumption without a record went on at the only version in metadata that could be 1.5 s old. An instance that was cut off heard no answer to its queries and did not know of upstreams that had joined meanwhile, so it sent streams that had begun there to the old version.

Change: the metadata must be known to match the store at a time after the resumption arrived, which is waited for for 1.5 s, and must have been confirmed without a gap of more than 2 s for as long as a stream can last. Otherwise the version is unknown and the stream refused. Answers of those asked are no evidence, as reports can be lost. There are no additional calls to the store.

--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -197,9 +197,22 @@
     update.upstreamChanges.insert(update.upstreamChanges.end(), changes.begin(), changes.end());
 }
 
+void MetadataCache::confirmAt(core::TimePoint at)
+{
+    if (at - m_lastConfirmedAt > m_settings.maxConfirmationGap) {
+        m_upstreamsKnownSince = at;
+    }
+    m_lastConfirmedAt = std::max(m_lastConfirmedAt, at);
+}
+
 void MetadataCache::commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt)
 {
-    m_lastConfirmedAt = m_initialized && !update.positionBefore ? std::max(m_lastConfirmedAt, readAt) : readAt;
+    if (m_initialized && !update.positionBefore) {
+        confirmAt(readAt);
+    } else {
+        m_lastConfirmedAt = readAt;
+        m_upstreamsKnownSince = readAt;
+    }
     if (update.contentsChanged || !m_initialized) {
         m_lastChange = std::max(m_lastChange, lastChange);
     }
@@ -325,7 +338,7 @@
         return; // of another generation, or the peer has a newer change: it does not confirm this data
     }
     if (*resolved >= m_storePosition) {
-        m_lastConfirmedAt = std::max(m_lastConfirmedAt, now - staleness);
+        confirmAt(now - staleness);
         m_storePosition = *resolved;
     }
 }
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -46,7 +46,8 @@
 struct MetadataCacheSettings
 {
     routing::UpstreamRegistrySettings registry;
-    core::Duration evacuationGrace = std::chrono::seconds(10); // for an evacuation that a restored store lacks to be written again
+    core::Duration evacuationGrace = std::chrono::seconds(10);   // for an evacuation that a restored store lacks to be written again
+    core::Duration maxConfirmationGap = std::chrono::seconds(2); // an upstream that comes and goes within it may not be seen
 };
 
 /// The effect of an update, for logging and for components that keep state for each upstream.
@@ -154,6 +155,11 @@
     }
     /// Time since the cache was last known to match the store; 24 hours before the first read.
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
+    /// Since when all upstreams that were listed have been seen here; nothing before the first read.
+    [[nodiscard]] std::optional<core::TimePoint> upstreamsKnownSince() const
+    {
+        return m_initialized ? std::optional(m_upstreamsKnownSince) : std::nullopt;
+    }
 
 private:
     /// Where an update stands relative to the cached data.
@@ -171,6 +177,7 @@
     void applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update);
     void setEvacuatedDomains(core::TimePoint now, MetadataUpdate &update);
     void applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update);
+    void confirmAt(core::TimePoint at);
     void commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt);
 
     const ProtocolAdapter &m_adapter;
@@ -190,6 +197,7 @@
     metadata::StoreGeneration m_knownGeneration;                 // highest one that the store or a peer has stated
     std::optional<metadata::StoreGeneration> m_fallenGeneration; // from which the store has fallen to a lower one
     core::TimePoint m_lastConfirmedAt{};
+    core::TimePoint m_upstreamsKnownSince{};
     bool m_initialized = false;          // after the first read or snapshot
     bool m_hasGenerationChanged = false; // since this instance's start
     bool m_isRestoreExpected = false;    // the next update replaces the data, whatever its revision
--- a/src/arbutus/edge/streamdirectory.cpp
+++ b/src/arbutus/edge/streamdirectory.cpp
@@ -33,7 +33,6 @@
     , m_metadataCache(metadataCache)
     , m_settings(settings)
     , m_records(settings.records)
-    , m_startedAt(context.now())
 {
 }
 
@@ -131,14 +130,30 @@
     // A stream may have begun before this instance started, at a version that was gone by then, and under an earlier configuration. A
     // client goes on trying for less time than records are kept.
     const core::Duration longestStream = std::max(maxAge, m_settings.records.retention);
-    if (m_metadataCache.staleness(now) > m_settings.maxInferenceStaleness || now - m_startedAt < longestStream) {
+    const auto knownSince = m_metadataCache.upstreamsKnownSince();
+    if (!knownSince || now - *knownSince < longestStream) {
         return std::nullopt;
     }
     return routing::soleVersion(m_metadataCache.registry(), service);
 }
 
+asio::awaitable<bool> StreamDirectory::waitForMetadata(core::TimePoint since)
+{
+    constexpr auto PollInterval = std::chrono::milliseconds(20);
+    const core::TimePoint startedAt = m_context.now();
+    const auto isKnown = [&] { return m_context.now() - m_metadataCache.staleness(m_context.now()) >= since; };
+    if (m_metadataCache.staleness(startedAt) > m_settings.maxInferenceStaleness) {
+        co_return false;
+    }
+    while (!isKnown() && m_context.now() - startedAt < m_settings.inferenceTimeout) {
+        co_await core::asyncSleep(PollInterval);
+    }
+    co_return isKnown();
+}
+
 asio::awaitable<FoundOrigin> StreamDirectory::find(routing::StreamId stream, core::ServiceId service, core::Duration maxAge)
 {
+    const core::TimePoint askedAt = m_context.now();
     FoundOrigin found;
     found.source = OriginSource::OwnRecord;
     if (!stream.empty() && m_records.find(stream) == nullptr) {
@@ -153,10 +168,14 @@
         }
         m_lookups.erase(position);
     }
-    if (const routing::StreamRecord *record = m_records.find(stream)) {
+    bool isMetadataKnown = false;
+    if (m_records.find(stream) == nullptr && inferVersion(service, maxAge)) {
+        isMetadataKnown = co_await waitForMetadata(askedAt);
+    }
+    if (const routing::StreamRecord *record = m_records.find(stream)) { // it may have arrived meanwhile
         found.origin = record->origin;
         found.age = m_context.now() - record->beganAt;
-    } else if (const auto version = inferVersion(service, maxAge)) {
+    } else if (const auto version = inferVersion(service, maxAge); version && isMetadataKnown) {
         found.source = OriginSource::SoleVersion;
         found.origin = routing::StreamOrigin{service, *version};
     } else {
--- a/src/arbutus/edge/streamdirectory.h
+++ b/src/arbutus/edge/streamdirectory.h
@@ -9,7 +9,9 @@
 //
 // Q: What if nobody knows the stream?
 // A: If this instance has known only one version of the service for as long as a stream can last, that is the version. Otherwise it is
-//    unknown.
+//    unknown. The metadata must be known to match the store at a time after the resumption arrived: the stream has begun before that, at
+//    an upstream that was listed. That those who were asked are silent, or don't know the stream, shows nothing: an instance may be cut
+//    off, and a report may be lost.
 
 #pragma once
 
@@ -32,7 +34,8 @@
     std::size_t askedInRegion = 4;                         // instances that were dispatchers before a change of the ranking may have records
     std::chrono::milliseconds regionAnswerTimeout{40};     // of the instances of this region
     std::chrono::milliseconds otherRegionsTimeout{200};    // of the instances of other regions
-    std::chrono::milliseconds maxInferenceStaleness{1500}; // of the metadata from which a sole version is inferred
+    std::chrono::milliseconds maxInferenceStaleness{1500}; // of the metadata when the stream is looked up; else there is no wait for newer ones
+    std::chrono::milliseconds inferenceTimeout{1500};      // of that wait; the time of a watch call of the store, its pause and two region states
 };
 
 /// Where the origin of a stream is known from.
@@ -85,7 +88,10 @@
     /// Asks the instances and waits until one of them knows the stream or all have answered.
     boost::asio::awaitable<void> ask(Lookup &lookup, std::vector<membership::Member> members, std::chrono::milliseconds timeout);
     [[nodiscard]] std::vector<membership::Member> membersToAsk(bool isInRegion);
+    /// The only version that the stream can have begun at; nothing if that is not known.
     [[nodiscard]] std::optional<routing::SoftwareVersion> inferVersion(const core::ServiceId &service, core::Duration maxAge) const;
+    /// Waits until the metadata are known to match the store at a time after `since`; returns whether they are.
+    boost::asio::awaitable<bool> waitForMetadata(core::TimePoint since);
 
     InstanceContext &m_context;
     Fleet &m_fleet;
@@ -94,7 +100,6 @@
     routing::StreamRecords m_records;
     std::map<core::ServiceId, std::deque<routing::StreamRecord>> m_uncopied; // of this region, oldest first
     std::list<Lookup *> m_lookups;
-    core::TimePoint m_startedAt{};
 };
 
 } // namespace arbutus::edge
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -13,6 +13,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 #include <functional>
 #include <limits>
 
@@ -552,6 +554,36 @@
     CHECK(fixture.cache.staleness(Start + 6s) == 4'100ms);
 }
 
+TEST_CASE("upstreams that came and went while nothing confirmed the metadata do not count as seen", "[metadata]")
+{
+    struct Row
+    {
+        const char *name;
+        std::vector<core::Duration> confirmations; // after the first read
+        core::Duration knownSince;
+    };
+    const std::array rows = {
+        Row{"none", {}, 0ms},
+        Row{"often", {1s, 2s, 3'500ms, 5'500ms}, 0ms},
+        Row{"a gap", {1s, 3'100ms, 4s}, 3'100ms},
+        Row{"a gap after a late confirmation of an earlier time", {1s, 500ms, 2'900ms}, 0ms},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Fixture peer;
+        CHECK_FALSE(peer.cache.upstreamsKnownSince());
+        peer.applyRange({item("servers/i-a", entry())}, 9);
+        Fixture reader;
+        reader.applyRange({item("servers/i-a", entry())}, 9);
+        for (const core::Duration at : row.confirmations) {
+            peer.cache.confirmCurrent(position(9), position(9), 0ms, Start + at);
+            reader.applyChanges({}, 9, false, Start + at);
+        }
+        CHECK(peer.cache.upstreamsKnownSince() == Start + row.knownSince);
+        CHECK(reader.cache.upstreamsKnownSince() == Start + row.knownSince);
+    }
+}
+
 TEST_CASE("messages between instances round-trip through the codec", "[codec]")
 {
     routing::PlacementRequest request;
--- a/tests/mixedversiontest.cpp
+++ b/tests/mixedversiontest.cpp
@@ -465,37 +465,29 @@
         Row{"half of all datagrams lost", Disruption::LostDatagrams},
     };
     const auto known = std::chrono::duration_cast<std::chrono::milliseconds>(routing::StreamRecordsSettings{}.retention) + StartTime;
-    constexpr std::size_t StreamCount = 32;
+    constexpr std::size_t OutOfStep = 3; // instance; its id gives it no role, so it is the last one to read the store when it hears nothing
+    constexpr std::size_t StreamCount = 48;
     constexpr auto StandstillTime = 1'200ms;
     constexpr auto JoinDelay = 50ms;    // from the disruption until the upstreams of the new version join
     constexpr auto StreamDelay = 200ms; // until the streams begin
     constexpr auto StreamTime = 300ms;  // in which they have their last event and are taken up
     for (const Row &row : Rows) {
         tests::EdgeRigOptions options = rigOptions(1);
+        options.instancesPerRegion = 3;
         options.versions = {"v1"};
         tests::EdgeRig rig(options);
         rig.runFor(known);
-        const auto storeCallCount = [&](std::size_t instance) {
-            const std::string text = rig.metricsText(instance);
-            const std::string name = "arbutus_store_calls_total{call=\"watch\"} ";
-            const std::size_t at = text.find(name);
-            return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
-        };
-        std::size_t outOfStep = 0; // not the one that watches the store
-        for (std::size_t i = 1; i < rig.instanceCount(); ++i) {
-            outOfStep = storeCallCount(i) <= storeCallCount(outOfStep) ? i : outOfStep;
-        }
         const bool standsStill = row.disruption == Disruption::StoodStill || row.disruption == Disruption::StoodStillAndCutFromInstances;
         if (standsStill) {
-            rig.freeze(outOfStep, StandstillTime);
+            rig.freeze(OutOfStep, StandstillTime);
         } else if (row.disruption == Disruption::LostDatagrams) {
             rig.loseDatagrams(0.5);
         } else {
-            rig.cutDatagrams(outOfStep);
-            rig.setStoreCut(outOfStep, row.disruption == Disruption::CutFromAll);
+            rig.cutDatagrams(OutOfStep);
+            rig.setStoreCut(OutOfStep, row.disruption == Disruption::CutFromAll);
         }
         rig.runFor(JoinDelay);
-        for (std::size_t i = 0, count = rig.upstreamCount(); i < count; ++i) {
+        for (std::size_t i = 0, count = 2 * rig.upstreamCount(); i < count; ++i) {
             rig.addUpstream(rig.upstream(i).region(), "s", "v2");
         }
         rig.runFor(StreamDelay);
@@ -503,13 +495,13 @@
         std::vector<std::size_t> first(StreamCount);
         for (std::size_t i = 0; i < StreamCount; ++i) {
             std::size_t instance = i % rig.instanceCount();
-            instance = instance == outOfStep ? (instance + 1) % rig.instanceCount() : instance;
+            instance = instance == OutOfStep ? (instance + 1) % rig.instanceCount() : instance;
             tests::RigRequest request = streamRequest(instance, i);
             request.parts = {"c" + std::to_string(i)}; // nothing draws them to the upstreams that have served others
             request.dropAfter = 2;
-            request.onDone = [&rig, &resumed, &first, outOfStep, i] {
+            request.onDone = [&rig, &resumed, &first, i] {
                 if (rig.result(first[i]).events.size() == 2) {
-                    tests::RigRequest resumption = streamRequest(outOfStep, i);
+                    tests::RigRequest resumption = streamRequest(OutOfStep, i);
                     resumption.lastEvent = 2;
                     resumption.resumes = tests::EdgeRig::attemptId(first[i]);
                     resumed[first[i]] = rig.send(resumption);
@@ -519,9 +511,9 @@
         }
         rig.runFor(standsStill ? StandstillTime - JoinDelay - StreamDelay - 100ms : StreamTime);
         if (row.disruption == Disruption::StoodStillAndCutFromInstances) {
-            rig.cutDatagrams(outOfStep);
+            rig.cutDatagrams(OutOfStep);
         }
-        const std::size_t fresh = rig.send(streamRequest(outOfStep, StreamCount));
+        const std::size_t fresh = rig.send(streamRequest(OutOfStep, StreamCount));
         rig.runUntilDone();
         std::size_t ofNewVersion = 0;
         std::size_t mixed = 0;
