--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -71,6 +71,7 @@
     routing::UpstreamRegistrySettings registry;
     core::Duration evacuationGrace = std::chrono::seconds(10);        // for an evacuation that a restored store lacks to be written again
     core::Duration statedCatalogRetention = std::chrono::seconds(10); // of a version that no other instance states any more
+    core::Duration maxConfirmationGap = std::chrono::seconds(2); // an upstream that comes and goes within it may not be seen
 };
 
 /// The effect of an update, for logging and for components that keep state for each upstream.
@@ -206,6 +207,11 @@
     [[nodiscard]] core::Duration staleness(core::TimePoint now) const;
     /// Time since the cache was last known to match the store, whatever other instances have.
     [[nodiscard]] core::Duration storeStaleness(core::TimePoint now) const;
+    /// Since when all upstreams that were listed have been seen here; nothing before the first read.
+    [[nodiscard]] std::optional<core::TimePoint> upstreamsKnownSince() const
+    {
+        return m_initialized ? std::optional(m_upstreamsKnownSince) : std::nullopt;
+    }
 
 private:
     /// Where an update stands relative to the cached data.
@@ -223,6 +229,7 @@
     void applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update);
     void setEvacuatedDomains(core::TimePoint now, MetadataUpdate &update);
     void applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update);
+    void confirmAt(core::TimePoint at);
     void commitUpdate(const MetadataUpdate &update, metadata::StorePosition lastChange, core::TimePoint readAt);
 
     const ProtocolAdapter &m_adapter;
@@ -252,6 +259,7 @@
     bool m_initialized = false;                     // after the first read or snapshot
     bool m_hasGenerationChanged = false;            // since this instance's start
     bool m_isRestoreExpected = false;               // the next update replaces the data, whatever its revision
+    core::TimePoint m_upstreamsKnownSince{};
     bool m_recentStoreOutage = false;
 };
 
