A body leaves the region only by the newest configuration that any instance is known to have

Cause: an origin with an older configuration sent the whole request to an instance in another region, which then refused it. The body had reached a region that was no home.

Instances that forward a request, and those that respond, state their version; a higher one is fetched.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -195,6 +195,7 @@
     const catalog::Route *route = nullptr;
     catalog::CatalogVersion acceptedCatalog;
     catalog::CatalogVersion originCatalog; // of the instance that forwarded the request; 0: not stated by one of an older release
+    bool hasWaitedForCatalog = false;
     core::ServiceId service;
     bool fromPeer = false;
     std::string origin; // instance that received the client's request
@@ -581,6 +582,12 @@
     co_return state.catalog != m_metadataCache.catalog();
 }
 
+bool Forwarder::mustWaitForCatalog(const routing::PlacementDecision &decision) const
+{
+    const auto *redirected = std::get_if<routing::Redirected>(&decision);
+    return redirected != nullptr && redirected->relay.empty() && m_metadataCache.isCatalogBehind();
+}
+
 void Forwarder::noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers)
 {
     m_metadataCache.noteCatalogVersion(parseCatalogVersion(headers));
@@ -687,6 +694,20 @@
                 }
                 break;
             }
+            if (mustWaitForCatalog(decision)) {
+                bool isNewerKnown = false;
+                if (!std::exchange(state.hasWaitedForCatalog, true)) {
+                    isNewerKnown = co_await waitForNewerCatalog(state);
+                }
+                if (!isNewerKnown) {
+                    state.excludedRegions.insert(std::get<routing::Redirected>(decision).region);
+                    recordOutdated(state, "another instance has a newer configuration, which may not allow the other region");
+                }
+                if (canRetry(state)) {
+                    continue;
+                }
+                break;
+            }
             state.current = openAttempt(state, decision);
         }
         SendResult result = SendResult::NotExecuted;
@@ -888,6 +909,9 @@
         }
         return nullptr;
     }
+    if (mustWaitForCatalog(redirected)) { // the search for a replacement does not wait
+        return nullptr;
+    }
     const auto peer = pickPeer(redirected);
     if (!peer) {
         if (isToRelay) {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -41,6 +41,9 @@
 //    is chosen as for a new request, unless events of the stream have arrived, or the origin has chosen it: then there is no further send.
 //    A request whose route was there when it arrived is never answered with 404: that configuration may still be in force.
 //
+// Q: What if another instance has a newer configuration than this one?
+// A: A request whose body would leave the region first waits for that configuration, for `maxCatalogWait`. Without it, the request stays in
+//    the region, as far as the known homes allow.
 
 #pragma once
 
@@ -142,6 +145,8 @@
     void recordOutdated(RequestState &state, std::string_view reason);
     /// Waits until this instance has a newer configuration than the state; returns false if none arrives in time.
     boost::asio::awaitable<bool> waitForNewerCatalog(RequestState &state);
+    /// Whether a body must not leave the region because another instance has a newer configuration.
+    [[nodiscard]] bool mustWaitForCatalog(const routing::PlacementDecision &decision) const;
     /// Records the version that another instance states in its headers, and fetches that configuration if it is newer.
     void noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers);
 
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -119,7 +119,8 @@
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
     bool hasSentEvent = false;    // by "stream-beside-other"
-    bool isReleased = false;      // the behaviors "held-..." go on
+    bool isReleased = false;      // the behaviors "held-..." go on, and `snapshot` is sent
+    std::string snapshot;         // of the metadata of another instance
     FakeUpstream *other = nullptr;
 
     static constexpr int LastEvent = 6;
@@ -279,6 +280,13 @@
             if (code) {
                 co_return;
             }
+            if (parser.get().target().starts_with("/beliefs")) {
+                const std::function<bool()> released = [this] { return isReleased; };
+                co_await waitUntil(released);
+                const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(snapshot.size()) + "\r\n\r\n" + snapshot;
+                co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, code));
+                co_return;
+            }
             expectedInstances.emplace_back(parser.get()["X-Expect-Instance"]);
             executionsBefore.emplace_back(parser.get()["X-Gateway-Runs"]);
             maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
@@ -651,11 +659,16 @@
     {
         return m_version;
     }
-
-    /// Writes a configuration with other routes, of the services s and t, and waits until the gateway has read it.
+    /// The next configuration, with other routes of the services s and t.
+    [[nodiscard]] std::string nextConfiguration(const std::string &routes) const
+    {
+        return R"({"version":)" + std::to_string(m_version + 1) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"s"},{"name":"t"}]})";
+    }
+    /// Writes it, and waits until the gateway has read it.
     void setRoutes(const std::string &routes)
     {
-        store.keys["op/config"] = R"({"version":)" + std::to_string(++m_version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"s"},{"name":"t"}]})";
+        store.keys["op/config"] = nextConfiguration(routes);
+        ++m_version;
         ++store.revision;
         runUntil([this] { return hasMetric("arbutus_configuration_version " + std::to_string(m_version)); });
     }
@@ -1996,6 +2009,10 @@
 
     /// Sets the routes as before or after the change. The route "other" stays as it is.
     void setRoutesAs(std::optional<Change> change)
+    {
+        setRoutes(routesAs(change));
+    }
+    [[nodiscard]] static std::string routesAs(std::optional<Change> change)
     {
         const bool isMoved = change == Change::Moved;
         const std::string homes = change == Change::NotHere ? R"(,"home_regions":["y"])" : change == Change::NotThere ? R"(,"home_regions":["x"])" : "";
@@ -2005,7 +2022,22 @@
             routes += "," + routeJson("again", type, isMoved ? "t" : "s", R"("max_attempts":2)" + homes);
             routes += "," + routeJson("resume", "streaming", isMoved ? "t" : "s", R"("max_attempts":2,"resumable":true)" + homes);
         }
-        setRoutes(routes);
+        return routes;
+    }
+
+    /// The snapshot of an instance that has the configuration after the change.
+    [[nodiscard]] std::string snapshotAs(std::optional<Change> change) const
+    {
+        edge::MetadataSnapshot snapshot;
+        snapshot.lastChange.revision = metadata::StoreRevision(store.revision + 1);
+        snapshot.storePosition = snapshot.lastChange;
+        snapshot.catalogValue = nextConfiguration(routesAs(change));
+        for (const auto &[key, value] : store.keys) {
+            if (key.starts_with("servers/")) {
+                snapshot.upstreamEntries[key] = value;
+            }
+        }
+        return edge::encode(snapshot);
     }
 
     void startOtherInstances(bool redirects)
@@ -2211,10 +2243,10 @@
     {
         const char *name;
         std::optional<Change> before;
-        bool arrives; // the newer configuration, while the request waits for it
+        bool arrives; // the newer configuration, from the other instance, while the request waits for it
         std::optional<Change> after;
         unsigned status;
-        int peerConnections;
+        std::size_t peerExecutions;
         const char *executions;
     };
     const auto row = GENERATE(values<Row>({
@@ -2229,20 +2261,19 @@
     fixture.startOtherInstances(true);
     fixture.decides = true;
     const std::string newer = std::to_string(fixture.configurationVersion() + 1);
-    const std::string headers = "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
+    const std::string headers = "X-Gateway-Origin: p\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
+    fixture.peerServer.snapshot = fixture.snapshotAs(row.after);
     std::optional<std::string> forwarded;
     fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
     fixture.runUntil([&] { return forwarded.has_value(); });
     REQUIRE(statusOf(*forwarded) == 200);
     std::optional<std::string> response;
     fixture.start(ChangeFixture::requestText("again", "attempt-1", "ok", ""), response);
-    if (row.arrives) {
-        wait(fixture, 50ms);
-        CHECK(fixture.peerServer.connections == 0);
-        fixture.setRoutesAs(row.after);
-    }
+    wait(fixture, 50ms);
+    CHECK(fixture.peerServer.executedAttempts.empty());
+    fixture.peerServer.isReleased = row.arrives;
     fixture.runUntil([&] { return response.has_value(); });
     CHECK(statusOf(*response) == row.status);
-    CHECK(fixture.peerServer.connections == row.peerConnections);
+    CHECK(fixture.peerServer.executedAttempts.size() == row.peerExecutions);
     CHECK(fixture.executions("attempt-1") == row.executions);
 }
