--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -405,6 +405,49 @@
     }
 }
 
+TEST_CASE("a placement request and its refusal do not state the configuration that they go by", "[codec]")
+{
+    routing::PlacementRequest request = sampleRequest(Build::WithPaths);
+    request.route = catalog::RouteId("r");
+    request.catalogVersion = catalog::CatalogVersion(6);
+    const auto received = edge::decodeFleetMessage(encodeSample(request), Start);
+    REQUIRE(received);
+    CHECK(std::get<routing::PlacementRequest>(received->body).route == request.route);
+    CHECK(std::get<routing::PlacementRequest>(received->body).catalogVersion == request.catalogVersion);
+    const std::vector replies = {edge::PlacementReply{request.id, routing::Refused{routing::RefusalReason::Outdated, 60ms}}};
+    const auto reply = edge::decodeFleetMessage(encodeSample(replies), Start);
+    REQUIRE(reply);
+    const auto &decision = std::get<std::vector<edge::PlacementReply>>(reply->body).front().decision;
+    CHECK(std::get<routing::Refused>(decision).reason == routing::RefusalReason::Outdated);
+}
+
+TEST_CASE("an older build mistakes a refusal as outdated for one that needs more than another attempt", "[codec]")
+{
+    const std::vector replies = {edge::PlacementReply{routing::PlacementId("a1/1"), routing::Refused{routing::RefusalReason::Outdated, 60ms}}};
+    fleet::Datagram datagram;
+    REQUIRE(datagram.ParseFromString(encodeSample(replies)));
+    const fleet::Verdict &verdict = datagram.verdicts().verdicts(0);
+    CHECK(verdict.kind() == fleet::Verdict::REFUSED);
+    CHECK_FALSE(verdict.overloaded());
+    CHECK_FALSE(verdict.quarantined());
+    CHECK_FALSE(verdict.version_gone());
+    CHECK(verdict.retry_after_us() == 60'000);
+}
+
+TEST_CASE("a placement request of an older build is taken to state a route", "[codec]")
+{
+    for (const RecordedMessage &row : readRecordedMessages()) {
+        if (row.name != "placement_request") {
+            continue;
+        }
+        CAPTURE(row.commit);
+        const auto message = edge::decodeFleetMessage(row.bytes, Start);
+        REQUIRE(message);
+        CHECK(std::get<routing::PlacementRequest>(message->body).route.empty());
+        CHECK(std::get<routing::PlacementRequest>(message->body).catalogVersion.value == 0);
+    }
+}
+
 TEST_CASE("a message of an older build is taken to state a configuration version", "[codec]")
 {
     for (const RecordedMessage &row : readRecordedMessages()) {
