Merge the placement requests that state their configuration

Ask.route, Ask.catalog_version and Verdict.outdated: a dispatcher on another instance learns by which configuration a request is to be placed, and the requester that a newer one does not allow it. buildcompatibilitytest has both, and that older builds take the refusal for one that needs more than another attempt.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -140,6 +140,8 @@
     for (const core::InstanceId &relay : request.excludedRelays) {
         out.add_excluded_relays(relay.text);
     }
+    out.set_route(request.route.text);
+    out.set_catalog_version(request.catalogVersion.value);
 }
 
 routing::PlacementRequest fromProto(const fleet::Ask &in, core::InstanceId requester, core::TimePoint now)
@@ -174,6 +176,8 @@
     for (const std::string &relay : in.excluded_relays()) {
         request.excludedRelays.insert(core::InstanceId(relay));
     }
+    request.route = catalog::RouteId(in.route());
+    request.catalogVersion = catalog::CatalogVersion(in.catalog_version());
     if (in.has_required_version()) {
         request.requiredVersion = routing::SoftwareVersion(in.required_version());
     }
@@ -209,6 +213,7 @@
                        out.set_overloaded(refused.reason == routing::RefusalReason::Overloaded);
                        out.set_quarantined(refused.reason == routing::RefusalReason::Quarantined);
                        out.set_version_gone(refused.reason == routing::RefusalReason::VersionGone);
+                       out.set_outdated(refused.reason == routing::RefusalReason::Outdated);
                        out.set_retry_after_us(toMicroseconds(refused.retryAfter));
                    },
                },
@@ -219,6 +224,7 @@
 {
     const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
         : in.version_gone()              ? routing::RefusalReason::VersionGone
+        : in.outdated()                  ? routing::RefusalReason::Outdated
         : in.overloaded()                ? routing::RefusalReason::Overloaded
                                          : routing::RefusalReason::NoUpstream;
     switch (in.kind()) {
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -71,7 +71,7 @@
     routing::UpstreamRegistrySettings registry;
     core::Duration evacuationGrace = std::chrono::seconds(10);        // for an evacuation that a restored store lacks to be written again
     core::Duration statedCatalogRetention = std::chrono::seconds(10); // of a version that no other instance states any more
-    core::Duration maxConfirmationGap = std::chrono::seconds(2); // an upstream that comes and goes within it may not be seen
+    core::Duration maxConfirmationGap = std::chrono::seconds(2);      // an upstream that comes and goes within it may not be seen
 };
 
 /// The effect of an update, for logging and for components that keep state for each upstream.
