After a stall: a cancelled request returns its placement, and the end of catching up does not depend on a fetch

A client that disconnects, or a stop, during the wait for current metadata between a grant and the send left the grant in flight for the life of the process; it is returned now. An exception in a fetch while catching up would have left all requests waiting; it is logged and the next peer is asked. While a peer is known to have a newer configuration, the store was read every 15 ms until the end of catching up, although it confirmed its own contents; reads go by that now. routegatewaytest [configuration] (153 checks) and stalledinstancetest (49) pass.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -792,6 +792,9 @@
                 co_await waitUntilCurrent();
             }
             excludeUnreachable(state, placementRequest, decision);
+            if (state.cancellation->cancelled) { // maybe during the last wait, after a grant
+                m_placement.recordCompletion(placementRequest.id, routing::SendOutcome::NeverSent);
+            }
             if (state.endedByShutdown) {
                 break;
             }
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -246,7 +246,8 @@
         m_readsAsSubstitute = threshold > core::Duration::zero();
         if (co_await readOnce()) {
             retryDelay = m_settings.initialRetryDelay;
-            if (m_isCatchingUp && !isCurrent()) { // the call was under way when the process stood still
+            const bool isStoreCurrent = m_metadataCache.storeStaleness(m_context.now()) < m_settings.currentStaleness;
+            if (m_isCatchingUp && !isStoreCurrent) { // the call was under way when the process stood still
                 co_await core::asyncSleep(CatchUpPollInterval);
             } else if (!std::exchange(m_readsAtOnce, false)) {
                 co_await core::asyncSleep(m_settings.watchPause);
@@ -456,7 +457,11 @@
 {
     const core::TimePoint startedAt = m_context.now();
     for (const membership::Member &peer : peersToCatchUpWith()) {
-        co_await fetchSnapshot(peer, m_settings.catchUpFetchTimeout);
+        try {
+            co_await fetchSnapshot(peer, m_settings.catchUpFetchTimeout);
+        } catch (const std::exception &error) { // requests wait for the end of this coroutine
+            m_context.writeLog(observe::LogLine("metadata_fetch_failed").add("peer", peer.id).add("reason", error.what()));
+        }
         if (isCurrent()) {
             break;
         }
