--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -36,7 +36,6 @@
 constexpr double ShutdownShare = 15.0 / 16; // the process exits, also with connections that are still being closed
 
 constexpr auto MinSuspension = milliseconds(200); // smaller differences between the clocks are ignored
-constexpr auto MinStall = milliseconds(300);      // of the event loop, to be logged
 
 /// Time since boot, including time in which the system was suspended.
 milliseconds bootTime()
