--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -34,7 +34,7 @@
 // Q: What happens to requests while the instance shuts down?
 // A: One that is not expected to end in time is refused as not executed, whether it is new, has an unfinished body or waits for a
 //    placement. At the end, one that was sent gets status 504 and a stream that has begun is cut, so that it does not look complete.
-
+//
 // Q: The configuration changes during a request. By which one does it go?
 // A: What has been sent to an upstream may end. Each further send goes by the newest configuration known here: it is applied after the
 //    body, before each placement and each search for a replacement, and again before the send; a wait for a placement ends if the
