A request whose client has left is not sent, however busy the instance is

Cause: an instance learnt of its client's leaving by an event of its own loop only. A forwarded request began its client's patience anew at the peer.

A forwarded request states its age.

Tests: routegatewaytest [gone], httptest; with the check taken out 1 to 2 of 10 requests of clients that had left reached an upstream, and a forwarded request that was 60 s old was run.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -40,6 +40,7 @@
 constexpr const char *UpstreamHeader = "X-Gateway-Upstream";       // response: upstream whose response is passed on
 constexpr const char *StartTimeHeader = "X-Gateway-Start-Time";    // response: run of it that was known when it got the request
 constexpr const char *CatalogHeader = "X-Gateway-Configuration";   // version that the sender has
+constexpr const char *AgeHeader = "X-Gateway-Age-Ms";              // time since the client's request; absent once its response has begun
 constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
 constexpr std::string_view OutcomeAnswered = "answered";
 constexpr std::string_view OutcomeNotExecuted = "not_run";
@@ -55,8 +56,11 @@
                                     UpstreamHeader,
                                     StartTimeHeader,
                                     CatalogHeader,
+                                    AgeHeader,
                                     OutcomeHeader};
 
+constexpr auto MaxAgeAtOrigin = milliseconds(3'600'000); // a longer one is cut; no client waits for that long
+
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
 bool impliesNotExecuted(unsigned status)
 {
@@ -188,6 +192,7 @@
     std::string peerOutcome; // OutcomeHeader
     std::string failure;
     std::string maxRequestRate;        // that the response named
+    std::string withheld;              // why the request was not sent when the connection was there
     std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
     bool saysLeaving = false;          // the response said that its upstream is leaving
     std::string bodyEnd;               // how the response marked the end of its body
@@ -225,6 +230,7 @@
     std::string origin; // instance that received the client's request
     core::TimePoint receivedAt;
     core::TimePoint completionDeadline{}; // for the complete response
+    core::Duration ageAtOrigin{};         // of the client's request, when the origin forwarded it
     core::TimePoint latencyDeadline{};
     core::TimePoint responseDeadline{}; // for the first event or a buffered response; later ones are useless to the client
     std::shared_ptr<CancellationToken> cancellation = std::make_shared<CancellationToken>();
@@ -391,6 +397,7 @@
     }
     state.originCatalog = parseCatalogVersion(state.request.headers);
     noteCatalogVersion(core::InstanceId(state.origin), state.request.headers);
+    state.ageAtOrigin = std::min(milliseconds(parseCount(http::headerValue(state.request.headers, AgeHeader))), MaxAgeAtOrigin);
     const std::string lastEventId = http::headerValue(state.request.headers, ResumeHeader);
     if (state.request.headers.contains(VersionHeader)) {
         state.requiredVersion = routing::SoftwareVersion(http::headerValue(state.request.headers, VersionHeader));
@@ -469,22 +476,27 @@
 {
     auto timeout = state.route->timeout;
     if (state.head.timeout) {
+    if (state.exchange.isClientGone()) { // the request has waited for this instance for longer than its client
+        logCompletion(state, 0, "client_disconnected");
+        co_return false;
+    }
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
     }
     state.completionDeadline = state.receivedAt + timeout;
-    state.latencyDeadline = state.receivedAt + state.route->latencyObjective;
+    state.latencyDeadline = requestedAt + state.route->latencyObjective;
     state.responseDeadline = state.completionDeadline;
     if (state.isStreaming()) { // clients abandon a stream whose first event takes too long
         const auto abandonmentTime =
             std::max({m_settings.minAbandonmentTime,
                       milliseconds(std::llround(m_settings.abandonmentObjectiveFactor * static_cast<double>(state.route->latencyObjective.count()))),
                       milliseconds(std::llround(m_settings.abandonmentGapFactor * static_cast<double>(state.route->maxEventGap.count())))});
-        state.responseDeadline = std::min(state.completionDeadline, state.receivedAt + abandonmentTime - m_settings.abandonmentMargin);
+        state.responseDeadline = std::min(state.completionDeadline, requestedAt + abandonmentTime - m_settings.abandonmentMargin);
     }
 }
 
 asio::awaitable<bool> Forwarder::findOrigin(RequestState &state)
 {
+    const core::TimePoint requestedAt = state.receivedAt - state.ageAtOrigin;
     const core::ServiceId service = state.route->serviceFor(state.streamId().text);
     const routing::StreamId stream(state.head.resumedAttemptId);
     const FoundOrigin found = co_await m_streamDirectory.find(stream, service, state.route->timeout);
@@ -931,23 +943,48 @@
         rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
         return nullptr;
     }
+std::string Forwarder::reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const
+{
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    const std::optional<routing::StartTime> run = entry == nullptr ? knownRun : std::max(knownRun, std::optional(entry->announcement.startTime));
+    if ((entry != nullptr && !entry->isUsable()) || m_placement.isLeaving(upstream, run)) { // a dispatcher that was suspended may know less than this instance
+        return "placed at an upstream that is leaving or gone";
+    }
+    return m_placement.isResting(upstream) ? "placed at an upstream that asked for a rest" : ""; // since the request was placed
+}
+
+bool Forwarder::maySendNow(RequestState &state, Attempt &attempt)
+{
+    if (state.exchange.isClientGone()) {
+        attempt.withheld = "the client is gone";
+        state.cancellation->cancel();
+        return false;
+    }
+    if (!maySend(state, attempt.isToPeer() ? attempt.region : m_context.settings.region)) {
+        attempt.withheld = state.lastFailure;
+    } else if (isQuarantined(state)) {
+        attempt.withheld = state.lastFailure;
+    } else if (!attempt.isToPeer()) {
+        attempt.withheld = reasonToWithhold(attempt.upstream, attempt.knownRun);
+        if (!attempt.withheld.empty()) {
+            exclude(state, attempt);
+        }
+    }
+    return attempt.withheld.empty();
+}
+
     std::optional<routing::StartTime> run = granted.startTime;
     if (entry != nullptr) {
         run = std::max(run, std::optional(entry->announcement.startTime));
     }
-    if ((entry != nullptr && !entry->isUsable())
-        || m_placement.isLeaving(granted.upstream, run)) { // a dispatcher that was suspended may know less than this instance
-        rejectPlacement(state, granted, "placed at an upstream that is leaving or gone");
+    if (std::string reason = reasonToWithhold(granted.upstream, run); !reason.empty()) {
+        rejectPlacement(state, granted, std::move(reason));
         return nullptr;
     }
     if (state.excludedUpstreams.contains(granted.upstream)) { // a copy of its first response could not be told from its second one
         rejectPlacement(state, granted, "placed again at an upstream that has failed or rejected the request");
         return nullptr;
     }
-    if (m_placement.isResting(granted.upstream)) { // since the request was placed
-        rejectPlacement(state, granted, "placed at an upstream that asked for a rest");
-        return nullptr;
-    }
     if (m_paths.isLost(granted.upstream)) { // since the request was placed; the next placement knows
         m_placement.recordCompletion(placementId, routing::SendOutcome::NoPath);
         state.lastFailure = "the path to the upstream was lost";
@@ -1093,6 +1130,9 @@
 }
 
 void Forwarder::startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options)
+    if (!state.responseStarted) {
+        headers[AgeHeader] = std::to_string(core::toMilliseconds(m_context.now() - state.receivedAt + overhead / 2));
+    }
 {
     const core::TimePoint now = m_context.now();
     attempt->sentAt = now;
@@ -1116,6 +1156,7 @@
         state.changed.notify();
     };
     attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
+    options.maySend = [this, &state, attempt = attempt.get()] { return maySendNow(state, *attempt); };
     // Rounded up: an attempt that ends before the deadline would not count as timed out.
     const milliseconds remaining = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(state.completionDeadline - now));
     auto operation = [attempt, remaining, owner = state.shared_from_this()]() -> asio::awaitable<void> {
@@ -1173,7 +1214,7 @@
 Forwarder::SendResult Forwarder::handleFailedStart(RequestState &state, Attempt &attempt)
 {
     const http::CallError &error = attempt.head->error();
-    attempt.failure = error.message;
+    attempt.failure = attempt.withheld.empty() ? error.message : attempt.withheld;
     const bool connected = attempt.connectedAt.has_value();
     if (state.cancellation->cancelled) {
         attempt.outcome = routing::SendOutcome::ClientDisconnected;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -200,6 +200,10 @@
     void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
     /// Waits for the response and relays it.
     boost::asio::awaitable<SendResult> finishAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
+    /// Why the upstream, or its run that was known at the placement, must get nothing from this instance; empty if it may.
+    [[nodiscard]] std::string reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const;
+    /// Whether the attempt may be sent, now that its connection is there; notes in it why not.
+    [[nodiscard]] bool maySendNow(RequestState &state, Attempt &attempt);
     /// Cancels an attempt that is not needed any more.
     boost::asio::awaitable<void> abandonAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
     [[nodiscard]] SendResult handleFailedStart(RequestState &state, Attempt &attempt);
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -280,6 +280,9 @@
         }
         if (options.onConnected) {
             options.onConnected(!reused);
+        if (options.maySend && !options.maySend()) {
+            co_return CallError{CallStage::Connect, "withheld by the caller"};
+        }
         }
         stream->expires_after(timeout);
         startWrite();
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -95,7 +95,8 @@
     std::chrono::milliseconds maxIdleTime{4'000};                     // pooled connections idle for longer are closed
     std::chrono::milliseconds connectTimeout{1'000};                  // limit for opening a new connection
     std::function<ResponseMatch(const Headers &)> matchResponse = {}; // which request response headers name; unset: always this one
-    std::function<void(bool opened)> onConnected = {};                // called once connected; opened: it is a new connection
+    std::function<bool()> maySend = {};                               // asked once connected; if not, the call fails at CallStage::Connect
+    std::function<void(bool opened)> onConnected = {};                // called after that; opened: it is a new connection
 };
 
 /// One request and its response.
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -17,8 +17,11 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <optional>
 #include <set>
 
@@ -372,6 +375,19 @@
         }
     }
 
+    [[nodiscard]] bool isClientGone() override
+    {
+        if constexpr (std::is_same_v<Stream, beast::tcp_stream>) {
+            char byte = 0;
+            const auto received = m_failed ? 1 : ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
+                m_failure = received == 0 ? ErrorCode(asio::error::eof) : ErrorCode(errno, boost::system::system_category());
+                m_failed = true;
+            }
+        }
+        return m_failed;
+    }
+
     /// Why the request has no complete response; nothing if it has one. Call this after the handler.
     [[nodiscard]] std::optional<UnansweredReason> unansweredReason() const
     {
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -11,6 +11,8 @@
 // A: respond(), beginResponse(), writeChunk() and endResponse() return false from then on. A handler that waits for
 //    something else without writing registers a callback with onClientDisconnect().
 //
+//    One that is about to begin costly work asks isClientGone(), which is right also if the event loop is busy.
+//
 // Q: Which requests are rejected before they reach a handler?
 // A: Malformed ones, and those that two parsers could interpret differently (request smuggling): Content-Length together
 //    with Transfer-Encoding, several Content-Length headers, a transfer coding other than chunked, or several Host headers.
@@ -88,6 +90,12 @@
     {
         (void)onDisconnect;
     }
+    /// Whether the client has closed its connection, by what has arrived at the socket until now; onDisconnect may still wait for its turn in a
+    /// busy event loop. Not known while the client has sent more bytes, and on TLS connections: false.
+    [[nodiscard]] virtual bool isClientGone()
+    {
+        return false;
+    }
 };
 
 using Handler = std::function<boost::asio::awaitable<void>(Exchange &)>;
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -117,6 +117,7 @@
     std::vector<std::string> executionsBefore; // X-Gateway-Runs header of every received request
     std::vector<std::string> maxExecutions;    // X-Gateway-Max-Runs header of every received request
     int connections = 0;
+    std::vector<std::string> ages;             // X-Gateway-Age-Ms header of every received request
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
     bool hasSentEvent = false;    // by "stream-beside-other"
@@ -302,6 +303,7 @@
             executionsBefore.emplace_back(parser.get()["X-Gateway-Runs"]);
             maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
             std::string behavior = behaviorOf(parser.get());
+            ages.emplace_back(parser.get()["X-Gateway-Age-Ms"]);
             const std::string attempt(parser.get()["X-Attempt-Id"]);
             if (requests > 0) {
                 attemptsOnKeptConnections.insert(attempt);
