A refused connection is the upstream's fault if the instance reaches another upstream

Cause: a worker that crashes refuses connections, and each instance of its region took that for a lost path of its own, probed it, and sought relays, at the peak through the busiest instance.

Change: after a refusal one other upstream is probed. If it is reached, the refusing one is reported as unreachable, which ejects it for the whole region at once; otherwise the path counts as lost, as before.

The test "a grant that crossed the loss of the path ..." now makes both upstreams refuse, since one alone is no lost path any more. Test: routegatewaytest [refused], which fails without the probe.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -185,14 +185,15 @@
     bool delivered = false;           // the client gets the complete response of this attempt
     bool superseded = false;          // another attempt continues the request
     bool unneeded = false;            // a failed replacement, and the request does not wait for the rest of its response
+    bool isUpstreamDown = false;      // it refused the connection, and this instance reaches another upstream
     bool ended = false;
 
     //--- Result, also for the log
     routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
     std::string peerOutcome; // OutcomeHeader
     std::string failure;
-    std::string maxRequestRate;        // that the response named
     std::string withheld;              // why the request was not sent when the connection was there
+    std::string maxRequestRate;        // that the response named
     std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
     bool saysLeaving = false;          // the response said that its upstream is leaving
     std::string bodyEnd;               // how the response marked the end of its body
@@ -229,8 +230,8 @@
     bool fromPeer = false;
     std::string origin; // instance that received the client's request
     core::TimePoint receivedAt;
-    core::TimePoint completionDeadline{}; // for the complete response
     core::Duration ageAtOrigin{};         // of the client's request, when the origin forwarded it
+    core::TimePoint completionDeadline{}; // for the complete response
     core::TimePoint latencyDeadline{};
     core::TimePoint responseDeadline{}; // for the first event or a buffered response; later ones are useless to the client
     std::shared_ptr<CancellationToken> cancellation = std::make_shared<CancellationToken>();
@@ -396,8 +397,8 @@
         state.originGrant = granted; // not stated by an origin of an older release
     }
     state.originCatalog = parseCatalogVersion(state.request.headers);
-    noteCatalogVersion(core::InstanceId(state.origin), state.request.headers);
     state.ageAtOrigin = std::min(milliseconds(parseCount(http::headerValue(state.request.headers, AgeHeader))), MaxAgeAtOrigin);
+    noteCatalogVersion(core::InstanceId(state.origin), state.request.headers);
     const std::string lastEventId = http::headerValue(state.request.headers, ResumeHeader);
     if (state.request.headers.contains(VersionHeader)) {
         state.requiredVersion = routing::SoftwareVersion(http::headerValue(state.request.headers, VersionHeader));
@@ -475,11 +476,11 @@
 void Forwarder::setDeadlines(RequestState &state) const
 {
     auto timeout = state.route->timeout;
-    if (state.head.timeout) {
     if (state.exchange.isClientGone()) { // the request has waited for this instance for longer than its client
         logCompletion(state, 0, "client_disconnected");
         co_return false;
     }
+    if (state.head.timeout) {
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
     }
     state.completionDeadline = state.receivedAt + timeout;
@@ -495,8 +496,8 @@
 }
 
 asio::awaitable<bool> Forwarder::findOrigin(RequestState &state)
-{
     const core::TimePoint requestedAt = state.receivedAt - state.ageAtOrigin;
+{
     const core::ServiceId service = state.route->serviceFor(state.streamId().text);
     const routing::StreamId stream(state.head.resumedAttemptId);
     const FoundOrigin found = co_await m_streamDirectory.find(stream, service, state.route->timeout);
@@ -942,7 +943,6 @@
     if (entry != nullptr && entry->announcement.service != state.service) {
         rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
         return nullptr;
-    }
 std::string Forwarder::reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const
 {
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
@@ -973,6 +973,7 @@
     return attempt.withheld.empty();
 }
 
+    }
     std::optional<routing::StartTime> run = granted.startTime;
     if (entry != nullptr) {
         run = std::max(run, std::optional(entry->announcement.startTime));
@@ -1129,10 +1130,10 @@
     return attempt;
 }
 
-void Forwarder::startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options)
     if (!state.responseStarted) {
         headers[AgeHeader] = std::to_string(core::toMilliseconds(m_context.now() - state.receivedAt + overhead / 2));
     }
+void Forwarder::startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options)
 {
     const core::TimePoint now = m_context.now();
     attempt->sentAt = now;
@@ -1155,8 +1156,8 @@
         }
         state.changed.notify();
     };
-    attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
     options.maySend = [this, &state, attempt = attempt.get()] { return maySendNow(state, *attempt); };
+    attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
     // Rounded up: an attempt that ends before the deadline would not count as timed out.
     const milliseconds remaining = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(state.completionDeadline - now));
     auto operation = [attempt, remaining, owner = state.shared_from_this()]() -> asio::awaitable<void> {
@@ -1198,6 +1199,9 @@
     }
     if (!attempt->failure.empty()) {
         state.lastFailure = attempt->failure;
+        if (attempt->head->error().refused && !attempt->isToPeer()) {
+            attempt->isUpstreamDown = co_await m_paths.reachesAnother(attempt->upstream);
+        }
     }
     if (!attempt->isToPeer()) {
         recordPath(*attempt);
@@ -1239,6 +1243,15 @@
     }
     if (!staleConnection) {
         exclude(state, attempt);
+    if (!attempt.withheld.empty()) {
+        attempt.outcome = routing::SendOutcome::NeverSent;
+        return SendResult::NotExecuted;
+    }
+    if (attempt.isUpstreamDown) {
+        attempt.outcome = routing::SendOutcome::Unreachable;
+        exclude(state, attempt);
+        return SendResult::NotExecuted;
+    }
     } else if (state.isRepeatable()) {
         --state.possibleExecutions; // the request is sent to the same upstream again
     }
--- a/src/arbutus/edge/pathmonitor.cpp
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -92,6 +92,28 @@
 }
 
 asio::awaitable<void> PathMonitor::probeLoop()
+asio::awaitable<bool> PathMonitor::reachesAnother(core::UpstreamId refusing)
+{
+    std::vector<core::UpstreamId> others;
+    for (const core::UpstreamId &upstream : upstreamsOfRegion()) {
+        if (upstream != refusing && !m_paths.isLost(upstream)) {
+            others.push_back(upstream);
+        }
+    }
+    if (others.empty()) {
+        co_return false;
+    }
+    const core::UpstreamId other = others[m_refusalChecks++ % others.size()]; // another one each time
+    const std::string address = m_metadataCache.registry().find(other)->announcement.address;
+    const auto code = co_await http::probeConnection(m_context.executor, http::parseEndpoint(address), m_settings.refusalCheckTimeout);
+    if (code) {
+        doubt(other); // this short check settles nothing about it
+    } else {
+        recordConnected(other);
+    }
+    co_return !code;
+}
+
 {
     std::set<core::UpstreamId> upstreams;
     std::optional<std::uint64_t> registryVersion;
--- a/src/arbutus/edge/pathmonitor.h
+++ b/src/arbutus/edge/pathmonitor.h
@@ -18,6 +18,7 @@
 {
     std::chrono::milliseconds checkInterval{20};
     std::chrono::milliseconds connectTimeout{300};
+    std::chrono::milliseconds refusalCheckTimeout{60}; // for the connection to another upstream after a refusal
     routing::UpstreamPathsSettings paths;
 };
 
@@ -39,6 +40,10 @@
     void doubtUnlessFresh(const core::UpstreamId &upstream);
     /// Whether this instance opens connections to another upstream than this one since then; probes the others to find out.
     boost::asio::awaitable<bool> reachesOthers(core::UpstreamId upstream, core::TimePoint since);
+    /// Whether this instance opens a connection to some other upstream of the region, which is probed. A refusal is then the refusing
+    /// upstream's own: nothing listens there. Load pattern: a quarter of the upstreams crashes at the peak, and every instance of the region
+    /// finds each of them refused; without this all of them look for ways around.
+    boost::asio::awaitable<bool> reachesAnother(core::UpstreamId refusing);
     [[nodiscard]] bool isLost(const core::UpstreamId &upstream) const
     {
         return m_paths.isLost(upstream);
@@ -59,6 +64,7 @@
     const MetadataCache &m_metadataCache;
     PathMonitorSettings m_settings;
     routing::UpstreamPaths m_paths;
+    std::size_t m_refusalChecks = 0;
 
 public:
     /// Called when a path has been lost or found.
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -171,7 +171,9 @@
         stream->expires_after(std::min(timeout, options.connectTimeout));
         co_await stream->async_connect(target, asio::redirect_error(asio::use_awaitable, code));
         if (code) {
-            co_return makeCallError(CallStage::Connect, code);
+            CallError error = makeCallError(CallStage::Connect, code);
+            error.refused = code == asio::error::connection_refused;
+            co_return error;
         }
         stream->socket().set_option(Tcp::no_delay(true), code);
         setTcpUserTimeout(stream->socket(), timeout);
@@ -278,11 +280,11 @@
         if (cancelled) {
             co_return CallError{CallStage::Connect, "cancelled"};
         }
-        if (options.onConnected) {
-            options.onConnected(!reused);
         if (options.maySend && !options.maySend()) {
             co_return CallError{CallStage::Connect, "withheld by the caller"};
         }
+        if (options.onConnected) {
+            options.onConnected(!reused);
         }
         stream->expires_after(timeout);
         startWrite();
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -55,6 +55,7 @@
     bool timedOut = false;
     bool connectionReused = false;   // the connection came from the pool; the server may have closed it earlier
     bool mismatchedResponse = false; // a response to another request was received
+    bool refused = false;            // the host is reached, and nothing listens at the port
 };
 
 template<class T>
--- a/tests/httptest.cpp
+++ b/tests/httptest.cpp
@@ -266,6 +266,18 @@
         const auto response = server.run(http::fetch(server.context.get_executor(), http::Endpoint{"127.0.0.1", 1}, request, 2s));
         REQUIRE(response.error().stage == http::CallStage::Connect);
     }
+    SECTION("withheld once connected: nothing is sent")
+    {
+        http::CallOptions options;
+        options.maySend = [] { return false; };
+        http::Call call(server.context.get_executor(), http::Endpoint{"127.0.0.1", server.server.port()}, options);
+        const http::Request request;
+        const auto result = server.run(call.start(request, 1s));
+        REQUIRE_FALSE(result);
+        CHECK(result.error().stage == http::CallStage::Connect);
+        CHECK_FALSE(result.error().refused);
+        CHECK(server.handled == 0);
+    }
     SECTION("truncated chunked response")
     {
         request.target = "/stream?cut=1";
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1405,6 +1405,9 @@
     std::optional<bool> isExcluded;
     const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
         if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
+    std::string unreachable = Fixture::announcement(fixture.b, 1); // so the refusals do not look like those of one upstream alone
+    unreachable.replace(unreachable.find(fixture.b.address()), fixture.b.address().size(), refusingAddress);
+    fixture.setAnnouncement("b", unreachable);
             return routing::Granted{core::UpstreamId("a"), refusingAddress};
         }
         isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
@@ -1419,6 +1422,105 @@
 namespace {
 
 /// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
+TEST_CASE("an upstream that refuses connections is taken for lost by its instance only if that reaches no other one", "[edge][refused]")
+{
+    const auto isOtherReached = GENERATE(true, false);
+    CAPTURE(isOtherReached);
+    Fixture fixture;
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
+    const auto refusing = [&](const FakeUpstream &upstream) {
+        std::string entry = Fixture::announcement(upstream, 1);
+        entry.replace(entry.find(upstream.address()), upstream.address().size(), refusingAddress);
+        return entry;
+    };
+    if (!isOtherReached) {
+        fixture.setAnnouncement("b", refusing(fixture.b));
+    }
+    fixture.setAnnouncement("a", refusing(fixture.a));
+    constexpr int Requests = 8;
+    for (int i = 0; i < Requests; ++i) {
+        CHECK(fixture.sendRequest("again", "ok", "body", "attempt-" + std::to_string(i)).status == (isOtherReached ? 200 : 503));
+    }
+    const std::string metrics = fixture.get(fixture.settings.metricsEndpoint, "/metrics").body;
+    CHECK((metrics.find("arbutus_upstream_path_changes_total{change=\"lost\"}") == std::string::npos) == isOtherReached);
+    CHECK((metrics.find("arbutus_upstream_ejections_total{outcome=\"unreachable\"} 1\n") != std::string::npos) == isOtherReached);
+}
+
+namespace {
+
+/// Opens a connection, writes the bytes and closes it, without a turn of the event loop: the server finds all of that at once.
+void sendAndLeave(const http::Endpoint &endpoint, const std::string &request)
+{
+    asio::io_context loop;
+    Tcp::socket socket(loop);
+    socket.connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), endpoint.port));
+    asio::write(socket, asio::buffer(request));
+}
+
+} // namespace
+
+TEST_CASE("a request whose client has left before it was read is not sent", "[edge][gone]")
+{
+    const auto isForwarded = GENERATE(false, true);
+    const auto hasKeptConnection = GENERATE(true, false);
+    CAPTURE(isForwarded, hasKeptConnection);
+    Fixture fixture;
+    if (hasKeptConnection) {
+        for (const char *attempt : {"first", "second"}) {
+            CHECK(fixture.sendRequest("again", "ok", "body", attempt).status == 200);
+        }
+    }
+    const std::size_t before = fixture.executionCount();
+    constexpr int Requests = 10;
+    for (int i = 0; i < Requests; ++i) {
+        const std::string headers = isForwarded ? "X-Gateway-Origin: other\r\nX-Gateway-Service: s\r\n" : "";
+        sendAndLeave(isForwarded ? fixture.settings.peersEndpoint : fixture.settings.clientEndpoint,
+                     "POST /again/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: gone-" + std::to_string(i) + "\r\n" + headers
+                         + "Content-Length: 4\r\n\r\nbody");
+    }
+    CHECK(fixture.sendRequest("again", "ok", "body", "last").status == 200);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_requests_total{status=\"0\"} " + std::to_string(Requests)); });
+    CHECK(fixture.executionCount() == before + 1);
+}
+
+TEST_CASE("a forwarded request is as old as its client knows it", "[edge][gone]")
+{
+    SECTION("the origin states its age, unless its response has begun")
+    {
+        PeerFixture fixture;
+        (void)fixture.sendRequest("resume", "p=stream");
+        REQUIRE(fixture.peerServer.ages.size() == 1);
+        REQUIRE_FALSE(fixture.peerServer.ages.front().empty());
+        CHECK(std::stoi(fixture.peerServer.ages.front()) < 1'000);
+    }
+    SECTION("a request that its client has given up is refused; one of an older release states no age")
+    {
+        struct Row
+        {
+            const char *age;
+            unsigned status;
+        };
+        const auto row =
+            GENERATE(values<Row>({{"", 200}, {"0", 200}, {"500", 200}, {"60000", 503}, {"99999999999999999999", 200}})); // the last one cannot be read
+        CAPTURE(row.age);
+        Fixture fixture;
+        http::Request request;
+        request.method = "POST";
+        request.target = "/resume/x";
+        request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Behave", "a=stream,b=stream"}};
+        request.headers["X-Gateway-Origin"] = "other";
+        request.headers["X-Gateway-Service"] = "s";
+        if (*row.age != 0) {
+            request.headers["X-Gateway-Age-Ms"] = row.age;
+        }
+        request.body = "body";
+        const http::Response response = fixture.call(fixture.settings.peersEndpoint, request);
+        CHECK(response.status == row.status);
+        CHECK(fixture.executionCount() == (row.status == 200 ? 1U : 0U));
+        CHECK_FALSE(response.headers.contains("X-Gateway-Age-Ms"));
+    }
+}
+
 std::size_t countArrivalsAtA(Fixture &fixture)
 {
     constexpr int Requests = 5;
