Waiting for a dispatcher: tell a late one, a late instance and a lost datagram apart

Cause: two replies that took longer than 40 ms made an instance move all its waiting requests to the next dispatcher, which knows less and is overrun in turn; an instance that ran late itself gave up three dispatchers within 100 ms.

Change: routing/dispatcherwatch, without input and output. The time to wait follows the reply times, a reply to any request shows that the dispatcher works, and a wait that ends late is continued once.

--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -67,6 +67,7 @@
     , m_dispatcher(context.settings.dispatcher, makeDispatcherView(context, metadataCache), context.now())
     , m_paths(paths)
 {
+    , m_dispatcherWatch(settings.dispatcherWatch)
 }
 
 void PlacementService::start()
@@ -82,15 +83,17 @@
 
 bool PlacementService::isSkipped(const core::InstanceId &id) const
 {
-    const auto found = m_skippedUntil.find(id);
-    return found != m_skippedUntil.end() && m_context.now() < found->second;
+    return m_dispatcherWatch.isSkipped(id, m_context.now());
 }
 
 void PlacementService::skipUnresponsive(const core::InstanceId &id)
 {
-    m_skippedUntil[id] = m_context.now() + m_settings.unresponsiveSkipTime;
+    m_dispatcherWatch.skip(id, m_context.now());
     m_context.metrics.incrementCounter("arbutus_dispatcher_silent_total");
-    m_context.writeLog(observe::LogLine("dispatcher_unresponsive").add("member", id).add("skipped_ms", m_settings.unresponsiveSkipTime.count()));
+    m_context.writeLog(observe::LogLine("dispatcher_unresponsive")
+                           .add("member", id)
+                           .add("reply_timeout_ms", core::toMilliseconds(m_dispatcherWatch.replyTimeout(id)))
+                           .add("skipped_ms", core::toMilliseconds(m_dispatcherWatch.skipTime())));
     for (const auto &[placementId, pending] : m_pending) {
         if (pending->requestedFrom == id) {
             pending->timer.cancel();
@@ -111,17 +114,49 @@
     return std::nullopt;
 }
 
-asio::awaitable<void> PlacementService::waitForDecision(PendingPlacement &pending, std::chrono::milliseconds timeout)
+asio::awaitable<void> PlacementService::waitForDecision(PendingPlacement &pending, core::TimePoint until)
 {
     if (pending.decision) {
         co_return;
     }
-    pending.timer.expires_after(timeout);
+    pending.timer.expires_after(until - m_context.now());
     boost::system::error_code code;
     co_await pending.timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
 }
 
 asio::awaitable<routing::PlacementDecision> PlacementService::place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token)
+asio::awaitable<void> PlacementService::askDispatcher(const membership::Member &dispatcher,
+                                                      const routing::PlacementRequest &request,
+                                                      PendingPlacement &pending,
+                                                      std::optional<routing::ReplyWait> &wait)
+{
+    const core::TimePoint now = m_context.now();
+    pending.requestedFrom = dispatcher.id;
+    if (!wait || wait->dispatcher != dispatcher.id) {
+        wait = m_dispatcherWatch.beginWait(dispatcher.id, now);
+    } else {
+        m_dispatcherWatch.resume(*wait, now);
+    }
+    m_fleet.send(dispatcher.gossipAddress, request);
+    routing::NoReply next = routing::NoReply::WaitAgain;
+    while (next == routing::NoReply::WaitAgain && !pending.decision && !pending.token->cancelled) {
+        co_await waitForDecision(pending, wait->due);
+        next = pending.decision ? routing::NoReply::SendAgain : m_dispatcherWatch.judge(*wait, m_context.now());
+    }
+    if (pending.decision) {
+        wait->unanswered = 0;
+        if (!std::exchange(wait->isReplied, true)) {
+            m_dispatcherWatch.recordReply(*wait, m_context.now());
+        }
+    } else if (next == routing::NoReply::Unresponsive && !pending.token->cancelled && !isSkipped(dispatcher.id)) {
+        skipUnresponsive(dispatcher.id);
+    }
+    if (pending.decision && isQueued(*pending.decision)) { // the dispatcher has queued it and sends the decision later
+        pending.decision.reset();
+        co_await waitForDecision(pending, m_context.now() + m_settings.resendInterval);
+    }
+}
+
 {
     request.requester = m_context.settings.instanceId;
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
@@ -132,7 +167,7 @@
     token->onCancel = [pending] { pending->timer.cancel(); };
     routing::PlacementDecision decision = routing::Queued{};
     core::InstanceId decidedBy = m_context.settings.instanceId;
-    int unansweredRequests = 0;
+    std::optional<routing::ReplyWait> wait;
     const core::TimePoint requestedAt = m_context.now();
     while (isQueued(decision) && !token->cancelled) {
         if (m_context.now() >= request.responseDeadline) {
@@ -152,29 +187,17 @@
             decidedBy = m_context.settings.instanceId;
             decision = m_dispatcher.requestPlacement(request, m_context.now());
             if (isQueued(decision)) {
-                co_await waitForDecision(*pending, m_settings.resendInterval);
+                co_await waitForDecision(*pending, m_context.now() + m_settings.resendInterval);
             }
         } else {
             if (decidedBy != dispatcher->id) {
                 decidedBy = dispatcher->id;
                 m_dispatcher.cancel(request.id);
-                unansweredRequests = 0;
             }
             if (std::exchange(m_lastDispatcher, dispatcher->id) != dispatcher->id && !notices().empty()) {
                 m_fleet.send(dispatcher->gossipAddress, PlacementReport{{}, {}, notices(), m_paths.lost()}); // a new dispatcher needs them to decide
             }
-            pending->requestedFrom = dispatcher->id;
-            m_fleet.send(dispatcher->gossipAddress, request);
-            co_await waitForDecision(*pending, m_settings.replyTimeout);
-            if (!pending->decision) {
-                if (++unansweredRequests >= m_settings.maxUnansweredRequests && !token->cancelled && !isSkipped(dispatcher->id)) {
-                    skipUnresponsive(dispatcher->id);
-                }
-            } else if (isQueued(*pending->decision)) { // the dispatcher has queued it and sends the decision later
-                unansweredRequests = 0;
-                pending->decision.reset();
-                co_await waitForDecision(*pending, m_settings.resendInterval);
-            }
+            co_await askDispatcher(*dispatcher, request, *pending, wait);
         }
         if (pending->decision) {
             decision = *pending->decision;
@@ -587,7 +610,7 @@
     std::visit(core::Overloaded{
                    [](const membership::Message &) {}, // handled by the fleet
                    [&](const routing::PlacementRequest &request) { handlePlacementRequest(request, from); },
-                   [&](const std::vector<PlacementReply> &replies) { handlePlacementReplies(replies); },
+                   [&](const std::vector<PlacementReply> &replies) { handlePlacementReplies(replies, message.sender.id); },
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
                    [&](const RegionState &state) { handleRegionState(state, message.sender.id, message.arrivedAt); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
@@ -616,9 +639,10 @@
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
 
-void PlacementService::handlePlacementReplies(const std::vector<PlacementReply> &replies)
+void PlacementService::handlePlacementReplies(const std::vector<PlacementReply> &replies, const core::InstanceId &sender)
 {
     for (const PlacementReply &reply : replies) {
+    m_dispatcherWatch.recordHeard(sender, m_context.now());
         const auto pending = m_pending.find(reply.id);
         if (pending != m_pending.end()) {
             pending->second->decision = reply.decision;
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -2,7 +2,7 @@
 //
 // A placement request is sent as a datagram to the first member of the region's dispatcher ranking and is resent while it is
 // queued, so a lost datagram or a change of dispatcher needs no protocol of its own. A dispatcher that does not reply is
-// skipped for a while. If none replies, this instance decides alone from what it knows of its own in-flight requests.
+// skipped for a while (routing/dispatcherwatch.h). If none replies, this instance decides alone from what it knows of its own in-flight requests.
 //
 // Q: How does a dispatcher learn which requests are in flight at which upstream?
 // A: Every instance reports its in-flight requests a few times a second, and reports each first event and completion at once.
@@ -12,6 +12,7 @@
 #include "arbutus/edge/fleet.h"
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/edge/pathmonitor.h"
+#include "arbutus/routing/dispatcherwatch.h"
 #include "arbutus/routing/upstreamnotices.h"
 #include "arbutus/routing/upstreamrests.h"
 
@@ -21,10 +22,8 @@
 
 struct PlacementServiceSettings
 {
-    std::chrono::milliseconds replyTimeout{40};    // for the first reply to a placement request
-    std::chrono::milliseconds resendInterval{300}; // of a queued request; a request takes up to 1 kB, and hundreds may be queued
-    int maxUnansweredRequests = 2;                 // in a row, before the dispatcher is skipped
-    std::chrono::milliseconds unresponsiveSkipTime{700};
+    routing::DispatcherWatchSettings dispatcherWatch;
+    std::chrono::milliseconds resendInterval{300};          // of a queued request; a request takes up to 1 kB, and hundreds may be queued
     std::chrono::milliseconds dispatchInterval{20};         // at which the local dispatcher processes its queue
     std::chrono::milliseconds placementReportInterval{300}; // of reports of all in-flight requests
     std::chrono::milliseconds regionStateInterval{250};     // of sending the region's state to other instances
@@ -115,11 +114,16 @@
     boost::asio::awaitable<void> dispatchLoop();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> stateLoop();
-    boost::asio::awaitable<void> waitForDecision(PendingPlacement &pending, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<void> waitForDecision(PendingPlacement &pending, core::TimePoint until);
 
     /// The region's dispatcher, or nothing if that is this instance or if every other candidate is skipped.
     [[nodiscard]] std::optional<membership::Member> remoteDispatcher();
     [[nodiscard]] bool isSkipped(const core::InstanceId &id) const;
+    /// Sends the request and waits for the first reply, and after `Queued` for the decision. Skips the dispatcher if it is unresponsive.
+    boost::asio::awaitable<void> askDispatcher(const membership::Member &dispatcher,
+                                               const routing::PlacementRequest &request,
+                                               PendingPlacement &pending,
+                                               std::optional<routing::ReplyWait> &wait);
     [[nodiscard]] bool mayDecide() const
     {
         return !isCatchingUp || !isCatchingUp();
@@ -152,7 +156,7 @@
     [[nodiscard]] RegionState buildRegionState();
 
     void handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from);
-    void handlePlacementReplies(const std::vector<PlacementReply> &replies);
+    void handlePlacementReplies(const std::vector<PlacementReply> &replies, const core::InstanceId &sender);
     void handlePlacementReport(const PlacementReport &report, const core::InstanceId &sender);
     void handleRegionState(const RegionState &state, const core::InstanceId &sender, core::TimePoint arrivedAt);
 
@@ -175,7 +179,7 @@
     bool m_isDispatcher = false;
     std::optional<std::uint64_t> m_relayMembersVersion; // of the members that the dispatcher knows as relays
     core::TimePoint m_stateLoggedAt{};
-    std::map<core::InstanceId, core::TimePoint> m_skippedUntil;
+    routing::DispatcherWatch m_dispatcherWatch;
     std::map<core::InstanceId, std::string> m_requesterAddresses; // to which decisions on queued requests are sent
     std::map<std::pair<core::RegionId, core::ServiceId>, std::pair<routing::ServiceLoad, core::TimePoint>> m_remoteLoads; // of other regions
 
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/routing/dispatcher.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/limits/sharedretrybudget.h"
+#include "arbutus/routing/dispatcherwatch.h"
 
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
