Dispatcher: refuse at once what overload will not let be served

Cause: a request past its latency deadline comes after all that arrive from now on, but its wait was predicted from what stood before it. So it was held to its deadline and refused then.

Change: such a request is served by the part of the placement rate that arrivals leave over. A repeated placement request gets the wait that the last scan predicted, without another pass over the queue.

Test: load pattern "demand is twice the capacity for seconds".

--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -384,7 +384,45 @@
             workAhead += workUnits(other);
         }
     }
-    return queueDrainTime(workAhead, estimatePlacementRate(queued.request.service, now));
+    return predictWait(queued, workAhead, estimateQueueRates(queued.request.service, now), now);
+}
+
+Dispatcher::QueueRates Dispatcher::estimateQueueRates(const core::ServiceId &service, core::TimePoint now)
+{
+    const double total = estimatePlacementRate(service, now);
+    const PlacementRate &rate = m_placementRates[service];
+    const core::Duration elapsed = now - rate.arrivalsSince;
+    if (rate.queuedSince == core::TimePoint{} || now - rate.queuedSince < m_settings.placementRateMinBusyTime || elapsed >= 2 * m_settings.arrivalPeriod) {
+        return QueueRates{total, total};
+    }
+    const bool isOver = elapsed >= m_settings.arrivalPeriod;
+    const double work = rate.arrivedWork + (isOver ? 0 : rate.arrivedWorkBefore);
+    const core::Duration period = isOver ? elapsed : elapsed + m_settings.arrivalPeriod;
+    const double arrivals = work * 1000 / static_cast<double>(period.count());
+    return QueueRates{total, std::max(total - arrivals, m_settings.minSpareRatio * total)};
+}
+
+core::Duration Dispatcher::predictWait(const QueuedRequest &queued, double workAhead, const QueueRates &rates, core::TimePoint now) const
+{
+    const core::Duration inOrder = queueDrainTime(workAhead, rates.total);
+    const core::Duration untilLate = std::max(core::Duration::zero(), queued.request.latencyDeadline - queued.minLatency - now);
+    if (inOrder <= untilLate) {
+        return inOrder;
+    }
+    const double workLeft = workAhead - rates.total * static_cast<double>(untilLate.count()) / 1000;
+    return untilLate + queueDrainTime(workLeft, rates.spare);
+}
+
+void Dispatcher::recordArrival(const core::ServiceId &service, double work, core::TimePoint now)
+{
+    PlacementRate &rate = m_placementRates[service];
+    const core::Duration elapsed = now - rate.arrivalsSince;
+    if (elapsed >= m_settings.arrivalPeriod) {
+        rate.arrivedWorkBefore = elapsed < 2 * m_settings.arrivalPeriod ? rate.arrivedWork : 0;
+        rate.arrivedWork = 0;
+        rate.arrivalsSince = now;
+    }
+    rate.arrivedWork += work;
 }
 
 core::Duration Dispatcher::queueDrainTime(double workUnits, double rate) const
@@ -398,7 +436,7 @@
 
 Dispatcher::QueuedRequest Dispatcher::makeQueuedRequest(const PlacementRequest &request, core::TimePoint now)
 {
-    QueuedRequest queued{request, now, request.promptTokens, core::Duration::max()};
+    QueuedRequest queued{request, now, request.promptTokens, core::Duration::max(), {}};
     for (const LocalUpstream &upstream : localUpstreamsOf(request.service)) {
         if (!mayServe(request, upstream.entry->announcement)) {
             continue;
@@ -657,23 +695,23 @@
     }
     m_lastQueueScan = now;
     clearReservations();
-    std::vector<const QueuedRequest *> order;
+    std::vector<QueuedRequest *> order;
     order.reserve(m_queue.size());
-    for (const auto &[id, queued] : m_queue) {
+    for (auto &[id, queued] : m_queue) {
         order.push_back(&queued);
     }
     std::sort(order.begin(), order.end(), [&](const QueuedRequest *left, const QueuedRequest *right) { return hasPrecedence(*left, *right, now); });
     std::vector<PlacementId> done;
     std::size_t scanned = 0;
     std::map<core::ServiceId, double> workAheadByService; // work of requests of higher precedence that stay queued
-    std::map<core::ServiceId, double> rates;
+    std::map<core::ServiceId, QueueRates> rates;
     for (const QueuedRequest *queued : order) {
-        rates.try_emplace(queued->request.service, 0);
+        rates.try_emplace(queued->request.service);
     }
     for (auto &[service, rate] : rates) {
-        rate = estimatePlacementRate(service, now);
+        rate = estimateQueueRates(service, now);
     }
-    for (const QueuedRequest *queued : order) {
+    for (QueuedRequest *queued : order) {
         const PlacementRequest &request = queued->request;
         if (now - queued->lastRequestedAt > m_settings.reportTimeout) {
             done.push_back(request.id); // its node no longer repeats the request
@@ -685,7 +723,8 @@
             continue;
         }
         double &workAhead = workAheadByService[request.service];
-        const core::Duration predictedWait = queueDrainTime(workAhead, rates[request.service]);
+        const core::Duration predictedWait = predictWait(*queued, workAhead, rates[request.service], now);
+        queued->predictedWait = predictedWait;
         if (now + predictedWait + queued->minLatency >= request.responseDeadline) { // would be served too late
             m_deferredDecisions.push_back({request.id, request.requester, refuse(request, RefusalReason::Overloaded, predictedWait, now)});
             done.push_back(request.id);
@@ -752,16 +791,21 @@
     }
     recordUnreachable(request.requester, request.unreachableUpstreams, now);
     const auto existing = m_queue.find(request.id);
-    if (existing != m_queue.end()) {
+    const bool isKnown = existing != m_queue.end();
+    if (isKnown) {
         existing->second.lastRequestedAt = now;
         existing->second.request.unreachableUpstreams = request.unreachableUpstreams;
         existing->second.request.excludedUpstreams = request.excludedUpstreams;
         existing->second.request.catalogVersion = request.catalogVersion; // its route is the same there
     } else {
         if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
+            if (const auto *granted = std::get_if<Granted>(&*decision)) {
+                recordArrival(request.service, request.promptTokens == 0 ? 1 : granted->uncachedTokens, now);
+            }
             return *decision;
         }
-        m_queue[request.id] = makeQueuedRequest(request, now);
+        const QueuedRequest &added = m_queue[request.id] = makeQueuedRequest(request, now);
+        recordArrival(request.service, workUnits(added), now);
         PlacementRate &rate = m_placementRates[request.service];
         if (rate.queuedSince == core::TimePoint{}) {
             rate.queuedSince = now;
@@ -775,8 +819,12 @@
         m_deferredDecisions.erase(deferred);
         return decision;
     }
-    const QueuedRequest &queued = m_queue.at(request.id);
+    QueuedRequest &queued = m_queue.at(request.id);
+    if (isKnown) { // scans of the queue predict its wait; instances repeat hundreds of requests a second at the worst load
+        return Queued{queued.predictedWait};
+    }
     const core::Duration predictedWait = predictQueueWait(queued, now);
+    queued.predictedWait = predictedWait;
     if (now + predictedWait + queued.minLatency > request.responseDeadline) { // refuse at once what cannot be served in time
         m_queue.erase(request.id);
         return refuse(request, RefusalReason::Overloaded, predictedWait, now);
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -17,6 +17,10 @@
 // first, since several of them are served in the time of one uncached prompt. A request that would be served too late at the
 // placement rate of the last second is refused at once.
 //
+// Load pattern: demand exceeds capacity for seconds, as in a burst beside a crash of a quarter of the engines. Requests that have missed their
+// latency deadline come after all that can still meet it, also after those that arrive from now on. So they get only the part of the
+// placement rate that arrivals leave over, and one that would not be served by that is refused when this is known, not at its deadline.
+//
 // Sections:
 //   Requests and decisions
 //   Region load              load reports exchanged between regions
@@ -231,6 +235,8 @@
     core::Duration placementRateTimeConstant = std::chrono::milliseconds(1'000); // of the moving average of the placement rate
     core::Duration placementRateMinBusyTime = std::chrono::milliseconds(600); // requests must have been queued for this long before the measured rate is used
     core::Duration maxPredictedWait = std::chrono::seconds(60);               // upper bound of predicted waits
+    core::Duration arrivalPeriod = std::chrono::milliseconds(250);            // arrivals of this period and the one before count
+    double minSpareRatio = 0.1;                                               // of the placement rate, for requests past their latency deadline
     core::Duration discoveryPeriod = std::chrono::milliseconds(2'000);        // after its start a dispatcher may not know all upstreams yet
     core::Duration minRetryAfter = std::chrono::milliseconds(200);            // lower bound of the retry-after hint
     core::Duration maxRetryAfter = std::chrono::milliseconds(3'000);
@@ -322,6 +328,7 @@
         core::TimePoint lastRequestedAt{};
         std::uint32_t minUncachedTokens = 0; // smallest number over all engines
         core::Duration minLatency{};         // smallest unloaded time to the first event
+        core::Duration predictedWait{};      // at the last scan of the queue
         [[nodiscard]] bool isMostlyCached(double ratio) const
         {
             return minUncachedTokens <= static_cast<double>(request.promptTokens) * (1 - ratio);
@@ -333,7 +340,10 @@
         double placedWork = 0; // tokens, or requests of a plain service; decays with placementRateTimeConstant
         core::TimePoint updatedAt{};
         core::TimePoint queuedSince{}; // the queue has not been empty since then
-        double meanWork = 0;           // of a placed request; 0: none yet
+        double arrivedWork = 0;        // of new requests, placed or queued, since `arrivalsSince`
+        double arrivedWorkBefore = 0;  // in the period before
+        core::TimePoint arrivalsSince{};
+        double meanWork = 0; // of a placed request; 0: none yet
         double cacheMissRatio = 1;
     };
 
@@ -383,6 +393,16 @@
     [[nodiscard]] std::optional<Candidate> evaluateCandidate(const PlacementRequest &request, LocalUpstream &upstream, core::TimePoint now) const;
     [[nodiscard]] std::optional<Redirected> bestRemoteRegion(const PlacementRequest &request, core::TimePoint now);
     [[nodiscard]] core::Duration predictQueueWait(const QueuedRequest &queued, core::TimePoint now);
+    /// Rates at which a queue is served.
+    struct QueueRates
+    {
+        double total = 0; // work units per millisecond
+        double spare = 0; // the part that arriving requests leave over
+    };
+    [[nodiscard]] QueueRates estimateQueueRates(const core::ServiceId &service, core::TimePoint now);
+    /// Wait of a request with `workAhead` before it, which new requests overtake once it has missed its latency deadline.
+    [[nodiscard]] core::Duration predictWait(const QueuedRequest &queued, double workAhead, const QueueRates &rates, core::TimePoint now) const;
+    void recordArrival(const core::ServiceId &service, double work, core::TimePoint now);
     [[nodiscard]] PlacementAttempt tryPlace(const PlacementRequest &request, core::TimePoint now);
     /// Places queued requests in order of precedence and appends the results to m_deferredDecisions.
     void scanQueue(core::TimePoint now);
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -1065,6 +1065,193 @@
     CHECK(dispatched.onTime >= RequestsAfterWarmUp * 95 / 100);
 }
 
+namespace {
+
+/// What became of the requests of one overload.
+struct OverloadResult
+{
+    int onTime = 0;
+    int late = 0;
+    int heldInVain = 0; // refused, or given up by its client, after half of the time that its client waits
+    int held = 0;       // largest number of waiting requests
+};
+
+constexpr auto OverloadTime = 6s;
+constexpr auto OverloadInterval = 5ms; // between requests: 200 a second, of which 100 can be served
+constexpr auto WorkTime = 40ms;        // of one request at one of four places
+constexpr std::size_t OverloadPlaces = 4;
+constexpr auto OverloadObjective = 600ms;
+constexpr auto OverloadPatience = 3s;
+
+/// Twice as many requests as a plain service can serve; refused ones do not come back.
+OverloadResult overloadDispatcher()
+{
+    Fixture fixture({makeAnnouncement("a", PlainService, "here-a", OverloadPlaces)});
+    OverloadResult result;
+    std::multimap<core::TimePoint, routing::PlacementRequest> running; // by the end
+    std::map<routing::PlacementId, routing::PlacementRequest> waiting;
+    const auto settle = [&](const routing::PlacementRequest &request, const routing::PlacementDecision &decision, core::TimePoint now) {
+        if (std::holds_alternative<routing::Granted>(decision)) {
+            const core::TimePoint end = now + WorkTime;
+            running.emplace(end, request);
+            (end <= request.latencyDeadline ? result.onTime : result.late) += 1;
+        } else if (std::holds_alternative<routing::Refused>(decision)) {
+            const auto held = now - (request.latencyDeadline - OverloadObjective);
+            result.heldInVain += held >= OverloadPatience / 2 ? 1 : 0;
+        }
+    };
+    int number = 0;
+    for (core::TimePoint now = Start; now < Start + OverloadTime + OverloadPatience; now += 5ms) {
+        while (!running.empty() && running.begin()->first <= now) {
+            fixture.dispatcher.recordCompletion(running.begin()->second.id, core::UpstreamId("a"), routing::SendOutcome::Completed, now);
+            running.erase(running.begin());
+        }
+        if (now < Start + OverloadTime && (now - Start) % OverloadInterval == 0us) {
+            routing::PlacementRequest request = fixture.makeRequest("w" + std::to_string(number++), PlainService, now);
+            request.latencyDeadline = now + OverloadObjective;
+            request.responseDeadline = now + OverloadPatience;
+            request.completionDeadline = request.responseDeadline;
+            const routing::PlacementDecision decision = fixture.dispatcher.requestPlacement(request, now);
+            settle(request, decision, now);
+            if (std::holds_alternative<routing::Queued>(decision)) {
+                waiting[request.id] = request;
+            }
+        }
+        for (auto item = waiting.begin(); item != waiting.end();) { // nodes repeat their requests; clients leave
+            const bool isGivenUp = now >= item->second.responseDeadline;
+            if (isGivenUp) {
+                fixture.dispatcher.cancel(item->first);
+                ++result.heldInVain;
+            } else if ((now - Start) % 300ms == 0us) {
+                const routing::PlacementDecision decision = fixture.dispatcher.requestPlacement(item->second, now);
+                settle(item->second, decision, now);
+                item = std::holds_alternative<routing::Queued>(decision) ? std::next(item) : waiting.erase(item);
+                continue;
+            }
+            item = isGivenUp ? waiting.erase(item) : std::next(item);
+        }
+        for (const routing::DeferredDecision &item : fixture.dispatcher.processQueue(now)) {
+            if (const auto found = waiting.find(item.id); found != waiting.end()) {
+                settle(found->second, item.decision, now);
+                waiting.erase(found);
+            }
+        }
+        result.held = std::max(result.held, static_cast<int>(waiting.size()));
+    }
+    return result;
+}
+
+/// Baseline: first come, first served, until the client leaves.
+OverloadResult overloadFirstComeFirstServed()
+{
+    OverloadResult result;
+    std::deque<core::TimePoint> waiting; // times of arrival
+    std::multiset<core::TimePoint> running;
+    for (core::TimePoint now = Start; now < Start + OverloadTime + OverloadPatience; now += 5ms) {
+        running.erase(running.begin(), running.upper_bound(now));
+        if (now < Start + OverloadTime && (now - Start) % OverloadInterval == 0us) {
+            waiting.push_back(now);
+        }
+        while (!waiting.empty() && now >= waiting.front() + OverloadPatience) {
+            ++result.heldInVain;
+            waiting.pop_front();
+        }
+        while (!waiting.empty() && running.size() < OverloadPlaces) {
+            running.insert(now + WorkTime);
+            (now + WorkTime <= waiting.front() + OverloadObjective ? result.onTime : result.late) += 1;
+            waiting.pop_front();
+        }
+        result.held = std::max(result.held, static_cast<int>(waiting.size()));
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("load pattern: demand is twice the capacity for seconds", "[dispatcher][pattern]")
+{
+    const OverloadResult dispatched = overloadDispatcher();
+    const OverloadResult firstCome = overloadFirstComeFirstServed();
+    const auto describe = [](const OverloadResult &result) {
+        return "on time " + std::to_string(result.onTime) + ", late " + std::to_string(result.late) + ", held in vain " + std::to_string(result.heldInVain)
+            + ", waiting at most " + std::to_string(result.held);
+    };
+    INFO("dispatcher: " << describe(dispatched) << "; first come, first served: " << describe(firstCome));
+    constexpr int Servable = OverloadTime / WorkTime * static_cast<int>(OverloadPlaces);
+    CHECK(dispatched.onTime >= Servable * 9 / 10);
+    CHECK(dispatched.onTime > firstCome.onTime);
+    CHECK(dispatched.onTime + dispatched.late >= Servable * 95 / 100); // no place stays empty
+    CHECK(dispatched.heldInVain == 0);
+    CHECK(dispatched.held <= OverloadPatience / OverloadInterval / 2);
+}
+
+TEST_CASE("load pattern: replies of the dispatcher are late, its instance is late, or it has failed", "[dispatcher][pattern]")
+{
+    struct Row
+    {
+        const char *name;
+        core::Duration usualTime; // of its replies before
+        core::Duration ownDelay;  // of the end of each wait
+        core::Duration replyTime; // of this request; zero: there is none
+        bool isHeard;             // it replies to other requests meanwhile
+        int requests;             // that are sent until the wait is over
+        bool isUnresponsive;
+        core::Duration decidedAfter; // at the latest
+    };
+    const auto row = GENERATE(values<Row>({
+        {"it replies", 2ms, 0ms, 2ms, true, 1, false, 2ms},
+        {"it has failed", 2ms, 0ms, 0ms, false, 2, true, 80ms},
+        {"a datagram was lost", 2ms, 0ms, 0ms, true, 5, false, 200ms},
+        {"it is late for the first time", 2ms, 0ms, 60ms, true, 2, false, 60ms},
+        {"it is late as usual", 60ms, 0ms, 100ms, false, 1, false, 100ms},
+        {"it was late as usual and has failed", 60ms, 0ms, 0ms, false, 2, true, 500ms},
+        {"this instance is late, and the reply waits in its socket", 2ms, 80ms, 2ms, false, 1, false, 120ms},
+        {"this instance is late, and it has failed", 2ms, 20ms, 0ms, false, 2, true, 240ms},
+    }));
+    CAPTURE(row.name);
+    const core::InstanceId id("d");
+    routing::DispatcherWatch watch;
+    core::TimePoint now = Start;
+    for (int i = 0; i < 20; ++i) {
+        const routing::ReplyWait wait = watch.beginWait(id, now);
+        now += row.usualTime;
+        watch.recordHeard(id, now);
+        watch.recordReply(wait, now);
+    }
+    now += 1s;
+    const core::TimePoint begin = now;
+    routing::ReplyWait wait = watch.beginWait(id, now);
+    int requests = 1;
+    routing::NoReply next = routing::NoReply::SendAgain;
+    const auto isReplyRead = [&](core::TimePoint until) { return row.replyTime > 0ms && begin + row.replyTime <= until; };
+    constexpr int MaxRequests = 5;
+    bool isReplied = false;
+    while (!isReplied && next != routing::NoReply::Unresponsive && requests <= MaxRequests) {
+        const bool isInTime = row.ownDelay == 0ms && isReplyRead(wait.due);
+        const bool isReadNow = wait.isExtended && isReplyRead(now); // it waited in the socket
+        isReplied = isInTime || isReadNow;
+        if (isReplied) {
+            now = isReadNow ? now : begin + row.replyTime;
+            break;
+        }
+        if (row.isHeard) {
+            watch.recordHeard(id, wait.due);
+        }
+        now = wait.due + row.ownDelay;
+        next = watch.judge(wait, now);
+        if (next == routing::NoReply::SendAgain) {
+            if (requests == MaxRequests) {
+                break;
+            }
+            ++requests;
+            watch.resume(wait, now);
+        }
+    }
+    CHECK(requests == row.requests);
+    CHECK((next == routing::NoReply::Unresponsive) == row.isUnresponsive);
+    CHECK(now - begin <= row.decidedAfter);
+}
+
 TEST_CASE("the fleet-wide retry budget holds for any number of nodes sharing the traffic", "[limits]")
 {
     const auto nodes = GENERATE(std::size_t(1), std::size_t(8), std::size_t(77));
