A rest that an unlisted upstream asks for is kept

The instance knew the upstream from a placement only, and forgot the rest. It now holds for the run that the placement named, or the one that is listed next.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1548,7 +1548,7 @@
             m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
         }
         if (parsed.rest) {
-            m_placement.recordRest(attempt.upstream, *parsed.rest);
+            m_placement.recordRest(attempt.upstream, attempt.knownRun, *parsed.rest);
         }
     }
     return parsed;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -244,13 +244,13 @@
     co_return decision;
 }
 
-void PlacementService::recordRest(const core::UpstreamId &upstream, core::Duration rest)
+void PlacementService::recordRest(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun, core::Duration rest)
 {
-    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    if (entry == nullptr || rest <= core::Duration::zero()) {
+    if (rest <= core::Duration::zero()) {
         return;
     }
-    m_rests.record(upstream, entry->announcement.startTime, rest, m_context.now());
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    m_rests.record(upstream, entry == nullptr ? knownRun : entry->announcement.startTime, rest, m_context.now());
     m_context.metrics.incrementCounter("arbutus_upstream_rests_total");
     m_context.writeLog(observe::LogLine("upstream_rests").add("upstream", upstream).add("for_ms", core::toMilliseconds(rest)));
 }
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -69,8 +69,8 @@
     {
         return m_notices.isLeaving(upstream, run);
     }
-    /// Records that an upstream wants no requests from this instance for a time.
-    void recordRest(const core::UpstreamId &upstream, core::Duration rest);
+    /// Records that an upstream wants no requests from this instance for a time. `knownRun` applies if this instance does not list it yet.
+    void recordRest(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun, core::Duration rest);
     /// Whether the upstream wants no requests from this instance now.
     [[nodiscard]] bool isResting(const core::UpstreamId &upstream) const;
     /// Handles a datagram about placements or region state.
--- a/src/arbutus/routing/upstreamrests.cpp
+++ b/src/arbutus/routing/upstreamrests.cpp
@@ -6,7 +6,7 @@
 
 namespace arbutus::routing {
 
-void UpstreamRests::record(const core::UpstreamId &upstream, StartTime startTime, core::Duration rest, core::TimePoint now)
+void UpstreamRests::record(const core::UpstreamId &upstream, std::optional<StartTime> startTime, core::Duration rest, core::TimePoint now)
 {
     const auto [found, added] = m_entries.try_emplace(upstream, Rest{startTime, now + rest});
     Rest &known = found->second;
@@ -17,7 +17,11 @@
 {
     const auto found = m_entries.find(upstream);
     const RegistryEntry *entry = registry.find(upstream);
-    if (found == m_entries.end() || (entry != nullptr && entry->announcement.startTime != found->second.startTime)) {
+    if (found == m_entries.end()) {
+        return core::Duration::zero();
+    }
+    const std::optional<StartTime> &run = found->second.startTime;
+    if (entry != nullptr && run && entry->announcement.startTime != *run) {
         return core::Duration::zero();
     }
     return std::max(core::Duration::zero(), found->second.end - now);
--- a/src/arbutus/routing/upstreamrests.h
+++ b/src/arbutus/routing/upstreamrests.h
@@ -14,8 +14,9 @@
 class UpstreamRests
 {
 public:
-    /// The run of the upstream asked for a rest; the one that ends last applies.
-    void record(const core::UpstreamId &upstream, StartTime startTime, core::Duration rest, core::TimePoint now);
+    /// The run of the upstream asked for a rest; the one that ends last applies. Without a start time it is the run that is listed next, or
+    /// now: an upstream may be known to the dispatcher and not to this instance.
+    void record(const core::UpstreamId &upstream, std::optional<StartTime> startTime, core::Duration rest, core::TimePoint now);
     /// Time until the upstream may get requests again; zero if it may now, or has started again.
     [[nodiscard]] core::Duration remaining(const core::UpstreamId &upstream, const UpstreamRegistry &registry, core::TimePoint now) const;
     /// Forgets the rests that are over.
@@ -23,7 +24,7 @@
 
     struct Rest
     {
-        StartTime startTime; // identifies the run
+        std::optional<StartTime> startTime; // identifies the run; empty: not known
         core::TimePoint end{};
     };
     [[nodiscard]] const std::map<core::UpstreamId, Rest> &entries() const
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -421,7 +421,9 @@
     {
         std::string out;
         bool keepOpen = true;
-        if (behavior == "not-executed-leaving") {
+        if (behavior == "not-executed-rest") {
+            out = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + attempt + "\r\nX-Not-Executed: 1\r\nRetry-After: 5\r\nContent-Length: 4\r\n\r\nfull";
+        } else if (behavior == "not-executed-leaving") {
             out = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
         } else if (behavior == "misdirected-leaving") {
             out = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: another\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
@@ -1403,11 +1405,11 @@
     Fixture fixture;
     const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
     std::optional<bool> isExcluded;
-    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
-        if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
     std::string unreachable = Fixture::announcement(fixture.b, 1); // so the refusals do not look like those of one upstream alone
     unreachable.replace(unreachable.find(fixture.b.address()), fixture.b.address().size(), refusingAddress);
     fixture.setAnnouncement("b", unreachable);
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
             return routing::Granted{core::UpstreamId("a"), refusingAddress};
         }
         isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
@@ -1420,8 +1422,6 @@
 }
 
 namespace {
-
-/// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
 TEST_CASE("an upstream that refuses connections is taken for lost by its instance only if that reaches no other one", "[edge][refused]")
 {
     const auto isOtherReached = GENERATE(true, false);
@@ -1521,6 +1521,8 @@
     }
 }
 
+
+/// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
 std::size_t countArrivalsAtA(Fixture &fixture)
 {
     constexpr int Requests = 5;
@@ -1601,6 +1603,50 @@
 }
 
 TEST_CASE("an upstream that a peer has heard to be leaving is not used, whether it is listed yet or not", "[edge][leaving]")
+TEST_CASE("an upstream that asked for a rest gets none from this instance, whether it is listed yet or not", "[edge][rest]")
+{
+    struct Row
+    {
+        const char *name;
+        bool isListed;                           // when it asks for the rest, in its run 1
+        std::optional<std::uint64_t> grantedRun; // empty: the dispatcher is of an older release
+        std::optional<std::uint64_t> laterRun;   // that is listed afterwards
+        bool isUsed;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"listed", true, 1, std::nullopt, false},
+        {"known to the dispatcher only", false, 1, std::nullopt, false},
+        {"known to the dispatcher only, then listed", false, 1, 1, false},
+        {"known to the dispatcher only, then started again", false, 1, 2, true},
+        {"known to the dispatcher only, which is of an older release, then listed", false, std::nullopt, 1, false},
+        {"started again", true, 1, 2, true},
+    }));
+    CAPTURE(row.name);
+    Fixture fixture(false);
+    fixture.configureLater(row.isListed);
+    std::optional<std::uint64_t> grantedRun = row.grantedRun;
+    const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
+        const bool isFirst = request.id.text.ends_with("/1"); // as if it had been placed before the upstream was excluded
+        if (!isFirst && request.excludedUpstreams.contains(core::UpstreamId("a"))) {
+            return routing::Granted{core::UpstreamId("b"), fixture.b.address()};
+        }
+        routing::Granted granted{core::UpstreamId("a"), fixture.a.address()};
+        if (grantedRun) {
+            granted.startTime = routing::StartTime(*grantedRun);
+        }
+        return granted;
+    };
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
+    fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+    CHECK(fixture.sendRequest("again", "a=not-executed-rest").status == 200);
+    REQUIRE(fixture.a.expectedInstances.size() == 1);
+    if (row.laterRun) {
+        fixture.setAnnouncement("a", Fixture::announcement(fixture.a, static_cast<int>(*row.laterRun)));
+        grantedRun = row.laterRun;
+    }
+    CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
+}
+
 {
     const auto isListed = GENERATE(true, false);
     const auto isListedLater = GENERATE(false, true);
