--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -431,6 +431,19 @@
         co_return false;
     }
     state.route = state.catalog->matchRoute(state.head.host, state.head.path);
+    if (state.route == nullptr && m_metadataCache.isCatalogBehind()) {
+        state.responseDeadline = m_context.now() + m_settings.maxCatalogWait;
+        if (!co_await waitForNewerCatalog(state)) {
+            co_await respondWithError(state,
+                                      503,
+                                      core::ErrorKind::PlatformDown,
+                                      "another instance has a newer configuration, which may have the route",
+                                      m_settings.noCatalogRetryAfter);
+            co_return false;
+        }
+        state.catalog = m_metadataCache.catalog();
+        state.route = state.catalog->matchRoute(state.head.host, state.head.path);
+    }
     if (state.route == nullptr) {
         co_await respondWithError(state, 404, core::ErrorKind::NotFound, "no route matches the host and path", {});
         co_return false;
@@ -463,6 +476,10 @@
     state.request.body = state.exchange.request().body;
     state.fingerprint = routing::RequestFingerprint::of({state.request.method, state.head.host, state.request.target, state.head.prompt, state.request.body});
     state.exchange.onClientDisconnect([cancellation = state.cancellation] { cancellation->cancel(); });
+    if (state.exchange.isClientGone()) { // the request has waited for this instance for longer than its client
+        logCompletion(state, 0, "client_disconnected");
+        co_return false;
+    }
     if (!renewRoute(state)) {
         co_await respondWithFailure(state, false);
         co_return false;
@@ -476,13 +493,10 @@
 void Forwarder::setDeadlines(RequestState &state) const
 {
     auto timeout = state.route->timeout;
-    if (state.exchange.isClientGone()) { // the request has waited for this instance for longer than its client
-        logCompletion(state, 0, "client_disconnected");
-        co_return false;
-    }
     if (state.head.timeout) {
         timeout = std::min(timeout, *state.head.timeout - m_settings.deadlineMargin);
     }
+    const core::TimePoint requestedAt = state.receivedAt - state.ageAtOrigin;
     state.completionDeadline = state.receivedAt + timeout;
     state.latencyDeadline = requestedAt + state.route->latencyObjective;
     state.responseDeadline = state.completionDeadline;
@@ -496,7 +510,6 @@
 }
 
 asio::awaitable<bool> Forwarder::findOrigin(RequestState &state)
-    const core::TimePoint requestedAt = state.receivedAt - state.ageAtOrigin;
 {
     const core::ServiceId service = state.route->serviceFor(state.streamId().text);
     const routing::StreamId stream(state.head.resumedAttemptId);
@@ -930,19 +943,6 @@
     m_context.writeLog(observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
 }
 
-std::shared_ptr<Forwarder::Attempt> Forwarder::openUpstreamAttempt(RequestState &state, const routing::Granted &granted)
-{
-    const core::TimePoint now = m_context.now();
-    const routing::PlacementId placementId = state.placementId();
-    state.lastUpstream = granted.upstream;
-    const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
-    if (!maySend(state, m_context.settings.region)) {
-        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
-        return nullptr;
-    }
-    if (entry != nullptr && entry->announcement.service != state.service) {
-        rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
-        return nullptr;
 std::string Forwarder::reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const
 {
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
@@ -973,6 +973,19 @@
     return attempt.withheld.empty();
 }
 
+std::shared_ptr<Forwarder::Attempt> Forwarder::openUpstreamAttempt(RequestState &state, const routing::Granted &granted)
+{
+    const core::TimePoint now = m_context.now();
+    const routing::PlacementId placementId = state.placementId();
+    state.lastUpstream = granted.upstream;
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(granted.upstream);
+    if (!maySend(state, m_context.settings.region)) {
+        m_placement.recordCompletion(placementId, routing::SendOutcome::NeverSent);
+        return nullptr;
+    }
+    if (entry != nullptr && entry->announcement.service != state.service) {
+        rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
+        return nullptr;
     }
     std::optional<routing::StartTime> run = granted.startTime;
     if (entry != nullptr) {
@@ -1117,6 +1130,9 @@
     if (state.sseRelay && !state.sseRelay->lastEventId().empty()) {
         headers[ResumeHeader] = state.sseRelay->lastEventId();
     }
+    if (!state.responseStarted) {
+        headers[AgeHeader] = std::to_string(core::toMilliseconds(m_context.now() - state.receivedAt + overhead / 2));
+    }
     if (state.requiredVersion) {
         headers[VersionHeader] = state.requiredVersion->text;
         attempt->version = *state.requiredVersion;
@@ -1130,9 +1146,6 @@
     return attempt;
 }
 
-    if (!state.responseStarted) {
-        headers[AgeHeader] = std::to_string(core::toMilliseconds(m_context.now() - state.receivedAt + overhead / 2));
-    }
 void Forwarder::startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options)
 {
     const core::TimePoint now = m_context.now();
@@ -1143,6 +1156,7 @@
     if (!state.isStreaming()) {
         options.maxBodyBytes = m_settings.maxBufferedBodyBytes;
     }
+    options.maySend = [this, &state, attempt = attempt.get()] { return maySendNow(state, *attempt); };
     options.onConnected = [this, &state, attempt = attempt.get()](bool isNewConnection) {
         attempt->connectedAt = m_context.now();
         attempt->isOnNewConnection = isNewConnection;
@@ -1156,7 +1170,6 @@
         }
         state.changed.notify();
     };
-    options.maySend = [this, &state, attempt = attempt.get()] { return maySendNow(state, *attempt); };
     attempt->call.emplace(m_context.executor, http::parseEndpoint(attempt->address), std::move(options));
     // Rounded up: an attempt that ends before the deadline would not count as timed out.
     const milliseconds remaining = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(state.completionDeadline - now));
@@ -1186,6 +1199,9 @@
     if (*attempt->head) {
         result = attempt->isToPeer() ? co_await handlePeerResponse(state, *attempt) : co_await handleResponse(state, *attempt);
     } else {
+        if (attempt->head->error().refused && !attempt->isToPeer()) {
+            attempt->isUpstreamDown = co_await m_paths.reachesAnother(attempt->upstream);
+        }
         result = handleFailedStart(state, *attempt);
     }
     attempt->ended = true;
@@ -1199,9 +1215,6 @@
     }
     if (!attempt->failure.empty()) {
         state.lastFailure = attempt->failure;
-        if (attempt->head->error().refused && !attempt->isToPeer()) {
-            attempt->isUpstreamDown = co_await m_paths.reachesAnother(attempt->upstream);
-        }
     }
     if (!attempt->isToPeer()) {
         recordPath(*attempt);
@@ -1230,6 +1243,15 @@
         state.settleGrant(attempt, connected ? attempt.grantedExecutions : 0);
         return connected ? failedSendResult(state) : SendResult::NotExecuted;
     }
+    if (!attempt.withheld.empty()) {
+        attempt.outcome = routing::SendOutcome::NeverSent;
+        return SendResult::NotExecuted;
+    }
+    if (attempt.isUpstreamDown) {
+        attempt.outcome = routing::SendOutcome::Unreachable;
+        exclude(state, attempt);
+        return SendResult::NotExecuted;
+    }
     if (!connected && error.stage == http::CallStage::Connect && !attempt.superseded && !attempt.unneeded) {
         attempt.outcome = routing::SendOutcome::NoPath;
         m_paths.recordFailure(attempt.upstream, error.message);
@@ -1243,15 +1265,6 @@
     }
     if (!staleConnection) {
         exclude(state, attempt);
-    if (!attempt.withheld.empty()) {
-        attempt.outcome = routing::SendOutcome::NeverSent;
-        return SendResult::NotExecuted;
-    }
-    if (attempt.isUpstreamDown) {
-        attempt.outcome = routing::SendOutcome::Unreachable;
-        exclude(state, attempt);
-        return SendResult::NotExecuted;
-    }
     } else if (state.isRepeatable()) {
         --state.possibleExecutions; // the request is sent to the same upstream again
     }
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -47,7 +47,15 @@
 //
 // Q: What if another instance has a newer configuration than this one?
 // A: A request whose body would leave the region first waits for that configuration, for `maxCatalogWait`. Without it, the request stays in
-//    the region, as far as the known homes allow.
+//    the region, as far as the known homes allow. A request without a known route waits in the same way, and gets 503 instead of 404.
+
+// Q: What if the client leaves, or the configuration changes, while this instance is busy or a connection is being opened?
+// A: What is known by then decides: when the connection is there, and before the first byte is written, the client's socket is looked at
+//    and the configuration, the quarantine and the upstream's state are checked again. Load pattern: at the peak of a burst the busiest
+//    instance reads requests late, many of them after their clients have left.
+//
+// Q: How long does a client wait for a request that another instance has forwarded?
+// A: The origin states how old the request is, so the deadlines for its first event are those of the client.
 
 #pragma once
 
@@ -192,6 +200,10 @@
     /// Sends the request; null if it must not be sent, or if there is nowhere to send it.
     [[nodiscard]] std::shared_ptr<Attempt> openAttempt(RequestState &state, const routing::PlacementDecision &decision);
     [[nodiscard]] std::shared_ptr<Attempt> openUpstreamAttempt(RequestState &state, const routing::Granted &granted);
+    /// Why the upstream, or its run that was known at the placement, must get nothing from this instance; empty if it may.
+    [[nodiscard]] std::string reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const;
+    /// Whether the attempt may be sent, now that its connection is there; notes in it why not.
+    [[nodiscard]] bool maySendNow(RequestState &state, Attempt &attempt);
     /// Returns a placement that must not be used; the upstream is not used for this request again.
     void rejectPlacement(RequestState &state, const routing::Granted &granted, std::string reason);
     /// Executions that the next peer may make of those that are left.
@@ -200,10 +212,6 @@
     void startAttempt(RequestState &state, const std::shared_ptr<Attempt> &attempt, http::CallOptions options);
     /// Waits for the response and relays it.
     boost::asio::awaitable<SendResult> finishAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
-    /// Why the upstream, or its run that was known at the placement, must get nothing from this instance; empty if it may.
-    [[nodiscard]] std::string reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const;
-    /// Whether the attempt may be sent, now that its connection is there; notes in it why not.
-    [[nodiscard]] bool maySendNow(RequestState &state, Attempt &attempt);
     /// Cancels an attempt that is not needed any more.
     boost::asio::awaitable<void> abandonAttempt(RequestState &state, std::shared_ptr<Attempt> attempt);
     [[nodiscard]] SendResult handleFailedStart(RequestState &state, Attempt &attempt);
