An unexpected exception ends neither the instance nor one of its loops

Cause: an exception in a posted handler left the event loop and ended the process; one in a detached coroutine, such as the one that receives datagrams, ended that for good without a word.

Change: edge/background logs and counts it, and the loop begins again. Test: routegatewaytest [errors], which ended with the exception before.

--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -1,6 +1,7 @@
 // Datagram socket, membership ticks and role rankings.
 
 #include "arbutus/edge/fleet.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/membership/rendezvous.h"
 #include "arbutus/peer/udp.h"
 
@@ -83,8 +84,8 @@
     }
     sendAll(m_view.announce());
     m_socket.non_blocking(true);
-    asio::co_spawn(m_context.executor, receiveLoop(), asio::detached);
-    asio::co_spawn(m_context.executor, tickLoop(), asio::detached);
+    spawnLoop(m_context, "fleet_receive", [this] { return receiveLoop(); });
+    spawnLoop(m_context, "fleet_tick", [this] { return tickLoop(); });
 }
 
 void Fleet::send(const std::string &address, FleetMessageBody body)
@@ -126,7 +127,9 @@
 bool Fleet::receiveWaiting()
 {
     constexpr std::size_t MaxDatagrams = 64; // before others run
-    const auto onDatagram = [this](std::string_view bytes, const std::string &from) { receive(bytes, from); };
+    const auto onDatagram = [this](std::string_view bytes, const std::string &from) {
+        guard(m_context, "datagram", [&] { receive(bytes, from); }); // the datagrams after it are received all the same
+    };
     const core::TimePoint now = m_context.now();
     m_context.evidenceClock.noteRunning(now);
     const bool isEmpty = peer::receiveWaiting(m_socket, MaxDatagrams, onDatagram);
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/edge/metadatasync.h"
 #include "arbutus/core/asyncsleep.h"
 #include "arbutus/core/json.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/machineaddress.h"
@@ -44,9 +45,9 @@
 void MetadataSync::start(UpdateHandler handler)
 {
     m_updateHandler = std::move(handler);
-    asio::co_spawn(m_context.executor, readLoop(), asio::detached);
-    asio::co_spawn(m_context.executor, registerLoop(), asio::detached);
-    asio::co_spawn(m_context.executor, memberRefreshLoop(), asio::detached);
+    spawnLoop(m_context, "metadata_read", [this] { return readLoop(); });
+    spawnLoop(m_context, "metadata_register", [this] { return registerLoop(); });
+    spawnLoop(m_context, "metadata_member_refresh", [this] { return memberRefreshLoop(); });
 }
 
 //-----------------------------------------------------------------------------
--- a/src/arbutus/edge/pathmonitor.cpp
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/pathmonitor.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,7 +22,7 @@
 
 void PathMonitor::start()
 {
-    asio::co_spawn(m_context.executor, probeLoop(), asio::detached);
+    spawnLoop(m_context, "path_probe", [this] { return probeLoop(); });
 }
 
 std::set<core::UpstreamId> PathMonitor::upstreamsOfRegion() const
@@ -91,7 +92,6 @@
     co_return m_paths.hasConnectedToOther(upstream, since);
 }
 
-asio::awaitable<void> PathMonitor::probeLoop()
 asio::awaitable<bool> PathMonitor::reachesAnother(core::UpstreamId refusing)
 {
     std::vector<core::UpstreamId> others;
@@ -114,6 +114,7 @@
     co_return !code;
 }
 
+asio::awaitable<void> PathMonitor::probeLoop()
 {
     std::set<core::UpstreamId> upstreams;
     std::optional<std::uint64_t> registryVersion;
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/edge/placementservice.h"
 #include "arbutus/core/asyncsleep.h"
 #include "arbutus/core/overloaded.h"
+#include "arbutus/edge/background.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -66,15 +67,15 @@
     , m_settings(settings)
     , m_dispatcher(context.settings.dispatcher, makeDispatcherView(context, metadataCache), context.now())
     , m_paths(paths)
-{
     , m_dispatcherWatch(settings.dispatcherWatch)
+{
 }
 
 void PlacementService::start()
 {
-    asio::co_spawn(m_context.executor, dispatchLoop(), asio::detached);
-    asio::co_spawn(m_context.executor, reportLoop(), asio::detached);
-    asio::co_spawn(m_context.executor, stateLoop(), asio::detached);
+    spawnLoop(m_context, "placement_dispatch", [this] { return dispatchLoop(); });
+    spawnLoop(m_context, "placement_report", [this] { return reportLoop(); });
+    spawnLoop(m_context, "placement_state", [this] { return stateLoop(); });
 }
 
 //-----------------------------------------------------------------------------
@@ -124,7 +125,6 @@
     co_await pending.timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
 }
 
-asio::awaitable<routing::PlacementDecision> PlacementService::place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token)
 asio::awaitable<void> PlacementService::askDispatcher(const membership::Member &dispatcher,
                                                       const routing::PlacementRequest &request,
                                                       PendingPlacement &pending,
@@ -157,6 +157,7 @@
     }
 }
 
+asio::awaitable<routing::PlacementDecision> PlacementService::place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token)
 {
     request.requester = m_context.settings.instanceId;
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
@@ -641,8 +642,8 @@
 
 void PlacementService::handlePlacementReplies(const std::vector<PlacementReply> &replies, const core::InstanceId &sender)
 {
-    for (const PlacementReply &reply : replies) {
     m_dispatcherWatch.recordHeard(sender, m_context.now());
+    for (const PlacementReply &reply : replies) {
         const auto pending = m_pending.find(reply.id);
         if (pending != m_pending.end()) {
             pending->second->decision = reply.decision;
--- a/src/arbutus/edge/quarantineservice.cpp
+++ b/src/arbutus/edge/quarantineservice.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/quarantineservice.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/http/client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,7 +53,7 @@
 
 void QuarantineService::start()
 {
-    asio::co_spawn(m_context.executor, tickLoop(), asio::detached);
+    spawnLoop(m_context, "quarantine_tick", [this] { return tickLoop(); });
 }
 
 std::optional<routing::CrashCause> QuarantineService::findQuarantined(const std::vector<routing::PromptPart> &prompt,
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/routegateway.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/edge/directory.h"
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/edge/metadatasync.h"
@@ -437,15 +438,15 @@
     impl.streamDirectory.start();
     impl.placement.start();
     impl.metadataSync.start([&impl](const MetadataUpdate &update) { impl.onMetadataChanged(update); });
-    asio::co_spawn(impl.context.executor, impl.flushLoop(), asio::detached);
-    asio::co_spawn(impl.context.executor, impl.expiryLoop(), asio::detached);
-    asio::co_spawn(impl.context.executor, impl.signalLoop(), asio::detached);
+    spawnLoop(impl.context, "log_flush", [&impl] { return impl.flushLoop(); });
+    spawnLoop(impl.context, "expiry", [&impl] { return impl.expiryLoop(); });
+    spawnLoop(impl.context, "signals", [&impl] { return impl.signalLoop(); });
 }
 
 void RouteGateway::run()
 {
     start();
-    m_impl->ioContext.run();
+    runEventLoop(m_impl->context, m_impl->ioContext);
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/streamdirectory.cpp
+++ b/src/arbutus/edge/streamdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/edge/streamdirectory.h"
 #include "arbutus/core/asyncsleep.h"
+#include "arbutus/edge/background.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -38,7 +39,7 @@
 
 void StreamDirectory::start()
 {
-    asio::co_spawn(m_context.executor, copyLoop(), asio::detached);
+    spawnLoop(m_context, "stream_copy", [this] { return copyLoop(); });
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -4,6 +4,7 @@
 // record the attempts that they execute.
 
 #include "arbutus/edge/routegateway.h"
+#include "arbutus/edge/background.h"
 #include "arbutus/edge/fleet.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
@@ -116,8 +117,8 @@
     std::set<std::string> attemptsOnKeptConnections;
     std::vector<std::string> executionsBefore; // X-Gateway-Runs header of every received request
     std::vector<std::string> maxExecutions;    // X-Gateway-Max-Runs header of every received request
-    int connections = 0;
     std::vector<std::string> ages;             // X-Gateway-Age-Ms header of every received request
+    int connections = 0;
     int abortedConnections = 0;   // connections closed by the gateway during execution
     std::size_t endlessBytes = 0; // sent by the behaviors that do not end by themselves
     bool hasSentEvent = false;    // by "stream-beside-other"
@@ -302,8 +303,8 @@
             expectedInstances.emplace_back(parser.get()["X-Expect-Instance"]);
             executionsBefore.emplace_back(parser.get()["X-Gateway-Runs"]);
             maxExecutions.emplace_back(parser.get()["X-Gateway-Max-Runs"]);
-            std::string behavior = behaviorOf(parser.get());
             ages.emplace_back(parser.get()["X-Gateway-Age-Ms"]);
+            std::string behavior = behaviorOf(parser.get());
             const std::string attempt(parser.get()["X-Attempt-Id"]);
             if (requests > 0) {
                 attemptsOnKeptConnections.insert(attempt);
@@ -1404,10 +1405,10 @@
 {
     Fixture fixture;
     const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
-    std::optional<bool> isExcluded;
     std::string unreachable = Fixture::announcement(fixture.b, 1); // so the refusals do not look like those of one upstream alone
     unreachable.replace(unreachable.find(fixture.b.address()), fixture.b.address().size(), refusingAddress);
     fixture.setAnnouncement("b", unreachable);
+    std::optional<bool> isExcluded;
     const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
         if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
             return routing::Granted{core::UpstreamId("a"), refusingAddress};
@@ -1421,7 +1422,6 @@
     CHECK(isExcluded == std::optional(false));
 }
 
-namespace {
 TEST_CASE("an upstream that refuses connections is taken for lost by its instance only if that reaches no other one", "[edge][refused]")
 {
     const auto isOtherReached = GENERATE(true, false);
@@ -1521,6 +1521,7 @@
     }
 }
 
+namespace {
 
 /// Sends requests whose dispatcher chooses the upstream a wherever it may; returns how many reached it.
 std::size_t countArrivalsAtA(Fixture &fixture)
@@ -1602,7 +1603,6 @@
     CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
 }
 
-TEST_CASE("an upstream that a peer has heard to be leaving is not used, whether it is listed yet or not", "[edge][leaving]")
 TEST_CASE("an upstream that asked for a rest gets none from this instance, whether it is listed yet or not", "[edge][rest]")
 {
     struct Row
@@ -1647,6 +1647,7 @@
     CHECK((countArrivalsAtA(fixture) > 0) == row.isUsed);
 }
 
+TEST_CASE("an upstream that a peer has heard to be leaving is not used, whether it is listed yet or not", "[edge][leaving]")
 {
     const auto isListed = GENERATE(true, false);
     const auto isListedLater = GENERATE(false, true);
@@ -2818,3 +2819,86 @@
     CHECK(fixture.peerServer.executedAttempts.size() == row.peerExecutions);
     CHECK(fixture.executions("attempt-1") == row.executions);
 }
+
+TEST_CASE("a route that only a newer configuration may have is not answered with 404", "[edge][configuration]")
+{
+    struct Row
+    {
+        const char *name;
+        bool arrives; // the newer configuration, while the request waits for it
+        std::optional<Change> after;
+        unsigned status;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"it has the route", true, std::nullopt, 200},
+        {"it does not have the route", true, Change::Dropped, 404},
+        {"it does not arrive", false, std::nullopt, 503},
+    }));
+    CAPTURE(row.name);
+    ChangeFixture fixture;
+    fixture.setRoutesAs(Change::Dropped);
+    fixture.startOtherInstances(false);
+    fixture.decides = true;
+    std::optional<std::string> response;
+    fixture.start(ChangeFixture::requestText("again", "attempt-0", "ok", ""), response);
+    fixture.runUntil([&] { return response.has_value(); });
+    CHECK(statusOf(*response) == 404); // no newer one is known yet
+    const std::string newer = std::to_string(fixture.configurationVersion() + 1);
+    const std::string headers = "X-Gateway-Origin: p\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
+    fixture.peerServer.snapshot = fixture.snapshotAs(row.after);
+    std::optional<std::string> forwarded;
+    fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
+    fixture.runUntil([&] { return forwarded.has_value(); });
+    REQUIRE(statusOf(*forwarded) == 200);
+    response.reset();
+    fixture.start(ChangeFixture::requestText("again", "attempt-1", "ok", ""), response);
+    wait(fixture, 50ms);
+    fixture.peerServer.isReleased = row.arrives;
+    fixture.runUntil([&] { return response.has_value(); });
+    CHECK(statusOf(*response) == row.status);
+    CHECK((response->find("Retry-After") != std::string::npos) == (row.status == 503));
+    CHECK(fixture.executions("attempt-1") == (row.status == 200 ? "s" : ""));
+}
+
+//-----------------------------------------------------------------------------
+// Unexpected errors
+//-----------------------------------------------------------------------------
+
+TEST_CASE("an unexpected error ends neither the instance nor what it does all the time", "[edge][errors]")
+{
+    Fixture fixture;
+    SECTION("in the handling of a datagram")
+    {
+        int decisions = 0;
+        const auto failFirst = [&](const routing::PlacementRequest &) -> routing::PlacementDecision {
+            if (++decisions == 1) {
+                throw std::runtime_error("unexpected");
+            }
+            return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
+        };
+        const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), failFirst);
+        fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
+        CHECK(fixture.sendRequest("again", "ok").status == 200);
+        CHECK(decisions == 2); // the dispatcher goes on receiving
+    }
+    SECTION("in a loop or a handler")
+    {
+        observe::Metrics metrics;
+        edge::EvidenceClock evidenceClock(fixture.clock.steadyNow());
+        asio::io_context loop;
+        edge::InstanceContext context{
+            loop.get_executor(), fixture.clock, fixture.settings, fixture.adapter, fixture.store, fixture.log, metrics, evidenceClock};
+        int runs = 0;
+        edge::spawnLoop(context, "loop", [&]() -> asio::awaitable<void> {
+            if (++runs == 1) {
+                throw std::runtime_error("unexpected");
+            }
+            co_return;
+        });
+        asio::post(loop, [] { throw std::runtime_error("unexpected"); });
+        edge::runEventLoop(context, loop);
+        CHECK(runs == 2);
+        CHECK(metrics.prometheusText().find("arbutus_unexpected_errors_total{in=\"loop\"} 1") != std::string::npos);
+        CHECK(metrics.prometheusText().find("arbutus_unexpected_errors_total{in=\"event_loop\"} 1") != std::string::npos);
+    }
+}
