The product's own interface answers open requests before it stops

The last second of the stop cancels what is at an upstream or at a peer (502, outcome unknown) and ends the wait for unfinished bodies (503).

--- a/src/arbutus/gateway/attempt.cpp
+++ b/src/arbutus/gateway/attempt.cpp
@@ -74,6 +74,26 @@
     return std::max(1ms, std::min(limit, dispatch.remainingTime - used));
 }
 
+/// Lets the attempt in progress be cancelled for the lifetime of the object.
+class ScopedCancel
+{
+public:
+    ScopedCancel(const AttemptRequest &request, std::function<void()> cancel)
+        : m_control(request.control)
+    {
+        m_control->cancel = std::move(cancel);
+    }
+    ScopedCancel(const ScopedCancel &) = delete;
+    ScopedCancel &operator=(const ScopedCancel &) = delete;
+    ~ScopedCancel()
+    {
+        m_control->cancel = {};
+    }
+
+private:
+    std::shared_ptr<AttemptControl> m_control;
+};
+
 /// Reports the silences of one stream while it is relayed, and cancels the attempt if the node asks for it during one.
 class SilenceMonitor
 {
@@ -308,6 +328,7 @@
         return http::headerValue(headers, "X-Attempt-Id") == id ? http::ResponseMatch::ThisRequest : http::ResponseMatch::NoRequest;
     };
     http::Call call(context.executor, http::parseEndpoint(target.address), std::move(options));
+    const ScopedCancel cancel(request, [&call] { call.cancel(); });
     const http::Request out = makeUpstreamRequest(request, dispatch);
     auto head = co_await call.start(out, remainingTimeout(dispatch.remainingTime, dispatch, startedAt, context.clock));
     if (!head) {
@@ -469,6 +490,7 @@
     call.request.headers["X-Resume-Offset"] = std::to_string(dispatch.resumeOffset);
     call.request.headers["X-Shown-Id"] = request.clientVisibleId;
     const auto stream = context.peerClient.forward(target.address, call);
+    const ScopedCancel cancel(request, [stream] { stream->cancel(); });
     PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, true, exchange);
     if (!relayed.clientConnected) {
         co_return makeClientDisconnected(request);
@@ -518,6 +540,7 @@
     }
     const peer::ForwardCall call = makeForwardCall(context, request, forward.remainingTime);
     const auto stream = context.peerClient.forward(forward.address, call);
+    const ScopedCancel cancel(request, [stream] { stream->cancel(); });
     const PeerRelayResult relayed = co_await relayPeerResponse(context, request, stream, false, exchange);
     result.relayed = relayed.complete || !relayed.clientConnected;
     if (!result.relayed && exchange.responseStarted()) {
--- a/src/arbutus/gateway/attempt.h
+++ b/src/arbutus/gateway/attempt.h
@@ -33,10 +33,11 @@
     std::function<void(node::StreamSilent)> onSilence = [](node::StreamSilent) {};
 };
 
-/// Cancels the attempt in progress if its stream is silent; used on the executor only.
+/// Cancels the attempt in progress; used on the executor only.
 struct AttemptControl
 {
     std::function<void()> cancelIfSilent; // set while a stream is being relayed
+    std::function<void()> cancel;         // set while the request is at an upstream or an instance; the attempt then ends as incomplete
 };
 
 /// A request in the form in which attempts send it.
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -33,7 +33,8 @@
 
 constexpr auto ConfigFetchTimeout = 1'000ms; // for fetching configuration from another instance
 constexpr auto TlsReloadInterval = 5s;
-constexpr auto StopTimeout = 5'000ms; // for responses to requests that have been read; a client may not read its response
+constexpr auto StopAnswerTime = 1'000ms; // of it, for the answers to requests that are ended
+constexpr auto StopTimeout = 5'000ms;    // for responses to requests that have been read; a client may not read its response
 constexpr auto StopPollPeriod = 5ms;
 
 /// Whether an event may be dropped in an overload: its sender repeats it, or it only carries a measurement. Requests and their
@@ -310,6 +311,9 @@
         do {
             clientServer.closeIdleConnections();
             co_await core::asyncSleep(StopPollPeriod);
+            if (clock.steadyNow() >= deadline - StopAnswerTime) {
+                requestHandler.endOpenRequests();
+            }
         } while (clientServer.hasOpenRequests() && clock.steadyNow() < deadline);
         if (clientServer.hasOpenRequests()) {
             observe::LogLine("stopped_with_open_requests").add("open_requests", clientServer.activeExchangeCount()).warn();
--- a/src/arbutus/gateway/requesthandler.cpp
+++ b/src/arbutus/gateway/requesthandler.cpp
@@ -225,6 +225,21 @@
     m_mailboxes.deliver(std::move(action));
 }
 
+void RequestHandler::endOpenRequests()
+{
+    m_isEnding = true;
+    const std::set<http::Exchange *> bodyReads = m_bodyReads; // cancelling may change both
+    for (http::Exchange *exchange : bodyReads) {
+        exchange->cancelBodyRead();
+    }
+    const auto controls = m_attemptControls;
+    for (const auto &[key, control] : controls) {
+        if (control->cancel) {
+            control->cancel();
+        }
+    }
+}
+
 void RequestHandler::recordOutcome(const RequestContext &context, std::string_view outcome)
 {
     const std::string labels = "class=\"" + context.head.requestClass.text + "\",outcome=\"" + std::string(outcome) + "\"";
@@ -415,7 +430,14 @@
 
 asio::awaitable<bool> RequestHandler::readBody(http::Exchange &exchange, RequestContext &context)
 {
-    const auto read = co_await exchange.readBody();
+    m_bodyReads.insert(&exchange);
+    auto read = co_await exchange.readBody();
+    m_bodyReads.erase(&exchange);
+    if (!read && m_isEnding) {
+        core::Error error = core::makeError(core::ErrorKind::Draining, "the instance is shutting down and the body has not arrived");
+        error.outcome = read.error().outcome;
+        read = error;
+    }
     if (!read) {
         m_decisionLoop.post(node::RequestBodyFailed{context.key, read.error()});
         co_return false;
--- a/src/arbutus/gateway/requesthandler.h
+++ b/src/arbutus/gateway/requesthandler.h
@@ -16,6 +16,7 @@
 #include "arbutus/peer/server.h"
 
 #include <functional>
+#include <set>
 #include <unordered_map>
 
 namespace arbutus::gateway {
@@ -34,6 +35,8 @@
     void handleForwardedRequest(std::shared_ptr<peer::ForwardSession> session);
     /// Delivers an action to the request that it belongs to; must be called on the request thread.
     void deliverAction(RequestAction action);
+    /// Ends the open requests at the end of a planned stop, so that each gets an answer; must be called on the request thread.
+    void endOpenRequests();
 
 private:
     struct RequestContext;
@@ -51,6 +54,8 @@
     observe::Metrics &m_metrics;
     MailboxRegistry m_mailboxes;
     std::unordered_map<node::RequestKey, std::shared_ptr<AttemptControl>> m_attemptControls; // of requests whose actions are processed
+    std::set<http::Exchange *> m_bodyReads;                                                  // exchanges whose body is being read
+    bool m_isEnding = false;
     std::uint64_t m_nextId = 1;
 };
 
