A probe that is refused does not lose the path if another upstream is reached

The test had ended before that probe on a machine with nothing else to do.

Change: such a probe is judged like a refused request, and a refused request does not put the path in doubt. The check takes as long as any probe.

Lint: two equal branches in Forwarder::maySendNow are one.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -960,9 +960,7 @@
         state.cancellation->cancel();
         return false;
     }
-    if (!maySend(state, attempt.isToPeer() ? attempt.region : m_context.settings.region)) {
-        attempt.withheld = state.lastFailure;
-    } else if (isQuarantined(state)) {
+    if (!maySend(state, attempt.isToPeer() ? attempt.region : m_context.settings.region) || isQuarantined(state)) {
         attempt.withheld = state.lastFailure;
     } else if (!attempt.isToPeer()) {
         attempt.withheld = reasonToWithhold(attempt.upstream, attempt.knownRun);
@@ -1274,6 +1272,9 @@
 void Forwarder::recordPath(Attempt &attempt)
 {
     const bool isWithoutEnd = attempt.outcome == routing::SendOutcome::Incomplete || attempt.outcome == routing::SendOutcome::TimedOut;
+    if (attempt.isUpstreamDown) {
+        return; // the path is there
+    }
     if (isWithoutEnd && m_paths.isLost(attempt.upstream)) {
         attempt.outcome = routing::SendOutcome::NoPath; // says nothing about the upstream
     } else if (isWithoutEnd || (attempt.head && !*attempt.head)) {
--- a/src/arbutus/edge/pathmonitor.cpp
+++ b/src/arbutus/edge/pathmonitor.cpp
@@ -105,9 +105,9 @@
     }
     const core::UpstreamId other = others[m_refusalChecks++ % others.size()]; // another one each time
     const std::string address = m_metadataCache.registry().find(other)->announcement.address;
-    const auto code = co_await http::probeConnection(m_context.executor, http::parseEndpoint(address), m_settings.refusalCheckTimeout);
+    const auto code = co_await http::probeConnection(m_context.executor, http::parseEndpoint(address), m_settings.connectTimeout);
     if (code) {
-        doubt(other); // this short check settles nothing about it
+        doubt(other);
     } else {
         recordConnected(other);
     }
@@ -137,10 +137,14 @@
 {
     const http::Endpoint endpoint = http::parseEndpoint(address);
     const auto code = co_await http::probeConnection(m_context.executor, endpoint, m_settings.connectTimeout);
+    bool isReached = !code;
+    if (code == asio::error::connection_refused) {
+        isReached = co_await reachesAnother(upstream);
+    }
     m_context.metrics.incrementCounter("arbutus_upstream_path_probes_total", code ? "result=\"failed\"" : "result=\"reached\"");
     const core::TimePoint now = m_context.now();
     const core::Duration lostFor = m_paths.lostFor(upstream, now);
-    if (m_paths.recordProbe(upstream, !code, now)) {
+    if (m_paths.recordProbe(upstream, isReached, now)) {
         logChange(upstream, code ? "probe: " + code.message() : "probe", lostFor);
     }
 }
--- a/src/arbutus/edge/pathmonitor.h
+++ b/src/arbutus/edge/pathmonitor.h
@@ -1,6 +1,7 @@
 // Watches which upstreams of the region this instance can open connections to, and probes paths that are lost or in doubt.
 //
-// A probe opens a connection and closes it without sending anything. Without a loss or a doubt there are none.
+// A probe opens a connection and closes it without sending anything. Without a loss or a doubt there are none. One that is refused while another
+// upstream is reached shows that the path is there, and that the upstream is down.
 
 #pragma once
 
@@ -18,7 +19,6 @@
 {
     std::chrono::milliseconds checkInterval{20};
     std::chrono::milliseconds connectTimeout{300};
-    std::chrono::milliseconds refusalCheckTimeout{60}; // for the connection to another upstream after a refusal
     routing::UpstreamPathsSettings paths;
 };
 
