--- a/src/arbutus/edge/fleet.cpp
+++ b/src/arbutus/edge/fleet.cpp
@@ -8,8 +8,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -13,6 +13,7 @@
 
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/core/overloaded.h"
+#include "arbutus/core/scopedelement.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/http/truncation.h"
 
@@ -116,29 +117,6 @@
     return left.executionSemantics == right.executionSemantics && left.responseMode == right.responseMode && left.resumable == right.resumable;
 }
 
-/// Keeps an element in a set for the lifetime of the object, which may outlive the owner of the set: a coroutine is destroyed with its executor.
-template<class T>
-class ScopedElement
-{
-public:
-    ScopedElement(std::shared_ptr<std::set<T>> elements, const T &element)
-        : m_elements(std::move(elements))
-        , m_element(element)
-    {
-        m_elements->insert(m_element);
-    }
-    ScopedElement(const ScopedElement &) = delete;
-    ScopedElement &operator=(const ScopedElement &) = delete;
-    ~ScopedElement()
-    {
-        m_elements->erase(m_element);
-    }
-
-private:
-    std::shared_ptr<std::set<T>> m_elements;
-    T m_element;
-};
-
 std::string formatSeconds(core::Duration duration)
 {
     char text[32];
@@ -372,7 +350,7 @@
 {
     const auto owner = std::make_shared<RequestState>(exchange, m_context);
     RequestState &state = *owner;
-    const ScopedElement<RequestState *> open(m_openRequests, &state);
+    const core::ScopedElement<RequestState *> open(m_openRequests, &state);
     state.request = exchange.request();
     for (const char *name : PeerHeaders) {
         state.request.headers.erase(name); // reserved for requests between instances
@@ -386,7 +364,7 @@
 {
     const auto owner = std::make_shared<RequestState>(exchange, m_context);
     RequestState &state = *owner;
-    const ScopedElement<RequestState *> open(m_openRequests, &state);
+    const core::ScopedElement<RequestState *> open(m_openRequests, &state);
     state.request = exchange.request();
     state.fromPeer = true;
     state.origin = http::headerValue(state.request.headers, OriginHeader);
@@ -432,8 +410,7 @@
     }
     state.route = state.catalog->matchRoute(state.head.host, state.head.path);
     if (state.route == nullptr && m_metadataCache.isCatalogBehind()) {
-        state.responseDeadline = m_context.now() + m_settings.maxCatalogWait;
-        if (!co_await waitForNewerCatalog(state)) {
+        if (!co_await waitForNewerCatalog(state, core::TimePoint::max())) { // its deadlines are the route's
             co_await respondWithError(state,
                                       503,
                                       core::ErrorKind::PlatformDown,
@@ -640,9 +617,9 @@
                            .add("home_regions", route == nullptr ? "" : homeRegionsOf(*route)));
 }
 
-asio::awaitable<bool> Forwarder::waitForNewerCatalog(RequestState &state)
+asio::awaitable<bool> Forwarder::waitForNewerCatalog(RequestState &state, core::TimePoint until)
 {
-    const core::TimePoint end = std::min(m_context.now() + m_settings.maxCatalogWait, state.responseDeadline);
+    const core::TimePoint end = std::min(m_context.now() + m_settings.maxCatalogWait, until);
     while (state.catalog == m_metadataCache.catalog() && !state.cancellation->cancelled && m_context.now() < end) {
         co_await m_catalogChanged.wait(end - m_context.now());
     }
@@ -839,7 +816,7 @@
                     state.lastFailure = "no upstream of software version " + state.requiredVersion.value_or(routing::SoftwareVersion()).text + " is left";
                 }
                 if (refused->reason == routing::RefusalReason::Outdated) {
-                    const bool isNewerKnown = co_await waitForNewerCatalog(state);
+                    const bool isNewerKnown = co_await waitForNewerCatalog(state, state.responseDeadline);
                     if (isNewerKnown && canRetry(state)) {
                         continue;
                     }
@@ -850,7 +827,7 @@
             if (mustWaitForCatalog(decision)) {
                 bool isNewerKnown = false;
                 if (!std::exchange(state.hasWaitedForCatalog, true)) {
-                    isNewerKnown = co_await waitForNewerCatalog(state);
+                    isNewerKnown = co_await waitForNewerCatalog(state, state.responseDeadline);
                 }
                 if (!isNewerKnown) {
                     state.excludedRegions.insert(std::get<routing::Redirected>(decision).region);
@@ -943,11 +920,17 @@
     m_context.writeLog(observe::LogLine("placement_rejected").add("request", placementId).add("upstream", granted.upstream).add("reason", state.lastFailure));
 }
 
+std::optional<routing::StartTime> Forwarder::latestRun(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const
+{
+    const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
+    return entry == nullptr ? knownRun : std::max(knownRun, std::optional(entry->announcement.startTime));
+}
+
 std::string Forwarder::reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const
 {
     const routing::RegistryEntry *entry = m_metadataCache.registry().find(upstream);
-    const std::optional<routing::StartTime> run = entry == nullptr ? knownRun : std::max(knownRun, std::optional(entry->announcement.startTime));
-    if ((entry != nullptr && !entry->isUsable()) || m_placement.isLeaving(upstream, run)) { // a dispatcher that was suspended may know less than this instance
+    if ((entry != nullptr && !entry->isUsable())
+        || m_placement.isLeaving(upstream, latestRun(upstream, knownRun))) { // a dispatcher that was suspended may know less than this instance
         return "placed at an upstream that is leaving or gone";
     }
     return m_placement.isResting(upstream) ? "placed at an upstream that asked for a rest" : ""; // since the request was placed
@@ -985,11 +968,7 @@
         rejectPlacement(state, granted, "placed at an upstream of service " + entry->announcement.service.text);
         return nullptr;
     }
-    std::optional<routing::StartTime> run = granted.startTime;
-    if (entry != nullptr) {
-        run = std::max(run, std::optional(entry->announcement.startTime));
-    }
-    if (std::string reason = reasonToWithhold(granted.upstream, run); !reason.empty()) {
+    if (std::string reason = reasonToWithhold(granted.upstream, granted.startTime); !reason.empty()) {
         rejectPlacement(state, granted, std::move(reason));
         return nullptr;
     }
@@ -1035,7 +1014,7 @@
     attempt->service = state.service;
     attempt->address = granted.address;
     attempt->version = version;
-    attempt->knownRun = run;
+    attempt->knownRun = latestRun(granted.upstream, granted.startTime);
     attempt->predictedLatency = granted.predictedLatency;
     attempt->request = state.request;
     attempt->request.headers = m_context.adapter.upstreamHeaders(state.request, requestOptions);
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -168,8 +168,8 @@
     /// Whether a further send to `region` is allowed; notes the reason in the state if it is not.
     [[nodiscard]] bool maySend(RequestState &state, const core::RegionId &region);
     void recordOutdated(RequestState &state, std::string_view reason);
-    /// Waits until this instance has a newer configuration than the state; returns false if none arrives in time.
-    boost::asio::awaitable<bool> waitForNewerCatalog(RequestState &state);
+    /// Waits until this instance has a newer configuration than the state, not longer than `until`; returns false if none arrives in time.
+    boost::asio::awaitable<bool> waitForNewerCatalog(RequestState &state, core::TimePoint until);
     /// Whether a body must not leave the region because another instance has a newer configuration.
     [[nodiscard]] bool mustWaitForCatalog(const routing::PlacementDecision &decision) const;
     /// Records the version that another instance states in its headers, and fetches that configuration if it is newer.
@@ -200,6 +200,8 @@
     /// Sends the request; null if it must not be sent, or if there is nowhere to send it.
     [[nodiscard]] std::shared_ptr<Attempt> openAttempt(RequestState &state, const routing::PlacementDecision &decision);
     [[nodiscard]] std::shared_ptr<Attempt> openUpstreamAttempt(RequestState &state, const routing::Granted &granted);
+    /// The latest run of the upstream that is known, here or to its dispatcher; nothing if neither knows one.
+    [[nodiscard]] std::optional<routing::StartTime> latestRun(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const;
     /// Why the upstream, or its run that was known at the placement, must get nothing from this instance; empty if it may.
     [[nodiscard]] std::string reasonToWithhold(const core::UpstreamId &upstream, std::optional<routing::StartTime> knownRun) const;
     /// Whether the attempt may be sent, now that its connection is there; notes in it why not.
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -5,8 +5,6 @@
 #include "arbutus/core/overloaded.h"
 #include "arbutus/edge/background.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -144,10 +142,7 @@
         next = pending.decision ? routing::NoReply::SendAgain : m_dispatcherWatch.judge(*wait, m_context.now());
     }
     if (pending.decision) {
-        wait->unanswered = 0;
-        if (!std::exchange(wait->isReplied, true)) {
-            m_dispatcherWatch.recordReply(*wait, m_context.now());
-        }
+        m_dispatcherWatch.recordReply(*wait, m_context.now());
     } else if (next == routing::NoReply::Unresponsive && !pending.token->cancelled && !isSkipped(dispatcher.id)) {
         skipUnresponsive(dispatcher.id);
     }
--- a/src/arbutus/edge/streamdirectory.cpp
+++ b/src/arbutus/edge/streamdirectory.cpp
@@ -4,9 +4,6 @@
 #include "arbutus/core/asyncsleep.h"
 #include "arbutus/edge/background.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace arbutus::edge {
 
 namespace asio = boost::asio;
--- a/src/arbutus/gateway/requesthandler.cpp
+++ b/src/arbutus/gateway/requesthandler.cpp
@@ -12,6 +12,7 @@
 #include "arbutus/core/json.h"
 #include "arbutus/core/prefixblocks.h"
 #include "arbutus/core/prompt.h"
+#include "arbutus/core/scopedelement.h"
 #include "arbutus/http/via.h"
 #include "arbutus/observe/logline.h"
 
@@ -228,7 +229,7 @@
 void RequestHandler::endOpenRequests()
 {
     m_isEnding = true;
-    const std::set<http::Exchange *> bodyReads = m_bodyReads; // cancelling may change both
+    const std::set<http::Exchange *> bodyReads = *m_bodyReads; // cancelling may change both
     for (http::Exchange *exchange : bodyReads) {
         exchange->cancelBodyRead();
     }
@@ -428,11 +429,15 @@
     m_mailboxes.close(context.key);
 }
 
+asio::awaitable<core::Result<void>> RequestHandler::readWholeBody(http::Exchange &exchange)
+{
+    const core::ScopedElement<http::Exchange *> reading(m_bodyReads, &exchange);
+    co_return co_await exchange.readBody();
+}
+
 asio::awaitable<bool> RequestHandler::readBody(http::Exchange &exchange, RequestContext &context)
 {
-    m_bodyReads.insert(&exchange);
-    auto read = co_await exchange.readBody();
-    m_bodyReads.erase(&exchange);
+    auto read = co_await readWholeBody(exchange);
     if (!read && m_isEnding) {
         core::Error error = core::makeError(core::ErrorKind::Draining, "the instance is shutting down and the body has not arrived");
         error.outcome = read.error().outcome;
--- a/src/arbutus/gateway/requesthandler.h
+++ b/src/arbutus/gateway/requesthandler.h
@@ -16,6 +16,7 @@
 #include "arbutus/peer/server.h"
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <unordered_map>
 
@@ -43,6 +44,8 @@
 
     boost::asio::awaitable<void> processRequest(http::Exchange &exchange, RequestContext &context);
     boost::asio::awaitable<void> processActions(http::Exchange &exchange, RequestContext &context, Mailbox &mailbox);
+    /// Reads the body; endOpenRequests() ends the wait for it.
+    boost::asio::awaitable<core::Result<void>> readWholeBody(http::Exchange &exchange);
     boost::asio::awaitable<bool> readBody(http::Exchange &exchange, RequestContext &context);
     boost::asio::awaitable<void> sendEntries(http::Exchange &exchange, bool ticketsOnly);
     boost::asio::awaitable<void> sendModels(http::Exchange &exchange);
@@ -53,8 +56,8 @@
     DecisionLoop &m_decisionLoop;
     observe::Metrics &m_metrics;
     MailboxRegistry m_mailboxes;
-    std::unordered_map<node::RequestKey, std::shared_ptr<AttemptControl>> m_attemptControls; // of requests whose actions are processed
-    std::set<http::Exchange *> m_bodyReads;                                                  // exchanges whose body is being read
+    std::unordered_map<node::RequestKey, std::shared_ptr<AttemptControl>> m_attemptControls;                  // of requests whose actions are processed
+    std::shared_ptr<std::set<http::Exchange *>> m_bodyReads = std::make_shared<std::set<http::Exchange *>>(); // exchanges whose body is being read
     bool m_isEnding = false;
     std::uint64_t m_nextId = 1;
 };
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -341,7 +341,7 @@
     PlacementRate &rate = m_placementRates[request.service];
     const double timeConstant = static_cast<double>(m_settings.placementRateTimeConstant.count());
     rate.placedWork *= std::exp(-static_cast<double>((now - rate.updatedAt).count()) / timeConstant);
-    const double work = request.promptTokens == 0 ? 1 : uncachedTokens;
+    const double work = workUnits(request, uncachedTokens);
     rate.placedWork += work;
     rate.meanWork = rate.meanWork == 0 ? work : rate.meanWork + m_settings.placedWorkWeight * (work - rate.meanWork);
     rate.updatedAt = now;
@@ -800,7 +800,7 @@
     } else {
         if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
             if (const auto *granted = std::get_if<Granted>(&*decision)) {
-                recordArrival(request.service, request.promptTokens == 0 ? 1 : granted->uncachedTokens, now);
+                recordArrival(request.service, workUnits(request, granted->uncachedTokens), now);
             }
             return *decision;
         }
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -425,10 +425,14 @@
     /// rate counts only after requests have been queued for placementRateMinBusyTime.
     [[nodiscard]] double estimatePlacementRate(const core::ServiceId &service, core::TimePoint now);
     [[nodiscard]] core::Duration queueDrainTime(double workUnits, double rate) const;
-    /// Work of a queued request: uncached tokens, or 1 for a plain service.
+    /// Work of a request: uncached tokens, or 1 for a plain service.
+    [[nodiscard]] static double workUnits(const PlacementRequest &request, std::uint32_t uncachedTokens)
+    {
+        return request.promptTokens == 0 ? 1 : static_cast<double>(uncachedTokens);
+    }
     [[nodiscard]] static double workUnits(const QueuedRequest &queued)
     {
-        return queued.request.promptTokens == 0 ? 1 : static_cast<double>(queued.minUncachedTokens);
+        return workUnits(queued.request, queued.minUncachedTokens);
     }
 
     DispatcherSettings m_settings;
--- a/src/arbutus/routing/dispatcherwatch.cpp
+++ b/src/arbutus/routing/dispatcherwatch.cpp
@@ -3,6 +3,7 @@
 #include "arbutus/routing/dispatcherwatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutus::routing {
 
@@ -36,8 +37,12 @@
     wait.isExtended = false;
 }
 
-void DispatcherWatch::recordReply(const ReplyWait &wait, core::TimePoint now)
+void DispatcherWatch::recordReply(ReplyWait &wait, core::TimePoint now)
 {
+    wait.unanswered = 0;
+    if (std::exchange(wait.isReplied, true)) {
+        return;
+    }
     Dispatcher &dispatcher = m_dispatchers[wait.dispatcher];
     const core::Duration time = now - wait.begunAt; // which of several requests it replies to is not known
     if (dispatcher.smoothedTime == core::Duration::zero()) {
--- a/src/arbutus/routing/dispatcherwatch.h
+++ b/src/arbutus/routing/dispatcherwatch.h
@@ -62,8 +62,8 @@
     [[nodiscard]] ReplyWait beginWait(const core::InstanceId &dispatcher, core::TimePoint now) const;
     /// The request was sent again.
     void resume(ReplyWait &wait, core::TimePoint now) const;
-    /// The first reply to the request has arrived.
-    void recordReply(const ReplyWait &wait, core::TimePoint now);
+    /// A reply to the request has arrived; the first one tells how long the dispatcher takes.
+    void recordReply(ReplyWait &wait, core::TimePoint now);
     /// A reply to any request has arrived from the dispatcher.
     void recordHeard(const core::InstanceId &dispatcher, core::TimePoint now);
     /// What to do after a wait that has ended without a reply.
--- a/tests/dispatchertest.cpp
+++ b/tests/dispatchertest.cpp
@@ -1213,7 +1213,7 @@
     routing::DispatcherWatch watch;
     core::TimePoint now = Start;
     for (int i = 0; i < 20; ++i) {
-        const routing::ReplyWait wait = watch.beginWait(id, now);
+        routing::ReplyWait wait = watch.beginWait(id, now);
         now += row.usualTime;
         watch.recordHeard(id, now);
         watch.recordReply(wait, now);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -693,8 +693,12 @@
 
     [[nodiscard]] static std::string announcement(const FakeUpstream &upstream, int born, const std::string &version = "")
     {
-        return R"({"service":"s","address":")" + upstream.address() + R"(","zone":"z","slots":6,"state":"ready","cold_remaining_ms":0,"born":)"
-            + std::to_string(born) + R"(,"version":")" + version + R"(","sequence":1})";
+        return announcementAt(upstream.address(), born, version);
+    }
+    [[nodiscard]] static std::string announcementAt(const std::string &address, int born = 1, const std::string &version = "")
+    {
+        return R"({"service":"s","address":")" + address + R"(","zone":"z","slots":6,"state":"ready","cold_remaining_ms":0,"born":)" + std::to_string(born)
+            + R"(,"version":")" + version + R"(","sequence":1})";
     }
 
     /// Of the configuration in the store.
@@ -1405,9 +1409,7 @@
 {
     Fixture fixture;
     const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
-    std::string unreachable = Fixture::announcement(fixture.b, 1); // so the refusals do not look like those of one upstream alone
-    unreachable.replace(unreachable.find(fixture.b.address()), fixture.b.address().size(), refusingAddress);
-    fixture.setAnnouncement("b", unreachable);
+    fixture.setAnnouncement("b", Fixture::announcementAt(refusingAddress)); // so the refusals do not look like those of one upstream alone
     std::optional<bool> isExcluded;
     const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
         if (request.id.text.ends_with("/1") || request.id.text.ends_with("/2")) { // the second one was decided before the path was lost
@@ -1428,15 +1430,10 @@
     CAPTURE(isOtherReached);
     Fixture fixture;
     const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
-    const auto refusing = [&](const FakeUpstream &upstream) {
-        std::string entry = Fixture::announcement(upstream, 1);
-        entry.replace(entry.find(upstream.address()), upstream.address().size(), refusingAddress);
-        return entry;
-    };
     if (!isOtherReached) {
-        fixture.setAnnouncement("b", refusing(fixture.b));
+        fixture.setAnnouncement("b", Fixture::announcementAt(refusingAddress));
     }
-    fixture.setAnnouncement("a", refusing(fixture.a));
+    fixture.setAnnouncement("a", Fixture::announcementAt(refusingAddress));
     constexpr int Requests = 8;
     for (int i = 0; i < Requests; ++i) {
         CHECK(fixture.sendRequest("again", "ok", "body", "attempt-" + std::to_string(i)).status == (isOtherReached ? 200 : 503));
@@ -2678,6 +2675,18 @@
     return response.size() < StatusAt + 3 ? 0 : static_cast<unsigned>(std::stoul(response.substr(StatusAt, 3)));
 }
 
+/// Has the gateway learn from a forwarded request that there is a newer configuration, which the other instance has.
+void hearOfNewerConfiguration(ChangeFixture &fixture, std::optional<Change> after)
+{
+    const std::string newer = std::to_string(fixture.configurationVersion() + 1);
+    const std::string headers = "X-Gateway-Origin: p\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
+    fixture.peerServer.snapshot = fixture.snapshotAs(after);
+    std::optional<std::string> forwarded;
+    fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
+    fixture.runUntil([&] { return forwarded.has_value(); });
+    REQUIRE(statusOf(*forwarded) == 200);
+}
+
 /// Sends a request during which the configuration changes; returns the whole response.
 std::string sendDuringChange(ChangeFixture &fixture, Moment moment, Change change, const std::string &attempt)
 {
@@ -2807,13 +2816,7 @@
     fixture.setRoutesAs(row.before);
     fixture.startOtherInstances(true);
     fixture.decides = true;
-    const std::string newer = std::to_string(fixture.configurationVersion() + 1);
-    const std::string headers = "X-Gateway-Origin: p\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
-    fixture.peerServer.snapshot = fixture.snapshotAs(row.after);
-    std::optional<std::string> forwarded;
-    fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
-    fixture.runUntil([&] { return forwarded.has_value(); });
-    REQUIRE(statusOf(*forwarded) == 200);
+    hearOfNewerConfiguration(fixture, row.after);
     std::optional<std::string> response;
     fixture.start(ChangeFixture::requestText("again", "attempt-1", "ok", ""), response);
     wait(fixture, 50ms);
@@ -2848,13 +2851,7 @@
     fixture.start(ChangeFixture::requestText("again", "attempt-0", "ok", ""), response);
     fixture.runUntil([&] { return response.has_value(); });
     CHECK(statusOf(*response) == 404); // no newer one is known yet
-    const std::string newer = std::to_string(fixture.configurationVersion() + 1);
-    const std::string headers = "X-Gateway-Origin: p\r\nX-Gateway-Service: s\r\nX-Gateway-Configuration: " + newer + "\r\n";
-    fixture.peerServer.snapshot = fixture.snapshotAs(row.after);
-    std::optional<std::string> forwarded;
-    fixture.start(ChangeFixture::requestText("other", "forwarded", "ok", headers), forwarded, true);
-    fixture.runUntil([&] { return forwarded.has_value(); });
-    REQUIRE(statusOf(*forwarded) == 200);
+    hearOfNewerConfiguration(fixture, row.after);
     response.reset();
     fixture.start(ChangeFixture::requestText("again", "attempt-1", "ok", ""), response);
     wait(fixture, 50ms);
