Planned stop: late in the grace period, send only what is sure to end

What callers saw: a stopping instance took a stream more than 4 s after the SIGTERM, on a connection whose last response head was written before it, passed it on and cut it at the end of its grace period. It may not be repeated.

Cause: canEndInTime() compared the longest of the route's last 32 streams with the time left, however late and whatever the request stated.

The new line request_sent_in_shutdown and arbutus_shutdown_sends_total{basis} show what a send was based on.

Change: edge/shutdownadmission decides without input and output. After 6/16 of the grace period, 3 s at most, a request is sent only if its deadline comes before the instance would end it; otherwise it gets 503, not executed, and the connection closes. It is asked on arrival, after the body, before each placement and before the first byte is sent, for clients and other instances. Before that, a stream that states more output tokens than the last ones is expected to take longer in proportion.

Why it works: a deadline bounds the request whatever the estimate says. With the decision taken back to the estimate, 2 of 8 test cases of routegatewaytest [stop] fail.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -652,20 +652,18 @@
 core::Duration Forwarder::expectedDuration(const RequestState &state) const
 {
     // A stream that is cut is worse for its client than a refusal; another request gets a response in any case.
-    const core::Duration expected = state.isStreaming() ? m_durations.longest(state.route->id).value_or(state.route->timeout)
-                                                        : m_durations.median(state.route->id).value_or(state.route->latencyObjective);
-    return std::min(expected, state.completionDeadline - m_context.now());
+    return state.isStreaming() ? m_durations.longest(state.route->id, state.head.expectedOutputTokens).value_or(state.route->timeout)
+                               : m_durations.median(state.route->id).value_or(state.route->latencyObjective);
 }
 
 bool Forwarder::canEndInTime(const RequestState &state) const
 {
-    const core::TimePoint now = m_context.now();
-    return !m_shutdown || now + std::max(core::Duration::zero(), expectedDuration(state)) < limitByShutdown(state, core::TimePoint::max());
+    return !m_shutdown || mayBegin(*m_shutdown, UnsentRequest{state.isStreaming(), expectedDuration(state), state.completionDeadline}, m_context.now());
 }
 
 core::TimePoint Forwarder::limitByShutdown(const RequestState &state, core::TimePoint time) const
 {
-    return !m_shutdown ? time : std::min(time, state.isStreaming() ? m_shutdown->streamsUntil : m_shutdown->answersBy);
+    return !m_shutdown ? time : std::min(time, m_shutdown->endOf(state.isStreaming()));
 }
 
 asio::awaitable<void> Forwarder::refuseForShutdown(RequestState &state, std::string_view stage)
@@ -690,6 +688,27 @@
                            .add("left_ms", core::toMilliseconds(limitByShutdown(state, core::TimePoint::max()) - m_context.now())));
 }
 
+void Forwarder::recordLateSend(const RequestState &state, const Attempt &attempt)
+{
+    if (!m_shutdown) {
+        return;
+    }
+    const core::TimePoint now = m_context.now();
+    const core::TimePoint end = m_shutdown->endOf(state.isStreaming());
+    const bool isSure = state.completionDeadline <= end;
+    m_context.metrics.incrementCounter("arbutus_shutdown_sends_total", isSure ? "basis=\"deadline\"" : "basis=\"estimate\"");
+    m_context.writeLog(observe::LogLine("request_sent_in_shutdown")
+                           .add("request", attempt.placement)
+                           .add("origin", state.origin)
+                           .add("route", state.route->id)
+                           .add("stream_begun", state.responseStarted)
+                           .add("output_tokens", state.head.expectedOutputTokens)
+                           .add("expected_ms", core::toMilliseconds(expectedDuration(state)))
+                           .add("deadline_ms", core::toMilliseconds(state.completionDeadline - now))
+                           .add("estimates_ms", core::toMilliseconds(m_shutdown->estimatesUntil - now))
+                           .add("left_ms", core::toMilliseconds(end - now)));
+}
+
 void Forwarder::endOverdueRequests()
 {
     if (!m_shutdown) {
@@ -943,7 +962,9 @@
         state.cancellation->cancel();
         return false;
     }
-    if (!maySend(state, attempt.isToPeer() ? attempt.region : m_context.settings.region) || isQuarantined(state)) {
+    if (!state.responseStarted && !canEndInTime(state)) {
+        attempt.withheld = "the instance is shutting down";
+    } else if (!maySend(state, attempt.isToPeer() ? attempt.region : m_context.settings.region) || isQuarantined(state)) {
         attempt.withheld = state.lastFailure;
     } else if (!attempt.isToPeer()) {
         attempt.withheld = reasonToWithhold(attempt.upstream, attempt.knownRun);
@@ -1135,6 +1156,7 @@
     }
     options.maySend = [this, &state, attempt = attempt.get()] { return maySendNow(state, *attempt); };
     options.onConnected = [this, &state, attempt = attempt.get()](bool isNewConnection) {
+        recordLateSend(state, *attempt);
         attempt->connectedAt = m_context.now();
         attempt->isOnNewConnection = isNewConnection;
         if (!attempt->isToPeer()) { // a peer reports its own counts
@@ -1614,7 +1636,7 @@
     if (status >= 200 && status < 300) {
         attempt.outcome = routing::SendOutcome::Completed;
         attempt.delivered = true;
-        m_durations.record(state.route->id, m_context.now() - attempt.sentAt);
+        m_durations.record(state.route->id, m_context.now() - attempt.sentAt, state.head.expectedOutputTokens);
         if (!attempt.isToPeer()) {
             m_quarantine.recordFirstEvent(state.head.prompt);
         }
@@ -1757,7 +1779,7 @@
         if (complete) {
             attempt.outcome = routing::SendOutcome::Completed;
             attempt.delivered = true;
-            m_durations.record(state.route->id, m_context.now() - attempt.sentAt);
+            m_durations.record(state.route->id, m_context.now() - attempt.sentAt, state.head.expectedOutputTokens);
             co_await state.exchange.endResponse();
             state.lastUpstream = attempt.upstream;
             logCompletion(state, status, attempt.isToPeer() ? "streamed_by_peer" : "streamed");
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -33,7 +33,8 @@
 //
 // Q: What happens to requests while the instance shuts down?
 // A: One that is not expected to end in time is refused as not executed, whether it is new, has an unfinished body or waits for a
-//    placement. At the end, one that was sent gets status 504 and a stream that has begun is cut, so that it does not look complete.
+//    placement; late in the grace period, one that is not sure to end in time (shutdownadmission.h). At the end, one that was sent gets status 504 and a stream
+//    that has begun is cut, so that it does not look complete.
 //
 // Q: The configuration changes during a request. By which one does it go?
 // A: What has been sent to an upstream may end. Each further send goes by the newest configuration known here: it is applied after the
@@ -63,6 +64,7 @@
 #include "arbutus/edge/durationhistory.h"
 #include "arbutus/edge/placementservice.h"
 #include "arbutus/edge/quarantineservice.h"
+#include "arbutus/edge/shutdownadmission.h"
 #include "arbutus/edge/streamdirectory.h"
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
@@ -107,13 +109,6 @@
     std::chrono::milliseconds abandonmentMargin{150};    // the first event is due this long before that time
 };
 
-/// Times of a planned stop.
-struct ShutdownTimes
-{
-    core::TimePoint answersBy;    // requests without a response get one
-    core::TimePoint streamsUntil; // streams that have begun are cut
-};
-
 class Forwarder
 {
 public:
@@ -176,15 +171,17 @@
     void noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers);
 
     //--- Shutdown
-    /// Time that the request is expected to take from now on, up to its deadline.
+    /// Time that the request is expected to take from now on.
     [[nodiscard]] core::Duration expectedDuration(const RequestState &state) const;
-    /// Whether the request is expected to end in time; always true if the instance does not shut down.
+    /// Whether the request may still be sent, see mayBegin(); always true if the instance does not shut down.
     [[nodiscard]] bool canEndInTime(const RequestState &state) const;
     /// `time`, or the time at which the shutdown ends the request.
     [[nodiscard]] core::TimePoint limitByShutdown(const RequestState &state, core::TimePoint time) const;
     boost::asio::awaitable<void> refuseForShutdown(RequestState &state, std::string_view stage);
     /// Logs and counts a request that the shutdown refuses or ends.
     void recordShutdown(RequestState &state, std::string_view stage);
+    /// Logs and counts an attempt that is sent during the shutdown.
+    void recordLateSend(const RequestState &state, const Attempt &attempt);
 
     //--- Placement
     boost::asio::awaitable<void> placeAndSend(RequestState &state);
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -31,10 +31,8 @@
 constexpr auto ShutdownPollPeriod = milliseconds(50);
 constexpr auto LeavePropagationDelay = milliseconds(300); // after which the directories of other instances no longer list this one
 
-// Ends of the stages of a planned stop, in parts of the grace period.
-constexpr double AnswerShare = 14.0 / 16;   // requests without a response have got one
-constexpr double StreamShare = 14.5 / 16;   // streams are cut
-constexpr double ShutdownShare = 15.0 / 16; // the process exits, also with connections that are still being closed
+// Part of the grace period after which the process exits, also with connections that are still being closed.
+constexpr double ShutdownShare = 15.0 / 16;
 
 constexpr auto MinSuspension = milliseconds(200); // smaller differences between the clocks are ignored
 
@@ -356,9 +354,8 @@
         peerServer.closeAfterResponses();
         fleet.leave();
         metadataSync.deregister();
-        const auto endOf = [&](double share) { return startTime + std::chrono::duration_cast<core::Duration>(settings.shutdownGracePeriod * share); };
-        const core::TimePoint deadline = endOf(ShutdownShare);
-        const ShutdownTimes times{endOf(AnswerShare), endOf(StreamShare)};
+        const core::TimePoint deadline = startTime + std::chrono::duration_cast<core::Duration>(settings.shutdownGracePeriod * ShutdownShare);
+        const ShutdownTimes times = ShutdownTimes::of(startTime, settings.shutdownGracePeriod);
         forwarder.beginShutdown(times);
         co_await core::asyncSleep(LeavePropagationDelay);
         clientServer.stopAccepting(); // clients switch to other instances now instead of sending requests that cannot finish in time
