Evacuations: only an announcement that is newer than the removal ends the guard

What callers saw: after an evacuation, cold upstreams got up to 12 requests in a second where 5 are allowed, crashed, and took the streams that they ran with them.

Cause: all evacuations of a batch were applied before all of its announcements, and an announcement written before the removal counted as "announced as warm".

The upstream line now has the revision of its entry, and evacuation_removed that of the removal with the guarded upstreams.

Change: entries and removals keep their revisions; an upstream counts as cold while its entry is not newer than the removal, for 6 s at most. The first newer entry of an upstream counts as a change that others fetch.

The existing test of the guard gave all changes the revision 1; they now have those of their batches.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -640,6 +640,14 @@
         auto *row = out.add_upstreams();
         row->set_key(key);
         row->set_value(value);
+        const auto revision = snapshot.entryRevisions.find(key);
+        row->set_revision(revision == snapshot.entryRevisions.end() ? 0 : revision->second.value);
+    }
+    for (const auto &[domain, removal] : snapshot.removedEvacuations) {
+        fleet::RemovedEvacuation *row = out.add_removed();
+        row->set_domain(domain.text);
+        row->set_revision(removal.revision.value);
+        row->set_guard_left_us(toMicroseconds(removal.guardLeft));
     }
     for (const core::DomainId &domain : snapshot.evacuatedDomains) {
         out.add_evacuated(domain.text);
@@ -664,6 +672,13 @@
     out.catalogGeneration = metadata::StoreGeneration(in.catalog_generation());
     for (const auto &row : in.upstreams()) {
         out.upstreamEntries[row.key()] = row.value();
+        if (row.revision() != 0) {
+            out.entryRevisions[row.key()] = metadata::StoreRevision(row.revision());
+        }
+    }
+    for (const auto &row : in.removed()) {
+        out.removedEvacuations[core::DomainId(row.domain())] =
+            RemovedEvacuation{metadata::StoreRevision(row.revision()), fromMicroseconds(row.guard_left_us())};
     }
     for (const std::string &domain : in.evacuated()) {
         out.evacuatedDomains.insert(core::DomainId(domain));
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -13,6 +13,7 @@
 {
     const auto withoutProgress = [](routing::Announcement announcement) {
         announcement.sequence = 0;
+        announcement.writtenAt = routing::SnapshotRevision();
         announcement.coldRemaining = core::Duration::zero();
         announcement.shutdownIn = announcement.shutdownIn ? std::optional(core::Duration::zero()) : std::nullopt;
         return announcement;
@@ -201,13 +202,33 @@
     update.evacuationChanged = m_registry.setEvacuatedDomains(std::move(evacuated), now) || update.evacuationChanged;
 }
 
-void MetadataCache::applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update)
+std::map<core::DomainId, RemovedEvacuation> MetadataCache::removedSince(const std::set<core::DomainId> &evacuated, metadata::StoreRevision readAt) const
+{
+    std::map<core::DomainId, RemovedEvacuation> out;
+    for (const core::DomainId &domain : m_storedEvacuations) {
+        if (!evacuated.contains(domain)) {
+            out[domain] = RemovedEvacuation{readAt, m_registry.maxColdGuard()};
+        }
+    }
+    return out;
+}
+
+void MetadataCache::applyEvacuations(std::set<core::DomainId> evacuated,
+                                     const std::map<core::DomainId, RemovedEvacuation> &removed,
+                                     core::TimePoint now,
+                                     MetadataUpdate &update)
 {
     update.contentsChanged = update.contentsChanged || evacuated != m_storedEvacuations;
     m_storedEvacuations = std::move(evacuated);
     std::erase_if(m_keptEvacuations, [&](const auto &kept) { return m_storedEvacuations.contains(kept.first); });
     m_decidedEvacuations.insert(m_storedEvacuations.begin(), m_storedEvacuations.end());
     setEvacuatedDomains(now, update);
+    for (const auto &[domain, removal] : removed) {
+        const routing::SnapshotRevision revision(removal.revision.value);
+        if (!m_keptEvacuations.contains(domain) && m_registry.recordEvacuationEnd(domain, revision, removal.guardLeft, now)) {
+            update.removedEvacuations[domain] = removal.revision;
+        }
+    }
     if (update.positionBefore) {
         for (const auto &[domain, end] : m_keptEvacuations) {
             update.keptEvacuations.insert(domain);
@@ -222,6 +243,9 @@
     for (const auto &[key, value] : m_upstreamEntries) {
         auto announcement = m_adapter.parseAnnouncement(key, value);
         if (announcement) {
+            if (const auto revision = m_entryRevisions.find(key); revision != m_entryRevisions.end()) {
+                announcement.value().writtenAt = routing::SnapshotRevision(revision->second.value);
+            }
             m_invalidEntries.erase(key);
             stored[announcement.value().id] = announcement.value();
             announcements.push_back(std::move(announcement.value()));
@@ -235,9 +259,11 @@
     // What a restored store lacks may be missing for the same reason as after an outage.
     const bool mayReturn = recentStoreOutage || update.positionBefore.has_value();
     auto changes = m_registry.applySnapshot(routing::SnapshotRevision(m_storePosition.revision.value), announcements, mayReturn, now);
-    // Neither shows in the contents: a sequence alone revives an upstream, and a cold time may begin again before its end was written.
+    // None shows in the contents: a sequence alone revives an upstream or ends its guard, and a cold time may begin again before its end was
+    // written.
     update.contentsChanged = update.contentsChanged || std::any_of(changes.begin(), changes.end(), [](const routing::RegistryChange &change) {
-                                 return change.kind == routing::RegistryChange::Kind::Returned || change.kind == routing::RegistryChange::Kind::Cold;
+                                 return change.kind == routing::RegistryChange::Kind::Returned || change.kind == routing::RegistryChange::Kind::Cold
+                                     || change.kind == routing::RegistryChange::Kind::Announced;
                              });
     update.upstreamChanges.insert(update.upstreamChanges.end(), changes.begin(), changes.end());
 }
@@ -277,12 +303,16 @@
     }
     m_recentStoreOutage = recentStoreOutage;
     m_upstreamEntries.clear();
+    m_entryRevisions.clear();
     std::set<core::DomainId> evacuated;
+    metadata::StoreRevision lastRevision = position.revision; // pages are read one after the other
     std::string storedCatalogValue;
     const std::string prefix = m_adapter.storeKeyPrefixes().upstreamPrefix;
     for (const metadata::StoreItem &item : items) {
+        lastRevision = std::max(lastRevision, item.revision);
         if (item.key.starts_with(prefix)) {
             m_upstreamEntries[item.key] = item.value;
+            m_entryRevisions[item.key] = item.revision;
         } else if (m_adapter.isCatalogKey(item.key)) {
             storedCatalogValue = item.value;
             update.contentsChanged = update.contentsChanged || item.value != m_storedCatalogValue || item.revision > before.revision;
@@ -293,7 +323,8 @@
         }
     }
     m_storedCatalogValue = std::move(storedCatalogValue);
-    applyEvacuations(std::move(evacuated), readAt, update);
+    const auto removed = removedSince(evacuated, lastRevision);
+    applyEvacuations(std::move(evacuated), removed, readAt, update);
     applyUpstreams(recentStoreOutage, readAt, update);
     commitUpdate(update, position, readAt);
     return update;
@@ -320,14 +351,17 @@
     }
     m_recentStoreOutage = recentStoreOutage;
     std::set<core::DomainId> evacuated = m_storedEvacuations;
+    std::map<core::DomainId, RemovedEvacuation> removed; // also those that began within the same changes
     const std::string prefix = m_adapter.storeKeyPrefixes().upstreamPrefix;
     for (const metadata::StoreChange &change : changes) {
         if (change.item.key.starts_with(prefix)) {
             if (change.removed) {
                 update.contentsChanged = true; // also if the same batch has it again: others may have read between
                 m_upstreamEntries.erase(change.item.key);
+                m_entryRevisions.erase(change.item.key);
             } else {
                 m_upstreamEntries[change.item.key] = change.item.value;
+                m_entryRevisions[change.item.key] = change.item.revision;
             }
         } else if (m_adapter.isCatalogKey(change.item.key) && !change.removed) {
             update.contentsChanged = true; // also the same value: after a restore others may have an older one
@@ -339,12 +373,14 @@
                 evacuated.erase(domain);
                 m_keptEvacuations.erase(domain);
                 m_decidedEvacuations.insert(domain);
+                const bool isRevisionKnown = change.item.revision.value != 0;
+                removed[domain] = RemovedEvacuation{isRevisionKnown ? change.item.revision : position.revision, m_registry.maxColdGuard()};
             } else {
                 evacuated.insert(domain);
             }
         }
     }
-    applyEvacuations(std::move(evacuated), readAt, update);
+    applyEvacuations(std::move(evacuated), removed, readAt, update);
     applyUpstreams(recentStoreOutage, readAt, update);
     commitUpdate(update, position, readAt);
     return update;
@@ -369,8 +405,21 @@
     }
     m_recentStoreOutage = snapshot.recentStoreOutage;
     m_storedCatalogValue = m_catalogValue;
+    std::map<std::string, metadata::StoreRevision> entryRevisions = snapshot.entryRevisions;
+    for (const auto &[key, value] : snapshot.upstreamEntries) {
+        const auto known = m_upstreamEntries.find(key);
+        const auto knownRevision = m_entryRevisions.find(key);
+        if (known != m_upstreamEntries.end() && known->second == value && knownRevision != m_entryRevisions.end() && !update.positionBefore) {
+            entryRevisions.insert(*knownRevision); // unless the sender states one
+        }
+    }
     m_upstreamEntries = snapshot.upstreamEntries;
-    applyEvacuations(snapshot.evacuatedDomains, now, update);
+    m_entryRevisions = std::move(entryRevisions);
+    auto removed = removedSince(snapshot.evacuatedDomains, position->revision);
+    for (const auto &[domain, removal] : snapshot.removedEvacuations) {
+        removed.insert_or_assign(domain, removal);
+    }
+    applyEvacuations(snapshot.evacuatedDomains, removed, now, update);
     applyUpstreams(snapshot.recentStoreOutage, now, update);
     update.contentsChanged = update.contentsChanged || snapshot.lastChange.revision > m_lastChange.revision;
     commitUpdate(update, metadata::StorePosition{position->generation, snapshot.lastChange.revision}, now - snapshot.staleness);
@@ -443,7 +492,14 @@
     out.catalogVersion = knownCatalog().version;
     out.catalogGeneration = m_catalogGeneration;
     out.upstreamEntries = m_upstreamEntries;
+    out.entryRevisions = m_entryRevisions;
     out.evacuatedDomains = m_storedEvacuations;
+    for (const auto &[domain, ended] : m_registry.endedEvacuations()) {
+        const auto removedAt = ended.removedAt ? metadata::StoreRevision(ended.removedAt->value) : m_storePosition.revision;
+        if (now < ended.guardUntil) {
+            out.removedEvacuations[domain] = RemovedEvacuation{removedAt, ended.guardUntil - now};
+        }
+    }
     out.recentStoreOutage = m_recentStoreOutage;
     return out;
 }
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -24,6 +24,11 @@
 //    the store's position at the last change that matters for routing; peers compare it to decide whether to fetch a snapshot. It
 //    follows from the store's contents alone: a change counts even if this instance knew of it in another way.
 //
+// Q: Which upstreams may be cold after an evacuation, if several changes are read at once?
+// A: Those whose entry is older than the removal, by the revisions of both (routing::UpstreamRegistry). Where the removal itself has not been
+//    read, as in a full read or a snapshot of an older build, every entry of that read counts as older. The first newer entry of an upstream
+//    counts as a change that matters, so that others fetch it.
+//
 // Q: What if a peer states no generation?
 // A: It runs a build of before generations, or its store states none. It is taken to mean this cache's generation. Once the
 //    generation has changed, that may be wrong, and its snapshots and confirmations have no effect any more.
@@ -81,15 +86,16 @@
     bool evacuationChanged = false; // the set of evacuated failure domains changed
     bool contentsChanged = false;   // the store changed in a way that matters for routing, whether or not that was known here
     std::vector<routing::RegistryChange> upstreamChanges;
-    std::vector<std::string> parseErrors;                   // entries that could not be parsed, with the reason
-    bool isObsolete = false;                                // older than the cache, so it had no effect
-    bool isFullReadNeeded = false;                          // changes that do not continue the cached data, so they had no effect
-    std::optional<metadata::StorePosition> positionBefore;  // if this is the first update from a restored store
-    std::optional<catalog::CatalogVersion> replacedCatalog; // the version whose content was replaced by another one
-    std::optional<catalog::CatalogVersion> lowerCatalog;    // that the store has in place of the one that is kept; once for each
-    std::optional<catalog::CatalogVersion> endedCatalog;    // that no other instance states any more, without this one having got it
-    std::set<core::DomainId> keptEvacuations;               // that a restored store lacks
-    std::set<core::DomainId> endedEvacuations;              // that were kept and have not been written again in time
+    std::vector<std::string> parseErrors;                                 // entries that could not be parsed, with the reason
+    bool isObsolete = false;                                              // older than the cache, so it had no effect
+    bool isFullReadNeeded = false;                                        // changes that do not continue the cached data, so they had no effect
+    std::optional<metadata::StorePosition> positionBefore;                // if this is the first update from a restored store
+    std::optional<catalog::CatalogVersion> replacedCatalog;               // the version whose content was replaced by another one
+    std::optional<catalog::CatalogVersion> lowerCatalog;                  // that the store has in place of the one that is kept; once for each
+    std::optional<catalog::CatalogVersion> endedCatalog;                  // that no other instance states any more, without this one having got it
+    std::set<core::DomainId> keptEvacuations;                             // that a restored store lacks
+    std::set<core::DomainId> endedEvacuations;                            // that were kept and have not been written again in time
+    std::map<core::DomainId, metadata::StoreRevision> removedEvacuations; // with the revision of the removal, or a later one
 
     [[nodiscard]] bool hasChanges() const
     {
@@ -113,6 +119,15 @@
     std::map<core::DomainId, core::Duration> domains;
 };
 
+/// An evacuation that was removed while the sender of a snapshot, or a peer of it, watched.
+struct RemovedEvacuation
+{
+    metadata::StoreRevision revision; // of the removal
+    core::Duration guardLeft{};       // time for which its upstreams may still have to announce themselves
+
+    bool operator==(const RemovedEvacuation &) const = default;
+};
+
 /// Contents of a cache as sent to a peer; keys and values are those of the store.
 struct MetadataSnapshot
 {
@@ -123,7 +138,9 @@
     catalog::CatalogVersion catalogVersion; // of the sender; 0: it has none, or its build states none
     metadata::StoreGeneration catalogGeneration;
     std::map<std::string, std::string> upstreamEntries;
+    std::map<std::string, metadata::StoreRevision> entryRevisions; // of the upstream entries; a build that states none has none
     std::set<core::DomainId> evacuatedDomains;
+    std::map<core::DomainId, RemovedEvacuation> removedEvacuations;
     bool recentStoreOutage = false;
 };
 
@@ -226,7 +243,12 @@
     /// Prepares for an update at `position`; returns false if the update is older than the cache.
     bool beginUpdate(metadata::StorePosition position, core::TimePoint now, MetadataUpdate &update);
     void applyCatalog(const std::string &value, metadata::StoreGeneration generation, MetadataUpdate &update);
-    void applyEvacuations(std::set<core::DomainId> evacuated, core::TimePoint now, MetadataUpdate &update);
+    void applyEvacuations(std::set<core::DomainId> evacuated,
+                          const std::map<core::DomainId, RemovedEvacuation> &removed,
+                          core::TimePoint now,
+                          MetadataUpdate &update);
+    /// The stored evacuations that a read as of `readAt` lacks.
+    [[nodiscard]] std::map<core::DomainId, RemovedEvacuation> removedSince(const std::set<core::DomainId> &evacuated, metadata::StoreRevision readAt) const;
     void setEvacuatedDomains(core::TimePoint now, MetadataUpdate &update);
     void applyUpstreams(bool recentStoreOutage, core::TimePoint now, MetadataUpdate &update);
     void confirmAt(core::TimePoint at);
@@ -245,6 +267,7 @@
     core::TimePoint m_catalogStatedAt{};                                     // as of expireEntries()
     std::string m_storedCatalogValue;                                        // differs from m_catalogValue if it is older or invalid
     std::map<std::string, std::string> m_upstreamEntries;                    // values by key, as in the store
+    std::map<std::string, metadata::StoreRevision> m_entryRevisions;         // of those that are known
     std::map<core::UpstreamId, routing::Announcement> m_storedAnnouncements; // the valid ones
     std::map<std::string, std::string> m_invalidEntries;                     // rejected values by key, so that each is reported once
     std::set<core::DomainId> m_storedEvacuations;
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -330,12 +330,28 @@
                                .add("store_revision", cached.revision)
                                .add("source", source));
     }
+    for (const auto &[domain, removedAt] : update.removedEvacuations) {
+        std::string guarded;
+        for (const auto &[id, entry] : m_metadataCache.registry().entries()) {
+            if (entry.announcement.domain == domain && entry.isUsable() && now < entry.guardedUntil) {
+                guarded += (guarded.empty() ? "" : ",") + id.text + "@" + std::to_string(entry.announcement.writtenAt.value);
+            }
+        }
+        m_context.writeLog(observe::LogLine("evacuation_removed")
+                               .add("domain", domain)
+                               .add("removed_at", removedAt)
+                               .add("store_revision", cached.revision)
+                               .add("guarded", guarded)
+                               .add("source", source));
+    }
     for (const routing::RegistryChange &registryChange : update.upstreamChanges) {
         const routing::RegistryEntry *entry = m_metadataCache.registry().find(registryChange.id);
         m_context.writeLog(observe::LogLine("upstream")
                                .add("upstream", registryChange.id)
                                .add("software_version", entry == nullptr ? routing::SoftwareVersion() : entry->announcement.version)
                                .add("change", routing::toString(registryChange.kind))
+                               .add("written_at", entry == nullptr ? routing::SnapshotRevision() : entry->announcement.writtenAt)
+                               .add("cold_ms", entry == nullptr ? 0 : core::toMilliseconds(entry->announcement.coldRemaining))
                                .add("store_generation", cached.generation)
                                .add("store_revision", cached.revision)
                                .add("metadata_staleness_ms", core::toMilliseconds(m_metadataCache.staleness(now)))
--- a/src/arbutus/routing/upstreamregistry.cpp
+++ b/src/arbutus/routing/upstreamregistry.cpp
@@ -19,6 +19,8 @@
         return "gone";
     case RegistryChange::Kind::Returned:
         return "returned";
+    case RegistryChange::Kind::Announced:
+        return "announced";
     case RegistryChange::Kind::Cold:
         break;
     }
@@ -39,6 +41,10 @@
         entry.removedBeforeRestore = entry.removed;
         entry.hasRestoredEntry = false;
         entry.returnsAt.reset();
+        entry.announcement.writtenAt = SnapshotRevision();
+    }
+    for (auto &[domain, ended] : m_endedEvacuations) {
+        ended.removedAt.reset();
     }
 }
 
@@ -124,6 +130,11 @@
         listed.insert(announcement.id);
         applyAnnouncement(announcement, now, changes);
     }
+    for (auto &[domain, ended] : m_endedEvacuations) {
+        if (m_beginsHistory && !ended.removedAt) {
+            ended.removedAt = revision; // what the restored store has from the start is older than the removal
+        }
+    }
     m_beginsHistory = false;
     for (auto &[id, entry] : m_entries) {
         if (!listed.contains(id)) {
@@ -142,10 +153,35 @@
             changes.push_back({id, RegistryChange::Kind::Removed});
         }
     }
+    updateColdGuards(now, changes);
     m_version += changes.empty() ? 0 : 1;
     return changes;
 }
 
+bool UpstreamRegistry::recordEvacuationEnd(const core::DomainId &domain, SnapshotRevision removedAt, core::Duration left, core::TimePoint now)
+{
+    EndedEvacuation &ended = m_endedEvacuations[domain];
+    if (ended.removedAt && removedAt <= *ended.removedAt) {
+        return false;
+    }
+    ended = EndedEvacuation{removedAt, now + std::min(left, m_settings.maxColdGuard)};
+    return true;
+}
+
+void UpstreamRegistry::updateColdGuards(core::TimePoint now, std::vector<RegistryChange> &changes)
+{
+    for (auto &[id, entry] : m_entries) {
+        const auto found = m_endedEvacuations.find(entry.announcement.domain);
+        const bool isGuarded = found != m_endedEvacuations.end() && (!found->second.removedAt || entry.announcement.writtenAt <= *found->second.removedAt);
+        const core::TimePoint guardedUntil = isGuarded ? found->second.guardUntil : core::TimePoint{};
+        if (now < entry.guardedUntil && !isGuarded) {
+            changes.push_back({id, RegistryChange::Kind::Announced});
+        }
+        m_version += guardedUntil == entry.guardedUntil ? 0 : 1;
+        entry.guardedUntil = guardedUntil;
+    }
+}
+
 std::vector<RegistryChange> UpstreamRegistry::markLeaving(const core::UpstreamId &id, core::TimePoint now)
 {
     std::vector<RegistryChange> changes;
@@ -164,12 +200,14 @@
     if (domains == m_evacuatedDomains) {
         return false;
     }
-    for (auto &[id, entry] : m_entries) {
-        if (m_evacuatedDomains.contains(entry.announcement.domain) && !domains.contains(entry.announcement.domain)) {
-            entry.coldUntil = std::max(entry.coldUntil, now + m_settings.coldAfterEvacuation); // until it announces that it is warm
+    for (const core::DomainId &domain : m_evacuatedDomains) {
+        if (!domains.contains(domain)) {
+            (void)recordEvacuationEnd(domain, m_revision, m_settings.maxColdGuard, now);
         }
     }
     m_evacuatedDomains = std::move(domains);
+    std::vector<RegistryChange> changes;
+    updateColdGuards(now, changes); // lifts nothing
     ++m_version;
     return true;
 }
@@ -201,6 +239,7 @@
         }
         return isOver;
     });
+    std::erase_if(m_endedEvacuations, [&](const auto &item) { return now >= item.second.guardUntil; });
     std::erase_if(m_leftRuns, [&](const auto &item) { return now - item.second.erasedAt > m_settings.leftRetention; });
     m_version += changes.empty() && erased == 0 ? 0 : 1;
     return changes;
--- a/src/arbutus/routing/upstreamregistry.h
+++ b/src/arbutus/routing/upstreamregistry.h
@@ -13,6 +13,10 @@
 //     as older until it is written again, or has stayed for `restoredEntryGracePeriod`;
 //   - an upstream that has not yet announced that it is warm counts as cold.
 //
+// Q: Which announcement tells whether an upstream is cold after an evacuation?
+// A: One that was written after the removal of the evacuation, by the revisions of the store: an earlier one knows nothing of it, whenever it
+//    is read. Until then the upstream counts as cold, for `maxColdGuard` at most. An announcement without a known revision tells nothing.
+//
 // Sections:
 //   Announcement
 //   UpstreamRegistry   all upstreams by id
@@ -52,6 +56,7 @@
     std::optional<core::Duration> shutdownIn; // time until it exits, even with requests in flight
     StartTime startTime;
     std::uint64_t sequence = 0; // increases with each announcement of one run
+    SnapshotRevision writtenAt; // revision of the store at which it was written; 0: not known
 
     bool operator==(const Announcement &) const = default;
 };
@@ -63,11 +68,10 @@
 struct UpstreamRegistrySettings
 {
     core::Duration missingGracePeriod = std::chrono::milliseconds(2'000); // for entries that expired while the store was unreachable to reappear
-    core::Duration coldAfterEvacuation =
-        std::chrono::milliseconds(1'500); // after an evacuation an upstream counts as cold for this long unless it announces otherwise
-    core::Duration restoredEntryGracePeriod = std::chrono::seconds(10); // longer than the store keeps the entry of an upstream that is gone
-    core::Duration removedRetention = std::chrono::seconds(30);         // removed upstreams are kept this long, so that late messages do not revive them
-    core::Duration leftRetention = std::chrono::minutes(10);            // erased runs that left are remembered this long
+    core::Duration maxColdGuard = std::chrono::seconds(6);                // after an evacuation; several intervals of announcements and a slow store
+    core::Duration restoredEntryGracePeriod = std::chrono::seconds(10);   // longer than the store keeps the entry of an upstream that is gone
+    core::Duration removedRetention = std::chrono::seconds(30);           // removed upstreams are kept this long, so that late messages do not revive them
+    core::Duration leftRetention = std::chrono::minutes(10);              // erased runs that left are remembered this long
 };
 
 /// Current state of one upstream.
@@ -76,6 +80,7 @@
     Announcement announcement;
     core::TimePoint updatedAt{};
     core::TimePoint coldUntil{};
+    core::TimePoint guardedUntil{}; // after an evacuation, unless it announces itself again
     bool leaving = false;
     bool removed = false;
     std::optional<core::TimePoint> missingSince;       // missing from the store since it recovered
@@ -90,15 +95,23 @@
     }
     [[nodiscard]] bool isCold(core::TimePoint now) const
     {
-        return now < coldUntil;
+        return now < coldUntil || now < guardedUntil;
     }
 };
 
+/// An evacuation that was removed; upstreams of its domain may have become cold before.
+struct EndedEvacuation
+{
+    std::optional<SnapshotRevision> removedAt; // nothing: after all announcements that are known, by another history of the store
+    core::TimePoint guardUntil{};
+};
+
 /// A change of the registry, for the log and for components that keep state per upstream.
 struct RegistryChange
 {
     core::UpstreamId id;
-    enum class Kind { Added, Restarted, Leaving, Missing, Removed, Returned, Cold } kind = Kind::Added;
+    /// Announced: for the first time since the evacuation of its domain was removed.
+    enum class Kind { Added, Restarted, Leaving, Missing, Removed, Returned, Cold, Announced } kind = Kind::Added;
 };
 
 [[nodiscard]] std::string_view toString(RegistryChange::Kind kind);
@@ -118,6 +131,9 @@
     std::vector<RegistryChange> markLeaving(const core::UpstreamId &id, core::TimePoint now);
     /// Sets the failure domains whose upstreams must not get requests; returns whether they changed.
     bool setEvacuatedDomains(std::set<core::DomainId> domains, core::TimePoint now);
+    /// Records at which revision an evacuation was removed; `left` is the time for which its upstreams may still be guarded. The next
+    /// applySnapshot() applies it. Returns false if that removal, or a later one, is known.
+    bool recordEvacuationEnd(const core::DomainId &domain, SnapshotRevision removedAt, core::Duration left, core::TimePoint now);
     /// Removes entries missing for longer than the grace period, and drops removed ones after their retention time.
     std::vector<RegistryChange> expireEntries(core::TimePoint now);
 
@@ -134,6 +150,15 @@
     {
         return m_evacuatedDomains;
     }
+    /// Evacuations that have ended, while their upstreams may be guarded.
+    [[nodiscard]] const std::map<core::DomainId, EndedEvacuation> &endedEvacuations() const
+    {
+        return m_endedEvacuations;
+    }
+    [[nodiscard]] core::Duration maxColdGuard() const
+    {
+        return m_settings.maxColdGuard;
+    }
     /// Whether the run of an upstream that began at `startTime` is over: the upstream is unknown, removed or was restarted.
     [[nodiscard]] bool hasRunEnded(const core::UpstreamId &id, StartTime startTime) const;
     /// Whether new requests may be sent to the upstream.
@@ -160,6 +185,7 @@
 
     [[nodiscard]] static bool isFromRestoredCopy(const RegistryEntry &entry, const Announcement &announcement);
     void applyAnnouncement(const Announcement &announcement, core::TimePoint now, std::vector<RegistryChange> &changes);
+    void updateColdGuards(core::TimePoint now, std::vector<RegistryChange> &changes);
     /// Whether the run, whose entry has been erased, was leaving.
     [[nodiscard]] bool hasLeft(const core::UpstreamId &id, StartTime startTime) const;
 
@@ -167,6 +193,7 @@
     std::map<core::UpstreamId, RegistryEntry> m_entries;
     std::map<core::UpstreamId, LeftRun> m_leftRuns; // of erased entries
     std::set<core::DomainId> m_evacuatedDomains;
+    std::map<core::DomainId, EndedEvacuation> m_endedEvacuations;
     SnapshotRevision m_revision;
     std::uint64_t m_version = 0;
     bool m_beginsHistory = false; // the next snapshot is the first one of a restored store
--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -484,6 +484,19 @@
     CHECK(received->catalogVersion == sent.catalogVersion);
 }
 
+TEST_CASE("a snapshot does not state how old its entries and the ends of evacuations are", "[codec]")
+{
+    edge::MetadataSnapshot sent = sampleSnapshot();
+    sent.entryRevisions[sent.upstreamEntries.begin()->first] = metadata::StoreRevision(40);
+    sent.removedEvacuations[core::DomainId("y")] = edge::RemovedEvacuation{metadata::StoreRevision(41), 1'500ms};
+    const auto received = edge::decodeMetadataSnapshot(edge::encode(sent));
+    REQUIRE(received);
+    CHECK(received->entryRevisions == sent.entryRevisions);
+    CHECK(received->removedEvacuations == sent.removedEvacuations);
+    CHECK(received->upstreamEntries == sent.upstreamEntries); // what an older build reads
+    CHECK(received->evacuatedDomains == sent.evacuatedDomains);
+}
+
 TEST_CASE("no field of an older build has another type or number, or is used again", "[codec]")
 {
     const std::map<std::string, ProtoFields> protos = {{"fleet.proto", readProto(ARBUTUS_PROTO_DIR "/fleet.proto")},
--- a/tests/metadatacachetest.cpp
+++ b/tests/metadatacachetest.cpp
@@ -49,9 +49,9 @@
     return metadata::StorePosition{{}, metadata::StoreRevision(revision)};
 }
 
-metadata::StoreChange change(const std::string &key, const std::string &value, bool removed = false)
+metadata::StoreChange change(const std::string &key, const std::string &value, bool removed = false, std::uint64_t revision = 1)
 {
-    return metadata::StoreChange{item(key, value), removed};
+    return metadata::StoreChange{item(key, value, revision), removed};
 }
 
 const core::UpstreamId A("i-a");
@@ -340,13 +340,102 @@
     Fixture fixture;
     fixture.applyRange({item("servers/i-a", entry()), item("op/evacuate/z", "{}")}, 5);
     CHECK_FALSE(isEligible(fixture.cache));
-    fixture.applyChanges({change("op/evacuate/z", "", true)}, 6, false, Start + 5s);
+    fixture.applyChanges({change("op/evacuate/z", "", true, 6)}, 6, false, Start + 5s);
     CHECK(isEligible(fixture.cache));
     CHECK(fixture.cache.registry().find(A)->isCold(Start + 5s + 100ms));
-    fixture.applyChanges({change("servers/i-a", entry("ready", 2))}, 7, false, Start + 5s + 200ms);
+    fixture.applyChanges({change("servers/i-a", entry("ready", 2), false, 7)}, 7, false, Start + 5s + 200ms);
     CHECK_FALSE(fixture.cache.registry().find(A)->isCold(Start + 5s + 300ms));
 }
 
+// FAILBACK: an announcement from before the removal of an evacuation, read in the same batch or snapshot, made its upstream count as warm.
+TEST_CASE("an announcement that is older than the end of an evacuation lifts the guard of its upstream", "[metadata]")
+{
+    enum class Path { Changes, Snapshot, SnapshotOfOlderBuild, Range };
+    struct Row
+    {
+        std::string title;
+        std::vector<metadata::StoreChange> changes;
+        std::set<Path> coldBy;
+    };
+    const std::set<Path> all{Path::Changes, Path::Snapshot, Path::SnapshotOfOlderBuild, Path::Range};
+    const std::string key = "op/evacuate/z";
+    const auto announced = [](std::uint64_t revision) { return change("servers/i-a", entry("ready", revision), false, revision); };
+    const auto row = GENERATE_COPY(values<Row>({
+        {"announced before the removal", {change(key, "{}", false, 6), announced(7), change(key, "", true, 8)}, all},
+        {"announced after the removal",
+         {change(key, "{}", false, 6), change(key, "", true, 7), announced(8)},
+         {Path::SnapshotOfOlderBuild, Path::Range}}, // the revision of the removal is not known there
+        {"restarted before the removal",
+         {change(key, "{}", false, 6), change("servers/i-a", "", true, 7), change("servers/i-a", entry("ready", 1, 20), false, 8), change(key, "", true, 9)},
+         all},
+        {"removal without a revision", {change(key, "{}", false, 6), announced(7), change(key, "", true, 0)}, all},
+        {"announcement without a revision", {change(key, "{}", false, 6), change(key, "", true, 7), change("servers/i-a", entry("ready", 8), false, 0)}, all},
+    }));
+    const auto path = GENERATE(Path::Changes, Path::Snapshot, Path::SnapshotOfOlderBuild, Path::Range);
+    const bool isKnownBefore = GENERATE(false, true); // the evacuation, and not only within the same batch
+    CAPTURE(row.title, path, isKnownBefore);
+    const std::vector<metadata::StoreItem> before{item("op/config", config(1)), item("servers/i-a", entry("ready", 1), 3)};
+    Fixture source;
+    source.applyRange(before, 5);
+    Fixture receiver;
+    receiver.applyRange(before, 5);
+    std::vector<metadata::StoreChange> changes = row.changes;
+    if (isKnownBefore) {
+        source.applyChanges({changes.front()}, 6);
+        receiver.applyChanges({changes.front()}, 6);
+        changes.erase(changes.begin());
+    }
+    source.applyChanges(changes, 10, false, Start + 5s);
+    edge::MetadataCache *cache = &source.cache;
+    if (path != Path::Changes) {
+        cache = &receiver.cache;
+        edge::MetadataSnapshot snapshot = *edge::decodeMetadataSnapshot(edge::encode(source.cache.snapshot({}, Start + 5s)));
+        if (path == Path::SnapshotOfOlderBuild) {
+            snapshot.entryRevisions.clear();
+            snapshot.removedEvacuations.clear();
+        }
+        if (path == Path::Range) {
+            std::vector<metadata::StoreItem> items{before.front()};
+            for (const auto &[entryKey, value] : snapshot.upstreamEntries) {
+                items.push_back(metadata::StoreItem{entryKey, value, metadata::StoreRevision(snapshot.entryRevisions.contains(entryKey) ? 8 : 0)});
+            }
+            receiver.applyRange(items, 10, false, Start + 5s);
+        } else {
+            receiver.cache.applySnapshot(snapshot, Start + 5s);
+        }
+    }
+    const bool isUnseen = !isKnownBefore && (path == Path::SnapshotOfOlderBuild || path == Path::Range); // nothing tells of the evacuation
+    const auto isCold = [&](core::Duration after) { return cache->registry().find(A)->isCold(Start + 5s + after); };
+    CHECK(isEligible(*cache));
+    CHECK(isCold(100ms) == (!isUnseen && row.coldBy.contains(path)));
+    CHECK(isCold(3s) == isCold(100ms)); // longer than an interval of announcements and a slow read of the store
+    CHECK_FALSE(isCold(6s));
+    const bool wasCold = isCold(3s);
+    Fixture &reader = path == Path::Changes ? source : receiver;
+    const std::uint64_t run = row.title == "restarted before the removal" ? 20 : 10;
+    const auto update = reader.applyChanges({change("servers/i-a", entry("ready", 11, run), false, 11)}, 11, false, Start + 8s);
+    CHECK_FALSE(isCold(3s));
+    CHECK(update.contentsChanged == wasCold); // instances that don't read the store learn of it
+}
+
+// FAILBACK: revisions begin again in a restored store, so one of the new history may be lower than that of the removal, or higher by chance.
+TEST_CASE("an entry of a restored store lifts the guard after an evacuation by a revision of another history", "[metadata][restore]")
+{
+    const auto restoredRevision = GENERATE(as<std::uint64_t>{}, 3, 30);
+    CAPTURE(restoredRevision);
+    const auto at = [](std::uint64_t generation, std::uint64_t revision) {
+        return metadata::StorePosition{metadata::StoreGeneration(generation), metadata::StoreRevision(revision)};
+    };
+    Fixture fixture;
+    fixture.cache.applyRange({item("servers/i-a", entry("ready", 5), 4), item("op/evacuate/z", "{}", 5)}, at(1, 5), false, Start);
+    fixture.cache.applyChanges({change("op/evacuate/z", "", true, 6)}, at(1, 5), at(1, 6), false, Start);
+    fixture.cache.applyRange({item("servers/i-a", entry("ready", 4), restoredRevision)}, at(2, restoredRevision), false, Start + 1s);
+    CHECK(fixture.cache.registry().find(A)->isCold(Start + 2s));
+    fixture.cache.applyChanges(
+        {change("servers/i-a", entry("ready", 6), false, restoredRevision + 1)}, at(2, restoredRevision), at(2, restoredRevision + 1), false, Start + 2s);
+    CHECK_FALSE(fixture.cache.registry().find(A)->isCold(Start + 2s));
+}
+
 TEST_CASE("an upstream is cold for the time that it announces", "[metadata]")
 {
     Fixture fixture;
