Hops: room for what any configuration allows; a refusal without an outcome is no answer

What callers saw: a proper request with a head near max_header_bytes got 400 when it had to go to another region, and clients do not retry after 400.

Cause: the listener for other instances kept its default limits (16 KiB, 4 MiB), and a forwarded request has up to 12 further headers. Its refusal states no outcome, and the origin took it for an upstream's response.

New: request_rejected, arbutus_rejected_requests_total{listener}, and the status in peer_attempt_finished; before, neither instance wrote a line.

Change: edge/hoplimits has one sum of what any acceptable configuration allows and what instances add on two hops, for requests and for response heads on the way back. Without an outcome, status 400 is a failed hop that has executed nothing (only a listener sends it, before a request is handled), any other status from 400 on one with an unknown outcome.

Why it works: a hop is never stricter than the front, whichever configurations the two have; and beside an older build the request goes elsewhere, or gets 503. With the limits and the rule taken out, the three new cases of routegatewaytest [hop] fail.

--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -121,6 +121,10 @@
 /// Size limits and timeouts for client requests.
 struct ClientLimits
 {
+    // Largest values that a configuration may have.
+    static constexpr std::size_t MaxHeaderBytes = std::size_t(1) << 30U; // Beast counts header bytes in 32 bits
+    static constexpr std::size_t MaxBodyBytes = std::size_t(1) << 40U;
+
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::chrono::milliseconds headerTimeout{15'000};
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -14,6 +14,7 @@
 #include "arbutus/edge/forwarder.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/core/scopedelement.h"
+#include "arbutus/edge/hoplimits.h"
 #include "arbutus/edge/sserelay.h"
 #include "arbutus/http/truncation.h"
 
@@ -1138,6 +1139,7 @@
     http::CallOptions options;
     options.pool = &m_peerConnections;
     options.retryOnStaleConnection = false;
+    options.maxHeadBytes = maxPeerResponseHeadBytes();
     options.maxIdleTime = m_settings.peerMaxIdleTime;
     options.connectTimeout = m_settings.peerConnectTimeout;
     startAttempt(state, attempt, std::move(options));
@@ -1316,6 +1318,7 @@
         line.add("peer", attempt.peer)
             .add("region", attempt.region)
             .add("upstream", attempt.upstream)
+            .add("status", attempt.head && *attempt.head ? attempt.head->value().status : 0)
             .add("outcome", attempt.peerOutcome)
             .add("reason", attempt.failure);
     } else {
@@ -1502,6 +1505,13 @@
     const http::Headers &headers = attempt.head->value().headers;
     attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
     noteCatalogVersion(attempt.peer, headers);
+    const unsigned status = attempt.head->value().status;
+    if (attempt.peerOutcome.empty() && isRejectedByListener(status)) { // not an upstream's response
+        state.settleGrant(attempt, 0);
+        exclude(state, attempt);
+        attempt.failure = "rejected by the listener of peer " + attempt.peer.text;
+        co_return SendResult::NotExecuted;
+    }
     const auto countSince = [&](const char *header, std::size_t before, std::size_t ifNotStated) {
         if (!headers.contains(header)) {
             return ifNotStated;
@@ -1529,6 +1539,11 @@
         attempt.failure = "outcome unknown at peer " + attempt.peer.text;
         co_return failedSendResult(state);
     }
+    if (attempt.peerOutcome.empty() && status >= 400) {
+        exclude(state, attempt);
+        attempt.failure = "peer " + attempt.peer.text + " states no outcome with status " + std::to_string(status);
+        co_return failedSendResult(state);
+    }
     co_return co_await handleResponse(state, attempt);
 }
 
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -5,6 +5,7 @@
 #include "arbutus/edge/background.h"
 #include "arbutus/edge/directory.h"
 #include "arbutus/edge/forwarder.h"
+#include "arbutus/edge/hoplimits.h"
 #include "arbutus/edge/metadatasync.h"
 #include "arbutus/edge/quarantineservice.h"
 #include "arbutus/edge/streamdirectory.h"
@@ -86,7 +87,7 @@
         , clientServer(
               context.executor, settings.clientEndpoint, {}, [this](http::Exchange &exchange) { return forwarder.handleRequest(exchange); }, nullptr)
         , peerServer(
-              context.executor, settings.peersEndpoint, {}, [this](http::Exchange &exchange) { return servePeers(exchange); }, nullptr)
+              context.executor, settings.peersEndpoint, peerServerLimits(), [this](http::Exchange &exchange) { return servePeers(exchange); }, nullptr)
         , directoryServer(
               context.executor, settings.directoryEndpoint, {}, [this](http::Exchange &exchange) { return serveDirectory(exchange); }, nullptr)
         , readinessServer(
@@ -97,6 +98,8 @@
     {
         clientServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("clients", unanswered); });
         peerServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("peers", unanswered); });
+        clientServer.setRejectedCallback([this](std::string_view reason) { recordRejected("clients", reason); });
+        peerServer.setRejectedCallback([this](std::string_view reason) { recordRejected("peers", reason); });
     }
 
     asio::io_context &ioContext;
@@ -146,6 +149,12 @@
                              .add("configuration", metadataCache.catalog() ? metadataCache.catalog()->version().value : 0));
     }
 
+    void recordRejected(std::string_view listener, std::string_view reason)
+    {
+        metrics.incrementCounter("arbutus_rejected_requests_total", "listener=\"" + std::string(listener) + "\"");
+        context.writeLog(observe::LogLine("request_rejected").add("listener", listener).add("reason", reason));
+    }
+
     asio::awaitable<void> servePeers(http::Exchange &exchange)
     {
         if (Forwarder::isForwardedRequest(exchange.request())) {
--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -33,7 +33,6 @@
 
 constexpr std::size_t MaxChunkBytes = 16 * 1024;                       // largest body chunk returned by one read
 constexpr std::size_t MaxIdlePerEndpoint = 16;                         // idle connections kept per endpoint
-constexpr std::uint32_t MaxResponseHeadBytes = 32 * 1024;              // limit for the status line and headers
 constexpr std::size_t MaxBufferedBytes = 128 * 1024;                   // received and not yet parsed; also bounds chunk extensions and trailers
 constexpr int MaxMismatchedResponses = 3;                              // responses to other requests discarded before the call fails
 constexpr int MaxInterimResponses = 8;                                 // before a final one
@@ -207,7 +206,7 @@
     {
         for (int interim = 0; interim <= MaxInterimResponses; ++interim) {
             parser.emplace();
-            parser->header_limit(MaxResponseHeadBytes);
+            parser->header_limit(options.maxHeadBytes);
             parser->body_limit(options.maxBodyBytes);
             if (message.method() == wire::verb::head) {
                 parser->skip(true);
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -89,9 +89,12 @@
 /// How a call uses connections.
 struct CallOptions
 {
+    static constexpr std::uint32_t DefaultMaxHeadBytes = 32 * 1024;
+
     ConnectionPool *pool = nullptr;                                   // idle connections to reuse; null: a new connection for each call
     bool retryOnStaleConnection = true;                               // resend the request once if a reused connection fails
     bool acceptConnectionClose = false;                               // accept a body that ends with its connection, without length or chunks
+    std::uint32_t maxHeadBytes = DefaultMaxHeadBytes;                 // a longer status line with headers is an error
     std::uint64_t maxBodyBytes = 64 * 1024 * 1024;                    // a longer response body is an error
     std::chrono::milliseconds maxIdleTime{4'000};                     // pooled connections idle for longer are closed
     std::chrono::milliseconds connectTimeout{1'000};                  // limit for opening a new connection
--- a/src/arbutus/http/server.cpp
+++ b/src/arbutus/http/server.cpp
@@ -139,6 +139,7 @@
     std::atomic<bool> sendConnectionClose{false}; // add `Connection: close` to responses
     std::set<std::shared_ptr<ReadTimer>> idle;    // waits for the first byte of a request; accessed only on the executor
     std::function<void(const UnansweredRequest &)> onUnanswered;
+    std::function<void(std::string_view)> onRejected;
 };
 
 namespace {
@@ -500,8 +501,11 @@
 }
 
 template<class Stream>
-asio::awaitable<void> rejectRequest(Stream &stream, std::string reason)
+asio::awaitable<void> rejectRequest(Stream &stream, std::string reason, const Server::State &state)
 {
+    if (state.onRejected) {
+        state.onRejected(reason);
+    }
     const Response response = errorResponse(core::makeError(core::ErrorKind::BadRequest, std::move(reason)));
     wire::response<wire::string_body> message(static_cast<wire::status>(response.status), 11);
     copyHeaders(response.headers, message);
@@ -514,13 +518,14 @@
 
 /// Responds to a request whose headers could not be parsed; does nothing if the connection has failed or timed out.
 template<class Stream>
-asio::awaitable<void> rejectHeaders(Stream &stream, const ErrorCode &code)
+asio::awaitable<void> rejectHeaders(Stream &stream, const ErrorCode &code, const Server::State &state)
 {
     if (code == wire::error::end_of_stream || code == beast::error::timeout || code == asio::error::connection_reset || code == asio::error::eof
         || code == asio::error::operation_aborted) {
         co_return;
     }
-    co_await rejectRequest(stream, "malformed request: " + code.message());
+    std::string reason = "malformed request: " + code.message();
+    co_await rejectRequest(stream, std::move(reason), state);
 }
 
 /// Reads and discards what the client still sends: closing with unread data resets the connection, which can destroy a
@@ -648,14 +653,14 @@
         }
         if (code) {
             beast::get_lowest_layer(stream).expires_after(limits.writeTimeout);
-            co_await rejectHeaders(stream, code);
+            co_await rejectHeaders(stream, code, *state);
             co_return ConnectionEnd::WithRequest;
         }
         const std::string_view ambiguity = findAmbiguity(parser.get());
         if (!ambiguity.empty()) {
             std::string reason(ambiguity);
             beast::get_lowest_layer(stream).expires_after(limits.writeTimeout);
-            co_await rejectRequest(stream, std::move(reason));
+            co_await rejectRequest(stream, std::move(reason), *state);
             co_return ConnectionEnd::WithRequest;
         }
         const ScopedCount activeCount(state->exchanges);
@@ -791,6 +796,11 @@
     m_state->onUnanswered = std::move(onUnanswered);
 }
 
+void Server::setRejectedCallback(std::function<void(std::string_view)> onRejected)
+{
+    m_state->onRejected = std::move(onRejected);
+}
+
 void Server::setLimits(const ServerLimits &limits)
 {
     m_state->limits = limits;
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -140,6 +140,8 @@
     void closeIdleConnections();
     /// Sets the function that is called for each request that reached the handler and has no complete response.
     void setUnansweredCallback(std::function<void(const UnansweredRequest &)> onUnanswered);
+    /// Sets the function that is called for each request that the server rejects itself, with the reason.
+    void setRejectedCallback(std::function<void(std::string_view reason)> onRejected);
     /// Sets the limits for requests that start from now on. An idle connection that waits keeps the longer idle timeout, since
     /// its client may rely on either. Call this on the executor.
     void setLimits(const ServerLimits &limits);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -290,6 +290,8 @@
         std::string lastRefusal; // on this connection
         for (int requests = 0;; ++requests) {
             beast::http::request_parser<beast::http::string_body> parser;
+            parser.header_limit(1U << 20U);
+            parser.body_limit(1U << 24U);
             ErrorCode code;
             co_await beast::http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
             if (code) {
@@ -550,6 +552,16 @@
                     + std::to_string(std::stoul(executionsBefore.back()) + 1) + "\r\nContent-Length: 0\r\n\r\n";
             } else if (behavior == "peer-without-counts") {
                 out = "HTTP/1.1 502 Bad Gateway\r\nX-Gateway-Outcome: unknown\r\nContent-Length: 0\r\n\r\n";
+            } else if (behavior == "peer-listener-400") { // what the listener of an instance rejects before it handles it
+                out = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 7\r\n\r\nrefused";
+                keepOpen = false;
+            } else if (behavior.starts_with("long-head-")) { // of another instance, for example "long-head-30000"
+                const std::string filler(std::stoul(behavior.substr(behavior.rfind('-') + 1)), 'h');
+                out = responseHead("200 OK",
+                                   attempt,
+                                   "X-Filler: " + filler + "\r\nX-Gateway-Outcome: answered\r\nX-Gateway-Upstream: " + std::string(1'000, 'u')
+                                       + "\r\nContent-Length: 2\r\n")
+                    + "ok";
             } else if (behavior == "hang") {
                 char byte = 0;
                 ErrorCode code;
@@ -1261,6 +1273,72 @@
     CHECK(peerExecutions + fixture.executionCount() <= row.maxUpstreams);
 }
 
+namespace {
+
+/// Request between instances, with a head of about `headBytes`.
+http::Request forwardedRequest(std::size_t headBytes, std::size_t bodyBytes)
+{
+    http::Request request;
+    request.method = "POST";
+    request.target = "/once/x";
+    request.headers = {{"Host", "h.example"}, {"X-Attempt-Id", "attempt-1"}, {"X-Deadline-Ms", "3000"}, {"Cookie", std::string(headBytes, 'c')}};
+    request.headers["X-Gateway-Origin"] = "other";
+    request.headers["X-Gateway-Service"] = "s";
+    request.body = std::string(bodyBytes, 'b');
+    return request;
+}
+
+} // namespace
+
+// DENIED: the listener for other instances had the default limits, so a request near the client's limits got 400 or 413 on the way.
+TEST_CASE("a forwarded request that the origin's configuration allows is refused for its size", "[edge][hop]")
+{
+    const auto [headBytes, bodyBytes] = GENERATE(values<std::pair<std::size_t, std::size_t>>({
+        {16'300, 4},     // the client's limit, with the headers of the hop
+        {60'000, 4},     // of a configuration that this instance does not have
+        {100, 200'000},  // the same
+        {100, 5'000'000} // longer than the default limit
+    }));
+    CAPTURE(headBytes, bodyBytes);
+    Fixture fixture;
+    const http::Response response = fixture.call(fixture.settings.peersEndpoint, forwardedRequest(headBytes, bodyBytes));
+    CHECK(response.status == 200);
+    CHECK(http::headerValue(response.headers, "X-Gateway-Outcome") == "answered");
+    CHECK(fixture.executionCount() == 1);
+}
+
+// DENIED: a refusal by another instance's listener was passed on as an upstream's response, though nobody had got the request.
+TEST_CASE("a refusal without an outcome by another instance is taken for the response of an upstream", "[edge][hop]")
+{
+    struct Row
+    {
+        const char *behavior;
+        unsigned status;
+        std::size_t ownExecutions;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"peer-listener-400", 200, 1}, // not passed on: another upstream gets it
+        {"error", 502, 0},             // a failure while the other instance handled it
+        {"failure-503", 502, 0},
+    }));
+    CAPTURE(row.behavior);
+    PeerFixture fixture;
+    const http::Response response = fixture.sendRequest("once", std::string("p=") + row.behavior);
+    CHECK(response.status == row.status);
+    CHECK(fixture.executionCount() == row.ownExecutions);
+}
+
+// DENIED: the response head of an upstream near the limit did not fit any more with the headers that another instance adds.
+TEST_CASE("a response of another instance is refused for the headers of the hop", "[edge][hop]")
+{
+    const auto headBytes = GENERATE(30'000, 32'000); // the second one fits into 32 KiB, but not with the headers of the hop
+    CAPTURE(headBytes);
+    PeerFixture fixture;
+    const http::Response response = fixture.sendRequest("once", "p=long-head-" + std::to_string(headBytes));
+    CHECK(response.status == 200);
+    CHECK(http::headerValue(response.headers, "X-Filler").size() == static_cast<std::size_t>(headBytes));
+}
+
 TEST_CASE("executions that a peer reports or does not state count at the origin", "[edge]")
 {
     struct Row
