Home regions: no send of a route with homes while a newer configuration is known

An instance that heard of a newer configuration and could not fetch it kept back what would leave its region, but went on in its own region by the older homes.

Evidence: the new row "it does not arrive, and this region is the only home" fails with the change taken out: executed, status 200.

Why it works: the newer configuration may exclude any of the older homes. Whether the users saw this gap is not known.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -61,6 +61,8 @@
                                     AgeHeader,
                                     OutcomeHeader};
 
+constexpr const char *HomesUncertainReason = "another instance has a newer configuration, which may have other home regions";
+
 constexpr std::size_t MaxAgeAtOrigin = 3'600'000; // milliseconds; a longer one is cut; no client waits for that long
 
 /// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
@@ -410,13 +412,15 @@
         co_return false;
     }
     state.route = state.catalog->matchRoute(state.head.host, state.head.path);
-    if (state.route == nullptr && m_metadataCache.isCatalogBehind()) {
+    if (m_metadataCache.isCatalogBehind() && (state.route == nullptr || areHomesUncertain(state))) {
         if (!co_await waitForNewerCatalog(state, core::TimePoint::max())) { // its deadlines are the route's
-            co_await respondWithError(state,
-                                      503,
-                                      core::ErrorKind::PlatformDown,
-                                      "another instance has a newer configuration, which may have the route",
-                                      m_settings.noCatalogRetryAfter);
+            const bool isRouteKnown = state.route != nullptr;
+            const std::string reason = isRouteKnown ? HomesUncertainReason : "another instance has a newer configuration, which may have the route";
+            if (isRouteKnown) {
+                state.acceptedCatalog = state.catalog->version();
+                recordOutdated(state, reason);
+            }
+            co_await respondWithError(state, 503, core::ErrorKind::PlatformDown, reason, m_settings.noCatalogRetryAfter);
             co_return false;
         }
         state.catalog = m_metadataCache.catalog();
@@ -584,8 +588,17 @@
     return true;
 }
 
+bool Forwarder::areHomesUncertain(const RequestState &state) const
+{
+    return !state.route->homeRegions.empty() && m_metadataCache.isCatalogBehind();
+}
+
 bool Forwarder::maySend(RequestState &state, const core::RegionId &region)
 {
+    if (areHomesUncertain(state)) {
+        recordOutdated(state, HomesUncertainReason);
+        return false;
+    }
     if (isOutdated(state)) {
         recordOutdated(state, "the configuration changed since the request was placed");
         return false;
@@ -808,6 +821,15 @@
                 recordShutdown(state, "waiting");
                 break;
             }
+            if (areHomesUncertain(state)) {
+                const bool mayWait = !std::exchange(state.hasWaitedForCatalog, true);
+                if (mayWait && co_await waitForNewerCatalog(state, state.responseDeadline)) {
+                    continue;
+                }
+                recordOutdated(state, HomesUncertainReason);
+                state.retryAfter = m_settings.noCatalogRetryAfter;
+                break;
+            }
             state.cancellation->isOutdated = [this, &state] { return isOutdated(state); };
             routing::PlacementRequest placementRequest = makePlacementRequest(state);
             const routing::PlacementDecision decision = co_await m_placement.place(placementRequest, state.cancellation);
@@ -1084,7 +1106,7 @@
 {
     const bool isToRelay = !redirected.relay.empty();
     if (!maySend(state, redirected.region)) {
-        if (!isOutdated(state)) { // a dispatcher with an older configuration would name it again
+        if (!isOutdated(state) && !areHomesUncertain(state)) { // a dispatcher with an older configuration would name it again
             state.excludedRegions.insert(redirected.region);
         }
         return nullptr;
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -48,7 +48,8 @@
 //
 // Q: What if another instance has a newer configuration than this one?
 // A: A request whose body would leave the region first waits for that configuration, for `maxCatalogWait`. Without it, the request stays in
-//    the region, as far as the known homes allow. A request without a known route waits in the same way, and gets 503 instead of 404.
+//    the region. A request without a known route waits in the same way, and gets 503 instead of 404. So does one of a route with home
+//    regions, since the newer configuration may exclude this region or any other.
 
 // Q: What if the client leaves, or the configuration changes, while this instance is busy or a connection is being opened?
 // A: What is known by then decides: when the connection is there, and before the first byte is written, the client's socket is looked at
@@ -160,6 +161,8 @@
     [[nodiscard]] bool renewRoute(RequestState &state);
     /// Whether the newest configuration says something else about further sends than the one that was applied last.
     [[nodiscard]] bool isOutdated(const RequestState &state) const;
+    /// Whether the route has home regions and another instance is known to have a newer configuration, which may exclude any of them.
+    [[nodiscard]] bool areHomesUncertain(const RequestState &state) const;
     /// Whether a further send to `region` is allowed; notes the reason in the state if it is not.
     [[nodiscard]] bool maySend(RequestState &state, const core::RegionId &region);
     void recordOutdated(RequestState &state, std::string_view reason);
--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -2972,6 +2972,10 @@
         {"the other region is no home any more", std::nullopt, true, Change::NotThere, 200, 0, "s"},
         {"it does not arrive", std::nullopt, false, std::nullopt, 200, 0, "s"},
         {"it does not arrive, and this region is no home", Change::NotHere, false, std::nullopt, 503, 0, ""},
+        // HOME: an instance that knew itself to be behind went on in its own region by the older homes.
+        {"it does not arrive, and this region is the only home", Change::NotThere, false, std::nullopt, 503, 0, ""},
+        {"this region is no home any more", Change::NotThere, true, Change::NotHere, 200, 1, ""},
+        {"this region stays the only home", Change::NotThere, true, Change::NotThere, 200, 0, "s"},
     }));
     CAPTURE(row.name);
     ChangeFixture fixture;
