Test of a crossed grant: the dispatcher's last grant is one the instance has no lost path to

The address of b is one that refuses connections. The first refusal puts the path to b in doubt, and if the probe loop (every 20 ms) is due before the third placement, that path is lost as well. The test's dispatcher then grants b, which the request states to be unreachable. That is the second such grant, so the instance excludes all lost upstreams, as it should: a dispatcher that grants twice what it was told is unreachable does not read the list.

The rule is right, the test's last grant was not: a dispatcher does not grant an upstream that the request states to be unreachable. It grants one that is not listed now, whose path cannot be lost. Both checks are as before.

--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -1597,7 +1597,7 @@
             return routing::Granted{core::UpstreamId("a"), refusingAddress};
         }
         isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
-        return routing::Granted{core::UpstreamId("b"), fixture.b.address()};
+        return routing::Granted{core::UpstreamId("unlisted"), fixture.b.address()}; // the path to b may have been probed and lost meanwhile
     };
     const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
