Memory budget: large bodies leave room for small ones

What callers saw: beside 50 or 100 clients that send 4 MB each with the last byte 1.5 s late, 24 to 29 of 250 small requests to another, sound upstream were refused with 503.

Cause: the share of requests was handed out first come, first served. Eight large bodies filled it, and a body of two bytes found no room until the first of them was complete. In the same way responses could fill the whole budget.

Change: the body of a request gets at most half of what the others leave free, in the share and in the budget, unless it is the only one. However large the first ones are, there is room for smaller ones. Responses leave a reserve of 1/16 of the budget to requests. Why it works: what is free halves at most with each body, and small bodies end soon. Among equally large responses the oldest one gives way now, where the address of an object decided.

--- a/src/arbutus/limits/bytebudget.cpp
+++ b/src/arbutus/limits/bytebudget.cpp
@@ -15,7 +15,7 @@
 ByteHold *ByteBudget::largestBeside(const ByteHold &hold, std::size_t bytes, const std::string *upstream) const
 {
     ByteHold *largest = nullptr;
-    for (ByteHold *candidate : m_holds) {
+    for (const auto &[id, candidate] : m_holds) {
         const bool mayGiveWay = candidate != &hold && candidate->m_kind == HolderKind::Response && !candidate->m_isKept;
         const bool isCandidate = mayGiveWay && (upstream == nullptr || candidate->m_upstream == *upstream);
         if (isCandidate && candidate->m_bytes > (largest == nullptr ? bytes : largest->m_bytes)) {
@@ -25,17 +25,27 @@
     return largest;
 }
 
+bool ByteBudget::isRequestGranted(const ByteHold &hold, std::size_t bytes) const
+{
+    const auto left = [&hold](std::size_t max, std::size_t used) {
+        const std::size_t others = used - hold.m_bytes;
+        return max - std::min(max, others);
+    };
+    const bool isOnly = m_requestBytes == hold.m_bytes; // or one that the configuration allows could never be sent
+    return isOnly || bytes <= std::min(left(m_settings.maxRequestBytes, m_requestBytes), left(m_settings.maxBytes, m_usedBytes)) / 2;
+}
+
 bool ByteBudget::makeRoom(ByteHold &hold, std::size_t bytes)
 {
-    const std::size_t more = bytes - hold.m_bytes;
     if (hold.m_kind == HolderKind::Request) {
-        const bool isOnly = m_requestBytes == hold.m_bytes; // or one that the configuration allows could never be sent
-        return isOnly || (m_requestBytes + more <= m_settings.maxRequestBytes && m_usedBytes + more <= m_settings.maxBytes);
+        return isRequestGranted(hold, bytes);
     }
+    const std::size_t more = bytes - hold.m_bytes;
+    const std::size_t reserved = m_settings.requestReserve - std::min(m_settings.requestReserve, m_requestBytes);
     while (true) {
         const auto ofUpstream = m_responseBytes.find(hold.m_upstream);
         const bool isShareUsed = (ofUpstream == m_responseBytes.end() ? 0 : ofUpstream->second) + more > m_settings.maxBytesPerUpstream;
-        if (!isShareUsed && m_usedBytes + more <= m_settings.maxBytes) {
+        if (!isShareUsed && m_usedBytes + more + reserved <= m_settings.maxBytes) {
             return true;
         }
         ByteHold *largest = largestBeside(hold, bytes, isShareUsed ? &hold.m_upstream : nullptr);
@@ -71,14 +81,15 @@
     , m_kind(kind)
     , m_upstream(std::move(upstream))
     , m_onEvicted(std::move(onEvicted))
+    , m_id(m_budget->m_nextHold++)
 {
-    m_budget->m_holds.insert(this);
+    m_budget->m_holds.emplace(m_id, this);
 }
 
 ByteHold::~ByteHold()
 {
     m_budget->change(*this, 0);
-    m_budget->m_holds.erase(this);
+    m_budget->m_holds.erase(m_id);
 }
 
 bool ByteHold::resize(std::size_t bytes)
--- a/src/arbutus/limits/bytebudget.h
+++ b/src/arbutus/limits/bytebudget.h
@@ -13,14 +13,17 @@
 //
 // Q: Why do requests have a share of their own?
 // A: Clients with large bodies that arrive slowly would otherwise leave no room for responses.
+//
+// Q: What keeps large bodies from shutting out requests with small ones?
+// A: The body of a request gets at most half of what is free, so there is always room for a smaller one. Responses leave a reserve for requests.
 
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace arbutus::limits {
@@ -31,11 +34,12 @@
 
     std::size_t maxBytes = DefaultBytes;                // of all bodies
     std::size_t maxRequestBytes = DefaultBytes / 2;     // of those of requests; a single body may be larger
+    std::size_t requestReserve = DefaultBytes / 16;     // that responses leave free for requests
     std::size_t maxBytesPerUpstream = DefaultBytes / 4; // of those of the responses of one upstream
 
     [[nodiscard]] static ByteBudgetSettings of(std::size_t bytes)
     {
-        return {bytes, bytes / 2, bytes / 4};
+        return {bytes, bytes / 2, bytes / 16, bytes / 4};
     }
 };
 
@@ -62,13 +66,15 @@
 private:
     friend class ByteHold;
 
+    [[nodiscard]] bool isRequestGranted(const ByteHold &hold, std::size_t bytes) const;
     [[nodiscard]] bool makeRoom(ByteHold &hold, std::size_t bytes);
     /// The largest response, of `upstream` unless that is null; null if `hold` with `bytes` would be at least as large.
     [[nodiscard]] ByteHold *largestBeside(const ByteHold &hold, std::size_t bytes, const std::string *upstream) const;
     void change(ByteHold &hold, std::size_t bytes);
 
     ByteBudgetSettings m_settings;
-    std::set<ByteHold *> m_holds;
+    std::map<std::uint64_t, ByteHold *> m_holds; // in the order of their creation
+    std::uint64_t m_nextHold = 0;
     std::map<std::string, std::size_t> m_responseBytes; // by upstream
     std::size_t m_usedBytes = 0;
     std::size_t m_requestBytes = 0;
@@ -105,6 +111,7 @@
     HolderKind m_kind;
     std::string m_upstream;
     std::function<void()> m_onEvicted;
+    std::uint64_t m_id;
     std::size_t m_bytes = 0;
     bool m_isDenied = false;
     bool m_isKept = false;
