Forwarder: one place says what is sure to end in a planned stop

recordLateSend() repeated the comparison of mayBegin(); both use isSureToEnd() now. acceptRequest() asked for a newer configuration twice. No change of behavior: routegatewaytest [memory], [hop] and [configuration] pass.

--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -416,7 +416,7 @@
         co_return false;
     }
     state.route = state.catalog->matchRoute(state.head.host, state.head.path);
-    if (m_metadataCache.isCatalogBehind() && (state.route == nullptr || areHomesUncertain(state))) {
+    if (state.route == nullptr ? m_metadataCache.isCatalogBehind() : areHomesUncertain(state)) {
         if (!co_await waitForNewerCatalog(state, core::TimePoint::max())) { // its deadlines are the route's
             const bool isRouteKnown = state.route != nullptr;
             const std::string reason = isRouteKnown ? HomesUncertainReason : "another instance has a newer configuration, which may have the route";
@@ -683,9 +683,14 @@
                                : m_durations.median(state.route->id).value_or(state.route->latencyObjective);
 }
 
+UnsentRequest Forwarder::unsentRequest(const RequestState &state) const
+{
+    return UnsentRequest{state.isStreaming(), expectedDuration(state), state.completionDeadline};
+}
+
 bool Forwarder::canEndInTime(const RequestState &state) const
 {
-    return !m_shutdown || mayBegin(*m_shutdown, UnsentRequest{state.isStreaming(), expectedDuration(state), state.completionDeadline}, m_context.now());
+    return !m_shutdown || mayBegin(*m_shutdown, unsentRequest(state), m_context.now());
 }
 
 core::TimePoint Forwarder::limitByShutdown(const RequestState &state, core::TimePoint time) const
@@ -721,8 +726,8 @@
         return;
     }
     const core::TimePoint now = m_context.now();
-    const core::TimePoint end = m_shutdown->endOf(state.isStreaming());
-    const bool isSure = state.completionDeadline <= end;
+    const UnsentRequest request = unsentRequest(state);
+    const bool isSure = isSureToEnd(*m_shutdown, request);
     m_context.metrics.incrementCounter("arbutus_shutdown_sends_total", isSure ? "basis=\"deadline\"" : "basis=\"estimate\"");
     m_context.writeLog(observe::LogLine("request_sent_in_shutdown")
                            .add("request", attempt.placement)
@@ -730,10 +735,10 @@
                            .add("route", state.route->id)
                            .add("stream_begun", state.responseStarted)
                            .add("output_tokens", state.head.expectedOutputTokens)
-                           .add("expected_ms", core::toMilliseconds(expectedDuration(state)))
-                           .add("deadline_ms", core::toMilliseconds(state.completionDeadline - now))
+                           .add("expected_ms", core::toMilliseconds(request.expectedDuration))
+                           .add("deadline_ms", core::toMilliseconds(request.deadline - now))
                            .add("estimates_ms", core::toMilliseconds(m_shutdown->estimatesUntil - now))
-                           .add("left_ms", core::toMilliseconds(end - now)));
+                           .add("left_ms", core::toMilliseconds(m_shutdown->endOf(request.isStreaming) - now)));
 }
 
 void Forwarder::endOverdueRequests()
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -183,6 +183,7 @@
     //--- Shutdown
     /// Time that the request is expected to take from now on.
     [[nodiscard]] core::Duration expectedDuration(const RequestState &state) const;
+    [[nodiscard]] UnsentRequest unsentRequest(const RequestState &state) const;
     /// Whether the request may still be sent, see mayBegin(); always true if the instance does not shut down.
     [[nodiscard]] bool canEndInTime(const RequestState &state) const;
     /// `time`, or the time at which the shutdown ends the request.
--- a/src/arbutus/edge/shutdownadmission.h
+++ b/src/arbutus/edge/shutdownadmission.h
@@ -53,11 +53,17 @@
     core::TimePoint deadline{};        // at which it ends in any case
 };
 
+/// Whether the request ends before the shutdown would end it, however long it takes.
+[[nodiscard]] inline bool isSureToEnd(const ShutdownTimes &times, const UnsentRequest &request)
+{
+    return request.deadline <= times.endOf(request.isStreaming);
+}
+
 /// Whether the request may be sent now, and is ended by the shutdown later at most if the estimate is wrong.
 [[nodiscard]] inline bool mayBegin(const ShutdownTimes &times, const UnsentRequest &request, core::TimePoint now)
 {
     const core::TimePoint end = times.endOf(request.isStreaming);
-    if (request.deadline <= end) {
+    if (isSureToEnd(times, request)) {
         return now < end;
     }
     return now <= times.estimatesUntil && now + request.expectedDuration < end;
