--- a/tests/routegatewaytest.cpp
+++ b/tests/routegatewaytest.cpp
@@ -11,7 +11,6 @@
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 #include "platform/platformadapter.h"
-#include "support/freeport.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -614,6 +613,29 @@
     Tcp::acceptor m_acceptor;
 };
 
+/// Returns a port that is free for TCP and UDP. It is outside the ephemeral range, because the kernel could assign an ephemeral
+/// port to a connection before the test binds it.
+std::uint16_t freePort(asio::io_context &loop)
+{
+    constexpr std::uint16_t First = 20'000;
+    constexpr std::uint16_t Last = 29'999;
+    static std::uint16_t next = static_cast<std::uint16_t>(First + static_cast<unsigned>(::getpid()) * 37 % (Last - First));
+    while (true) {
+        next = next >= Last ? First : static_cast<std::uint16_t>(next + 1);
+        boost::system::error_code code;
+        Tcp::acceptor acceptor(loop, Tcp::v4());
+        acceptor.bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), next), code);
+        if (code) {
+            continue;
+        }
+        asio::ip::udp::socket udpSocket(loop, asio::ip::udp::v4());
+        udpSocket.bind(asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), next), code);
+        if (!code) {
+            return next;
+        }
+    }
+}
+
 std::string routeJson(const std::string &name, const std::string &routeType, const std::string &service, const std::string &extraFields)
 {
     return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + name + R"(/","route_type":")" + routeType + R"(","timeout_ms":4000,)"
@@ -648,7 +670,7 @@
         settings.regionByDomain = {{settings.failureDomain, settings.region}, {core::DomainId("far"), core::RegionId("y")}};
         for (http::Endpoint *endpoint :
              {&settings.clientEndpoint, &settings.directoryEndpoint, &settings.readinessEndpoint, &settings.metricsEndpoint, &settings.peersEndpoint}) {
-            *endpoint = http::Endpoint{"127.0.0.1", tests::freePort()};
+            *endpoint = http::Endpoint{"127.0.0.1", freePort(loop)};
         }
         if (configured) {
             configure();
@@ -900,12 +922,12 @@
     explicit PeerFixture(std::uint16_t peerPort)
         : peerServer(loop, "p", peerPort)
         , peer(*this, "p", "y", 1, peerPort, [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; })
-        , dispatcher(*this, "d", "x", DispatcherCapacity, tests::freePort(), [this](const routing::PlacementRequest &request) { return decide(request); })
+        , dispatcher(*this, "d", "x", DispatcherCapacity, freePort(loop), [this](const routing::PlacementRequest &request) { return decide(request); })
     {
         runUntil([this] { return hasMetric("arbutus_live_members 3"); });
     }
     PeerFixture()
-        : PeerFixture(tests::freePort())
+        : PeerFixture(anyFreePort())
     {
     }
 
@@ -917,6 +939,12 @@
         const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? a.address() : b.address(), 0, 10ms, false, {}};
     }
+
+    static std::uint16_t anyFreePort()
+    {
+        asio::io_context portLoop;
+        return freePort(portLoop);
+    }
 };
 
 } // namespace
@@ -1197,7 +1225,7 @@
         const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), grantA);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantA);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     const std::size_t headLength = FakeUpstream::framedHead(framing, "once-000").size();
     for (std::size_t length = 0; length < headLength; ++length) {
@@ -1229,7 +1257,7 @@
     const auto ending = GENERATE(as<std::string>{}, "close", "reset");
     CAPTURE(relay, framing, ending);
     Fixture fixture;
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     const auto redirect = [&relay](const routing::PlacementRequest &request) -> routing::PlacementDecision {
         if (!request.excludedRegions.empty() || !request.excludedRelays.empty()) {
@@ -1239,7 +1267,7 @@
     };
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
     const FakePeer peer(fixture, "p", relay.empty() ? "y" : "x", 1, peerPort, refuse);
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), redirect);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     const std::size_t headLength = FakeUpstream::framedHead(framing, "once-000").size();
     for (std::size_t length = 0; length < headLength; ++length) {
@@ -1314,12 +1342,12 @@
     const auto behavior = GENERATE(as<std::string>{}, "unframed", "unframed-close@30", "unframed-json");
     CAPTURE(routeName, behavior);
     Fixture fixture;
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
     const auto redirect = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Redirected{core::RegionId("y"), 10ms}; };
     const FakePeer peer(fixture, "p", "y", 1, peerPort, refuse);
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), redirect);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     CHECK(fixture.sendRequest(routeName, "p=" + behavior).status == 502);
     CHECK(peerServer.executedAttempts.size() == 1);
@@ -1518,7 +1546,7 @@
         const bool excluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(excluded ? "b" : "a"), excluded ? fixture.b.address() : fixture.a.address()};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), grantLeavingFirst);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantLeavingFirst);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     REQUIRE(fixture.sendRequest("once", "ok", "body", "before").body == "from a to before");
     std::string &entry = fixture.store.keys["servers/a"];
@@ -1537,12 +1565,12 @@
 TEST_CASE("a dispatcher that does not read which paths are lost gets the request placed at another upstream", "[edge]")
 {
     Fixture fixture;
-    const std::string refusingAddress = "127.0.0.1:" + std::to_string(tests::freePort());
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
     const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision { // as in an older release
         const bool excluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(excluded ? "b" : "a"), excluded ? fixture.b.address() : refusingAddress};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     std::string &entry = fixture.store.keys["servers/a"];
     entry.replace(entry.find(fixture.a.address()), fixture.a.address().size(), refusingAddress);
@@ -1561,7 +1589,7 @@
 TEST_CASE("a grant that crossed the loss of the path does not exclude the upstream, which a relay may reach", "[edge]")
 {
     Fixture fixture;
-    const std::string refusingAddress = "127.0.0.1:" + std::to_string(tests::freePort());
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
     fixture.setAnnouncement("b", Fixture::announcementAt(refusingAddress)); // so the refusals do not look like those of one upstream alone
     std::optional<bool> isExcluded;
     const auto decide = [&](const routing::PlacementRequest &request) -> routing::PlacementDecision {
@@ -1571,7 +1599,7 @@
         isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId("unlisted"), fixture.b.address()}; // the path to b may have been probed and lost meanwhile
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     CHECK(fixture.sendRequest("again", "ok").status == 200);
     CHECK(isExcluded == std::optional(false));
@@ -1582,7 +1610,7 @@
     const auto isOtherReached = GENERATE(true, false);
     CAPTURE(isOtherReached);
     Fixture fixture;
-    const std::string refusingAddress = "127.0.0.1:" + std::to_string(tests::freePort());
+    const std::string refusingAddress = "127.0.0.1:" + std::to_string(freePort(fixture.loop));
     if (!isOtherReached) {
         fixture.setAnnouncement("b", Fixture::announcementAt(refusingAddress));
     }
@@ -1739,7 +1767,7 @@
         }
         return granted;
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     CHECK(fixture.sendRequest("again", "a=" + row.behavior).status == 200);
     REQUIRE(fixture.a.expectedInstances.size() == 1);
@@ -1791,7 +1819,7 @@
         }
         return granted;
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     CHECK(fixture.sendRequest("again", "a=not-executed-rest").status == 200);
     REQUIRE(fixture.a.expectedInstances.size() == 1);
@@ -1816,7 +1844,7 @@
         const bool isExcluded = request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(isExcluded ? "b" : "a"), isExcluded ? fixture.b.address() : fixture.a.address()};
     };
-    FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     dispatcher.report({routing::UpstreamNotice{core::UpstreamId("a"), routing::StartTime(1), std::nullopt, fixture.clock.steadyNow(), true}});
     CHECK(fixture.sendRequest("none", "ok").status == 503); // its refusal follows the report
@@ -1846,7 +1874,7 @@
     CAPTURE(row.name);
     Fixture fixture(false);
     fixture.configureLater(row.isListed);
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
     const FakePeer peer(fixture, "p", row.peerRegion, 1, peerPort, refuse);
@@ -1862,7 +1890,7 @@
         granted.startTime = routing::StartTime(1);
         return granted;
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     const http::Response response = fixture.sendRequest("again", "p=" + row.behavior);
     CHECK(response.status == 200);
@@ -1883,7 +1911,7 @@
         return usesB ? routing::Granted{core::UpstreamId("b"), fixture.b.address(), 0, 0ms, false, routing::SoftwareVersion("v2")}
                      : routing::Granted{core::UpstreamId("a"), fixture.a.address(), 0, 0ms, false, routing::SoftwareVersion("v1")};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     // b replaces a, which is silent; a goes on before b has responded, and b's response of another version cannot continue the stream.
     const http::Response response = fixture.sendRequest("resume", "a=stream-beside-other,b=leaving-after-event-of-other", "body", "silent");
@@ -1918,8 +1946,8 @@
     Fixture fixture;
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
     // Watches the store and dispatches for both regions, as far as the gateway knows, but reports nothing.
-    const FakePeer watcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), refuse);
-    const FakePeer remoteDispatcher(fixture, "e", "y", DispatcherCapacity, tests::freePort(), refuse);
+    const FakePeer watcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), refuse);
+    const FakePeer remoteDispatcher(fixture, "e", "y", DispatcherCapacity, freePort(fixture.loop), refuse);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     std::string &configuration = fixture.store.keys["op/config"];
     configuration.replace(configuration.find("\"version\":1"), std::string("\"version\":1").size(), "\"version\":2");
@@ -2046,7 +2074,7 @@
         }
         return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), grantOnce);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantOnce);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     REQUIRE(fixture.sendRequest("once", "a=" + refusal + (copy == "copy-idle" ? "-twice" : ""), "body", "first").status == 503);
     wait(fixture, CopyTime);
@@ -2076,7 +2104,7 @@
         const bool usesA = !request.excludedUpstreams.contains(core::UpstreamId("a"));
         return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), grant);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grant);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     REQUIRE(fixture.sendRequest("once", "a=refuse-503", "body", "first").status == 200); // by the other upstream
     REQUIRE(fixture.sendRequest("once", "ok", "body", "between").status == 200);
@@ -2111,7 +2139,7 @@
         }
         return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
     };
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), grantTwice);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), grantTwice);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     CHECK(fixture.sendRequest(routeName, "a=refuse-then-copy").status == 503);
     CHECK(fixture.executionCount() == 0);
@@ -2125,7 +2153,7 @@
     const auto routeName = GENERATE(as<std::string>{}, "once", "again", "stream", "resume");
     CAPTURE(relay, refusal, copy, routeName);
     Fixture fixture;
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
     const auto redirect = [&relay](const routing::PlacementRequest &request) -> routing::PlacementDecision {
@@ -2135,7 +2163,7 @@
         return routing::Redirected{core::RegionId(relay.empty() ? "y" : "x"), 10ms, {}, core::InstanceId(relay)};
     };
     const FakePeer peer(fixture, "p", relay.empty() ? "y" : "x", 1, peerPort, refuse);
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), redirect);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), redirect);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     REQUIRE(fixture.sendRequest("once", "p=" + refusal + (copy == "copy-idle" ? "-twice" : ""), "body", "first").status == 503);
     wait(fixture, CopyTime);
@@ -2218,7 +2246,7 @@
     const bool hasRelay = path == StreamPath::RelayContinues || path == StreamPath::RelayBegins;
     constexpr double MinRetries = 1'000; // the budget is not what ends a stream
     Fixture fixture(true, 8s, MinRetries);
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     int placements = 0;
     const auto refuse = [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; };
@@ -2234,7 +2262,7 @@
         return routing::Granted{core::UpstreamId(usesA ? "a" : "b"), usesA ? fixture.a.address() : fixture.b.address()};
     };
     const FakePeer peer(fixture, "p", hasRelay ? "x" : "y", 1, peerPort, refuse);
-    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+    const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     const std::string firstName = peerBegins ? "p" : "a";
     const std::string secondName = path == StreamPath::Direct || path == StreamPath::ForAnother ? "b" : peerBegins ? "a" : "p";
@@ -2308,7 +2336,7 @@
 TEST_CASE("an instance whose region has another one stops serving at once", "[edge][stop]")
 {
     Fixture fixture(true, LongGracePeriod);
-    const FakePeer neighbor(fixture, "p", "x", 1, tests::freePort(), refuseAll);
+    const FakePeer neighbor(fixture, "p", "x", 1, freePort(fixture.loop), refuseAll);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     sendStopSignal(fixture);
     CHECK_FALSE(isListed(fixture));
@@ -2481,7 +2509,7 @@
     const bool isSignalRepeated = GENERATE(false, true);
     CAPTURE(row.title, isSignalRepeated);
     Fixture fixture(true, ShortGracePeriod);
-    const std::uint16_t peerPort = tests::freePort();
+    const std::uint16_t peerPort = freePort(fixture.loop);
     FakeUpstream peerServer(fixture.loop, "p", peerPort);
     std::optional<FakePeer> peer;
     std::optional<FakePeer> dispatcher;
@@ -2496,7 +2524,7 @@
             return routing::Redirected{core::RegionId("y"), 10ms};
         };
         peer.emplace(fixture, "p", "y", 1, peerPort, refuseAll);
-        dispatcher.emplace(fixture, "d", "x", DispatcherCapacity, tests::freePort(), decide);
+        dispatcher.emplace(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), decide);
         fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 3"); });
     }
     asio::io_context clientLoop;
@@ -2707,7 +2735,7 @@
         + route("e", "in-y-or-both.example", R"("y")") + "," + route("f", "in-y-or-both.example", R"("x","y")") + "]}";
     ++fixture.store.revision;
     fixture.runUntil([&] { return fixture.get(fixture.settings.readinessEndpoint, "/-/readiness").status == 200; });
-    const std::uint16_t remotePort = tests::freePort();
+    const std::uint16_t remotePort = freePort(fixture.loop);
     std::optional<FakePeer> remote;
     if (row.hasRemote) {
         remote.emplace(fixture, "r", "y", fixture.settings.capacity, remotePort, refuseAll);
@@ -2735,7 +2763,7 @@
     const auto row = GENERATE(values<Row>({{"y", 200}, {"w", 503}}));
     CAPTURE(row.clientRegion);
     Fixture fixture(false);
-    const FakePeer remote(fixture, "r", "y", 1, tests::freePort(), refuseAll);
+    const FakePeer remote(fixture, "r", "y", 1, freePort(fixture.loop), refuseAll);
     fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
     const std::string query = "/-/resolve?name=h.example&region=" + row.clientRegion + "&zone=" + row.clientRegion + "-a";
     CHECK(fixture.get(fixture.settings.directoryEndpoint, query).status == row.status);
@@ -2777,7 +2805,7 @@
     int queuedPlacements = 0; // at the other instance's dispatcher
     bool decides = false;     // the other instance's dispatcher, if it does not have the request wait
 
-    explicit ChangeFixture(std::uint16_t peerPort = tests::freePort())
+    explicit ChangeFixture(std::uint16_t peerPort = PeerFixture::anyFreePort())
         : peerServer(loop, "p", peerPort)
         , m_peerPort(peerPort)
     {
@@ -2822,7 +2850,7 @@
     void startOtherInstances(bool redirects)
     {
         peer.emplace(*this, "p", "y", 1, m_peerPort, [](const routing::PlacementRequest &) -> routing::PlacementDecision { return routing::Refused{}; });
-        dispatcher.emplace(*this, "d", "x", DispatcherCapacity, tests::freePort(), [this, redirects](const routing::PlacementRequest &request) {
+        dispatcher.emplace(*this, "d", "x", DispatcherCapacity, freePort(loop), [this, redirects](const routing::PlacementRequest &request) {
             return decide(request, redirects);
         });
         runUntil([this] { return hasMetric("arbutus_live_members 3"); });
@@ -3117,7 +3145,7 @@
             }
             return routing::Granted{core::UpstreamId("a"), fixture.a.address()};
         };
-        const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, tests::freePort(), failFirst);
+        const FakePeer dispatcher(fixture, "d", "x", DispatcherCapacity, freePort(fixture.loop), failFirst);
         fixture.runUntil([&] { return fixture.hasMetric("arbutus_live_members 2"); });
         CHECK(fixture.sendRequest("again", "ok").status == 200);
         CHECK(decisions == 2); // the dispatcher goes on receiving
