Catalog: workspaces with credentials, priority, home regions and quota

Cause: a configuration may list workspaces; nothing of it was read, so requests went out without a workspace and no credential or quota was checked.

Change: the catalog carries workspaces and finds one by a keyed hash of its credential; routes may be open; settings state the longest withdrawal delay and the terms of quotas; a placement request states workspace and cost, and a refusal may name the quota. Nothing acts on them yet.

--- a/src/arbutus/catalog/catalog.cpp
+++ b/src/arbutus/catalog/catalog.cpp
@@ -73,7 +73,7 @@
     return trafficSplits.back().service;
 }
 
-Catalog::Catalog(CatalogVersion version, std::vector<Route> routes, std::vector<Service> services, ClientLimits limits)
+Catalog::Catalog(CatalogVersion version, std::vector<Route> routes, std::vector<Service> services, ClientLimits limits, std::vector<WorkspaceEntry> workspaces)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_limits(limits)
@@ -85,6 +85,13 @@
         m_routesById.emplace(m_routes[i].id, i);
         m_routeIndex.emplace(routeKey(m_routes[i].host, m_routes[i].pathPrefix), i);
     }
+    for (WorkspaceEntry &entry : workspaces) {
+        for (const std::string &credential : entry.credentials) {
+            m_credentials.add(credential, m_workspaces.size());
+        }
+        m_workspacesById.emplace(entry.workspace.id, m_workspaces.size());
+        m_workspaces.push_back(std::move(entry.workspace));
+    }
 }
 
 const Route *Catalog::matchRoute(std::string_view host, std::string_view path) const
@@ -115,6 +122,18 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+const Workspace *Catalog::findWorkspace(std::string_view credential) const
+{
+    const auto found = m_credentials.find(credential);
+    return found ? &m_workspaces[*found] : nullptr;
+}
+
+const Workspace *Catalog::findWorkspace(const core::WorkspaceId &id) const
+{
+    const auto found = m_workspacesById.find(id);
+    return found == m_workspacesById.end() ? nullptr : &m_workspaces[found->second];
+}
+
 std::string normalizeHost(std::string_view hostHeader)
 {
     std::string host(hostHeader.substr(0, hostHeader.rfind(']') == std::string_view::npos ? hostHeader.find(':') : hostHeader.rfind(']') + 1));
--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -16,6 +16,7 @@
 
 #pragma once
 
+#include "arbutus/catalog/workspace.h"
 #include "arbutus/core/clock.h"
 #include "arbutus/core/ids.h"
 
@@ -70,6 +71,7 @@
     int priority = 0;                                  // 0 is highest
     std::vector<TrafficSplit> trafficSplits;           // at least one
     std::set<core::RegionId> homeRegions;              // regions that may serve it; empty = all
+    bool isOpen = false;                               // needs no credential, also where the configuration lists workspaces
 
     /// Whether requests may go to `service`.
     [[nodiscard]] bool leadsTo(const core::ServiceId &service) const;
@@ -135,7 +137,7 @@
 class Catalog
 {
 public:
-    Catalog(CatalogVersion version, std::vector<Route> routes, std::vector<Service> services, ClientLimits limits);
+    Catalog(CatalogVersion version, std::vector<Route> routes, std::vector<Service> services, ClientLimits limits, std::vector<WorkspaceEntry> workspaces = {});
     Catalog(const Catalog &) = delete;
     Catalog &operator=(const Catalog &) = delete;
     ~Catalog() = default;
@@ -144,6 +146,18 @@
     [[nodiscard]] const Route *matchRoute(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Route *findRoute(const RouteId &id) const;
     [[nodiscard]] const Service *findService(const core::ServiceId &id) const;
+    /// Whether requests of the route need a credential.
+    [[nodiscard]] bool requiresCredential(const Route &route) const
+    {
+        return !m_workspaces.empty() && !route.isOpen;
+    }
+    /// Workspace that holds the credential, or null.
+    [[nodiscard]] const Workspace *findWorkspace(std::string_view credential) const;
+    [[nodiscard]] const Workspace *findWorkspace(const core::WorkspaceId &id) const;
+    [[nodiscard]] const std::vector<Workspace> &workspaces() const
+    {
+        return m_workspaces;
+    }
     [[nodiscard]] CatalogVersion version() const
     {
         return m_version;
@@ -164,6 +178,9 @@
     ClientLimits m_limits;
     std::unordered_map<std::string, std::size_t> m_routeIndex; // host and prefix -> index in m_routes
     std::map<RouteId, std::size_t> m_routesById;               // index in m_routes
+    std::vector<Workspace> m_workspaces;
+    CredentialIndex m_credentials;
+    std::map<core::WorkspaceId, std::size_t> m_workspacesById; // index in m_workspaces
 };
 
 using CatalogPointer = std::shared_ptr<const Catalog>; // null until the first version is known
--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -142,6 +142,8 @@
     }
     out.set_route(request.route.text);
     out.set_catalog_version(request.catalogVersion.value);
+    out.set_workspace(request.workspace.text);
+    out.set_quota_units(request.quotaUnits);
 }
 
 routing::PlacementRequest fromProto(const fleet::Ask &in, core::InstanceId requester, core::TimePoint now)
@@ -178,6 +180,8 @@
     }
     request.route = catalog::RouteId(in.route());
     request.catalogVersion = catalog::CatalogVersion(in.catalog_version());
+    request.workspace = core::WorkspaceId(in.workspace());
+    request.quotaUnits = in.quota_units();
     if (in.has_required_version()) {
         request.requiredVersion = routing::SoftwareVersion(in.required_version());
     }
@@ -214,6 +218,7 @@
                        out.set_quarantined(refused.reason == routing::RefusalReason::Quarantined);
                        out.set_version_gone(refused.reason == routing::RefusalReason::VersionGone);
                        out.set_outdated(refused.reason == routing::RefusalReason::Outdated);
+                       out.set_over_quota(refused.reason == routing::RefusalReason::OverQuota);
                        out.set_retry_after_us(toMicroseconds(refused.retryAfter));
                    },
                },
@@ -225,6 +230,7 @@
     const auto reason = in.quarantined() ? routing::RefusalReason::Quarantined
         : in.version_gone()              ? routing::RefusalReason::VersionGone
         : in.outdated()                  ? routing::RefusalReason::Outdated
+        : in.over_quota()                ? routing::RefusalReason::OverQuota
         : in.overloaded()                ? routing::RefusalReason::Overloaded
                                          : routing::RefusalReason::NoUpstream;
     switch (in.kind()) {
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -38,6 +38,7 @@
                                   : refused.reason == routing::RefusalReason::Quarantined                     ? "quarantined"
                                   : refused.reason == routing::RefusalReason::VersionGone                     ? "version_gone"
                                   : refused.reason == routing::RefusalReason::Outdated                        ? "outdated"
+                                  : refused.reason == routing::RefusalReason::OverQuota                       ? "over_quota"
                                                                                                               : "no_upstream";
                               return "refused reason=" + reason + " retry_after_ms=" + std::to_string(core::toMilliseconds(refused.retryAfter));
                           },
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -38,18 +38,21 @@
     std::optional<std::chrono::milliseconds> timeout; // of the client, from the arrival of the request
     std::vector<routing::PromptPart> prompt;          // parts shared with other requests first, the request-specific part last
     std::uint32_t promptTokens = 0;
-    std::uint32_t expectedOutputTokens = 0; // the client's estimate if it sent one, but at most its limit
-    std::string lastEventId;                // the client resumes a stream after this event
-    std::string resumedAttemptId;           // the client's attempt that brought the first event of that stream
+    std::uint32_t expectedOutputTokens = 0;    // the client's estimate if it sent one, but at most its limit
+    std::optional<std::uint32_t> statedTokens; // prompt tokens plus the maximum number of output tokens; empty: the request states none
+    std::string credential;                    // names the client's workspace; never logged
+    std::string lastEventId;                   // the client resumes a stream after this event
+    std::string resumedAttemptId;              // the client's attempt that brought the first event of that stream
 };
 
 /// Values that the gateway adds to a request for an upstream.
 struct UpstreamRequestOptions
 {
-    core::UpstreamId expectedUpstream;    // another upstream that has taken over the address must reject the request
-    std::chrono::milliseconds timeout{0}; // time left for the response
-    int priority = 0;                     // of the route; 0 is the highest
-    std::string resumeAfterEventId;       // last event that the client has received; empty: start from the beginning
+    core::UpstreamId expectedUpstream;          // another upstream that has taken over the address must reject the request
+    std::chrono::milliseconds timeout{0};       // time left for the response
+    int priority = 0;                           // of the workspace or the route; 0 is the highest
+    std::optional<core::WorkspaceId> workspace; // of the client, set where the configuration lists workspaces; an empty id on open routes
+    std::string resumeAfterEventId;             // last event that the client has received; empty: start from the beginning
     bool isModelEngine = false;
 };
 
--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -140,6 +140,12 @@
         out.minRetries = reader.number("promises.retry_slack", out.minRetries, 0, 1e6);
         out.retryWindow = reader.seconds("promises.retry_window_s", out.retryWindow);
         out.directoryTtl = std::chrono::seconds(static_cast<std::int64_t>(reader.number("directory.lifetime_s", 2, 1, 3600)));
+        if (const auto delay = reader.milliseconds("promises.withdrawal_within_ms", std::chrono::milliseconds(0)); delay.count() > 0) {
+            out.maxWithdrawalDelay = delay;
+        }
+        out.quotaWindow = reader.seconds("promises.quota_window_s", out.quotaWindow);
+        out.quotaOvershoot = reader.number("promises.quota_overshoot", out.quotaOvershoot, 0, 100);
+        out.quotaSlack = reader.number("promises.quota_slack", out.quotaSlack, 0, 1e15);
         constexpr double BytesPerMegabyte = 1024 * 1024;
         out.bodyMemory =
             static_cast<std::size_t>(BytesPerMegabyte * reader.number("memory.bodies_mb", static_cast<double>(out.bodyMemory) / BytesPerMegabyte, 1, 1e6));
--- a/src/arbutus/edge/settings.h
+++ b/src/arbutus/edge/settings.h
@@ -12,6 +12,7 @@
 #include "arbutus/routing/dispatcher.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,12 @@
     double minRetries = 50;
     std::chrono::milliseconds retryWindow{10'000};
     std::chrono::seconds directoryTtl{2};
+    std::optional<std::chrono::milliseconds> maxWithdrawalDelay; // from the confirmation of a configuration that withdraws a credential; empty: as any change
+
+    //--- Quotas of workspaces, over all instances: in any window, (rate * window + burst) * (1 + overshoot) + slack
+    std::chrono::milliseconds quotaWindow{8'000};
+    double quotaOvershoot = 0.1;
+    double quotaSlack = 0; // units of the quota
 
     //--- Queueing and placement
     routing::DispatcherSettings dispatcher;
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -87,6 +87,8 @@
     std::set<core::UpstreamId> unreachableUpstreams; // that the requester has no path to
     std::set<core::InstanceId> excludedRelays;       // that did not execute the request
     std::optional<SoftwareVersion> requiredVersion;  // of a stream that has begun: no upstream of another version may serve it
+    core::WorkspaceId workspace;                     // of the client; empty: none
+    std::uint32_t quotaUnits = 0;                    // that the request costs its workspace, once; 0: they have been spent, or there is no quota
     catalog::RouteId route;                          // that service and regions are from; empty: a requester of an older release
     catalog::CatalogVersion catalogVersion;          // of the requester, that the route is from
 
@@ -124,6 +126,7 @@
     Quarantined, // the request, or a part of its prompt, crashes upstreams
     VersionGone, // no region has an upstream of the required version left
     Outdated,    // a newer configuration has dropped or moved its route
+    OverQuota,   // its workspace has used up its quota
 };
 struct Refused
 {
