Engine profiles: prefill rate, steps and pauses are learned from traffic

Cause: the dispatcher predicts with constants of the first deployments and one bounded factor per engine, so faster engines stay idle and their differences are not seen.

Change: routing/engineprofile fits the four figures of each engine, with a prior per service that starts from the constants of before. Senders report the timing of the events after the first. Profiles travel with the region's state: the service's to all, the engines' in turn to the next dispatchers. dispatch_state shows figures, doubt and prediction error; arbutus_first_event_prediction_error_seconds.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -310,6 +310,9 @@
         row->set_id(completed.id.text);
         row->set_upstream(completed.upstream.text);
         row->set_ending(static_cast<std::uint32_t>(completed.outcome));
+        row->set_events(completed.timing.events);
+        row->set_stream_us(toMicroseconds(completed.timing.duration));
+        row->set_max_gap_us(toMicroseconds(completed.timing.maxGap));
     }
 }
 
@@ -337,7 +340,8 @@
         const bool isKnown = row.ending() <= LastOutcome;
         ignoredParts += isKnown ? 0 : 1;
         const auto outcome = isKnown ? static_cast<routing::SendOutcome>(row.ending()) : routing::SendOutcome::NeverSent;
-        report.completed.push_back(CompletedPlacement{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), outcome});
+        const routing::StreamTiming timing{row.events(), fromMicroseconds(row.stream_us()), fromMicroseconds(row.max_gap_us())};
+        report.completed.push_back(CompletedPlacement{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), outcome, timing});
     }
     return report;
 }
@@ -346,8 +350,44 @@
 // Region state
 //-----------------------------------------------------------------------------
 
+void toProto(const routing::ProfileReport &report, fleet::EngineProfile &out)
+{
+    out.set_service(report.service.text);
+    out.set_upstream(report.upstream.text);
+    out.set_start_time(report.startTime.value);
+    out.set_prefill_tokens_per_ms(static_cast<float>(report.figures.figures.prefillTokensPerMs));
+    out.set_step_ms(static_cast<float>(report.figures.figures.step.count()));
+    out.set_request_step_ms(static_cast<float>(report.figures.figures.stepPerRequest.count()));
+    out.set_pause_ms(static_cast<float>(report.figures.figures.pause.count()));
+    for (const double doubt : report.figures.doubts) {
+        out.add_doubts(static_cast<float>(doubt));
+    }
+    out.set_evidence(static_cast<float>(report.figures.evidence));
+}
+
+/// Nothing if the profile has another number of figures than this release knows.
+std::optional<routing::ProfileReport> fromProto(const fleet::EngineProfile &in)
+{
+    routing::ProfileReport report{core::ServiceId(in.service()), core::UpstreamId(in.upstream()), routing::StartTime(in.start_time()), {}};
+    report.figures.figures = routing::EngineFigures{amount(in.prefill_tokens_per_ms()),
+                                                    routing::FractionalMs(amount(in.step_ms())),
+                                                    routing::FractionalMs(amount(in.request_step_ms())),
+                                                    routing::FractionalMs(amount(in.pause_ms()))};
+    if (in.doubts_size() != static_cast<int>(routing::FigureCount)) {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < routing::FigureCount; ++i) {
+        report.figures.doubts[i] = amount(in.doubts(static_cast<int>(i)));
+    }
+    report.figures.evidence = amount(in.evidence());
+    return report;
+}
+
 void toProto(const RegionState &state, fleet::RegionState &out, core::TimePoint now)
 {
+    for (const routing::ProfileReport &report : state.profiles) {
+        toProto(report, *out.add_profiles());
+    }
     for (const routing::UpstreamNotice &notice : state.notices) {
         toProto(notice, *out.add_notices(), now);
     }
@@ -379,9 +419,16 @@
     out.set_evidence_age_us(toMicroseconds(state.metadataStaleness));
 }
 
-RegionState fromProto(const fleet::RegionState &in, core::TimePoint now)
+RegionState fromProto(const fleet::RegionState &in, core::TimePoint now, std::size_t &ignoredParts)
 {
     RegionState state;
+    for (const fleet::EngineProfile &row : in.profiles()) {
+        if (auto report = fromProto(row)) {
+            state.profiles.push_back(std::move(*report));
+        } else {
+            ++ignoredParts;
+        }
+    }
     for (const fleet::Notice &notice : in.notices()) {
         state.notices.push_back(fromProto(notice, now));
     }
@@ -571,7 +618,7 @@
         message.body = fromProto(in.work(), now, message.ignoredParts);
         return message;
     case fleet::Datagram::kRegionState:
-        message.body = fromProto(in.region_state(), now);
+        message.body = fromProto(in.region_state(), now, message.ignoredParts);
         return message;
     case fleet::Datagram::kWithdraw:
         message.body = PlacementCancellation{routing::PlacementId(in.withdraw().id())};
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -25,6 +25,7 @@
     routing::PlacementId id;
     core::UpstreamId upstream;
     routing::SendOutcome outcome = routing::SendOutcome::Completed;
+    routing::StreamTiming timing = {};
 };
 
 /// Requests that an instance has in flight at upstreams, those completed since its last report, and what upstreams said.
@@ -53,6 +54,7 @@
     core::Duration metadataStaleness{};
     std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
     std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
+    std::vector<routing::ProfileReport> profiles;    // of engines of the sender's region
 };
 
 struct PlacementReply
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -162,12 +162,15 @@
     bool isOnNewConnection = false;
     std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
     core::TimePoint firstEventAt{};
-    core::TimePoint lastProgressAt{}; // response head or last complete event
-    bool isWriting = false;           // an event to the client, which may be slow
-    bool delivered = false;           // the client gets the complete response of this attempt
-    bool superseded = false;          // another attempt continues the request
-    bool unneeded = false;            // a failed replacement, and the request does not wait for the rest of its response
-    bool isUpstreamDown = false;      // it refused the connection, and this instance reaches another upstream
+    core::TimePoint lastEventAt{};
+    std::uint64_t eventsAtFirst = 0;    // forwarded events of the client's stream then
+    routing::StreamTiming streamTiming; // of the events after the first
+    core::TimePoint lastProgressAt{};   // response head or last complete event
+    bool isWriting = false;             // an event to the client, which may be slow
+    bool delivered = false;             // the client gets the complete response of this attempt
+    bool superseded = false;            // another attempt continues the request
+    bool unneeded = false;              // a failed replacement, and the request does not wait for the rest of its response
+    bool isUpstreamDown = false;        // it refused the connection, and this instance reaches another upstream
     bool ended = false;
 
     //--- Result, also for the log
@@ -1263,7 +1266,7 @@
     }
     if (!attempt->isToPeer()) {
         recordPath(*attempt);
-        m_placement.recordCompletion(attempt->placement, attempt->outcome);
+        m_placement.recordCompletion(attempt->placement, attempt->outcome, attempt->streamTiming);
         recordEvidence(state, *attempt);
     } else if (attempt->isToRelay) {
         const std::string outcome = attempt->peerOutcome.empty() ? "failed" : attempt->peerOutcome;
@@ -1521,7 +1524,7 @@
     attempt->failure = "not needed any more";
     state.mayHaveExecuted = state.mayHaveExecuted || attempt->connectedAt.has_value();
     if (!attempt->isToPeer()) {
-        m_placement.recordCompletion(attempt->placement, attempt->outcome);
+        m_placement.recordCompletion(attempt->placement, attempt->outcome, attempt->streamTiming);
     }
     state.settleGrant(*attempt, attempt->grantedExecutions);
     logAttempt(state, *attempt);
@@ -1795,7 +1798,13 @@
         }
         state.firstEventTime = now;
         m_context.metrics.observeDuration("arbutus_first_event_seconds", "", now - state.receivedAt);
+        attempt.eventsAtFirst = state.sseRelay->forwardedEventCount();
+    } else {
+        attempt.streamTiming.events = static_cast<std::uint32_t>(state.sseRelay->forwardedEventCount() - attempt.eventsAtFirst);
+        attempt.streamTiming.duration = now - attempt.firstEventAt;
+        attempt.streamTiming.maxGap = std::max(attempt.streamTiming.maxGap, now - attempt.lastEventAt);
     }
+    attempt.lastEventAt = now;
 }
 
 asio::awaitable<Forwarder::SendResult> Forwarder::relayStream(RequestState &state, Attempt &attempt)
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -310,7 +310,7 @@
 void PlacementService::recordGrant(const routing::PlacementRequest &request, const routing::Granted &granted)
 {
     const std::uint32_t memoryTokens = request.unsharedTokens();
-    m_inFlight[request.id] = InFlightPlacement{granted.upstream, m_context.now(), std::nullopt, memoryTokens, std::nullopt};
+    m_inFlight[request.id] = InFlightPlacement{granted.upstream, m_context.now(), std::nullopt, memoryTokens, std::nullopt, granted.predictedLatency};
     m_dispatcher.recordInFlight(
         m_context.settings.instanceId, {routing::ReportedRequest{request.id, granted.upstream, std::nullopt, memoryTokens, std::nullopt}}, m_context.now());
 }
@@ -328,18 +328,21 @@
     const auto timeToFirstEvent = now - found->second.sentAt;
     found->second.timeToFirstEvent = timeToFirstEvent;
     found->second.stream = std::move(stream);
+    const core::Duration error = timeToFirstEvent - found->second.predictedLatency;
+    m_context.metrics.observeDuration(
+        "arbutus_first_event_prediction_error_seconds", error > core::Duration::zero() ? "side=\"late\"" : "side=\"early\"", std::chrono::abs(error));
     m_dispatcher.recordFirstEvent(id, found->second.upstream, timeToFirstEvent, now);
     m_unreportedFirstEvents.insert(id);
     scheduleReport();
 }
 
-void PlacementService::recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome)
+void PlacementService::recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome, const routing::StreamTiming &timing)
 {
     const auto found = m_inFlight.find(id);
     if (found == m_inFlight.end()) {
         return;
     }
-    const CompletedPlacement completed{id, found->second.upstream, outcome};
+    const CompletedPlacement completed{id, found->second.upstream, outcome, timing};
     recordOutcome(completed, m_context.settings.instanceId);
     m_unreportedCompletions.push_back(completed);
     m_unreportedFirstEvents.erase(id);
@@ -355,7 +358,7 @@
         return estimator == m_dispatcher.estimators().end() ? core::TimePoint{} : estimator->second.ejectedUntil();
     };
     const core::TimePoint before = endOfEjection();
-    m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now);
+    m_dispatcher.recordCompletion(completed.id, completed.upstream, completed.outcome, now, completed.timing);
     const core::TimePoint after = endOfEjection();
     if (after == before) {
         return;
@@ -556,11 +559,20 @@
         if (estimator.inFlight().empty() && estimator.acceptsRequests(now)) {
             continue;
         }
+        const routing::EngineFigures &figures = estimator.profile().figures();
         m_context.writeLog(observe::LogLine("dispatch_state")
                                .add("upstream", id)
                                .add("runs", estimator.inFlight().size())
                                .add("backlog_ms", core::toMilliseconds(estimator.backlog(now)))
-                               .add("tokens_per_ms", std::lround(estimator.prefillRate()))
+                               .add("tokens_per_ms", estimator.prefillRate())
+                               .add("step_us", std::lround(figures.step.count() * 1'000))
+                               .add("step_per_request_us", std::lround(figures.stepPerRequest.count() * 1'000))
+                               .add("pause_us", std::lround(figures.pause.count() * 1'000))
+                               .add("doubt", estimator.profile().doubt())
+                               .add("evidence", std::lround(estimator.profile().evidence()))
+                               .add("prediction_bias", estimator.predictionBias())
+                               .add("prediction_error", estimator.predictionError())
+                               .add("stream_gap_ms", core::toMilliseconds(estimator.streamGap()))
                                .add("failure_rate", estimator.failureRate())
                                .add("accepts", estimator.acceptsRequests(now))
                                .add("waiting", m_dispatcher.queueLength()));
@@ -608,7 +620,7 @@
                    [&](const routing::PlacementRequest &request) { handlePlacementRequest(request, from); },
                    [&](const std::vector<PlacementReply> &replies) { handlePlacementReplies(replies, message.sender.id); },
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
-                   [&](const RegionState &state) { handleRegionState(state, message.sender.id, message.arrivedAt); },
+                   [&](const RegionState &state) { handleRegionState(state, message.sender.id, message.region, message.arrivedAt); },
                    [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
                    [](const std::vector<routing::CauseRecord> &) {}, // handled by the quarantine service
                    [](const StreamQuery &) {},                       // handled by the stream directory
@@ -698,9 +710,19 @@
         return;
     }
     RegionState state = buildRegionState();
+    if (isDispatcher) {
+        state.profiles = m_dispatcher.engineProfiles().serviceReports();
+    }
+    RegionState stateForSuccessors = state;
+    if (isDispatcher) {
+        std::vector<routing::ProfileReport> engines = m_dispatcher.engineProfiles().engineReports(m_settings.engineProfilesPerDatagram);
+        std::move(engines.begin(), engines.end(), std::back_inserter(stateForSuccessors.profiles));
+    }
+    std::size_t rank = 0;
     for (const membership::Member &member : ranking) {
+        const bool maySucceed = rank++ <= m_settings.notifiedDispatchersPerRegion;
         if (member.id != m_context.settings.instanceId) {
-            m_fleet.send(member.gossipAddress, state);
+            m_fleet.send(member.gossipAddress, maySucceed ? stateForSuccessors : state);
         }
     }
     std::erase_if(state.serviceLoads, [&](const RegionServiceLoad &row) { return row.region != m_context.settings.region || !isDispatcher; });
@@ -748,7 +770,7 @@
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
 }
 
-void PlacementService::handleRegionState(const RegionState &state, const core::InstanceId &sender, core::TimePoint arrivedAt)
+void PlacementService::handleRegionState(const RegionState &state, const core::InstanceId &sender, const core::RegionId &region, core::TimePoint arrivedAt)
 {
     mergeNotices(state.notices, sender);
     for (const core::UpstreamId &upstream : state.unreachableUpstreams) {
@@ -765,6 +787,9 @@
             m_dispatcher.updateRemoteLoad(row.region, row.load, at);
         }
     }
+    for (const routing::ProfileReport &report : state.profiles) {
+        m_dispatcher.engineProfiles().adopt(report, region);
+    }
     m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, arrivedAt);
     if (m_metadataCache.isNewer(state.lastChange) && onNewerMetadata) {
         onNewerMetadata(sender);
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -30,6 +30,7 @@
     core::Duration logInterval = std::chrono::seconds(1);   // of the dispatcher's state log
     std::size_t maxInFlightPerDatagram = 30;
     std::size_t notifiedDispatchersPerRegion = 2; // the second in the ranking has current data if it takes over
+    std::size_t engineProfilesPerDatagram = 6;    // of the region's engines, in turn, to those that may become its dispatcher
 };
 
 /// Signals that the client disconnected, which ends the wait for a placement.
@@ -58,7 +59,8 @@
     boost::asio::awaitable<routing::PlacementDecision> place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token);
     /// `stream` is the record of a stream that may be resumed.
     void recordFirstEvent(const routing::PlacementId &id, std::optional<routing::StreamRecord> stream);
-    void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome);
+    /// `timing` is that of the stream's events, if there were any.
+    void recordCompletion(const routing::PlacementId &id, routing::SendOutcome outcome, const routing::StreamTiming &timing = {});
     /// Records what an upstream's response says about it; `maxRequestRate` is empty if the response names none.
     void recordResponse(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint requestSentAt);
     /// Records that a response says that its upstream is leaving. `knownRun` is the run that was known when the request was sent, `source`
@@ -109,6 +111,7 @@
         std::optional<core::Duration> timeToFirstEvent;
         std::uint32_t memoryTokens = 0;
         std::optional<routing::StreamRecord> stream; // see ReportedRequest
+        core::Duration predictedLatency{};
     };
 
     boost::asio::awaitable<void> dispatchLoop();
@@ -158,7 +161,7 @@
     void handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from);
     void handlePlacementReplies(const std::vector<PlacementReply> &replies, const core::InstanceId &sender);
     void handlePlacementReport(const PlacementReport &report, const core::InstanceId &sender);
-    void handleRegionState(const RegionState &state, const core::InstanceId &sender, core::TimePoint arrivedAt);
+    void handleRegionState(const RegionState &state, const core::InstanceId &sender, const core::RegionId &region, core::TimePoint arrivedAt);
 
     InstanceContext &m_context;
     Fleet &m_fleet;
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -27,6 +27,7 @@
 Dispatcher::Dispatcher(DispatcherSettings settings, DispatcherView view, core::TimePoint now)
     : m_settings(settings)
     , m_view(std::move(view))
+    , m_engineProfiles(settings.estimator.profile)
     , m_dispatcherRoleSince(now)
     , m_startedAt(now)
 {
@@ -81,7 +82,9 @@
         slots = static_cast<std::size_t>(m_settings.maxSlotUtilization * static_cast<double>(slots));
         memoryTokens = static_cast<std::uint64_t>(m_settings.maxMemoryUtilization * static_cast<double>(service->engine->memoryTokens));
     }
-    return m_estimators.emplace(entry.announcement.id, UpstreamEstimator(m_settings.estimator, memoryTokens, slots, tokensPerEvent)).first->second;
+    auto profile = m_engineProfiles.engine(entry.announcement.service, entry.announcement.id, startTime);
+    UpstreamEstimator estimator(m_settings.estimator, memoryTokens, slots, tokensPerEvent, std::move(profile));
+    return m_estimators.emplace(entry.announcement.id, std::move(estimator)).first->second;
 }
 
 void Dispatcher::refreshLocalUpstreams()
@@ -491,8 +494,8 @@
             const double addedUtilization = static_cast<double>(remote.redirectedTokens) / remote.load.prefillTokensPerMs
                 / static_cast<double>(core::toMilliseconds(m_settings.estimator.prefillLoadTimeConstant));
             const double utilization = std::min(1.0, remote.load.prefillUtilization + addedUtilization);
-            const auto stepTime = m_settings.estimator.baseStepTime + scaled(m_settings.estimator.prefillChunkTime, utilization);
-            streamTime = scaled(stepTime * static_cast<core::Duration::rep>(request.outputTokens), m_settings.decodeWeight);
+            const EngineWork stream{0, static_cast<double>(request.outputTokens), 0, utilization, {}};
+            streamTime = scaled(toDuration(predictTime(m_engineProfiles.service(request.service)->figures(), stream)), m_settings.decodeWeight);
             streamTime += scaled(core::Duration(static_cast<core::Duration::rep>(uncached / prefillRate * 1000)), m_settings.prefillWeight - 1);
         } else {
             const double excessRequests = remote.redirectedRequests > remote.load.freeSlots ? remote.redirectedRequests - remote.load.freeSlots : 0;
@@ -846,12 +849,12 @@
     }
 }
 
-void Dispatcher::recordCompletion(const PlacementId &id, const core::UpstreamId &upstream, SendOutcome outcome, core::TimePoint now)
+void Dispatcher::recordCompletion(const PlacementId &id, const core::UpstreamId &upstream, SendOutcome outcome, core::TimePoint now, const StreamTiming &timing)
 {
     m_grants.erase(id);
     const auto estimator = m_estimators.find(upstream);
     if (estimator != m_estimators.end()) {
-        estimator->second.recordCompletion(id, outcome, now);
+        estimator->second.recordCompletion(id, outcome, timing, now);
     }
 }
 
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -267,7 +267,7 @@
     void cancel(const PlacementId &id);
     /// The first event arrived `latency` after the request was sent.
     void recordFirstEvent(const PlacementId &id, const core::UpstreamId &upstream, core::Duration latency, core::TimePoint now);
-    void recordCompletion(const PlacementId &id, const core::UpstreamId &upstream, SendOutcome outcome, core::TimePoint now);
+    void recordCompletion(const PlacementId &id, const core::UpstreamId &upstream, SendOutcome outcome, core::TimePoint now, const StreamTiming &timing = {});
     /// Takes a node's report of all its requests in flight.
     void recordInFlight(const core::InstanceId &sender, const std::vector<ReportedRequest> &requests, core::TimePoint now);
     /// Places queued requests after a change; call it at least every 20 ms while any are queued.
@@ -290,6 +290,11 @@
     void setMaxRequestRate(const core::UpstreamId &upstream, std::optional<double> maxRequestRate, core::TimePoint now);
     /// Whether this node is the dispatcher, and the ratio of the region's members known to be reachable (0 to 1).
     void setDispatcherRole(bool hasRole, double reachableRatio, core::TimePoint now);
+    /// What the engines can do, as learned here or reported by other instances.
+    [[nodiscard]] EngineProfiles &engineProfiles()
+    {
+        return m_engineProfiles;
+    }
     /// Estimator of each upstream, for the log.
     [[nodiscard]] const std::map<core::UpstreamId, UpstreamEstimator> &estimators() const
     {
@@ -437,6 +442,7 @@
 
     DispatcherSettings m_settings;
     DispatcherView m_view;
+    EngineProfiles m_engineProfiles;
     std::map<core::UpstreamId, UpstreamEstimator> m_estimators;
     std::map<core::UpstreamId, StartTime> m_startTimes; // start time of the upstream that each estimator describes
     std::map<core::ServiceId, std::vector<LocalUpstream>> m_localUpstreams;
--- a/src/arbutus/routing/upstreamestimator.cpp
+++ b/src/arbutus/routing/upstreamestimator.cpp
@@ -46,12 +46,14 @@
     return "never_sent";
 }
 
-UpstreamEstimator::UpstreamEstimator(UpstreamEstimatorSettings settings, std::uint64_t memoryTokens, std::size_t slots, std::uint64_t tokensPerEvent)
+UpstreamEstimator::UpstreamEstimator(
+    UpstreamEstimatorSettings settings, std::uint64_t memoryTokens, std::size_t slots, std::uint64_t tokensPerEvent, std::shared_ptr<EngineProfile> profile)
     : m_settings(settings)
     , m_memoryTokens(memoryTokens)
     , m_slots(std::max<std::size_t>(slots, 1))
     , m_tokensPerEvent(tokensPerEvent)
     , m_isEngine(tokensPerEvent > 0)
+    , m_profile(std::move(profile))
     , m_serviceTime(settings.initialServiceTime)
     , m_slotTime(settings.initialSlotTime)
 {
@@ -102,7 +104,7 @@
     if (!m_isEngine) {
         return m_serviceTime;
     }
-    return prefillTime(uncachedTokens) + m_settings.fixedOverhead + m_settings.baseStepTime * static_cast<core::Duration::rep>(m_tokensPerEvent);
+    return prefillTime(uncachedTokens) + m_settings.fixedOverhead + toDuration(m_profile->figures().step * static_cast<double>(m_tokensPerEvent));
 }
 
 double UpstreamEstimator::prefillUtilization(core::TimePoint now) const
@@ -114,9 +116,7 @@
 
 core::Duration UpstreamEstimator::decodeTime(std::uint32_t tokens, core::TimePoint now) const
 {
-    const double step = toFractionalMilliseconds(m_settings.baseStepTime + m_settings.stepTimePerRequest * static_cast<core::Duration::rep>(m_inFlight.size()))
-        + prefillUtilization(now) * toFractionalMilliseconds(m_settings.prefillChunkTime);
-    return fromMilliseconds(step * tokens * m_slowdown);
+    return toDuration(m_profile->predict(EngineWork{0, static_cast<double>(tokens), static_cast<double>(m_inFlight.size()), prefillUtilization(now), {}}));
 }
 
 core::Duration UpstreamEstimator::slotWait() const
@@ -167,7 +167,15 @@
     request.lastReportedAt = now;
     request.predictedLatency = predictLatency(request.uncachedTokens, now);
     m_memoryUsed += request.memoryTokens;
+    advanceRequestTime(now);
     if (m_isEngine) {
+        request.backlogAtGrant = backlog(now);
+        request.firstEventWork = EngineWork{request.backlogAtGrant.count() * prefillRate() + request.uncachedTokens,
+                                            static_cast<double>(m_tokensPerEvent),
+                                            static_cast<double>(m_inFlight.size()),
+                                            prefillUtilization(now),
+                                            m_settings.fixedOverhead};
+        m_prefillTokens += request.uncachedTokens;
         m_backlogEnd = std::max(m_backlogEnd, now) + prefillTime(request.uncachedTokens);
         const double age = toFractionalMilliseconds(now - m_recentPrefillAt);
         m_recentPrefillTokens = m_recentPrefillTokens * std::exp(-age / toFractionalMilliseconds(m_settings.prefillLoadTimeConstant)) + request.uncachedTokens;
@@ -199,25 +207,58 @@
     if (!m_isEngine) {
         return;
     }
+    advanceRequestTime(now);
+    request.firstEventAt = now;
+    request.requestTimeBefore = m_requestTime;
+    request.prefillTokensBefore = m_prefillTokens;
     if (request.predictedLatency > core::Duration::zero()) {
-        updateSlowdown(request.predictedLatency, latency);
+        learnFirstEvent(request, latency, now);
     }
     recomputeBacklog(now);
 }
 
-void UpstreamEstimator::updateSlowdown(core::Duration predicted, core::Duration latency)
+void UpstreamEstimator::advanceRequestTime(core::TimePoint now)
 {
-    // The estimate moves by the ratio of the observed to the predicted latency, so it converges where both agree.
-    constexpr double MaxRatio = 4; // bounds the effect of one observation
-    const double ratio = std::clamp(toFractionalMilliseconds(latency) / std::max(toFractionalMilliseconds(predicted), 1.0), 1 / MaxRatio, MaxRatio);
-    m_slowdown = std::clamp(m_slowdown * std::pow(ratio, m_settings.slowdownWeight), m_settings.minSlowdown, m_settings.maxSlowdown);
+    if (now > m_requestTimeAt) {
+        m_requestTime += static_cast<double>(m_inFlight.size()) * toFractionalMilliseconds(now - m_requestTimeAt);
+        m_requestTimeAt = now;
+    }
+}
+
+void UpstreamEstimator::learnFirstEvent(const InFlightRequest &request, core::Duration latency, core::TimePoint now)
+{
+    constexpr double QueueDoubt = 0.5; // of the time that the prompts before it take: they may have been read faster or slower
+    const EngineObservation observation{request.firstEventWork, latency, request.backlogAtGrant * QueueDoubt};
+    if (m_profile->record(observation, now)) {
+        const double error = std::log(toFractionalMilliseconds(latency) / std::max(toFractionalMilliseconds(request.predictedLatency), 1.0));
+        m_predictionBias += m_settings.timeSmoothingWeight * (error - m_predictionBias);
+        m_predictionError += m_settings.timeSmoothingWeight * (std::abs(error) - m_predictionError);
+    }
 }
 
-void UpstreamEstimator::recordCompletion(const PlacementId &id, SendOutcome outcome, core::TimePoint now)
+void UpstreamEstimator::learnStream(const InFlightRequest &request, const StreamTiming &timing, core::TimePoint now)
+{
+    const double window = toFractionalMilliseconds(now - request.firstEventAt);
+    if (timing.events == 0 || window <= 0 || request.predictedLatency == core::Duration::zero()) {
+        return;
+    }
+    const double meanRequests = (m_requestTime - request.requestTimeBefore) / window;
+    const double utilization = (m_prefillTokens - request.prefillTokensBefore) / prefillRate() / window;
+    const EngineWork work{
+        0, static_cast<double>(timing.events * m_tokensPerEvent), std::max(0.0, meanRequests - 1), std::min(1.0, utilization), core::Duration::zero()};
+    (void)m_profile->record(EngineObservation{work, timing.duration, {}}, now);
+    m_streamGap += fromMilliseconds(m_settings.timeSmoothingWeight * toFractionalMilliseconds(timing.maxGap - m_streamGap));
+}
+
+void UpstreamEstimator::recordCompletion(const PlacementId &id, SendOutcome outcome, const StreamTiming &timing, core::TimePoint now)
 {
     const auto found = m_inFlight.find(id);
     if (found != m_inFlight.end()) {
+        advanceRequestTime(now);
         const InFlightRequest request = found->second;
+        if (m_isEngine && request.firstEventReceived) {
+            learnStream(request, timing, now);
+        }
         m_inFlight.erase(found);
         m_memoryUsed -= std::min<std::uint64_t>(m_memoryUsed, request.memoryTokens);
         if (m_isEngine) {
@@ -250,6 +291,7 @@
     request.lastReportedAt = now;
     request.firstEventReceived = timeToFirstEvent.has_value();
     m_memoryUsed += memoryTokens;
+    advanceRequestTime(now);
     m_inFlight[id] = std::move(request);
 }
 
@@ -261,6 +303,7 @@
             expired.push_back(id);
         }
     }
+    advanceRequestTime(now);
     for (const PlacementId &id : expired) {
         m_memoryUsed -= std::min<std::uint64_t>(m_memoryUsed, m_inFlight[id].memoryTokens);
         m_inFlight.erase(id);
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -3,6 +3,10 @@
 // The upstream is not polled. The estimate is derived from the requests sent there and from the times of their first events
 // and completions, so it needs no probes and lags by one message instead of one report period.
 //
+// What an engine can do is learned from the same observations (routing/engineprofile). Time to the first event: overhead, the prefill of
+// the prompts before it, its own prefill, and the steps of the first event's tokens. The events after it: their steps, with the requests
+// and the prefill beside them. An observation counts only if this dispatcher granted the request, since it needs what was there then.
+//
 // Q: Why predict from the prompt and not from the number of requests in flight?
 // A: Prefill is what saturates an engine: a long prompt costs as much engine time as hundreds of output tokens, and a cached
 //    prompt costs almost nothing.
@@ -11,6 +15,7 @@
 
 #include "arbutus/core/clock.h"
 #include "arbutus/core/ids.h"
+#include "arbutus/routing/engineprofile.h"
 
 #include <cstdint>
 #include <list>
@@ -43,15 +48,9 @@
 
 struct UpstreamEstimatorSettings
 {
-    double prefillTokensPerMs = 36; // nominal engine speed; current deployments state 38.7 and 42.6
-    double minSlowdown = 0.7;       // bounds of the learned slowdown; below 1 is faster than nominal
-    double maxSlowdown = 8;
-    double slowdownWeight = 0.12;                                              // weight of one observation of the slowdown
+    EngineProfileSettings profile;
     double timeSmoothingWeight = 0.15;                                         // weight of one observation of slot and service times
     core::Duration fixedOverhead = std::chrono::milliseconds(10);              // network and one step before the first event
-    core::Duration baseStepTime = std::chrono::microseconds(6'000);            // one decode step (one output token of each request) without prefill
-    core::Duration stepTimePerRequest = std::chrono::microseconds(30);         // added per request in flight
-    core::Duration prefillChunkTime = std::chrono::milliseconds(50);           // added to a step during prefill
     core::Duration prefillLoadTimeConstant = std::chrono::milliseconds(1'500); // of the moving average of the prefill utilization
     core::Duration initialSlotTime = std::chrono::milliseconds(2'000);         // of one request in a slot, before the first observation
     double maxRequestMemoryRatio = 0.8;                                        // share of an engine's memory for requests in flight, excluding shared parts
@@ -77,6 +76,16 @@
 
 [[nodiscard]] std::string_view toString(SendOutcome outcome);
 
+/// Events of a stream after the first one, as measured by the sender. No events: it did not state them.
+struct StreamTiming
+{
+    std::uint32_t events = 0;
+    core::Duration duration{}; // from the first event to the last
+    core::Duration maxGap{};   // between two of them
+
+    bool operator==(const StreamTiming &) const = default;
+};
+
 /// One request in flight at an upstream.
 struct InFlightRequest
 {
@@ -87,6 +96,13 @@
     core::TimePoint lastReportedAt{};  // by its sender
     core::Duration predictedLatency{}; // to the first event, as predicted at the grant; zero if known only from a report
     bool firstEventReceived = false;
+
+    //--- For the engine's profile
+    EngineWork firstEventWork;      // until the first event, as known at the grant
+    FractionalMs backlogAtGrant{};  // part of it
+    core::TimePoint firstEventAt{}; // when this instance heard of it
+    double requestTimeBefore = 0;   // UpstreamEstimator::m_requestTime then
+    double prefillTokensBefore = 0; // UpstreamEstimator::m_prefillTokens then
 };
 
 /// Load, cache, speed and health estimate of one upstream.
@@ -94,7 +110,11 @@
 {
 public:
     /// `tokensPerEvent` is the number of tokens per stream event; 0 for a plain upstream without prompts.
-    UpstreamEstimator(UpstreamEstimatorSettings settings, std::uint64_t memoryTokens, std::size_t slots, std::uint64_t tokensPerEvent);
+    UpstreamEstimator(UpstreamEstimatorSettings settings,
+                      std::uint64_t memoryTokens,
+                      std::size_t slots,
+                      std::uint64_t tokensPerEvent,
+                      std::shared_ptr<EngineProfile> profile);
 
     //--- Prediction
     /// Tokens of a prompt that are not expected to be cached.
@@ -119,7 +139,25 @@
     [[nodiscard]] bool hasCapacity(std::uint32_t tokens) const;
     [[nodiscard]] double prefillRate() const // tokens per millisecond
     {
-        return m_settings.prefillTokensPerMs / m_slowdown;
+        return m_profile->figures().prefillTokensPerMs;
+    }
+    [[nodiscard]] const EngineProfile &profile() const
+    {
+        return *m_profile;
+    }
+    /// Moving average of the logarithm of observed by predicted times to the first event, and of its absolute value.
+    [[nodiscard]] double predictionBias() const
+    {
+        return m_predictionBias;
+    }
+    [[nodiscard]] double predictionError() const
+    {
+        return m_predictionError;
+    }
+    /// Moving average of the longest gap of each stream.
+    [[nodiscard]] core::Duration streamGap() const
+    {
+        return m_streamGap;
     }
     [[nodiscard]] core::Duration serviceTime() const
     {
@@ -130,7 +168,7 @@
     void recordGrant(const PlacementId &id, InFlightRequest request, const std::vector<PromptPart> &prompt, core::TimePoint now);
     /// The first event arrived `latency` after the request was sent, as measured by the sender, since reports may be delayed.
     void recordFirstEvent(const PlacementId &id, core::Duration latency, core::TimePoint now);
-    void recordCompletion(const PlacementId &id, SendOutcome outcome, core::TimePoint now);
+    void recordCompletion(const PlacementId &id, SendOutcome outcome, const StreamTiming &timing, core::TimePoint now);
     /// Records that `sender` reports the request as in flight; a request not known yet is added.
     void recordReport(
         const PlacementId &id, const core::InstanceId &sender, std::optional<core::Duration> timeToFirstEvent, std::uint32_t memoryTokens, core::TimePoint now);
@@ -164,7 +202,10 @@
 
 private:
     void recomputeBacklog(core::TimePoint now);
-    void updateSlowdown(core::Duration predicted, core::Duration latency);
+    /// Accounts for the requests in flight until `now`; call it before their number changes.
+    void advanceRequestTime(core::TimePoint now);
+    void learnFirstEvent(const InFlightRequest &request, core::Duration latency, core::TimePoint now);
+    void learnStream(const InFlightRequest &request, const StreamTiming &timing, core::TimePoint now);
     void addCachedParts(const std::vector<PromptPart> &prompt);
     void updateHealth(SendOutcome outcome, core::TimePoint now);
 
@@ -176,7 +217,13 @@
     std::map<PlacementId, InFlightRequest> m_inFlight;
     std::uint64_t m_memoryUsed = 0;
     core::TimePoint m_backlogEnd{};
-    double m_slowdown = 1; // learned factor on times predicted for an engine of nominal speed
+    std::shared_ptr<EngineProfile> m_profile;
+    double m_predictionBias = 0;
+    double m_predictionError = 0;
+    core::Duration m_streamGap{};
+    double m_requestTime = 0; // integral over time of the number of requests in flight, in milliseconds
+    core::TimePoint m_requestTimeAt{};
+    double m_prefillTokens = 0; // uncached tokens granted since the start
     core::Duration m_serviceTime;
     core::Duration m_slotTime;        // moving average of the time that a request holds a slot
     double m_recentPrefillTokens = 0; // granted uncached tokens; decays with prefillLoadTimeConstant
