--- a/tests/engineprofiletest.cpp
+++ b/tests/engineprofiletest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <limits>
 
 using namespace arbutus;
@@ -18,10 +19,12 @@
 const core::RegionId There("there");
 constexpr std::uint32_t TokensPerEvent = 6;
 
-// A dispatcher has to tell engines apart whose times differ by half, and first events are due after 600 ms and more.
-constexpr double Tolerance = 0.5;
-constexpr core::Duration SmallDifference = 30ms;
-constexpr double MinWithin = 0.8; // of the predictions
+// A dispatcher compares engines, so the median has to be right; and it places what is due after several times the predicted time, so most
+// times have to be within a factor of two. That includes first events that wait for the prefill of a request that is granted later.
+constexpr double MedianTolerance = 0.25;
+constexpr double Tolerance = 1.0;
+constexpr core::Duration SmallDifference = 30ms; // is of no importance
+constexpr double MinWithin = 0.8;                // of the predictions
 
 constexpr double Infinity = std::numeric_limits<double>::infinity();
 constexpr double NaN = std::numeric_limits<double>::quiet_NaN();
@@ -54,17 +57,22 @@
     core::TimePoint now = Start;
 };
 
-double shareWithin(const std::vector<test::ModelOutcome> &outcomes)
+/// Requires predictions as close as callers need them. Moments in which an engine is slow cannot be predicted.
+void requireClose(std::vector<test::ModelOutcome> outcomes)
 {
-    double within = 0;
-    double counted = 0;
-    for (const test::ModelOutcome &outcome : outcomes) {
-        if (!outcome.disturbed) {
-            ++counted;
-            within += outcome.isWithin(Tolerance, SmallDifference) ? 1 : 0;
-        }
-    }
-    return within / std::max(counted, 1.0);
+    std::erase_if(outcomes, [](const test::ModelOutcome &outcome) { return outcome.disturbed; });
+    REQUIRE_FALSE(outcomes.empty());
+    const auto isWithin = [](const test::ModelOutcome &outcome) { return outcome.isWithin(Tolerance, SmallDifference); };
+    const auto within = static_cast<double>(std::count_if(outcomes.begin(), outcomes.end(), isWithin));
+    CHECK(within / static_cast<double>(outcomes.size()) >= MinWithin);
+    const auto ratio = [](const test::ModelOutcome &outcome) {
+        return static_cast<double>(outcome.observed.count()) / static_cast<double>(outcome.predicted.count());
+    };
+    const auto middle = outcomes.begin() + static_cast<std::ptrdiff_t>(outcomes.size() / 2);
+    std::nth_element(
+        outcomes.begin(), middle, outcomes.end(), [&](const test::ModelOutcome &left, const test::ModelOutcome &right) { return ratio(left) < ratio(right); });
+    CAPTURE(ratio(*middle), core::toMilliseconds(middle->observed));
+    CHECK(middle->isWithin(MedianTolerance, SmallDifference));
 }
 
 void append(std::vector<test::ModelOutcome> &to, const std::vector<test::ModelOutcome> &from)
@@ -129,7 +137,7 @@
             }
         }
     }
-    CHECK(shareWithin(late) >= MinWithin);
+    requireClose(late);
     CHECK(engines[1].estimator.prefillRate() < engines[4].estimator.prefillRate() / 1.8);         // a ratio of 3.6
     CHECK(engines[1].estimator.profile().doubt() < routing::EngineProfileSettings{}.speedSpread); // it knows more than what all engines have in common
 }
@@ -139,7 +147,7 @@
     routing::EngineProfiles profiles({});
     Engine engine(profiles, "e", test::ModelEngineOptions{});
     const auto outcomes = engine.play(200, seed());
-    CHECK(shareWithin(outcomes) >= MinWithin);
+    requireClose(outcomes);
     CHECK(engine.estimator.prefillRate() > 36 / 1.4);
     CHECK(engine.estimator.prefillRate() < 36 * 1.4);
 }
@@ -156,7 +164,7 @@
     }
     Engine fresh(profiles, restarted ? "e0" : "new", options, 2);
     CHECK(fresh.estimator.profile().evidence() == 0);
-    CHECK(shareWithin(fresh.play(20, seed() + 100)) >= MinWithin);
+    requireClose(fresh.play(40, seed() + 100));
 }
 
 TEST_CASE("an engine that becomes slower for good is followed, one that is slow for a moment is not", "[engineprofile]")
@@ -179,7 +187,7 @@
         engine.model.setSpeed(1.0 / 3);
         (void)engine.play(30, seed() + 2);
         CHECK(engine.estimator.prefillRate() < before / 2);
-        CHECK(shareWithin(engine.play(40, seed() + 3)) >= MinWithin);
+        requireClose(engine.play(100, seed() + 3));
     }
 }
 
--- a/tests/support/modelengine.h
+++ b/tests/support/modelengine.h
@@ -34,7 +34,7 @@
     double prefillLeft = 0;
     std::uint32_t tokens = 0; // to generate
     std::uint32_t made = 0;
-    bool disturbed = false; // before the first event, by what the grant could not know: a slow moment, or the prefill of a later grant
+    bool disturbed = false; // the engine was slow for a moment before the first event
     core::TimePoint sentAt{};
     core::TimePoint firstEventAt{};
     core::TimePoint lastEventAt{};
@@ -87,7 +87,6 @@
             / m_options.speed * (slow ? m_options.slowFactor : 1);
         const core::Duration duration = std::chrono::microseconds(std::max<std::int64_t>(1, std::llround(ms * 1'000)));
         for (ModelRequest *request : decoding) {
-            request->disturbed = request->disturbed || (prefilled > 0 && request->made < m_tokensPerEvent);
             ++request->made;
             emit(*request, now + duration);
         }
