--- a/tests/buildcompatibilitytest.cpp
+++ b/tests/buildcompatibilitytest.cpp
@@ -475,6 +475,63 @@
     }
 }
 
+TEST_CASE("a report does not state when the events of a stream came", "[codec]")
+{
+    edge::PlacementReport report = sampleReport(Build::WithPaths);
+    report.completed.front().timing = routing::StreamTiming{31, 400ms, 35ms};
+    const std::string bytes = encodeSample(report);
+    const auto received = edge::decodeFleetMessage(bytes, Start);
+    REQUIRE(received);
+    CHECK(std::get<edge::PlacementReport>(received->body).completed.front().timing == report.completed.front().timing);
+    CHECK(std::get<edge::PlacementReport>(received->body).completed.back().timing == routing::StreamTiming{});
+    fleet::Datagram datagram; // what an older build reads
+    REQUIRE(datagram.ParseFromString(bytes));
+    fleet::Work::Ended *ended = datagram.mutable_work()->mutable_ended(0);
+    ended->clear_events();
+    ended->clear_stream_us();
+    ended->clear_max_gap_us();
+    const auto readByOlder = edge::decodeFleetMessage(datagram.SerializeAsString(), Start);
+    REQUIRE(readByOlder);
+    CHECK(toHex(edge::encode(*readByOlder, Start)) == toHex(encodeSample(sampleReport(Build::WithPaths))));
+}
+
+TEST_CASE("a region's state does not state what was learned about engines", "[codec]")
+{
+    edge::RegionState state = sampleState(Build::WithPaths);
+    const routing::EngineFigures figures{64, routing::FractionalMs(4), routing::FractionalMs(0.125), routing::FractionalMs(32)};
+    state.profiles = {routing::ProfileReport{core::ServiceId("s"), {}, {}, {figures, {0.25, 0.5, 0.75, 1}, 40}},
+                      routing::ProfileReport{core::ServiceId("s"), core::UpstreamId("u1"), routing::StartTime(7), {figures, {0.125, 0.25, 0.5, 1}, 20}}};
+    const std::string bytes = encodeSample(state);
+    const auto received = edge::decodeFleetMessage(bytes, Start);
+    REQUIRE(received);
+    CHECK(received->ignoredParts == 0);
+    CHECK(std::get<edge::RegionState>(received->body).profiles == state.profiles);
+    fleet::Datagram datagram; // what an older build reads
+    REQUIRE(datagram.ParseFromString(bytes));
+    datagram.mutable_region_state()->clear_profiles();
+    const auto readByOlder = edge::decodeFleetMessage(datagram.SerializeAsString(), Start);
+    REQUIRE(readByOlder);
+    CHECK(toHex(edge::encode(*readByOlder, Start)) == toHex(encodeSample(sampleState(Build::WithPaths))));
+}
+
+TEST_CASE("a message of an older build is taken to say something about engines", "[codec]")
+{
+    for (const RecordedMessage &row : readRecordedMessages()) {
+        if (row.name != "placement_report" && row.name != "region_state") {
+            continue;
+        }
+        CAPTURE(row.commit, row.name);
+        const auto message = edge::decodeFleetMessage(row.bytes, Start);
+        REQUIRE(message);
+        if (const auto *report = std::get_if<edge::PlacementReport>(&message->body)) {
+            const auto isStated = [](const edge::CompletedPlacement &completed) { return completed.timing != routing::StreamTiming{}; };
+            CHECK(std::none_of(report->completed.begin(), report->completed.end(), isStated));
+        } else {
+            CHECK(std::get<edge::RegionState>(message->body).profiles.empty());
+        }
+    }
+}
+
 TEST_CASE("a snapshot does not state the configuration version of its sender", "[codec]")
 {
     edge::MetadataSnapshot sent = sampleSnapshot();
@@ -584,6 +641,22 @@
         CHECK_FALSE(causes.front().quarantined);
         CHECK(decoded->ignoredParts == OnePart);
     }
+    SECTION("profile with more figures")
+    {
+        for (const int figures : {static_cast<int>(routing::FigureCount), static_cast<int>(routing::FigureCount) + 1}) {
+            fleet::EngineProfile *profile = datagram.mutable_region_state()->add_profiles();
+            profile->set_service("s" + std::to_string(figures));
+            for (int i = 0; i < figures; ++i) {
+                profile->add_doubts(0.5);
+            }
+        }
+        const auto decoded = edge::decodeFleetMessage(datagram.SerializeAsString(), Start);
+        REQUIRE(decoded);
+        const auto &profiles = std::get<edge::RegionState>(decoded->body).profiles;
+        REQUIRE(profiles.size() == 1);
+        CHECK(profiles.front().service == core::ServiceId("s4"));
+        CHECK(decoded->ignoredParts == OnePart);
+    }
     SECTION("kind of message, and another version of the protocol")
     {
         CHECK_FALSE(edge::decodeFleetMessage(datagram.SerializeAsString(), Start)); // a body that this build does not know is absent
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -120,6 +120,8 @@
         }
         for (const edge::CompletedPlacement &completed : report.completed) {
             require(completed.outcome <= routing::SendOutcome::NoPath, "an outcome is known");
+            requireTime(completed.timing.duration);
+            requireTime(completed.timing.maxGap);
         }
     }
     void operator()(const edge::RegionState &state) const
@@ -136,6 +138,16 @@
             requireAmount(row.load.prefillUtilization);
             requireAmount(row.load.cacheMissRatio);
         }
+        for (const routing::ProfileReport &report : state.profiles) {
+            requireAmount(report.figures.figures.prefillTokensPerMs);
+            requireAmount(report.figures.figures.step.count());
+            requireAmount(report.figures.figures.stepPerRequest.count());
+            requireAmount(report.figures.figures.pause.count());
+            requireAmount(report.figures.evidence);
+            for (const double doubt : report.figures.doubts) {
+                requireAmount(doubt);
+            }
+        }
         require(state.metadataStaleness >= 0ms, "metadata are not from the future");
         requireTime(state.metadataStaleness);
     }
