Dispatcher: queue order, placement rate and refusals in files of their own

They are classes of their own now (queueorder, placementrate, refusal), each with the load that it is for in its header. The rest of the source is split by its sections. No change in behaviour.

dispatchertest and routingtest pass.

--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -12,14 +12,11 @@
 //
 // Expected load: regions peak at different hours at 2.3 times their mean, prompts share 6,300 of 9,190 tokens, and capacity
 // differs by a factor of three. Requests go where most of their prompt is cached until the wait there costs more than a
-// prefill elsewhere. Each engine's backlog is kept short, so that an urgent request can overtake queued ones. Requests that
-// can still meet their latency deadline go before those that cannot. When demand exceeds capacity, mostly cached prompts go
-// first, since several of them are served in the time of one uncached prompt. A request that would be served too late at the
-// placement rate of the last second is refused at once.
+// prefill elsewhere. Each engine's backlog is kept short, so that an urgent request can overtake queued ones.
 //
-// Load pattern: demand exceeds capacity for seconds, as in a burst beside a crash of a quarter of the engines. Requests that have missed their
-// latency deadline come after all that can still meet it, also after those that arrive from now on. So they get only the part of the
-// placement rate that arrivals leave over, and one that would not be served by that is refused when this is known, not at its deadline.
+// The order of the queue is in queueorder.h, the rate at which it is served in placementrate.h, and what is told to those that are
+// refused in refusal.h; each names the load that it is for. The source is in three files: dispatcher.cpp has requests, grants and the
+// queue, dispatchercandidates.cpp the upstreams of the region, dispatcherregions.cpp the other regions.
 //
 // Sections:
 //   Requests and decisions
@@ -53,6 +50,9 @@
 #include "arbutus/catalog/catalog.h"
 #include "arbutus/limits/tokenbucket.h"
 #include "arbutus/routing/crashcause.h"
+#include "arbutus/routing/placementrate.h"
+#include "arbutus/routing/queueorder.h"
+#include "arbutus/routing/refusal.h"
 #include "arbutus/routing/streamrecords.h"
 #include "arbutus/routing/upstreamregistry.h"
 
@@ -118,18 +118,6 @@
     core::Duration score{};      // predicted latency plus the cost of a slow stream; not sent to the requester
     core::InstanceId relay = {}; // instance of the requester's own region that sends the request; empty: any of another region
 };
-enum class RefusalReason {
-    NoUpstream,  // no reachable upstream may serve it
-    Overloaded,  // would not be served in time
-    Quarantined, // the request, or a part of its prompt, crashes upstreams
-    VersionGone, // no region has an upstream of the required version left
-    Outdated,    // a newer configuration has dropped or moved its route
-};
-struct Refused
-{
-    RefusalReason reason = RefusalReason::NoUpstream;
-    core::Duration retryAfter{};
-};
 using PlacementDecision = std::variant<Granted, Queued, Redirected, Refused>;
 
 /// Decision on a request that was queued.
@@ -206,7 +194,6 @@
     double limitedBurstTime = 0.1;                                        // seconds of the rate that may be granted at once
     double takeoverRateFactor = 0.5;                                      // share of the rate that a new dispatcher uses at first
     core::Duration takeoverRatePeriod = std::chrono::milliseconds(4'000); // for this long
-    double placedWorkWeight = 0.05;                                       // weight of one placement in the mean work of a request
 
     //--- Upstream selection
     core::Duration affinityBonus = std::chrono::milliseconds(60); // score bonus for the engine that a shared prefix is hashed to
@@ -220,7 +207,6 @@
     core::Duration remoteLatencyMargin = std::chrono::milliseconds(150); // another region must be faster by this
     core::Duration remoteScoreMargin = std::chrono::milliseconds(400);   // or better by this in score, if it meets the latency deadline
     core::Duration maxRemoteLoadAge = std::chrono::milliseconds(1'500);  // older load reports are ignored
-    double cacheMissRatioWeight = 0.02;                                  // weight of one prompt in ServiceLoad::cacheMissRatio
 
     //--- Relays
     core::Duration relayOverhead = std::chrono::milliseconds(4);         // of the way through another instance of the region
@@ -229,17 +215,12 @@
     //--- Queue order
     core::Duration minQueueScanInterval = std::chrono::milliseconds(8); // between scans of the queue
     std::size_t queueScanLimit = 48;                                    // queued requests considered for placement per scan
-    double mostlyCachedRatio = 0.5;                                     // cached share from which a prompt counts as mostly cached
+    UrgencyOrderSettings urgencyOrder;
 
     //--- Refusals
-    core::Duration placementRateTimeConstant = std::chrono::milliseconds(1'000); // of the moving average of the placement rate
-    core::Duration placementRateMinBusyTime = std::chrono::milliseconds(600); // requests must have been queued for this long before the measured rate is used
-    core::Duration maxPredictedWait = std::chrono::seconds(60);               // upper bound of predicted waits
-    core::Duration arrivalPeriod = std::chrono::milliseconds(250);            // arrivals of this period and the one before count
-    double minSpareRatio = 0.1;                                               // of the placement rate, for requests past their latency deadline
-    core::Duration discoveryPeriod = std::chrono::milliseconds(2'000);        // after its start a dispatcher may not know all upstreams yet
-    core::Duration minRetryAfter = std::chrono::milliseconds(200);            // lower bound of the retry-after hint
-    core::Duration maxRetryAfter = std::chrono::milliseconds(3'000);
+    PlacementRateSettings placementRate;
+    RefusalSettings refusal;
+    core::Duration discoveryPeriod = std::chrono::milliseconds(2'000); // after its start a dispatcher may not know all upstreams yet
 
     //--- Expiry
     core::Duration reportTimeout = std::chrono::milliseconds(1'200);     // requests in flight or queued that are not reported again expire
@@ -326,27 +307,9 @@
     {
         PlacementRequest request;
         core::TimePoint lastRequestedAt{};
-        std::uint32_t minUncachedTokens = 0; // smallest number over all engines
-        core::Duration minLatency{};         // smallest unloaded time to the first event
-        core::Duration predictedWait{};      // at the last scan of the queue
-        [[nodiscard]] bool isMostlyCached(double ratio) const
-        {
-            return minUncachedTokens <= static_cast<double>(request.promptTokens) * (1 - ratio);
-        }
-    };
-    /// Rate at which queued requests of a service are placed.
-    struct PlacementRate
-    {
-        double placedWork = 0; // tokens, or requests of a plain service; decays with placementRateTimeConstant
-        core::TimePoint updatedAt{};
-        core::TimePoint queuedSince{}; // the queue has not been empty since then
-        double arrivedWork = 0;        // of new requests, placed or queued, since `arrivalsSince`
-        double arrivedWorkBefore = 0;  // in the period before
-        core::TimePoint arrivalsSince{};
-        double meanWork = 0; // of a placed request; 0: none yet
-        double cacheMissRatio = 1;
+        QueueEntry entry;
+        core::Duration predictedWait{}; // at the last scan of the queue
     };
-
     /// Result of an attempt to place a request.
     struct PlacementAttempt
     {
@@ -393,47 +356,34 @@
     [[nodiscard]] std::optional<Candidate> evaluateCandidate(const PlacementRequest &request, LocalUpstream &upstream, core::TimePoint now) const;
     [[nodiscard]] std::optional<Redirected> bestRemoteRegion(const PlacementRequest &request, core::TimePoint now);
     [[nodiscard]] core::Duration predictQueueWait(const QueuedRequest &queued, core::TimePoint now);
-    /// Rates at which a queue is served.
-    struct QueueRates
-    {
-        double total = 0; // work units per millisecond
-        double spare = 0; // the part that arriving requests leave over
-    };
     [[nodiscard]] QueueRates estimateQueueRates(const core::ServiceId &service, core::TimePoint now);
     /// Wait of a request with `workAhead` before it, which new requests overtake once it has missed its latency deadline.
     [[nodiscard]] core::Duration predictWait(const QueuedRequest &queued, double workAhead, const QueueRates &rates, core::TimePoint now) const;
-    void recordArrival(const core::ServiceId &service, double work, core::TimePoint now);
     [[nodiscard]] PlacementAttempt tryPlace(const PlacementRequest &request, core::TimePoint now);
     /// Places queued requests in order of precedence and appends the results to m_deferredDecisions.
     void scanQueue(core::TimePoint now);
     void clearReservations();
-    /// Clears `queuedSince` for services without queued requests.
-    void resetQueuedSince();
+    /// Ends the busy periods of services without queued requests.
+    void endBusyPeriods();
     [[nodiscard]] std::optional<Granted> findGrant(const PlacementId &id);
     [[nodiscard]] PlacementDecision grant(const PlacementRequest &request, const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] PlacementDecision redirect(const PlacementRequest &request, const Redirected &redirected);
     [[nodiscard]] Refused refuse(const PlacementRequest &request, RefusalReason reason, core::Duration predictedWait, core::TimePoint now) const;
     /// Work units that an upstream can take per millisecond.
     [[nodiscard]] double workCapacity(const LocalUpstream &upstream, double meanWork) const;
+    /// The same for all usable upstreams of a service together.
+    [[nodiscard]] double workCapacity(const core::ServiceId &service, core::TimePoint now);
     /// Applies this node's share of the rates that upstreams name.
     void updateRateLimits(core::TimePoint now);
     [[nodiscard]] bool mayUseColdUpstream(const RegistryEntry &entry, core::TimePoint now);
     [[nodiscard]] bool hasPrecedence(const QueuedRequest &left, const QueuedRequest &right, core::TimePoint now) const;
     [[nodiscard]] QueuedRequest makeQueuedRequest(const PlacementRequest &request, core::TimePoint now);
     void recordPlacement(const PlacementRequest &request, std::uint32_t uncachedTokens, core::TimePoint now);
-    /// Work units that can be placed per millisecond: the estimated capacity, or the measured rate if that is lower. The measured
-    /// rate counts only after requests have been queued for placementRateMinBusyTime.
-    [[nodiscard]] double estimatePlacementRate(const core::ServiceId &service, core::TimePoint now);
-    [[nodiscard]] core::Duration queueDrainTime(double workUnits, double rate) const;
     /// Work of a request: uncached tokens, or 1 for a plain service.
     [[nodiscard]] static double workUnits(const PlacementRequest &request, std::uint32_t uncachedTokens)
     {
         return request.promptTokens == 0 ? 1 : static_cast<double>(uncachedTokens);
     }
-    [[nodiscard]] static double workUnits(const QueuedRequest &queued)
-    {
-        return workUnits(queued.request, queued.minUncachedTokens);
-    }
 
     DispatcherSettings m_settings;
     DispatcherView m_view;
@@ -447,7 +397,9 @@
     std::map<PlacementId, Granted> m_grants;           // granted and not completed
     std::vector<DeferredDecision> m_deferredDecisions; // to be returned by processQueue()
     core::TimePoint m_lastQueueScan{};
-    std::map<core::ServiceId, PlacementRate> m_placementRates;
+    UrgencyOrder m_urgencyOrder;
+    PlacementRates m_placementRates;
+    RefusalPolicy m_refusals;
     std::map<core::RegionId, std::map<core::ServiceId, RemoteRegion>> m_remoteRegions;
     struct RateLimit
     {
--- /dev/null
+++ b/src/arbutus/routing/refusal.cpp
@@ -0,0 +1,20 @@
+// Retry-after hints.
+
+#include "arbutus/routing/refusal.h"
+
+#include <algorithm>
+
+namespace arbutus::routing {
+
+RefusalPolicy::RefusalPolicy(RefusalSettings settings)
+    : m_settings(settings)
+{
+}
+
+Refused RefusalPolicy::refuse(RefusalReason reason, core::Duration predictedWait, core::Duration timeLeft) const
+{
+    const core::Duration retryAfter = reason == RefusalReason::NoUpstream ? std::max(core::Duration::zero(), timeLeft) / 3 : predictedWait / 2;
+    return Refused{reason, std::clamp(retryAfter, m_settings.minRetryAfter, m_settings.maxRetryAfter)};
+}
+
+} // namespace arbutus::routing
