--- a/src/arbutus/catalog/catalog.cpp
+++ b/src/arbutus/catalog/catalog.cpp
@@ -26,23 +26,43 @@
         return "allowed";
     case SendPermission::RouteDropped:
         return "the route was dropped";
+    case SendPermission::WorkspaceDropped:
+        return "the credential names no workspace any more";
     case SendPermission::ServiceMoved:
         return "the route leads to another service";
     case SendPermission::RegionForbidden:
-        return "the region is no home of the route";
+        return "the region is no home of the route or the workspace";
     }
     return "";
 }
 
-SendPermission checkSend(const Route *route, const core::ServiceId &service, const core::RegionId &region)
+std::optional<std::set<core::RegionId>> RequestMatch::homeRegions() const
 {
-    if (route == nullptr) {
+    std::optional<std::set<core::RegionId>> out;
+    if (!route->homeRegions.empty()) {
+        out = route->homeRegions;
+    }
+    if (workspace != nullptr && !workspace->homeRegions.empty()) {
+        if (!out) {
+            return workspace->homeRegions;
+        }
+        std::erase_if(*out, [this](const core::RegionId &region) { return !workspace->allowsRegion(region); });
+    }
+    return out;
+}
+
+SendPermission checkSend(const RequestMatch &match, const core::ServiceId &service, const core::RegionId &region)
+{
+    if (match.route == nullptr) {
         return SendPermission::RouteDropped;
     }
-    if (!route->leadsTo(service)) {
+    if (match.isCredentialUnknown) {
+        return SendPermission::WorkspaceDropped;
+    }
+    if (!match.route->leadsTo(service)) {
         return SendPermission::ServiceMoved;
     }
-    return route->allowsRegion(region) ? SendPermission::Allowed : SendPermission::RegionForbidden;
+    return match.allowsRegion(region) ? SendPermission::Allowed : SendPermission::RegionForbidden;
 }
 
 bool Route::leadsTo(const core::ServiceId &service) const
@@ -116,6 +136,28 @@
     return found == m_routesById.end() ? nullptr : &m_routes[found->second];
 }
 
+RequestMatch Catalog::matchRequest(std::string_view host, std::string_view path, std::string_view credential) const
+{
+    RequestMatch out;
+    out.route = matchRoute(host, path);
+    if (out.route != nullptr && requiresCredential(*out.route)) {
+        out.workspace = findWorkspace(credential);
+        out.isCredentialUnknown = out.workspace == nullptr;
+    }
+    return out;
+}
+
+RequestMatch Catalog::matchKnown(const RouteId &route, const core::WorkspaceId &workspace) const
+{
+    RequestMatch out;
+    out.route = findRoute(route);
+    if (out.route != nullptr && requiresCredential(*out.route)) {
+        out.workspace = findWorkspace(workspace);
+        out.isCredentialUnknown = out.workspace == nullptr;
+    }
+    return out;
+}
+
 const Service *Catalog::findService(const core::ServiceId &id) const
 {
     const auto found = m_services.find(id);
@@ -124,7 +166,7 @@
 
 const Workspace *Catalog::findWorkspace(std::string_view credential) const
 {
-    const auto found = m_credentials.find(credential);
+    const auto found = credential.empty() ? std::nullopt : m_credentials.find(credential);
     return found ? &m_workspaces[*found] : nullptr;
 }
 
--- a/src/arbutus/catalog/catalog.h
+++ b/src/arbutus/catalog/catalog.h
@@ -7,7 +7,7 @@
 //   const core::ServiceId service = route->serviceFor(attemptId);
 //
 // Sections:
-//   Route     how requests of a host and path prefix are handled
+//   Route     how requests of a host and path prefix are handled, and whether one may be sent
 //   Service   a set of interchangeable upstreams
 //   Catalog   one version of all routes, services and limits
 //
@@ -84,17 +84,42 @@
     }
 };
 
+/// How one configuration handles a request.
+struct RequestMatch
+{
+    const Route *route = nullptr;         // null: there is none
+    const Workspace *workspace = nullptr; // of the credential; null: none is needed, or the credential is unknown
+    bool isCredentialUnknown = false;     // the route needs a credential, and the request has none or one that no workspace holds
+
+    /// Whether requests may be served in `region`: the home regions of the route and of the workspace both bind.
+    [[nodiscard]] bool allowsRegion(const core::RegionId &region) const
+    {
+        return route->allowsRegion(region) && (workspace == nullptr || workspace->allowsRegion(region));
+    }
+    /// The regions that may serve the request. Nothing: all; an empty set: none.
+    [[nodiscard]] std::optional<std::set<core::RegionId>> homeRegions() const;
+    /// 0 is highest.
+    [[nodiscard]] int priority() const
+    {
+        return workspace != nullptr && workspace->priority ? *workspace->priority : route->priority;
+    }
+    [[nodiscard]] core::WorkspaceId workspaceId() const
+    {
+        return workspace == nullptr ? core::WorkspaceId() : workspace->id;
+    }
+};
+
 enum class SendPermission {
     Allowed,
-    RouteDropped,    // the configuration has no such route
-    ServiceMoved,    // the route does not lead to the service
-    RegionForbidden, // the region is no home of the route
+    RouteDropped,     // the configuration has no such route
+    WorkspaceDropped, // the route needs a workspace, and the configuration does not have that of the request
+    ServiceMoved,     // the route does not lead to the service
+    RegionForbidden,  // the region is no home of the route, or of the workspace
 };
 [[nodiscard]] std::string_view toString(SendPermission permission);
 
-/// Whether a request for `service` may be sent in `region`. `route` is that of the request in the newest known configuration; null: it
-/// has none there.
-[[nodiscard]] SendPermission checkSend(const Route *route, const core::ServiceId &service, const core::RegionId &region);
+/// Whether a request for `service` may be sent in `region`. `match` is that of the newest known configuration.
+[[nodiscard]] SendPermission checkSend(const RequestMatch &match, const core::ServiceId &service, const core::RegionId &region);
 
 //-----------------------------------------------------------------------------
 // Service
@@ -145,6 +170,10 @@
     /// Route of `host` with the longest path prefix that matches `path`, or null.
     [[nodiscard]] const Route *matchRoute(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Route *findRoute(const RouteId &id) const;
+    /// How a request is handled that has this credential; an empty one: it has none.
+    [[nodiscard]] RequestMatch matchRequest(std::string_view host, std::string_view path, std::string_view credential) const;
+    /// The same for a request whose route and workspace are known, without its credential. An empty workspace: it has none.
+    [[nodiscard]] RequestMatch matchKnown(const RouteId &route, const core::WorkspaceId &workspace) const;
     [[nodiscard]] const Service *findService(const core::ServiceId &id) const;
     /// Whether requests of the route need a credential.
     [[nodiscard]] bool requiresCredential(const Route &route) const
--- a/src/arbutus/edge/directory.cpp
+++ b/src/arbutus/edge/directory.cpp
@@ -36,6 +36,18 @@
             for (const core::RegionId &region : route.homeRegions) {
                 ++counts[region];
             }
+            if (!catalog->requiresCredential(route)) {
+                continue;
+            }
+            for (const catalog::Workspace &workspace : catalog->workspaces()) {
+                if (workspace.homeRegions.empty()) {
+                    continue;
+                }
+                const auto homeRegions = catalog::RequestMatch{&route, &workspace, false}.homeRegions();
+                for (const core::RegionId &region : homeRegions.value_or(std::set<core::RegionId>())) {
+                    ++counts[region];
+                }
+            }
         }
     }
     return counts;
--- a/src/arbutus/edge/directory.h
+++ b/src/arbutus/edge/directory.h
@@ -27,7 +27,8 @@
 
 using HomeRegionCounts = std::map<core::RegionId, std::size_t>; // routes that have the region as a home region
 
-/// Counts the routes of `host` by home region. Empty if none of them has home regions.
+/// Counts the routes of `host` by home region; a route counts once more for each workspace that has home regions, by the regions that are home
+/// of both. Empty if there are no home regions.
 [[nodiscard]] HomeRegionCounts countHomeRegions(const catalog::CatalogPointer &catalog, std::string_view host);
 
 /// Samples the instances for one response. `members` must be live. If the client's region has none, only those in the live
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -1,27 +1,20 @@
 // Processing of a request, from parsing its headers to the response.
 //
 // Sections:
-//   Request state   state of one request
 //   Acceptance      headers, route, body
-//   Configuration   changes of it during the request
 //   Shutdown        refusals and ends during a planned stop
 //   Placement       retry loop over placements
 //   Sending         attempts at upstreams and peers
 //   Silence         replacement of attempts whose upstream is silent
-//   Relay           buffered responses and streams
-//   Responses       error responses and the request log
 
-#include "arbutus/edge/forwarder.h"
 #include "arbutus/core/overloaded.h"
 #include "arbutus/core/scopedelement.h"
+#include "arbutus/edge/forwarderstate.h"
 #include "arbutus/edge/hoplimits.h"
-#include "arbutus/edge/sserelay.h"
-#include "arbutus/http/truncation.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <charconv>
 #include <cmath>
 
 namespace arbutus::edge {
@@ -31,46 +24,8 @@
 
 namespace {
 
-// Headers of requests and responses between instances. They are never forwarded to clients or upstreams.
-constexpr const char *OriginHeader = "X-Gateway-Origin";           // instance that received the client's request
-constexpr const char *ServiceHeader = "X-Gateway-Service";         // service chosen by that instance
-constexpr const char *SendCountHeader = "X-Gateway-Sends";         // upstream sends so far
-constexpr const char *PossibleExecutionsHeader = "X-Gateway-Runs"; // sends after which an upstream may have executed the request
-constexpr const char *MaxExecutionsHeader = "X-Gateway-Max-Runs";  // value of PossibleExecutionsHeader that the peer must not exceed
-constexpr const char *ResumeHeader = "X-Gateway-Resume";           // last event id that the client has
-constexpr const char *VersionHeader = "X-Gateway-Version";         // request: required software version; response: that of the upstream
-constexpr const char *UpstreamHeader = "X-Gateway-Upstream";       // response: upstream whose response is passed on
-constexpr const char *StartTimeHeader = "X-Gateway-Start-Time";    // response: run of it that was known when it got the request
-constexpr const char *CatalogHeader = "X-Gateway-Configuration";   // version that the sender has
-constexpr const char *AgeHeader = "X-Gateway-Age-Ms";              // time since the client's request; absent once its response has begun
-constexpr const char *OutcomeHeader = "X-Gateway-Outcome";         // response header with one of the values below
-constexpr std::string_view OutcomeAnswered = "answered";
-constexpr std::string_view OutcomeNotExecuted = "not_run";
-constexpr std::string_view OutcomeUnknown = "unknown";
-constexpr std::string_view OutcomeQuarantined = "quarantined"; // not run, and no upstream may run it
-constexpr std::array PeerHeaders = {OriginHeader,
-                                    ServiceHeader,
-                                    SendCountHeader,
-                                    PossibleExecutionsHeader,
-                                    MaxExecutionsHeader,
-                                    ResumeHeader,
-                                    VersionHeader,
-                                    UpstreamHeader,
-                                    StartTimeHeader,
-                                    CatalogHeader,
-                                    AgeHeader,
-                                    OutcomeHeader};
-
-constexpr const char *HomesUncertainReason = "another instance has a newer configuration, which may have other home regions";
-
 constexpr std::size_t MaxAgeAtOrigin = 3'600'000; // milliseconds; a longer one is cut; no client waits for that long
 
-/// Returns whether the status, when sent by a gateway, guarantees that the request was not executed.
-bool impliesNotExecuted(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 /// Ids of the parts of a prompt that other requests may share, for the log.
 std::string sharedPartIds(const std::vector<routing::PromptPart> &prompt)
 {
@@ -81,240 +36,8 @@
     return out;
 }
 
-bool mayBeEventStream(const http::Headers &headers)
-{
-    return http::headerValue(headers, "Content-Type").empty() || http::isEventStream(headers);
-}
-
-std::size_t parseCount(const std::string &text)
-{
-    std::size_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
-std::optional<routing::StartTime> parseStartTime(const std::string &text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end == text.data() + text.size() ? std::optional(routing::StartTime(value)) : std::nullopt;
-}
-
-catalog::CatalogVersion parseCatalogVersion(const http::Headers &headers)
-{
-    return catalog::CatalogVersion(parseCount(http::headerValue(headers, CatalogHeader)));
-}
-
-std::string homeRegionsOf(const catalog::Route &route)
-{
-    std::string out;
-    for (const core::RegionId &region : route.homeRegions) {
-        out += (out.empty() ? "" : ",") + region.text;
-    }
-    return out;
-}
-
-/// Whether a request that was sent by one of the routes may be sent by the other one.
-bool isSameKind(const catalog::Route &left, const catalog::Route &right)
-{
-    return left.executionSemantics == right.executionSemantics && left.responseMode == right.responseMode && left.resumable == right.resumable;
-}
-
-std::string formatSeconds(core::Duration duration)
-{
-    char text[32];
-    (void)std::snprintf(text, sizeof text, "%.2f", std::chrono::duration<double>(duration).count());
-    return text;
-}
-
 } // namespace
 
-//-----------------------------------------------------------------------------
-// Request state
-//-----------------------------------------------------------------------------
-
-/// One send of a request to an upstream, or to an instance in another region.
-struct Forwarder::Attempt
-{
-    //--- Target
-    routing::PlacementId placement;
-    core::UpstreamId upstream; // of a peer's attempt: the one whose response the peer passes on, once it is known
-    core::InstanceId peer;     // to which the request is sent instead
-    core::RegionId region;     // of the peer
-    bool isToRelay = false;    // the peer is of this region
-    core::ServiceId service;   // of the upstream
-    std::string address;
-    routing::SoftwareVersion version;           // of the upstream's software; a peer states it in its response head
-    std::optional<routing::StartTime> knownRun; // of the upstream, when the request was sent; it may have been started again since
-    core::Duration predictedLatency{};
-    std::size_t executionsBefore = 0;  // of a peer's attempt: executions that the peer was told of; it goes on counting from there
-    std::size_t grantedExecutions = 0; // further ones that the peer may make, until it has reported how many it made
-    std::size_t sendsBefore = 0;       // sends that the peer was told of
-
-    //--- Progress
-    http::Request request;
-    std::optional<http::Call> call;
-    std::shared_ptr<limits::ByteHold> responseHold; // of the body, or of a partial event
-    core::TimePoint sentAt{};
-    catalog::CatalogVersion newestCatalog; // that this instance knew when the request was sent, for the log
-    core::Duration metadataStaleness{};    // the same
-    std::optional<core::TimePoint> connectedAt;
-    bool isOnNewConnection = false;
-    std::optional<http::CallResult<http::Response>> head; // response head, or why there is none
-    core::TimePoint firstEventAt{};
-    core::TimePoint lastProgressAt{}; // response head or last complete event
-    bool isWriting = false;           // an event to the client, which may be slow
-    bool delivered = false;           // the client gets the complete response of this attempt
-    bool superseded = false;          // another attempt continues the request
-    bool unneeded = false;            // a failed replacement, and the request does not wait for the rest of its response
-    bool isUpstreamDown = false;      // it refused the connection, and this instance reaches another upstream
-    bool ended = false;
-
-    //--- Result, also for the log
-    routing::SendOutcome outcome = routing::SendOutcome::Unreachable;
-    std::string peerOutcome; // OutcomeHeader
-    std::string failure;
-    std::string withheld;              // why the request was not sent when the connection was there
-    std::string maxRequestRate;        // that the response named
-    std::string rest;                  // that the upstream asked for: milliseconds, or the text if it is invalid
-    bool saysLeaving = false;          // the response said that its upstream is leaving
-    std::string bodyEnd;               // how the response marked the end of its body
-    bool isUnnamed = false;            // the response names no attempt
-    std::size_t partialEventBytes = 0; // received after the last complete event
-
-    [[nodiscard]] bool isToPeer() const
-    {
-        return !peer.empty();
-    }
-};
-
-struct Forwarder::RequestState : std::enable_shared_from_this<RequestState>
-{
-    RequestState(http::Exchange &clientExchange, const InstanceContext &context)
-        : exchange(clientExchange)
-        , clock(context.clock)
-        , receivedAt(context.now())
-        , changed(context.executor)
-    {
-    }
-
-    http::Exchange &exchange; // only valid until the request has been answered
-    const core::Clock &clock;
-    http::Request request; // without PeerHeaders
-    RequestHead head;
-    std::optional<limits::ByteHold> bodyHold;
-    routing::RequestFingerprint fingerprint;
-    catalog::CatalogPointer catalog; // that was applied last
-    const catalog::Route *route = nullptr;
-    catalog::CatalogVersion acceptedCatalog;
-    catalog::CatalogVersion originCatalog; // of the instance that forwarded the request; 0: not stated by one of an older release
-    bool hasWaitedForCatalog = false;
-    core::ServiceId service;
-    bool fromPeer = false;
-    std::string origin; // instance that received the client's request
-    core::TimePoint receivedAt;
-    core::Duration ageAtOrigin{};         // of the client's request, when the origin forwarded it
-    core::TimePoint completionDeadline{}; // for the complete response
-    core::TimePoint latencyDeadline{};
-    core::TimePoint responseDeadline{}; // for the first event or a buffered response; later ones are useless to the client
-    std::shared_ptr<CancellationToken> cancellation = std::make_shared<CancellationToken>();
-    std::set<core::UpstreamId> excludedUpstreams;
-    std::set<core::UpstreamId> brokenUpstreams; // whose connection ended before the response was complete
-    std::set<core::RegionId> excludedRegions;
-    std::set<core::InstanceId> excludedRelays;
-    std::size_t placements = 0;
-    std::size_t unreachableGrants = 0;  // placements at upstreams that the placement request stated to be unreachable
-    std::size_t fruitlessSearches = 0;  // placements for a replacement that was not sent
-    std::size_t sendCount = 0;          // requests that reached an upstream
-    std::size_t possibleExecutions = 0; // sends after which an upstream may have executed the request
-    std::size_t grantedExecutions = 0;  // that peers may make, and have not reported
-    std::size_t maxExecutions = 0;      // that the route allows, or the origin grants
-    std::size_t originGrant = std::numeric_limits<std::size_t>::max();
-    std::optional<http::Response> upstreamFailure; // error response of an upstream, forwarded if no retry succeeds
-    std::shared_ptr<limits::ByteHold> upstreamFailureHold;
-    bool mayHaveExecuted = false;                            // an attempt ended, and its upstream may have executed the request
-    bool responseStarted = false;                            // the stream's response head was sent to the client
-    bool isEventStreamStated = false;                        // in that head
-    std::optional<routing::SoftwareVersion> requiredVersion; // of a stream that has begun, in this or an earlier attempt of the client
-    bool isVersionGone = false;                              // no upstream of the required version is left
-    std::optional<SseRelay> sseRelay;
-    core::Duration retryAfter{};
-    std::optional<routing::CrashCause> quarantinedCause; // because of which the request is refused
-    std::string lastFailure;                             // reason of the last failed attempt, for the log
-    core::UpstreamId lastUpstream;
-    core::TimePoint firstEventTime{};
-    core::TimePoint lastEventTime{};
-    core::Duration maxEventGap{}; // longest gap between events of the stream
-
-    core::AsyncEvent changed;                            // an attempt has connected, got its response head or ended
-    std::shared_ptr<Attempt> current;                    // the attempt whose response is relayed
-    std::shared_ptr<Attempt> replacement;                // takes the place of the current one, which is silent
-    std::shared_ptr<Attempt> failedReplacement;          // whose response is still read; the silent attempt goes on
-    std::shared_ptr<CancellationToken> replacementToken; // while a replacement waits for its placement
-    bool isSeekingReplacement = false;
-    bool isReadingBody = false;
-    bool endedByShutdown = false;
-
-    [[nodiscard]] bool isRepeatable() const
-    {
-        return route->executionSemantics == catalog::ExecutionSemantics::Repeatable;
-    }
-    [[nodiscard]] bool isStreaming() const
-    {
-        return route->responseMode == catalog::ResponseMode::Stream;
-    }
-    /// Whether the client resumes a stream.
-    [[nodiscard]] bool isResumption() const
-    {
-        return isStreaming() && isRepeatable() && !head.lastEventId.empty();
-    }
-    [[nodiscard]] routing::StreamId streamId() const
-    {
-        return routing::StreamId(head.resumedAttemptId.empty() ? head.attemptId : head.resumedAttemptId);
-    }
-    /// Executions by upstreams so far, with those that peers may have made.
-    [[nodiscard]] std::size_t usedExecutions() const
-    {
-        return possibleExecutions + grantedExecutions;
-    }
-    [[nodiscard]] bool hasBeenSent() const
-    {
-        return sendCount > 0 || grantedExecutions > 0;
-    }
-    /// Ends a peer's grant: of the executions that it allowed, `used` count as made.
-    void settleGrant(Attempt &attempt, std::size_t used)
-    {
-        grantedExecutions -= attempt.grantedExecutions;
-        possibleExecutions += used;
-        attempt.grantedExecutions = 0;
-    }
-    [[nodiscard]] routing::PlacementId placementId() const
-    {
-        return routing::PlacementId(head.attemptId + "/" + std::to_string(placements));
-    }
-    /// Ends what the search for a replacement waits for, if no replacement is open.
-    void stopSeekingReplacement() const
-    {
-        if (replacementToken) {
-            replacementToken->cancel();
-        }
-        if (failedReplacement) {
-            failedReplacement->unneeded = true;
-            failedReplacement->call->cancel();
-        }
-    }
-    void cancelAttempts()
-    {
-        for (const auto &attempt : {current, replacement}) {
-            if (attempt) {
-                attempt->call->cancel();
-            }
-        }
-        stopSeekingReplacement();
-        changed.notify();
-    }
-};
-
 Forwarder::Forwarder(InstanceContext &context,
                      Fleet &fleet,
                      MetadataCache &metadataCache,
@@ -415,26 +138,9 @@
         co_await respondWithError(state, 503, core::ErrorKind::PlatformDown, "no configuration is loaded yet", m_settings.noCatalogRetryAfter);
         co_return false;
     }
-    state.route = state.catalog->matchRoute(state.head.host, state.head.path);
-    if (state.route == nullptr ? m_metadataCache.isCatalogBehind() : areHomesUncertain(state)) {
-        if (!co_await waitForNewerCatalog(state, core::TimePoint::max())) { // its deadlines are the route's
-            const bool isRouteKnown = state.route != nullptr;
-            const std::string reason = isRouteKnown ? HomesUncertainReason : "another instance has a newer configuration, which may have the route";
-            if (isRouteKnown) {
-                state.acceptedCatalog = state.catalog->version();
-                recordOutdated(state, reason);
-            }
-            co_await respondWithError(state, 503, core::ErrorKind::PlatformDown, reason, m_settings.noCatalogRetryAfter);
-            co_return false;
-        }
-        state.catalog = m_metadataCache.catalog();
-        state.route = state.catalog->matchRoute(state.head.host, state.head.path);
-    }
-    if (state.route == nullptr) {
-        co_await respondWithError(state, 404, core::ErrorKind::NotFound, "no route matches the host and path", {});
+    if (!co_await admitRequest(state)) {
         co_return false;
     }
-    state.acceptedCatalog = state.catalog->version();
     if (state.service.empty()) {
         state.service = state.route->serviceFor(state.head.attemptId);
     }
@@ -485,6 +191,50 @@
     co_return true;
 }
 
+asio::awaitable<bool> Forwarder::admitRequest(RequestState &state)
+{
+    catalog::RequestMatch match = newestMatch(state);
+    const auto apply = [&] {
+        state.catalog = m_metadataCache.catalog();
+        state.acceptedCatalog = state.catalog->version();
+        state.route = match.route;
+        state.workspace = match.workspace;
+    };
+    apply();
+    if (mayMatchNewer(match)) {
+        if (!co_await waitForNewerCatalog(state, core::TimePoint::max())) { // its deadlines are the route's
+            std::string reason = HomesUncertainReason;
+            if (match.route == nullptr) {
+                reason = "another instance has a newer configuration, which may have the route";
+            } else if (match.isCredentialUnknown) {
+                reason = "another instance has a newer configuration, which may have the credential";
+            }
+            if (match.route != nullptr) {
+                recordOutdated(state, reason);
+            }
+            co_await respondWithError(state, 503, core::ErrorKind::PlatformDown, reason, m_settings.noCatalogRetryAfter);
+            co_return false;
+        }
+        match = newestMatch(state);
+        apply();
+    }
+    if (match.route == nullptr) {
+        co_await respondWithError(state, 404, core::ErrorKind::NotFound, "no route matches the host and path", {});
+        co_return false;
+    }
+    if (match.isCredentialUnknown) {
+        std::string reason = state.head.credential.empty() ? "the request has no credential" : "no workspace has the credential";
+        co_await respondWithError(state, 401, core::ErrorKind::Unauthorized, reason, {});
+        co_return false;
+    }
+    if (hasNoRegion(state)) {
+        recordOutdated(state, NoRegionReason);
+        co_await refuseNotExecuted(state, core::ErrorKind::ResidencyRefused, m_settings.noRegionRetryAfter);
+        co_return false;
+    }
+    co_return true;
+}
+
 void Forwarder::setDeadlines(RequestState &state) const
 {
     auto timeout = state.route->timeout;
@@ -542,131 +292,6 @@
     }
 }
 
-//-----------------------------------------------------------------------------
-// Configuration
-//-----------------------------------------------------------------------------
-
-void Forwarder::onCatalogChanged()
-{
-    m_catalogChanged.notify();
-}
-
-bool Forwarder::isOutdated(const RequestState &state) const
-{
-    const catalog::CatalogPointer &newest = m_metadataCache.catalog();
-    if (state.catalog == newest) {
-        return false;
-    }
-    const catalog::Route *route = newest->matchRoute(state.head.host, state.head.path);
-    return route == nullptr || route->id != state.route->id || !isSameKind(*route, *state.route) || route->homeRegions != state.route->homeRegions
-        || route->leadsTo(state.service) != state.route->leadsTo(state.service);
-}
-
-bool Forwarder::renewRoute(RequestState &state)
-{
-    const catalog::CatalogPointer newest = m_metadataCache.catalog();
-    if (state.catalog == newest) {
-        return true;
-    }
-    const catalog::Route *route = newest->matchRoute(state.head.host, state.head.path);
-    if (route == nullptr) {
-        recordOutdated(state, catalog::toString(catalog::SendPermission::RouteDropped));
-        return false;
-    }
-    const bool hasBeenSent = state.hasBeenSent() || state.current || state.responseStarted;
-    if (hasBeenSent && !isSameKind(*route, *state.route)) {
-        recordOutdated(state, "the route is of another kind");
-        return false;
-    }
-    const bool isBegun = state.requiredVersion || state.responseStarted;
-    const bool isOriginNewer = state.originCatalog > newest->version();
-    if (!route->leadsTo(state.service) && !isOriginNewer && (state.fromPeer || isBegun)) {
-        recordOutdated(state, catalog::toString(catalog::SendPermission::ServiceMoved));
-        return false;
-    }
-    if (state.fromPeer && !route->allowsRegion(m_context.settings.region)) {
-        recordOutdated(state, catalog::toString(catalog::SendPermission::RegionForbidden));
-        return false;
-    }
-    if (!route->leadsTo(state.service) && !isOriginNewer) {
-        state.service = route->serviceFor(state.head.attemptId);
-    }
-    state.catalog = newest;
-    state.route = route;
-    const std::size_t maxExecutions = std::min(state.originGrant, route->maxUpstreamsPerAttempt);
-    state.maxExecutions = hasBeenSent ? std::min(state.maxExecutions, maxExecutions) : maxExecutions;
-    if (!hasBeenSent) {
-        setDeadlines(state);
-    }
-    return true;
-}
-
-bool Forwarder::areHomesUncertain(const RequestState &state) const
-{
-    return !state.route->homeRegions.empty() && m_metadataCache.isCatalogBehind();
-}
-
-bool Forwarder::maySend(RequestState &state, const core::RegionId &region)
-{
-    if (areHomesUncertain(state)) {
-        recordOutdated(state, HomesUncertainReason);
-        return false;
-    }
-    if (isOutdated(state)) {
-        recordOutdated(state, "the configuration changed since the request was placed");
-        return false;
-    }
-    const catalog::SendPermission permission = catalog::checkSend(state.route, state.service, region);
-    const bool isServiceOfNewer = permission == catalog::SendPermission::ServiceMoved && state.originCatalog > state.catalog->version();
-    if (permission == catalog::SendPermission::Allowed || (isServiceOfNewer && state.route->allowsRegion(region))) {
-        return true;
-    }
-    recordOutdated(state, catalog::toString(permission));
-    return false;
-}
-
-void Forwarder::recordOutdated(RequestState &state, std::string_view reason)
-{
-    const catalog::CatalogVersion newest = m_metadataCache.knownCatalog().version;
-    state.lastFailure =
-        std::string(reason) + " (configuration " + std::to_string(newest.value) + ", accepted by " + std::to_string(state.acceptedCatalog.value);
-    state.lastFailure += state.fromPeer ? ", origin has " + std::to_string(state.originCatalog.value) + ")" : ")";
-    m_context.metrics.incrementCounter("arbutus_outdated_sends_total");
-    const catalog::Route *route = m_metadataCache.catalog()->matchRoute(state.head.host, state.head.path);
-    m_context.writeLog(observe::LogLine("request_outdated")
-                           .add("request", state.placementId())
-                           .add("route", state.route->id)
-                           .add("service", state.service)
-                           .add("reason", reason)
-                           .add("configuration", state.acceptedCatalog)
-                           .add("newest_configuration", newest)
-                           .add("origin_configuration", state.originCatalog)
-                           .add("home_regions", route == nullptr ? "" : homeRegionsOf(*route)));
-}
-
-asio::awaitable<bool> Forwarder::waitForNewerCatalog(RequestState &state, core::TimePoint until)
-{
-    const core::TimePoint end = std::min(m_context.now() + m_settings.maxCatalogWait, until);
-    while (state.catalog == m_metadataCache.catalog() && !state.cancellation->cancelled && m_context.now() < end) {
-        co_await m_catalogChanged.wait(end - m_context.now());
-    }
-    co_return state.catalog != m_metadataCache.catalog();
-}
-
-bool Forwarder::mustWaitForCatalog(const routing::PlacementDecision &decision) const
-{
-    const auto *redirected = std::get_if<routing::Redirected>(&decision);
-    return redirected != nullptr && redirected->relay.empty() && m_metadataCache.isCatalogBehind();
-}
-
-void Forwarder::noteCatalogVersion(const core::InstanceId &instance, const http::Headers &headers)
-{
-    m_metadataCache.noteCatalogVersion(parseCatalogVersion(headers));
-    if (parseCatalogVersion(headers) > m_metadataCache.knownCatalog().version && m_placement.onNewerMetadata) {
-        m_placement.onNewerMetadata(instance);
-    }
-}
-
 //-----------------------------------------------------------------------------
 // Shutdown
 //-----------------------------------------------------------------------------
@@ -774,7 +399,7 @@
     routing::PlacementRequest placementRequest;
     placementRequest.id = state.placementId();
     placementRequest.service = state.service;
-    placementRequest.priority = state.route->priority;
+    placementRequest.priority = state.match().priority();
     placementRequest.latencyDeadline = state.latencyDeadline;
     placementRequest.responseDeadline = limitByShutdown(state, state.responseStarted ? state.completionDeadline : state.responseDeadline);
     placementRequest.completionDeadline = limitByShutdown(state, state.completionDeadline);
@@ -783,7 +408,9 @@
     placementRequest.promptTokens = state.head.promptTokens;
     placementRequest.outputTokens = state.head.expectedOutputTokens;
     placementRequest.allowOtherRegions = !state.fromPeer;
-    placementRequest.allowedRegions = state.route->homeRegions;
+    placementRequest.allowedRegions = state.match().homeRegions().value_or(std::set<core::RegionId>()); // see hasNoRegion()
+    placementRequest.workspace = state.match().workspaceId();
+    placementRequest.quotaUnits = quotaUnits(state);
     placementRequest.excludedUpstreams = state.excludedUpstreams;
     placementRequest.excludedRegions = state.excludedRegions;
     placementRequest.excludedRelays = state.excludedRelays;
@@ -792,6 +419,12 @@
     return placementRequest;
 }
 
+std::uint32_t Forwarder::quotaUnits(const RequestState &state)
+{
+    const bool isCharged = state.workspace != nullptr && state.workspace->quota && !state.fromPeer && !state.isQuotaSpent;
+    return isCharged ? state.workspace->quota->costOf(state.head.statedTokens) : 0;
+}
+
 void Forwarder::excludeUnreachable(RequestState &state, const routing::PlacementRequest &request, const routing::PlacementDecision &decision)
 {
     const auto *granted = std::get_if<routing::Granted>(&decision);
@@ -839,6 +472,11 @@
                 recordShutdown(state, "waiting");
                 break;
             }
+            if (hasNoRegion(state)) {
+                recordOutdated(state, NoRegionReason);
+                state.retryAfter = m_settings.noRegionRetryAfter;
+                break;
+            }
             if (areHomesUncertain(state)) {
                 const bool mayWait = !std::exchange(state.hasWaitedForCatalog, true);
                 if (mayWait && co_await waitForNewerCatalog(state, state.responseDeadline)) {
@@ -867,6 +505,10 @@
             }
             if (const auto *refused = std::get_if<routing::Refused>(&decision)) {
                 state.retryAfter = refused->retryAfter;
+                if (refused->reason == routing::RefusalReason::OverQuota) {
+                    state.isOverQuota = true;
+                    state.lastFailure = "the quota of workspace " + state.match().workspaceId().text + " is used up";
+                }
                 if (refused->reason == routing::RefusalReason::Quarantined && !isQuarantined(state)) { // this instance has not received the record yet
                     state.quarantinedCause = state.fingerprint;
                     state.lastFailure = "the dispatcher reports a quarantined request or prompt part";
@@ -884,6 +526,7 @@
                 }
                 break;
             }
+            state.isQuotaSpent = true;
             if (mustWaitForCatalog(decision)) {
                 bool isNewerKnown = false;
                 if (!std::exchange(state.hasWaitedForCatalog, true)) {
@@ -1065,7 +708,10 @@
     UpstreamRequestOptions requestOptions;
     requestOptions.expectedUpstream = granted.upstream;
     requestOptions.timeout = std::chrono::duration_cast<milliseconds>(limitByShutdown(state, state.completionDeadline) - now);
-    requestOptions.priority = state.route->priority;
+    requestOptions.priority = state.match().priority();
+    if (hasWorkspaces(state)) {
+        requestOptions.workspace = state.match().workspaceId();
+    }
     requestOptions.isModelEngine = service != nullptr && service->engine.has_value();
     if (state.sseRelay) {
         requestOptions.resumeAfterEventId = state.sseRelay->lastEventId();
@@ -1153,7 +799,7 @@
     const auto remaining = std::chrono::duration_cast<milliseconds>(limitByShutdown(state, state.completionDeadline) - m_context.now());
     http::Headers &headers = attempt->request.headers;
     const milliseconds overhead = isToRelay ? m_settings.relayOverhead : m_settings.crossRegionOverhead;
-    headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - overhead / 2));
+    headers = m_context.adapter.peerHeaders(state.request, std::max(milliseconds(1), remaining - overhead / 2), hasWorkspaces(state));
     headers[OriginHeader] = m_context.settings.instanceId.text;
     headers[ServiceHeader] = state.service.text;
     headers[CatalogHeader] = std::to_string(m_metadataCache.knownCatalog().version.value);
@@ -1383,7 +1029,8 @@
     }
     line.add("configuration", state.acceptedCatalog)
         .add("newest_configuration", attempt.newestCatalog)
-        .add("home_regions", homeRegionsOf(*state.route))
+        .add("workspace", state.match().workspaceId())
+        .add("home_regions", homeRegionsOf(state.match()))
         .add("metadata_staleness_ms", core::toMilliseconds(attempt.metadataStaleness))
         .add("says_leaving", attempt.saysLeaving)
         .add("body_end", attempt.bodyEnd)
@@ -1540,466 +1187,4 @@
         && (!state.responseStarted || mayBeStream(state, response.headers));
 }
 
-//-----------------------------------------------------------------------------
-// Relay
-//-----------------------------------------------------------------------------
-
-asio::awaitable<Forwarder::SendResult> Forwarder::handlePeerResponse(RequestState &state, Attempt &attempt)
-{
-    const http::Headers &headers = attempt.head->value().headers;
-    attempt.peerOutcome = http::headerValue(headers, OutcomeHeader);
-    noteCatalogVersion(attempt.peer, headers);
-    const unsigned status = attempt.head->value().status;
-    if (attempt.peerOutcome.empty() && isRejectedByListener(status)) { // not an upstream's response
-        state.settleGrant(attempt, 0);
-        exclude(state, attempt);
-        attempt.failure = "rejected by the listener of peer " + attempt.peer.text;
-        co_return SendResult::NotExecuted;
-    }
-    const auto countSince = [&](const char *header, std::size_t before, std::size_t ifNotStated) {
-        if (!headers.contains(header)) {
-            return ifNotStated;
-        }
-        const std::size_t count = parseCount(http::headerValue(headers, header));
-        return count > before ? count - before : 0;
-    };
-    state.sendCount += countSince(SendCountHeader, attempt.sendsBefore, 1);
-    const std::size_t reported = countSince(PossibleExecutionsHeader, attempt.executionsBefore, attempt.grantedExecutions);
-    // The peer of a stream may go on at further upstreams after it has reported.
-    const bool isFinal = !state.isStreaming() || attempt.peerOutcome != OutcomeAnswered;
-    state.settleGrant(attempt, isFinal ? reported : std::max(reported, attempt.grantedExecutions));
-    if (attempt.peerOutcome == OutcomeQuarantined) {
-        state.quarantinedCause = state.fingerprint;
-        attempt.failure = "peer " + attempt.peer.text + " reports a quarantined request or prompt part";
-        co_return SendResult::NotExecuted;
-    }
-    if (attempt.peerOutcome == OutcomeNotExecuted) {
-        exclude(state, attempt);
-        attempt.failure = "not executed by peer " + attempt.peer.text;
-        co_return SendResult::NotExecuted;
-    }
-    if (attempt.peerOutcome == OutcomeUnknown) {
-        exclude(state, attempt);
-        attempt.failure = "outcome unknown at peer " + attempt.peer.text;
-        co_return failedSendResult(state);
-    }
-    if (attempt.peerOutcome.empty() && status >= 400) {
-        exclude(state, attempt);
-        attempt.failure = "peer " + attempt.peer.text + " states no outcome with status " + std::to_string(status);
-        co_return failedSendResult(state);
-    }
-    co_return co_await handleResponse(state, attempt);
-}
-
-void Forwarder::recordUpstream(Attempt &attempt)
-{
-    http::Headers &headers = attempt.head->value().headers;
-    if (attempt.isToPeer()) {
-        attempt.upstream = core::UpstreamId(http::headerValue(headers, UpstreamHeader)); // a peer of an older release states none
-        attempt.knownRun = parseStartTime(http::headerValue(headers, StartTimeHeader));
-        return;
-    }
-    headers[UpstreamHeader] = attempt.upstream.text;
-    headers.erase(StartTimeHeader);
-    if (attempt.knownRun) {
-        headers[StartTimeHeader] = std::to_string(attempt.knownRun->value);
-    }
-}
-
-ResponseHead Forwarder::recordStatements(const RequestState &state, Attempt &attempt)
-{
-    ResponseHead parsed = m_context.adapter.parseResponse(attempt.head->value(), state.head.attemptId);
-    const bool isFromUpstream = parsed.kind != ResponseKind::Misdirected && parsed.kind != ResponseKind::Unverified;
-    recordUpstream(attempt);
-    attempt.maxRequestRate = parsed.maxRequestRate ? std::to_string(*parsed.maxRequestRate) : parsed.invalidMaxRequestRate;
-    attempt.saysLeaving = parsed.isLeaving;
-    attempt.rest = parsed.rest ? std::to_string(core::toMilliseconds(*parsed.rest)) : parsed.invalidRest;
-    if (isFromUpstream && parsed.isLeaving && !attempt.upstream.empty()) {
-        m_placement.recordLeaving(attempt.upstream, attempt.knownRun, attempt.isToPeer() ? attempt.peer.text : "response");
-    }
-    if (!attempt.isToPeer() && isFromUpstream) {
-        if (parsed.invalidMaxRequestRate.empty()) {
-            m_placement.recordResponse(attempt.upstream, parsed.maxRequestRate, attempt.sentAt);
-        }
-        if (parsed.rest) {
-            m_placement.recordRest(attempt.upstream, attempt.knownRun, *parsed.rest);
-        }
-    }
-    return parsed;
-}
-
-asio::awaitable<Forwarder::SendResult> Forwarder::handleResponse(RequestState &state, Attempt &attempt)
-{
-    http::Response &head = attempt.head->value();
-    const ResponseHead parsed = recordStatements(state, attempt);
-    attempt.bodyEnd = http::toString(attempt.call->bodyEnd());
-    attempt.isUnnamed = m_context.adapter.matchResponse(head.headers, state.head.attemptId) == http::ResponseMatch::NoRequest;
-    if (!attempt.isToPeer() && attempt.isUnnamed) {
-        m_context.metrics.incrementCounter("arbutus_unnamed_responses_total", attempt.isOnNewConnection ? "connection=\"new\"" : "connection=\"kept\"");
-    }
-    if (!attempt.isToPeer()) {
-        m_paths.recordResponse(attempt.upstream);
-    }
-    m_context.metrics.incrementCounter("arbutus_upstream_responses_total", "body_end=\"" + attempt.bodyEnd + "\"");
-    switch (parsed.kind) {
-    case ResponseKind::NotExecuted:
-    case ResponseKind::Misdirected: {
-        // A copy of a rejection on another connection cannot be told from one of this request; a new connection has carried none.
-        const bool provesNothing = !attempt.isToPeer() && attempt.isUnnamed && !attempt.isOnNewConnection;
-        state.possibleExecutions -= attempt.isToPeer() || provesNothing ? 0 : 1;
-        constexpr auto BodyTimeout = milliseconds(200); // reading the short body lets the connection be reused
-        const auto body = co_await attempt.call->readAll(BodyTimeout);
-        attempt.failure = body ? "rejected by the upstream" : "rejected by the upstream; reading the response body failed: " + body.error().message;
-        exclude(state, attempt);
-        attempt.outcome = routing::SendOutcome::Rejected;
-        if (parsed.kind == ResponseKind::Misdirected) {
-            attempt.outcome = routing::SendOutcome::Unreachable; // another upstream has the address
-            closeIdleConnections(attempt.address);
-        }
-        if (provesNothing) {
-            attempt.failure = "rejected on a kept connection by a response that names no attempt; the request may have been executed";
-            co_return failedSendResult(state);
-        }
-        co_return SendResult::NotExecuted;
-    }
-    case ResponseKind::Unverified:
-        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, "response is not verified as coming from the upstream");
-    case ResponseKind::ErrorStatus:
-    case ResponseKind::Success:
-        break;
-    }
-    if (state.isStreaming() && parsed.kind == ResponseKind::Success && mayBeStream(state, head.headers)) {
-        co_return co_await relayStream(state, attempt);
-    }
-    if (state.responseStarted && parsed.kind == ResponseKind::Success) { // it cannot continue the stream that has begun
-        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, "response is not an event stream");
-    }
-    co_return co_await relayBuffered(state, attempt);
-}
-
-asio::awaitable<Forwarder::SendResult> Forwarder::relayBuffered(RequestState &state, Attempt &attempt)
-{
-    http::Response &head = attempt.head->value();
-    const unsigned status = head.status;
-    auto body = co_await attempt.call->readAll(std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now())));
-    if (!body && attempt.responseHold->isDenied()) {
-        co_return recordNoMemory(state, attempt);
-    }
-    if (!body) {
-        const bool unneeded = state.cancellation->cancelled || attempt.unneeded;
-        const auto outcome = unneeded ? routing::SendOutcome::ClientDisconnected : routing::SendOutcome::Incomplete;
-        co_return recordFailedAttempt(state, attempt, outcome, "incomplete response body: " + body.error().message);
-    }
-    head.body = std::move(body.value());
-    attempt.responseHold->keep();
-    if (http::isTruncated(head, attempt.call->bodyEnd())) {
-        std::string reason = "response body was cut off after " + std::to_string(head.body.size()) + " bytes";
-        co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, std::move(reason));
-    }
-    if (status >= 200 && status < 300) {
-        attempt.outcome = routing::SendOutcome::Completed;
-        attempt.delivered = true;
-        m_durations.record(state.route->id, m_context.now() - attempt.sentAt, state.head.expectedOutputTokens);
-        if (!attempt.isToPeer()) {
-            m_quarantine.recordFirstEvent(state.head.prompt);
-        }
-        co_await respond(state, head);
-        state.lastUpstream = attempt.upstream;
-        logCompletion(state, status, attempt.isToPeer() ? "answered_by_peer" : "answered");
-        co_return SendResult::Finished;
-    }
-    const SendResult result = recordFailedAttempt(state, attempt, routing::SendOutcome::ServerError, "status " + std::to_string(status));
-    state.upstreamFailure = std::move(head);
-    state.upstreamFailureHold = attempt.responseHold;
-    co_return result;
-}
-
-Forwarder::SendResult Forwarder::recordNoMemory(RequestState &state, Attempt &attempt) const
-{
-    m_context.metrics.incrementCounter("arbutus_bodies_without_memory_total", "kind=\"response\"");
-    m_context.writeLog(observe::LogLine("response_without_memory")
-                           .add("request", attempt.placement)
-                           .add("upstream", attempt.upstream)
-                           .add("peer", attempt.peer)
-                           .add("held_bytes", m_bodies->usedBytes()));
-    return recordFailedAttempt(state, attempt, routing::SendOutcome::ServerError, "the response takes more memory than there is for it");
-}
-
-bool Forwarder::mayBeStream(const RequestState &state, const http::Headers &headers)
-{
-    const bool isStated = http::isEventStream(headers);
-    return state.responseStarted ? isStated == state.isEventStreamStated && mayBeEventStream(headers) : mayBeEventStream(headers);
-}
-
-bool Forwarder::fitsStream(const RequestState &state, const Attempt &attempt)
-{
-    return !state.requiredVersion || (*state.requiredVersion == attempt.version && state.service == attempt.service);
-}
-
-bool Forwarder::mayHaveChangedVersion(const Attempt &attempt) const
-{
-    const routing::RegistryEntry *entry = attempt.isToPeer() ? nullptr : m_metadataCache.registry().find(attempt.upstream);
-    return entry != nullptr && entry->announcement.version != attempt.version;
-}
-
-asio::awaitable<void> Forwarder::beginStream(RequestState &state, const Attempt &attempt)
-{
-    const http::Response &head = attempt.head->value();
-    if (!state.sseRelay) {
-        state.sseRelay.emplace(state.head.lastEventId);
-    } else {
-        state.sseRelay->resume();
-    }
-    if (std::exchange(state.responseStarted, true)) {
-        co_return;
-    }
-    state.isEventStreamStated = http::isEventStream(head.headers);
-    http::Response response;
-    response.status = head.status;
-    response.headers = m_context.adapter.clientHeaders(head.headers);
-    if (state.fromPeer && !state.requiredVersion) {
-        state.requiredVersion = attempt.version; // the other instance learns it from this response head
-    }
-    setPeerHeaders(state, OutcomeAnswered, response);
-    if (!co_await state.exchange.beginResponse(response)) {
-        state.cancellation->cancel();
-    }
-}
-
-void Forwarder::recordOutput(RequestState &state, Attempt &attempt)
-{
-    const core::TimePoint now = m_context.now();
-    if (state.sseRelay->forwardedEventCount() > 1 && state.lastEventTime != core::TimePoint{}) {
-        state.maxEventGap = std::max(state.maxEventGap, now - state.lastEventTime);
-    }
-    state.lastEventTime = now;
-    if (state.replacementToken) {
-        state.replacementToken->cancel(); // the upstream is no longer silent
-    }
-    if (attempt.firstEventAt == core::TimePoint{}) {
-        attempt.firstEventAt = now;
-        if (!state.requiredVersion) {
-            state.requiredVersion = attempt.version;
-            state.service = attempt.service; // the route may have moved while the attempt was silent
-        }
-        std::optional<routing::StreamRecord> record;
-        if (state.isRepeatable()) {
-            record = routing::StreamRecord{state.streamId(), routing::StreamOrigin{state.service, *state.requiredVersion}, now};
-        }
-        m_placement.recordFirstEvent(attempt.placement, std::move(record));
-        if (state.firstEventTime == core::TimePoint{}) {
-            countResumption(state, "continued");
-        }
-        if (!attempt.isToPeer()) {
-            m_quarantine.recordFirstEvent(state.head.prompt);
-        }
-        state.firstEventTime = now;
-        m_context.metrics.observeDuration("arbutus_first_event_seconds", "", now - state.receivedAt);
-    }
-}
-
-asio::awaitable<Forwarder::SendResult> Forwarder::relayStream(RequestState &state, Attempt &attempt)
-{
-    const unsigned status = attempt.head->value().status;
-    attempt.isWriting = true;
-    co_await beginStream(state, attempt);
-    attempt.isWriting = false;
-    attempt.lastProgressAt = m_context.now();
-    while (true) {
-        if (state.cancellation->cancelled) {
-            attempt.outcome = routing::SendOutcome::ClientDisconnected;
-            co_return SendResult::NotRetryable;
-        }
-        if (state.sseRelay->partialEventBytes() > m_settings.maxEventBytes) {
-            co_return recordFailedAttempt(
-                state, attempt, routing::SendOutcome::Incomplete, "an event exceeds the maximum size after event " + state.sseRelay->lastEventId());
-        }
-        if (m_context.now() >= state.completionDeadline) { // also if bytes that complete no event keep arriving
-            co_return recordFailedAttempt(
-                state, attempt, routing::SendOutcome::TimedOut, "no complete event in time after event " + state.sseRelay->lastEventId());
-        }
-        const milliseconds timeout = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(state.completionDeadline - m_context.now()));
-        auto chunk = co_await attempt.call->readSome(timeout);
-        attempt.partialEventBytes = state.sseRelay->partialEventBytes();
-        if (attempt.responseHold->isDenied()) {
-            co_return recordNoMemory(state, attempt);
-        }
-        if (!chunk) {
-            const auto outcome = state.cancellation->cancelled ? routing::SendOutcome::ClientDisconnected
-                : chunk.error().timedOut                       ? routing::SendOutcome::TimedOut
-                                                               : routing::SendOutcome::Incomplete;
-            std::string reason = "stream interrupted after event " + state.sseRelay->lastEventId() + ": " + chunk.error().message;
-            co_return recordFailedAttempt(state, attempt, outcome, std::move(reason));
-        }
-        if (!fitsStream(state, attempt) || (attempt.firstEventAt == core::TimePoint{} && mayHaveChangedVersion(attempt))) {
-            std::string reason = "response of software version " + attempt.version.text + " does not continue the stream after event ";
-            reason += state.sseRelay->lastEventId();
-            co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Unreachable, std::move(reason));
-        }
-        const bool complete = chunk.value().empty();
-        const std::string output = complete ? state.sseRelay->finish(attempt.call->bodyEnd()) : state.sseRelay->feed(chunk.value());
-        if (!attempt.responseHold->resize(state.sseRelay->partialEventBytes())) {
-            co_return recordNoMemory(state, attempt);
-        }
-        if (!output.empty()) {
-            recordOutput(state, attempt);
-            attempt.isWriting = true;
-            const bool written = co_await state.exchange.writeChunk(output);
-            attempt.isWriting = false;
-            attempt.lastProgressAt = m_context.now();
-            if (!written) {
-                state.cancellation->cancel();
-                continue;
-            }
-        }
-        if (state.sseRelay->hasGap() || state.sseRelay->isTruncated()) {
-            std::string reason = state.sseRelay->hasGap() ? "stream has a gap after event " : "stream was cut off after event ";
-            reason += state.sseRelay->lastEventId();
-            co_return recordFailedAttempt(state, attempt, routing::SendOutcome::Incomplete, std::move(reason));
-        }
-        if (complete) {
-            attempt.outcome = routing::SendOutcome::Completed;
-            attempt.delivered = true;
-            m_durations.record(state.route->id, m_context.now() - attempt.sentAt, state.head.expectedOutputTokens);
-            co_await state.exchange.endResponse();
-            state.lastUpstream = attempt.upstream;
-            logCompletion(state, status, attempt.isToPeer() ? "streamed_by_peer" : "streamed");
-            co_return SendResult::Finished;
-        }
-    }
-}
-
-//-----------------------------------------------------------------------------
-// Responses
-//-----------------------------------------------------------------------------
-
-void Forwarder::setPeerHeaders(const RequestState &state, std::string_view outcome, http::Response &response)
-{
-    const std::string upstream = http::headerValue(response.headers, UpstreamHeader);
-    const std::string upstreamRun = http::headerValue(response.headers, StartTimeHeader);
-    for (const char *name : PeerHeaders) {
-        response.headers.erase(name);
-    }
-    if (state.fromPeer) {
-        if (!upstream.empty()) {
-            response.headers[UpstreamHeader] = upstream;
-        }
-        if (!upstreamRun.empty()) {
-            response.headers[StartTimeHeader] = upstreamRun;
-        }
-        response.headers[OutcomeHeader] = std::string(outcome);
-        if (state.catalog) {
-            response.headers[CatalogHeader] = std::to_string(state.catalog->version().value);
-        }
-        response.headers[SendCountHeader] = std::to_string(state.sendCount);
-        response.headers[PossibleExecutionsHeader] = std::to_string(state.possibleExecutions);
-        if (state.requiredVersion) {
-            response.headers[VersionHeader] = state.requiredVersion->text;
-        }
-    }
-}
-
-asio::awaitable<void> Forwarder::respond(RequestState &state, http::Response &response)
-{
-    response.headers = m_context.adapter.clientHeaders(response.headers);
-    setPeerHeaders(state, OutcomeAnswered, response);
-    co_await state.exchange.respond(response);
-}
-
-asio::awaitable<void> Forwarder::respondWithFailure(RequestState &state, bool timedOut)
-{
-    if (state.responseStarted) { // aborting the connection shows the client that the stream is incomplete
-        state.exchange.abort();
-        logCompletion(state, 200, "stream_broken");
-        co_return;
-    }
-    const bool wronglyImpliesNotExecuted = state.upstreamFailure && impliesNotExecuted(state.upstreamFailure->status) && !state.isRepeatable();
-    if (state.upstreamFailure && !wronglyImpliesNotExecuted) {
-        const unsigned status = state.upstreamFailure->status;
-        co_await respond(state, *state.upstreamFailure);
-        logCompletion(state, status, "upstream_failure");
-        co_return;
-    }
-    if (state.quarantinedCause) {
-        m_context.metrics.incrementCounter("arbutus_quarantine_refusals_total");
-    }
-    if (!state.mayHaveExecuted && state.quarantinedCause) {
-        co_await refuseNotExecuted(state, core::ErrorKind::Quarantined, m_settings.quarantineRetryAfter);
-        co_return;
-    }
-    countResumption(state, state.isVersionGone ? "version_gone" : state.mayHaveExecuted ? "failed" : "no_room");
-    if (!state.mayHaveExecuted && state.isVersionGone) {
-        co_await refuseNotExecuted(state, core::ErrorKind::Overloaded, m_settings.versionGoneRetryAfter);
-        co_return;
-    }
-    if (!state.mayHaveExecuted) {
-        std::string message = "request was not executed: no upstream is available in time";
-        if (!state.lastFailure.empty()) { // not a conditional expression in the call: GCC 12 destroys temporaries of one in a co_await twice
-            message = "request was not executed: " + state.lastFailure;
-        }
-        const core::ErrorKind kind = state.endedByShutdown ? core::ErrorKind::Draining : core::ErrorKind::Overloaded;
-        co_await respondWithError(state, 503, kind, message, state.retryAfter);
-        co_return;
-    }
-    if (state.endedByShutdown) {
-        co_await respondWithError(state, 504, core::ErrorKind::Draining, "the instance is shutting down; the request may have been executed", {});
-        co_return;
-    }
-    if (timedOut) {
-        co_await respondWithError(state, 504, core::ErrorKind::DeadlineExceeded, "no response before the deadline; the request may have been executed", {});
-        co_return;
-    }
-    co_await respondWithError(state, 502, core::ErrorKind::UpstreamFailed, "no complete response from the upstream; the request may have been executed", {});
-}
-
-asio::awaitable<void> Forwarder::refuseNotExecuted(RequestState &state, core::ErrorKind kind, core::Duration retryAfter)
-{
-    const std::string message = "request was not executed: " + state.lastFailure;
-    co_await respondWithError(state, 503, kind, message, retryAfter);
-}
-
-asio::awaitable<void>
-Forwarder::respondWithError(RequestState &state, unsigned status, core::ErrorKind kind, const std::string &message, core::Duration retryAfter)
-{
-    core::Error error = core::makeError(kind, message);
-    error.outcome = status == 502 || status == 504 ? core::Outcome::Unknown : core::Outcome::NotRun;
-    http::Response response = http::jsonResponse(status, core::toJson(error));
-    if (status == 503) {
-        constexpr core::Duration MinRetryAfter = milliseconds(100);
-        response.headers["Retry-After"] = formatSeconds(std::max(retryAfter, MinRetryAfter));
-    }
-    const std::string_view outcome = kind == core::ErrorKind::Quarantined ? OutcomeQuarantined
-        : error.outcome == core::Outcome::NotRun                          ? OutcomeNotExecuted
-                                                                          : OutcomeUnknown;
-    setPeerHeaders(state, outcome, response);
-    co_await state.exchange.respond(response);
-    logCompletion(state, status, error.message);
-}
-
-void Forwarder::logCompletion(const RequestState &state, unsigned status, std::string_view outcome)
-{
-    const auto elapsed = m_context.now() - state.receivedAt;
-    const std::string route = state.route == nullptr ? "" : state.route->id.text;
-    m_context.metrics.incrementCounter("arbutus_requests_total", "status=\"" + std::to_string(status) + "\"");
-    m_context.metrics.observeDuration("arbutus_request_seconds", "", elapsed);
-    m_context.writeLog(observe::LogLine("request")
-                           .add("request", state.head.attemptId)
-                           .add("origin", state.origin)
-                           .add("route", route)
-                           .add("service", state.service)
-                           .add("configuration", state.acceptedCatalog)
-                           .add("status", status)
-                           .add("outcome", outcome)
-                           .add("reason", state.lastFailure)
-                           .add("upstream", state.lastUpstream)
-                           .add("took_ms", core::toMilliseconds(elapsed))
-                           .add("placements", state.placements)
-                           .add("upstream_sends", state.sendCount)
-                           .add("resumes", state.head.resumedAttemptId)
-                           .add("resumed_after", state.head.lastEventId)
-                           .add("first_event_ms", state.firstEventTime == core::TimePoint{} ? 0 : core::toMilliseconds(state.firstEventTime - state.receivedAt))
-                           .add("max_event_gap_ms", core::toMilliseconds(state.maxEventGap))
-                           .add("events", state.sseRelay ? state.sseRelay->forwardedEventCount() : 0));
-}
-
 } // namespace arbutus::edge
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -44,13 +44,20 @@
 //    arrival, are the newest ones. After that, the deadlines stay, since upstreams and peers were told them; the number of executions is
 //    the smallest of all; a route of another kind gets no further send. A service stays as long as the route leads to it. Otherwise it
 //    is chosen as for a new request, unless events of the stream have arrived, or the origin has chosen it: then there is no further send.
-//    A request whose route was there when it arrived is never answered with 404: that configuration may still be in force.
+//    A request whose route was there when it arrived is never answered with 404: that configuration may still be in force. In the same
+//    way, one whose credential was known when it arrived is never answered with 401.
+//
+// Q: Who checks the credential of a request?
+// A: The instance that receives the request, before the body is read, and after the route is known: without a workspace it is answered with
+//    401. The credential goes to peers with the client's other headers; each checks it again by its own newest configuration, so that none
+//    has to trust another one's older knowledge. A peer's refusal says that nothing was executed, and the origin goes on.
+//    The workspace that an upstream is told is always that of the credential in the configuration that allows this send.
 //
 // Q: What if another instance has a newer configuration than this one?
 // A: A request whose body would leave the region first waits for that configuration, for `maxCatalogWait`. Without it, the request stays in
-//    the region. A request without a known route waits in the same way, and gets 503 instead of 404. So does one of a route with home
-//    regions, since the newer configuration may exclude this region or any other.
-
+//    the region. A request without a known route or with an unknown credential waits in the same way, and gets 503 instead of 404 or 401. So
+//    does one with home regions, since the newer configuration may exclude this region or any other.
+//
 // Q: What if the client leaves, or the configuration changes, while this instance is busy or a connection is being opened?
 // A: What is known by then decides: when the connection is there, and before the first byte is written, the client's socket is looked at
 //    and the configuration, the quarantine and the upstream's state are checked again. Load pattern: at the peak of a burst the busiest
@@ -95,6 +102,7 @@
     std::chrono::milliseconds noCatalogRetryAfter{500};      // Retry-After while no configuration is loaded
     std::chrono::milliseconds maxCatalogWait{500};           // for a configuration that another instance is known to have
     std::chrono::seconds quarantineRetryAfter{60};           // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
+    std::chrono::seconds noRegionRetryAfter{60};             // Retry-After for a request that no region may serve; only another configuration lets it run
     std::chrono::seconds versionGoneRetryAfter{60};          // Retry-After for a stream that no upstream can continue; longer than clients wait
     std::chrono::milliseconds versionUnknownRetryAfter{500}; // Retry-After for a stream whose record may still be found
     std::chrono::milliseconds shutdownRetryAfter{100};       // Retry-After of an instance that shuts down; another one may serve the request
@@ -168,8 +176,22 @@
     [[nodiscard]] bool renewRoute(RequestState &state);
     /// Whether the newest configuration says something else about further sends than the one that was applied last.
     [[nodiscard]] bool isOutdated(const RequestState &state) const;
-    /// Whether the route has home regions and another instance is known to have a newer configuration, which may exclude any of them.
+    /// How the newest configuration handles the request.
+    [[nodiscard]] catalog::RequestMatch newestMatch(const RequestState &state) const;
+    /// Whether the request has home regions and another instance is known to have a newer configuration, which may exclude any of them.
     [[nodiscard]] bool areHomesUncertain(const RequestState &state) const;
+    /// Whether no region is home of both the route and the workspace.
+    [[nodiscard]] static bool hasNoRegion(const RequestState &state);
+    /// Whether another instance is known to have a newer configuration, which may decide otherwise about a request that this one refuses, or
+    /// may exclude a home region.
+    [[nodiscard]] bool mayMatchNewer(const catalog::RequestMatch &match) const;
+    /// Applies the newest configuration to a request that has arrived; answers it and returns false if it is not allowed.
+    boost::asio::awaitable<bool> admitRequest(RequestState &state);
+    /// Units of its quota that the request still costs its workspace.
+    [[nodiscard]] static std::uint32_t quotaUnits(const RequestState &state);
+    /// Whether headers about workspaces are the gateway's: the configuration lists workspaces, or a newer one may, since the request has a
+    /// credential.
+    [[nodiscard]] bool hasWorkspaces(const RequestState &state) const;
     /// Whether a further send to `region` is allowed; notes the reason in the state if it is not.
     [[nodiscard]] bool maySend(RequestState &state, const core::RegionId &region);
     void recordOutdated(RequestState &state, std::string_view reason);
@@ -282,6 +304,8 @@
     /// Removes the headers between instances, and adds those for the instance that forwarded the request, if one did.
     static void setPeerHeaders(const RequestState &state, std::string_view outcome, http::Response &response);
     boost::asio::awaitable<void> respond(RequestState &state, http::Response &response);
+    /// Counts the request for its workspace, at the instance that received it.
+    void countForWorkspace(const RequestState &state, unsigned status, std::string_view completion);
     void logCompletion(const RequestState &state, unsigned status, std::string_view outcome);
 
     InstanceContext &m_context;
--- a/src/arbutus/edge/protocoladapter.h
+++ b/src/arbutus/edge/protocoladapter.h
@@ -118,8 +118,9 @@
     [[nodiscard]] virtual core::Result<RequestHead> parseRequest(const http::Request &request) const = 0;
     /// Headers for the upstream: the client's headers without hop-by-hop headers and without those reserved for the gateway.
     [[nodiscard]] virtual http::Headers upstreamHeaders(const http::Request &request, const UpstreamRequestOptions &options) const = 0;
-    /// Headers for a gateway instance in another region, which parses them like those of a client's request.
-    [[nodiscard]] virtual http::Headers peerHeaders(const http::Request &request, std::chrono::milliseconds timeout) const = 0;
+    /// Headers for another gateway instance, which parses them like those of a client's request. With `hasWorkspaces`, without the workspace
+    /// that a client may have stated.
+    [[nodiscard]] virtual http::Headers peerHeaders(const http::Request &request, std::chrono::milliseconds timeout, bool hasWorkspaces) const = 0;
 
     //--- Responses
     /// Which attempt the headers name.
--- a/src/arbutus/observe/metrics.cpp
+++ b/src/arbutus/observe/metrics.cpp
@@ -36,6 +36,18 @@
     std::map<std::string, std::map<std::string, Series>> series;
 };
 
+std::string escapeLabel(const std::string &value)
+{
+    std::string out;
+    for (const char c : value) {
+        if (c == '\\' || c == '"') {
+            out += '\\';
+        }
+        out += c == '\n' ? std::string("\\n") : std::string(1, c);
+    }
+    return out;
+}
+
 Metrics::Metrics()
     : m_histograms(std::make_unique<Histograms>())
 {
--- a/src/arbutus/observe/metrics.h
+++ b/src/arbutus/observe/metrics.h
@@ -13,6 +13,9 @@
 
 namespace arbutus::observe {
 
+/// `value` as it may stand between the quotes of a label: with backslashes, quotes and line ends escaped.
+[[nodiscard]] std::string escapeLabel(const std::string &value);
+
 /// Metrics registry of a process.
 class Metrics
 {
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -44,7 +44,7 @@
 catalog::SendPermission Dispatcher::checkSend(const PlacementRequest &request, const core::RegionId &region) const
 {
     if (hasNewerCatalog(request)) {
-        return catalog::checkSend(m_view.catalog->findRoute(request.route), request.service, region);
+        return catalog::checkSend(m_view.catalog->matchKnown(request.route, request.workspace), request.service, region);
     }
     const bool isHome = request.allowedRegions.empty() || request.allowedRegions.contains(region);
     return isHome ? catalog::SendPermission::Allowed : catalog::SendPermission::RegionForbidden;
@@ -53,7 +53,7 @@
 bool Dispatcher::isOutdated(const PlacementRequest &request) const
 {
     const catalog::SendPermission permission = checkSend(request, m_view.region);
-    return permission == catalog::SendPermission::RouteDropped || permission == catalog::SendPermission::ServiceMoved;
+    return permission != catalog::SendPermission::Allowed && permission != catalog::SendPermission::RegionForbidden;
 }
 
 bool Dispatcher::allowsRegion(const PlacementRequest &request, const core::RegionId &region) const
