Withdrawn credentials: requests are sent only while the configuration is proven to be fresh

Cause: an instance that the store and the others could not reach went on to use credentials of its last configuration, whatever had been withdrawn since.

Change: ConfigurationProof keeps the time at which a linearizable read of the store showed nothing newer: the question's, or the end of the wait of a watch without changes. Messages between instances state its age with the configuration; passing it on never makes it younger, and what was read late after a stall or a suspension does not count. Where the settings state promises.withdrawal_within_ms, requests with credentials are answered with 503 once the proof is older than that less 0.5 s: on arrival, before a placement and before each send. Open routes go on. No call to the store is added.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -532,6 +532,10 @@
     message.sender = core::InstanceRef{core::InstanceId(in.sender()), core::Incarnation(in.incarnation())};
     message.region = core::RegionId(in.region());
     message.catalogVersion = catalog::CatalogVersion(in.catalog_version());
+    message.catalogGeneration = metadata::StoreGeneration(in.catalog_generation());
+    if (in.proof_age_us() > 0) {
+        message.proofAge = fromMicroseconds(in.proof_age_us());
+    }
     message.keptEvacuations.generation = metadata::StoreGeneration(in.kept_generation());
     for (const fleet::KeptEvacuation &row : in.kept_evacuations()) {
         message.keptEvacuations.domains[core::DomainId(row.domain())] = fromMicroseconds(row.left_us());
@@ -607,6 +611,10 @@
     out.set_incarnation(message.sender.incarnation.value);
     out.set_region(message.region.text);
     out.set_catalog_version(message.catalogVersion.value);
+    if (message.proofAge) {
+        out.set_catalog_generation(message.catalogGeneration.value);
+        out.set_proof_age_us(std::max<std::uint64_t>(toMicroseconds(*message.proofAge), 1)); // 0 is none
+    }
     if (!message.keptEvacuations.domains.empty()) {
         out.set_kept_generation(message.keptEvacuations.generation.value);
     }
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -95,10 +95,12 @@
     core::InstanceRef sender;
     core::RegionId region;
     FleetMessageBody body;
-    std::size_t ignoredParts = 0;           // with values that only a newer release knows
-    catalog::CatalogVersion catalogVersion; // of the sender's configuration; 0: it has none, or its build states none
-    KeptEvacuations keptEvacuations;        // of the sender
-    core::TimePoint arrivedAt{};            // at the earliest; set by the receiver
+    std::size_t ignoredParts = 0;                // with values that only a newer release knows
+    catalog::CatalogVersion catalogVersion;      // of the sender's configuration; 0: it has none, or its build states none
+    metadata::StoreGeneration catalogGeneration; // of that configuration
+    std::optional<core::Duration> proofAge;      // of the sender's proof that the store has no newer configuration (ConfigurationProof)
+    KeptEvacuations keptEvacuations;             // of the sender
+    core::TimePoint arrivedAt{};                 // at the earliest; set by the receiver
 };
 
 /// Deadlines are sent as remaining time, relative to `now`, because the clocks of instances are not comparable.
--- a/src/arbutus/edge/context.h
+++ b/src/arbutus/edge/context.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "arbutus/core/clock.h"
+#include "arbutus/edge/configurationproof.h"
 #include "arbutus/edge/evidenceclock.h"
 #include "arbutus/edge/protocoladapter.h"
 #include "arbutus/edge/settings.h"
@@ -15,6 +16,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <ctime>
+
 namespace arbutus::edge {
 
 struct InstanceContext
@@ -32,6 +35,13 @@
     {
         return clock.steadyNow();
     }
+    /// Time since boot, including time in which the machine was suspended.
+    [[nodiscard]] static BootTime bootNow()
+    {
+        timespec now{};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return BootTime(std::chrono::duration_cast<core::Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+    }
     void writeLog(const observe::LogLine &line) const
     {
         log.writeLine(line.text());
--- a/src/arbutus/edge/forwarder.cpp
+++ b/src/arbutus/edge/forwarder.cpp
@@ -222,6 +222,11 @@
         co_await respondWithError(state, 404, core::ErrorKind::NotFound, "no route matches the host and path", {});
         co_return false;
     }
+    if ((match.isCredentialUnknown || match.workspace != nullptr) && isProofExpired()) {
+        recordOutdated(state, NoProofReason);
+        co_await refuseNotExecuted(state, core::ErrorKind::PlatformDown, m_settings.noProofRetryAfter);
+        co_return false;
+    }
     if (match.isCredentialUnknown) {
         std::string reason = state.head.credential.empty() ? "the request has no credential" : "no workspace has the credential";
         co_await respondWithError(state, 401, core::ErrorKind::Unauthorized, reason, {});
@@ -477,6 +482,11 @@
                 state.retryAfter = m_settings.noRegionRetryAfter;
                 break;
             }
+            if (state.workspace != nullptr && isProofExpired()) {
+                recordOutdated(state, NoProofReason);
+                state.retryAfter = m_settings.noProofRetryAfter;
+                break;
+            }
             if (areHomesUncertain(state)) {
                 const bool mayWait = !std::exchange(state.hasWaitedForCatalog, true);
                 if (mayWait && co_await waitForNewerCatalog(state, state.responseDeadline)) {
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -102,6 +102,7 @@
     std::chrono::milliseconds noCatalogRetryAfter{500};      // Retry-After while no configuration is loaded
     std::chrono::milliseconds maxCatalogWait{500};           // for a configuration that another instance is known to have
     std::chrono::seconds quarantineRetryAfter{60};           // Retry-After for a quarantined request or prompt part; only an operator lifts it sooner
+    std::chrono::milliseconds noProofRetryAfter{1'000};      // Retry-After while withdrawn credentials may be unknown; as often as a proof arrives
     std::chrono::seconds noRegionRetryAfter{60};             // Retry-After for a request that no region may serve; only another configuration lets it run
     std::chrono::seconds versionGoneRetryAfter{60};          // Retry-After for a stream that no upstream can continue; longer than clients wait
     std::chrono::milliseconds versionUnknownRetryAfter{500}; // Retry-After for a stream whose record may still be found
@@ -180,6 +181,8 @@
     [[nodiscard]] catalog::RequestMatch newestMatch(const RequestState &state) const;
     /// Whether the request has home regions and another instance is known to have a newer configuration, which may exclude any of them.
     [[nodiscard]] bool areHomesUncertain(const RequestState &state) const;
+    /// Whether credentials must not be used, since the configuration is not proven to be fresh enough (ConfigurationProof).
+    [[nodiscard]] bool isProofExpired() const;
     /// Whether no region is home of both the route and the workspace.
     [[nodiscard]] static bool hasNoRegion(const RequestState &state);
     /// Whether another instance is known to have a newer configuration, which may decide otherwise about a request that this one refuses, or
--- a/src/arbutus/edge/forwarderrules.cpp
+++ b/src/arbutus/edge/forwarderrules.cpp
@@ -90,6 +90,12 @@
     return m_metadataCache.isCatalogBehind() && state.match().homeRegions().has_value();
 }
 
+bool Forwarder::isProofExpired() const
+{
+    const auto &maxDelay = m_context.settings.maxWithdrawalDelay;
+    return maxDelay && !mayUseCredentials(m_metadataCache.proof().age(InstanceContext::bootNow()), *maxDelay);
+}
+
 bool Forwarder::hasNoRegion(const RequestState &state)
 {
     const auto homeRegions = state.match().homeRegions();
@@ -113,6 +119,10 @@
         recordOutdated(state, HomesUncertainReason);
         return false;
     }
+    if (state.workspace != nullptr && isProofExpired()) {
+        recordOutdated(state, NoProofReason);
+        return false;
+    }
     if (isOutdated(state)) {
         recordOutdated(state, "the configuration changed since the request was placed");
         return false;
--- a/src/arbutus/edge/forwarderstate.h
+++ b/src/arbutus/edge/forwarderstate.h
@@ -51,6 +51,7 @@
                                            OutcomeHeader};
 
 inline constexpr const char *HomesUncertainReason = "another instance has a newer configuration, which may have other home regions";
+inline constexpr const char *NoProofReason = "the configuration may be too old: it is not known whether the credential has been withdrawn";
 inline constexpr const char *NoRegionReason = "no region is home of both the route and the workspace";
 
 inline std::size_t parseCount(const std::string &text)
--- a/src/arbutus/edge/metadatacache.cpp
+++ b/src/arbutus/edge/metadatacache.cpp
@@ -504,6 +504,20 @@
     return out;
 }
 
+void MetadataCache::recordStoreRead(BootTime at)
+{
+    if (m_catalog && !isCatalogBehind()) {
+        m_proof.recordRead(at);
+    }
+}
+
+void MetadataCache::recordStatedProof(core::Duration age, KnownCatalog stated, BootTime arrivedAt)
+{
+    if (!isCatalogBehind()) {
+        m_proof.recordStatement(age, stated, knownCatalog(), arrivedAt);
+    }
+}
+
 core::Duration MetadataCache::staleness(core::TimePoint now) const
 {
     if (!isCatalogBehind()) {
--- a/src/arbutus/edge/metadatacache.h
+++ b/src/arbutus/edge/metadatacache.h
@@ -61,6 +61,7 @@
 
 #pragma once
 
+#include "arbutus/edge/configurationproof.h"
 #include "arbutus/edge/protocoladapter.h"
 #include "arbutus/routing/upstreamregistry.h"
 
@@ -103,15 +104,6 @@
     }
 };
 
-/// The configuration that an instance has: its version, and the latest generation in which the store had this content.
-struct KnownCatalog
-{
-    catalog::CatalogVersion version;
-    metadata::StoreGeneration generation;
-
-    auto operator<=>(const KnownCatalog &) const = default;
-};
-
 /// Evacuations that an instance keeps although the store, as restored to `generation`, lacks them; with the time that is left of their grace.
 struct KeptEvacuations
 {
@@ -189,6 +181,21 @@
         return m_statedCatalogVersion > knownCatalog().version;
     }
 
+    //--- Proof of how fresh the configuration is
+    /// Records that a read of the store that was made at `at` or later has been applied. It proves nothing while this instance lacks a
+    /// configuration that another one has.
+    void recordStoreRead(BootTime at);
+    /// Records the proof that another instance states, with its configuration; call noteClocks() before.
+    void recordStatedProof(core::Duration age, KnownCatalog stated, BootTime arrivedAt);
+    void noteClocks(BootTime boot, core::TimePoint steady)
+    {
+        m_proof.noteClocks(boot, steady);
+    }
+    [[nodiscard]] const ConfigurationProof &proof() const
+    {
+        return m_proof;
+    }
+
     //--- Evacuations of other instances
     [[nodiscard]] KeptEvacuations keptEvacuations(core::TimePoint now) const;
     /// Keeps the evacuations that another instance keeps, for the rest of their grace, unless this instance has seen them written or ended
@@ -284,6 +291,7 @@
     bool m_isRestoreExpected = false;               // the next update replaces the data, whatever its revision
     core::TimePoint m_upstreamsKnownSince{};
     bool m_recentStoreOutage = false;
+    ConfigurationProof m_proof;
 };
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/metadatasync.cpp
+++ b/src/arbutus/edge/metadatasync.cpp
@@ -184,6 +184,7 @@
 asio::awaitable<bool> MetadataSync::readOnce()
 {
     const core::TimePoint startedAt = m_context.now();
+    const BootTime askedAt = InstanceContext::bootNow();
     m_context.metrics.incrementCounter("arbutus_store_calls_total", m_fullReadNeeded ? "call=\"range\"" : "call=\"watch\"");
     if (m_fullReadNeeded) {
         auto range = co_await m_context.store.range(AllKeysPrefix, metadata::ReadConsistency::Linearizable);
@@ -203,6 +204,7 @@
         const metadata::StorePosition position = range.value().position;
         const MetadataUpdate update = m_metadataCache.applyRange(range.value().items, position, recentStoreOutage(m_context.now()), startedAt);
         reportUpdate(update, position, "store_range");
+        m_metadataCache.recordStoreRead(askedAt);
         co_return true;
     }
     const metadata::StorePosition after = m_metadataCache.storePosition(); // may change meanwhile
@@ -227,6 +229,8 @@
     if (update.isFullReadNeeded) {
         m_fullReadNeeded = true;
         m_readsAtOnce = true;
+    } else {
+        m_metadataCache.recordStoreRead(provenByWatch(askedAt, InstanceContext::bootNow(), timeout, !changes.value().changes.empty()));
     }
     co_return true;
 }
@@ -370,11 +374,23 @@
 {
     message.catalogVersion = m_metadataCache.knownCatalog().version;
     message.keptEvacuations = m_metadataCache.keptEvacuations(m_context.now());
+    if (m_context.settings.maxWithdrawalDelay) {
+        message.catalogGeneration = m_metadataCache.knownCatalog().generation;
+        message.proofAge = m_metadataCache.proof().age(InstanceContext::bootNow());
+    }
 }
 
 void MetadataSync::noteStatedMetadata(const FleetMessage &message)
 {
     noteCatalogVersion(message.sender.id, message.catalogVersion);
+    if (message.proofAge) {
+        const KnownCatalog stated{message.catalogVersion, message.catalogGeneration};
+        const BootTime bootNow = InstanceContext::bootNow();
+        const core::TimePoint now = m_context.now();
+        m_metadataCache.noteClocks(bootNow, now);
+        const BootTime arrivedAt = bootNow - (now - message.arrivedAt);
+        m_metadataCache.recordStatedProof(*message.proofAge, stated, arrivedAt);
+    }
     const MetadataUpdate update = m_metadataCache.noteKeptEvacuations(message.keptEvacuations, m_context.now());
     reportUpdate(update, m_metadataCache.storePosition(), "peer");
 }
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -37,14 +37,6 @@
 
 constexpr auto MinSuspension = milliseconds(200); // smaller differences between the clocks are ignored
 
-/// Time since boot, including time in which the system was suspended.
-milliseconds bootTime()
-{
-    timespec now{};
-    ::clock_gettime(CLOCK_BOOTTIME, &now);
-    return std::chrono::duration_cast<milliseconds>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
-}
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -125,6 +117,7 @@
     http::Server metricsServer;
     asio::signal_set signals;
     bool draining = false;
+    bool isProofFresh = true;                                  // as last logged
     std::map<core::UpstreamId, std::string> upstreamAddresses; // last known addresses, to close pooled connections
 
     [[nodiscard]] bool ready() const
@@ -305,17 +298,18 @@
     /// Expires metadata entries and detects suspensions of the system, which the steady clock does not count.
     asio::awaitable<void> expiryLoop()
     {
-        milliseconds lastBootTime = bootTime();
+        BootTime lastBootTime = InstanceContext::bootNow();
         core::TimePoint lastSteadyTime = context.now();
         while (true) {
             co_await core::asyncSleep(MetadataExpiryPeriod);
-            const milliseconds suspended = (bootTime() - lastBootTime) - std::chrono::duration_cast<milliseconds>(context.now() - lastSteadyTime);
+            const core::Duration suspended = (InstanceContext::bootNow() - lastBootTime) - (context.now() - lastSteadyTime);
             if (suspended >= MinSuspension) {
-                context.writeLog(observe::LogLine("suspend_detected").add("duration_ms", suspended.count()));
+                context.writeLog(observe::LogLine("suspend_detected").add("duration_ms", core::toMilliseconds(suspended)));
                 metadataCache.addSuspendedTime(suspended);
             }
-            lastBootTime = bootTime();
+            lastBootTime = InstanceContext::bootNow();
             lastSteadyTime = context.now();
+            reportProof();
             const MetadataUpdate update = metadataCache.expireEntries(lastSteadyTime);
             for (const routing::RegistryChange &upstreamChange : update.upstreamChanges) {
                 context.writeLog(observe::LogLine("upstream")
@@ -336,6 +330,24 @@
         }
     }
 
+    /// Logs when the proof of the configuration becomes too old for requests with credentials, and when it is fresh again.
+    void reportProof()
+    {
+        if (!settings.maxWithdrawalDelay || metadataCache.catalog() == nullptr) {
+            return;
+        }
+        const auto age = metadataCache.proof().age(InstanceContext::bootNow());
+        const bool isFresh = mayUseCredentials(age, *settings.maxWithdrawalDelay);
+        metrics.setGauge("arbutus_configuration_proof_age_seconds", "", std::chrono::duration<double>(age.value_or(core::Duration(-1))).count());
+        if (std::exchange(isProofFresh, isFresh) != isFresh) {
+            context.writeLog(observe::LogLine(isFresh ? "configuration_proof_fresh" : "configuration_proof_expired")
+                                 .add("age_ms", age ? core::toMilliseconds(*age) : -1)
+                                 .add("version", metadataCache.knownCatalog().version)
+                                 .add("behind", metadataCache.isCatalogBehind())
+                                 .add("max_withdrawal_delay_ms", settings.maxWithdrawalDelay->count()));
+        }
+    }
+
     asio::awaitable<void> signalLoop()
     {
         while (true) {
--- a/tests/workspacetest.cpp
+++ b/tests/workspacetest.cpp
@@ -671,3 +671,74 @@
     CHECK(catalog::checkSend(dropped, service, y) == catalog::SendPermission::WorkspaceDropped);
     CHECK(catalog.value()->matchKnown(catalog::RouteId("p"), core::WorkspaceId("ada")).priority() == row.priority);
 }
+
+//-----------------------------------------------------------------------------
+// Withdrawal
+//-----------------------------------------------------------------------------
+
+TEST_CASE("without a proof of how fresh the configuration is, only open routes are served", "[workspace][withdrawal]")
+{
+    constexpr auto MaxDelay = 1'500ms;
+    Rig rig(Workspaces, {"x", "x"}, MaxDelay);
+    const http::Headers known{{"X-Credential", "key-ada"}};
+    CHECK(rig.send("/p/1", known).status == 200);
+
+    rig.gateways[0].store->isCut = true; // the other instance lends its proof
+    rig.runFor(2 * MaxDelay);
+    CHECK(rig.send("/p/1", known).status == 200);
+    CHECK(rig.send("/p/1", {{"X-Credential", "key-eve"}}).status == 401);
+
+    rig.gateways[1].store->isCut = true;
+    rig.runFor(MaxDelay + 100ms);
+    rig.runs.clear();
+    for (const std::size_t gateway : {0U, 1U}) {
+        const http::Response response = rig.send("/p/1", known, gateway);
+        CHECK(response.status == 503);
+        CHECK(http::headerValue(response.headers, "Retry-After") == "1.00");
+        CHECK(rig.send("/p/1", {{"X-Credential", "key-eve"}}, gateway).status == 503); // a newer configuration may have it
+        CHECK(rig.runs.empty());
+        CHECK(rig.send("/open/1", {}, gateway).status == 200);
+        rig.runs.clear();
+        CHECK(rig.readLog(gateway).find("event=configuration_proof_expired") != std::string::npos);
+    }
+    http::Request forwarded = Rig::makeRequest("/p/1", known);
+    forwarded.headers["X-Gateway-Origin"] = "other";
+    forwarded.headers["X-Gateway-Service"] = "s";
+    const http::Response hop = rig.call(rig.gateways[0].settings.peersEndpoint, forwarded);
+    CHECK(hop.status == 503);
+    CHECK(http::headerValue(hop.headers, "X-Gateway-Outcome") == "not_run");
+
+    rig.gateways[1].store->isCut = false;
+    rig.runUntil([&] { return rig.send("/p/1", known, 0).status == 200; });
+    CHECK(rig.send("/p/1", known, 1).status == 200);
+    std::string log;
+    rig.runUntil([&] { return (log += rig.readLog(0)).find("event=configuration_proof_fresh") != std::string::npos; });
+}
+
+TEST_CASE("a request whose proof ends while it waits is not sent", "[workspace][withdrawal]")
+{
+    Rig rig(Workspaces, {"x"}, 1'500ms);
+    rig.leaveOnePlace();
+    std::optional<http::Response> first;
+    std::optional<http::Response> second;
+    const http::Endpoint endpoint = rig.gateways[0].settings.clientEndpoint;
+    rig.start(endpoint, Rig::makeRequest("/open/1", {{"X-Hold-Here", "1"}}, "t1"), first);
+    rig.runUntil([&] { return rig.runs.size() == 1; });
+    rig.gateways[0].store->isCut = true;
+    rig.runFor(200ms);
+    rig.start(endpoint, Rig::makeRequest("/p/1", {{"X-Credential", "key-ada"}}, "t2"), second);
+    rig.runFor(1'500ms);
+    rig.release();
+    rig.runUntil([&] { return first.has_value() && second.has_value(); });
+    CHECK(first->status == 200);
+    CHECK(second->status == 503);
+    CHECK(rig.runs.size() == 1);
+}
+
+TEST_CASE("without a stated delay, credentials are used as long as the configuration is known", "[workspace][withdrawal]")
+{
+    Rig rig;
+    rig.gateways[0].store->isCut = true;
+    rig.runFor(2s);
+    CHECK(rig.send("/p/1", {{"X-Credential", "key-ada"}}).status == 200);
+}
