Dispatcher: order and refusal of queued requests by what they cost callers

Cause: queued requests were ordered by deadline and priority alone, so in an overload they were all served just when they were late, those that yielded were not the ones that cost callers least, and all that were refused were told the same time to come back.

Change: with dispatch.order = "cost" a plan decides who is served on time, late, or refused (algorithm of Moore and Hodgson with the loss per room), with strict priorities; refused requests keep their place and are told times one after another; sizes, kinds and sessions that are served too little are boosted. The default order stays as it was. dispatch.order_where sets the order by a part of the contract.

--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -4,6 +4,9 @@
 
 #include <toml++/toml.h>
 
+#include <map>
+#include <optional>
+
 namespace arbutus::edge {
 
 namespace {
@@ -99,6 +102,37 @@
     out.maxSlotUtilization = reader.number("dispatch.slots_used", out.maxSlotUtilization, 0.05, 1);
 }
 
+std::optional<routing::QueueOrderKind> parseQueueOrder(const std::string &name)
+{
+    static const std::map<std::string, routing::QueueOrderKind> byName{{"urgency", routing::QueueOrderKind::Urgency}, {"cost", routing::QueueOrderKind::Cost}};
+    const auto found = byName.find(name);
+    return found == byName.end() ? std::nullopt : std::optional(found->second);
+}
+
+/// dispatch.order, or the order that dispatch.order_where states for one of the parts of the deployment's contract.
+void readQueueOrder(const toml::table &table, TableReader &reader, routing::DispatcherSettings &out)
+{
+    const auto read = [&](const std::string &path, const toml::node_view<const toml::node> &node) {
+        if (!node) {
+            return;
+        }
+        if (const auto order = parseQueueOrder(node.value_or(std::string()))) {
+            out.queueOrder = *order;
+        } else {
+            reader.addError(path + ": must be \"urgency\" or \"cost\"; ");
+        }
+    };
+    read("dispatch.order", table.at_path("dispatch.order"));
+    const toml::array *parts = table.at_path("deployment.contract_parts").as_array();
+    if (parts == nullptr) {
+        return;
+    }
+    for (const toml::node &part : *parts) {
+        const std::string path = "dispatch.order_where." + part.value_or(std::string());
+        read(path, table["dispatch"]["order_where"][part.value_or(std::string())]);
+    }
+}
+
 } // namespace
 
 bool isRouteGatewayFile(const std::string &path)
@@ -144,6 +178,7 @@
         out.bodyMemory =
             static_cast<std::size_t>(BytesPerMegabyte * reader.number("memory.bodies_mb", static_cast<double>(out.bodyMemory) / BytesPerMegabyte, 1, 1e6));
         readDispatcher(reader, out.dispatcher);
+        readQueueOrder(table, reader, out.dispatcher);
         if (!reader.errors().empty()) {
             return core::makeError(core::ErrorKind::SettingsInvalid, path + ": " + reader.errors());
         }
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -13,6 +13,7 @@
     , m_urgencyOrder(settings.urgencyOrder)
     , m_placementRates(settings.placementRate)
     , m_refusals(settings.refusal)
+    , m_costPolicy(settings.costPolicy)
     , m_dispatcherRoleSince(now)
     , m_startedAt(now)
 {
@@ -160,6 +161,46 @@
     }
     m_lastQueueScan = now;
     clearReservations();
+    if (m_settings.queueOrder == QueueOrderKind::Cost) {
+        scanByCost(now);
+    } else {
+        scanByUrgency(now);
+    }
+}
+
+bool Dispatcher::dropObsolete(const QueuedRequest &queued, core::TimePoint now)
+{
+    const PlacementRequest &request = queued.request;
+    if (now - queued.lastRequestedAt > m_settings.reportTimeout) {
+        return true; // its node no longer repeats the request
+    }
+    if (isOutdated(request)) {
+        m_deferredDecisions.push_back({request.id, request.requester, refuse(request, RefusalReason::Outdated, core::Duration::zero(), now)});
+        return true;
+    }
+    return false;
+}
+
+bool Dispatcher::placeOrReserve(const QueuedRequest &queued, core::TimePoint now)
+{
+    const PlacementRequest &request = queued.request;
+    PlacementAttempt attempt = tryPlace(request, now);
+    if (attempt.decision) {
+        m_deferredDecisions.push_back({request.id, request.requester, std::move(*attempt.decision)});
+        return true;
+    }
+    if (LocalUpstream *upstream = attempt.preferredUpstream) {
+        core::Duration reservation = request.promptTokens == 0 ? upstream->estimator->serviceTime() : upstream->estimator->prefillTime(attempt.uncachedTokens);
+        if (upstream->rateLimit != nullptr) {
+            reservation = std::max(reservation, core::Duration(static_cast<core::Duration::rep>(1e6 / upstream->rateLimit->rate())));
+        }
+        upstream->reservedTime += reservation + upstream->estimator->slotWait();
+    }
+    return false;
+}
+
+void Dispatcher::scanByUrgency(core::TimePoint now)
+{
     std::vector<QueuedRequest *> order;
     order.reserve(m_queue.size());
     for (auto &[id, queued] : m_queue) {
@@ -178,12 +219,7 @@
     }
     for (QueuedRequest *queued : order) {
         const PlacementRequest &request = queued->request;
-        if (now - queued->lastRequestedAt > m_settings.reportTimeout) {
-            done.push_back(request.id); // its node no longer repeats the request
-            continue;
-        }
-        if (isOutdated(request)) {
-            m_deferredDecisions.push_back({request.id, request.requester, refuse(request, RefusalReason::Outdated, core::Duration::zero(), now)});
+        if (dropObsolete(*queued, now)) {
             done.push_back(request.id);
             continue;
         }
@@ -199,18 +235,44 @@
         if (++scanned > m_settings.queueScanLimit) {
             continue;
         }
-        PlacementAttempt attempt = tryPlace(request, now);
-        if (attempt.decision) {
-            m_deferredDecisions.push_back({request.id, request.requester, std::move(*attempt.decision)});
+        if (placeOrReserve(*queued, now)) {
             done.push_back(request.id);
             workAhead -= queued->entry.workUnits();
-        } else if (LocalUpstream *upstream = attempt.preferredUpstream) { // reserve the upstream against requests of lower precedence
-            core::Duration reservation =
-                request.promptTokens == 0 ? upstream->estimator->serviceTime() : upstream->estimator->prefillTime(attempt.uncachedTokens);
-            if (upstream->rateLimit != nullptr) {
-                reservation = std::max(reservation, core::Duration(static_cast<core::Duration::rep>(1e6 / upstream->rateLimit->rate())));
+        }
+    }
+    for (const PlacementId &id : done) {
+        m_queue.erase(id);
+    }
+}
+
+void Dispatcher::scanByCost(core::TimePoint now)
+{
+    std::map<core::ServiceId, std::vector<QueuedRequest *>> byService;
+    std::erase_if(m_queue, [&](const auto &item) { return dropObsolete(item.second, now); });
+    for (auto &[id, queued] : m_queue) {
+        byService[queued.request.service].push_back(&queued);
+    }
+    std::vector<PlacementId> done;
+    std::vector<const CostEntry *> entries;
+    for (auto &[service, waiting] : byService) {
+        entries.clear();
+        std::transform(waiting.begin(), waiting.end(), std::back_inserter(entries), [](const QueuedRequest *queued) { return &queued->cost.entry; });
+        const CostPlan plan = m_costPolicy.plan(service, entries, m_placementRates, estimateQueueRates(service, now), now);
+        std::size_t scanned = 0;
+        for (const CostPlan::Place &place : plan.served) {
+            QueuedRequest &queued = *waiting[place.index];
+            queued.predictedWait = place.predictedWait;
+            if (++scanned <= m_settings.queueScanLimit && placeOrReserve(queued, now)) {
+                if (std::holds_alternative<Granted>(m_deferredDecisions.back().decision)) {
+                    m_costPolicy.recordServed(queued.cost.ticket, now);
+                }
+                done.push_back(queued.request.id);
             }
-            upstream->reservedTime += reservation + upstream->estimator->slotWait();
+        }
+        for (const std::size_t index : plan.refused) {
+            const QueuedRequest &queued = *waiting[index];
+            m_deferredDecisions.push_back({queued.request.id, queued.request.requester, m_costPolicy.refuse(queued.cost.ticket, queued.cost.entry, now)});
+            done.push_back(queued.request.id);
         }
     }
     for (const PlacementId &id : done) {
@@ -218,6 +280,26 @@
     }
 }
 
+CostFacts Dispatcher::makeCostFacts(const PlacementRequest &request, const QueueEntry &entry, const RoomFacts &room)
+{
+    CostFacts facts;
+    facts.id = request.id;
+    facts.service = request.service;
+    facts.kind = KindId(request.route.text);
+    facts.fingerprint = request.fingerprint;
+    facts.session = request.prompt.size() < 2 ? 0 : request.prompt[request.prompt.size() - 2].prefixHash; // the last part is the request's own
+    facts.hasBegun = request.requiredVersion.has_value();
+    facts.priority = request.priority;
+    facts.promptTokens = request.promptTokens;
+    facts.outputTokens = request.outputTokens;
+    facts.latencyDeadline = request.latencyDeadline;
+    facts.responseDeadline = request.responseDeadline;
+    facts.minLatency = entry.minLatency;
+    facts.work = entry.workUnits();
+    facts.room = room;
+    return facts;
+}
+
 void Dispatcher::endBusyPeriods()
 {
     m_placementRates.endBusyPeriods([this](const core::ServiceId &service) {
@@ -243,6 +325,30 @@
     return found->second;
 }
 
+std::optional<PlacementDecision> Dispatcher::decideAtOnce(const PlacementRequest &request, core::TimePoint now)
+{
+    const bool isByCost = m_settings.queueOrder == QueueOrderKind::Cost;
+    if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
+        if (const auto *granted = std::get_if<Granted>(&*decision)) {
+            m_placementRates.recordArrival(request.service, workUnits(request, granted->uncachedTokens), now);
+            if (isByCost) {
+                m_costPolicy.recordServed(m_costPolicy.admit(makeCostFacts(request, {}, {}), now).ticket, now);
+            }
+        }
+        return decision;
+    }
+    QueuedRequest &queued = m_queue[request.id] = makeQueuedRequest(request, now);
+    if (isByCost) {
+        queued.cost = m_costPolicy.admit(makeCostFacts(request, queued.entry, queued.room), now);
+        queued.predictedWait = m_costPolicy.drainTime(request.service);
+    }
+    if (!queued.cost.entry.cameBack) { // counted when it came first
+        m_placementRates.recordArrival(request.service, queued.entry.workUnits(), now);
+    }
+    m_placementRates.recordQueued(request.service, now);
+    return std::nullopt;
+}
+
 PlacementDecision Dispatcher::requestPlacement(const PlacementRequest &request, core::TimePoint now)
 {
     if (const auto granted = findGrant(request.id)) {
@@ -259,16 +365,8 @@
         existing->second.request.unreachableUpstreams = request.unreachableUpstreams;
         existing->second.request.excludedUpstreams = request.excludedUpstreams;
         existing->second.request.catalogVersion = request.catalogVersion; // its route is the same there
-    } else {
-        if (auto decision = tryPlace(request, now).decision) { // respects the reservations for requests of higher precedence
-            if (const auto *granted = std::get_if<Granted>(&*decision)) {
-                m_placementRates.recordArrival(request.service, workUnits(request, granted->uncachedTokens), now);
-            }
-            return *decision;
-        }
-        const QueuedRequest &added = m_queue[request.id] = makeQueuedRequest(request, now);
-        m_placementRates.recordArrival(request.service, added.entry.workUnits(), now);
-        m_placementRates.recordQueued(request.service, now);
+    } else if (auto decision = decideAtOnce(request, now)) {
+        return *decision;
     }
     scanQueue(now);
     const auto deferred =
@@ -282,6 +380,9 @@
     if (isKnown) { // scans of the queue predict its wait; instances repeat hundreds of requests a second at the worst load
         return Queued{queued.predictedWait};
     }
+    if (m_settings.queueOrder == QueueOrderKind::Cost) { // the next scan plans it
+        return Queued{queued.predictedWait};
+    }
     const core::Duration predictedWait = predictQueueWait(queued, now);
     queued.predictedWait = predictedWait;
     if (now + predictedWait + queued.entry.minLatency > request.responseDeadline) { // refuse at once what cannot be served in time
--- a/src/arbutus/routing/dispatcher.h
+++ b/src/arbutus/routing/dispatcher.h
@@ -49,6 +49,7 @@
 
 #include "arbutus/catalog/catalog.h"
 #include "arbutus/limits/tokenbucket.h"
+#include "arbutus/routing/costpolicy.h"
 #include "arbutus/routing/crashcause.h"
 #include "arbutus/routing/placementrate.h"
 #include "arbutus/routing/queueorder.h"
@@ -178,6 +179,12 @@
 // Dispatcher
 //-----------------------------------------------------------------------------
 
+/// Which of the queued requests go first, and which are refused.
+enum class QueueOrderKind {
+    Urgency, // see queueorder.h
+    Cost,    // see costpolicy.h
+};
+
 struct DispatcherSettings
 {
     UpstreamEstimatorSettings estimator;
@@ -215,7 +222,9 @@
     //--- Queue order
     core::Duration minQueueScanInterval = std::chrono::milliseconds(8); // between scans of the queue
     std::size_t queueScanLimit = 48;                                    // queued requests considered for placement per scan
+    QueueOrderKind queueOrder = QueueOrderKind::Urgency;
     UrgencyOrderSettings urgencyOrder;
+    CostPolicySettings costPolicy;
 
     //--- Refusals
     PlacementRateSettings placementRate;
@@ -309,6 +318,8 @@
         core::TimePoint lastRequestedAt{};
         QueueEntry entry;
         core::Duration predictedWait{}; // at the last scan of the queue
+        RoomFacts room;                 // that it takes at the upstream that has most of its prompt cached; with QueueOrderKind::Cost
+        CostAdmission cost;             // with QueueOrderKind::Cost
     };
     /// Result of an attempt to place a request.
     struct PlacementAttempt
@@ -362,6 +373,17 @@
     [[nodiscard]] PlacementAttempt tryPlace(const PlacementRequest &request, core::TimePoint now);
     /// Places queued requests in order of precedence and appends the results to m_deferredDecisions.
     void scanQueue(core::TimePoint now);
+    void scanByUrgency(core::TimePoint now);
+    void scanByCost(core::TimePoint now);
+    /// Drops a queued request that its node no longer repeats, or that a newer configuration does not allow.
+    [[nodiscard]] bool dropObsolete(const QueuedRequest &queued, core::TimePoint now);
+    /// Places a queued request, or reserves the best upstream for it against requests of lower precedence. Returns whether it was decided on.
+    [[nodiscard]] bool placeOrReserve(const QueuedRequest &queued, core::TimePoint now);
+    /// Decision on a new request; without one it is queued.
+    [[nodiscard]] std::optional<PlacementDecision> decideAtOnce(const PlacementRequest &request, core::TimePoint now);
+    [[nodiscard]] static CostFacts makeCostFacts(const PlacementRequest &request, const QueueEntry &entry, const RoomFacts &room);
+    [[nodiscard]] RoomFacts
+    roomAt(const PlacementRequest &request, const UpstreamEstimator &estimator, std::uint32_t uncachedTokens, core::TimePoint now) const;
     void clearReservations();
     /// Ends the busy periods of services without queued requests.
     void endBusyPeriods();
@@ -400,6 +422,7 @@
     UrgencyOrder m_urgencyOrder;
     PlacementRates m_placementRates;
     RefusalPolicy m_refusals;
+    CostPolicy m_costPolicy;
     std::map<core::RegionId, std::map<core::ServiceId, RemoteRegion>> m_remoteRegions;
     struct RateLimit
     {
--- a/src/arbutus/routing/dispatchercandidates.cpp
+++ b/src/arbutus/routing/dispatchercandidates.cpp
@@ -329,9 +329,26 @@
     return upstream.rateLimit == nullptr || meanWork == 0 ? capacity : std::min(capacity, upstream.rateLimit->rate() / 1'000 * meanWork);
 }
 
+RoomFacts Dispatcher::roomAt(const PlacementRequest &request, const UpstreamEstimator &estimator, std::uint32_t uncachedTokens, core::TimePoint now) const
+{
+    RoomFacts room;
+    room.slotShare = 1.0 / static_cast<double>(std::max<std::size_t>(estimator.slots(), 1));
+    if (request.promptTokens == 0) {
+        room.streamTime = estimator.serviceTime();
+        return room;
+    }
+    room.prefillTime = estimator.prefillTime(uncachedTokens);
+    room.streamTime = estimator.decodeTime(request.outputTokens, now);
+    const catalog::Service *service = m_view.catalog ? m_view.catalog->findService(request.service) : nullptr;
+    if (service != nullptr && service->engine && service->engine->memoryTokens > 0) {
+        room.memoryShare = static_cast<double>(request.unsharedTokens()) / static_cast<double>(service->engine->memoryTokens);
+    }
+    return room;
+}
+
 Dispatcher::QueuedRequest Dispatcher::makeQueuedRequest(const PlacementRequest &request, core::TimePoint now)
 {
-    QueuedRequest queued{request, now, {}, {}};
+    QueuedRequest queued{request, now, {}, {}, {}, {}};
     QueueEntry &entry = queued.entry;
     entry.id = request.id;
     entry.hasBegun = request.requiredVersion.has_value();
@@ -340,17 +357,24 @@
     entry.minLatency = core::Duration::max();
     entry.promptTokens = request.promptTokens;
     entry.minUncachedTokens = request.promptTokens;
+    const UpstreamEstimator *best = nullptr; // has most of the prompt cached
     for (const LocalUpstream &upstream : localUpstreamsOf(request.service)) {
         if (!mayServe(request, upstream.entry->announcement)) {
             continue;
         }
         const std::uint32_t uncached = upstream.estimator->countUncached(request.prompt, request.promptTokens);
+        if (best == nullptr || uncached < entry.minUncachedTokens) {
+            best = upstream.estimator;
+        }
         entry.minUncachedTokens = std::min(entry.minUncachedTokens, uncached);
         entry.minLatency = std::min(entry.minLatency, upstream.estimator->unloadedLatency(uncached));
     }
     if (entry.minLatency == core::Duration::max()) { // no upstream in this region yet
         entry.minLatency = core::Duration::zero();
     }
+    if (m_settings.queueOrder == QueueOrderKind::Cost && best != nullptr) {
+        queued.room = roomAt(request, *best, entry.minUncachedTokens, now);
+    }
     return queued;
 }
 
--- a/src/arbutus/routing/placementrate.cpp
+++ b/src/arbutus/routing/placementrate.cpp
@@ -14,9 +14,9 @@
 
 const PlacementRates::Row &PlacementRates::rowOf(const core::ServiceId &service) const
 {
-    static const Row Empty;
+    static const Row empty;
     const auto found = m_rows.find(service);
-    return found == m_rows.end() ? Empty : found->second;
+    return found == m_rows.end() ? empty : found->second;
 }
 
 bool PlacementRates::isBusy(const Row &row, core::TimePoint now) const
@@ -77,13 +77,13 @@
     const Row &row = rowOf(service);
     const core::Duration elapsed = now - row.arrivalsSince;
     if (!isBusy(row, now) || elapsed >= 2 * m_settings.arrivalPeriod) {
-        return QueueRates{total, total};
+        return QueueRates{total, total, {}};
     }
     const bool isOver = elapsed >= m_settings.arrivalPeriod;
     const double work = row.arrivedWork + (isOver ? 0 : row.arrivedWorkBefore);
     const core::Duration period = isOver ? elapsed : elapsed + m_settings.arrivalPeriod;
     const double arrivals = work * 1000 / static_cast<double>(period.count());
-    return QueueRates{total, std::max(total - arrivals, m_settings.minSpareRatio * total)};
+    return QueueRates{total, std::max(total - arrivals, m_settings.minSpareRatio * total), now - row.queuedSince};
 }
 
 core::Duration PlacementRates::drainTime(double work, double rate) const
--- a/src/arbutus/routing/placementrate.h
+++ b/src/arbutus/routing/placementrate.h
@@ -46,8 +46,9 @@
 /// Rates at which a queue is served.
 struct QueueRates
 {
-    double total = 0; // work units per millisecond
-    double spare = 0; // the part that arriving requests leave over
+    double total = 0;         // work units per millisecond
+    double spare = 0;         // the part that arriving requests leave over
+    core::Duration busyFor{}; // requests have been queued for so long
 };
 
 /// What the wait of a queued request follows from.
--- a/src/arbutus/routing/refusal.cpp
+++ b/src/arbutus/routing/refusal.cpp
@@ -17,4 +17,16 @@
     return Refused{reason, std::clamp(retryAfter, m_settings.minRetryAfter, m_settings.maxRetryAfter)};
 }
 
+ReturnSchedule::ReturnSchedule(ReturnScheduleSettings settings)
+    : m_settings(settings)
+{
+}
+
+core::Duration ReturnSchedule::next(core::Duration drainTime, core::Duration placementTime, core::TimePoint now)
+{
+    const core::TimePoint room = std::max(m_nextRoom, now + drainTime);
+    m_nextRoom = std::min(room + placementTime, now + m_settings.maxRetryAfter); // requests without a chance do not move the others back
+    return std::clamp(room - now, m_settings.minRetryAfter, m_settings.maxRetryAfter);
+}
+
 } // namespace arbutus::routing
--- a/src/arbutus/routing/refusal.h
+++ b/src/arbutus/routing/refusal.h
@@ -6,8 +6,9 @@
 // Sections:
 //   Refused
 //   RefusalPolicy
+//   ReturnSchedule
 //
-// No clock: the caller passes in the time that is left.
+// No clock: the caller passes in the current time, or the time that is left.
 
 #pragma once
 
@@ -54,4 +55,32 @@
     RefusalSettings m_settings;
 };
 
+//-----------------------------------------------------------------------------
+// ReturnSchedule
+//-----------------------------------------------------------------------------
+
+// Load that it answers: hundreds of requests are refused within a second. If all are told the same time, they come back together, find the
+// queue as it was, and are refused again. So each is told the time at which room for it is expected: after the queue has drained and those
+// that were refused before it have come back and been placed.
+
+struct ReturnScheduleSettings
+{
+    core::Duration minRetryAfter = std::chrono::milliseconds(100);
+    core::Duration maxRetryAfter = std::chrono::milliseconds(3'000); // clients do not wait longer
+};
+
+class ReturnSchedule
+{
+public:
+    explicit ReturnSchedule(ReturnScheduleSettings settings = {});
+
+    /// Retry-after hint of one request. `drainTime`: until all that are queued have been placed; `placementTime`: of the request itself, at
+    /// the rate that arrivals leave over.
+    [[nodiscard]] core::Duration next(core::Duration drainTime, core::Duration placementTime, core::TimePoint now);
+
+private:
+    ReturnScheduleSettings m_settings;
+    core::TimePoint m_nextRoom{}; // after all that have been told to come back
+};
+
 } // namespace arbutus::routing
