Edge: dispatchers spend the quotas of workspaces

Cause: nothing acted on the quota of a workspace.

Change: the dispatcher spends a request's units before it looks for an upstream and refuses what is over the quota at once; units of a request that does not run are given back, and spent again by the next placement of the same attempt. Leases go with Work, states with RegionState or alone. Without quotas no message grows.

Result: builds; buildcompatibilitytest, dispatchertest, fuzztest and fleettest pass.

--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -292,6 +292,49 @@
                                  now - fromMicroseconds(in.age_us())};
 }
 
+void toProto(const limits::QuotaLease &lease, fleet::QuotaLease &out)
+{
+    out.set_borrower_clock(lease.borrowerClock.value);
+    out.set_length_us(toMicroseconds(lease.length));
+    out.set_instances(lease.instances);
+    out.set_early(lease.isEarly);
+}
+
+limits::QuotaLease fromProto(const fleet::QuotaLease &in)
+{
+    return limits::QuotaLease{limits::QuotaClock(in.borrower_clock()), fromMicroseconds(in.length_us()), in.instances(), in.early()};
+}
+
+void toProto(const limits::QuotaState &state, fleet::QuotaState &out)
+{
+    out.set_clock(state.clock.value);
+    out.set_instances(state.instances);
+    out.set_share(state.ownShare);
+    for (const limits::QuotaRow &row : state.rows) {
+        auto *entry = out.add_rows();
+        entry->set_workspace(row.workspace.text);
+        entry->set_needed(static_cast<float>(row.neededShare));
+        entry->set_lent(static_cast<float>(row.lentShare));
+        entry->set_moved_units(static_cast<float>(row.movedUnits));
+    }
+    out.set_borrower_clock(state.borrowerClock.value);
+    out.set_loan_us(toMicroseconds(state.loanLength));
+}
+
+limits::QuotaState fromProto(const fleet::QuotaState &in)
+{
+    limits::QuotaState state;
+    state.clock = limits::QuotaClock(in.clock());
+    state.instances = in.instances();
+    state.ownShare = amount(in.share());
+    for (const auto &row : in.rows()) {
+        state.rows.push_back(limits::QuotaRow{core::WorkspaceId(row.workspace()), amount(row.needed()), amount(row.lent()), amount(row.moved_units())});
+    }
+    state.borrowerClock = limits::QuotaClock(in.borrower_clock());
+    state.loanLength = fromMicroseconds(in.loan_us());
+    return state;
+}
+
 void toProto(const PlacementReport &report, fleet::Work &out, core::TimePoint now)
 {
     for (const routing::UpstreamNotice &notice : report.notices) {
@@ -317,6 +360,9 @@
         row->set_upstream(completed.upstream.text);
         row->set_ending(static_cast<std::uint32_t>(completed.outcome));
     }
+    if (report.quotaLease) {
+        toProto(*report.quotaLease, *out.mutable_quota_lease());
+    }
 }
 
 PlacementReport fromProto(const fleet::Work &in, core::TimePoint now, std::size_t &ignoredParts)
@@ -345,6 +391,9 @@
         const auto outcome = isKnown ? static_cast<routing::SendOutcome>(row.ending()) : routing::SendOutcome::NeverSent;
         report.completed.push_back(CompletedPlacement{routing::PlacementId(row.id()), core::UpstreamId(row.upstream()), outcome});
     }
+    if (in.has_quota_lease()) {
+        report.quotaLease = fromProto(in.quota_lease());
+    }
     return report;
 }
 
@@ -383,6 +432,9 @@
     out.set_as_of(state.storePosition.revision.value);
     out.set_store_generation(state.storePosition.generation.value);
     out.set_evidence_age_us(toMicroseconds(state.metadataStaleness));
+    if (state.quota) {
+        toProto(*state.quota, *out.mutable_quota());
+    }
 }
 
 RegionState fromProto(const fleet::RegionState &in, core::TimePoint now)
@@ -414,6 +466,9 @@
     state.lastChange = metadata::StorePosition{generation, metadata::StoreRevision(in.belief_revision())};
     state.storePosition = metadata::StorePosition{generation, metadata::StoreRevision(in.as_of())};
     state.metadataStaleness = fromMicroseconds(in.evidence_age_us());
+    if (in.has_quota()) {
+        state.quota = fromProto(in.quota());
+    }
     return state;
 }
 
@@ -521,6 +576,7 @@
                    [&](const std::vector<routing::CauseRecord> &records) { toProto(records, *out.mutable_quarantine(), now); },
                    [&](const StreamQuery &query) { out.mutable_stream_query()->set_stream(query.stream.text); },
                    [&](const StreamReport &report) { toProto(report, *out.mutable_stream_report(), now); },
+                   [&](const limits::QuotaState &state) { toProto(state, *out.mutable_quota_state()); },
                },
                body);
 }
@@ -591,6 +647,9 @@
     case fleet::Datagram::kStreamReport:
         message.body = fromProto(in.stream_report(), now);
         return message;
+    case fleet::Datagram::kQuotaState:
+        message.body = fromProto(in.quota_state());
+        return message;
     case fleet::Datagram::BODY_NOT_SET:
         break;
     }
--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/limits/quotaleases.h"
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
 #include "arbutus/routing/requestquarantine.h"
@@ -34,6 +35,7 @@
     std::vector<CompletedPlacement> completed;
     std::vector<routing::UpstreamNotice> notices;
     std::set<core::UpstreamId> unreachableUpstreams; // that the instance has no path to
+    std::optional<limits::QuotaLease> quotaLease;
 };
 
 /// Load of a service in a region, as known to the sender.
@@ -53,6 +55,7 @@
     core::Duration metadataStaleness{};
     std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
     std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
+    std::optional<limits::QuotaState> quota;         // empty: there are no quotas
 };
 
 struct PlacementReply
@@ -87,7 +90,8 @@
                                       PlacementCancellation,
                                       std::vector<routing::CauseRecord>,
                                       StreamQuery,
-                                      StreamReport>;
+                                      StreamReport,
+                                      limits::QuotaState>;
 
 /// One datagram.
 struct FleetMessage
--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -66,8 +66,10 @@
     , m_settings(settings)
     , m_dispatcher(context.settings.dispatcher, makeDispatcherView(context, metadataCache), context.now())
     , m_paths(paths)
+    , m_quota(context, fleet, metadataCache)
     , m_dispatcherWatch(settings.dispatcherWatch)
 {
+    m_quota.lostPaths = [this] { return m_paths.lost(); };
 }
 
 void PlacementService::start()
@@ -156,6 +158,7 @@
 asio::awaitable<routing::PlacementDecision> PlacementService::place(routing::PlacementRequest &request, std::shared_ptr<CancellationToken> token)
 {
     request.requester = m_context.settings.instanceId;
+    m_quota.prepare(request);
     const auto pending = std::make_shared<PendingPlacement>(m_context.executor);
     pending->prompt = request.prompt;
     pending->fingerprint = request.fingerprint;
@@ -176,13 +179,14 @@
             break;
         }
         const auto dispatcher = remoteDispatcher();
+        m_quota.useDispatcher(dispatcher ? dispatcher->id : m_context.settings.instanceId);
         pending->decision.reset();
         request.catalogVersion = m_metadataCache.knownCatalog().version; // the request is not outdated by it
         request.unreachableUpstreams = m_paths.lost();
         excludeWithheld(request);
         if (!dispatcher) {
             decidedBy = m_context.settings.instanceId;
-            decision = m_dispatcher.requestPlacement(request, m_context.now());
+            decision = decide(request);
             if (isQueued(decision)) {
                 co_await waitForDecision(*pending, m_context.now() + m_settings.resendInterval);
             }
@@ -208,10 +212,12 @@
     }
     if (token->cancelled || isOutdated || isRefusedAs(decision, routing::RefusalReason::Quarantined)) {
         m_dispatcher.cancel(request.id);
+        m_quota.giveBack(request.id);
         if (const auto dispatcher = remoteDispatcher()) {
             m_fleet.send(dispatcher->gossipAddress, PlacementCancellation{request.id});
         }
     }
+    m_quota.notePlaced(request, decision);
     if (token->cancelled) {
         if (const auto *granted = std::get_if<routing::Granted>(&decision)) {
             recordGrant(request, *granted);
@@ -341,6 +347,7 @@
         return;
     }
     const CompletedPlacement completed{id, found->second.upstream, outcome};
+    m_quota.noteSent(id, outcome);
     recordOutcome(completed, m_context.settings.instanceId);
     m_unreportedCompletions.push_back(completed);
     m_unreportedFirstEvents.erase(id);
@@ -351,6 +358,7 @@
 void PlacementService::recordOutcome(const CompletedPlacement &completed, const core::InstanceId &reporter)
 {
     const core::TimePoint now = m_context.now();
+    m_quota.noteOutcome(completed.id, completed.outcome);
     const auto endOfEjection = [&] {
         const auto estimator = m_dispatcher.estimators().find(completed.upstream);
         return estimator == m_dispatcher.estimators().end() ? core::TimePoint{} : estimator->second.ejectedUntil();
@@ -503,6 +511,9 @@
     while (true) {
         co_await core::asyncSleep(m_settings.placementReportInterval);
         expireLeavings();
+        const auto dispatcher = remoteDispatcher();
+        m_quota.useDispatcher(dispatcher ? dispatcher->id : m_context.settings.instanceId);
+        m_quota.report();
         PlacementReport report;
         report.notices = notices();
         if (!report.notices.empty()) {
@@ -533,6 +544,7 @@
 {
     std::map<core::InstanceId, std::vector<PlacementReply>> repliesByRequester;
     for (routing::DeferredDecision &deferred : decisions) {
+        m_quota.noteDecision(deferred.id, deferred.decision);
         if (deferred.requester != m_context.settings.instanceId) {
             repliesByRequester[deferred.requester].push_back(PlacementReply{deferred.id, std::move(deferred.decision)});
             continue;
@@ -542,6 +554,7 @@
             pending->second->decision = std::move(deferred.decision);
             pending->second->timer.cancel();
         } else if (const auto *granted = std::get_if<routing::Granted>(&deferred.decision)) {
+            m_quota.giveBack(deferred.id);
             m_dispatcher.recordCompletion(deferred.id, granted->upstream, routing::SendOutcome::NeverSent, m_context.now());
         }
     }
@@ -573,6 +586,7 @@
     while (true) {
         co_await core::asyncSleep(m_settings.dispatchInterval);
         updateDispatcherRole();
+        m_quota.tick(m_isDispatcher);
         if (m_dispatcher.queueLength() > 0 && mayDecide()) {
             deliverDecisions(m_dispatcher.processQueue(m_context.now()));
         }
@@ -610,14 +624,28 @@
                    [&](const std::vector<PlacementReply> &replies) { handlePlacementReplies(replies, message.sender.id); },
                    [&](const PlacementReport &report) { handlePlacementReport(report, message.sender.id); },
                    [&](const RegionState &state) { handleRegionState(state, message.sender.id, message.arrivedAt); },
-                   [&](const PlacementCancellation &cancellation) { m_dispatcher.cancel(cancellation.id); },
+                   [&](const PlacementCancellation &cancellation) {
+                       m_dispatcher.cancel(cancellation.id);
+                       m_quota.giveBack(cancellation.id);
+                   },
                    [](const std::vector<routing::CauseRecord> &) {}, // handled by the quarantine service
                    [](const StreamQuery &) {},                       // handled by the stream directory
                    [](const StreamReport &) {},
+                   [&](const limits::QuotaState &state) { m_quota.handle(message.sender.id, state); },
                },
                message.body);
 }
 
+routing::PlacementDecision PlacementService::decide(const routing::PlacementRequest &request)
+{
+    if (const auto refused = m_quota.spend(request)) {
+        return *refused;
+    }
+    routing::PlacementDecision decision = m_dispatcher.requestPlacement(request, m_context.now());
+    m_quota.noteDecision(request.id, decision);
+    return decision;
+}
+
 void PlacementService::handlePlacementRequest(const routing::PlacementRequest &request, const std::string &from)
 {
     if (!mayDecide()) {
@@ -628,7 +656,7 @@
     if (isQuarantined && isQuarantined(request.prompt, request.fingerprint)) { // the requester may not have heard of it yet
         m_dispatcher.cancel(request.id);
     } else {
-        decision = m_dispatcher.requestPlacement(request, m_context.now());
+        decision = decide(request);
     }
     std::vector<PlacementReply> replies;
     replies.push_back(PlacementReply{request.id, std::move(decision)});
@@ -651,6 +679,9 @@
 void PlacementService::handlePlacementReport(const PlacementReport &report, const core::InstanceId &sender)
 {
     const core::TimePoint now = m_context.now();
+    if (report.quotaLease) {
+        m_quota.handle(sender, *report.quotaLease);
+    }
     mergeNotices(report.notices, sender);
     m_dispatcher.recordUnreachable(sender, report.unreachableUpstreams, now);
     m_dispatcher.recordInFlight(sender, report.inFlight, now);
@@ -699,6 +730,9 @@
         return;
     }
     RegionState state = buildRegionState();
+    if (isDispatcher) {
+        state.quota = m_quota.stateForRegion();
+    }
     for (const membership::Member &member : ranking) {
         if (member.id != m_context.settings.instanceId) {
             m_fleet.send(member.gossipAddress, state);
@@ -715,6 +749,7 @@
     for (const core::RegionId &region : regions) {
         const auto &remoteRanking = m_fleet.dispatcherRanking(region);
         for (std::size_t i = 0; i < remoteRanking.size() && i < m_settings.notifiedDispatchersPerRegion; ++i) {
+            state.quota = isDispatcher && i == 0 ? m_quota.stateForPeer(remoteRanking[i].id) : std::nullopt;
             m_fleet.send(remoteRanking[i].gossipAddress, state);
         }
     }
@@ -744,6 +779,7 @@
             markIfLeaving(upstream);
         }
     }
+    m_quota.applyConfiguration();
     refuseOutdated();
     sendRegionState();
     deliverDecisions(m_dispatcher.processQueue(m_context.now()));
@@ -766,6 +802,9 @@
             m_dispatcher.updateRemoteLoad(row.region, row.load, at);
         }
     }
+    if (state.quota) {
+        m_quota.handle(sender, *state.quota);
+    }
     m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, arrivedAt);
     if (m_metadataCache.isNewer(state.lastChange) && onNewerMetadata) {
         onNewerMetadata(sender);
--- a/src/arbutus/edge/placementservice.h
+++ b/src/arbutus/edge/placementservice.h
@@ -12,6 +12,7 @@
 #include "arbutus/edge/fleet.h"
 #include "arbutus/edge/metadatacache.h"
 #include "arbutus/edge/pathmonitor.h"
+#include "arbutus/edge/quotaservice.h"
 #include "arbutus/routing/dispatcherwatch.h"
 #include "arbutus/routing/upstreamnotices.h"
 #include "arbutus/routing/upstreamrests.h"
@@ -128,6 +129,8 @@
     {
         return !isCatchingUp || !isCatchingUp();
     }
+    /// Decides on a request as its dispatcher, after its workspace's quota.
+    [[nodiscard]] routing::PlacementDecision decide(const routing::PlacementRequest &request);
     /// Skips the dispatcher for a while. Requests that are pending there are sent to the next one at once.
     void skipUnresponsive(const core::InstanceId &id);
     /// Excludes the upstreams that rest for this instance, or that only it knows to be leaving, from the placement.
@@ -166,6 +169,7 @@
     PlacementServiceSettings m_settings;
     routing::Dispatcher m_dispatcher;
     PathMonitor &m_paths;
+    QuotaService m_quota;
     std::map<routing::PlacementId, std::shared_ptr<PendingPlacement>> m_pending;
     std::map<routing::PlacementId, InFlightPlacement> m_inFlight;
     std::set<routing::PlacementId> m_unreportedFirstEvents;
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -160,6 +160,15 @@
     void operator()(const edge::StreamQuery &) const
     {
     }
+    void operator()(const limits::QuotaState &state) const
+    {
+        requireAmount(state.ownShare);
+        requireTime(state.loanLength);
+        for (const limits::QuotaRow &row : state.rows) {
+            requireAmount(row.neededShare);
+            requireAmount(row.lentShare);
+        }
+    }
 };
 
 } // namespace
