Limits: a region keeps a part of its share, and few instances admit oversized requests

Change: a loan leaves a quarter of the own share and what is needed, counting loans to others; requests beyond what a share bears need a fifth of the quota; 0.3 of the tolerance is for debt. Tests of spending, giving back and the wire.

--- a/src/arbutus/limits/quotaleases.cpp
+++ b/src/arbutus/limits/quotaleases.cpp
@@ -208,7 +208,7 @@
         totalTarget += isFresh(other, now) ? targetOf(other) : 0;
     }
     const double scale = totalTarget > 1 ? 1 / totalTarget : 1; // more is asked than there is: by need
-    double surplus = std::max(self.own - self.target * scale, 0.0);
+    double surplus = std::max(self.own - std::max(self.target * scale, self.own * m_settings.keptShare), 0.0);
     double deficit = 0;
     double totalSurplus = surplus;
     for (const auto &[id, other] : m_peers) {
@@ -221,7 +221,11 @@
     if (surplus <= 0 || lack <= 0) {
         return 0;
     }
-    return lack / deficit * std::min(surplus, surplus / totalSurplus * deficit);
+    double lentToOthers = 0;
+    for (const auto &[id, other] : m_peers) {
+        lentToOthers += &other == &peer ? 0 : lentTo(other, workspace, now);
+    }
+    return std::min(lack / deficit * std::min(surplus, surplus / totalSurplus * deficit), surplus - lentToOthers);
 }
 
 QuotaState QuotaLeases::stateForInstances(core::TimePoint now)
--- a/src/arbutus/limits/quotaleases.h
+++ b/src/arbutus/limits/quotaleases.h
@@ -52,6 +52,7 @@
     core::Duration peerStateMaxAge = std::chrono::milliseconds(1'500); // until a dispatcher that is not heard counts as gone
     double grownNeed = 0.05;                                           // growth of a needed share that is answered at once
     double demandHeadroom = 1.3;                                       // share kept or borrowed, per share needed
+    double keptShare = 0.25;                                           // of the shares from instances, which is not lent, for sudden demand
     std::size_t regionCount = 1;
 };
 
--- a/src/arbutus/limits/workspacequota.cpp
+++ b/src/arbutus/limits/workspacequota.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr double DebtPart = 0.27;         // of the tolerance; see the table in the header
-constexpr double EarlyPart = 0.2;         // of the tolerance
-constexpr double FullBucket = 0.999;      // of its size; the rest is rounding
-constexpr double MinOversizeShare = 0.06; // so that at most 16 buckets admit requests beyond what their shares bear
-constexpr double MinNeededShare = 0.001;  // smaller needs are not stated
+constexpr double DebtPart = 0.3;         // of the tolerance; see the table in the header
+constexpr double EarlyPart = 0.2;        // of the tolerance
+constexpr double FullBucket = 0.999;     // of its size; the rest is rounding
+constexpr double MinOversizeShare = 0.2; // so that at most 5 buckets admit requests beyond what their shares bear
+constexpr double MinNeededShare = 0.001; // smaller needs are not stated
 constexpr core::Duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr core::Duration MaxRetryAfter = std::chrono::seconds(60);
 
@@ -117,11 +117,11 @@
             continue;
         }
         const auto found = m_entries.find(workspace.id);
-        Entry entry = found == m_entries.end() ? Entry{*workspace.quota, QuotaBucket(now)} : std::move(found->second);
+        Entry entry = found == m_entries.end() ? Entry{*workspace.quota, QuotaBucket(now)} : found->second;
         updateBucket(workspace.id, entry, now); // by the quota until now
         entry.quota = *workspace.quota;
         updateBucket(workspace.id, entry, now);
-        entries.emplace(workspace.id, std::move(entry));
+        entries.emplace(workspace.id, entry);
     }
     m_entries = std::move(entries);
 }
--- a/tests/quotatest.cpp
+++ b/tests/quotatest.cpp
@@ -1,6 +1,7 @@
 // Quotas of workspaces, held by the whole fleet: the upper bound under partitions, restarts, takeovers, lost and late messages, and how
 // much of a quota is usable. The fleet is simulated with a clock of its own; each process has another origin of its clock.
 
+#include "arbutus/edge/codec.h"
 #include "arbutus/limits/quotaexchange.h"
 #include "support/schedules.h"
 
@@ -577,3 +578,76 @@
     print(Situation::InstancesCutOff, rate, MixedSizes, usable);
     REQUIRE(usable.servedShare >= 2.0 / 3); // two thirds of the instances are in touch
 }
+
+TEST_CASE("a request spends once, and units of one that does not run are given back", "[quota]")
+{
+    limits::WorkspaceQuotaSettings settings;
+    settings.terms = limits::QuotaTerms{8s, 0, 0}; // no debt
+    limits::QuotaExchange exchange(settings, core::InstanceId("a"), Start - 20s);
+    exchange.setKnownInstances(1);
+    exchange.quotas().setQuotas({makeWorkspace(1'000, 1'000)}, Start - 20s);
+    for (core::TimePoint now = Start - 20s; now <= Start; now += 100ms) { // the instance is its own dispatcher
+        static_cast<void>(exchange.report(now));
+        exchange.quotas().update(now);
+    }
+    limits::WorkspaceQuotas &quotas = exchange.quotas();
+    const routing::PlacementId first("r/1");
+    const routing::PlacementId second("r/2");
+    REQUIRE_FALSE(quotas.spend(first, Desk, 800, Start));
+    REQUIRE_FALSE(quotas.spend(first, Desk, 800, Start));
+    const auto refusal = quotas.spend(second, Desk, 800, Start);
+    REQUIRE(refusal);
+    CHECK(refusal->retryAfter == 600ms);
+    SECTION("the refused request is admitted at the time that it was told")
+    {
+        static_cast<void>(exchange.report(Start + 600ms));
+        CHECK_FALSE(quotas.spend(second, Desk, 800, Start + 600ms));
+    }
+    SECTION("units are given back once, and the request spends again")
+    {
+        quotas.giveBack(first, Start + 1ms);
+        quotas.giveBack(first, Start + 1ms);
+        CHECK_FALSE(quotas.spend(second, Desk, 800, Start + 1ms));
+        CHECK(quotas.spend(first, Desk, 800, Start + 1ms));
+    }
+    SECTION("units that are given back late are lost")
+    {
+        quotas.giveBack(first, Start + 300ms);
+        CHECK(quotas.spend(second, Desk, 800, Start + 300ms));
+    }
+    SECTION("a lowered quota applies at once")
+    {
+        quotas.giveBack(first, Start);
+        quotas.setQuotas({makeWorkspace(100, 100)}, Start);
+        CHECK(quotas.spend(second, Desk, 800, Start));
+        CHECK_FALSE(quotas.spend(second, Desk, 100, Start));
+    }
+    SECTION("a workspace without a quota is not limited")
+    {
+        CHECK_FALSE(quotas.spend(second, core::WorkspaceId("other"), 1'000'000, Start));
+    }
+}
+
+TEST_CASE("leases and states of quotas keep their meaning on the wire", "[quota][codec]")
+{
+    edge::FleetMessage message{core::InstanceRef{core::InstanceId("n"), core::Incarnation(3)}, core::RegionId("x"), {}};
+    const auto sendAndReceive = [&] {
+        const auto received = edge::decodeFleetMessage(edge::encode(message, Start), Start);
+        REQUIRE(received);
+        return received->body;
+    };
+    const limits::QuotaLease lease{limits::QuotaClock(77), 2s, 74, true};
+    const limits::QuotaState state{limits::QuotaClock(78), 74, 0.25, {limits::QuotaRow{Desk, 0.5, 0.125, 1'024}}, limits::QuotaClock(79), 900ms};
+    edge::PlacementReport report;
+    report.quotaLease = lease;
+    message.body = report;
+    CHECK(std::get<edge::PlacementReport>(sendAndReceive()).quotaLease == lease);
+    edge::RegionState regionState;
+    regionState.quota = state;
+    message.body = regionState;
+    CHECK(std::get<edge::RegionState>(sendAndReceive()).quota == state);
+    message.body = state;
+    CHECK(std::get<limits::QuotaState>(sendAndReceive()) == state);
+    message.body = edge::RegionState();
+    CHECK_FALSE(std::get<edge::RegionState>(sendAndReceive()).quota);
+}
