--- a/src/arbutus/edge/codec.h
+++ b/src/arbutus/edge/codec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "arbutus/edge/metadatacache.h"
+#include "arbutus/limits/quotaleases.h"
 #include "arbutus/membership/membershipview.h"
 #include "arbutus/routing/dispatcher.h"
 #include "arbutus/routing/requestquarantine.h"
@@ -35,6 +36,7 @@
     std::vector<CompletedPlacement> completed;
     std::vector<routing::UpstreamNotice> notices;
     std::set<core::UpstreamId> unreachableUpstreams; // that the instance has no path to
+    std::optional<limits::QuotaLease> quotaLease;
 };
 
 /// Load of a service in a region, as known to the sender.
@@ -55,6 +57,7 @@
     std::vector<routing::UpstreamNotice> notices;    // of upstreams of the sender's region
     std::set<core::UpstreamId> unreachableUpstreams; // that some instance of the sender's region has no path to
     std::vector<routing::ProfileReport> profiles;    // of engines of the sender's region
+    std::optional<limits::QuotaState> quota;         // empty: there are no quotas
 };
 
 struct PlacementReply
@@ -89,7 +92,8 @@
                                       PlacementCancellation,
                                       std::vector<routing::CauseRecord>,
                                       StreamQuery,
-                                      StreamReport>;
+                                      StreamReport,
+                                      limits::QuotaState>;
 
 /// One datagram.
 struct FleetMessage
