--- a/src/arbutus/routing/costorder.cpp
+++ b/src/arbutus/routing/costorder.cpp
@@ -23,6 +23,11 @@
     const PlacementId *id = nullptr;
 };
 
+core::Duration scaled(core::Duration duration, double factor)
+{
+    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 bool goesBefore(const Job &left, const Job &right)
 {
     if (left.priority != right.priority) {
@@ -107,16 +112,23 @@
         const core::TimePoint placeBy = deadline - entry.minLatency;
         return Job{index, entry.priority, placeBy, placeBy - now, entry.work, perRoom(loss, entry), entry.cameBack, &entry.id};
     };
+    const auto makeLateJob = [&](std::size_t index) {
+        const CostEntry &entry = *entries[index];
+        Job job = makeJob(index, entry.responseDeadline, 0);
+        const core::Duration mayBeHeld = scaled(entry.responseDeadline - entry.requestedAt, m_settings.maxHoldRatio);
+        job.slack = std::min(job.slack, entry.requestedAt + mayBeHeld - now);
+        return job;
+    };
     for (std::size_t i = 0; i < entries.size(); ++i) {
         const CostEntry &entry = *entries[i];
         if (entry.hasBegun) {
             result.served.push_back({i, drain.drainTime(begunWork, rates.total), false});
             begunWork += entry.work;
         } else if (now + entry.minLatency > entry.latencyDeadline) {
-            late.push_back(makeJob(i, entry.responseDeadline, 0));
+            late.push_back(makeLateJob(i));
         } else {
             Job job = makeJob(i, entry.latencyDeadline, lossIfLate(m_settings.value, entry.value));
-            job.slack = core::Duration(static_cast<core::Duration::rep>(m_settings.plannedSlackRatio * static_cast<double>(job.slack.count())));
+            job.slack = scaled(job.slack, m_settings.plannedSlackRatio);
             jobs.push_back(job);
         }
     }
@@ -137,7 +149,7 @@
     const Pass onTime = runPass(std::move(jobs), waitInOrder, m_settings.maxDisplaced);
     place(onTime, waitInOrder, false);
     for (const Job &job : onTime.dropped) {
-        late.push_back(makeJob(job.index, entries[job.index]->responseDeadline, 0));
+        late.push_back(makeLateJob(job.index));
     }
     for (Job &job : late) {
         const CostEntry &entry = *entries[job.index];
--- a/src/arbutus/routing/costorder.h
+++ b/src/arbutus/routing/costorder.h
@@ -16,7 +16,7 @@
 //    O(n log n). The first pass has the latency deadlines and drops to the second, which has the response deadlines and drops to refusal.
 //
 // Q: How long does an overload last?
-// A: Nobody knows. For the predicted wait of late requests it is expected to go on for a part of the time that it has lasted; after that they
+// A: Nobody knows. For the predicted wait of late requests it is expected to go on for as long again as it has lasted; after that they
 //    get the whole rate. So few are refused in a short burst, and what cannot be served is refused at once in a long one.
 //
 // Q: What about priorities?
@@ -67,9 +67,10 @@
 struct CostOrderSettings
 {
     ServiceValueSettings value;
-    double plannedSlackRatio = 0.6;                          // of the time until a request is late; the rest allows for errors of the predicted rate
-    double overloadFactor = 0.1;                             // an overload is expected to last for that many times its present duration
-    std::size_t maxDisplaced = 4;                            // requests that one request may displace
+    double plannedSlackRatio = 0.6; // of the time until a request is late; the rest allows for errors of the predicted rate
+    double overloadFactor = 1;      // an overload is expected to last for that many times its present duration
+    double maxHoldRatio = 0.7;      // of the time until a response is worthless; a request that is held for longer costs more than it gains
+    std::size_t maxDisplaced = 4;   // requests that one request may displace
     core::Duration minRoom = std::chrono::microseconds(100); // lower bound of the room that a request takes
 };
 
