--- a/src/arbutus/edge/placementservice.cpp
+++ b/src/arbutus/edge/placementservice.cpp
@@ -822,13 +822,11 @@
             m_dispatcher.updateRemoteLoad(row.region, row.load, at);
         }
     }
-<<<<<<< HEAD
     for (const routing::ProfileReport &report : state.profiles) {
         m_dispatcher.engineProfiles().adopt(report, region);
-=======
+    }
     if (state.quota) {
         m_quota.handle(sender, *state.quota);
->>>>>>> part-quota
     }
     m_metadataCache.confirmCurrent(state.lastChange, state.storePosition, state.metadataStaleness, arrivedAt);
     if (m_metadataCache.isNewer(state.lastChange) && onNewerMetadata) {
