--- a/src/arbutus/edge/configurationproof.h
+++ b/src/arbutus/edge/configurationproof.h
@@ -54,7 +54,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock, duration>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that clocks of the standard library have
 };
 using BootTime = BootClock::time_point;
 
