Limits: early leases get two fifths of the tolerance

Cause: after a takeover or a start, the parts of a region count with the weight of early leases for up to 2 s.

Change: two fifths of the tolerance in place of one.

--- a/src/arbutus/limits/workspacequota.cpp
+++ b/src/arbutus/limits/workspacequota.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr double DebtPart = 0.3;         // of the tolerance; see the table in the header
-constexpr double EarlyPart = 0.2;        // of the tolerance
+constexpr double EarlyPart = 0.4;        // of the tolerance
 constexpr double FullBucket = 0.999;     // of its size; the rest is rounding
 constexpr double MinOversizeShare = 0.2; // so that at most 5 buckets admit requests beyond what their shares bear
 constexpr double MinNeededShare = 0.001; // smaller needs are not stated
--- a/src/arbutus/limits/workspacequota.h
+++ b/src/arbutus/limits/workspacequota.h
@@ -9,8 +9,8 @@
 //
 //   tolerance = (rate * window + burst) * overshoot + slack
 //     0.30  debt of buckets: a request may cost more than a bucket contains, up to the share of this part
-//     0.20  early leases
-//     0.50  buckets that begin anew after a takeover or a restart and may be in debt again, large requests at several dispatchers, units that
+//     0.40  early leases
+//     0.30  buckets that begin anew after a takeover or a restart and may be in debt again, large requests at several dispatchers, units that
 //           are given back, and counts of instances that differ
 //
 // Sections:
