Clients that keep to no limit: a bound on each section of a message, one budget, places for connections

Cause: chunked bodies were read by Beast, which keeps an unfinished chunk head or trailer section in the connection's buffer without a bound; the listener for peers accepts heads of 1 GiB; connections took all descriptors, and an accept that fails for that reason was tried again at once; the kernel held megabytes of unread answers for each connection; a range of the store could have any number of pages. Change: http/sectionreader reads head, chunk heads and trailers by one rule and counts what a connection holds beyond 32 KiB in the budget of the bodies; limits/connectionbudget shares two thirds of the descriptors between all listeners, and a connection that waits gives way to a new one; TCP_NOTSENT_LOWAT and a fixed receive buffer bound the socket queues, and a long response gets its time to be read by the MiB, since it no longer waits in the kernel; a single request above the share of requests is granted up to what the configuration allows; store answers are bounded. Heads over the limit get 431 instead of 400, trailers and extensions 413.

--- a/src/arbutus/core/error.cpp
+++ b/src/arbutus/core/error.cpp
@@ -49,6 +49,7 @@
     ErrorKindInfo{ErrorKind::SettingsInvalid, "settings_invalid", 500, "correct the settings file at the place given in the message"},
     ErrorKindInfo{ErrorKind::Internal, "internal", 500, "report it with the X-Decision-Id of the response"},
     ErrorKindInfo{ErrorKind::Quarantined, "quarantined", 503, "change the request, or send it without that part of the prompt; operators: see GET /quarantine"},
+    ErrorKindInfo{ErrorKind::HeadTooLarge, "head_too_large", 431, "send a head smaller than the limit given in the message"},
 };
 
 const ErrorKindInfo &infoFor(ErrorKind kind)
--- a/src/arbutus/core/error.h
+++ b/src/arbutus/core/error.h
@@ -56,6 +56,7 @@
     SettingsInvalid,  // settings file with errors
     Internal,         // bug in the gateway
     Quarantined,      // the request, or a part of its prompt, crashes upstreams
+    HeadTooLarge,     // head larger than the listener's limit
 };
 
 /// An error, its remedy and the outcome of the request.
--- a/src/arbutus/edge/forwarder.h
+++ b/src/arbutus/edge/forwarder.h
@@ -140,9 +140,9 @@
     /// Ends waits for a newer configuration.
     void onCatalogChanged();
     /// Memory that the bodies of requests and responses take.
-    [[nodiscard]] const limits::ByteBudget &bodies() const
+    [[nodiscard]] const std::shared_ptr<limits::ByteBudget> &bodies() const
     {
-        return *m_bodies;
+        return m_bodies;
     }
 
 private:
--- a/src/arbutus/edge/hoplimits.h
+++ b/src/arbutus/edge/hoplimits.h
@@ -35,7 +35,7 @@
 /// that it cannot accept before the request is handled. A handled request that fails gets another status.
 [[nodiscard]] constexpr bool isRejectedByListener(unsigned status)
 {
-    return status == 400;
+    return status == 400 || status == 431;
 }
 
 } // namespace arbutus::edge
--- a/src/arbutus/edge/routegateway.cpp
+++ b/src/arbutus/edge/routegateway.cpp
@@ -58,6 +58,11 @@
     return core::Incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()) * 1000 + seed % 1000);
 }
 
+std::size_t maxConnections(const Settings &settings)
+{
+    return settings.maxConnections > 0 ? settings.maxConnections : limits::ConnectionBudget::shareOf(http::maxDescriptors());
+}
+
 } // namespace
 
 struct RouteGateway::Impl
@@ -98,8 +103,15 @@
     {
         clientServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("clients", unanswered); });
         peerServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered("peers", unanswered); });
-        clientServer.setRejectedCallback([this](std::string_view reason) { recordRejected("clients", reason); });
-        peerServer.setRejectedCallback([this](std::string_view reason) { recordRejected("peers", reason); });
+        const http::ServerResources resources{forwarder.bodies(), connections};
+        for (const auto &[name, server] : {std::pair{"clients", &clientServer},
+                                           std::pair{"peers", &peerServer},
+                                           std::pair{"directory", &directoryServer},
+                                           std::pair{"readiness", &readinessServer},
+                                           std::pair{"metrics", &metricsServer}}) {
+            server->setResources(resources);
+            server->setRejectedCallback([this, name = name](std::string_view reason) { recordRejected(name, reason); });
+        }
     }
 
     asio::io_context &ioContext;
@@ -118,6 +130,7 @@
     StreamDirectory streamDirectory;
     Forwarder forwarder;
     std::function<core::Result<Settings>()> reloadSettings;
+    std::shared_ptr<limits::ConnectionBudget> connections = std::make_shared<limits::ConnectionBudget>(maxConnections(settings));
     http::Server clientServer;
     http::Server peerServer;
     http::Server directoryServer;
@@ -232,8 +245,10 @@
         metrics.setGauge("arbutus_quarantined_prompt_parts", "", static_cast<double>(quarantine.quarantinedPartCount()));
         metrics.setGauge("arbutus_quarantined_requests", "", static_cast<double>(quarantine.quarantinedRequestCount()));
         metrics.setGauge("arbutus_lost_upstream_paths", "", static_cast<double>(paths.lost().size()));
-        metrics.setGauge("arbutus_held_body_bytes", "", static_cast<double>(forwarder.bodies().usedBytes()));
-        metrics.setGauge("arbutus_held_body_bytes_peak", "", static_cast<double>(forwarder.bodies().peakBytes()));
+        metrics.setGauge("arbutus_held_body_bytes", "", static_cast<double>(forwarder.bodies()->usedBytes()));
+        metrics.setGauge("arbutus_held_body_bytes_peak", "", static_cast<double>(forwarder.bodies()->peakBytes()));
+        metrics.setGauge("arbutus_client_connections", "", static_cast<double>(connections->usedPlaces()));
+        metrics.setGauge("arbutus_evicted_connections", "", static_cast<double>(connections->evictedCount()));
         metrics.setGauge("arbutus_ready", "", ready() ? 1 : 0);
         http::Response response;
         response.headers["Content-Type"] = "text/plain; version=0.0.4";
@@ -252,7 +267,10 @@
             serverLimits.maxBodyBytes = limits.maxBodyBytes;
             serverLimits.headerTimeout = limits.headerTimeout;
             serverLimits.idleTimeout = limits.idleTimeout;
+            serverLimits.maxSectionBytes = std::max(serverLimits.maxSectionBytes, limits.maxHeaderBytes);
             clientServer.setLimits(serverLimits);
+            // Also for what other instances pass on: it was within the limits where it was received.
+            forwarder.bodies()->allowSingleRequest(std::max(limits.maxBodyBytes, 2 * (limits.maxHeaderBytes + MaxHopHeaderBytes)));
             forwarder.onCatalogChanged();
         }
         for (const auto &[id, entry] : metadataCache.registry().entries()) {
--- a/src/arbutus/edge/settings.cpp
+++ b/src/arbutus/edge/settings.cpp
@@ -143,6 +143,7 @@
         constexpr double BytesPerMegabyte = 1024 * 1024;
         out.bodyMemory =
             static_cast<std::size_t>(BytesPerMegabyte * reader.number("memory.bodies_mb", static_cast<double>(out.bodyMemory) / BytesPerMegabyte, 1, 1e6));
+        out.maxConnections = static_cast<std::size_t>(reader.number("limits.connections", 0, 0, 1e6));
         readDispatcher(reader, out.dispatcher);
         if (!reader.errors().empty()) {
             return core::makeError(core::ErrorKind::SettingsInvalid, path + ": " + reader.errors());
--- a/src/arbutus/edge/settings.h
+++ b/src/arbutus/edge/settings.h
@@ -46,6 +46,9 @@
     //--- Memory
     std::size_t bodyMemory = limits::ByteBudgetSettings::DefaultBytes; // for bodies of requests and responses together
 
+    //--- Connections
+    std::size_t maxConnections = 0; // that others hold open at all listeners together; 0: two thirds of the descriptors
+
     //--- Limits that the deployment guarantees
     std::chrono::milliseconds shutdownGracePeriod{8'000}; // from the stop signal to the exit
     std::chrono::milliseconds maxConfigurationDelay{3'000};
--- a/src/arbutus/gateway/adminserver.cpp
+++ b/src/arbutus/gateway/adminserver.cpp
@@ -153,6 +153,10 @@
     , m_server(
           m_thread.executor(), listen, http::ServerLimits{}, [this](http::Exchange &exchange) { return serve(exchange); }, std::move(tls))
 {
+    constexpr std::size_t MaxConnections = 64;
+    constexpr std::size_t MaxBodyMemory = std::size_t(8) * 1024 * 1024;
+    const auto memory = std::make_shared<limits::ByteBudget>(limits::ByteBudgetSettings::of(MaxBodyMemory));
+    m_server.setResources({memory, std::make_shared<limits::ConnectionBudget>(MaxConnections)});
 }
 
 void AdminServer::start()
--- a/src/arbutus/gateway/gateway.cpp
+++ b/src/arbutus/gateway/gateway.cpp
@@ -127,6 +127,15 @@
         , peerServer(http::toString(settings.peersEndpoint), settings.clusterKey, makeHandlers())
     {
         clientServer.setUnansweredCallback([this](const http::UnansweredRequest &unanswered) { recordUnanswered(unanswered); });
+        clientServer.setRejectedCallback([this](std::string_view reason) { recordRejected(reason); });
+        const std::size_t places = limits::ConnectionBudget::shareOf(http::maxDescriptors());
+        clientServer.setResources({std::make_shared<limits::ByteBudget>(), std::make_shared<limits::ConnectionBudget>(places)});
+    }
+
+    void recordRejected(std::string_view reason)
+    {
+        metrics.incrementCounter("arbutus_rejected_requests_total", "listener=\"clients\"");
+        observe::LogLine("request_rejected").add("listener", "clients").add("reason", reason).write();
     }
 
     void recordUnanswered(const http::UnansweredRequest &unanswered)
--- a/src/arbutus/http/server.h
+++ b/src/arbutus/http/server.h
@@ -21,6 +21,15 @@
 // Q: How does a client that cannot read chunks (HTTP/1.0) tell a truncated response from a complete one?
 // A: Its streamed response ends with the connection: a regular close if it is complete, a reset if it is not.
 //
+// Q: What does a client hold that sends without end?
+// A: A part of a message that has to be whole before it is understood is bounded: the head by ServerLimits::maxHeaderBytes (status 431), the
+//    head of a chunk with its extensions, and the trailers, by maxSectionBytes (413). Chunks may take 16 times the bytes of the body
+//    and three such parts (413). What a connection holds beyond 32 KiB, and bodies, are counted in ServerResources::memory, which several servers share.
+//    The kernel holds some 100 KB for each direction of a connection: a response that is not read waits in the process.
+//
+// Q: And one that opens connections without end?
+// A: All servers with the same ServerResources::connections share its places; a connection that waits gives way to a new one.
+//
 // Q: How does the owner learn of requests that got no complete response?
 // A: setUnansweredCallback(); the callback runs when the handler has returned.
 
@@ -28,6 +37,8 @@
 
 #include "arbutus/http/message.h"
 #include "arbutus/http/tls.h"
+#include "arbutus/limits/bytebudget.h"
+#include "arbutus/limits/connectionbudget.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -43,13 +54,24 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024;          // total size of the request headers
     std::size_t maxBodyBytes = 4 * 1024 * 1024;      // request body
+    std::size_t maxSectionBytes = 16 * 1024;         // head of a chunk with its extensions, or all trailers
     std::size_t maxConnections = 8192;               // open at the same time
     std::chrono::milliseconds headerTimeout{15'000}; // to receive all headers, from their first byte
     std::chrono::milliseconds idleTimeout{15'000};   // to receive the first byte of the next request
     std::chrono::milliseconds bodyTimeout{20'000};   // to receive the body
-    std::chrono::milliseconds writeTimeout{20'000};  // for one write, if the client does not read
+    std::chrono::milliseconds writeTimeout{20'000};  // for one write, if the client does not read; of a long response for each MiB
+};
+
+/// What servers of one process share. They must have the same executor.
+struct ServerResources
+{
+    std::shared_ptr<limits::ByteBudget> memory;            // null: not counted
+    std::shared_ptr<limits::ConnectionBudget> connections; // null: only ServerLimits::maxConnections holds
 };
 
+/// Descriptors that the process may open.
+[[nodiscard]] std::size_t maxDescriptors();
+
 /// One request and its response.
 class Exchange
 {
@@ -152,8 +174,10 @@
     void closeIdleConnections();
     /// Sets the function that is called for each request that reached the handler and has no complete response.
     void setUnansweredCallback(std::function<void(const UnansweredRequest &)> onUnanswered);
-    /// Sets the function that is called for each request that the server rejects itself, with the reason.
+    /// Sets the function that is called for each request or connection that the server rejects itself, with the reason.
     void setRejectedCallback(std::function<void(std::string_view reason)> onRejected);
+    /// Sets what this server shares with others, for connections that are accepted from now on. Call this on the executor.
+    void setResources(ServerResources resources);
     /// Sets the limits for requests that start from now on. An idle connection that waits keeps the longer idle timeout, since
     /// its client may rely on either. Call this on the executor.
     void setLimits(const ServerLimits &limits);
--- a/src/arbutus/limits/bytebudget.cpp
+++ b/src/arbutus/limits/bytebudget.cpp
@@ -32,7 +32,8 @@
         return max - std::min(max, others);
     };
     const bool isOnly = m_requestBytes == hold.m_bytes; // or one that the configuration allows could never be sent
-    return isOnly || bytes <= std::min(left(m_settings.maxRequestBytes, m_requestBytes), left(m_settings.maxBytes, m_usedBytes)) / 2;
+    return (isOnly && bytes <= std::max(m_settings.maxRequestBytes, m_singleRequestBytes))
+        || bytes <= std::min(left(m_settings.maxRequestBytes, m_requestBytes), left(m_settings.maxBytes, m_usedBytes)) / 2;
 }
 
 bool ByteBudget::makeRoom(ByteHold &hold, std::size_t bytes)
--- a/src/arbutus/limits/bytebudget.h
+++ b/src/arbutus/limits/bytebudget.h
@@ -1,4 +1,5 @@
-// Bound for the memory that the bodies of requests and responses may take together.
+// Bound for the memory that the bodies of requests and responses, and what connections hold of unfinished parts of messages, may take
+// together.
 //
 //   const auto budget = std::make_shared<ByteBudget>(ByteBudgetSettings{});
 //   ByteHold hold(budget, HolderKind::Response, upstream, [&] { call.cancel(); });
@@ -22,6 +23,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,7 +35,7 @@
     static constexpr std::size_t DefaultBytes = std::size_t(64) * 1024 * 1024;
 
     std::size_t maxBytes = DefaultBytes;                // of all bodies
-    std::size_t maxRequestBytes = DefaultBytes / 2;     // of those of requests; a single body may be larger
+    std::size_t maxRequestBytes = DefaultBytes / 2;     // of those of requests; a single one may be larger, see allowSingleRequest()
     std::size_t requestReserve = DefaultBytes / 16;     // that responses leave free for requests
     std::size_t maxBytesPerUpstream = DefaultBytes / 4; // of those of the responses of one upstream
 
@@ -53,6 +55,11 @@
 public:
     explicit ByteBudget(ByteBudgetSettings settings = {});
 
+    /// Sets the largest request that is granted if it is the only one, though it is larger than the share of requests.
+    void allowSingleRequest(std::size_t bytes)
+    {
+        m_singleRequestBytes = bytes;
+    }
     [[nodiscard]] std::size_t usedBytes() const
     {
         return m_usedBytes;
@@ -73,6 +80,7 @@
     void change(ByteHold &hold, std::size_t bytes);
 
     ByteBudgetSettings m_settings;
+    std::size_t m_singleRequestBytes = std::numeric_limits<std::size_t>::max();
     std::map<std::uint64_t, ByteHold *> m_holds; // in the order of their creation
     std::uint64_t m_nextHold = 0;
     std::map<std::string, std::size_t> m_responseBytes; // by upstream
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -6,15 +6,22 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/edge/metadatasync.h"
+#include "arbutus/http/sectionreader.h"
 #include "arbutus/peer/codec.h"
 #include "platform/platformadapter.h"
 #include "platform/storeclient.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/_experimental/test/stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/json.hpp>
 #include <google/protobuf/stubs/logging.h>
 #include <peer.pb.h>
 
 #include <cmath>
+#include <exception>
 #include <string>
 
 namespace arbutus::fuzz {
@@ -302,4 +309,38 @@
     }
 }
 
+void clientRequest(std::string_view input)
+{
+    namespace wire = boost::beast::http;
+    constexpr std::size_t MaxSectionBytes = 256;
+    constexpr std::size_t MaxBodyBytes = 512;
+    boost::asio::io_context loop{1};
+    boost::beast::test::stream stream(loop, input);
+    stream.close_remote();
+    boost::beast::flat_buffer buffer;
+    http::BufferHold hold(nullptr);
+    auto read = [&]() -> boost::asio::awaitable<void> {
+        for (boost::system::error_code code; !code;) {
+            http::SectionReader<boost::beast::test::stream> reader(stream, buffer, hold);
+            wire::request_parser<wire::string_body> parser;
+            parser.header_limit(MaxSectionBytes);
+            parser.body_limit(MaxBodyBytes);
+            while (!code && !parser.is_done()) {
+                const std::size_t consumedBefore = reader.consumedBytes();
+                code = co_await reader.readSome(parser, MaxSectionBytes);
+                require(code || parser.is_done() || reader.consumedBytes() > consumedBefore, "a read that succeeds goes on");
+                require(buffer.size() <= MaxSectionBytes, "an unfinished section is bounded");
+                require(parser.get().body().size() <= MaxBodyBytes, "a body is bounded");
+                require(reader.exceeded().empty() || code == wire::error::buffer_overflow, "a bound that is exceeded ends the message");
+            }
+        }
+    };
+    std::exception_ptr failure;
+    boost::asio::co_spawn(loop, read, [&failure](std::exception_ptr thrown) { failure = std::move(thrown); });
+    loop.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
 } // namespace arbutus::fuzz
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -23,6 +23,7 @@
 void storeAnswer(std::string_view input);    // body of the platform's store, of a range and of a watch
 void fleetMessage(std::string_view input);   // datagrams and metadata snapshots between instances that forward by route
 void clusterMessage(std::string_view input); // datagrams and ledger calls between instances of the product's own interface
+void clientRequest(std::string_view input);  // bytes of a connection: heads, chunks with their extensions, trailers
 
 struct Target
 {
@@ -36,6 +37,7 @@
     Target{"store_answer", storeAnswer},
     Target{"fleet_message", fleetMessage},
     Target{"cluster_message", clusterMessage},
+    Target{"client_request", clientRequest},
 };
 
 } // namespace arbutus::fuzz
--- a/tests/hostileclienttest.cpp
+++ b/tests/hostileclienttest.cpp
@@ -484,3 +484,54 @@
     client.run([&] { return fixture.isLost() || client.statusCount("200") == 1; });
     CHECK(client.statusCount("200") == 1);
 }
+
+// Its listeners share the server's code; requests need no platform to be refused.
+TEST_CASE("the product's own interface withstands clients that keep to no limit", "[hostile]")
+{
+    const auto isAdmin = GENERATE(false, true);
+    const auto name = GENERATE(as<std::string>{},
+                               "trailers without end",
+                               "a chunk extension without end",
+                               "tiny chunks without end",
+                               "a head without end",
+                               "pipelined requests, answers unread",
+                               "no bytes",
+                               "half a head",
+                               "connections kept after an answer");
+    CAPTURE(isAdmin, name);
+    const std::vector<std::uint16_t> ports = tests::freePorts(5);
+    const auto address = [&ports](std::size_t index) { return "\"127.0.0.1:" + std::to_string(ports[index]) + "\"\n"; };
+    tests::GatewayProcess process("[instance]\nname = \"n\"\nregion = \"x\"\nfailure_domain = \"z\"\n[listen]\ncallers = " + address(0)
+                                      + "admin = " + address(1) + "peers = " + address(2) + "gossip = " + address(3)
+                                      + "[peers]\ncluster_key = \"0123456789abcdef\"\n[platform]\naddresses = [\"127.0.0.1:" + std::to_string(ports[4])
+                                      + "\"]\n[keys]\nadmin = \"0123456789abcdef\"\ntickets = [{id = \"k\", secret = \"0123456789abcdef\"}]\n",
+                                  tests::GatewayProcessOptions{DescriptorLimit});
+    const http::Endpoint clients{"127.0.0.1", ports[0]};
+    const http::Endpoint admin{"127.0.0.1", ports[1]};
+    http::Request health;
+    health.target = "/healthz";
+    while (process.isAlive() && !call(admin, health)) {
+        std::this_thread::sleep_for(20ms);
+    }
+    Attack attack = attackNamed(name);
+    const std::string path = "/again/x"; // whose body no listener reads before the request is admitted
+    if (const std::size_t at = attack.crowd.first.find(path); at != std::string::npos) {
+        attack.crowd.first.replace(at, path.size(), "/v1/tickets");
+    }
+    tests::HostileCrowd crowd(isAdmin ? admin : clients, attack.crowd);
+    constexpr std::size_t LostAt = 4;
+    crowd.run([&] { return !process.isAlive() || process.peakMemoryKiB() > LostAt * MaxMemoryKiB; });
+    REQUIRE(process.isAlive());
+    CHECK(process.openDescriptors() <= MaxDescriptors);
+    CHECK(tests::queuedBytes({ports[0], ports[1]}) <= attack.crowd.size * MaxQueuedBytesPerClient);
+    http::Request unknown;
+    unknown.target = "/v1/unknown";
+    const auto refused = call(clients, unknown);
+    const auto healthy = call(admin, health);
+    CHECK(process.isAlive());
+    CHECK(process.peakMemoryKiB() <= MaxMemoryKiB);
+    REQUIRE(refused);
+    CHECK(refused.value().status == 404);
+    REQUIRE(healthy);
+    CHECK(healthy.value().status == 200);
+}
--- a/tests/limitstest.cpp
+++ b/tests/limitstest.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/limits/admissionqueue.h"
 #include "arbutus/limits/bytebudget.h"
+#include "arbutus/limits/connectionbudget.h"
 #include "arbutus/limits/tokenbucket.h"
 #include "arbutus/limits/workspacelimits.h"
 #include "support/schedules.h"
@@ -229,3 +230,55 @@
     holds.clear();
     CHECK(budget->usedBytes() == 0);
 }
+
+TEST_CASE("the connection that costs its client the least gives way", "[limits]")
+{
+    using limits::ConnectionState;
+    struct Row
+    {
+        const char *name;
+        std::vector<ConnectionState> states; // of the connections, in the order in which they took them
+        std::optional<std::size_t> evicted;  // none: the new connection gets no place
+    };
+    const auto row = GENERATE(values<Row>({
+        {"the oldest without a head", {ConnectionState::Idle, ConnectionState::New, ConnectionState::New}, 1},
+        {"the oldest idle one", {ConnectionState::Busy, ConnectionState::Idle, ConnectionState::Idle}, 1},
+        {"an idle one before a body", {ConnectionState::ReadingBody, ConnectionState::Closing, ConnectionState::Idle}, 2},
+        {"a body before one that closes", {ConnectionState::Closing, ConnectionState::Busy, ConnectionState::ReadingBody}, 2},
+        {"one that closes", {ConnectionState::Busy, ConnectionState::Closing, ConnectionState::Busy}, 1},
+        {"requests that are handled keep theirs", {ConnectionState::Busy, ConnectionState::Busy, ConnectionState::Busy}, std::nullopt},
+    }));
+    CAPTURE(row.name);
+    const auto budget = std::make_shared<limits::ConnectionBudget>(row.states.size());
+    std::vector<std::unique_ptr<limits::ConnectionPlace>> places;
+    std::vector<std::size_t> evicted;
+    for (const ConnectionState state : row.states) {
+        const std::size_t index = places.size();
+        places.push_back(std::make_unique<limits::ConnectionPlace>(budget, [&evicted, index] { evicted.push_back(index); }));
+        REQUIRE(places.back()->isGranted());
+        places.back()->setState(state);
+    }
+    const limits::ConnectionPlace added(budget);
+    CHECK(added.isGranted() == row.evicted.has_value());
+    CHECK(evicted == (row.evicted ? std::vector{*row.evicted} : std::vector<std::size_t>{}));
+    CHECK(budget->usedPlaces() == row.states.size());
+    CHECK(budget->evictedCount() == evicted.size());
+    places.clear(); // also that of the evicted one, which holds none
+    CHECK(budget->usedPlaces() == (row.evicted ? 1 : 0));
+}
+
+TEST_CASE("a request larger than the share of requests is granted alone, up to what the configuration allows", "[limits]")
+{
+    struct Row
+    {
+        std::size_t allowed;
+        std::size_t bytes;
+        bool isGranted;
+    };
+    const auto row = GENERATE(values<Row>({{100, 500, true}, {100, 501, false}, {2'000, 2'000, true}, {2'000, 2'001, false}}));
+    CAPTURE(row.allowed, row.bytes);
+    const auto budget = std::make_shared<limits::ByteBudget>(limits::ByteBudgetSettings::of(1'000));
+    budget->allowSingleRequest(row.allowed);
+    limits::ByteHold hold(budget, limits::HolderKind::Request, "");
+    CHECK(hold.resize(row.bytes) == row.isGranted);
+}
