--- a/src/arbutus/edge/codec.cpp
+++ b/src/arbutus/edge/codec.cpp
@@ -414,6 +414,7 @@
     out.set_step_ms(static_cast<float>(report.figures.figures.step.count()));
     out.set_request_step_ms(static_cast<float>(report.figures.figures.stepPerRequest.count()));
     out.set_pause_ms(static_cast<float>(report.figures.figures.pause.count()));
+    out.set_first_event_delay_ms(static_cast<float>(report.figures.figures.firstEventDelay.count()));
     for (const double doubt : report.figures.doubts) {
         out.add_doubts(static_cast<float>(doubt));
     }
@@ -427,7 +428,8 @@
     report.figures.figures = routing::EngineFigures{amount(in.prefill_tokens_per_ms()),
                                                     routing::FractionalMs(amount(in.step_ms())),
                                                     routing::FractionalMs(amount(in.request_step_ms())),
-                                                    routing::FractionalMs(amount(in.pause_ms()))};
+                                                    routing::FractionalMs(amount(in.pause_ms())),
+                                                    routing::FractionalMs(amount(in.first_event_delay_ms()))};
     if (in.doubts_size() != static_cast<int>(routing::FigureCount)) {
         return std::nullopt;
     }
--- a/src/arbutus/routing/dispatcherregions.cpp
+++ b/src/arbutus/routing/dispatcherregions.cpp
@@ -63,7 +63,7 @@
             const double addedUtilization = static_cast<double>(remote.redirectedTokens) / remote.load.prefillTokensPerMs
                 / static_cast<double>(core::toMilliseconds(m_settings.estimator.prefillLoadTimeConstant));
             const double utilization = std::min(1.0, remote.load.prefillUtilization + addedUtilization);
-            const EngineWork stream{0, static_cast<double>(request.outputTokens), meanRequestsBeside(request.service, remote), utilization, {}};
+            const EngineWork stream{0, static_cast<double>(request.outputTokens), meanRequestsBeside(request.service, remote), utilization, 0};
             streamTime = scaled(toDuration(predictTime(m_engineProfiles.service(request.service)->figures(), stream)), m_settings.decodeWeight);
             streamTime += scaled(core::Duration(static_cast<core::Duration::rep>(uncached / prefillRate * 1000)), m_settings.prefillWeight - 1);
         } else {
--- a/src/arbutus/routing/engineprofile.cpp
+++ b/src/arbutus/routing/engineprofile.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace arbutus::routing {
 
@@ -13,13 +14,17 @@
 
 FigureVector toLogs(const EngineFigures &figures)
 {
-    return {-std::log(figures.prefillTokensPerMs), std::log(figures.step.count()), std::log(figures.stepPerRequest.count()), std::log(figures.pause.count())};
+    return {-std::log(figures.prefillTokensPerMs),
+            std::log(figures.step.count()),
+            std::log(figures.stepPerRequest.count()),
+            std::log(figures.pause.count()),
+            std::log(figures.firstEventDelay.count())};
 }
 
 EngineFigures fromLogs(const FigureVector &logs)
 {
     const auto value = [&](std::size_t i) { return std::exp(std::clamp(logs[i], -MaxLog, MaxLog)); };
-    return EngineFigures{1 / value(0), FractionalMs(value(1)), FractionalMs(value(2)), FractionalMs(value(3))};
+    return EngineFigures{1 / value(0), FractionalMs(value(1)), FractionalMs(value(2)), FractionalMs(value(3)), FractionalMs(value(4))};
 }
 
 /// Parts of the predicted time, in the order of the figures.
@@ -28,7 +33,8 @@
     return {work.prefillTokens / figures.prefillTokensPerMs,
             work.steps * figures.step.count(),
             work.steps * work.otherRequests * figures.stepPerRequest.count(),
-            work.steps * work.prefillUtilization * figures.pause.count()};
+            work.steps * work.prefillUtilization * figures.pause.count(),
+            work.firstEvents * figures.firstEventDelay.count()};
 }
 
 double dot(const FigureVector &left, const FigureVector &right)
@@ -153,7 +159,8 @@
 bool isPlausible(const ReportedFigures &reported)
 {
     const EngineFigures &figures = reported.figures;
-    const FigureVector values{figures.prefillTokensPerMs, figures.step.count(), figures.stepPerRequest.count(), figures.pause.count()};
+    const FigureVector values{
+        figures.prefillTokensPerMs, figures.step.count(), figures.stepPerRequest.count(), figures.pause.count(), figures.firstEventDelay.count()};
     return std::all_of(values.begin(), values.end(), [](double value) { return std::isfinite(value) && value > 0 && std::abs(std::log(value)) < MaxLog; })
         && std::all_of(reported.doubts.begin(), reported.doubts.end(), [](double doubt) { return std::isfinite(doubt) && doubt >= 0; });
 }
@@ -163,7 +170,7 @@
 FractionalMs predictTime(const EngineFigures &figures, const EngineWork &work)
 {
     const FigureVector times = parts(figures, work);
-    return work.overhead + FractionalMs(times[0] + times[1] + times[2] + times[3]);
+    return FractionalMs(std::accumulate(times.begin(), times.end(), 0.0));
 }
 
 //-----------------------------------------------------------------------------
--- a/src/arbutus/routing/engineprofile.h
+++ b/src/arbutus/routing/engineprofile.h
@@ -1,5 +1,5 @@
 // What the engines of a service can do, learned from their traffic: prefill rate, time of a step, its cost for each request in the
-// batch, and the pause that prefill adds to it.
+// batch, the pause that prefill adds to it, and the delay before a first event that does not depend on the prompt.
 //
 // Each completed observation is compared with what the figures predict for the same work. The logarithm of the ratio is shared out over the
 // figures by their shares of the predicted time, as in a recursive least squares fit of the logarithms. So a figure is positive, errors
@@ -68,11 +68,12 @@
     FractionalMs step{6};              // one decode step, which makes one token for each request, without prefill
     FractionalMs stepPerRequest{0.03}; // added for each other request in flight
     FractionalMs pause{50};            // added to a step that prefill runs beside
+    FractionalMs firstEventDelay{10};  // before a first event, beside prefill and steps: admission and network
 
     bool operator==(const EngineFigures &) const = default;
 };
 
-constexpr std::size_t FigureCount = 4;
+constexpr std::size_t FigureCount = 5;
 using FigureVector = std::array<double, FigureCount>; // one value for each figure, in the order of EngineFigures
 using FigureMatrix = std::array<FigureVector, FigureCount>;
 
@@ -83,7 +84,7 @@
     double steps = 0;
     double otherRequests = 0;      // in flight, mean
     double prefillUtilization = 0; // share of the engine's time spent on prefill beside the steps, 0 to 1
-    FractionalMs overhead{};       // that does not depend on the engine
+    double firstEvents = 0;        // 1 if the work ends with a first event
 };
 
 /// How long some work took.
--- a/src/arbutus/routing/upstreamestimator.cpp
+++ b/src/arbutus/routing/upstreamestimator.cpp
@@ -96,7 +96,7 @@
         const double utilization = static_cast<double>(m_inFlight.size()) / static_cast<double>(m_slots);
         return fromMilliseconds(toFractionalMilliseconds(m_serviceTime) * (1 + std::max(0.0, utilization - 0.5)));
     }
-    return backlog(now) + prefillTime(uncachedTokens) + m_settings.fixedOverhead + decodeTime(static_cast<std::uint32_t>(m_tokensPerEvent), now);
+    return backlog(now) + prefillTime(uncachedTokens) + firstEventDelay() + decodeTime(static_cast<std::uint32_t>(m_tokensPerEvent), now);
 }
 
 core::Duration UpstreamEstimator::unloadedLatency(std::uint32_t uncachedTokens) const
@@ -104,7 +104,7 @@
     if (!m_isEngine) {
         return m_serviceTime;
     }
-    return prefillTime(uncachedTokens) + m_settings.fixedOverhead + toDuration(m_profile->figures().step * static_cast<double>(m_tokensPerEvent));
+    return prefillTime(uncachedTokens) + firstEventDelay() + toDuration(m_profile->figures().step * static_cast<double>(m_tokensPerEvent));
 }
 
 double UpstreamEstimator::prefillUtilization(core::TimePoint now) const
@@ -116,7 +116,7 @@
 
 core::Duration UpstreamEstimator::decodeTime(std::uint32_t tokens, core::TimePoint now) const
 {
-    return toDuration(m_profile->predict(EngineWork{0, static_cast<double>(tokens), static_cast<double>(m_inFlight.size()), prefillUtilization(now), {}}));
+    return toDuration(m_profile->predict(EngineWork{0, static_cast<double>(tokens), static_cast<double>(m_inFlight.size()), prefillUtilization(now), 0}));
 }
 
 core::Duration UpstreamEstimator::slotWait() const
@@ -174,7 +174,7 @@
                                             static_cast<double>(m_tokensPerEvent),
                                             static_cast<double>(m_inFlight.size()),
                                             prefillUtilization(now),
-                                            m_settings.fixedOverhead};
+                                            1};
         m_prefillTokens += request.uncachedTokens;
         m_backlogEnd = std::max(m_backlogEnd, now) + prefillTime(request.uncachedTokens);
         const double age = toFractionalMilliseconds(now - m_recentPrefillAt);
@@ -244,8 +244,7 @@
     }
     const double meanRequests = (m_requestTime - request.requestTimeBefore) / window;
     const double utilization = (m_prefillTokens - request.prefillTokensBefore) / prefillRate() / window;
-    const EngineWork work{
-        0, static_cast<double>(timing.events * m_tokensPerEvent), std::max(0.0, meanRequests - 1), std::min(1.0, utilization), core::Duration::zero()};
+    const EngineWork work{0, static_cast<double>(timing.events * m_tokensPerEvent), std::max(0.0, meanRequests - 1), std::min(1.0, utilization), 0};
     (void)m_profile->record(EngineObservation{work, timing.duration, {}}, now);
     m_streamGap += fromMilliseconds(m_settings.timeSmoothingWeight * toFractionalMilliseconds(timing.maxGap - m_streamGap));
 }
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -3,7 +3,7 @@
 // The upstream is not polled. The estimate is derived from the requests sent there and from the times of their first events
 // and completions, so it needs no probes and lags by one message instead of one report period.
 //
-// What an engine can do is learned from the same observations (routing/engineprofile). Time to the first event: overhead, the prefill of
+// What an engine can do is learned from the same observations (routing/engineprofile). Time to the first event: a delay, the prefill of
 // the prompts before it, its own prefill, and the steps of the first event's tokens. The events after it: their steps, with the requests
 // and the prefill beside them. An observation counts only if this dispatcher granted the request, since it needs what was there then.
 //
@@ -50,7 +50,6 @@
 {
     EngineProfileSettings profile;
     double timeSmoothingWeight = 0.15;                                         // weight of one observation of slot and service times
-    core::Duration fixedOverhead = std::chrono::milliseconds(10);              // network and one step before the first event
     core::Duration prefillLoadTimeConstant = std::chrono::milliseconds(1'500); // of the moving average of the prefill utilization
     core::Duration initialSlotTime = std::chrono::milliseconds(2'000);         // of one request in a slot, before the first observation
     double maxRequestMemoryRatio = 0.8;                                        // share of an engine's memory for requests in flight, excluding shared parts
@@ -141,6 +140,11 @@
     {
         return m_profile->figures().prefillTokensPerMs;
     }
+    /// Time before a first event beside prefill and steps.
+    [[nodiscard]] core::Duration firstEventDelay() const
+    {
+        return toDuration(m_profile->figures().firstEventDelay);
+    }
     [[nodiscard]] const EngineProfile &profile() const
     {
         return *m_profile;
