Routing: one function scales durations, one names the shared prefix of a prompt

Cause: the split of the dispatcher left three copies of scaled(), and the order by cost found the shared prefix a second time. Change: both are beside sharedParts() in upstreamestimator.h. No change of behaviour.

--- a/src/arbutus/routing/costorder.cpp
+++ b/src/arbutus/routing/costorder.cpp
@@ -23,11 +23,6 @@
     const PlacementId *id = nullptr;
 };
 
-core::Duration scaled(core::Duration duration, double factor)
-{
-    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 bool goesBefore(const Job &left, const Job &right)
 {
     if (left.priority != right.priority) {
--- a/src/arbutus/routing/dispatcher.cpp
+++ b/src/arbutus/routing/dispatcher.cpp
@@ -288,7 +288,7 @@
     facts.service = request.service;
     facts.kind = KindId(request.route.text);
     facts.fingerprint = request.fingerprint;
-    facts.session = request.prompt.size() < 2 ? 0 : request.prompt[request.prompt.size() - 2].prefixHash; // the last part is the request's own
+    facts.session = sharedPrefixHash(request.prompt);
     facts.hasBegun = request.requiredVersion.has_value();
     facts.priority = request.priority;
     facts.promptTokens = request.promptTokens;
--- a/src/arbutus/routing/dispatchercandidates.cpp
+++ b/src/arbutus/routing/dispatchercandidates.cpp
@@ -14,11 +14,6 @@
     return !request.requiredVersion || *request.requiredVersion == announcement.version;
 }
 
-core::Duration scaled(core::Duration duration, double factor)
-{
-    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 bool Dispatcher::hasNewerCatalog(const PlacementRequest &request) const
@@ -289,8 +284,7 @@
     std::optional<Candidate> best;
     std::optional<Candidate> preferred; // the warm upstream that the shared prefix is hashed to
     std::uint64_t preferredHash = 0;
-    const std::uint64_t sharedPrefix =
-        request.prompt.size() < 2 ? 0 : request.prompt[request.prompt.size() - 2].prefixHash; // the last part is unique to the request
+    const std::uint64_t sharedPrefix = sharedPrefixHash(request.prompt);
     for (LocalUpstream &upstream : localUpstreamsOf(request.service)) {
         const bool cold = upstream.entry->isCold(now);
         if (!isReachable(request, upstream.entry->announcement.id, way, now) || (cold && !mayUseColdUpstream(*upstream.entry, now))) {
--- a/src/arbutus/routing/dispatcherregions.cpp
+++ b/src/arbutus/routing/dispatcherregions.cpp
@@ -7,15 +7,6 @@
 
 namespace arbutus::routing {
 
-namespace {
-
-core::Duration scaled(core::Duration duration, double factor)
-{
-    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
-} // namespace
-
 double Dispatcher::meanRequestsBeside(const core::ServiceId &id, const RemoteRegion &remote) const
 {
     const catalog::Service *service = m_view.catalog ? m_view.catalog->findService(id) : nullptr;
--- a/src/arbutus/routing/upstreamestimator.h
+++ b/src/arbutus/routing/upstreamestimator.h
@@ -40,12 +40,25 @@
     PromptPartId id;
 };
 
+/// `duration` times `factor`.
+[[nodiscard]] inline core::Duration scaled(core::Duration duration, double factor)
+{
+    return core::Duration(static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /// The parts that other requests may share: all but the last, which belongs to the request alone.
 [[nodiscard]] inline std::span<const PromptPart> sharedParts(const std::vector<PromptPart> &prompt)
 {
     return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
 }
 
+/// Hash of the prefix that other requests may share; 0: there is none.
+[[nodiscard]] inline std::uint64_t sharedPrefixHash(const std::vector<PromptPart> &prompt)
+{
+    const std::span<const PromptPart> shared = sharedParts(prompt);
+    return shared.empty() ? 0 : shared.back().prefixHash;
+}
+
 struct UpstreamEstimatorSettings
 {
     EngineProfileSettings profile;
