Tests: the gateways and the store of workspacetest are a rig for other tests, with ports of its own

Cause: tests of broken responses need route gateways in two regions, which only workspacetest had. It took its ports from the ephemeral range, where another connection can get one before the listener binds it: "bind: Address already in use" in one of two runs of a new test.

Change: tests/support/routegatewayrig has the gateways and the store, tests/support/freeport the block of ports that edgerig had.

--- a/tests/workspacetest.cpp
+++ b/tests/workspacetest.cpp
@@ -7,18 +7,17 @@
 #include "arbutus/http/client.h"
 #include "arbutus/http/server.h"
 #include "platform/platformadapter.h"
+#include "support/freeport.h"
+#include "support/routegatewayrig.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
-#include <fcntl.h>
-
 #include <list>
 
 using namespace arbutus;
@@ -27,88 +26,6 @@
 
 namespace {
 
-std::uint16_t freePort(asio::io_context &loop)
-{
-    while (true) { // free for TCP and UDP
-        const asio::ip::tcp::acceptor acceptor(loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
-        boost::system::error_code code;
-        socket.bind(asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), acceptor.local_endpoint().port()), code);
-        if (!code) {
-            return acceptor.local_endpoint().port();
-        }
-    }
-}
-
-struct StoreContents
-{
-    std::map<std::string, std::string> keys;
-    std::set<std::string> removedKeys;
-    std::uint64_t revision = 1;
-};
-
-/// One gateway's connection to the store. A watch brings all keys as changed if any is.
-class FakeStore final : public metadata::MetadataStore
-{
-public:
-    explicit FakeStore(StoreContents &contents)
-        : m_contents(contents)
-    {
-    }
-    bool isCut = false;
-
-    asio::awaitable<metadata::StoreResult<metadata::StoreRange>> range(std::string prefix, metadata::ReadConsistency) override
-    {
-        if (isCut) {
-            co_return metadata::StoreError{metadata::StoreErrorKind::Unreachable, "cut off"};
-        }
-        metadata::StoreRange out;
-        out.position.revision = metadata::StoreRevision(m_contents.revision);
-        for (const auto &[key, value] : m_contents.keys) {
-            if (key.starts_with(prefix)) {
-                out.items.push_back(metadata::StoreItem{key, value, out.position.revision});
-            }
-        }
-        co_return out;
-    }
-    asio::awaitable<metadata::StoreResult<metadata::StoreChanges>> watch(std::string, metadata::StoreRevision after, std::chrono::milliseconds) override
-    {
-        if (isCut) {
-            co_return metadata::StoreError{metadata::StoreErrorKind::Unreachable, "cut off"};
-        }
-        metadata::StoreChanges out;
-        out.position.revision = metadata::StoreRevision(m_contents.revision);
-        if (after.value < m_contents.revision) {
-            for (const auto &[key, value] : m_contents.keys) {
-                out.changes.push_back(metadata::StoreChange{metadata::StoreItem{key, value, out.position.revision}, false});
-            }
-            for (const std::string &key : m_contents.removedKeys) {
-                out.changes.push_back(metadata::StoreChange{metadata::StoreItem{key, "", out.position.revision}, true});
-            }
-        }
-        co_return out;
-    }
-    asio::awaitable<metadata::StoreResult<metadata::StorePosition>> put(std::string, std::string, metadata::LeaseId) override
-    {
-        co_return metadata::StorePosition{{}, metadata::StoreRevision(m_contents.revision)};
-    }
-    asio::awaitable<metadata::StoreResult<metadata::LeaseGrant>> grantLease(std::chrono::milliseconds) override
-    {
-        co_return metadata::LeaseGrant{metadata::LeaseId("1"), {}};
-    }
-    asio::awaitable<metadata::StoreResult<metadata::StoreGeneration>> keepLeaseAlive(metadata::LeaseId) override
-    {
-        co_return metadata::StoreGeneration();
-    }
-    asio::awaitable<metadata::StoreResult<void>> revokeLease(metadata::LeaseId) override
-    {
-        co_return boost::outcome_v2::success();
-    }
-
-private:
-    StoreContents &m_contents;
-};
-
 const std::string PlainRoutes = R"({"name":"p","host":"h","path_prefix":"/p/","route_type":"safe","service":"s","max_attempts":2,"priority":4},)"
                                 R"({"name":"open","host":"h","path_prefix":"/open/","route_type":"safe","service":"s","max_attempts":2,"auth_exempt":true},)"
                                 R"({"name":"far","host":"h","path_prefix":"/far/","route_type":"safe","service":"far","max_attempts":2},)"
@@ -121,7 +38,7 @@
 constexpr int EventCount = 4;
 
 /// Gateways in the regions x and y, with an upstream of the services s and far.
-class Rig
+class Rig : public tests::RouteGatewayRig
 {
 public:
     struct Run
@@ -129,70 +46,19 @@
         std::string upstream;
         http::Headers headers;
     };
-    struct Gateway
-    {
-        edge::Settings settings;
-        std::unique_ptr<FakeStore> store;
-        std::unique_ptr<observe::LogBuffer> log;
-        int logPipe = -1;
-        std::unique_ptr<edge::RouteGateway> gateway;
-    };
 
-    asio::io_context loop{1};
     std::vector<Run> runs;
-    std::vector<Gateway> gateways;
     int streamsToBreak = 0; // after their second event
 
     explicit Rig(const std::string &workspaces = Workspaces,
-                 std::vector<std::string> regions = {"x"},
+                 const std::vector<std::string> &regions = {"x"},
                  std::optional<std::chrono::milliseconds> maxWithdrawalDelay = {})
     {
         addUpstream("a", "s", "z-x");
         addUpstream("b", "s", "z-x");
         addUpstream("f", "far", "z-y");
         write(PlainRoutes, workspaces);
-        const std::uint16_t firstPeer = freePort(loop);
-        for (const std::string &region : regions) {
-            Gateway gateway;
-            gateway.settings.instanceId = core::InstanceId("n" + std::to_string(gateways.size()));
-            gateway.settings.region = core::RegionId(region);
-            gateway.settings.failureDomain = core::DomainId("z-" + region);
-            gateway.settings.regionByDomain = {{core::DomainId("z-x"), core::RegionId("x")}, {core::DomainId("z-y"), core::RegionId("y")}};
-            gateway.settings.maxWithdrawalDelay = maxWithdrawalDelay;
-            edge::Settings &settings = gateway.settings;
-            for (http::Endpoint *endpoint : {&settings.clientEndpoint, &settings.directoryEndpoint, &settings.readinessEndpoint, &settings.metricsEndpoint}) {
-                *endpoint = http::Endpoint{"127.0.0.1", freePort(loop)};
-            }
-            settings.peersEndpoint = http::Endpoint{"127.0.0.1", gateways.empty() ? firstPeer : freePort(loop)};
-            if (!gateways.empty()) {
-                settings.seedPeers = {http::Endpoint{"127.0.0.1", firstPeer}};
-            }
-            gateway.store = std::make_unique<FakeStore>(m_contents);
-            std::array<int, 2> pipe{};
-            REQUIRE(::pipe2(pipe.data(), O_CLOEXEC | O_NONBLOCK) == 0);
-            REQUIRE(::fcntl(pipe[1], F_SETPIPE_SZ, 1 << 20) > 0);
-            gateway.logPipe = pipe[0];
-            gateway.log = std::make_unique<observe::LogBuffer>(m_clock, pipe[1]);
-            gateways.push_back(std::move(gateway));
-        }
-        for (Gateway &gateway : gateways) {
-            gateway.gateway = std::make_unique<edge::RouteGateway>(
-                loop, m_clock, gateway.settings, m_adapter, *gateway.store, *gateway.log, [&gateway]() -> core::Result<edge::Settings> {
-                    return gateway.settings;
-                });
-            gateway.gateway->start();
-        }
-        for (std::size_t i = 0; i < gateways.size(); ++i) {
-            runUntil([&] { return hasMetric(i, "arbutus_ready 1") && hasMetric(i, "arbutus_live_members " + std::to_string(gateways.size())); });
-        }
-    }
-    Rig(const Rig &) = delete;
-    Rig &operator=(const Rig &) = delete;
-    ~Rig()
-    {
-        for (const Gateway &gateway : gateways) {
-            ::close(gateway.logPipe);
-        }
+        startGateways(regions, [&](edge::Settings &settings) { settings.maxWithdrawalDelay = maxWithdrawalDelay; });
     }
 
     //--- Configuration
@@ -200,9 +66,9 @@
     void write(const std::string &routes, const std::string &workspaces)
     {
         const std::string list = workspaces.empty() ? "" : R"("tenants":[)" + workspaces + "],";
-        m_contents.keys["op/config"] =
+        contents.keys["op/config"] =
             R"({"version":)" + std::to_string(++m_version) + "," + list + R"("routes":[)" + routes + R"(],"services":[{"name":"s"},{"name":"far"}]})";
-        ++m_contents.revision;
+        ++contents.revision;
     }
     /// Writes the next version, and waits until the first gateway has it.
     void configure(const std::string &routes, const std::string &workspaces)
@@ -213,9 +79,9 @@
     /// Has one upstream of service s with one place.
     void leaveOnePlace()
     {
-        m_contents.keys.erase("servers/b");
-        m_contents.removedKeys.insert("servers/b");
-        std::string &entry = m_contents.keys["servers/a"];
+        contents.keys.erase("servers/b");
+        contents.removedKeys.insert("servers/b");
+        std::string &entry = contents.keys["servers/a"];
         for (const auto &[from, to] : {std::pair(R"("slots":6)", R"("slots":1)"), std::pair(R"("born":1)", R"("born":2)")}) {
             entry.replace(entry.find(from), std::string(from).size(), to);
         }
@@ -239,80 +105,22 @@
         request.body = "body";
         return request;
     }
-    http::Response call(const http::Endpoint &endpoint, const http::Request &request)
-    {
-        std::optional<http::Response> result;
-        start(endpoint, request, result);
-        runUntil([&] { return result.has_value(); });
-        return *result;
-    }
     http::Response send(const std::string &target, const http::Headers &headers, std::size_t gateway = 0)
     {
         return call(gateways[gateway].settings.clientEndpoint, makeRequest(target, headers));
     }
-    /// Sends without waiting for the response.
-    void start(const http::Endpoint &endpoint, const http::Request &request, std::optional<http::Response> &result)
-    {
-        auto operation = [this, endpoint, request, &result]() -> asio::awaitable<void> {
-            auto response = co_await http::fetch(loop.get_executor(), endpoint, request, 10s);
-            http::Response out;
-            out.status = 0;
-            if (response) {
-                out = response.value();
-            }
-            result = out;
-        };
-        asio::co_spawn(loop, operation, asio::detached);
-    }
     void release()
     {
         m_isReleased = true;
     }
 
-    //--- Running
-    void runUntil(const std::function<bool()> &condition)
-    {
-        const core::TimePoint end = m_clock.steadyNow() + 20s;
-        while (!condition() && m_clock.steadyNow() < end) {
-            loop.run_one_for(10ms);
-        }
-        REQUIRE(condition());
-    }
-    void runFor(std::chrono::milliseconds duration)
-    {
-        loop.run_for(duration);
-    }
-    [[nodiscard]] std::string metrics(std::size_t gateway)
-    {
-        http::Request request;
-        request.target = "/metrics";
-        return call(gateways[gateway].settings.metricsEndpoint, request).body;
-    }
-    [[nodiscard]] bool hasMetric(std::size_t gateway, const std::string &line)
-    {
-        return metrics(gateway).find(line + "\n") != std::string::npos;
-    }
-    /// What the gateway has logged since the last call.
-    [[nodiscard]] std::string readLog(std::size_t gateway)
-    {
-        gateways[gateway].log->flush();
-        std::string out;
-        std::array<char, 65536> buffer{};
-        for (ssize_t size = ::read(gateways[gateway].logPipe, buffer.data(), buffer.size()); size > 0;
-             size = ::read(gateways[gateway].logPipe, buffer.data(), buffer.size())) {
-            out.append(buffer.data(), static_cast<std::size_t>(size));
-        }
-        return out;
-    }
-
 private:
     void addUpstream(const std::string &name, const std::string &service, const std::string &domain)
     {
-        const http::Endpoint endpoint{"127.0.0.1", freePort(loop)};
+        const http::Endpoint endpoint{"127.0.0.1", tests::freePort()};
         m_upstreams.emplace_back(
             loop.get_executor(), endpoint, http::ServerLimits{}, [this, name](http::Exchange &exchange) { return serve(name, exchange); }, nullptr);
-        m_contents.keys["servers/" + name] = R"({"service":")" + service + R"(","address":")" + http::toString(endpoint) + R"(","zone":")" + domain
-            + R"(","slots":6,"state":"ready","cold_remaining_ms":0,"born":1,"version":"","sequence":1})";
+        contents.keys["servers/" + name] = announcement(endpoint, service, domain);
     }
     asio::awaitable<void> serve(std::string name, http::Exchange &exchange)
     {
@@ -351,9 +159,6 @@
         co_await exchange.endResponse();
     }
 
-    core::SystemClock m_clock;
-    platform::PlatformAdapter m_adapter;
-    StoreContents m_contents;
     int m_version = 0;
     bool m_isReleased = false;
     std::list<http::Server> m_upstreams;
