http::Call: refuse a response whose status is outside 100 to 599

Cause: the parser takes any three digits, and nothing asked for a valid status; what is below 500 and no rejection passes for an upstream's own answer.

Why this works: every answer is read by http::Call (edge, hop, product's own interface, store, tools), and its head is accepted in one place. A refused head is an error of the call, so the request goes to another upstream if it may run again, gets "may have been executed" otherwise, and the upstream counts as one that errs.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -216,9 +216,13 @@
             }
             ErrorCode code;
             co_await wire::async_read_header(*stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, code));
-            if (code || wire::to_status_class(parser->get().result_int()) != wire::status_class::informational) {
+            const unsigned status = parser->get().result_int();
+            if (code || isFinalStatus(status)) {
                 co_return code;
             }
+            if (!isInterimStatus(status)) {
+                co_return wire::error::bad_status;
+            }
             if (parser->get().result() == wire::status::switching_protocols) { // which no request asks for
                 break;
             }
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -20,6 +20,9 @@
 // A: By its length or its last chunk. A response with neither, or with a transfer coding other than chunked, fails unless
 //    CallOptions::acceptConnectionClose is set. With that option, check the body with isTruncated() (truncation.h).
 //
+// Q: Which responses are refused?
+// A: Those that are not HTTP, and those with a status outside 100 to 599.
+//
 // Q: Is a request ever sent twice?
 // A: Only with CallOptions::retryOnStaleConnection, and only once: when a reused connection, which the server may already
 //    have closed, fails before the response headers, other than by a timeout.
@@ -43,7 +46,7 @@
 enum class CallStage {
     Connect,     // no part of the request can have been sent
     SendRequest, // part of the request may have been sent
-    ReadHeaders, // the request was sent, but no response headers arrived
+    ReadHeaders, // the request was sent, but no acceptable response headers arrived
     ReadBody,    // the response body was truncated
 };
 
--- a/src/arbutus/http/message.h
+++ b/src/arbutus/http/message.h
@@ -52,6 +52,18 @@
     std::string body;
 };
 
+/// Whether a response with this status comes before the final one.
+[[nodiscard]] constexpr bool isInterimStatus(unsigned status)
+{
+    return status >= 100 && status < 200;
+}
+
+/// Whether a final response may have this status (RFC 9110, section 15).
+[[nodiscard]] constexpr bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status < 600;
+}
+
 /// Response with the content type application/json.
 [[nodiscard]] Response jsonResponse(unsigned status, std::string body);
 
