http::Call: refuse a response with a folded line in its head

Cause: the parser appends such a line to the value of the line before, so a Content-Length or Transfer-Encoding in it has no effect.

Why this works: the bytes of a head are looked at before the parser has joined its lines (responsehead.h). A line is looked at from its beginning, since the parser leaves what it has not taken, also if the head arrives byte by byte. RFC 9112, section 5.2 lets a gateway refuse such a response. Names with a blank or a control byte were refused already, by the parser; their rows stay in the test.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "arbutus/http/client.h"
 
+#include "arbutus/http/responsehead.h"
 #include "arbutus/http/truncation.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -214,15 +215,10 @@
             if (message.method() == wire::verb::head) {
                 parser->skip(true);
             }
-            ErrorCode code;
-            co_await wire::async_read_header(*stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, code));
-            const unsigned status = parser->get().result_int();
-            if (code || isFinalStatus(status)) {
+            const ErrorCode code = co_await readResponseHead(*stream, buffer, *parser, std::min<std::size_t>(options.maxHeadBytes, MaxBufferedBytes));
+            if (code || isFinalStatus(parser->get().result_int())) {
                 co_return code;
             }
-            if (!isInterimStatus(status)) {
-                co_return wire::error::bad_status;
-            }
             if (parser->get().result() == wire::status::switching_protocols) { // which no request asks for
                 break;
             }
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -21,7 +21,7 @@
 //    CallOptions::acceptConnectionClose is set. With that option, check the body with isTruncated() (truncation.h).
 //
 // Q: Which responses are refused?
-// A: Those that are not HTTP, and those with a status outside 100 to 599.
+// A: Those that are not HTTP, that have a status outside 100 to 599, and those with a folded line in a head (responsehead.h).
 //
 // Q: Is a request ever sent twice?
 // A: Only with CallOptions::retryOnStaleConnection, and only once: when a reused connection, which the server may already
--- a/src/arbutus/http/sectionreader.h
+++ b/src/arbutus/http/sectionreader.h
@@ -1,4 +1,4 @@
-// Reading of a message with a bound on each of its sections. Included by the sources of the server only.
+// Reading of a message with a bound on each of its sections. Included by the sources of the server and the client only.
 //
 // A section is a part of a message that the parser takes only when it is whole: the head, the head of a chunk with its extensions, and
 // the trailers. Until then its bytes wait in the buffer of the connection. The bound holds for each section, whatever it consists of;
@@ -22,9 +22,12 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace arbutus::http {
 
@@ -62,10 +65,13 @@
 class SectionReader
 {
 public:
-    SectionReader(Stream &stream, boost::beast::flat_buffer &buffer, BufferHold &hold)
+    /// `mayParse` is asked about the bytes that the parser has not taken, which begin at the begin of a line if they are part of a head. If
+    /// it refuses them, reading fails with bad_field. Unset: all are passed on.
+    SectionReader(Stream &stream, boost::beast::flat_buffer &buffer, BufferHold &hold, std::function<bool(std::string_view)> mayParse = {})
         : m_stream(stream)
         , m_buffer(buffer)
         , m_hold(hold)
+        , m_mayParse(std::move(mayParse))
     {
     }
 
@@ -79,6 +85,9 @@
         bool hasParsed = m_buffer.size() == 0;
         while (true) {
             if (!hasParsed) {
+                if (m_mayParse && !m_mayParse(std::string_view(static_cast<const char *>(m_buffer.data().data()), m_buffer.size()))) {
+                    co_return wire::error::bad_field;
+                }
                 const std::size_t used = parser.put(m_buffer.data(), code);
                 m_buffer.consume(used);
                 m_consumedBytes += used;
@@ -131,6 +140,7 @@
     Stream &m_stream;
     boost::beast::flat_buffer &m_buffer;
     BufferHold &m_hold;
+    std::function<bool(std::string_view)> m_mayParse;
     std::string m_exceeded;
     std::size_t m_consumedBytes = 0;
 };
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -6,6 +6,7 @@
 #include "arbutus/core/hash.h"
 #include "arbutus/edge/codec.h"
 #include "arbutus/edge/metadatasync.h"
+#include "arbutus/http/responsehead.h"
 #include "arbutus/http/sectionreader.h"
 #include "arbutus/peer/codec.h"
 #include "platform/platformadapter.h"
@@ -14,6 +15,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/_experimental/test/stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json.hpp>
@@ -330,6 +332,21 @@
     }
 }
 
+namespace {
+
+/// Runs the coroutine; throws what it throws.
+void runToEnd(boost::asio::io_context &loop, boost::asio::awaitable<void> operation)
+{
+    std::exception_ptr failure;
+    boost::asio::co_spawn(loop, std::move(operation), [&failure](std::exception_ptr thrown) { failure = std::move(thrown); });
+    loop.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+} // namespace
+
 void clientRequest(std::string_view input)
 {
     namespace wire = boost::beast::http;
@@ -356,12 +373,35 @@
             }
         }
     };
-    std::exception_ptr failure;
-    boost::asio::co_spawn(loop, read, [&failure](std::exception_ptr thrown) { failure = std::move(thrown); });
-    loop.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
+    runToEnd(loop, read());
+}
+
+void upstreamResponse(std::string_view input)
+{
+    namespace wire = boost::beast::http;
+    constexpr std::size_t MaxHeadBytes = 512;
+    boost::asio::io_context loop{1};
+    boost::beast::test::stream stream(loop, input);
+    stream.read_size(1 + input.size() % 7); // bytes of a read
+    stream.close_remote();
+    boost::beast::flat_buffer buffer;
+    auto read = [&]() -> boost::asio::awaitable<void> {
+        for (bool isFinal = false; !isFinal;) {
+            const std::string_view head = input.substr(input.size() - stream.buffer().size() - buffer.size());
+            wire::response_parser<wire::empty_body> parser;
+            parser.header_limit(MaxHeadBytes);
+            const boost::system::error_code code = co_await http::readResponseHead(stream, buffer, parser, MaxHeadBytes);
+            if (code) {
+                co_return;
+            }
+            const unsigned status = parser.get().result_int();
+            require(status >= 100 && status <= 599, "the status is that of a response");
+            const std::string_view lines = head.substr(0, head.find("\r\n\r\n"));
+            require(lines.find("\n ") == std::string_view::npos && lines.find("\n\t") == std::string_view::npos, "no line of the head is folded");
+            isFinal = status >= 200;
+        }
+    };
+    runToEnd(loop, read());
 }
 
 } // namespace arbutus::fuzz
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -18,12 +18,13 @@
     using std::runtime_error::runtime_error;
 };
 
-void announcement(std::string_view input);   // value of an upstream's entry in the platform's store
-void configuration(std::string_view input);  // the platform's configuration, and the product's log entries and snapshots
-void storeAnswer(std::string_view input);    // body of the platform's store, of a range and of a watch
-void fleetMessage(std::string_view input);   // datagrams and metadata snapshots between instances that forward by route
-void clusterMessage(std::string_view input); // datagrams and ledger calls between instances of the product's own interface
-void clientRequest(std::string_view input);  // bytes of a connection: heads, chunks with their extensions, trailers
+void announcement(std::string_view input);     // value of an upstream's entry in the platform's store
+void configuration(std::string_view input);    // the platform's configuration, and the product's log entries and snapshots
+void storeAnswer(std::string_view input);      // body of the platform's store, of a range and of a watch
+void fleetMessage(std::string_view input);     // datagrams and metadata snapshots between instances that forward by route
+void clusterMessage(std::string_view input);   // datagrams and ledger calls between instances of the product's own interface
+void clientRequest(std::string_view input);    // bytes of a connection: heads, chunks with their extensions, trailers
+void upstreamResponse(std::string_view input); // bytes of a connection to an upstream: heads of interim and final responses
 
 struct Target
 {
@@ -38,6 +39,7 @@
     Target{"fleet_message", fleetMessage},
     Target{"cluster_message", clusterMessage},
     Target{"client_request", clientRequest},
+    Target{"upstream_response", upstreamResponse},
 };
 
 } // namespace arbutus::fuzz
