http::Call: a connection that has brought bytes of a response is not taken for one closed earlier

Seen by callers: a request whose answer on a kept connection was broken was sent again, and the upstream was not counted as one that errs.

Cause: any failure before a complete head on a kept connection passed for one that the server had closed before the request arrived.

Why this works: the server has read the request if any byte of a response, also an interim one, has arrived.

Evidence: with the product as in four rows of the test see three requests instead of two, and two that are refused now were accepted. Rows of "a response with a broken head does not reach a client" on kept connections find no break counted. All pass now.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -110,6 +110,7 @@
     bool reused = false;
     bool cancelled = false;
     bool requestWritten = false; // the complete request has been written to the socket
+    bool responseBegun = false;  // bytes of the response that was read last have arrived
     bool mayRepeat = false;      // further copies of earlier responses may follow
 
     bool takeIdleConnection()
@@ -216,6 +217,7 @@
                 parser->skip(true);
             }
             const ErrorCode code = co_await readResponseHead(*stream, buffer, *parser, std::min<std::size_t>(options.maxHeadBytes, MaxBufferedBytes));
+            responseBegun = interim > 0 || parser->got_some() || buffer.size() > 0;
             if (code || isFinalStatus(parser->get().result_int())) {
                 co_return code;
             }
@@ -294,7 +296,7 @@
         const ErrorCode code = co_await readMatchingHeaders(mismatched);
         if (code) {
             CallError error = makeCallError(requestWritten ? CallStage::ReadHeaders : CallStage::SendRequest, code);
-            error.connectionReused = reused;
+            error.connectionReused = reused && !responseBegun;
             error.mismatchedResponse = mismatched;
             co_return error;
         }
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -25,7 +25,7 @@
 //
 // Q: Is a request ever sent twice?
 // A: Only with CallOptions::retryOnStaleConnection, and only once: when a reused connection, which the server may already
-//    have closed, fails before the response headers, other than by a timeout.
+//    have closed, fails before the first byte of a response, other than by a timeout.
 
 #pragma once
 
@@ -56,7 +56,7 @@
     CallStage stage = CallStage::Connect;
     std::string message;
     bool timedOut = false;
-    bool connectionReused = false;   // the connection came from the pool; the server may have closed it earlier
+    bool connectionReused = false;   // the connection came from the pool and has brought nothing; the server may have closed it earlier
     bool mismatchedResponse = false; // a response to another request was received
     bool refused = false;            // the host is reached, and nothing listens at the port
 };
--- a/tests/responseheadtest.cpp
+++ b/tests/responseheadtest.cpp
@@ -33,9 +33,16 @@
         {"999", false},
     }));
     const auto before = GENERATE(as<std::string>{}, "", InterimResponse);
-    CAPTURE(row.status, before);
+    const auto isKept = GENERATE(false, true); // the connection has carried a response before
+    CAPTURE(row.status, before, isKept);
     CallFixture fixture;
-    fixture.responses = {{before + "HTTP/1.1 " + row.status + " Status\r\n" + withLength(row.accepted ? "body" : "")}};
+    fixture.responses = {{"HTTP/1.1 200 OK\r\n" + withLength("first"), ConnectionEnd::Kept},
+                         {before + "HTTP/1.1 " + row.status + " Status\r\n" + withLength(row.accepted ? "body" : "")}};
+    if (isKept) {
+        REQUIRE(fixture.fetch(NoUpload).value().body == "first");
+    } else {
+        fixture.responses.erase(fixture.responses.begin());
+    }
     const auto result = fixture.fetch(NoUpload);
     REQUIRE(result.has_value() == row.accepted);
     if (row.accepted) {
@@ -125,6 +132,35 @@
     CHECK((result || !trailers.empty()));
 }
 
+TEST_CASE("a request is sent again on a new connection only if no byte of a response has arrived", "[reuse]")
+{
+    struct Row
+    {
+        std::string bytes; // of the response on the kept connection
+        std::size_t requests;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"", 3}, // the server may have closed the connection before the request arrived
+        {"H", 2},
+        {"HTTP/1.1 200 OK\r\nContent-Le", 2},
+        {InterimResponse, 2},
+        {"not HTTP\r\n\r\n", 2},
+        {"HTTP/1.1 000 Trouble\r\n" + withLength("body"), 2},
+        {"HTTP/1.1 200 OK\r\nX-A: a\r\n Content-Length: 4\r\n\r\nbody", 2},
+    }));
+    CAPTURE(row.bytes);
+    CallFixture fixture;
+    fixture.responses = {
+        {"HTTP/1.1 200 OK\r\n" + withLength("first"), ConnectionEnd::Kept}, {row.bytes}, {"HTTP/1.1 200 OK\r\n" + withLength("third"), ConnectionEnd::Kept}};
+    REQUIRE(fixture.fetch(NoUpload).value().body == "first");
+    const auto result = fixture.fetch(NoUpload);
+    CHECK(fixture.server.requestCount() == row.requests);
+    REQUIRE(result.has_value() == (row.requests == 3));
+    if (!result) {
+        CHECK_FALSE(result.error().connectionReused);
+    }
+}
+
 TEST_CASE("a response with a broken head does not reach a client of a route gateway", "[edge]")
 {
     struct Row
@@ -142,8 +178,12 @@
         {"control byte in a name", "HTTP/1.1 200 OK\r\nX\x02-A: a\r\n" + Statements + withLength("broken")},
     }));
     const auto hops = GENERATE(as<std::size_t>{}, 1, 2);
-    CAPTURE(row.title, hops);
+    const auto isKept = GENERATE(false, true);
+    CAPTURE(row.title, hops, isKept);
     EdgeRig rig(hops, RawResponse{row.bytes});
+    if (isKept) {
+        rig.keepConnections();
+    }
     const http::Response once = rig.send("once", "once");
     CHECK(once.status == 502);
     CHECK(once.body.find("\"outcome\":\"unknown\"") != std::string::npos);
