http::Call: a body that ends with its connection is complete only if the request was written

Cause: a socket reports its error once. The pending write of the request got it, the next read found a regular end of the connection, and startWrite() kept nothing of the error.

Why this works: the result of the write is kept for each write, and the end of the connection ends the body only when the write has succeeded. A write that is still pending is waited for, as long as the read may last, so the order in which the two end does not matter. A server that answers early and reads the upload to its end is served as before, and bodies with a length or chunks do not depend on the write.

--- a/src/arbutus/http/client.cpp
+++ b/src/arbutus/http/client.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -56,6 +57,18 @@
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
 }
 
+/// Writing of a request, which goes on while the response is read.
+struct RequestWrite
+{
+    explicit RequestWrite(const asio::any_io_executor &executor)
+        : ended(executor)
+    {
+    }
+
+    std::optional<ErrorCode> result; // once it has ended
+    asio::steady_timer ended;        // cancelled then
+};
+
 /// Whether an idle connection has neither unread data nor an end of stream.
 bool hasNoPendingInput(Tcp::socket &socket)
 {
@@ -109,9 +122,9 @@
     std::shared_ptr<const std::string> messageBody;
     bool reused = false;
     bool cancelled = false;
-    bool requestWritten = false; // the complete request has been written to the socket
-    bool responseBegun = false;  // bytes of the response that was read last have arrived
-    bool mayRepeat = false;      // further copies of earlier responses may follow
+    std::shared_ptr<RequestWrite> requestWrite; // of the last attempt
+    bool responseBegun = false;                 // bytes of the response that was read last have arrived
+    bool mayRepeat = false;                     // further copies of earlier responses may follow
 
     bool takeIdleConnection()
     {
@@ -134,7 +147,7 @@
 
     void returnToPool()
     {
-        const bool reusable = parser->is_done() && parser->get().keep_alive() && requestWritten && buffer.size() == 0 && !mayRepeat;
+        const bool reusable = parser->is_done() && parser->get().keep_alive() && isRequestWritten() && buffer.size() == 0 && !mayRepeat;
         if (options.pool == nullptr || cancelled || !reusable || !stream->socket().is_open()) {
             return;
         }
@@ -202,8 +215,29 @@
     /// Starts writing and returns immediately, so that a response sent before the server has read the whole body is read.
     void startWrite()
     {
-        requestWritten = false;
-        wire::async_write(*stream, message, [self = shared_from_this()](const ErrorCode &code, std::size_t) { self->requestWritten = !code; });
+        requestWrite = std::make_shared<RequestWrite>(stream->get_executor());
+        wire::async_write(*stream, message, [self = shared_from_this(), write = requestWrite](const ErrorCode &code, std::size_t) {
+            write->result = code;
+            write->ended.cancel();
+        });
+    }
+
+    /// Whether the complete request has been written to the socket.
+    [[nodiscard]] bool isRequestWritten() const
+    {
+        return requestWrite != nullptr && requestWrite->result == ErrorCode();
+    }
+
+    /// Waits until the request has been written; returns why it was not.
+    asio::awaitable<ErrorCode> finishWrite(IdleClock::time_point deadline)
+    {
+        const std::shared_ptr<RequestWrite> write = requestWrite;
+        if (!write->result) {
+            write->ended.expires_at(deadline);
+            ErrorCode ignored;
+            co_await write->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        co_return write->result.value_or(beast::error::timeout);
     }
 
     /// Reads the headers of a final response; interim ones (1xx) come before it and are not needed.
@@ -295,7 +329,7 @@
         bool mismatched = false;
         const ErrorCode code = co_await readMatchingHeaders(mismatched);
         if (code) {
-            CallError error = makeCallError(requestWritten ? CallStage::ReadHeaders : CallStage::SendRequest, code);
+            CallError error = makeCallError(isRequestWritten() ? CallStage::ReadHeaders : CallStage::SendRequest, code);
             error.connectionReused = reused && !responseBegun;
             error.mismatchedResponse = mismatched;
             co_return error;
@@ -362,6 +396,7 @@
 asio::awaitable<CallResult<std::string>> Call::readSome(std::chrono::milliseconds timeout)
 {
     Impl &impl = *m_impl;
+    const auto deadline = IdleClock::now() + timeout;
     std::string chunk;
     while (chunk.empty() && !impl.parser->is_done()) {
         std::array<char, MaxChunkBytes> readBuffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
@@ -376,6 +411,12 @@
         }
         chunk.assign(readBuffer.data(), readBuffer.size() - impl.parser->get().body().size);
     }
+    if (chunk.empty() && impl.parser->need_eof()) { // the write may have got the error of the connection, which the read then did not see
+        const ErrorCode code = co_await impl.finishWrite(deadline);
+        if (code) {
+            co_return makeCallError(CallStage::ReadBody, code);
+        }
+    }
     if (chunk.empty()) {
         impl.returnToPool();
     }
--- a/src/arbutus/http/client.h
+++ b/src/arbutus/http/client.h
@@ -20,6 +20,9 @@
 // A: By its length or its last chunk. A response with neither, or with a transfer coding other than chunked, fails unless
 //    CallOptions::acceptConnectionClose is set. With that option, check the body with isTruncated() (truncation.h).
 //
+//    A body that ends with its connection is complete only after the whole request has been written: a socket reports its error once, and if
+//    the write gets it, the read finds a regular end. A server that responds early is waited for while it reads the request.
+//
 // Q: Which responses are refused?
 // A: Those that are not HTTP, that have a status outside 100 to 599, and those with a folded line in a head (responsehead.h).
 //
