peer: a response without a valid status, and an outcome recorded with one, are not complete

Seen by callers: by the tests only. An instance of an older release that passes on an upstream's status 000 sends a head that reads as "no head"; the body that follows reached the client with status 200.

Cause: on the product's own interface a status of 0 means that a piece has no head, and nothing asked for a head before the first piece. The status of a recorded outcome was not looked at either.

Why this works: a stream whose first piece has no head, or whose head has no final status, ends without a response, as one that breaks off. A recorded outcome without a final status is unknown. No message has changed.

--- a/src/arbutus/peer/client.cpp
+++ b/src/arbutus/peer/client.cpp
@@ -70,11 +70,13 @@
             done = std::move(m_done);
             if (ok) {
                 chunk = takeChunk();
-            } else {
-                m_ended = true;
             }
+            m_ended = !chunk || chunk->last;
         }
-        if (!ok || chunk->last) {
+        if (ok && !chunk) {
+            m_context.TryCancel();
+        }
+        if (!chunk || chunk->last) {
             releaseHold();
         }
         if (done) {
@@ -90,17 +92,21 @@
     wire::ForwardRequest request;
 
 private:
-    ForwardChunk takeChunk()
+    /// The piece that has arrived; nothing if the response has no head with a valid status before or in it.
+    std::optional<ForwardChunk> takeChunk()
     {
         ForwardChunk chunk;
         chunk.hasHead = m_piece.status() != 0;
+        if (chunk.hasHead ? !http::isFinalStatus(m_piece.status()) : !m_hasHead) {
+            return std::nullopt;
+        }
+        m_hasHead = true;
         chunk.head.status = m_piece.status();
         for (const auto &header : m_piece.headers()) {
             chunk.head.headers[header.name()] = header.value();
         }
         chunk.body = std::move(*m_piece.mutable_body());
         chunk.last = m_piece.last();
-        m_ended = chunk.last;
         return chunk;
     }
 
@@ -121,6 +127,7 @@
     wire::ForwardPiece m_piece;
     std::mutex m_mutex;
     std::function<void(std::optional<ForwardChunk>)> m_done;
+    bool m_hasHead = false; // of the response
     bool m_ended = false;
     bool m_released = false;
     std::shared_ptr<ForwardReader> m_self;
--- a/src/arbutus/peer/client.h
+++ b/src/arbutus/peer/client.h
@@ -46,7 +46,7 @@
     ForwardStream &operator=(const ForwardStream &) = delete;
     virtual ~ForwardStream() = default;
 
-    /// Reads the next chunk; std::nullopt if the stream ended without another one.
+    /// Reads the next chunk; std::nullopt if the stream ended without another one, or the response does not begin with a valid head.
     virtual void read(std::function<void(std::optional<ForwardChunk>)> done) = 0;
     virtual void cancel() = 0;
 };
--- a/src/arbutus/peer/codec.cpp
+++ b/src/arbutus/peer/codec.cpp
@@ -9,6 +9,7 @@
 
 #include "arbutus/core/hash.h"
 #include "arbutus/core/overloaded.h"
+#include "arbutus/http/message.h"
 
 #include <peer.pb.h>
 
@@ -327,10 +328,13 @@
     out.set_unknown(outcome.kind == delivery::OutcomeKind::Unknown || !outcome.responseRetained);
 }
 
-delivery::RecordedOutcome outcomeFromWire(const wire::LedgerReply &in)
+/// Of a LedgerRequest or a LedgerReply. An instance of an older release may have recorded a response with an invalid status as complete.
+template<class Message>
+delivery::RecordedOutcome outcomeFromWire(const Message &in)
 {
+    using enum delivery::OutcomeKind;
     delivery::RecordedOutcome outcome;
-    outcome.kind = in.not_run() ? delivery::OutcomeKind::NotRun : (in.unknown() ? delivery::OutcomeKind::Unknown : delivery::OutcomeKind::Completed);
+    outcome.kind = in.not_run() ? NotRun : in.unknown() || !http::isFinalStatus(in.status()) ? Unknown : Completed;
     outcome.httpStatus = in.status();
     outcome.responseBody = in.answer();
     outcome.contentType = in.content_type();
@@ -414,14 +418,8 @@
 node::LedgerCall fromWire(const wire::LedgerRequest &in)
 {
     switch (in.kind()) {
-    case wire::LedgerRequest::OUTCOME: {
-        delivery::RecordedOutcome outcome;
-        outcome.kind = in.not_run() ? delivery::OutcomeKind::NotRun : (in.unknown() ? delivery::OutcomeKind::Unknown : delivery::OutcomeKind::Completed);
-        outcome.httpStatus = in.status();
-        outcome.responseBody = in.answer();
-        outcome.contentType = in.content_type();
-        return node::LedgerOutcome{in.ticket(), std::move(outcome)};
-    }
+    case wire::LedgerRequest::OUTCOME:
+        return node::LedgerOutcome{in.ticket(), outcomeFromWire(in)};
     case wire::LedgerRequest::SEAL:
         return node::LedgerSeal{in.ticket()};
     case wire::LedgerRequest::LOOKUP:
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -7,12 +7,18 @@
 #include "arbutus/gateway/ssestreamfilter.h"
 #include "arbutus/observe/logline.h"
 #include "arbutus/observe/metrics.h"
+#include "arbutus/peer/client.h"
 #include "arbutus/peer/codec.h"
+#include "arbutus/peer/server.h"
 #include "arbutus/standin/engine.h"
+#include "support/freeport.h"
 
 #include <catch2/catch.hpp>
 #include <peer.pb.h>
 
+#include <future>
+#include <optional>
+
 using namespace arbutus;
 using namespace std::chrono_literals;
 
@@ -243,6 +249,66 @@
     REQUIRE(decoded.closedOwners.front().owner == handover.closedOwners.front().owner);
 }
 
+TEST_CASE("an outcome recorded by another instance is complete only with a valid status", "[peer]")
+{
+    struct Row
+    {
+        unsigned status;
+        delivery::OutcomeKind kind;
+    };
+    using enum delivery::OutcomeKind;
+    const auto row = GENERATE(values<Row>({{0, Unknown}, {99, Unknown}, {100, Unknown}, {200, Completed}, {404, Completed}, {599, Completed}, {600, Unknown}}));
+    CAPTURE(row.status);
+    const delivery::RecordedOutcome outcome{Completed, row.status, "text/plain", "done", true};
+    wire::LedgerRequest request;
+    peer::toWire(node::LedgerOutcome{"t", outcome}, request);
+    CHECK(std::get<node::LedgerOutcome>(peer::fromWire(request)).outcome.kind == row.kind);
+    wire::LedgerReply reply;
+    peer::toWire(delivery::LedgerResult{delivery::LedgerStatus::Completed, "digest", outcome}, reply);
+    CHECK(peer::fromWire(reply).outcome->kind == row.kind);
+}
+
+TEST_CASE("a response of another instance is read only behind a head with a valid status", "[peer]")
+{
+    struct Row
+    {
+        std::optional<unsigned> status; // none: the response has no head
+        bool accepted;
+    };
+    const auto row =
+        GENERATE(values<Row>({{{}, false}, {0, false}, {99, false}, {103, false}, {200, true}, {404, true}, {599, true}, {600, false}, {999, false}}));
+    CAPTURE(row.status.value_or(0), row.status.has_value());
+    const std::string key = "a cluster key of some length";
+    const std::string address = "127.0.0.1:" + std::to_string(tests::freePort());
+    peer::ServerHandlers handlers;
+    handlers.onForwardedRequest = [&row](const std::shared_ptr<peer::ForwardSession> &session) {
+        if (row.status) {
+            session->sendHead(http::Response{*row.status, {{"Content-Type", "text/plain"}}, {}}, [](bool) {});
+        }
+        session->sendBody("body", [](bool) {});
+        session->finish(true);
+    };
+    const peer::Server server(address, key, handlers);
+    peer::Client client(key);
+    peer::ForwardCall call;
+    call.remainingTime = 5s;
+    const auto stream = client.forward(address, call);
+    const auto read = [&] {
+        std::promise<std::optional<peer::ForwardChunk>> chunk;
+        stream->read([&chunk](std::optional<peer::ForwardChunk> arrived) { chunk.set_value(std::move(arrived)); });
+        return chunk.get_future().get();
+    };
+    const auto head = read();
+    REQUIRE(head.has_value() == row.accepted);
+    if (row.accepted) {
+        CHECK(head->head.status == row.status);
+        CHECK(read()->body == "body");
+        CHECK(read()->last);
+    } else {
+        CHECK_FALSE(read().has_value());
+    }
+}
+
 TEST_CASE("log lines quote and escape values where necessary", "[observe]")
 {
     observe::LogLine line("thing_done");
