Tests of broken responses: the gateways are a HopRig, and connections are kept to both upstreams for sure

Cause: tests::EdgeRig is the name of the rig in tests/support/edgerig, so two classes had one name. One round of requests reached both upstreams in every run so far, but nothing made it so.

Change: another name; rounds of requests until both upstreams have got one, 20 at most. No check is changed.

--- a/src/arbutus/http/sectionreader.h
+++ b/src/arbutus/http/sectionreader.h
@@ -65,8 +65,8 @@
 class SectionReader
 {
 public:
-    /// `mayParse` is asked about the bytes that the parser has not taken, which begin at the begin of a line if they are part of a head. If
-    /// it refuses them, reading fails with bad_field. Unset: all are passed on.
+    /// `mayParse` is asked about the bytes that the parser has not taken, which start a line if they are part of a head. If it
+    /// refuses them, reading fails with bad_field. Unset: all are passed on.
     SectionReader(Stream &stream, boost::beast::flat_buffer &buffer, BufferHold &hold, std::function<bool(std::string_view)> mayParse = {})
         : m_stream(stream)
         , m_buffer(buffer)
--- a/tests/interruptedbodytest.cpp
+++ b/tests/interruptedbodytest.cpp
@@ -117,7 +117,7 @@
     }));
     const auto hops = GENERATE(as<std::size_t>{}, 1, 2);
     CAPTURE(static_cast<int>(row.end), row.contentType, hops);
-    EdgeRig rig(hops, RawResponse{earlyResponse("200 OK", row.contentType, "\r\n" + BodiesByType.at(row.contentType)), row.end});
+    HopRig rig(hops, RawResponse{earlyResponse("200 OK", row.contentType, "\r\n" + BodiesByType.at(row.contentType)), row.end});
     const http::Response once = rig.send("once", "once", LargeUpload);
     CHECK(once.status == 502);
     CHECK(once.body.find("\"outcome\":\"unknown\"") != std::string::npos);
@@ -134,7 +134,7 @@
     const auto end = GENERATE(ConnectionEnd::Reset, ConnectionEnd::ResetAfterPause, ConnectionEnd::ClosedUnread, ConnectionEnd::ClosedThenReset);
     const auto hops = GENERATE(as<std::size_t>{}, 1, 2);
     CAPTURE(static_cast<int>(end), hops);
-    EdgeRig rig(hops, RawResponse{earlyResponse("200 OK", "text/event-stream", "\r\n" + events(1, 2)), end});
+    HopRig rig(hops, RawResponse{earlyResponse("200 OK", "text/event-stream", "\r\n" + events(1, 2)), end});
     CHECK(rig.send("stream", "stream", LargeUpload).status == 0);
     CHECK(rig.requests["stream"] == 1);
     CHECK(rig.hasBreaks("events", 1));
@@ -160,7 +160,7 @@
     }));
     const auto hops = GENERATE(as<std::size_t>{}, 1, 2);
     CAPTURE(row.status, row.rest, hops);
-    EdgeRig rig(hops, RawResponse{earlyResponse(row.status, "text/plain", row.rest)});
+    HopRig rig(hops, RawResponse{earlyResponse(row.status, "text/plain", row.rest)});
     const http::Response once = rig.send("once", "once", LargeUpload);
     CHECK(once.status == row.number);
     CHECK(once.body == "body");
--- a/tests/responseheadtest.cpp
+++ b/tests/responseheadtest.cpp
@@ -180,7 +180,7 @@
     const auto hops = GENERATE(as<std::size_t>{}, 1, 2);
     const auto isKept = GENERATE(false, true);
     CAPTURE(row.title, hops, isKept);
-    EdgeRig rig(hops, RawResponse{row.bytes});
+    HopRig rig(hops, RawResponse{row.bytes});
     if (isKept) {
         rig.keepConnections();
     }
--- a/tests/support/responsefixtures.h
+++ b/tests/support/responsefixtures.h
@@ -1,7 +1,7 @@
 // Servers and gateways for tests of broken responses, each with the whole way from a client to a RawServer.
 //
 //   CallFixture       http::Call
-//   EdgeRig           route gateways, with the upstream behind one hop or two
+//   HopRig            route gateways, with the upstream behind one hop or two
 //   AttemptFixture    an attempt of the product's own interface
 
 #pragma once
@@ -93,12 +93,12 @@
 };
 
 /// Gateways before two upstreams that give the same response to the first request of an attempt, and a sound one to further ones.
-class EdgeRig : public RouteGatewayRig
+class HopRig : public RouteGatewayRig
 {
 public:
     std::map<std::string, std::size_t> requests; // that reached an upstream, by attempt
 
-    EdgeRig(std::size_t hops, RawResponse firstResponse)
+    HopRig(std::size_t hops, RawResponse firstResponse)
         : m_firstResponse(std::move(firstResponse))
     {
         const std::string domain = hops == 1 ? "z-x" : "z-y";
@@ -118,17 +118,21 @@
     {
         return call(gateways[0].settings.clientEndpoint, makeRequest("/" + routeName + "/x", uploadBytes, attempt));
     }
-    /// Sends requests that get sound responses, after which there are kept connections to both upstreams.
+    /// Sends requests that get sound responses until there are kept connections to both upstreams.
     void keepConnections()
     {
         constexpr std::size_t RequestCount = 8; // at once, more than one upstream takes
-        std::array<std::optional<http::Response>, RequestCount> results;
-        for (std::size_t i = 0; i < RequestCount; ++i) {
-            start(gateways[0].settings.clientEndpoint, makeRequest("/once/x", NoUpload, "sound-" + std::to_string(i)), results[i]);
-        }
-        runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto &result) { return result.has_value(); }); });
-        if (m_a.requestCount() == 0 || m_b.requestCount() == 0) {
-            throw std::runtime_error("an upstream has got no request");
+        constexpr int MaxRounds = 20;
+        for (int round = 0; m_a.requestCount() == 0 || m_b.requestCount() == 0; ++round) {
+            if (round == MaxRounds) {
+                throw std::runtime_error("an upstream has got no request");
+            }
+            std::array<std::optional<http::Response>, RequestCount> results;
+            for (std::size_t i = 0; i < RequestCount; ++i) {
+                const std::string attempt = "sound-" + std::to_string(round) + "-" + std::to_string(i);
+                start(gateways[0].settings.clientEndpoint, makeRequest("/once/x", NoUpload, attempt), results[i]);
+            }
+            runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto &result) { return result.has_value(); }); });
         }
     }
     /// Responses of upstreams that did not end, as the gateway before them counts them.
