review: show BUDGET broken by a rolling restart while workers reject requests

Cause: the retry budget of an instance begins full at each start, whatever the process before has spent in the same window.

--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -257,7 +257,10 @@
         co_await exchange.respond(response);
         co_return;
     }
-    if (attempt.empty() || m_busy >= m_options.slots) {
+    if (onArrival) {
+        onArrival(*this, request);
+    }
+    if (attempt.empty() || m_busy >= m_options.slots || (rejects && rejects())) {
         response.status = attempt.empty() ? 400 : 503;
         response.headers["X-Not-Executed"] = "1";
         co_await exchange.respond(response);
@@ -345,6 +348,14 @@
     }
 }
 
+bool Gateway::isRunning()
+{
+    if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+        m_pid = -1;
+    }
+    return m_pid > 0;
+}
+
 //-----------------------------------------------------------------------------
 // Running
 //-----------------------------------------------------------------------------
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -120,6 +120,10 @@
     }
     /// Called when the worker begins to work on a request.
     std::function<void(const Worker &worker, const http::Request &request)> onRun;
+    /// Called for each request that the worker is meant to run, also if it rejects it.
+    std::function<void(const Worker &worker, const http::Request &request)> onArrival;
+    /// Whether the worker rejects a request, with X-Not-Executed.
+    std::function<bool()> rejects;
     /// Whether the answer of a request that has run is lost: the channel is reset.
     std::function<bool()> losesAnswer;
 
@@ -164,6 +168,8 @@
 
     void start();
     void signal(int number) const;
+    /// Whether the process has not ended yet.
+    [[nodiscard]] bool isRunning();
     [[nodiscard]] http::Endpoint callers() const
     {
         return {m_options.address, m_options.callers};
