--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -215,6 +215,7 @@
     : m_store(store)
     , m_options(std::move(options))
     , m_born(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , m_coldUntil(Clock::now() + m_options.coldFor)
 {
     http::ServerLimits limits;
     limits.idleTimeout = std::chrono::seconds(20);
@@ -223,19 +224,44 @@
     asio::co_spawn(loop, beat(), asio::detached);
 }
 
+milliseconds Worker::coldRemaining() const
+{
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(m_coldUntil - Clock::now()));
+}
+
+void Worker::becomeCold(milliseconds duration)
+{
+    m_coldUntil = Clock::now() + duration;
+    writeEntry();
+}
+
+void Worker::leave()
+{
+    m_hasLeft = true;
+    m_store.erase("servers/" + m_options.id);
+}
+
+void Worker::writeEntry()
+{
+    if (m_hasLeft) {
+        return;
+    }
+    const json::object entry{{"service", m_options.service},
+                             {"address", http::toString(m_options.endpoint)},
+                             {"zone", m_options.zone},
+                             {"version", "v1"},
+                             {"slots", m_options.slots},
+                             {"state", "ready"},
+                             {"cold_remaining_ms", coldRemaining().count()},
+                             {"born", m_born},
+                             {"sequence", ++m_sequence}};
+    m_store.put("servers/" + m_options.id, json::serialize(entry));
+}
+
 asio::awaitable<void> Worker::beat()
 {
     while (true) {
-        const json::object entry{{"service", m_options.service},
-                                 {"address", http::toString(m_options.endpoint)},
-                                 {"zone", m_options.zone},
-                                 {"version", "v1"},
-                                 {"slots", m_options.slots},
-                                 {"state", "ready"},
-                                 {"cold_remaining_ms", 0},
-                                 {"born", m_born},
-                                 {"sequence", ++m_sequence}};
-        m_store.put("servers/" + m_options.id, json::serialize(entry));
+        writeEntry();
         co_await arbutus::core::asyncSleep(BeatInterval);
     }
 }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -106,6 +106,7 @@
     http::Endpoint endpoint;
     std::size_t slots = 16;
     milliseconds work{30};
+    milliseconds coldFor{}; // since its start; zero: it is warm
 };
 
 /// A worker of a plain service. It writes its entry every 1,200 ms.
@@ -118,6 +119,11 @@
     {
         return m_options;
     }
+    /// Becomes cold, again if it is, and writes its entry at once.
+    void becomeCold(milliseconds duration);
+    [[nodiscard]] milliseconds coldRemaining() const;
+    /// Removes its entry and writes it no more; it serves on.
+    void leave();
     /// Called when the worker begins to work on a request.
     std::function<void(const Worker &worker, const http::Request &request)> onRun;
     /// Called for each request that the worker is meant to run, also if it rejects it.
@@ -130,12 +136,15 @@
 private:
     asio::awaitable<void> handle(http::Exchange &exchange);
     asio::awaitable<void> beat();
+    void writeEntry();
 
     Store &m_store;
     WorkerOptions m_options;
     std::size_t m_busy = 0;
     std::uint64_t m_sequence = 0;
     std::int64_t m_born = 0;
+    Clock::time_point m_coldUntil;
+    bool m_hasLeft = false;
     std::unique_ptr<http::Server> m_server;
 };
 
