--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 [ -x target/arbutus-gateway ] && [ -x target/review-2/restarts ] || exit 2
 directory="$(mktemp -d)" || exit 2
 trap 'rm -rf "$directory"' EXIT
-target/review-2/restarts target/arbutus-gateway "$directory" review/8/record.txt "${TROUBLE:-1}"
+target/review-2/restarts target/arbutus-gateway "$directory" review/10/record.txt "${TROUBLE:-1}"
--- a/review/standins-2/restarts.cpp
+++ b/review/standins-2/restarts.cpp
@@ -87,28 +87,7 @@
         };
         workers.back()->rejects = [&] { return isShedding && std::uniform_real_distribution<>()(random) < ShedShare; };
     }
-    std::vector<std::unique_ptr<Gateway>> gateways;
-    for (std::size_t i = 0; i < gatewayAddresses.size(); ++i) {
-        GatewayOptions options;
-        options.program = program;
-        options.directory = directory;
-        options.name = "front-bangkok-a-" + std::to_string(i + 1);
-        options.address = gatewayAddresses[i];
-        options.zone = "bangkok-a";
-        options.region = "bangkok";
-        options.zones = {{"bangkok-a", "bangkok"}};
-        for (const std::string &address : gatewayAddresses) {
-            options.seeds.push_back(address + ":" + std::to_string(ports[4]));
-        }
-        options.store = "127.0.0.1:" + std::to_string(ports[0]);
-        options.callers = ports[1];
-        options.directoryPort = ports[2];
-        options.readiness = ports[3];
-        options.peers = ports[4];
-        options.metrics = ports[5];
-        gateways.push_back(std::make_unique<Gateway>(options));
-        gateways.back()->start();
-    }
+    const std::vector<std::unique_ptr<Gateway>> gateways = startGateways(program, directory, gatewayAddresses, ports);
     if (!waitUntilReady(loop, gateways)) {
         record.line("the gateways did not get ready");
         return 2;
--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -412,6 +412,35 @@
     return {out.begin(), out.end()};
 }
 
+std::vector<std::unique_ptr<Gateway>>
+startGateways(const std::string &program, const std::string &directory, const std::vector<std::string> &addresses, const std::vector<std::uint16_t> &ports)
+{
+    constexpr std::size_t MaxSeeds = 3;
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (const std::string &address : addresses) {
+        GatewayOptions options;
+        options.program = program;
+        options.directory = directory;
+        options.name = "front-bangkok-a-" + std::to_string(gateways.size() + 1);
+        options.address = address;
+        options.zone = "bangkok-a";
+        options.region = "bangkok";
+        options.zones = {{"bangkok-a", "bangkok"}};
+        for (std::size_t i = 0; i < std::min(addresses.size(), MaxSeeds); ++i) {
+            options.seeds.push_back(addresses[i] + ":" + std::to_string(ports[4]));
+        }
+        options.store = "127.0.0.1:" + std::to_string(ports[0]);
+        options.callers = ports[1];
+        options.directoryPort = ports[2];
+        options.readiness = ports[3];
+        options.peers = ports[4];
+        options.metrics = ports[5];
+        gateways.push_back(std::make_unique<Gateway>(options));
+        gateways.back()->start();
+    }
+    return gateways;
+}
+
 void runFor(asio::io_context &loop, milliseconds duration)
 {
     const auto end = Clock::now() + duration;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -199,6 +199,9 @@
 
 /// Ports that are free for TCP and UDP at all addresses.
 std::vector<std::uint16_t> freePorts(const std::vector<std::string> &addresses, std::size_t count);
+/// Starts gateways named front-bangkok-a-1 and so on, one at each address. `ports`: of the store, callers, directory, readiness, peers and metrics.
+std::vector<std::unique_ptr<Gateway>>
+startGateways(const std::string &program, const std::string &directory, const std::vector<std::string> &addresses, const std::vector<std::uint16_t> &ports);
 /// Runs the loop.
 void runFor(asio::io_context &loop, milliseconds duration);
 /// Runs the loop until all gateways answer that they are ready; false if that takes longer than 15 s.
